--- /dev/null
+++ b/agreement/single_replica_log.ts
@@ -0,0 +1,80 @@
+/**
+ * A log of one replica in memory: the baseline of the benchmarks, and for tests of programs.
+ *
+ * @module
+ */
+import {
+  type AnyStateMachine,
+  type Clock,
+  type Failure,
+  LocalControl,
+  type MachineCommand,
+  type MachineQuestion,
+  MINUTE_MS,
+  type Result,
+} from "#core";
+import { type LogStatus, ReplicatedLog } from "./replicated_log.ts";
+
+/** What a log of one replica is built from. */
+export interface SingleReplicaOptions {
+  readonly vm: string;
+  readonly clock: Clock;
+  readonly machines: readonly AnyStateMachine[];
+}
+
+/** Leads alone, always. */
+export class SingleReplicaLog extends ReplicatedLog {
+  readonly #options: SingleReplicaOptions;
+  readonly #control: LocalControl;
+  readonly #listeners = new Set<(index: number) => void>();
+  #index = 0;
+
+  constructor(options: SingleReplicaOptions) {
+    super();
+    this.#options = options;
+    this.#control = new LocalControl(options.machines, options.clock);
+  }
+
+  override start(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override stop(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override async propose(
+    request: MachineCommand,
+  ): Promise<Result<unknown, Failure>> {
+    const result = await this.#control.propose(request);
+    this.#index += 1;
+    for (const listener of this.#listeners) listener(this.#index);
+    return result;
+  }
+
+  override query(request: MachineQuestion): Promise<Result<unknown, Failure>> {
+    return this.#control.query(request);
+  }
+
+  override status(): LogStatus {
+    return {
+      replica: "single",
+      role: "leader",
+      term: 1,
+      leader: this.#options.vm,
+      committedIndex: this.#index,
+      appliedIndex: this.#index,
+      voters: [this.#options.vm],
+      ready: true,
+    };
+  }
+
+  override leaseUntilMs(): number {
+    return this.#options.clock.nowMs() + MINUTE_MS;
+  }
+
+  override onApplied(listener: (index: number) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+}
--- /dev/null
+++ b/core/board_sections.ts
@@ -0,0 +1,87 @@
+/**
+ * The sections of an entry's blackboard.
+ *
+ * @module
+ */
+import type { AcceptedBundle } from "./bundle.ts";
+import type { Milliseconds } from "./units.ts";
+import type { LoadReport, UpstreamRecord } from "./upstream.ts";
+
+/** How sure this VM is of another one. */
+export type VmState = "alive" | "suspected" | "unreachable";
+
+/** Another VM as seen from this one. */
+export interface VmView {
+  readonly name: string;
+  readonly zone: string;
+  readonly state: VmState;
+  readonly incarnation: number;
+  /** Version of the bundle in force there, or null while unknown. */
+  readonly bundleVersion: number | null;
+  readonly lastHeardMs: Milliseconds;
+}
+
+/** Counts of requests at this entry. */
+export interface RequestsView {
+  readonly queued: number;
+  readonly running: number;
+}
+
+/** One trainer's step as seen from this entry. */
+export interface StepView {
+  readonly trainer: string;
+  readonly step: number;
+  readonly groups: number;
+  readonly committed: number;
+  readonly delivered: number;
+}
+
+/** Wished version of a model on an engine. */
+export interface OrderView {
+  readonly upstream: string;
+  readonly model: string;
+  readonly version: number;
+  readonly fence: number;
+}
+
+/** Who leads the control VMs, as last heard. */
+export interface LeaseView {
+  readonly leader: string;
+  readonly term: number;
+}
+
+/** All sections; each has the writer that `BOARD_WRITERS` names. */
+export interface BoardSections {
+  readonly bundle: AcceptedBundle | null;
+  readonly members: ReadonlyMap<string, VmView>;
+  readonly upstreams: ReadonlyMap<string, UpstreamRecord>;
+  readonly load: ReadonlyMap<string, LoadReport>;
+  readonly requests: RequestsView;
+  readonly steps: readonly StepView[];
+  readonly orders: readonly OrderView[];
+  readonly lease: LeaseView | null;
+}
+
+/** The writer of each section. */
+export const BOARD_WRITERS = {
+  bundle: "bundles",
+  members: "members",
+  upstreams: "registry",
+  load: "registry",
+  requests: "requests",
+  steps: "samples",
+  orders: "weights",
+  lease: "control",
+} as const satisfies Readonly<Record<keyof BoardSections, string>>;
+
+/** A board on which nothing is known yet. */
+export const EMPTY_BOARD: BoardSections = {
+  bundle: null,
+  members: new Map(),
+  upstreams: new Map(),
+  load: new Map(),
+  requests: { queued: 0, running: 0 },
+  steps: [],
+  orders: [],
+  lease: null,
+};
--- /dev/null
+++ b/core/http.ts
@@ -0,0 +1,58 @@
+/**
+ * Routes as the domains define them; the server itself is in `programs`.
+ *
+ * @module
+ */
+import type { Failure } from "./error_kinds.ts";
+
+/** A request whose headers and body were received whole and within their limits. */
+export interface HttpCall {
+  readonly method: string;
+  readonly path: string;
+  /** Values of the `:name` parts of the pattern, decoded. */
+  readonly parameters: Readonly<Record<string, string>>;
+  readonly query: URLSearchParams;
+  /** Lower-case names. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** Aborted when the caller goes away before the answer is whole. */
+  readonly signal: AbortSignal;
+}
+
+/** An answer; a body of chunks is sent as they come. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string | Uint8Array | AsyncIterable<string>;
+}
+
+/** One route. */
+export interface HttpRoute {
+  readonly method: "GET" | "PUT" | "POST" | "DELETE" | "ANY";
+  /** Path with `:name` for one part and a last `*name` for the rest. */
+  readonly pattern: string;
+  /** Names the route in metrics and logs. */
+  readonly name: string;
+  /** Answers the call, or gives a failure that the table turns into an answer. */
+  readonly handle: (call: HttpCall) => Promise<HttpAnswer | Failure>;
+}
+
+/**
+ * Builds a JSON answer.
+ *
+ * @example
+ * ```ts
+ * jsonAnswer(200, { version: 3 });
+ * ```
+ */
+export function jsonAnswer(
+  status: number,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): HttpAnswer {
+  return {
+    status,
+    headers: { "content-type": "application/json", ...headers },
+    body: JSON.stringify(value) + "\n",
+  };
+}
--- /dev/null
+++ b/core/mod.ts
@@ -0,0 +1,21 @@
+/**
+ * Types and small services that every other folder uses.
+ *
+ * @module
+ */
+export * from "./blackboard.ts";
+export * from "./board_sections.ts";
+export * from "./bundle.ts";
+export * from "./clock.ts";
+export * from "./error_kinds.ts";
+export * from "./events.ts";
+export * from "./http.ts";
+export * from "./local_control.ts";
+export * from "./metrics.ts";
+export * from "./ports.ts";
+export * from "./random.ts";
+export * from "./result.ts";
+export * from "./settings.ts";
+export * from "./state_machine.ts";
+export * from "./units.ts";
+export * from "./upstream.ts";
--- /dev/null
+++ b/core/units.ts
@@ -0,0 +1,18 @@
+/**
+ * Names for quantities with their units.
+ *
+ * @module
+ */
+
+/** A duration or a point of the clock, in milliseconds. */
+export type Milliseconds = number;
+/** A size in bytes. */
+export type Bytes = number;
+/** One second. */
+export const SECOND_MS: Milliseconds = 1_000;
+/** One minute. */
+export const MINUTE_MS: Milliseconds = 60_000;
+/** One kibibyte. */
+export const KIBIBYTE: Bytes = 1_024;
+/** One mebibyte. */
+export const MEBIBYTE: Bytes = 1_048_576;
--- /dev/null
+++ b/proof/fuzz.ts
@@ -0,0 +1,54 @@
+/**
+ * `npm run fuzz -- NAME --seed S --runs N`: runs one stateful fuzz model. A model is a module `fuzz_NAME.ts` that
+ * exports `fuzz(options: FuzzOptions): Promise<void>` and throws with the seed and the shrunk commands.
+ *
+ * @module
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { loadNamed, moduleNames } from "./named_module.ts";
+
+/** How a fuzz model is run. */
+export interface FuzzOptions {
+  readonly seed: number;
+  readonly runs: number;
+}
+
+interface FuzzModule {
+  readonly fuzz: (options: FuzzOptions) => Promise<void>;
+}
+
+async function main(): Promise<number> {
+  const { positionals, values } = parseArgs({
+    options: {
+      seed: { type: "string", default: "1" },
+      runs: { type: "string", default: "1000" },
+    },
+    allowPositionals: true,
+  });
+  const name = positionals[0];
+  const names = await moduleNames("fuzz_");
+  if (name === undefined || !names.includes(name)) {
+    console.error(
+      `usage: npm run fuzz -- NAME --seed S --runs N\nnames: ${
+        names.join(", ")
+      }`,
+    );
+    return 2;
+  }
+  const options = { seed: Number(values.seed), runs: Number(values.runs) };
+  const model = await loadNamed("fuzz_", name) as FuzzModule;
+  try {
+    await model.fuzz(options);
+  } catch (error) {
+    console.error(error instanceof Error ? error.message : String(error));
+    console.log(`fuzz ${name}: failed, seed ${options.seed}`);
+    return 1;
+  }
+  console.log(
+    `fuzz ${name}: ${options.runs} runs passed, seed ${options.seed}`,
+  );
+  return 0;
+}
+
+process.exit(await main());
--- /dev/null
+++ b/wire/frame_test.ts
@@ -0,0 +1,42 @@
+import { Buffer } from "node:buffer";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { encodeFrame, FrameDecoder } from "./frame.ts";
+
+test("frames come out whole and in order however the bytes are cut", () => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record(
+          { a: fc.string(), b: fc.integer() },
+          { noNullPrototype: true },
+        ),
+        {
+          maxLength: 8,
+        },
+      ),
+      fc.integer({ min: 1, max: 40 }),
+      (bodies, size) => {
+        const bytes = Buffer.concat(bodies.map(encodeFrame));
+        const decoder = new FrameDecoder();
+        const received: unknown[] = [];
+        for (let at = 0; at < bytes.length; at += size) {
+          received.push(
+            ...decoder.push(bytes.subarray(at, at + size)).unwrap(),
+          );
+        }
+        assert.deepEqual(received, bodies);
+      },
+    ),
+    { seed: 11, numRuns: 200 },
+  );
+});
+
+test("a frame of another format version or over the limit is refused", () => {
+  const other = encodeFrame({ a: 1 });
+  other[4] = 99;
+  assert.equal(new FrameDecoder().push(other).ok, false);
+  const large = encodeFrame({ a: "x".repeat(100) });
+  assert.equal(new FrameDecoder(50).push(large).ok, false);
+});
--- /dev/null
+++ b/wire/memory_network.ts
@@ -0,0 +1,216 @@
+/**
+ * A peer network inside one process, on a clock and random source that are passed in, whose links can
+ * drop, double, delay and cut: for tests.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  Err,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type RandomSource,
+  type Result,
+} from "#core";
+import { decodeValue, encodeValue } from "./frame.ts";
+import type { Channel } from "./messages.ts";
+import {
+  type NoticeHandler,
+  type NoticeOptions,
+  PeerNetwork,
+  type RequestHandler,
+  type RequestOptions,
+} from "./peer_network.ts";
+
+/** How links behave; chances are 0 to 1. */
+export interface LinkBehaviour {
+  readonly minimumDelayMs: Milliseconds;
+  readonly maximumDelayMs: Milliseconds;
+  readonly dropChance: number;
+  readonly doubleChance: number;
+}
+
+/** Links without faults and with a delay of half a millisecond. */
+export const PERFECT_LINKS: LinkBehaviour = {
+  minimumDelayMs: 0.5,
+  maximumDelayMs: 0.5,
+  dropChance: 0,
+  doubleChance: 0,
+};
+
+/** What the network is built from. */
+export interface MemoryNetworkOptions {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly links?: LinkBehaviour;
+}
+
+/** The links among all VMs of a test. */
+export class MemoryNetwork {
+  readonly #clock: Clock;
+  readonly #random: RandomSource;
+  readonly #endpoints = new Map<string, MemoryEndpoint>();
+  readonly #cuts = new Set<string>();
+  readonly #frozen = new Map<string, (() => void)[]>();
+  /** Bytes of message bodies sent so far. */
+  sentBytes = 0;
+  /** Messages sent so far. */
+  sentMessages = 0;
+  /** How links behave from now on. */
+  links: LinkBehaviour;
+
+  constructor(options: MemoryNetworkOptions) {
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.links = options.links ?? PERFECT_LINKS;
+  }
+
+  /** Joins a VM, replacing an earlier endpoint of that name as a restart does. */
+  join(name: string): MemoryEndpoint {
+    const endpoint = new MemoryEndpoint(name, this);
+    this.#endpoints.set(name, endpoint);
+    this.#frozen.delete(name);
+    return endpoint;
+  }
+
+  /** Takes a VM away; messages on their way to it are lost. */
+  leave(name: string): void {
+    this.#endpoints.delete(name);
+    this.#frozen.delete(name);
+  }
+
+  /** Cuts the link one way. */
+  cut(from: string, to: string): void {
+    this.#cuts.add(`${from}>${to}`);
+  }
+
+  /** Mends all links. */
+  heal(): void {
+    this.#cuts.clear();
+  }
+
+  /** Holds what arrives at a VM until it is thawed. */
+  freeze(name: string): void {
+    if (!this.#frozen.has(name)) this.#frozen.set(name, []);
+  }
+
+  /** Hands over what arrived meanwhile. */
+  thaw(name: string): void {
+    const held = this.#frozen.get(name) ?? [];
+    this.#frozen.delete(name);
+    for (const action of held) action();
+  }
+
+  /** Carries an encoded body to the endpoint that has the name on arrival. */
+  carry(
+    route: { readonly from: string; readonly to: string },
+    deliver: (endpoint: MemoryEndpoint) => void,
+  ): void {
+    this.sentMessages += 1;
+    if (this.#random.fraction() < this.links.dropChance) return;
+    const copies = this.#random.fraction() < this.links.doubleChance ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const spread = this.links.maximumDelayMs - this.links.minimumDelayMs;
+      const delay = this.links.minimumDelayMs +
+        this.#random.fraction() * spread;
+      this.#clock.after(delay, () => this.#arrive(route, deliver));
+    }
+  }
+
+  /** Calls `action` after `delayMs` of this network's clock. */
+  after(delayMs: Milliseconds, action: () => void): void {
+    this.#clock.after(delayMs, action);
+  }
+
+  #arrive(
+    route: { readonly from: string; readonly to: string },
+    deliver: (endpoint: MemoryEndpoint) => void,
+  ): void {
+    if (this.#cuts.has(`${route.from}>${route.to}`)) return;
+    const endpoint = this.#endpoints.get(route.to);
+    if (endpoint === undefined) return;
+    const held = this.#frozen.get(route.to);
+    if (held === undefined) {
+      deliver(endpoint);
+      return;
+    }
+    held.push(() => deliver(endpoint));
+  }
+}
+
+/** One VM's end of a memory network. */
+export class MemoryEndpoint extends PeerNetwork {
+  override readonly self: string;
+  readonly #network: MemoryNetwork;
+  readonly #notices = new Map<Channel, NoticeHandler>();
+  readonly #requests = new Map<Channel, RequestHandler>();
+
+  constructor(name: string, network: MemoryNetwork) {
+    super();
+    this.self = name;
+    this.#network = network;
+  }
+
+  override notify(options: NoticeOptions, body: unknown): void {
+    const bytes = this.#encode(body);
+    this.#network.carry(
+      { from: this.self, to: options.to },
+      (endpoint) =>
+        endpoint.#notices.get(options.channel)?.(this.self, decodeValue(bytes)),
+    );
+  }
+
+  override request(
+    options: RequestOptions,
+    body: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    const bytes = this.#encode(body);
+    return new Promise((resolve) => {
+      this.#network.after(options.timeoutMs, () =>
+        resolve(
+          Err(fail("outcome_unknown", `no answer from ${options.to} in time`)),
+        ));
+      this.#network.carry(
+        { from: this.self, to: options.to },
+        (endpoint) =>
+          endpoint.#answer(
+            { from: this.self, channel: options.channel },
+            { body: decodeValue(bytes), resolve },
+          ),
+      );
+    });
+  }
+
+  override onNotice(channel: Channel, handler: NoticeHandler): void {
+    this.#notices.set(channel, handler);
+  }
+
+  override onRequest(channel: Channel, handler: RequestHandler): void {
+    this.#requests.set(channel, handler);
+  }
+
+  #encode(body: unknown): Uint8Array {
+    const bytes = encodeValue(body);
+    this.#network.sentBytes += bytes.length;
+    return bytes;
+  }
+
+  async #answer(
+    source: { readonly from: string; readonly channel: Channel },
+    call: {
+      readonly body: unknown;
+      readonly resolve: (result: Result<unknown, Failure>) => void;
+    },
+  ): Promise<void> {
+    const handler = this.#requests.get(source.channel);
+    if (handler === undefined) return;
+    const result = await handler(source.from, call.body);
+    const bytes = this.#encode(result.val);
+    this.#network.carry({ from: this.self, to: source.from }, () => {
+      const value = decodeValue(bytes);
+      call.resolve(result.ok ? Ok(value) : Err(value as Failure));
+    });
+  }
+}
--- /dev/null
+++ b/wire/messages.ts
@@ -0,0 +1,51 @@
+/**
+ * The envelopes that frames carry. Their bodies belong to the domain that owns the channel, which
+ * checks them itself.
+ *
+ * @module
+ */
+import { z } from "zod";
+
+/** Channels, each owned by one domain. */
+export const CHANNELS = [
+  "agreement",
+  "control",
+  "bundles",
+  "members",
+  "registry",
+  "requests",
+  "samples",
+  "weights",
+] as const;
+
+/** Name of a channel. */
+export type Channel = typeof CHANNELS[number];
+
+const channel = z.enum(CHANNELS);
+const correlation = z.number().int().nonnegative();
+
+const envelopeSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("greeting"),
+    cluster: z.string().max(128),
+    vm: z.string().max(128),
+  }),
+  z.object({ kind: z.literal("notice"), channel, body: z.unknown() }),
+  z.object({
+    kind: z.literal("request"),
+    channel,
+    correlation,
+    body: z.unknown(),
+  }),
+  z.object({ kind: z.literal("reply"), correlation, body: z.unknown() }),
+  z.object({ kind: z.literal("refusal"), correlation, failure: z.unknown() }),
+]);
+
+/** One message between VMs. */
+export type Envelope = z.infer<typeof envelopeSchema>;
+
+/** Checks a decoded frame; undefined if it is not an envelope. */
+export function parseEnvelope(body: unknown): Envelope | undefined {
+  const parsed = envelopeSchema.safeParse(body);
+  return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/wire/tcp_network_test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Address, MemoryEventLog, Ok, SystemClock } from "#core";
+import { TcpNetwork } from "./tcp_network.ts";
+
+function network(
+  name: string,
+  options: { cluster: string; book: ReadonlyMap<string, Address> },
+): TcpNetwork {
+  return new TcpNetwork({
+    cluster: options.cluster,
+    self: name,
+    listen: options.book.get(name) ?? { host: "127.0.0.1", port: 0 },
+    clock: new SystemClock(),
+    events: new MemoryEventLog(),
+    resolve: (vm) => options.book.get(vm),
+  });
+}
+
+test("a request gets the answer of its own peer, and a foreign cluster none", async () => {
+  const book = new Map([
+    ["a", { host: "127.8.0.1", port: 17_101 }],
+    ["b", { host: "127.8.0.2", port: 17_101 }],
+    ["c", { host: "127.8.0.3", port: 17_101 }],
+  ]);
+  const a = network("a", { cluster: "one", book });
+  const b = network("b", { cluster: "one", book });
+  const c = network("c", { cluster: "two", book });
+  b.onRequest("control", (from, body) => Promise.resolve(Ok({ from, body })));
+  await Promise.all([a.listen(), b.listen(), c.listen()]);
+  try {
+    const options = { to: "b", channel: "control", timeoutMs: 5_000 } as const;
+    const answer = await a.request(options, { n: 7 });
+    assert.deepEqual(answer.val, { from: "a", body: { n: 7 } });
+    const foreign = await c.request(options, {});
+    assert.equal(foreign.ok, false);
+  } finally {
+    for (const each of [a, b, c]) each.close();
+  }
+});
