Accept bundles by compare-and-set, with signatures and deltas

Cause: nothing could be signed off. Change: schema, RFC 8785 bytes, Ed25519 sign-off, the machine of the log, deltas checked by digest. Conclusion: races with equal versions and resent orders have one outcome.

--- /dev/null
+++ b/bundles/bundle_delta.ts
@@ -0,0 +1,140 @@
+/**
+ * Deltas between bundles: what a VM that holds one version needs for the next.
+ *
+ * @module
+ */
+import { isDeepStrictEqual } from "node:util";
+import {
+  type AcceptedBundle,
+  type Bundle,
+  Err,
+  fail,
+  type Failure,
+  Ok,
+  type Result,
+} from "#core";
+import { byName, NAMED_LISTS } from "./bundle_schema.ts";
+import { bundleDigest } from "./bundle_signature.ts";
+
+type NamedList = typeof NAMED_LISTS[number];
+
+/** Changes of one list. */
+export interface ListChange {
+  readonly list: NamedList;
+  /** Names that are gone. */
+  readonly removed: readonly string[];
+  /** Entries that are new or changed. */
+  readonly put: readonly { readonly name: string }[];
+}
+
+/** What changes one accepted bundle into a later one. */
+export interface BundleDelta {
+  readonly fromDigest: string;
+  readonly toDigest: string;
+  readonly version: number;
+  readonly predecessor: string | null;
+  readonly limits: Bundle["limits"] | null;
+  readonly lists: readonly ListChange[];
+  readonly signer: string;
+  readonly signature: string;
+  readonly index: number;
+  readonly acceptedAtMs: number;
+}
+
+/**
+ * Computes what changes `from` into `to`.
+ *
+ * @example
+ * ```ts
+ * const delta = diffBundles(held, newest);
+ * const same = applyDelta(held, delta).unwrap();
+ * ```
+ */
+export function diffBundles(
+  from: AcceptedBundle,
+  to: AcceptedBundle,
+): BundleDelta {
+  const before = from.signed.bundle;
+  const after = to.signed.bundle;
+  const lists: ListChange[] = [];
+  for (const list of NAMED_LISTS) {
+    const change = diffList(before, { after, list });
+    if (change !== undefined) lists.push(change);
+  }
+  const sameLimits = isDeepStrictEqual(before.limits, after.limits);
+  return {
+    fromDigest: from.digest,
+    toDigest: to.digest,
+    version: after.version,
+    predecessor: after.predecessor,
+    limits: sameLimits ? null : after.limits,
+    lists,
+    signer: to.signed.signer,
+    signature: to.signed.signature,
+    index: to.index,
+    acceptedAtMs: to.acceptedAtMs,
+  };
+}
+
+function diffList(
+  before: Bundle,
+  target: { readonly after: Bundle; readonly list: NamedList },
+): ListChange | undefined {
+  const old = new Map<string, unknown>(
+    before[target.list].map((entry) => [entry.name, entry]),
+  );
+  const put: { readonly name: string }[] = [];
+  for (const entry of target.after[target.list]) {
+    if (!isDeepStrictEqual(old.get(entry.name), entry)) put.push(entry);
+    old.delete(entry.name);
+  }
+  const removed = [...old.keys()];
+  if (removed.length === 0 && put.length === 0) return undefined;
+  return { list: target.list, removed, put };
+}
+
+/** Applies a delta and checks that the result has the digest it names. */
+export function applyDelta(
+  held: AcceptedBundle,
+  delta: BundleDelta,
+): Result<AcceptedBundle, Failure> {
+  if (held.digest !== delta.fromDigest) {
+    return Err(
+      fail("version_conflict", "the delta starts from another bundle"),
+    );
+  }
+  const bundle: Record<string, unknown> = {
+    ...held.signed.bundle,
+    version: delta.version,
+    predecessor: delta.predecessor,
+    limits: delta.limits ?? held.signed.bundle.limits,
+  };
+  for (const change of delta.lists) {
+    bundle[change.list] = applyChange(held.signed.bundle[change.list], change);
+  }
+  const whole = bundle as unknown as Bundle;
+  if (bundleDigest(whole) !== delta.toDigest) {
+    return Err(fail("invalid_bundle", "the delta does not give its digest"));
+  }
+  const signed = {
+    bundle: whole,
+    signer: delta.signer,
+    signature: delta.signature,
+  };
+  return Ok({
+    signed,
+    digest: delta.toDigest,
+    index: delta.index,
+    acceptedAtMs: delta.acceptedAtMs,
+  });
+}
+
+function applyChange(
+  entries: readonly { readonly name: string }[],
+  change: ListChange,
+): readonly { readonly name: string }[] {
+  const byKey = new Map(entries.map((entry) => [entry.name, entry]));
+  for (const name of change.removed) byKey.delete(name);
+  for (const entry of change.put) byKey.set(entry.name, entry);
+  return byName([...byKey.values()]);
+}
--- /dev/null
+++ b/bundles/bundle_signature.ts
@@ -0,0 +1,106 @@
+/**
+ * Canonical bytes, digests and Ed25519 signatures of bundles.
+ *
+ * Source: RFC 8785 for the canonical bytes, RFC 8032 for the signatures.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import {
+  createHash,
+  createPublicKey,
+  type KeyObject,
+  sign,
+  verify,
+} from "node:crypto";
+import canonicalize from "canonicalize";
+import {
+  type Bundle,
+  Err,
+  fail,
+  type Failure,
+  Ok,
+  type OperatorEntry,
+  type Result,
+  type SignedBundle,
+} from "#core";
+
+const ED25519_RAW_BYTES = 32;
+
+/** The bytes that are signed and digested. */
+export function bundleBytes(bundle: Bundle): Uint8Array {
+  return Buffer.from(canonicalize(bundle) ?? "", "utf8");
+}
+
+/** SHA-256 of the canonical bytes, in hexadecimal. */
+export function bundleDigest(bundle: Bundle): string {
+  return createHash("sha256").update(bundleBytes(bundle)).digest("hex");
+}
+
+/** Who signs, and with what. */
+export interface Signer {
+  readonly signer: string;
+  readonly privateKey: KeyObject;
+}
+
+/**
+ * Signs a bundle.
+ *
+ * @example
+ * ```ts
+ * const { privateKey } = generateKeyPairSync("ed25519");
+ * const signed = signBundle(bundle, { signer: "awa", privateKey });
+ * ```
+ */
+export function signBundle(bundle: Bundle, signer: Signer): SignedBundle {
+  const signature = sign(null, bundleBytes(bundle), signer.privateKey);
+  return {
+    bundle,
+    signer: signer.signer,
+    signature: signature.toString("base64"),
+  };
+}
+
+/** The raw public key of a key pair in base64, as bundles list it. */
+export function publicKeyText(key: KeyObject): string {
+  const parts = key.export({ format: "jwk" });
+  return Buffer.from(parts.x ?? "", "base64url").toString("base64");
+}
+
+/** Checks the signature against the operators who may sign. */
+export function verifySignedBundle(
+  signed: SignedBundle,
+  operators: readonly OperatorEntry[],
+): Result<true, Failure> {
+  const operator = operators.find((each) => each.name === signed.signer);
+  if (operator === undefined) {
+    return refuse(`${signed.signer} is not an operator who may sign this`);
+  }
+  const key = readPublicKey(operator.publicKey);
+  if (key === undefined) {
+    return refuse(`the public key of ${operator.name} is malformed`);
+  }
+  const signature = Buffer.from(signed.signature, "base64");
+  if (!verify(null, bundleBytes(signed.bundle), key, signature)) {
+    return refuse(`the signature of ${signed.signer} does not fit the bundle`);
+  }
+  return Ok(true);
+}
+
+function readPublicKey(text: string): KeyObject | undefined {
+  const raw = Buffer.from(text, "base64");
+  if (raw.length !== ED25519_RAW_BYTES) return undefined;
+  const x = raw.toString("base64url");
+  try {
+    return createPublicKey({
+      key: { kty: "OKP", crv: "Ed25519", x },
+      format: "jwk",
+    });
+  } catch {
+    return undefined;
+  }
+}
+
+function refuse(message: string): Result<never, Failure> {
+  return Err(fail("bad_signature", message, { field: "signature" }));
+}
--- /dev/null
+++ b/bundles/bundles_machine.ts
@@ -0,0 +1,236 @@
+/**
+ * The machine of the replicated log that accepts bundles, one version after the other.
+ *
+ * @module
+ */
+import {
+  type AcceptedBundle,
+  type Bundle,
+  type Committed,
+  Err,
+  fail,
+  type Failure,
+  Ok,
+  type Result,
+  type SignedBundle,
+  StateMachine,
+} from "#core";
+import { match, P } from "ts-pattern";
+import { type BundleDelta, diffBundles } from "./bundle_delta.ts";
+import { parseBundle } from "./bundle_schema.ts";
+import { bundleDigest, verifySignedBundle } from "./bundle_signature.ts";
+
+const MAXIMUM_HISTORY = 4_096;
+const MAXIMUM_KEPT_BUNDLES = 32;
+
+/** Accepts a bundle if it follows the one in force. */
+export interface AcceptBundle {
+  readonly kind: "accept";
+  readonly signed: SignedBundle;
+}
+
+/** The first answer to an acceptance, given again whenever it is resent. */
+export interface BundleReceipt {
+  readonly version: number;
+  readonly digest: string;
+  readonly signer: string;
+  readonly index: number;
+  readonly acceptedAtMs: number;
+}
+
+/** Questions to the machine. */
+export type BundlesQuestion =
+  | { readonly kind: "current" }
+  | { readonly kind: "since"; readonly digest: string | null };
+
+/** What a VM needs to have the newest bundle. */
+export type BundleUpdate =
+  | { readonly kind: "none" }
+  | { readonly kind: "whole"; readonly accepted: AcceptedBundle }
+  | { readonly kind: "delta"; readonly delta: BundleDelta };
+
+/** Answers of the machine. */
+export type BundlesAnswer = AcceptedBundle | BundleUpdate | null;
+
+interface BundlesState {
+  readonly history: readonly BundleReceipt[];
+  /** The newest bundles, oldest first; the last is in force. */
+  readonly kept: readonly AcceptedBundle[];
+}
+
+/** Accepts bundles by compare-and-set on the digest of the predecessor. */
+export class BundlesMachine extends StateMachine<
+  AcceptBundle,
+  BundleReceipt,
+  BundlesQuestion,
+  BundlesAnswer
+> {
+  override readonly name = "bundles";
+  #state: BundlesState = { history: [], kept: [] };
+
+  /** The bundle in force as far as this replica has applied the log. */
+  current(): AcceptedBundle | null {
+    return this.#state.kept.at(-1) ?? null;
+  }
+
+  /** What a VM that holds the bundle with this digest needs. */
+  updateSince(digest: string | null): BundleUpdate {
+    return updateSince(this.#state.kept, digest);
+  }
+
+  override apply(
+    entry: Committed<AcceptBundle>,
+  ): Result<BundleReceipt, Failure> {
+    const signed = readSigned(entry.command);
+    if (!signed.ok) return signed;
+    const digest = bundleDigest(signed.val.bundle);
+    const earlier = this.#receipt(signed.val.bundle.version);
+    if (earlier !== undefined) return repeat(earlier, digest);
+    const allowed = mayFollow(this.current(), signed.val);
+    if (!allowed.ok) return allowed;
+    return Ok(this.#accept(entry, { signed: signed.val, digest }));
+  }
+
+  override ask(question: BundlesQuestion): Result<BundlesAnswer, Failure> {
+    return match(question)
+      .with({ kind: "current" }, () => Ok(this.current()))
+      .with(
+        { kind: "since", digest: P.union(P.string, null) },
+        ({ digest }) => Ok(this.updateSince(digest)),
+      )
+      .otherwise(() =>
+        Err(fail("malformed_request", "not a question about bundles"))
+      );
+  }
+
+  override snapshot(): unknown {
+    return this.#state;
+  }
+
+  override restore(state: unknown): void {
+    this.#state = state as BundlesState;
+  }
+
+  #receipt(version: number): BundleReceipt | undefined {
+    return this.#state.history.find((each) => each.version === version);
+  }
+
+  #accept(
+    entry: Committed<AcceptBundle>,
+    content: { readonly signed: SignedBundle; readonly digest: string },
+  ): BundleReceipt {
+    const accepted: AcceptedBundle = {
+      signed: content.signed,
+      digest: content.digest,
+      index: entry.index,
+      acceptedAtMs: entry.atMs,
+    };
+    const receipt: BundleReceipt = {
+      version: content.signed.bundle.version,
+      digest: content.digest,
+      signer: content.signed.signer,
+      index: entry.index,
+      acceptedAtMs: entry.atMs,
+    };
+    this.#state = {
+      history: [...this.#state.history, receipt].slice(-MAXIMUM_HISTORY),
+      kept: [...this.#state.kept, accepted].slice(-MAXIMUM_KEPT_BUNDLES),
+    };
+    return receipt;
+  }
+}
+
+/** Finds the delta from a held bundle to the newest of `kept`, or the whole newest one. */
+export function updateSince(
+  kept: readonly AcceptedBundle[],
+  digest: string | null,
+): BundleUpdate {
+  const newest = kept.at(-1);
+  if (newest === undefined || newest.digest === digest) return { kind: "none" };
+  const held = kept.find((each) => each.digest === digest);
+  if (held === undefined) return { kind: "whole", accepted: newest };
+  return { kind: "delta", delta: diffBundles(held, newest) };
+}
+
+function readSigned(command: AcceptBundle): Result<SignedBundle, Failure> {
+  if (command?.kind !== "accept" || typeof command.signed !== "object") {
+    return Err(fail("malformed_request", "not an acceptance of a bundle"));
+  }
+  const { signer, signature, bundle } = command.signed ?? {};
+  if (typeof signer !== "string" || typeof signature !== "string") {
+    return Err(fail("bad_signature", "the bundle is not signed"));
+  }
+  const parsed = parseBundle(bundle);
+  if (!parsed.ok) {
+    const first = parsed.val[0];
+    const text = parsed.val.map((each) => `${each.field}: ${each.message}`);
+    return Err(
+      fail(
+        "invalid_bundle",
+        text.join("; "),
+        first === undefined ? {} : { field: first.field },
+      ),
+    );
+  }
+  return Ok({ signer, signature, bundle: parsed.val });
+}
+
+function repeat(
+  earlier: BundleReceipt,
+  digest: string,
+): Result<BundleReceipt, Failure> {
+  if (earlier.digest === digest) return Ok(earlier);
+  return Err(
+    fail(
+      "version_conflict",
+      `version ${earlier.version} was accepted with other content, signed by ${earlier.signer}`,
+      { field: "version", detail: earlier.digest },
+    ),
+  );
+}
+
+function mayFollow(
+  current: AcceptedBundle | null,
+  signed: SignedBundle,
+): Result<true, Failure> {
+  const bundle = signed.bundle;
+  if (current === null) return mayBeFirst(signed);
+  const inForce = current.signed.bundle;
+  if (bundle.cluster !== inForce.cluster) {
+    return Err(
+      fail("invalid_bundle", `the cluster is ${inForce.cluster}`, {
+        field: "cluster",
+      }),
+    );
+  }
+  const follows = bundle.version === inForce.version + 1 &&
+    bundle.predecessor === current.digest;
+  if (!follows) return Err(notNext(current, bundle));
+  return verifySignedBundle(signed, inForce.operators);
+}
+
+function mayBeFirst(signed: SignedBundle): Result<true, Failure> {
+  const bundle = signed.bundle;
+  if (bundle.version !== 1) {
+    return Err(
+      fail(
+        "missing_predecessor",
+        "no bundle is in force: start with version 1",
+        {
+          field: "version",
+        },
+      ),
+    );
+  }
+  return verifySignedBundle(signed, bundle.operators);
+}
+
+function notNext(current: AcceptedBundle, bundle: Bundle): Failure {
+  const inForce = current.signed.bundle.version;
+  return fail(
+    "missing_predecessor",
+    `version ${inForce} with digest ${current.digest} is in force; ` +
+      `version ${bundle.version} names predecessor ${bundle.predecessor}`,
+    { field: "predecessor", detail: current.digest },
+  );
+}
--- a/bundles/mod.ts
+++ b/bundles/mod.ts
@@ -1,6 +1,10 @@
 /**
- * Bundles: schema, canonical bytes, Ed25519 signatures, acceptance by compare-and-set in the log, and the delta a VM needs to catch up.
+ * Bundles: schema, canonical bytes, signatures, acceptance and deltas.
  *
  * @module
  */
-export {};
+export * from "./bundle_delta.ts";
+export { type BundleFault, parseBundle } from "./bundle_schema.ts";
+export * from "./bundle_signature.ts";
+export * from "./bundles_machine.ts";
+export * from "./sample_bundle.ts";
