Spread upstreams, bundles and the belief in VMs

Cause: entries knew neither upstreams nor bundles. Ruled out: passing each renewal of each upstream to each entry (50 renewals/s in a zone of 155 upstreams, so about 10 KB/s a VM against 2 KB/s allowed). Change: an entry vouches for the upstreams that announce to it as one set with a version and a heartbeat; copies lapse unless a newer heartbeat arrives. Relays pass sets between zones and follow bundles by long polls with deltas. VMs probe each other as SWIM does. The control client finds the leader. Conclusion: the parts can be wired.

--- /dev/null
+++ b/membership/bundle_server.ts
@@ -0,0 +1,90 @@
+/**
+ * Answers watches for the bundle in force, on control VMs and on zone relays.
+ *
+ * @module
+ */
+import { type BundleUpdate, updateSince } from "#bundles";
+import {
+  type AcceptedBundle,
+  type Clock,
+  Err,
+  fail,
+  type Failure,
+  Ok,
+  type Result,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { type WatchAnswer, watchSchema } from "./bundle_messages.ts";
+
+const MAXIMUM_WATCHERS = 1_024;
+const MAXIMUM_KEPT_BUNDLES = 32;
+
+/** What a server is built from. */
+export interface BundleServerOptions {
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  /** Whether this VM heard of the quorum just now. */
+  readonly fresh: () => boolean;
+}
+
+interface HeldBundle {
+  readonly digest: string | null;
+  readonly version: number;
+}
+
+/** Keeps the newest bundles and wakes watchers when one comes into force. */
+export class BundleServer {
+  readonly #options: BundleServerOptions;
+  readonly #wakers = new Set<() => void>();
+  #kept: readonly AcceptedBundle[] = [];
+
+  constructor(options: BundleServerOptions) {
+    this.#options = options;
+  }
+
+  /** Begins to answer. */
+  start(): void {
+    this.#options.network.onRequest(
+      "bundles",
+      (_from, body) => this.#answer(body),
+    );
+  }
+
+  /** Offers a bundle that is now in force here. */
+  offer(accepted: AcceptedBundle): void {
+    if (this.#kept.at(-1)?.digest === accepted.digest) return;
+    this.#kept = [...this.#kept, accepted].slice(-MAXIMUM_KEPT_BUNDLES);
+    const wakers = [...this.#wakers];
+    this.#wakers.clear();
+    for (const wake of wakers) wake();
+  }
+
+  async #answer(body: unknown): Promise<Result<WatchAnswer, Failure>> {
+    const parsed = watchSchema.safeParse(body);
+    if (!parsed.success) return Err(fail("malformed_request", "not a watch"));
+    const { waitMs } = parsed.data;
+    const now = this.#update(parsed.data);
+    const mayWait = waitMs > 0 && this.#wakers.size < MAXIMUM_WATCHERS;
+    if (now.kind === "none" && mayWait) await this.#wait(waitMs);
+    const update = this.#update(parsed.data);
+    return Ok({ update, fresh: this.#options.fresh() });
+  }
+
+  #update(held: HeldBundle): BundleUpdate {
+    const newest = this.#kept.at(-1)?.signed.bundle.version ?? 0;
+    if (newest <= held.version) return { kind: "none" };
+    return updateSince(this.#kept, held.digest);
+  }
+
+  #wait(waitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        timer.cancel();
+        this.#wakers.delete(wake);
+        resolve();
+      };
+      const timer = this.#options.clock.after(waitMs, wake);
+      this.#wakers.add(wake);
+    });
+  }
+}
--- /dev/null
+++ b/membership/control_server.ts
@@ -0,0 +1,78 @@
+/**
+ * Answers commands, questions and status requests of other VMs on the `control` channel.
+ *
+ * @module
+ */
+import {
+  type ControlPort,
+  Err,
+  fail,
+  type Failure,
+  type MachineCommand,
+  Ok,
+  type Result,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { match } from "ts-pattern";
+import {
+  type ControlRequest,
+  controlRequestSchema,
+  type VmStatus,
+} from "./control_messages.ts";
+
+/** What a server is built from. */
+export interface ControlServerOptions {
+  readonly network: PeerNetwork;
+  readonly status: () => VmStatus;
+  /** The log, on control VMs. */
+  readonly log?: ControlPort;
+  /** Refuses a command before it reaches the log. */
+  readonly gate?: (command: MachineCommand) => Failure | undefined;
+}
+
+/** Starts to answer on the `control` channel. */
+export function serveControl(options: ControlServerOptions): void {
+  options.network.onRequest("control", (from, body) => {
+    const parsed = controlRequestSchema.safeParse(body);
+    if (parsed.success) return answer(options, parsed.data);
+    const failure = fail(
+      "malformed_request",
+      `${from} sent a malformed request`,
+    );
+    return Promise.resolve(Err(failure));
+  });
+}
+
+function answer(
+  options: ControlServerOptions,
+  request: ControlRequest,
+): Promise<Result<unknown, Failure>> {
+  return match(request)
+    .with({ kind: "status" }, () => Promise.resolve(Ok(options.status())))
+    .with({ kind: "propose" }, (command) => propose(options, command))
+    .with(
+      { kind: "query" },
+      ({ machine, question }) =>
+        options.log === undefined
+          ? notControl()
+          : options.log.query({ machine, question }),
+    )
+    .exhaustive();
+}
+
+function propose(
+  options: ControlServerOptions,
+  request: MachineCommand,
+): Promise<Result<unknown, Failure>> {
+  if (options.log === undefined) return notControl();
+  const { machine, command } = request;
+  const refused = options.gate?.({ machine, command });
+  if (refused !== undefined) return Promise.resolve(Err(refused));
+  return options.log.propose({ machine, command });
+}
+
+function notControl(): Promise<Result<never, Failure>> {
+  return Promise.resolve(
+    Err(fail("not_leader", "this VM is not a control VM")),
+  );
+}
--- /dev/null
+++ b/membership/events.ts
@@ -0,0 +1,70 @@
+/**
+ * Log events of membership.
+ *
+ * @module
+ */
+import type { EventDefinition } from "#core";
+
+/** Events 1400 to 1499. */
+export const MEMBERSHIP_EVENTS = {
+  vmSuspected: {
+    code: 1401,
+    level: "warn",
+    text: "a VM did not answer probes and is suspected",
+    action: "Nothing yet; look at the VM if event 1402 follows.",
+  },
+  vmUnreachable: {
+    code: 1402,
+    level: "warn",
+    text: "a VM is unreachable from here",
+    action: "Look at the VM and at the links between availability zones.",
+  },
+  vmAlive: {
+    code: 1403,
+    level: "info",
+    text: "a VM answers again",
+    action: "None.",
+  },
+  upstreamAnnounced: {
+    code: 1404,
+    level: "info",
+    text: "an upstream announced itself or changed what it serves",
+    action: "None.",
+  },
+  upstreamLeaving: {
+    code: 1405,
+    level: "info",
+    text: "an upstream leaves and gets no new work",
+    action: "None.",
+  },
+  upstreamLapsed: {
+    code: 1406,
+    level: "warn",
+    text: "an upstream did not renew its announcement in time",
+    action: "Look at the upstream.",
+  },
+  bundleInForce: {
+    code: 1407,
+    level: "info",
+    text: "a bundle came into force on this VM",
+    action: "None.",
+  },
+  bundleRefused: {
+    code: 1408,
+    level: "error",
+    text: "an update of the bundle was refused",
+    action: "Compare the bundle's digest on the named VM with the control VMs.",
+  },
+  malformedMessage: {
+    code: 1409,
+    level: "warn",
+    text: "a message of another VM was malformed and passed over",
+    action: "Check that both VMs run releases that can talk to each other.",
+  },
+  controlCutOff: {
+    code: 1410,
+    level: "warn",
+    text: "no control VM answers; the last bundle stays in force",
+    action: "Look at the links to the control VMs.",
+  },
+} as const satisfies Readonly<Record<string, EventDefinition>>;
--- /dev/null
+++ b/membership/member_service.ts
@@ -0,0 +1,211 @@
+/**
+ * Probes the other VMs over the network and keeps the `members` section.
+ *
+ * @module
+ */
+import {
+  type Blackboard,
+  type BoardSections,
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type RandomSource,
+  type Result,
+  type Timer,
+  type VmState,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { z } from "zod";
+import { MEMBERSHIP_EVENTS } from "./events.ts";
+import { MemberTable, type SelfReport } from "./member_table.ts";
+import type { VmDirectory } from "./vm_directory.ts";
+
+/** Time from one probe to the next. */
+export const PROBE_PERIOD_MS: Milliseconds = 1_000;
+const PROBE_TIMEOUT_MS: Milliseconds = 400;
+const HELPED_PROBE_TIMEOUT_MS: Milliseconds = 1_000;
+const HELPERS = 2;
+
+const updateSchema = z.object({
+  vm: z.string(),
+  state: z.enum(["alive", "suspected", "unreachable"]),
+  incarnation: z.number(),
+});
+const reportSchema = z.object({
+  vm: z.string(),
+  incarnation: z.number(),
+  bundleVersion: z.number().nullable(),
+});
+const probeSchema = z.discriminatedUnion("kind", [
+  z.object({
+    kind: z.literal("probe"),
+    report: reportSchema,
+    updates: z.array(updateSchema).max(32),
+  }),
+  z.object({ kind: z.literal("help"), target: z.string() }),
+]);
+const answerSchema = z.object({
+  report: reportSchema,
+  updates: z.array(updateSchema).max(32),
+});
+
+const STATE_EVENTS = {
+  alive: MEMBERSHIP_EVENTS.vmAlive,
+  suspected: MEMBERSHIP_EVENTS.vmSuspected,
+  unreachable: MEMBERSHIP_EVENTS.vmUnreachable,
+} as const satisfies Readonly<Record<VmState, unknown>>;
+
+/** What the service is built from. */
+export interface MemberServiceOptions {
+  readonly self: string;
+  readonly incarnation: number;
+  readonly board: Blackboard<BoardSections>;
+  readonly directory: VmDirectory;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+}
+
+/** Runs the probes. */
+export class MemberService {
+  readonly #options: MemberServiceOptions;
+  readonly #table: MemberTable;
+  #timer: Timer | undefined;
+
+  constructor(options: MemberServiceOptions) {
+    this.#options = options;
+    this.#table = new MemberTable(options);
+  }
+
+  /** Begins to probe and to answer probes. */
+  start(): void {
+    this.#options.network.onRequest(
+      "members",
+      (from, body) => this.#answer(from, body),
+    );
+    this.#tick();
+    this.#timer = this.#options.clock.every(
+      PROBE_PERIOD_MS,
+      () => this.#tick(),
+    );
+  }
+
+  /** Ends probing. */
+  stop(): void {
+    this.#timer?.cancel();
+  }
+
+  /** The entry VM that speaks for a zone: the first by name that is not unreachable. */
+  relayOf(zone: string): string | undefined {
+    const view = this.#options.board.read("members");
+    for (const vm of this.#options.directory.entriesOf(zone)) {
+      if (vm.name === this.#options.self) return vm.name;
+      if (view.get(vm.name)?.state !== "unreachable") return vm.name;
+    }
+    return undefined;
+  }
+
+  #tick(): void {
+    const { clock, directory } = this.#options;
+    const nowMs = clock.nowMs();
+    const vms = [...directory.list("entry"), ...directory.list("control")];
+    this.#table.follow(vms, nowMs);
+    this.#table.tick(nowMs);
+    this.#publish();
+    const target = this.#table.nextProbe();
+    if (target !== undefined) this.#probe(target);
+  }
+
+  async #probe(target: string): Promise<void> {
+    if (await this.#ask(target, PROBE_TIMEOUT_MS)) return;
+    const helpers = this.#table.helpers(target, HELPERS);
+    const answers = await Promise.all(
+      helpers.map((helper) => this.#askHelper(helper, target)),
+    );
+    const report = answers.find((each) => each !== undefined);
+    const nowMs = this.#options.clock.nowMs();
+    if (report === undefined) this.#table.missed(target, nowMs);
+    else this.#table.heard(report, nowMs);
+    this.#publish();
+  }
+
+  async #ask(target: string, timeoutMs: Milliseconds): Promise<boolean> {
+    const belief = this.#table.beliefOf(target);
+    const updates = [...this.#table.updates()];
+    if (belief !== undefined && belief.state !== "alive") updates.push(belief);
+    const answer = await this.#options.network.request(
+      { to: target, channel: "members", timeoutMs },
+      { kind: "probe", report: this.#report(), updates },
+    );
+    if (!answer.ok) return false;
+    const parsed = answerSchema.safeParse(answer.val);
+    if (!parsed.success) return false;
+    const nowMs = this.#options.clock.nowMs();
+    this.#table.learn(parsed.data.updates, nowMs);
+    this.#table.heard(parsed.data.report, nowMs);
+    this.#publish();
+    return parsed.data.report.vm === target;
+  }
+
+  async #askHelper(
+    helper: string,
+    target: string,
+  ): Promise<SelfReport | undefined> {
+    const answer = await this.#options.network.request(
+      { to: helper, channel: "members", timeoutMs: HELPED_PROBE_TIMEOUT_MS },
+      { kind: "help", target },
+    );
+    if (!answer.ok) return undefined;
+    const parsed = answerSchema.safeParse(answer.val);
+    if (!parsed.success || parsed.data.report.vm !== target) return undefined;
+    return parsed.data.report;
+  }
+
+  async #answer(
+    from: string,
+    body: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    const parsed = probeSchema.safeParse(body);
+    if (!parsed.success) {
+      return Err(fail("malformed_request", `${from} sent a malformed probe`));
+    }
+    const message = parsed.data;
+    if (message.kind === "help") {
+      const answer = await this.#options.network.request(
+        {
+          to: message.target,
+          channel: "members",
+          timeoutMs: PROBE_TIMEOUT_MS,
+        },
+        { kind: "probe", report: this.#report(), updates: [] },
+      );
+      return answer;
+    }
+    const nowMs = this.#options.clock.nowMs();
+    this.#table.learn(message.updates, nowMs);
+    this.#table.heard(message.report, nowMs);
+    this.#publish();
+    return Ok({ report: this.#report(), updates: this.#table.updates() });
+  }
+
+  #report(): SelfReport {
+    const bundle = this.#options.board.read("bundle");
+    return {
+      vm: this.#options.self,
+      incarnation: this.#table.incarnation,
+      bundleVersion: bundle?.signed.bundle.version ?? null,
+    };
+  }
+
+  #publish(): void {
+    this.#options.board.write("members", "members", this.#table.view());
+    for (const change of this.#table.takeChanges()) {
+      this.#options.events.emit(STATE_EVENTS[change.state], { vm: change.vm });
+    }
+  }
+}
--- /dev/null
+++ b/membership/merged_view.ts
@@ -0,0 +1,88 @@
+/**
+ * The view of all upstreams that follows from the sets of all homes.
+ *
+ * @module
+ */
+import type { Milliseconds, UpstreamRecord } from "#core";
+import { type HomeSet, isNewer, type Lease } from "./home_set.ts";
+import type { HeldRecord } from "./registry_messages.ts";
+
+/** A record whose lease moves with the heartbeats of its home. */
+class RegistryRecord implements UpstreamRecord {
+  readonly id: string;
+  readonly incarnation: number;
+  readonly zone: string;
+  readonly address: UpstreamRecord["address"];
+  readonly role: UpstreamRecord["role"];
+  readonly serves: UpstreamRecord["serves"];
+  readonly services: readonly string[];
+  readonly capacity: number;
+  readonly enforcesFences: boolean;
+  readonly reportsVersions: boolean;
+  readonly sequence: number;
+  readonly #lease: Lease;
+
+  constructor(
+    record: HeldRecord,
+    lease: Lease,
+    readonly leaving: boolean,
+  ) {
+    this.id = record.id;
+    this.incarnation = record.incarnation;
+    this.zone = record.zone;
+    this.address = record.address;
+    this.role = record.role;
+    this.serves = record.serves;
+    this.services = record.services;
+    this.capacity = record.capacity;
+    this.enforcesFences = record.enforcesFences;
+    this.reportsVersions = record.reportsVersions;
+    this.sequence = record.sequence;
+    this.#lease = lease;
+  }
+
+  get expiresAtMs(): Milliseconds {
+    return this.#lease.expiresAtMs;
+  }
+}
+
+/** A record without its lease, as sets hold it. */
+export function plainRecord(record: UpstreamRecord): HeldRecord {
+  return {
+    id: record.id,
+    incarnation: record.incarnation,
+    zone: record.zone,
+    address: record.address,
+    role: record.role,
+    serves: record.serves,
+    services: record.services,
+    capacity: record.capacity,
+    enforcesFences: record.enforcesFences,
+    reportsVersions: record.reportsVersions,
+    sequence: record.sequence,
+  };
+}
+
+/** Merges sets: the latest announcement of each upstream counts, and a departure outweighs it. */
+export function mergeSets(
+  sets: readonly HomeSet[],
+): ReadonlyMap<string, UpstreamRecord> {
+  const best = new Map<string, { record: HeldRecord; lease: Lease }>();
+  const left = new Map<string, number>();
+  for (const set of sets) {
+    for (const record of set.records()) {
+      const other = best.get(record.id);
+      if (other !== undefined && !isNewer(record, other.record)) continue;
+      best.set(record.id, { record, lease: set.lease });
+    }
+    for (const { id, incarnation } of set.departures()) {
+      left.set(id, Math.max(left.get(id) ?? 0, incarnation));
+    }
+  }
+  const view = new Map<string, UpstreamRecord>();
+  for (const [id, { record, lease }] of best) {
+    const leaving = (left.get(id) ?? -1) >= record.incarnation;
+    view.set(id, new RegistryRecord(record, lease, leaving));
+  }
+  return view;
+}
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -1,6 +1,18 @@
 /**
- * VMs and upstreams: probes between VMs, announcements of upstreams and their spreading within and across zones, relaying of accepted bundles.
+ * VMs and upstreams: probes between VMs, announcements of upstreams and their spreading, relaying of
+ * accepted bundles.
  *
  * @module
  */
-export {};
+export * from "./bundle_follower.ts";
+export * from "./bundle_server.ts";
+export * from "./control_client.ts";
+export { parseVmStatus, type VmStatus } from "./control_messages.ts";
+export * from "./control_server.ts";
+export * from "./events.ts";
+export * from "./member_service.ts";
+export * from "./member_table.ts";
+export * from "./registry_service.ts";
+export { readJson, upstreamRoutes } from "./upstream_routes.ts";
+export * from "./upstream_registry.ts";
+export * from "./vm_directory.ts";
--- /dev/null
+++ b/membership/registry_service.ts
@@ -0,0 +1,361 @@
+/**
+ * Spreads what is known of upstreams: at once to the entries of the zone when something changes, as
+ * heartbeats that renew the copies held there, as digests that repair gaps, and through the zone's
+ * relay to other zones and to the control VMs.
+ *
+ * @module
+ */
+import {
+  type Blackboard,
+  type BoardSections,
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type LoadReport,
+  type Milliseconds,
+  Ok,
+  type RandomSource,
+  type Result,
+  type Timer,
+  type UpstreamRecord,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { MEMBERSHIP_EVENTS } from "./events.ts";
+import {
+  type Departure,
+  registryFetchAnswerSchema,
+  registryFetchSchema,
+  type RegistryNotice,
+  registryNoticeSchema,
+  type SetHeader,
+  type SetUpdate,
+} from "./registry_messages.ts";
+import type { SequencedAnnouncement } from "./upstream_registry.ts";
+import { UpstreamRegistry } from "./upstream_registry.ts";
+import type { VmDirectory } from "./vm_directory.ts";
+import { ZoneExport } from "./zone_export.ts";
+
+/** Heartbeats sent during one lease. */
+export const HEARTBEATS_PER_LEASE = 4;
+const DIGEST_EVERY_HEARTBEATS = 2;
+const FETCH_TIMEOUT_MS: Milliseconds = 1_000;
+const DEFAULT_LEASE_MS: Milliseconds = 6_000;
+const DEPARTURE_LEASES = 10;
+
+/** What the service is built from. */
+export interface RegistryServiceOptions {
+  readonly self: string;
+  readonly zone: string;
+  /** Entries vouch for upstreams; observers, such as control VMs, only listen. */
+  readonly role: "entry" | "observer";
+  /** Start of this process, in wall milliseconds. */
+  readonly epoch: number;
+  readonly board: Blackboard<BoardSections>;
+  readonly directory: VmDirectory;
+  /** The entry VM that speaks for a zone. */
+  readonly relayOf: (zone: string) => string | undefined;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+}
+
+/** Runs the registry of one VM. */
+export class RegistryService {
+  readonly #options: RegistryServiceOptions;
+  readonly #registry: UpstreamRegistry;
+  readonly #export: ZoneExport;
+  readonly #fetching = new Set<string>();
+  #published: ReadonlyMap<string, UpstreamRecord> | undefined;
+  #exported: ReadonlyMap<string, UpstreamRecord> | undefined;
+  #pushedVersion = 0;
+  #heartbeats = 0;
+  #timer: Timer | undefined;
+
+  constructor(options: RegistryServiceOptions) {
+    this.#options = options;
+    const { self, zone, epoch } = options;
+    this.#registry = new UpstreamRegistry({
+      self,
+      epoch,
+      leaseMs: () => this.#leaseMs(),
+    });
+    this.#export = new ZoneExport({ self, zone, epoch });
+  }
+
+  /** Begins to listen and, on an entry, to vouch. */
+  start(): void {
+    const { network } = this.#options;
+    network.onNotice("registry", (from, body) => this.#takeNotice(from, body));
+    network.onRequest("registry", (_from, body) => this.#answerFetch(body));
+    this.#arm();
+  }
+
+  /** Ends the heartbeats. */
+  stop(): void {
+    this.#timer?.cancel();
+  }
+
+  /** Takes an announcement of an upstream of this zone. */
+  announce(sequenced: SequencedAnnouncement): Result<true, Failure> {
+    const { zone } = sequenced.announcement;
+    if (zone !== this.#options.zone) {
+      return Err(
+        fail("malformed_request", `this VM is in zone ${this.#options.zone}`, {
+          field: "zone",
+        }),
+      );
+    }
+    const nowMs = this.#options.clock.nowMs();
+    const taken = this.#registry.announce(sequenced, nowMs);
+    if (!taken.ok) return taken;
+    if (taken.val.changed) {
+      const { id, incarnation, serves } = sequenced.announcement;
+      this.#options.events.emit(MEMBERSHIP_EVENTS.upstreamAnnounced, {
+        upstream: id,
+        incarnation,
+        serves,
+      });
+      this.#push();
+    }
+    return Ok(true);
+  }
+
+  /** Ends new work on an upstream, here at once and on the zone's other entries by a notice. */
+  leave(departure: Departure): Result<true, Failure> {
+    const taken = this.#registry.leave(departure, this.#options.clock.nowMs());
+    if (!taken.ok) return taken;
+    if (taken.val.changed) {
+      this.#options.events.emit(MEMBERSHIP_EVENTS.upstreamLeaving, {
+        upstream: departure.id,
+        incarnation: departure.incarnation,
+      });
+      this.#push();
+    }
+    return Ok(true);
+  }
+
+  /** Takes a load report of an upstream. */
+  report(load: Omit<LoadReport, "receivedAtMs">): Result<true, Failure> {
+    const receivedAtMs = this.#options.clock.nowMs();
+    if (!this.#registry.report({ ...load, receivedAtMs })) {
+      return Err(fail("not_found", `${load.id} has not announced itself here`));
+    }
+    this.#publishLoads();
+    return Ok(true);
+  }
+
+  #leaseMs(): Milliseconds {
+    const bundle = this.#options.board.read("bundle");
+    return bundle?.signed.bundle.limits.upstreamLeaseMs ?? DEFAULT_LEASE_MS;
+  }
+
+  #arm(): void {
+    const periodMs = this.#leaseMs() / HEARTBEATS_PER_LEASE;
+    this.#timer = this.#options.clock.after(periodMs, () => {
+      this.#tick();
+      this.#arm();
+    });
+  }
+
+  #tick(): void {
+    const lapsed = this.#registry.expire(this.#options.clock.nowMs());
+    for (const upstream of lapsed) {
+      this.#options.events.emit(MEMBERSHIP_EVENTS.upstreamLapsed, { upstream });
+    }
+    this.#publish();
+    if (this.#options.role !== "entry") return;
+    this.#heartbeats += 1;
+    if (lapsed.length > 0) this.#push();
+    this.#beatZone();
+    if (this.#heartbeats % DIGEST_EVERY_HEARTBEATS === 0) this.#sendDigest();
+    if (this.#isRelay()) this.#beatOtherZones();
+  }
+
+  #isRelay(): boolean {
+    const { self, zone } = this.#options;
+    return this.#options.relayOf(zone) === self;
+  }
+
+  #peers(): readonly string[] {
+    return this.#options.directory.entriesOf(this.#options.zone)
+      .map((vm) => vm.name)
+      .filter((name) => name !== this.#options.self);
+  }
+
+  #beatZone(): void {
+    const nowMs = this.#options.clock.nowMs();
+    const headers = [this.#registry.beat()];
+    const loads: LoadReport[] = [...this.#registry.ownLoads()];
+    if (this.#isRelay()) {
+      headers.push(...this.#registry.foreignHeaders(nowMs));
+      loads.push(...zoneLoads(this.#registry.loads()));
+    }
+    this.#sendAll(this.#peers(), headersNotice(headers, loads));
+  }
+
+  #sendDigest(): void {
+    const peers = this.#peers();
+    const peer = peers[this.#options.random.below(peers.length)];
+    if (peer === undefined) return;
+    const headers = this.#registry.headers(this.#options.clock.nowMs());
+    this.#sendAll([peer], headersNotice(headers, []));
+  }
+
+  #beatOtherZones(): void {
+    const header = this.#followZone();
+    const load = this.#zoneLoad();
+    this.#sendAll(this.#outsiders(), headersNotice([header], [load]));
+  }
+
+  #followZone(): SetHeader {
+    const nowMs = this.#options.clock.nowMs();
+    const leaseMs = this.#leaseMs();
+    const view = this.#registry.localView();
+    const forgetAtMs = nowMs + DEPARTURE_LEASES * leaseMs;
+    this.#export.follow(view, { nowMs, forgetAtMs });
+    this.#exported = this.#registry.view();
+    return this.#export.beat(leaseMs);
+  }
+
+  #outsiders(): readonly string[] {
+    const { directory, relayOf, zone } = this.#options;
+    const names = directory.list("control").map((vm) => vm.name);
+    for (const other of directory.zones()) {
+      const relay = other === zone ? undefined : relayOf(other);
+      if (relay !== undefined) names.push(relay);
+    }
+    return names;
+  }
+
+  #zoneLoad(): LoadReport {
+    const sum = { running: 0, waiting: 0, cacheUse: 0 };
+    for (const [id, load] of this.#registry.loads()) {
+      if (id.startsWith("zone:")) continue;
+      sum.running += load.running;
+      sum.waiting += load.waiting;
+    }
+    const receivedAtMs = this.#options.clock.nowMs();
+    return { id: `zone:${this.#options.zone}`, ...sum, receivedAtMs };
+  }
+
+  #push(): void {
+    this.#publish();
+    const nowMs = this.#options.clock.nowMs();
+    const update = this.#registry.update({
+      home: this.#options.self,
+      epoch: this.#options.epoch,
+      since: this.#pushedVersion,
+    }, nowMs);
+    if (update === undefined) return;
+    this.#pushedVersion = update.header.version;
+    this.#sendAll(this.#peers(), { kind: "update", update });
+  }
+
+  #sendAll(names: readonly string[], notice: RegistryNotice): void {
+    for (const to of names) {
+      this.#options.network.notify({ to, channel: "registry" }, notice);
+    }
+  }
+
+  #takeNotice(from: string, body: unknown): void {
+    const parsed = registryNoticeSchema.safeParse(body);
+    if (!parsed.success) {
+      this.#options.events.emit(MEMBERSHIP_EVENTS.malformedMessage, { from });
+      return;
+    }
+    const notice: RegistryNotice = parsed.data;
+    if (notice.kind === "update") {
+      this.#takeUpdate(from, notice.update);
+      return;
+    }
+    const nowMs = this.#options.clock.nowMs();
+    for (const header of notice.headers) {
+      if (this.#registry.hear(header, nowMs)) this.#fetch(from, header.home);
+    }
+    for (const load of notice.loads) {
+      this.#registry.report({ ...load, receivedAtMs: nowMs });
+    }
+    if (notice.loads.length > 0) this.#publishLoads();
+  }
+
+  #takeUpdate(from: string, update: SetUpdate): void {
+    const fits = this.#registry.take(update, this.#options.clock.nowMs());
+    if (!fits) {
+      this.#fetch(from, update.header.home);
+      return;
+    }
+    this.#publish();
+  }
+
+  async #fetch(from: string, home: string): Promise<void> {
+    if (this.#fetching.has(home)) return;
+    this.#fetching.add(home);
+    const held = this.#registry.heldVersion(home);
+    const answer = await this.#options.network.request(
+      { to: from, channel: "registry", timeoutMs: FETCH_TIMEOUT_MS },
+      { kind: "fetch", home, epoch: held.epoch, since: held.version },
+    );
+    this.#fetching.delete(home);
+    if (!answer.ok) return;
+    const parsed = registryFetchAnswerSchema.safeParse(answer.val);
+    if (!parsed.success || parsed.data.update === null) return;
+    this.#registry.take(parsed.data.update, this.#options.clock.nowMs());
+    this.#publish();
+  }
+
+  #answerFetch(body: unknown): Promise<Result<unknown, Failure>> {
+    const parsed = registryFetchSchema.safeParse(body);
+    if (!parsed.success) {
+      return Promise.resolve(Err(fail("malformed_request", "not a fetch")));
+    }
+    const request = parsed.data;
+    if (request.home === this.#export.home) {
+      const isSame = request.epoch === this.#options.epoch;
+      const since = isSame ? request.since : 0;
+      const update = this.#export.update(since, this.#leaseMs());
+      return Promise.resolve(Ok({ update }));
+    }
+    const nowMs = this.#options.clock.nowMs();
+    const update = this.#registry.update(request, nowMs) ?? null;
+    return Promise.resolve(Ok({ update }));
+  }
+
+  #publish(): void {
+    const view = this.#registry.view();
+    if (view !== this.#published) {
+      this.#published = view;
+      this.#options.board.write("registry", "upstreams", view);
+    }
+    if (this.#options.role !== "entry" || view === this.#exported) return;
+    if (this.#isRelay()) this.#beatOtherZones();
+  }
+
+  #publishLoads(): void {
+    this.#options.board.write("registry", "load", this.#registry.loads());
+  }
+}
+
+function headersNotice(
+  headers: readonly SetHeader[],
+  loads: readonly LoadReport[],
+): RegistryNotice {
+  return {
+    kind: "headers",
+    headers,
+    loads: loads.map(({ id, running, waiting, cacheUse }) => ({
+      id,
+      running,
+      waiting,
+      cacheUse,
+    })),
+  };
+}
+
+function zoneLoads(
+  loads: ReadonlyMap<string, LoadReport>,
+): readonly LoadReport[] {
+  return [...loads.values()].filter((load) => load.id.startsWith("zone:"));
+}
--- /dev/null
+++ b/membership/upstream_routes.ts
@@ -0,0 +1,119 @@
+/**
+ * Routes on which upstreams announce themselves, leave and report.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import {
+  Err,
+  fail,
+  type Failure,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpRoute,
+  jsonAnswer,
+  Ok,
+  type Result,
+} from "#core";
+import { z } from "zod";
+import { announcementSchema, loadSchema } from "./registry_messages.ts";
+import type { RegistryService } from "./registry_service.ts";
+
+const leaveSchema = z.strictObject({
+  incarnation: z.number().int().nonnegative(),
+});
+const eventsSchema = z.strictObject({
+  incarnation: z.number().int().nonnegative(),
+  load: loadSchema,
+});
+
+/**
+ * Makes the routes of a registry.
+ *
+ * @example
+ * ```ts
+ * const routes = upstreamRoutes(registryService);
+ * ```
+ */
+export function upstreamRoutes(
+  registry: RegistryService,
+): readonly HttpRoute[] {
+  return [
+    {
+      method: "PUT",
+      pattern: "/v1/upstreams/:id",
+      name: "upstream_announce",
+      handle: (call) => Promise.resolve(announce(registry, call)),
+    },
+    {
+      method: "POST",
+      pattern: "/v1/upstreams/:id/leave",
+      name: "upstream_leave",
+      handle: (call) => Promise.resolve(leave(registry, call)),
+    },
+    {
+      method: "POST",
+      pattern: "/v1/upstreams/:id/events",
+      name: "upstream_events",
+      handle: (call) => Promise.resolve(report(registry, call)),
+    },
+  ];
+}
+
+/** Reads a JSON body of a known shape; the failure names the first field at fault. */
+export function readJson<Shape extends z.ZodType>(
+  body: Uint8Array,
+  schema: Shape,
+): Result<z.infer<Shape>, Failure> {
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.from(body).toString("utf8"));
+  } catch {
+    return Err(fail("malformed_request", "the body is not JSON"));
+  }
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return Ok(parsed.data);
+  const issue = parsed.error.issues[0];
+  const field = issue === undefined || issue.path.length === 0
+    ? "(body)"
+    : issue.path.join(".");
+  const message = `${field}: ${issue?.message ?? "is malformed"}`;
+  return Err(fail("malformed_request", message, { field }));
+}
+
+function announce(
+  registry: RegistryService,
+  call: HttpCall,
+): HttpAnswer | Failure {
+  const body = readJson(call.body, announcementSchema);
+  if (!body.ok) return body.val;
+  const { sequence, ...announcement } = body.val;
+  const id = call.parameters["id"] ?? "";
+  const taken = registry.announce({
+    announcement: { id, ...announcement },
+    sequence,
+  });
+  return taken.ok ? jsonAnswer(200, { id, sequence }) : taken.val;
+}
+
+function leave(
+  registry: RegistryService,
+  call: HttpCall,
+): HttpAnswer | Failure {
+  const body = readJson(call.body, leaveSchema);
+  if (!body.ok) return body.val;
+  const id = call.parameters["id"] ?? "";
+  const taken = registry.leave({ id, incarnation: body.val.incarnation });
+  return taken.ok ? jsonAnswer(200, { id, leaving: true }) : taken.val;
+}
+
+function report(
+  registry: RegistryService,
+  call: HttpCall,
+): HttpAnswer | Failure {
+  const body = readJson(call.body, eventsSchema);
+  if (!body.ok) return body.val;
+  const id = call.parameters["id"] ?? "";
+  const taken = registry.report({ id, ...body.val.load });
+  return taken.ok ? jsonAnswer(200, { id }) : taken.val;
+}
--- /dev/null
+++ b/programs/address_setting.ts
@@ -0,0 +1,64 @@
+/**
+ * Settings that hold addresses.
+ *
+ * @module
+ */
+import { isIP } from "node:net";
+import type { VmRole } from "#core";
+import type { DirectoryEntry } from "#membership";
+import { z } from "zod";
+
+const VM_PATTERN = /^([a-z0-9._-]+)@([a-z0-9._-]+)=([0-9a-fA-F.:]+):(\d+)$/;
+const MAXIMUM_PORT = 65_535;
+
+/** A TCP port. */
+export const portSetting = z.coerce.number().int().min(1).max(MAXIMUM_PORT);
+
+/** An IP number. */
+export const hostSetting = z.string().refine(
+  (host) => isIP(host) !== 0,
+  "must be an IP number such as 10.0.0.7",
+);
+
+/** A name of a VM, availability zone or cluster. */
+export const nameSetting = z.string().regex(
+  /^[a-z0-9][a-z0-9._-]{0,63}$/,
+  "must be lower-case letters, digits, dots, underscores and hyphens",
+);
+
+/**
+ * A list of VMs, `NAME@ZONE=HOST:PORT` with commas between them.
+ *
+ * @example
+ * ```ts
+ * vmListSetting("control").parse("control-1@a=10.0.0.7:7100");
+ * ```
+ */
+export function vmListSetting(
+  role: VmRole,
+): z.ZodType<readonly DirectoryEntry[]> {
+  return z.string().transform((text, context) => {
+    const entries: DirectoryEntry[] = [];
+    for (const part of text.split(",").filter((each) => each !== "")) {
+      const entry = readVm(part, role);
+      if (entry === undefined) {
+        context.addIssue({
+          code: "custom",
+          message: `${part} must be NAME@ZONE=HOST:PORT with an IP number`,
+        });
+        return z.NEVER;
+      }
+      entries.push(entry);
+    }
+    return entries;
+  });
+}
+
+function readVm(text: string, role: VmRole): DirectoryEntry | undefined {
+  const parts = VM_PATTERN.exec(text);
+  if (parts === null) return undefined;
+  const [, name = "", zone = "", host = "", portText = ""] = parts;
+  const port = Number(portText);
+  if (isIP(host) === 0 || port < 1 || port > MAXIMUM_PORT) return undefined;
+  return { name, zone, role, peer: { host, port } };
+}
--- /dev/null
+++ b/programs/control_settings.ts
@@ -0,0 +1,66 @@
+/**
+ * Settings of `cicadafield-control`.
+ *
+ * @module
+ */
+import type { OperatorEntry } from "#core";
+import { z } from "zod";
+import { portSetting } from "./address_setting.ts";
+import { SHARED_SETTINGS } from "./shared_settings.ts";
+
+const KEY_PATTERN = /^([a-z0-9._-]+)=([A-Za-z0-9+/]{43}=)$/;
+
+const operatorKeys: z.ZodType<readonly OperatorEntry[]> = z.string().transform(
+  (text, context) => {
+    const operators: OperatorEntry[] = [];
+    for (const part of text.split(",").filter((each) => each !== "")) {
+      const [, name, publicKey] = KEY_PATTERN.exec(part) ?? [];
+      if (name === undefined || publicKey === undefined) {
+        context.addIssue({
+          code: "custom",
+          message: `${part} must be NAME=KEY as \`keys list\` prints it`,
+        });
+        return z.NEVER;
+      }
+      operators.push({ name, publicKey });
+    }
+    return operators;
+  },
+);
+
+/** Settings of a control VM. */
+export const CONTROL_SETTINGS = {
+  ...SHARED_SETTINGS,
+  "http-port": {
+    ...SHARED_SETTINGS["http-port"],
+    schema: portSetting,
+    fallback: "8100",
+    example: "8100",
+  },
+  "peer-port": {
+    ...SHARED_SETTINGS["peer-port"],
+    schema: portSetting,
+    fallback: "7100",
+    example: "7100",
+  },
+  "data-folder": {
+    help:
+      "Folder for the durable state of this replica; one process at a time.",
+    schema: z.string().min(1),
+    example: "/var/lib/cicadafield",
+  },
+  "first-start": {
+    help:
+      "`yes` lets an empty data folder form a new group with all control VMs of the settings; otherwise it joins as a learner.",
+    schema: z.enum(["yes", "no"]),
+    fallback: "no",
+    example: "no",
+  },
+  "operator-keys": {
+    help:
+      "Operators who may sign the first bundle: NAME=KEY, separated by commas.",
+    schema: operatorKeys,
+    fallback: "",
+    example: "awa=MCowBQYDK2VwAyEAGb9ECWmEzf6FQbrBZ9w7lshQhqowtrbLDFw=",
+  },
+} as const;
