Keep departures and leases exact through restarts and freezes

Cause: fuzzing the registry against a map (cuts, freezes, restarts) found that a restarted entry VM lost the departures it had vouched for, and that an entry VM thawed after the lease used its own upstreams until its next heartbeat. Ruled out: a slower bound in the check; departures on disk (most entries have none). Change: a starting entry asks its zone for headers and takes its own departures back; own upstreams have a lease each, read at every use.

--- a/membership/merged_view.ts
+++ b/membership/merged_view.ts
@@ -66,6 +66,7 @@
 /** Merges sets: the latest announcement of each upstream counts, and a departure outweighs it. */
 export function mergeSets(
   sets: readonly HomeSet[],
+  leaseOf: (set: HomeSet, id: string) => Lease,
 ): ReadonlyMap<string, UpstreamRecord> {
   const best = new Map<string, { record: HeldRecord; lease: Lease }>();
   const left = new Map<string, number>();
@@ -73,7 +74,7 @@
     for (const record of set.records()) {
       const other = best.get(record.id);
       if (other !== undefined && !isNewer(record, other.record)) continue;
-      best.set(record.id, { record, lease: set.lease });
+      best.set(record.id, { record, lease: leaseOf(set, record.id) });
     }
     for (const { id, incarnation } of set.departures()) {
       left.set(id, Math.max(left.get(id) ?? 0, incarnation));
--- a/membership/registry_messages.ts
+++ b/membership/registry_messages.ts
@@ -94,12 +94,20 @@
   }
   | { readonly kind: "update"; readonly update: SetUpdate };
 
-/** A request on the registry channel. */
-export const registryFetchSchema = z.object({
-  kind: z.literal("fetch"),
-  home: name,
-  epoch: z.number(),
-  since: count,
+/** A request on the registry channel: for all headers, or for one set. */
+export const registryRequestSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("headers") }),
+  z.object({
+    kind: z.literal("fetch"),
+    home: name,
+    epoch: z.number(),
+    since: count,
+  }),
+]);
+
+/** The answer to a request for headers. */
+export const registryHeadersSchema = z.object({
+  headers: z.array(headerSchema),
 });
 
 /** The answer to a fetch. */
--- a/membership/registry_service.ts
+++ b/membership/registry_service.ts
@@ -26,9 +26,10 @@
 import {
   type Departure,
   registryFetchAnswerSchema,
-  registryFetchSchema,
+  registryHeadersSchema,
   type RegistryNotice,
   registryNoticeSchema,
+  registryRequestSchema,
   type SetHeader,
   type SetUpdate,
 } from "./registry_messages.ts";
@@ -89,7 +90,12 @@
   start(): void {
     const { network } = this.#options;
     network.onNotice("registry", (from, body) => this.#takeNotice(from, body));
-    network.onRequest("registry", (_from, body) => this.#answerFetch(body));
+    network.onRequest("registry", (_from, body) => this.#answer(body));
+    this.#arm();
+  }
+
+  /** Goes on with the heartbeats after `stop`. */
+  resume(): void {
     this.#arm();
   }
 
@@ -98,6 +104,12 @@
     this.#timer?.cancel();
   }
 
+  /** Asks the zone's other entries for what they hold; resolves when each answered or timed out. */
+  async synchronise(): Promise<void> {
+    const asked = this.#peers().map((peer) => this.#synchroniseWith(peer));
+    await Promise.all(asked);
+  }
+
   /** Takes an announcement of an upstream of this zone. */
   announce(sequenced: SequencedAnnouncement): Result<true, Failure> {
     const { zone } = sequenced.announcement;
@@ -290,6 +302,20 @@
     this.#publish();
   }
 
+  async #synchroniseWith(peer: string): Promise<void> {
+    const answer = await this.#options.network.request(
+      { to: peer, channel: "registry", timeoutMs: FETCH_TIMEOUT_MS },
+      { kind: "headers" },
+    );
+    if (!answer.ok) return;
+    const parsed = registryHeadersSchema.safeParse(answer.val);
+    if (!parsed.success) return;
+    const nowMs = this.#options.clock.nowMs();
+    const missing = parsed.data.headers
+      .filter((header) => this.#registry.hear(header, nowMs));
+    await Promise.all(missing.map((header) => this.#fetch(peer, header.home)));
+  }
+
   async #fetch(from: string, home: string): Promise<void> {
     if (this.#fetching.has(home)) return;
     this.#fetching.add(home);
@@ -306,12 +332,17 @@
     this.#publish();
   }
 
-  #answerFetch(body: unknown): Promise<Result<unknown, Failure>> {
-    const parsed = registryFetchSchema.safeParse(body);
+  #answer(body: unknown): Promise<Result<unknown, Failure>> {
+    const parsed = registryRequestSchema.safeParse(body);
     if (!parsed.success) {
-      return Promise.resolve(Err(fail("malformed_request", "not a fetch")));
+      const failure = fail("malformed_request", "not a registry request");
+      return Promise.resolve(Err(failure));
     }
     const request = parsed.data;
+    if (request.kind === "headers") {
+      const headers = this.#registry.headers(this.#options.clock.nowMs());
+      return Promise.resolve(Ok({ headers }));
+    }
     if (request.home === this.#export.home) {
       const isSame = request.epoch === this.#options.epoch;
       const since = isSame ? request.since : 0;
--- a/membership/upstream_registry.ts
+++ b/membership/upstream_registry.ts
@@ -21,7 +21,7 @@
   type UpstreamAnnouncement,
   type UpstreamRecord,
 } from "#core";
-import { HomeSet, isNewer } from "./home_set.ts";
+import { HomeSet, isNewer, type Lease } from "./home_set.ts";
 import { mergeSets } from "./merged_view.ts";
 import type {
   Departure,
@@ -40,6 +40,7 @@
 
 const CHANGED: Change = { changed: true };
 const UNCHANGED: Change = { changed: false };
+const LAPSED: Lease = { expiresAtMs: 0 };
 
 /** What a registry is built from. */
 export interface UpstreamRegistryOptions {
@@ -62,7 +63,8 @@
 export class UpstreamRegistry {
   readonly #options: UpstreamRegistryOptions;
   readonly #own: HomeSet;
-  readonly #ownLapsesAtMs = new Map<string, Milliseconds>();
+  /** Own upstreams lapse one by one, unless they renew. */
+  readonly #ownLeases = new Map<string, Lease>();
   readonly #held = new Map<string, HomeSet>();
   readonly #loads = new Map<string, LoadReport>();
   #view: ReadonlyMap<string, UpstreamRecord> | undefined;
@@ -74,7 +76,6 @@
       epoch: options.epoch,
       local: true,
     });
-    this.#own.lease.expiresAtMs = Number.POSITIVE_INFINITY;
     this.#own.beat();
   }
 
@@ -92,7 +93,7 @@
     if (refused !== undefined) return Err(refused);
     const own = this.#own.record(record.id);
     if (own !== undefined && isNewer(own, record)) return Ok(UNCHANGED);
-    this.#ownLapsesAtMs.set(record.id, nowMs + this.#options.leaseMs());
+    this.#renewOwn(record.id, nowMs);
     const heldElsewhere = known !== undefined && isNewer(known, record);
     if (own !== undefined && !heldElsewhere && sameContent(own, record)) {
       this.#own.renew(record);
@@ -132,8 +133,8 @@
   /** Drops what lapsed; gives the upstreams of this home that did not renew. */
   expire(nowMs: Milliseconds): readonly string[] {
     const lapsed: string[] = [];
-    for (const [id, atMs] of this.#ownLapsesAtMs) {
-      if (atMs > nowMs) continue;
+    for (const [id, lease] of this.#ownLeases) {
+      if (lease.expiresAtMs > nowMs) continue;
       lapsed.push(id);
       this.#dropOwn(id);
     }
@@ -173,7 +174,9 @@
 
   /** Takes a header; true if the set must be fetched because the copy here is older. */
   hear(header: SetHeader, nowMs: Milliseconds): boolean {
-    if (header.home === this.#options.self) return false;
+    if (header.home === this.#options.self) {
+      return header.epoch < this.#options.epoch;
+    }
     const held = this.#held.get(header.home);
     if (held === undefined) return true;
     if (header.epoch !== held.epoch) return header.epoch > held.epoch;
@@ -186,7 +189,7 @@
   heldVersion(
     home: string,
   ): { readonly epoch: number; readonly version: number } {
-    return this.#set(home) ?? { epoch: 0, version: 0 };
+    return this.#held.get(home) ?? { epoch: 0, version: 0 };
   }
 
   /** The changes of a set since a version of an epoch; undefined if the set is not held. */
@@ -210,7 +213,10 @@
   /** Takes an update; false if it starts after the copy here and must be fetched whole. */
   take(update: SetUpdate, nowMs: Milliseconds): boolean {
     const { header } = update;
-    if (header.home === this.#options.self) return true;
+    if (header.home === this.#options.self) {
+      this.#adoptDepartures(update, nowMs);
+      return true;
+    }
     const held = this.#held.get(header.home);
     if (held !== undefined && isOlder(header, held)) return true;
     const fits = held !== undefined && held.epoch === header.epoch &&
@@ -233,14 +239,14 @@
 
   /** All upstreams known here; those of lapsed sets go when `expire` runs. */
   view(): ReadonlyMap<string, UpstreamRecord> {
-    this.#view ??= mergeSets([this.#own, ...this.#held.values()]);
+    this.#view ??= this.#merge([...this.#held.values()]);
     return this.#view;
   }
 
   /** The upstreams of this zone with its departures, for other zones. */
   localView(): ReadonlyMap<string, UpstreamRecord> {
     const local = [...this.#held.values()].filter((set) => set.local);
-    return mergeSets([this.#own, ...local]);
+    return this.#merge(local);
   }
 
   /** Load by upstream, and by zone under `zone:NAME`. */
@@ -258,6 +264,20 @@
     return loads;
   }
 
+  #merge(held: readonly HomeSet[]): ReadonlyMap<string, UpstreamRecord> {
+    return mergeSets([this.#own, ...held], (set, id) => {
+      if (set !== this.#own) return set.lease;
+      return this.#ownLeases.get(id) ?? LAPSED;
+    });
+  }
+
+  #renewOwn(id: string, nowMs: Milliseconds): void {
+    const expiresAtMs = nowMs + this.#options.leaseMs();
+    const lease = this.#ownLeases.get(id);
+    if (lease === undefined) this.#ownLeases.set(id, { expiresAtMs });
+    else lease.expiresAtMs = expiresAtMs;
+  }
+
   #set(home: string): HomeSet | undefined {
     return home === this.#options.self ? this.#own : this.#held.get(home);
   }
@@ -277,8 +297,20 @@
     return undefined;
   }
 
+  /** Takes back the departures that this VM vouched for before it was restarted. */
+  #adoptDepartures(update: SetUpdate, nowMs: Milliseconds): void {
+    for (const departure of update.departures) {
+      const own = this.#own.departure(departure.id);
+      if (own !== undefined && own.incarnation >= departure.incarnation) {
+        continue;
+      }
+      this.#own.depart(departure, this.#forgetAtMs(nowMs));
+      this.#view = undefined;
+    }
+  }
+
   #dropOwn(id: string): void {
-    this.#ownLapsesAtMs.delete(id);
+    this.#ownLeases.delete(id);
     this.#loads.delete(id);
     this.#own.remove(id);
     this.#view = undefined;
--- a/proof/fuzz.ts
+++ b/proof/fuzz.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import process from "node:process";
+import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
 import { loadNamed, moduleNames } from "./named_module.ts";
 
@@ -51,4 +52,6 @@
   return 0;
 }
 
-process.exit(await main());
+if (process.argv[1] === fileURLToPath(import.meta.url)) {
+  process.exit(await main());
+}
