--- /dev/null
+++ b/requests/call_headers.ts
@@ -0,0 +1,118 @@
+/**
+ * Reads and checks what callers say in headers.
+ *
+ * @module
+ */
+import {
+  Err,
+  fail,
+  type Failure,
+  type HttpCall,
+  type Milliseconds,
+  MINUTE_MS,
+  Ok,
+  type Result,
+} from "#core";
+import type { BundlePolicy } from "./policy.ts";
+
+/** Header that names the tenant. */
+export const TENANT_HEADER = "cicadafield-tenant";
+/** Header that names the class. */
+export const CLASS_HEADER = "cicadafield-class";
+/** Header that gives the time allowed, in milliseconds. */
+export const DEADLINE_HEADER = "cicadafield-deadline-ms";
+/** Header that gives the key of a request that must run at most once however often it is sent. */
+export const KEY_HEADER = "idempotency-key";
+/** Most time that a caller may allow. */
+export const MAXIMUM_DEADLINE_MS: Milliseconds = 60 * MINUTE_MS;
+
+const MAXIMUM_KEY_LENGTH = 256;
+const SINGLE_HEADERS = [
+  TENANT_HEADER,
+  CLASS_HEADER,
+  DEADLINE_HEADER,
+  KEY_HEADER,
+] as const;
+
+/** What the headers of a call say. */
+export interface CallHeaders {
+  readonly tenant: string;
+  readonly class: string;
+  readonly deadlineMs: Milliseconds;
+  readonly idempotencyKey: string | null;
+}
+
+/** Reads the headers of a call; the deadline is put on the clock of `nowMs`. */
+export function readCallHeaders(
+  call: HttpCall,
+  options: { readonly policy: BundlePolicy; readonly nowMs: Milliseconds },
+): Result<CallHeaders, Failure> {
+  const { policy, nowMs } = options;
+  for (const name of SINGLE_HEADERS) {
+    if (call.headers[name]?.includes(",") === true) {
+      return refuse("conflicting_headers", `${name} was sent twice`, name);
+    }
+  }
+  const tenant = call.headers[TENANT_HEADER] ?? "";
+  if (tenant === "") {
+    return refuse(
+      "missing_header",
+      `${TENANT_HEADER} is missing`,
+      TENANT_HEADER,
+    );
+  }
+  if (policy.tenant(tenant) === undefined) {
+    return refuse(
+      "unknown_tenant",
+      `there is no tenant ${tenant}`,
+      TENANT_HEADER,
+    );
+  }
+  const name = call.headers[CLASS_HEADER] ?? policy.lastClass() ?? "";
+  const entry = policy.class(name);
+  if (entry === undefined) {
+    return refuse("unknown_class", `there is no class ${name}`, CLASS_HEADER);
+  }
+  const allowedMs = readDeadline(call, entry.defaultDeadlineMs);
+  if (!allowedMs.ok) return allowedMs;
+  const key = call.headers[KEY_HEADER] ?? null;
+  if (key !== null && (key === "" || key.length > MAXIMUM_KEY_LENGTH)) {
+    const message =
+      `${KEY_HEADER} must have 1 to ${MAXIMUM_KEY_LENGTH} characters`;
+    return refuse("malformed_request", message, KEY_HEADER);
+  }
+  return Ok({
+    tenant,
+    class: name,
+    deadlineMs: nowMs + allowedMs.val,
+    idempotencyKey: key,
+  });
+}
+
+function readDeadline(
+  call: HttpCall,
+  defaultMs: Milliseconds,
+): Result<Milliseconds, Failure> {
+  const text = call.headers[DEADLINE_HEADER];
+  if (text === undefined) return Ok(defaultMs);
+  const allowedMs = /^\d{1,9}$/.test(text) ? Number(text) : 0;
+  if (allowedMs > 0 && allowedMs <= MAXIMUM_DEADLINE_MS) return Ok(allowedMs);
+  return refuse(
+    "malformed_request",
+    `${DEADLINE_HEADER} must be a whole number from 1 to ${MAXIMUM_DEADLINE_MS}`,
+    DEADLINE_HEADER,
+  );
+}
+
+function refuse(
+  kind:
+    | "conflicting_headers"
+    | "missing_header"
+    | "unknown_tenant"
+    | "unknown_class"
+    | "malformed_request",
+  message: string,
+  field: string,
+): Result<never, Failure> {
+  return Err(fail(kind, message, { field }));
+}
--- /dev/null
+++ b/requests/chunk_queue.ts
@@ -0,0 +1,52 @@
+/**
+ * Values handed from a callback to an asynchronous iterator.
+ *
+ * @module
+ */
+
+/** A queue with one writer and one reader. */
+export class ChunkQueue<Value> {
+  readonly #values: Value[] = [];
+  #hasEnded = false;
+  #wake: (() => void) | undefined;
+
+  /** Adds a value. */
+  push(value: Value): void {
+    this.#values.push(value);
+    this.#notify();
+  }
+
+  /** No value follows. */
+  end(): void {
+    this.#hasEnded = true;
+    this.#notify();
+  }
+
+  /** Waits for the first value; false if the queue ends without one. */
+  async hasFirst(): Promise<boolean> {
+    while (this.#values.length === 0 && !this.#hasEnded) await this.#change();
+    return this.#values.length > 0;
+  }
+
+  /** Every value in order, until the end. */
+  async *all(): AsyncIterable<Value> {
+    while (true) {
+      for (const value of this.#values.splice(0)) yield value;
+      if (this.#values.length > 0) continue;
+      if (this.#hasEnded) return;
+      await this.#change();
+    }
+  }
+
+  #change(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#wake = resolve;
+    });
+  }
+
+  #notify(): void {
+    const wake = this.#wake;
+    this.#wake = undefined;
+    wake?.();
+  }
+}
--- /dev/null
+++ b/requests/claims.ts
@@ -0,0 +1,228 @@
+/**
+ * The machine that holds the claims of keyed requests, so that each runs at most once whichever entry VM
+ * it arrives at.
+ *
+ * @module
+ */
+import { z } from "zod";
+import {
+  type Bytes,
+  type Committed,
+  Err,
+  fail,
+  type Failure,
+  KIBIBYTE,
+  type Milliseconds,
+  Ok,
+  type Result,
+  StateMachine,
+} from "#core";
+
+/** Most bytes of an answer that is kept; of a longer one only the fact is kept. */
+export const STORED_ANSWER_BYTES: Bytes = 64 * KIBIBYTE;
+/** How long a withdrawn token is remembered, so that its delayed claim takes no effect. */
+export const WITHDRAWN_TOKEN_MS: Milliseconds = 600_000;
+
+const KEY_LENGTH = 1_024;
+
+const answerSchema = z.object({
+  status: z.number().int().min(100).max(599),
+  headers: z.record(z.string(), z.string()),
+  body: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+  upstream: z.string().max(256),
+});
+
+const commandSchema = z.discriminatedUnion("operation", [
+  z.object({
+    operation: z.literal("claim"),
+    key: z.string().min(1).max(KEY_LENGTH),
+    token: z.string().min(1).max(64),
+    fingerprint: z.string().max(128),
+    retentionMs: z.number().nonnegative(),
+    maximumStored: z.number().int().nonnegative(),
+  }),
+  z.object({
+    operation: z.literal("store"),
+    key: z.string().min(1).max(KEY_LENGTH),
+    token: z.string().min(1).max(64),
+    answer: answerSchema.nullable(),
+  }),
+  z.object({
+    operation: z.literal("withdraw"),
+    key: z.string().min(1).max(KEY_LENGTH),
+    token: z.string().min(1).max(64),
+  }),
+]);
+
+/**
+ * What entries propose. `claim` asks for the right to run a key; `store` keeps the answer, or null when it
+ * is too long to keep; `withdraw` gives back a claim of which no byte was sent.
+ */
+export type ClaimCommand = z.infer<typeof commandSchema>;
+
+/** An answer that was stored. */
+export type StoredAnswer = z.infer<typeof answerSchema>;
+
+/** What a claim finds. */
+export type ClaimReply =
+  | { readonly state: "granted" }
+  | { readonly state: "open" }
+  | { readonly state: "answered"; readonly answer: StoredAnswer }
+  | { readonly state: "answer_not_kept" }
+  | { readonly state: "done" };
+
+/** Question of the machine: how many claims it holds. */
+export interface ClaimQuestion {
+  readonly question: "count";
+}
+
+/** Answer to a question. */
+export interface ClaimCount {
+  readonly claims: number;
+}
+
+interface Claim {
+  readonly token: string;
+  readonly fingerprint: string;
+  readonly expiresAtMs: Milliseconds;
+  readonly state: "open" | "answered" | "answer_not_kept";
+  readonly answer: StoredAnswer | null;
+}
+
+interface ClaimsSnapshot {
+  readonly claims: readonly (readonly [string, Claim])[];
+  readonly withdrawn: readonly (readonly [string, Milliseconds])[];
+}
+
+/**
+ * Claims in the order in which they were made. A claim within its retention is never dropped to make room:
+ * a full machine refuses new keys instead, because a dropped claim could run twice.
+ */
+export class ClaimsMachine
+  extends StateMachine<unknown, ClaimReply, unknown, ClaimCount> {
+  override readonly name = "claims";
+  #claims = new Map<string, Claim>();
+  #withdrawn = new Map<string, Milliseconds>();
+
+  override apply(entry: Committed<unknown>): Result<ClaimReply, Failure> {
+    const parsed = commandSchema.safeParse(entry.command);
+    if (!parsed.success) {
+      return Err(fail("malformed_request", "the claim command is malformed"));
+    }
+    this.#dropExpired(entry.atMs);
+    const command = parsed.data;
+    switch (command.operation) {
+      case "claim":
+        return this.#claim(command, entry.atMs);
+      case "store":
+        return this.#store(command);
+      case "withdraw":
+        return this.#withdraw(command, entry.atMs);
+    }
+  }
+
+  override ask(_question: unknown): Result<ClaimCount, Failure> {
+    return Ok({ claims: this.#claims.size });
+  }
+
+  override snapshot(): ClaimsSnapshot {
+    return {
+      claims: [...this.#claims],
+      withdrawn: [...this.#withdrawn],
+    };
+  }
+
+  override restore(state: unknown): void {
+    const snapshot = state as ClaimsSnapshot;
+    this.#claims = new Map(snapshot.claims);
+    this.#withdrawn = new Map(snapshot.withdrawn);
+  }
+
+  #claim(
+    command: Extract<ClaimCommand, { operation: "claim" }>,
+    atMs: Milliseconds,
+  ): Result<ClaimReply, Failure> {
+    if (this.#withdrawn.has(command.token)) {
+      return Err(fail("conflict", "the claim was withdrawn", { ran: "no" }));
+    }
+    const known = this.#claims.get(command.key);
+    if (known !== undefined) return answerKnown(known, command);
+    if (this.#claims.size >= command.maximumStored) {
+      return Err(this.#full(atMs));
+    }
+    this.#claims.set(command.key, {
+      token: command.token,
+      fingerprint: command.fingerprint,
+      expiresAtMs: atMs + command.retentionMs,
+      state: "open",
+      answer: null,
+    });
+    return Ok({ state: "granted" });
+  }
+
+  #store(
+    command: Extract<ClaimCommand, { operation: "store" }>,
+  ): Result<ClaimReply, Failure> {
+    const known = this.#claims.get(command.key);
+    if (known?.token !== command.token || known.state !== "open") {
+      return Ok({ state: "done" });
+    }
+    const answer = command.answer;
+    const kept = answer !== null && answer.body.length <= STORED_ANSWER_BYTES;
+    this.#claims.set(command.key, {
+      ...known,
+      state: kept ? "answered" : "answer_not_kept",
+      answer: kept ? answer : null,
+    });
+    return Ok({ state: "done" });
+  }
+
+  #withdraw(
+    command: Extract<ClaimCommand, { operation: "withdraw" }>,
+    atMs: Milliseconds,
+  ): Result<ClaimReply, Failure> {
+    const known = this.#claims.get(command.key);
+    if (known?.token === command.token && known.state === "open") {
+      this.#claims.delete(command.key);
+    }
+    this.#withdrawn.set(command.token, atMs + WITHDRAWN_TOKEN_MS);
+    return Ok({ state: "done" });
+  }
+
+  #full(atMs: Milliseconds): Failure {
+    const [oldest] = this.#claims.values();
+    const retryAfterMs = Math.max(1_000, (oldest?.expiresAtMs ?? 0) - atMs);
+    return fail("too_many_requests", "all places for keyed requests are used", {
+      retryAfterMs,
+    });
+  }
+
+  #dropExpired(atMs: Milliseconds): void {
+    for (const [key, claim] of this.#claims) {
+      if (claim.expiresAtMs > atMs) break;
+      this.#claims.delete(key);
+    }
+    for (const [token, untilMs] of this.#withdrawn) {
+      if (untilMs > atMs) break;
+      this.#withdrawn.delete(token);
+    }
+  }
+}
+
+function answerKnown(
+  known: Claim,
+  command: Extract<ClaimCommand, { operation: "claim" }>,
+): Result<ClaimReply, Failure> {
+  if (known.fingerprint !== command.fingerprint) {
+    return Err(fail("conflict", "the key was used with another request", {
+      ran: "no",
+      field: "idempotency-key",
+    }));
+  }
+  if (known.state === "answered" && known.answer !== null) {
+    return Ok({ state: "answered", answer: known.answer });
+  }
+  if (known.state === "answer_not_kept") return Ok({ state: known.state });
+  const own = known.token === command.token;
+  return Ok({ state: own ? "granted" : "open" });
+}
--- /dev/null
+++ b/requests/class_queue.ts
@@ -0,0 +1,181 @@
+/**
+ * The waiting work of one class: fair shares among tenants and, within a tenant, among trainers.
+ *
+ * @module
+ */
+import type { WorkItem } from "./work_item.ts";
+
+/** Weights of those who share a class. */
+export interface ShareWeights {
+  tenantWeight(name: string): number;
+  trainerWeight(name: string): number;
+}
+
+/** How many items a search may still look at. */
+export interface SearchBudget {
+  left: number;
+}
+
+const MINIMUM_WEIGHT = 1e-6;
+
+/** The waiting work of one class. */
+export class ClassQueue {
+  readonly name: string;
+  readonly #weights: ShareWeights;
+  readonly #tenants = new Map<string, TenantFlow>();
+  readonly #clock = new FairClock();
+  #size = 0;
+
+  constructor(name: string, weights: ShareWeights) {
+    this.name = name;
+    this.#weights = weights;
+  }
+
+  /** Items that wait. */
+  get size(): number {
+    return this.#size;
+  }
+
+  /** Adds an item behind those of its tenant, trainer and urgency. */
+  push(item: WorkItem): void {
+    const tenant = this.#tenants.get(item.tenant) ?? new TenantFlow();
+    this.#tenants.set(item.tenant, tenant);
+    if (tenant.size === 0) tenant.start = this.#clock.join(tenant.start);
+    tenant.push(item);
+    this.#size += 1;
+  }
+
+  /** Takes an item out without charging its owner. */
+  remove(item: WorkItem): void {
+    if (this.#tenants.get(item.tenant)?.remove(item) === true) this.#size -= 1;
+  }
+
+  /** The first item in order that fits; it stays. */
+  find(
+    fits: (item: WorkItem) => boolean,
+    budget: SearchBudget,
+  ): WorkItem | undefined {
+    for (const tenant of inOrder(this.#tenants)) {
+      const item = tenant.find(fits, budget);
+      if (item !== undefined || budget.left <= 0) return item;
+    }
+    return undefined;
+  }
+
+  /** Takes an item out and charges its cost to its tenant and trainer. */
+  charge(item: WorkItem): void {
+    const tenant = this.#tenants.get(item.tenant);
+    if (tenant === undefined) return;
+    this.#clock.served(tenant.start);
+    tenant.start += share(
+      item.cost,
+      this.#weights.tenantWeight(item.tenant),
+    );
+    const weight = item.trainer === null
+      ? 1
+      : this.#weights.trainerWeight(item.trainer);
+    tenant.charge(item, share(item.cost, weight));
+    this.remove(item);
+  }
+
+  /** Every item, in no fixed order. */
+  *items(): Iterable<WorkItem> {
+    for (const tenant of this.#tenants.values()) yield* tenant.items();
+  }
+}
+
+/** Start times of flows that share something by weight: the flow with the least start is next. */
+class FairClock {
+  #now = 0;
+
+  /** Start of a flow that gets work again: idle time earns nothing. */
+  join(start: number): number {
+    return Math.max(start, this.#now);
+  }
+
+  served(start: number): void {
+    this.#now = Math.max(this.#now, start);
+  }
+}
+
+class TenantFlow {
+  start = 0;
+  size = 0;
+  readonly #clock = new FairClock();
+  readonly #trainers = new Map<string, TrainerFlow>();
+
+  push(item: WorkItem): void {
+    const name = item.trainer ?? "";
+    const flow = this.#trainers.get(name) ?? new TrainerFlow();
+    this.#trainers.set(name, flow);
+    if (flow.size === 0) flow.start = this.#clock.join(flow.start);
+    flow.listOf(item).set(item.id, item);
+    this.size += 1;
+  }
+
+  remove(item: WorkItem): boolean {
+    const flow = this.#trainers.get(item.trainer ?? "");
+    if (flow?.listOf(item).delete(item.id) !== true) return false;
+    this.size -= 1;
+    return true;
+  }
+
+  find(
+    fits: (item: WorkItem) => boolean,
+    budget: SearchBudget,
+  ): WorkItem | undefined {
+    for (const flow of inOrder(this.#trainers)) {
+      for (const item of flow.items()) {
+        if (budget.left <= 0) return undefined;
+        budget.left -= 1;
+        if (fits(item)) return item;
+      }
+    }
+    return undefined;
+  }
+
+  charge(item: WorkItem, amount: number): void {
+    const flow = this.#trainers.get(item.trainer ?? "");
+    if (flow === undefined) return;
+    this.#clock.served(flow.start);
+    flow.start += amount;
+  }
+
+  *items(): Iterable<WorkItem> {
+    for (const flow of this.#trainers.values()) yield* flow.items();
+  }
+}
+
+class TrainerFlow {
+  start = 0;
+  readonly #urgent = new Map<string, WorkItem>();
+  readonly #usual = new Map<string, WorkItem>();
+
+  get size(): number {
+    return this.#urgent.size + this.#usual.size;
+  }
+
+  listOf(item: WorkItem): Map<string, WorkItem> {
+    return item.urgent ? this.#urgent : this.#usual;
+  }
+
+  *items(): Iterable<WorkItem> {
+    yield* this.#urgent.values();
+    yield* this.#usual.values();
+  }
+}
+
+function inOrder<F extends { readonly start: number; readonly size: number }>(
+  flows: ReadonlyMap<string, F>,
+): readonly F[] {
+  const waiting: F[] = [];
+  for (const flow of flows.values()) {
+    if (flow.size > 0) waiting.push(flow);
+  }
+  if (waiting.length < 2) return waiting;
+  return waiting.sort((a, b) => a.start - b.start);
+}
+
+function share(cost: number, weight: number): number {
+  return cost / Math.max(MINIMUM_WEIGHT, weight);
+}
--- /dev/null
+++ b/requests/completion_route.ts
@@ -0,0 +1,250 @@
+/**
+ * The route for completions in the usual shape, whole or as a stream of events.
+ *
+ * @module
+ */
+import { z } from "zod";
+import {
+  type CompletionAnswer,
+  type CompletionCall,
+  type CompletionChunk,
+  CompletionPort,
+  ERROR_TABLE,
+  fail,
+  type Failure,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpRoute,
+  jsonAnswer,
+  type Result,
+} from "#core";
+import { readCallHeaders } from "./call_headers.ts";
+import { ChunkQueue } from "./chunk_queue.ts";
+import type { RequestParts } from "./parts.ts";
+
+const NOT_READY_RETRY_MS = 1_000;
+const PREFIX_CHARACTERS = 256;
+const DEFAULT_TOKENS = 16;
+const MAXIMUM_TOKENS = 1_048_576;
+const UINT32_MAXIMUM = 0xffff_ffff;
+
+const bodySchema = z.object({
+  model: z.string().min(1).max(256),
+  prompt: z.string(),
+  max_tokens: z.number().int().min(1).max(MAXIMUM_TOKENS)
+    .default(DEFAULT_TOKENS),
+  seed: z.number().int().min(0).max(UINT32_MAXIMUM).optional(),
+  stream: z.boolean().default(false),
+});
+
+interface RouteContext {
+  readonly parts: RequestParts;
+  readonly completions: CompletionPort;
+}
+
+interface ReadCall {
+  readonly call: CompletionCall;
+  readonly streams: boolean;
+}
+
+/** `POST /v1/completions`. */
+export function completionRoute(context: RouteContext): HttpRoute {
+  return {
+    method: "POST",
+    pattern: "/v1/completions",
+    name: "completions",
+    handle: (call) => handleCompletion(call, context),
+  };
+}
+
+async function handleCompletion(
+  http: HttpCall,
+  context: RouteContext,
+): Promise<HttpAnswer | Failure> {
+  const requestId = context.parts.random.identifier();
+  const read = readCall(http, { ...context, requestId });
+  if ("kind" in read) return { ...read, detail: requestId };
+  if (read.streams) return await streamed(read.call, { ...context, http });
+  const result = await context.completions.complete(read.call, {
+    signal: http.signal,
+  });
+  if (!result.ok) return { ...result.val, detail: requestId };
+  return jsonAnswer(
+    200,
+    wholeBody(read.call, result.val),
+    answerHeaders(requestId),
+  );
+}
+
+function readCall(
+  http: HttpCall,
+  context: RouteContext & { readonly requestId: string },
+): ReadCall | Failure {
+  const { parts, requestId } = context;
+  const bundle = parts.board.read("bundle")?.signed.bundle;
+  if (bundle === undefined) {
+    return fail("not_ready", "no bundle is in force here yet", {
+      retryAfterMs: NOT_READY_RETRY_MS,
+    });
+  }
+  const headers = readCallHeaders(http, {
+    policy: parts.gate.scheduler.policy,
+    nowMs: parts.clock.nowMs(),
+  });
+  if (!headers.ok) return headers.val;
+  const parsed = bodySchema.safeParse(parseJson(http.body));
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const field = issue?.path.join(".") || "body";
+    return fail("malformed_request", `${field}: ${issue?.message}`, { field });
+  }
+  const body = parsed.data;
+  if (!bundle.models.some((model) => model.name === body.model)) {
+    return fail("unknown_model", `there is no model ${body.model}`);
+  }
+  const call: CompletionCall = {
+    requestId,
+    tenant: headers.val.tenant,
+    class: headers.val.class,
+    trainer: null,
+    model: body.model,
+    prompt: body.prompt,
+    maximumTokens: body.max_tokens,
+    seed: body.seed ?? parts.random.uint32(),
+    prefixKey: body.prompt.slice(0, PREFIX_CHARACTERS),
+    deadlineMs: headers.val.deadlineMs,
+    minimumVersion: null,
+    urgent: false,
+    avoid: [],
+  };
+  return { call, streams: body.stream };
+}
+
+/** Answers once the first chunk is there, so that an early failure still has its own status. */
+async function streamed(
+  call: CompletionCall,
+  context: RouteContext & { readonly http: HttpCall },
+): Promise<HttpAnswer | Failure> {
+  const chunks = new ChunkQueue<CompletionChunk>();
+  const abort = new AbortController();
+  const onAbort = (): void => abort.abort();
+  context.http.signal.addEventListener("abort", onAbort);
+  const result = context.completions.complete(call, {
+    signal: abort.signal,
+    onChunk: (chunk) => chunks.push(chunk),
+  });
+  result.finally(() => {
+    context.http.signal.removeEventListener("abort", onAbort);
+    chunks.end();
+  });
+  if (!await chunks.hasFirst()) {
+    const ended = await result;
+    if (!ended.ok) return { ...ended.val, detail: call.requestId };
+  }
+  return {
+    status: 200,
+    headers: {
+      "content-type": "text/event-stream",
+      "cache-control": "no-store",
+      ...answerHeaders(call.requestId),
+    },
+    body: eventsOf(call, { chunks, result, abort }),
+  };
+}
+
+/** The events of a stream; a failure is an error event and then a broken end. */
+async function* eventsOf(
+  call: CompletionCall,
+  stream: {
+    readonly chunks: ChunkQueue<CompletionChunk>;
+    readonly result: Promise<Result<CompletionAnswer, Failure>>;
+    readonly abort: AbortController;
+  },
+): AsyncIterable<string> {
+  let isDone = false;
+  try {
+    let tokens = 0;
+    for await (const chunk of stream.chunks.all()) {
+      tokens += chunk.tokens;
+      if (chunk.text === "") continue;
+      yield event(chunkBody(call, { chunk, tokens }));
+    }
+    const ended = await stream.result;
+    isDone = true;
+    if (!ended.ok) {
+      yield `event: error\n${event(errorBody(ended.val))}`;
+      throw new Error(ended.val.message);
+    }
+    yield event(lastBody(call, ended.val));
+    yield "data: [DONE]\n\n";
+  } finally {
+    if (!isDone) stream.abort.abort();
+  }
+}
+
+function event(body: unknown): string {
+  return `data: ${JSON.stringify(body)}\n\n`;
+}
+
+function chunkBody(
+  call: CompletionCall,
+  made: { readonly chunk: CompletionChunk; readonly tokens: number },
+): unknown {
+  const { chunk, tokens } = made;
+  return {
+    id: call.requestId,
+    object: "text_completion",
+    model: call.model,
+    ...(chunk.version === null ? {} : { model_version: chunk.version }),
+    choices: [{ index: 0, text: chunk.text, finish_reason: null }],
+    usage: { completion_tokens: tokens },
+  };
+}
+
+function lastBody(call: CompletionCall, answer: CompletionAnswer): unknown {
+  return {
+    id: call.requestId,
+    object: "text_completion",
+    model: call.model,
+    choices: [{ index: 0, text: "", finish_reason: answer.finishReason }],
+    usage: { completion_tokens: answer.tokens },
+  };
+}
+
+function wholeBody(call: CompletionCall, answer: CompletionAnswer): unknown {
+  return {
+    id: call.requestId,
+    object: "text_completion",
+    model: call.model,
+    model_versions: answer.runs,
+    choices: [{
+      index: 0,
+      text: answer.text,
+      finish_reason: answer.finishReason,
+    }],
+    usage: { completion_tokens: answer.tokens },
+  };
+}
+
+function errorBody(failure: Failure): unknown {
+  const { kind, message, ran, retryAfterMs } = failure;
+  return {
+    kind,
+    message,
+    hint: ERROR_TABLE[kind].hint,
+    ran,
+    ...(retryAfterMs === undefined ? {} : { retry_after_ms: retryAfterMs }),
+  };
+}
+
+function answerHeaders(requestId: string): Readonly<Record<string, string>> {
+  return { "cicadafield-ran": "yes", "cicadafield-request": requestId };
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+  try {
+    return JSON.parse(new TextDecoder("utf-8", { fatal: true }).decode(bytes));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/requests/decision_log.ts
@@ -0,0 +1,50 @@
+/**
+ * Why requests were routed or refused: the newest decisions, bounded.
+ *
+ * @module
+ */
+import type { Clock, EventFields, Milliseconds } from "#core";
+
+/** Requests whose decisions are kept. */
+export const DECISIONS_KEPT = 4_096;
+
+const STEPS_KEPT = 16;
+
+/** One decision on a request. */
+export interface Decision {
+  readonly atMs: Milliseconds;
+  readonly decision: string;
+  readonly fields: EventFields;
+}
+
+/** Keeps the decisions of the newest requests. */
+export class DecisionLog {
+  readonly #clock: Clock;
+  readonly #decisions = new Map<string, Decision[]>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Notes one decision. */
+  note(requestId: string, decision: string, fields: EventFields = {}): void {
+    const steps = this.#decisions.get(requestId) ?? this.#open(requestId);
+    if (steps.length >= STEPS_KEPT) return;
+    steps.push({ atMs: this.#clock.wallMs(), decision, fields });
+  }
+
+  /** The decisions on a request, oldest first; undefined if none are kept. */
+  of(requestId: string): readonly Decision[] | undefined {
+    return this.#decisions.get(requestId);
+  }
+
+  #open(requestId: string): Decision[] {
+    const steps: Decision[] = [];
+    this.#decisions.set(requestId, steps);
+    if (this.#decisions.size > DECISIONS_KEPT) {
+      const [oldest] = this.#decisions.keys();
+      if (oldest !== undefined) this.#decisions.delete(oldest);
+    }
+    return steps;
+  }
+}
--- /dev/null
+++ b/requests/engine_stream.ts
@@ -0,0 +1,159 @@
+/**
+ * Reads the event stream of an engine and checks that it is whole and belongs to its request.
+ *
+ * @module
+ */
+import { StringDecoder } from "node:string_decoder";
+import { z } from "zod";
+import type { CompletionChunk, VersionRun } from "#core";
+
+const chunkSchema = z.object({
+  id: z.string(),
+  model_version: z.number().int().nonnegative().optional(),
+  choices: z.array(z.object({
+    text: z.string(),
+    finish_reason: z.enum(["stop", "length"]).nullable(),
+  })).min(1),
+  usage: z.object({ completion_tokens: z.number().int().nonnegative() }),
+});
+
+const DATA_PREFIX = "data:";
+const END_MARKER = "[DONE]";
+
+/** What is wrong with a stream. */
+export type StreamFault = "foreign" | "malformed";
+
+/** What has been received of an answer, over all engines that worked on it. */
+export interface ReceivedAnswer {
+  readonly text: string;
+  readonly tokens: number;
+  readonly runs: readonly VersionRun[] | null;
+  readonly finishReason: "stop" | "length" | null;
+}
+
+/** An answer of which nothing has been received. */
+export const NOTHING_RECEIVED: ReceivedAnswer = {
+  text: "",
+  tokens: 0,
+  runs: [],
+  finishReason: null,
+};
+
+/** What the reader is built from. */
+export interface EngineStreamOptions {
+  readonly requestId: string;
+  readonly upstream: string;
+  /** What earlier engines gave. */
+  readonly before: ReceivedAnswer;
+  readonly onChunk: (chunk: CompletionChunk) => void;
+}
+
+/** Takes bytes of one engine's stream. */
+export class EngineStream {
+  readonly #options: EngineStreamOptions;
+  readonly #decoder = new StringDecoder("utf8");
+  #rest = "";
+  #received: ReceivedAnswer;
+  #ended = false;
+  #fault: StreamFault | undefined;
+
+  constructor(options: EngineStreamOptions) {
+    this.#options = options;
+    this.#received = options.before;
+  }
+
+  /** All that has been received so far. */
+  get received(): ReceivedAnswer {
+    return this.#received;
+  }
+
+  /** Whether the last chunk and the end marker came. */
+  get whole(): boolean {
+    return this.#ended && this.#fault === undefined &&
+      this.#received.finishReason !== null;
+  }
+
+  /** What was wrong, if anything; nothing is read after a fault. */
+  get fault(): StreamFault | undefined {
+    return this.#fault;
+  }
+
+  /** Takes the next bytes. */
+  push(bytes: Uint8Array): void {
+    this.#rest += this.#decoder.write(bytes as never);
+    let end = this.#rest.indexOf("\n");
+    while (end >= 0 && this.#fault === undefined) {
+      this.#line(this.#rest.slice(0, end).trim());
+      this.#rest = this.#rest.slice(end + 1);
+      end = this.#rest.indexOf("\n");
+    }
+  }
+
+  #line(line: string): void {
+    if (!line.startsWith(DATA_PREFIX)) return;
+    const data = line.slice(DATA_PREFIX.length).trim();
+    if (data === END_MARKER) {
+      this.#ended = true;
+      return;
+    }
+    if (this.#ended || this.#received.finishReason !== null) {
+      this.#fault = "malformed";
+      return;
+    }
+    const parsed = chunkSchema.safeParse(parseJson(data));
+    if (!parsed.success) {
+      this.#fault = "malformed";
+      return;
+    }
+    if (parsed.data.id !== this.#options.requestId) {
+      this.#fault = "foreign";
+      return;
+    }
+    this.#take(parsed.data);
+  }
+
+  #take(data: z.infer<typeof chunkSchema>): void {
+    const tokens = data.usage.completion_tokens - this.#received.tokens;
+    const choice = data.choices[0];
+    if (tokens < 0 || choice === undefined) {
+      this.#fault = "malformed";
+      return;
+    }
+    const version = data.model_version ?? null;
+    this.#received = {
+      text: this.#received.text + choice.text,
+      tokens: data.usage.completion_tokens,
+      runs: extendRuns(this.#received.runs, { version, tokens }),
+      finishReason: choice.finish_reason,
+    };
+    this.#options.onChunk({
+      text: choice.text,
+      tokens,
+      version,
+      upstream: this.#options.upstream,
+    });
+  }
+}
+
+/** Adds tokens to the runs; null once a token's version is unknown. */
+function extendRuns(
+  runs: readonly VersionRun[] | null,
+  made: { readonly version: number | null; readonly tokens: number },
+): readonly VersionRun[] | null {
+  if (made.tokens === 0) return runs;
+  if (runs === null || made.version === null) return null;
+  const last = runs.at(-1);
+  if (last?.version !== made.version) {
+    return [...runs, { version: made.version, tokens: made.tokens }];
+  }
+  const longer = { version: last.version, tokens: last.tokens + made.tokens };
+  return [...runs.slice(0, -1), longer];
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/requests/entry_requests.ts
@@ -0,0 +1,162 @@
+/**
+ * Requests of one entry VM: the one place that puts the parts of this folder together.
+ *
+ * @module
+ */
+import {
+  type Blackboard,
+  type BoardSections,
+  type Clock,
+  type CompletionPort,
+  type ControlPort,
+  type EventLog,
+  fail,
+  type HttpRoute,
+  jsonAnswer,
+  type Metrics,
+  type Milliseconds,
+  type RandomSource,
+  type ServicePort,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { ClaimClient } from "./claim_client.ts";
+import { completionRoute } from "./completion_route.ts";
+import { EngineCompletions } from "./completions.ts";
+import { type Decision, DecisionLog } from "./decision_log.ts";
+import type { RequestParts } from "./parts.ts";
+import { RequestMetrics } from "./request_metrics.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import { serviceRoute } from "./service_route.ts";
+import { RoutedServices } from "./services.ts";
+import { type UpstreamCaller, UpstreamClient } from "./upstream_client.ts";
+import { WorkGate } from "./work_gate.ts";
+
+const DRAIN_CHECK_MS: Milliseconds = 10;
+
+/** What the requests of an entry are built from. */
+export interface EntryRequestsOptions {
+  readonly vm: string;
+  readonly zone: string;
+  /** Local address of outgoing connections. */
+  readonly sourceHost: string;
+  readonly board: Blackboard<BoardSections>;
+  readonly control: ControlPort;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Makes the calls to upstreams; over HTTP unless given. */
+  readonly client?: UpstreamCaller;
+}
+
+/** Counts of an entry. */
+export interface RequestsStatus {
+  readonly queued: number;
+  /** At upstreams now. */
+  readonly running: number;
+  /** Not finished: queued, running, between attempts or being stored. */
+  readonly open: number;
+}
+
+/**
+ * Routes requests of callers, trainers and the other domains to upstreams.
+ *
+ * @example
+ * ```ts
+ * const requests = new EntryRequests(options);
+ * requests.start();
+ * const result = await requests.completions.complete(call);
+ * await requests.drain();
+ * requests.stop();
+ * ```
+ */
+export class EntryRequests {
+  readonly #parts: RequestParts;
+  readonly #completions: EngineCompletions;
+  readonly #services: RoutedServices;
+
+  constructor(options: EntryRequestsOptions) {
+    const decisions = new DecisionLog(options.clock);
+    this.#parts = {
+      ...options,
+      decisions,
+      gate: new WorkGate({ ...options, decisions }),
+      client: options.client ?? new UpstreamClient(options),
+      claims: new ClaimClient(options),
+      budget: new RetryBudget(),
+      metrics: new RequestMetrics(options.metrics),
+    };
+    this.#completions = new EngineCompletions(this.#parts);
+    this.#services = new RoutedServices(this.#parts);
+  }
+
+  /** Makes completions on engines. */
+  get completions(): CompletionPort {
+    return this.#completions;
+  }
+
+  /** Calls plain services. */
+  get services(): ServicePort {
+    return this.#services;
+  }
+
+  /** The routes of this folder. */
+  routes(): readonly HttpRoute[] {
+    return [
+      completionRoute({ parts: this.#parts, completions: this.#completions }),
+      serviceRoute(this.#parts, this.#services),
+      this.#explainRoute(),
+    ];
+  }
+
+  /** Starts the timers and watches the board. */
+  start(): void {
+    this.#parts.gate.start();
+  }
+
+  /** Resolves when every request is finished; new ones are still taken meanwhile. */
+  async drain(): Promise<void> {
+    while (this.status().open > 0) {
+      await this.#parts.clock.sleep(DRAIN_CHECK_MS);
+    }
+  }
+
+  /** Ends the timers and closes idle connections. */
+  stop(): void {
+    this.#parts.gate.stop();
+    this.#parts.client.close();
+  }
+
+  /** Counts of requests. */
+  status(): RequestsStatus {
+    const { gate, claims } = this.#parts;
+    return {
+      queued: gate.scheduler.queued,
+      running: gate.scheduler.running,
+      open: this.#completions.open + this.#services.open + claims.pending,
+    };
+  }
+
+  /** Why a request was routed or refused; undefined once it is forgotten. */
+  explain(requestId: string): readonly Decision[] | undefined {
+    return this.#parts.decisions.of(requestId);
+  }
+
+  #explainRoute(): HttpRoute {
+    return {
+      method: "GET",
+      pattern: "/v1/explain/:request",
+      name: "explain",
+      handle: (call) => {
+        const request = call.parameters["request"] ?? "";
+        const decisions = this.explain(request);
+        return Promise.resolve(
+          decisions === undefined
+            ? fail("not_found", `nothing is kept of request ${request}`)
+            : jsonAnswer(200, { request, decisions }),
+        );
+      },
+    };
+  }
+}
--- a/requests/mod.ts
+++ b/requests/mod.ts
@@ -3,4 +3,11 @@
  *
  * @module
  */
-export {};
+export * from "./attempt.ts";
+export * from "./claims.ts";
+export * from "./decision_log.ts";
+export * from "./entry_requests.ts";
+export * from "./events.ts";
+export * from "./scheduler.ts";
+export * from "./upstream_client.ts";
+export * from "./work_item.ts";
--- /dev/null
+++ b/requests/policy.ts
@@ -0,0 +1,59 @@
+/**
+ * The bundle as admission reads it.
+ *
+ * @module
+ */
+import type { Bundle, ClassEntry, TenantEntry } from "#core";
+import type { ClassPolicy, QueuePolicy } from "./admission_queue.ts";
+
+const UNKNOWN_CLASS: ClassPolicy = {
+  rank: Number.MAX_SAFE_INTEGER,
+  floor: 0,
+};
+
+/** Looks names of the bundle up. */
+export class BundlePolicy implements QueuePolicy {
+  #classes: ReadonlyMap<string, ClassEntry> = new Map();
+  #tenants: ReadonlyMap<string, TenantEntry> = new Map();
+  #trainerWeights: ReadonlyMap<string, number> = new Map();
+
+  /** Takes the bundle in force. */
+  setBundle(bundle: Bundle): void {
+    this.#classes = new Map(bundle.classes.map((each) => [each.name, each]));
+    this.#tenants = new Map(bundle.tenants.map((each) => [each.name, each]));
+    this.#trainerWeights = new Map(
+      bundle.trainers.map((each) => [each.name, each.weight]),
+    );
+  }
+
+  /** A class, or undefined if the bundle has none of that name. */
+  class(name: string): ClassEntry | undefined {
+    return this.#classes.get(name);
+  }
+
+  /** A tenant, or undefined if the bundle has none of that name. */
+  tenant(name: string): TenantEntry | undefined {
+    return this.#tenants.get(name);
+  }
+
+  /** The class that goes last: that of requests that name none. */
+  lastClass(): string | undefined {
+    let last: ClassEntry | undefined;
+    for (const each of this.#classes.values()) {
+      if (last === undefined || each.rank > last.rank) last = each;
+    }
+    return last?.name;
+  }
+
+  classPolicy(name: string): ClassPolicy {
+    return this.#classes.get(name) ?? UNKNOWN_CLASS;
+  }
+
+  tenantWeight(name: string): number {
+    return this.#tenants.get(name)?.weight ?? 1;
+  }
+
+  trainerWeight(name: string): number {
+    return this.#trainerWeights.get(name) ?? 1;
+  }
+}
--- /dev/null
+++ b/requests/scheduler.ts
@@ -0,0 +1,383 @@
+/**
+ * Admission, order, limits and selection in one place, without input or output: work is submitted, `take`
+ * says what goes where, `sweep` says what is given up.
+ *
+ * @module
+ */
+import {
+  type Bundle,
+  fail,
+  type Failure,
+  type LoadReport,
+  type Milliseconds,
+  type RandomSource,
+  type UpstreamRecord,
+} from "#core";
+import { AdmissionQueue } from "./admission_queue.ts";
+import { type DemandNotice, DemandShares } from "./demand_shares.ts";
+import { DrainEstimate } from "./drain_estimate.ts";
+import { BundlePolicy } from "./policy.ts";
+import type { Selection } from "./upstream_pool.ts";
+import type { UpstreamState } from "./upstream_state.ts";
+import { UpstreamTable } from "./upstream_table.ts";
+import { type Target, targetKey, type WorkItem } from "./work_item.ts";
+
+/** Part of its time that a request may spend in the queue. */
+export const MAXIMUM_WAIT_SHARE = 0.5;
+/** When to come back if no upstream serves a target. */
+export const NO_UPSTREAM_RETRY_MS: Milliseconds = 1_000;
+/** Shortest and longest time after which a refused caller is asked to come back. */
+export const RETRY_RANGE_MS: readonly [Milliseconds, Milliseconds] = [
+  100,
+  60_000,
+];
+
+const RETRY_JITTER = 0.25;
+
+/** Work that goes to an upstream now. */
+export interface Dispatch {
+  readonly item: WorkItem;
+  readonly selection: Selection;
+}
+
+/** Work that is given up while it waits. */
+export interface GivenUp {
+  readonly item: WorkItem;
+  readonly failure: Failure;
+}
+
+/** How a dispatched piece of work ended at its upstream. */
+export interface WorkOutcome {
+  /** `failed` if the upstream is at fault, `cancelled` if nothing is known of it. */
+  readonly result: "whole" | "failed" | "cancelled";
+  readonly totalMs: Milliseconds;
+  /** Time until the first byte, if one came. */
+  readonly firstByteMs: Milliseconds | null;
+  /** Work done, in the unit of the item's cost. */
+  readonly units: number;
+}
+
+/** What the scheduler is built from. */
+export interface SchedulerOptions {
+  readonly vm: string;
+  readonly zone: string;
+  readonly random: RandomSource;
+}
+
+interface RunningItem {
+  readonly item: WorkItem;
+  readonly upstream: UpstreamState;
+  readonly saturated: boolean;
+}
+
+interface TargetQueue {
+  readonly target: Target;
+  readonly queue: AdmissionQueue;
+  readonly drain: DrainEstimate;
+  running: number;
+}
+
+/** The scheduler of one entry. */
+export class Scheduler {
+  readonly policy = new BundlePolicy();
+  readonly #random: RandomSource;
+  readonly #table: UpstreamTable;
+  readonly #shares: DemandShares;
+  readonly #queues = new Map<string, TargetQueue>();
+  readonly #queueOf = new Map<string, TargetQueue>();
+  readonly #running = new Map<string, RunningItem>();
+  readonly #outstanding = new Map<string, number>();
+
+  constructor(options: SchedulerOptions) {
+    this.#random = options.random;
+    this.#table = new UpstreamTable(options.zone);
+    this.#shares = new DemandShares(options.vm);
+  }
+
+  /** Requests that wait. */
+  get queued(): number {
+    return this.#queueOf.size;
+  }
+
+  /** Requests at upstreams. */
+  get running(): number {
+    return this.#running.size;
+  }
+
+  /** Takes the bundle in force. */
+  setBundle(bundle: Bundle): void {
+    this.policy.setBundle(bundle);
+  }
+
+  /** Takes the upstreams of the board. */
+  setUpstreams(
+    records: ReadonlyMap<string, UpstreamRecord>,
+    nowMs: Milliseconds,
+  ): void {
+    this.#table.setRecords(records);
+    this.divide(nowMs);
+  }
+
+  /** Takes the load reports of the board. */
+  setLoads(loads: ReadonlyMap<string, LoadReport>): void {
+    this.#table.setLoads(loads);
+  }
+
+  /** Notes the demand of another entry of the zone. */
+  hearDemand(from: string, notice: DemandNotice, nowMs: Milliseconds): void {
+    this.#shares.hear(from, notice, nowMs);
+  }
+
+  /** Own demand, for the other entries of the zone. */
+  demand(): DemandNotice {
+    const demand: Record<string, number> = {};
+    for (const [key, queue] of this.#queues) {
+      const count = queue.queue.size + queue.running;
+      if (count > 0) demand[key] = count;
+    }
+    return { demand };
+  }
+
+  /** Works out anew which part of each upstream's bound is this entry's. */
+  divide(nowMs: Milliseconds): void {
+    this.#shares.expire(nowMs);
+    this.#table.divide(this.#shares, {
+      nowMs,
+      demandOf: (key) => this.#demandOf(key),
+    });
+  }
+
+  /** Queues work, or refuses it at once; admitted work only for want of an upstream. */
+  submit(item: WorkItem, nowMs: Milliseconds): Failure | undefined {
+    const queue = this.#queueFor(item.target);
+    const refusal = this.#unservable(item, nowMs) ??
+      (item.admitted ? undefined : this.#refusal(item, { queue, nowMs }));
+    if (refusal !== undefined) return refusal;
+    this.#enqueue(item, queue);
+    return undefined;
+  }
+
+  /** Everything that can go to an upstream now. */
+  take(nowMs: Milliseconds): readonly Dispatch[] {
+    const dispatches: Dispatch[] = [];
+    for (const queue of this.#queues.values()) {
+      while (queue.queue.size > 0) {
+        const dispatch = this.#takeOne(queue, nowMs);
+        if (dispatch === undefined) break;
+        dispatches.push(dispatch);
+      }
+    }
+    return dispatches;
+  }
+
+  /** Notes the end of dispatched work. */
+  finish(id: string, outcome: WorkOutcome, nowMs: Milliseconds): void {
+    const running = this.#running.get(id);
+    if (running === undefined) return;
+    const { item, upstream } = running;
+    this.#running.delete(id);
+    this.#release(item.tenant);
+    const queue = this.#queueFor(item.target);
+    queue.running -= 1;
+    upstream.end();
+    if (outcome.result === "failed") upstream.suspend(nowMs);
+    if (outcome.result !== "whole") return;
+    upstream.succeed();
+    queue.drain.finished(item.class, outcome.totalMs);
+    upstream.limit.record({
+      latencyMs: outcome.totalMs / Math.max(1, outcome.units),
+      saturated: running.saturated,
+    });
+  }
+
+  /** Takes waiting work back; false if it does not wait. */
+  withdraw(id: string): boolean {
+    const queue = this.#queueOf.get(id);
+    const item = queue?.queue.remove(id);
+    if (item === undefined) return false;
+    this.#queueOf.delete(id);
+    this.#release(item.tenant);
+    return true;
+  }
+
+  /** Gives up what can't be done in time any more, or has no upstream left. */
+  sweep(nowMs: Milliseconds): readonly GivenUp[] {
+    const givenUp: GivenUp[] = [];
+    for (const queue of this.#queues.values()) {
+      for (const item of [...queue.queue.items()]) {
+        const failure = this.#unservable(item, nowMs) ??
+          this.#tooLate(item, { queue, nowMs });
+        if (failure === undefined) continue;
+        this.withdraw(item.id);
+        givenUp.push({ item, failure });
+      }
+    }
+    return givenUp;
+  }
+
+  /** The state of an upstream, for explanations. */
+  upstream(id: string): UpstreamState | undefined {
+    return this.#table.state(id);
+  }
+
+  #takeOne(queue: TargetQueue, nowMs: Milliseconds): Dispatch | undefined {
+    const pool = this.#table.pool(queue.target);
+    if (pool === undefined || !pool.hasRoom(nowMs)) return undefined;
+    const context = { nowMs, random: this.#random };
+    let selection: Selection | undefined;
+    const item = queue.queue.take((candidate) => {
+      selection = pool.select(candidate, context);
+      return selection !== undefined;
+    });
+    if (item === undefined || selection === undefined) return undefined;
+    this.#start(item, { queue, selection, nowMs });
+    return { item, selection };
+  }
+
+  #start(
+    item: WorkItem,
+    options: {
+      readonly queue: TargetQueue;
+      readonly selection: Selection;
+      readonly nowMs: Milliseconds;
+    },
+  ): void {
+    const { queue, selection: { upstream }, nowMs } = options;
+    this.#queueOf.delete(item.id);
+    queue.drain.started(item.class, queue.queue.sizeOf(item.class), nowMs);
+    queue.running += 1;
+    upstream.begin();
+    const saturated = upstream.running >= upstream.part;
+    this.#running.set(item.id, { item, upstream, saturated });
+  }
+
+  #refusal(
+    item: WorkItem,
+    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
+  ): Failure | undefined {
+    const { queue: { queue, drain } } = options;
+    const entry = this.policy.class(item.class);
+    const tenant = this.policy.tenant(item.tenant);
+    const waitMs = this.#waitMs(item, options);
+    const most = entry?.maximumQueued ?? 0;
+    if (queue.sizeOf(item.class) >= most) {
+      return fail("too_many_requests", `the queue of ${item.class} is full`, {
+        retryAfterMs: this.#retryAfter(waitMs),
+      });
+    }
+    const held = this.#outstanding.get(item.tenant) ?? 0;
+    if (held >= (tenant?.maximumOutstanding ?? 0)) {
+      return fail(
+        "too_many_requests",
+        `${item.tenant} has ${held} requests outstanding`,
+        { retryAfterMs: this.#retryAfter(drain.serviceMs(item.class)) },
+      );
+    }
+    return this.#unreachable(item, { ...options, waitMs });
+  }
+
+  #unreachable(
+    item: WorkItem,
+    options: {
+      readonly queue: TargetQueue;
+      readonly nowMs: Milliseconds;
+      readonly waitMs: Milliseconds;
+    },
+  ): Failure | undefined {
+    const { waitMs, nowMs, queue: { drain } } = options;
+    const leftMs = item.deadlineMs - nowMs;
+    const neededMs = waitMs + drain.serviceMs(item.class);
+    const isTooSlow = waitMs > leftMs * MAXIMUM_WAIT_SHARE;
+    if (leftMs > 0 && neededMs <= leftMs && !isTooSlow) return undefined;
+    return fail(
+      "deadline_unreachable",
+      `about ${Math.ceil(neededMs)} ms are needed, ${
+        Math.max(0, Math.floor(leftMs))
+      } ms are left`,
+      { retryAfterMs: this.#retryAfter(waitMs) },
+    );
+  }
+
+  #tooLate(
+    item: WorkItem,
+    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
+  ): Failure | undefined {
+    const { nowMs, queue } = options;
+    const budgetMs = item.deadlineMs - item.arrivedMs;
+    const serviceMs = queue.drain.serviceMs(item.class);
+    const hasWaitedLong = nowMs - item.arrivedMs >
+      budgetMs * MAXIMUM_WAIT_SHARE;
+    if (!hasWaitedLong && nowMs + serviceMs <= item.deadlineMs) {
+      return undefined;
+    }
+    return fail("deadline_unreachable", "the queue drains too slowly", {
+      retryAfterMs: this.#retryAfter(this.#waitMs(item, options)),
+    });
+  }
+
+  #waitMs(
+    item: WorkItem,
+    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
+  ): Milliseconds {
+    const { queue: { queue, drain, target }, nowMs } = options;
+    const pool = this.#table.pool(target);
+    if (pool === undefined) return 0;
+    if (queue.size === 0 && pool.hasRoom(nowMs)) return 0;
+    return drain.waitMs({
+      class: item.class,
+      ahead: queue.aheadOf(item.class),
+      aheadInClass: queue.sizeOf(item.class),
+      slots: pool.slots(nowMs),
+      nowMs,
+    });
+  }
+
+  #unservable(item: WorkItem, nowMs: Milliseconds): Failure | undefined {
+    const pool = this.#table.pool(item.target);
+    if (pool?.canServe(item, nowMs) === true) return undefined;
+    return fail(
+      "no_upstream",
+      `no upstream serves ${item.target.kind} ${item.target.name} now`,
+      { retryAfterMs: this.#retryAfter(NO_UPSTREAM_RETRY_MS) },
+    );
+  }
+
+  /** Within the range, with jitter so that refused callers don't come back together. */
+  #retryAfter(waitMs: Milliseconds): Milliseconds {
+    const [least, most] = RETRY_RANGE_MS;
+    const jittered = waitMs * (1 + RETRY_JITTER * this.#random.fraction());
+    return Math.ceil(Math.min(most, Math.max(least, jittered)));
+  }
+
+  #enqueue(item: WorkItem, queue: TargetQueue): void {
+    queue.queue.push(item);
+    this.#queueOf.set(item.id, queue);
+    const held = this.#outstanding.get(item.tenant) ?? 0;
+    this.#outstanding.set(item.tenant, held + 1);
+  }
+
+  #release(tenant: string): void {
+    const held = (this.#outstanding.get(tenant) ?? 0) - 1;
+    if (held > 0) this.#outstanding.set(tenant, held);
+    else this.#outstanding.delete(tenant);
+  }
+
+  #queueFor(target: Target): TargetQueue {
+    const key = targetKey(target);
+    const known = this.#queues.get(key);
+    if (known !== undefined) return known;
+    const made: TargetQueue = {
+      target,
+      queue: new AdmissionQueue(this.policy),
+      drain: new DrainEstimate(),
+      running: 0,
+    };
+    this.#queues.set(key, made);
+    return made;
+  }
+
+  #demandOf(key: string): number {
+    const queue = this.#queues.get(key);
+    return queue === undefined ? 0 : queue.queue.size + queue.running;
+  }
+}
--- /dev/null
+++ b/requests/service_route.ts
@@ -0,0 +1,93 @@
+/**
+ * The route to plain services.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import {
+  fail,
+  type Failure,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpRoute,
+} from "#core";
+import { readCallHeaders } from "./call_headers.ts";
+import type { RequestParts } from "./parts.ts";
+import type { RoutedServices } from "./services.ts";
+
+const NOT_READY_RETRY_MS = 1_000;
+
+/** `ANY /services/:service/*path`. */
+export function serviceRoute(
+  parts: RequestParts,
+  services: RoutedServices,
+): HttpRoute {
+  return {
+    method: "ANY",
+    pattern: "/services/:service/*path",
+    name: "services",
+    handle: (call) => handleService(call, { parts, services }),
+  };
+}
+
+async function handleService(
+  call: HttpCall,
+  context: {
+    readonly parts: RequestParts;
+    readonly services: RoutedServices;
+  },
+): Promise<HttpAnswer | Failure> {
+  const { parts, services } = context;
+  const requestId = parts.random.identifier();
+  const bundle = parts.board.read("bundle")?.signed.bundle;
+  if (bundle === undefined) {
+    return fail("not_ready", "no bundle is in force here yet", {
+      ran: call.headers["idempotency-key"] === undefined ? "no" : "unknown",
+      retryAfterMs: NOT_READY_RETRY_MS,
+      detail: requestId,
+    });
+  }
+  const headers = readCallHeaders(call, {
+    policy: parts.gate.scheduler.policy,
+    nowMs: parts.clock.nowMs(),
+  });
+  if (!headers.ok) return { ...headers.val, detail: requestId };
+  const name = call.parameters["service"] ?? "";
+  const entry = bundle.services.find((each) => each.name === name);
+  if (entry === undefined) {
+    return fail("unknown_service", `there is no service ${name}`, {
+      detail: requestId,
+    });
+  }
+  const result = await services.callWith({
+    requestId,
+    ...headers.val,
+    service: name,
+    method: call.method,
+    path: pathBelow(call, name),
+    headers: call.headers,
+    body: call.body,
+    idempotent: entry.idempotentMethods.includes(call.method),
+  }, call.signal);
+  if (!result.ok) return { ...result.val, detail: requestId };
+  return {
+    status: result.val.status,
+    headers: {
+      ...result.val.headers,
+      "cicadafield-ran": "yes",
+      "cicadafield-request": requestId,
+    },
+    body: Buffer.from(result.val.body),
+  };
+}
+
+/** Path and query below the service's name, as the caller wrote them. */
+function pathBelow(call: HttpCall, service: string): string {
+  const prefix = `/services/${encodeURIComponent(service)}`;
+  const rest = call.path.startsWith(prefix)
+    ? call.path.slice(prefix.length)
+    : `/${call.parameters["path"] ?? ""}`;
+  const query = call.query.toString();
+  const path = rest.startsWith("/") ? rest : `/${rest}`;
+  return query === "" ? path : `${path}?${query}`;
+}
--- /dev/null
+++ b/requests/services.ts
@@ -0,0 +1,282 @@
+/**
+ * Calls to plain services: at most once unless they may be repeated, keyed calls claimed before dispatch.
+ *
+ * @module
+ */
+import {
+  type Bundle,
+  Err,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type Result,
+  type ServiceAnswer,
+  type ServiceCall,
+  ServicePort,
+} from "#core";
+import { type AttemptCause, CallProgress } from "./attempt.ts";
+import type { GrantedClaim } from "./claim_client.ts";
+import type { RequestParts } from "./parts.ts";
+import type { UpstreamFailure } from "./upstream_client.ts";
+import type { Slot } from "./work_gate.ts";
+import type { WorkItem } from "./work_item.ts";
+
+/** Most attempts of one call, those that never connected included. */
+export const MAXIMUM_SERVICE_ATTEMPTS = 3;
+
+const RETRY_PAUSE_MS: Milliseconds = 20;
+const NOT_READY_RETRY_MS: Milliseconds = 1_000;
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  "connection",
+  "content-length",
+  "date",
+  "host",
+  "expect",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Calls plain services. */
+export class RoutedServices extends ServicePort {
+  readonly #parts: RequestParts;
+  #open = 0;
+
+  constructor(parts: RequestParts) {
+    super();
+    this.#parts = parts;
+  }
+
+  /** Calls not finished. */
+  get open(): number {
+    return this.#open;
+  }
+
+  override call(
+    call: ServiceCall,
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    return this.callWith(call, undefined);
+  }
+
+  /** As `call`, ended early when the caller goes away. */
+  async callWith(
+    call: ServiceCall,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    this.#open += 1;
+    const { clock, metrics, decisions } = this.#parts;
+    const arrivedMs = clock.nowMs();
+    const labels = { tenant: call.tenant, class: call.class };
+    try {
+      const result = await this.#claimed(call, { arrivedMs, signal });
+      if (result.ok) metrics.answered(labels, clock.nowMs() - arrivedMs);
+      else metrics.failed(labels, result.val);
+      decisions.note(
+        call.requestId,
+        result.ok ? "answered" : "failed",
+        result.ok ? { upstream: result.val.upstream } : { ...result.val },
+      );
+      return result;
+    } finally {
+      this.#open -= 1;
+    }
+  }
+
+  async #claimed(
+    call: ServiceCall,
+    context: {
+      readonly arrivedMs: Milliseconds;
+      readonly signal: AbortSignal | undefined;
+    },
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    const { claims, board } = this.#parts;
+    const bundle = board.read("bundle")?.signed.bundle;
+    const { idempotencyKey } = call;
+    if (bundle === undefined) return Err(notReady(idempotencyKey));
+    const run = new ServiceRun(this.#parts, { call, bundle, ...context });
+    if (idempotencyKey === null) return await run.result();
+    const claimed = await claims.claim(
+      { ...call, idempotencyKey },
+      bundle.limits,
+    );
+    if (!claimed.ok) return claimed;
+    if (claimed.val.outcome === "answered") return Ok(claimed.val.answer);
+    return await this.#finishClaim(claimed.val.claim, await run.result());
+  }
+
+  /** Stores a whole answer, gives back a claim that certainly did not run, leaves any other open. */
+  async #finishClaim(
+    claim: GrantedClaim,
+    result: Result<ServiceAnswer, Failure>,
+  ): Promise<Result<ServiceAnswer, Failure>> {
+    const { claims } = this.#parts;
+    if (result.ok) await claims.store(claim, result.val);
+    else if (result.val.ran === "no") await claims.withdraw(claim);
+    return result;
+  }
+}
+
+interface ServiceRunOptions {
+  readonly call: ServiceCall;
+  readonly bundle: Bundle;
+  readonly arrivedMs: Milliseconds;
+  readonly signal: AbortSignal | undefined;
+}
+
+/** One call over all its attempts. */
+class ServiceRun {
+  readonly #parts: RequestParts;
+  readonly #options: ServiceRunOptions;
+  readonly #progress: CallProgress;
+
+  constructor(parts: RequestParts, options: ServiceRunOptions) {
+    this.#parts = parts;
+    this.#options = options;
+    this.#progress = new CallProgress({
+      repeatable: options.call.idempotent,
+      maximumAttempts: MAXIMUM_SERVICE_ATTEMPTS,
+    });
+  }
+
+  async result(): Promise<Result<ServiceAnswer, Failure>> {
+    const { call } = this.#options;
+    this.#parts.budget.earn(call.class);
+    while (true) {
+      const slot = await this.#acquire();
+      if (!slot.ok) return Err(this.#refusedAfterAttempts(slot.val));
+      const answer = await this.#attempt(slot.val);
+      if (answer.ok) return answer;
+      const failure = this.#nextOrFailure(answer.val.cause, slot.val);
+      if (failure !== undefined) return Err(failure);
+      await this.#pause();
+    }
+  }
+
+  #acquire(): Promise<Result<Slot, Failure>> {
+    const { call, signal } = this.#options;
+    const isKeyed = call.idempotencyKey !== null;
+    return this.#parts.gate.acquire(
+      this.#item(),
+      isKeyed ? undefined : signal,
+    );
+  }
+
+  async #attempt(
+    slot: Slot,
+  ): Promise<Result<ServiceAnswer, UpstreamFailure>> {
+    const { client, clock, metrics } = this.#parts;
+    const { call, bundle, arrivedMs, signal } = this.#options;
+    this.#progress.dispatched();
+    const labels = { tenant: call.tenant, class: call.class };
+    metrics.dispatched(labels, clock.nowMs() - arrivedMs);
+    const answer = await client.call({
+      address: slot.upstream.record.address,
+      method: call.method,
+      path: call.path,
+      headers: {
+        ...withoutHopHeaders(call.headers),
+        "cicadafield-request": call.requestId,
+      },
+      body: call.body,
+      deadlineMs: call.deadlineMs,
+      maximumBytes: bundle.limits.answerBytes,
+      onReach: (reach) => {
+        if (reach !== "not_connected") this.#progress.reached(reach);
+      },
+      ...(this.#mayCancel() && signal !== undefined ? { signal } : {}),
+    });
+    slot.release({
+      result: answer.ok ? "whole" : resultOf(answer.val),
+      totalMs: clock.nowMs() - slot.grantedAtMs,
+      firstByteMs: null,
+      units: 1,
+    });
+    if (!answer.ok) return answer;
+    return Ok({
+      status: answer.val.status,
+      headers: withoutHopHeaders(answer.val.headers),
+      body: answer.val.body,
+      upstream: slot.upstream.id,
+    });
+  }
+
+  /** A call that may not be repeated goes on without its caller, so that its end is known. */
+  #mayCancel(): boolean {
+    const { call } = this.#options;
+    return call.idempotent && call.idempotencyKey === null;
+  }
+
+  #nextOrFailure(cause: AttemptCause, slot: Slot): Failure | undefined {
+    const { budget, decisions } = this.#parts;
+    const { call } = this.#options;
+    decisions.note(call.requestId, "attempt_failed", {
+      upstream: slot.upstream.id,
+      cause,
+    });
+    const verdict = this.#progress.failed(cause, NOT_READY_RETRY_MS);
+    if (verdict.next === "fail") return verdict.failure;
+    if (cause === "not_connected" || budget.spend(call.class)) return undefined;
+    return this.#progress.failure(cause, NOT_READY_RETRY_MS);
+  }
+
+  #pause(): Promise<void> {
+    const { clock, random } = this.#parts;
+    const longest = RETRY_PAUSE_MS * 2 ** this.#progress.attempts;
+    return clock.sleep(longest * random.fraction());
+  }
+
+  #refusedAfterAttempts(refusal: Failure): Failure {
+    const ran = this.#progress.ran;
+    if (ran === "no" || refusal.ran !== "no") return refusal;
+    return fail(refusal.kind, refusal.message, { ...refusal, ran });
+  }
+
+  #item(): WorkItem {
+    const { call, arrivedMs } = this.#options;
+    const isLater = this.#progress.attempts > 0;
+    return {
+      id: call.requestId,
+      tenant: call.tenant,
+      class: call.class,
+      trainer: null,
+      target: { kind: "service", name: call.service },
+      prefixKey: "",
+      minimumVersion: null,
+      urgent: isLater,
+      avoid: [],
+      admitted: isLater,
+      arrivedMs,
+      deadlineMs: call.deadlineMs,
+      cost: 1,
+    };
+  }
+}
+
+function resultOf(failure: UpstreamFailure): "failed" | "cancelled" {
+  const { cause } = failure;
+  if (cause === "cancelled" || cause === "deadline") return "cancelled";
+  return cause === "answer_too_large" ? "cancelled" : "failed";
+}
+
+/** Of a keyed call nothing is known while its claim can't be looked up. */
+function notReady(idempotencyKey: string | null): Failure {
+  return fail("not_ready", "no bundle is in force here yet", {
+    ran: idempotencyKey === null ? "no" : "unknown",
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
+
+function withoutHopHeaders(
+  headers: Readonly<Record<string, string>>,
+): Readonly<Record<string, string>> {
+  const kept: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (!HOP_HEADERS.has(name)) kept[name] = value;
+  }
+  return kept;
+}
--- /dev/null
+++ b/requests/upstream_client.ts
@@ -0,0 +1,308 @@
+/**
+ * One HTTP call to an upstream over `node:http`, which tells how far the request got.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request as startRequest,
+} from "node:http";
+import {
+  type Address,
+  type Bytes,
+  type Clock,
+  Err,
+  type Milliseconds,
+  Ok,
+  type Result,
+} from "#core";
+
+/** How far a request got. Before `sent` no byte of it can have reached the upstream. */
+export type Reach = "not_connected" | "sent" | "first_byte" | "whole";
+
+/** Why a call gave no whole answer. */
+export type UpstreamCause =
+  | "not_connected"
+  | "connection_lost"
+  | "short_answer"
+  | "answer_too_large"
+  | "deadline"
+  | "cancelled";
+
+/** A call without a whole answer. */
+export interface UpstreamFailure {
+  readonly reach: Reach;
+  readonly cause: UpstreamCause;
+  readonly message: string;
+}
+
+/** A whole answer. */
+export interface UpstreamAnswer {
+  readonly status: number;
+  /** Lower-case names. */
+  readonly headers: Readonly<Record<string, string>>;
+  /** Empty if the body went to `onData`. */
+  readonly body: Uint8Array;
+}
+
+/** One call. */
+export interface UpstreamRequest {
+  readonly address: Address;
+  readonly method: string;
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array | string;
+  /** On the client's monotonic clock. */
+  readonly deadlineMs: Milliseconds;
+  readonly maximumBytes: Bytes;
+  /** Most time without a byte of the answer; unbounded if absent. */
+  readonly stallMs?: Milliseconds;
+  /**
+   * Whether a connection that served another call may be used. Only for calls that may be repeated and
+   * whose answers name their request: a reused connection can be dead or hold another call's answer.
+   */
+  readonly reuseConnection?: boolean;
+  readonly signal?: AbortSignal;
+  /** Called as the request gets further. */
+  readonly onReach?: (reach: Reach) => void;
+  /** Takes the body of an answer with status 200 as it comes, instead of collecting it. */
+  readonly onData?: (chunk: Uint8Array) => void;
+}
+
+/** What the client is built from. */
+export interface UpstreamClientOptions {
+  /** Local address of outgoing connections. */
+  readonly sourceHost: string;
+  readonly clock: Clock;
+}
+
+const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Makes calls to upstreams. */
+export abstract class UpstreamCaller {
+  /** Makes one call; never throws. */
+  abstract call(
+    request: UpstreamRequest,
+  ): Promise<Result<UpstreamAnswer, UpstreamFailure>>;
+  /** Closes idle connections. */
+  abstract close(): void;
+}
+
+/**
+ * Calls upstreams over HTTP.
+ *
+ * @example
+ * ```ts
+ * const client = new UpstreamClient({ sourceHost: "127.0.0.1", clock });
+ * const answer = await client.call({
+ *   address: { host: "127.0.1.20", port: 9000 },
+ *   method: "GET",
+ *   path: "/v1/state",
+ *   deadlineMs: clock.nowMs() + 1_000,
+ *   maximumBytes: 65_536,
+ * });
+ * ```
+ */
+export class UpstreamClient extends UpstreamCaller {
+  readonly #options: UpstreamClientOptions;
+  readonly #kept = new Agent({ keepAlive: true, maxFreeSockets: 32 });
+
+  constructor(options: UpstreamClientOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override call(
+    request: UpstreamRequest,
+  ): Promise<Result<UpstreamAnswer, UpstreamFailure>> {
+    return new Promise((resolve) => {
+      new RunningCall({
+        request,
+        client: this.#options,
+        agent: request.reuseConnection === true ? this.#kept : false,
+        resolve,
+      }).start();
+    });
+  }
+
+  override close(): void {
+    this.#kept.destroy();
+  }
+}
+
+interface RunningCallOptions {
+  readonly request: UpstreamRequest;
+  readonly client: UpstreamClientOptions;
+  readonly agent: Agent | false;
+  readonly resolve: (result: Result<UpstreamAnswer, UpstreamFailure>) => void;
+}
+
+class RunningCall {
+  readonly #options: RunningCallOptions;
+  readonly #request: UpstreamRequest;
+  #reach: Reach = "not_connected";
+  #outgoing: ClientRequest | undefined;
+  #settled = false;
+  #received: Bytes = 0;
+  readonly #chunks: Uint8Array[] = [];
+  readonly #cleanups: (() => void)[] = [];
+
+  constructor(options: RunningCallOptions) {
+    this.#options = options;
+    this.#request = options.request;
+  }
+
+  start(): void {
+    const { signal, deadlineMs } = this.#request;
+    const clock = this.#options.client.clock;
+    const leftMs = deadlineMs - clock.nowMs();
+    if (signal?.aborted === true) return this.#fail("cancelled", "cancelled");
+    if (leftMs <= 0) return this.#fail("deadline", "the deadline has passed");
+    const timer = clock.after(
+      leftMs,
+      () => this.#fail("deadline", "the deadline passed"),
+    );
+    const onAbort = (): void => this.#fail("cancelled", "cancelled");
+    signal?.addEventListener("abort", onAbort);
+    this.#cleanups.push(() => timer.cancel());
+    this.#cleanups.push(() => signal?.removeEventListener("abort", onAbort));
+    this.#open();
+  }
+
+  #open(): void {
+    const { address, method, path, headers, body } = this.#request;
+    const bytes = typeof body === "string" ? Buffer.from(body) : body;
+    const length = bytes === undefined
+      ? {}
+      : { "content-length": String(bytes.length) };
+    try {
+      const outgoing = startRequest({
+        host: address.host,
+        port: address.port,
+        method,
+        path,
+        headers: { ...headers, ...length },
+        agent: this.#options.agent,
+        localAddress: this.#options.client.sourceHost,
+      });
+      this.#outgoing = outgoing;
+      this.#listen(outgoing);
+      outgoing.end(bytes);
+    } catch (error) {
+      this.#fail("not_connected", messageOf(error));
+    }
+  }
+
+  #listen(outgoing: ClientRequest): void {
+    outgoing.on("socket", (socket) => {
+      if (!socket.connecting) return this.#advance("sent");
+      socket.once("connect", () => this.#advance("sent"));
+    });
+    outgoing.on("response", (incoming) => this.#receive(incoming));
+    outgoing.on("error", (error) => {
+      const cause = this.#reach === "not_connected"
+        ? "not_connected"
+        : "connection_lost";
+      this.#fail(cause, messageOf(error));
+    });
+    outgoing.on(
+      "close",
+      () => this.#fail("connection_lost", "the connection closed"),
+    );
+  }
+
+  #receive(incoming: IncomingMessage): void {
+    this.#advance("first_byte");
+    this.#watchStall(incoming);
+    const streams = this.#request.onData !== undefined &&
+      incoming.statusCode === 200;
+    incoming.on("data", (chunk: Uint8Array) => {
+      if (this.#settled) return;
+      this.#received += chunk.length;
+      if (this.#received > this.#request.maximumBytes) {
+        this.#fail("answer_too_large", "the answer is over the limit");
+        return;
+      }
+      if (streams) this.#request.onData?.(chunk);
+      else this.#chunks.push(chunk);
+    });
+    incoming.on("error", (error) => {
+      this.#fail("short_answer", messageOf(error));
+    });
+    incoming.on("end", () => this.#finish(incoming));
+    incoming.on("close", () => this.#fail("short_answer", "it broke off"));
+  }
+
+  #watchStall(incoming: IncomingMessage): void {
+    const { stallMs } = this.#request;
+    if (stallMs === undefined) return;
+    const clock = this.#options.client.clock;
+    const expire = (): void => {
+      this.#fail("connection_lost", `no byte for ${stallMs} ms`);
+    };
+    let timer = clock.after(stallMs, expire);
+    incoming.on("data", () => {
+      timer.cancel();
+      if (!this.#settled) timer = clock.after(stallMs, expire);
+    });
+    this.#cleanups.push(() => timer.cancel());
+  }
+
+  #finish(incoming: IncomingMessage): void {
+    if (this.#settled) return;
+    const status = incoming.statusCode ?? 0;
+    if (!incoming.complete || !this.#endIsMarked(incoming)) {
+      return this.#fail("short_answer", "the answer has no marked end");
+    }
+    this.#advance("whole");
+    this.#settle(Ok({
+      status,
+      headers: plainHeaders(incoming),
+      body: Buffer.concat(this.#chunks),
+    }));
+  }
+
+  #endIsMarked(incoming: IncomingMessage): boolean {
+    if (NO_BODY_STATUSES.has(incoming.statusCode ?? 0)) return true;
+    if (this.#request.method === "HEAD") return true;
+    if (incoming.headers["content-length"] !== undefined) return true;
+    const encoding = incoming.headers["transfer-encoding"] ?? "";
+    return encoding.toLowerCase().includes("chunked");
+  }
+
+  #advance(reach: Reach): void {
+    if (this.#settled) return;
+    this.#reach = reach;
+    this.#request.onReach?.(reach);
+  }
+
+  #fail(cause: UpstreamCause, message: string): void {
+    this.#settle(Err({ reach: this.#reach, cause, message }));
+  }
+
+  #settle(result: Result<UpstreamAnswer, UpstreamFailure>): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    for (const cleanup of this.#cleanups) cleanup();
+    if (!result.ok) this.#outgoing?.destroy();
+    this.#options.resolve(result);
+  }
+}
+
+function plainHeaders(
+  incoming: IncomingMessage,
+): Readonly<Record<string, string>> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(incoming.headers)) {
+    if (value === undefined) continue;
+    headers[name] = Array.isArray(value) ? value.join(", ") : value;
+  }
+  return headers;
+}
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/requests/upstream_pool.ts
@@ -0,0 +1,209 @@
+/**
+ * The upstreams of one target and the choice among them: own zone first, prefix affinity with bounded
+ * load, then the lesser loaded of two.
+ *
+ * @module
+ */
+import type { Milliseconds, RandomSource } from "#core";
+import { AffinityRing, hashOf } from "./affinity_ring.ts";
+import type { UpstreamState } from "./upstream_state.ts";
+import type { Target, WorkItem } from "./work_item.ts";
+
+/** Upstreams on the ring that a prefix is tried on. */
+export const AFFINITY_STEPS = 2;
+/** Load over the mean up to which a prefix stays with its upstream. */
+export const AFFINITY_LOAD_FACTOR = 1.25;
+
+const RANDOM_TRIES = 4;
+
+/** Why an upstream was chosen. */
+export type SelectionReason = "affinity" | "lesser_loaded" | "only_one_left";
+
+/** A choice. */
+export interface Selection {
+  readonly upstream: UpstreamState;
+  readonly reason: SelectionReason;
+  readonly ownZone: boolean;
+}
+
+/** What the choice depends on besides the item. */
+export interface SelectionContext {
+  readonly nowMs: Milliseconds;
+  readonly random: RandomSource;
+}
+
+/** The upstreams of one target. */
+export class UpstreamPool {
+  readonly target: Target;
+  #near: ZoneGroup;
+  #far: ZoneGroup;
+
+  constructor(
+    target: Target,
+    members: {
+      readonly near: readonly UpstreamState[];
+      readonly far: readonly UpstreamState[];
+    },
+  ) {
+    this.target = target;
+    this.#near = new ZoneGroup(members.near);
+    this.#far = new ZoneGroup(members.far);
+  }
+
+  /** Upstreams of the own zone. */
+  get near(): readonly UpstreamState[] {
+    return this.#near.members;
+  }
+
+  /** Upstreams of other zones. */
+  get far(): readonly UpstreamState[] {
+    return this.#far.members;
+  }
+
+  /** Chooses an upstream with room for the item; undefined if there is none. */
+  select(item: WorkItem, context: SelectionContext): Selection | undefined {
+    return this.#selectIn(this.#near, { item, context, ownZone: true }) ??
+      this.#selectIn(this.#far, { item, context, ownZone: false });
+  }
+
+  /** Whether any upstream may take work now. */
+  hasRoom(nowMs: Milliseconds): boolean {
+    return this.#near.hasRoom(nowMs) || this.#far.hasRoom(nowMs);
+  }
+
+  /** Whether any upstream could serve the item if it had room; admitted work also waits out a pause. */
+  canServe(item: WorkItem, nowMs: Milliseconds): boolean {
+    for (const group of [this.near, this.far]) {
+      for (const upstream of group) {
+        const isCandidate = item.admitted
+          ? upstream.isLive(nowMs)
+          : upstream.isOpen(nowMs);
+        if (isCandidate && this.#suits(upstream, item)) return true;
+      }
+    }
+    return false;
+  }
+
+  /** Work that this entry may have outstanding on open upstreams. */
+  slots(nowMs: Milliseconds): number {
+    let slots = 0;
+    for (const group of [this.near, this.far]) {
+      for (const upstream of group) {
+        if (upstream.isOpen(nowMs)) slots += upstream.part;
+      }
+    }
+    return slots;
+  }
+
+  #selectIn(
+    group: ZoneGroup,
+    options: {
+      readonly item: WorkItem;
+      readonly context: SelectionContext;
+      readonly ownZone: boolean;
+    },
+  ): Selection | undefined {
+    const { item, context, ownZone } = options;
+    const fits = (upstream: UpstreamState): boolean =>
+      upstream.running < upstream.part && upstream.isOpen(context.nowMs) &&
+      this.#suits(upstream, item);
+    const affine = group.byAffinity(item.prefixKey, fits);
+    if (affine !== undefined) {
+      return { upstream: affine, reason: "affinity", ownZone };
+    }
+    const lesser = group.lesserOfTwo(fits, context);
+    if (lesser !== undefined) {
+      return { upstream: lesser, reason: "lesser_loaded", ownZone };
+    }
+    const left = group.firstThat(fits, context.random);
+    if (left === undefined) return undefined;
+    return { upstream: left, reason: "only_one_left", ownZone };
+  }
+
+  #suits(upstream: UpstreamState, item: WorkItem): boolean {
+    return !item.avoid.includes(upstream.id) &&
+      upstream.serves(this.target, item.minimumVersion);
+  }
+}
+
+/** Upstreams that are equally near. */
+class ZoneGroup {
+  readonly members: readonly UpstreamState[];
+  readonly #ring: AffinityRing;
+
+  constructor(members: readonly UpstreamState[]) {
+    this.members = members;
+    this.#ring = new AffinityRing(members.map((member) => member.id));
+  }
+
+  hasRoom(nowMs: Milliseconds): boolean {
+    for (const member of this.members) {
+      if (member.running < member.part && member.isOpen(nowMs)) return true;
+    }
+    return false;
+  }
+
+  byAffinity(
+    prefixKey: string,
+    fits: (upstream: UpstreamState) => boolean,
+  ): UpstreamState | undefined {
+    if (prefixKey === "" || this.members.length === 0) return undefined;
+    const most = this.#affinityBound();
+    for (const index of this.#ring.walk(hashOf(prefixKey), AFFINITY_STEPS)) {
+      const member = this.members[index];
+      if (member === undefined || member.running >= most) continue;
+      if (fits(member)) return member;
+    }
+    return undefined;
+  }
+
+  lesserOfTwo(
+    fits: (upstream: UpstreamState) => boolean,
+    context: SelectionContext,
+  ): UpstreamState | undefined {
+    if (this.members.length === 0) return undefined;
+    let best: UpstreamState | undefined;
+    let found = 0;
+    for (let trial = 0; trial < RANDOM_TRIES; trial += 1) {
+      const index = context.random.below(this.members.length);
+      const member = this.members[index];
+      if (member === undefined || !fits(member)) continue;
+      found += 1;
+      if (best === undefined || lighter(member, best, context.nowMs)) {
+        best = member;
+      }
+      if (found === 2) break;
+    }
+    return best;
+  }
+
+  /** A search from a random start, for when random tries find none. */
+  firstThat(
+    fits: (upstream: UpstreamState) => boolean,
+    random: RandomSource,
+  ): UpstreamState | undefined {
+    const start = random.below(Math.max(1, this.members.length));
+    for (let step = 0; step < this.members.length; step += 1) {
+      const member = this.members[(start + step) % this.members.length];
+      if (member !== undefined && fits(member)) return member;
+    }
+    return undefined;
+  }
+
+  #affinityBound(): number {
+    let running = 0;
+    for (const member of this.members) running += member.running;
+    const mean = (running + 1) / this.members.length;
+    return Math.ceil(mean * AFFINITY_LOAD_FACTOR);
+  }
+}
+
+function lighter(
+  a: UpstreamState,
+  b: UpstreamState,
+  nowMs: Milliseconds,
+): boolean {
+  const loadOf = (upstream: UpstreamState): number =>
+    (upstream.loadAt(nowMs) + 1) / Math.max(1, upstream.limit.value);
+  return loadOf(a) < loadOf(b);
+}
--- /dev/null
+++ b/requests/work_gate.ts
@@ -0,0 +1,225 @@
+/**
+ * The scheduler with its clock and its neighbours: callers wait here for an upstream.
+ *
+ * @module
+ */
+import { z } from "zod";
+import {
+  type Blackboard,
+  type BoardSections,
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type RandomSource,
+  type Result,
+  type Timer,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import type { DecisionLog } from "./decision_log.ts";
+import { REQUEST_EVENTS } from "./events.ts";
+import { type Dispatch, Scheduler, type WorkOutcome } from "./scheduler.ts";
+import type { UpstreamState } from "./upstream_state.ts";
+import type { WorkItem } from "./work_item.ts";
+
+/** How often waiting work is checked and demand is told to the zone. */
+export const TICK_MS: Milliseconds = 50;
+/** How often demand is told to the other entries of the zone. */
+export const DEMAND_PERIOD_MS: Milliseconds = 200;
+
+const demandSchema = z.object({
+  demand: z.record(z.string().max(256), z.number().finite().nonnegative()),
+});
+
+/** A place at an upstream; it must be released once. */
+export interface Slot {
+  readonly upstream: UpstreamState;
+  readonly grantedAtMs: Milliseconds;
+  release(outcome: WorkOutcome): void;
+}
+
+/** What the gate is built from. */
+export interface WorkGateOptions {
+  readonly vm: string;
+  readonly zone: string;
+  readonly board: Blackboard<BoardSections>;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly decisions: DecisionLog;
+}
+
+/** Gives places at upstreams in the scheduler's order. */
+export class WorkGate {
+  readonly scheduler: Scheduler;
+  readonly #options: WorkGateOptions;
+  readonly #waiting = new Map<
+    string,
+    (result: Result<Slot, Failure>) => void
+  >();
+  readonly #stops: (() => void)[] = [];
+
+  constructor(options: WorkGateOptions) {
+    this.#options = options;
+    this.scheduler = new Scheduler(options);
+    options.network.onNotice(
+      "requests",
+      (from, body) => this.#hear(from, body),
+    );
+    this.#readBoard();
+  }
+
+  /** Starts to watch the board and to tell demand. */
+  start(): void {
+    const { board, clock } = this.#options;
+    for (const name of ["bundle", "upstreams", "load"] as const) {
+      this.#stops.push(board.watch(name, () => {
+        this.#readBoard();
+        this.#pump();
+      }));
+    }
+    this.#readBoard();
+    const timers: readonly Timer[] = [
+      clock.every(TICK_MS, () => this.#tick()),
+      clock.every(DEMAND_PERIOD_MS, () => this.#tellDemand()),
+    ];
+    for (const timer of timers) this.#stops.push(() => timer.cancel());
+  }
+
+  /** Ends the timers; what waits or runs goes on. */
+  stop(): void {
+    for (const stop of this.#stops.splice(0)) stop();
+  }
+
+  /** Waits for a place; a failure means that this attempt was never dispatched. */
+  acquire(
+    item: WorkItem,
+    signal: AbortSignal | undefined,
+  ): Promise<Result<Slot, Failure>> {
+    const nowMs = this.#options.clock.nowMs();
+    if (signal?.aborted === true) return Promise.resolve(cancelled());
+    const refusal = this.scheduler.submit(item, nowMs);
+    if (refusal !== undefined) {
+      this.#options.decisions.note(item.id, "refused", { ...refusal });
+      return Promise.resolve(Err(refusal));
+    }
+    return new Promise((resolve) => {
+      const onAbort = (): void => {
+        if (!this.scheduler.withdraw(item.id)) return;
+        this.#settle(item.id, cancelled());
+      };
+      signal?.addEventListener("abort", onAbort);
+      this.#waiting.set(item.id, (result) => {
+        signal?.removeEventListener("abort", onAbort);
+        resolve(result);
+      });
+      this.#pump();
+    });
+  }
+
+  #pump(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const dispatch of this.scheduler.take(nowMs)) {
+      this.#grant(dispatch, nowMs);
+    }
+    this.#publish();
+  }
+
+  #grant(dispatch: Dispatch, nowMs: Milliseconds): void {
+    const { item, selection } = dispatch;
+    this.#options.decisions.note(item.id, "dispatched", {
+      upstream: selection.upstream.id,
+      reason: selection.reason,
+      ownZone: selection.ownZone,
+      waitedMs: Math.round(nowMs - item.arrivedMs),
+    });
+    let isReleased = false;
+    this.#settle(
+      item.id,
+      Ok({
+        upstream: selection.upstream,
+        grantedAtMs: nowMs,
+        release: (outcome) => {
+          if (isReleased) return;
+          isReleased = true;
+          this.#release(item, { outcome, upstream: selection.upstream });
+        },
+      }),
+    );
+  }
+
+  #release(
+    item: WorkItem,
+    ended: { readonly outcome: WorkOutcome; readonly upstream: UpstreamState },
+  ): void {
+    const { outcome, upstream } = ended;
+    const nowMs = this.#options.clock.nowMs();
+    this.scheduler.finish(item.id, outcome, nowMs);
+    if (outcome.result === "failed") {
+      this.#options.events.emit(REQUEST_EVENTS.upstreamSuspended, {
+        upstream: upstream.id,
+        failures: upstream.failures,
+      });
+    }
+    this.#pump();
+  }
+
+  #tick(): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.scheduler.divide(nowMs);
+    this.#pump();
+    for (const { item, failure } of this.scheduler.sweep(nowMs)) {
+      this.#options.decisions.note(item.id, "given_up", { ...failure });
+      this.#settle(item.id, Err(failure));
+    }
+    this.#publish();
+  }
+
+  #settle(id: string, result: Result<Slot, Failure>): void {
+    const settle = this.#waiting.get(id);
+    this.#waiting.delete(id);
+    settle?.(result);
+  }
+
+  #readBoard(): void {
+    const { board, clock } = this.#options;
+    const bundle = board.read("bundle")?.signed.bundle;
+    if (bundle !== undefined) this.scheduler.setBundle(bundle);
+    this.scheduler.setUpstreams(board.read("upstreams"), clock.nowMs());
+    this.scheduler.setLoads(board.read("load"));
+  }
+
+  #publish(): void {
+    const { queued, running } = this.scheduler;
+    const before = this.#options.board.read("requests");
+    if (before.queued === queued && before.running === running) return;
+    this.#options.board.write("requests", "requests", { queued, running });
+  }
+
+  #tellDemand(): void {
+    const { board, network, vm, zone } = this.#options;
+    const notice = this.scheduler.demand();
+    for (const view of board.read("members").values()) {
+      if (view.name === vm || view.zone !== zone) continue;
+      network.notify({ to: view.name, channel: "requests" }, notice);
+    }
+  }
+
+  #hear(from: string, body: unknown): void {
+    const parsed = demandSchema.safeParse(body);
+    if (!parsed.success) {
+      this.#options.events.emit(REQUEST_EVENTS.badDemandNotice, { from });
+      return;
+    }
+    const nowMs = this.#options.clock.nowMs();
+    this.scheduler.hearDemand(from, parsed.data, nowMs);
+  }
+}
+
+function cancelled(): Result<never, Failure> {
+  return Err(fail("cancelled", "the caller went away", { ran: "no" }));
+}
