Add the sample ledger, generation at entries, and orders to engines

Change: LedgerMachine (submit, lease, commit, publish, deliver, acknowledge by cursor), EntrySamples (routes of trainers, generation, scoring, second runs), OrdersMachine and WeightsCoordinator (waves, fences, reading back). LedgerMachine takes the trainers' rules by a callback to the machine that holds the bundle in force, so that they are decided at the entry of the log.

--- /dev/null
+++ b/samples/entry_samples.ts
@@ -0,0 +1,93 @@
+/**
+ * Samples at an entry VM: the routes of trainers and the generation of groups.
+ *
+ * @module
+ */
+import type {
+  Blackboard,
+  BoardSections,
+  Clock,
+  CompletionPort,
+  ControlPort,
+  EventLog,
+  HttpRoute,
+  Metrics,
+  RandomSource,
+  ServicePort,
+} from "#core";
+import { Generation } from "./generation.ts";
+import { LedgerClient } from "./ledger_client.ts";
+import { SampleRoutes } from "./sample_routes.ts";
+import { Scoring } from "./scoring.ts";
+import { StragglerPolicy } from "./straggler_policy.ts";
+
+/** What samples at an entry are built from. */
+export interface EntrySamplesOptions {
+  readonly vm: string;
+  readonly zone: string;
+  readonly board: Blackboard<BoardSections>;
+  readonly control: ControlPort;
+  readonly completions: CompletionPort;
+  readonly services: ServicePort;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+}
+
+/** What samples at an entry tell of themselves. */
+export interface EntrySamplesStatus {
+  readonly groupsInWork: number;
+  /** Tokens made and not used, over all tokens made. */
+  readonly wastedPart: number;
+  readonly draining: boolean;
+}
+
+/** Takes steps, makes groups and hands samples over. */
+export class EntrySamples {
+  readonly #generation: Generation;
+  readonly #routes: SampleRoutes;
+  readonly #policy = new StragglerPolicy();
+  #draining = false;
+
+  constructor(options: EntrySamplesOptions) {
+    const ledger = new LedgerClient(options.control, options.clock);
+    this.#generation = new Generation({
+      ...options,
+      ledger,
+      scoring: new Scoring(options),
+      policy: this.#policy,
+    });
+    this.#routes = new SampleRoutes({
+      ledger,
+      clock: options.clock,
+      events: options.events,
+      isDraining: () => this.#draining,
+    });
+  }
+
+  /** The routes of trainers. */
+  routes(): readonly HttpRoute[] {
+    return this.#routes.routes();
+  }
+
+  /** Begins to make groups. */
+  start(): void {
+    this.#generation.start();
+  }
+
+  /** Ends long polls, makes no new groups, and ends or gives back those in work. */
+  async drain(): Promise<void> {
+    this.#draining = true;
+    await this.#generation.drain();
+  }
+
+  /** What is in work here. */
+  status(): EntrySamplesStatus {
+    return {
+      groupsInWork: this.#generation.groupsInWork,
+      wastedPart: this.#policy.wastedPart(),
+      draining: this.#draining,
+    };
+  }
+}
--- /dev/null
+++ b/samples/ledger_delivery.ts
@@ -0,0 +1,242 @@
+/**
+ * Commits of whole groups, published versions and the hand-over to trainers. The staleness bound is
+ * decided by the order of these commands in the log.
+ *
+ * @module
+ */
+import {
+  Err,
+  fail,
+  type Failure,
+  MEBIBYTE,
+  Ok,
+  type Result,
+  type TrainerEntry,
+} from "#core";
+import { formatCursor, parseCursor } from "./cursor.ts";
+import { openGroup } from "./ledger_leases.ts";
+import {
+  emptyTrainer,
+  findGroup,
+  findStep,
+  isTooOld,
+  type LedgerState,
+  newestVersion,
+  type Page,
+  type TrainerState,
+} from "./ledger_state.ts";
+import { finishStep } from "./ledger_steps.ts";
+import {
+  type CommitCommand,
+  type CommitOutcome,
+  type DeliverCommand,
+  type DeliveredGroup,
+  type DeliverReply,
+  oldestVersion,
+  type PublishCommand,
+} from "./ledger_types.ts";
+
+/** Acknowledged pages that can still be asked for again. */
+export const ACKNOWLEDGED_PAGES_KEPT = 4;
+/** A page ends before a group that would make it larger than this. */
+const PAGE_BYTES = 2 * MEBIBYTE;
+
+/** Takes a whole group; the first one wins, and one that is too old changes nothing. */
+export function commitGroup(
+  state: LedgerState,
+  command: CommitCommand,
+): Result<CommitOutcome, Failure> {
+  const step = findStep(state, command.trainer, command.step);
+  if (step === undefined) return missingStep(state, command);
+  const group = findGroup(step, command.group);
+  if (group === undefined) {
+    return Err(fail("not_found", `group ${command.group} is not in the step`));
+  }
+  const fault = findFault(command, step.groupSize);
+  if (fault !== undefined) return Err(fault);
+  if (group.committed !== null || group.phase === "delivered") {
+    return Ok("duplicate");
+  }
+  let oldest = Number.MAX_SAFE_INTEGER;
+  for (const sample of command.samples) {
+    oldest = Math.min(oldest, oldestVersion(sample.versions));
+  }
+  if (isTooOld(state, step, oldest)) return Ok("too_old");
+  group.phase = "committed";
+  group.holder = null;
+  group.committed = { samples: command.samples, text: command.text, oldest };
+  const trainer = state.trainers.get(command.trainer);
+  trainer?.ready.push({ step: step.step, group: group.group });
+  return Ok("committed");
+}
+
+/** Publishes a version, and opens again what it makes too old for the hand-over. */
+export function publishVersion(
+  state: LedgerState,
+  command: PublishCommand,
+  rules: TrainerEntry,
+): Result<number, Failure> {
+  const { trainer, version } = command;
+  const known = state.published.get(rules.model);
+  if (known !== undefined && version < known.version) {
+    const message = `version ${version} is below ${known.version}`;
+    return Err(fail("conflict", message, { field: "version" }));
+  }
+  if (known?.version === version) {
+    if (known.trainer === trainer) return Ok(version);
+    const message = `version ${version} was published by ${known.trainer}`;
+    return Err(fail("conflict", message, { field: "version" }));
+  }
+  state.published.set(rules.model, { model: rules.model, version, trainer });
+  for (const other of state.trainers.values()) reopenTooOld(state, other);
+  return Ok(version);
+}
+
+function reopenTooOld(state: LedgerState, trainer: TrainerState): void {
+  trainer.ready = trainer.ready.filter((reference) => {
+    const step = findStep(state, trainer.trainer, reference.step);
+    const group = step && findGroup(step, reference.group);
+    if (step === undefined || !group?.committed) return false;
+    if (!isTooOld(state, step, group.committed.oldest)) return true;
+    openGroup(group);
+    step.reopened += 1;
+    return false;
+  });
+}
+
+/** Hands the next page over, or gives the page that was handed over after this cursor before. */
+export function deliverPage(
+  state: LedgerState,
+  command: DeliverCommand,
+): Result<DeliverReply, Failure> {
+  const trainer = state.trainers.get(command.trainer) ??
+    emptyTrainer(command.trainer);
+  const place = locateCursor(trainer, command.after);
+  if (place.err) return place;
+  if (place.val !== null) return Ok(replyOf(trainer, place.val));
+  trainer.pages.splice(0, trainer.pages.length - ACKNOWLEDGED_PAGES_KEPT);
+  const page = takePage(state, trainer, command.limit);
+  if (page.groups.length > 0) trainer.pages.push(page);
+  trainer.handedOver = page.to;
+  return Ok(replyOf(trainer, page));
+}
+
+/** Gives the page that stands after a cursor, or null if the cursor is at the end. */
+export function locateCursor(
+  trainer: TrainerState,
+  after: string,
+): Result<Page | null, Failure> {
+  const cursor = parseCursor(trainer.trainer, after);
+  if (cursor.err) return cursor;
+  const count = cursor.val;
+  if (count === trainer.handedOver) return Ok(null);
+  if (count > trainer.handedOver) {
+    const message = `after: ${after} was not given yet`;
+    return Err(fail("malformed_request", message, { field: "after" }));
+  }
+  const first = trainer.pages[0]?.from ?? trainer.handedOver;
+  if (count < first) {
+    const message = `after: what follows ${after} is no longer kept`;
+    return Err(fail("stale_cursor", message, { field: "after" }));
+  }
+  const page = trainer.pages.find((candidate) => candidate.from === count);
+  if (page !== undefined) return Ok(page);
+  const message = `after: ${after} is within an answer`;
+  return Err(fail("malformed_request", message, { field: "after" }));
+}
+
+function takePage(
+  state: LedgerState,
+  trainer: TrainerState,
+  limit: number,
+): Page {
+  const groups: DeliveredGroup[] = [];
+  let samples = 0;
+  let bytes = 0;
+  while (trainer.ready.length > 0) {
+    const next = peekReady(state, trainer);
+    if (next === undefined) break;
+    const size = next.text.length + next.prompt.length;
+    const full = samples + next.samples.length > limit ||
+      bytes + size > PAGE_BYTES;
+    if (full && groups.length > 0) break;
+    groups.push(next);
+    samples += next.samples.length;
+    bytes += size;
+    handOver(state, trainer);
+  }
+  const from = trainer.handedOver;
+  return { from, to: from + samples, groups };
+}
+
+function peekReady(
+  state: LedgerState,
+  trainer: TrainerState,
+): DeliveredGroup | undefined {
+  const reference = trainer.ready[0];
+  if (reference === undefined) return undefined;
+  const step = findStep(state, trainer.trainer, reference.step);
+  const group = step && findGroup(step, reference.group);
+  if (step === undefined || !group?.committed) return undefined;
+  return {
+    step: step.step,
+    group: group.group,
+    prompt: group.prompt,
+    deliveredAtVersion: newestVersion(state, step.model) ??
+      group.committed.oldest,
+    samples: group.committed.samples,
+    text: group.committed.text,
+  };
+}
+
+function handOver(state: LedgerState, trainer: TrainerState): void {
+  const reference = trainer.ready.shift();
+  if (reference === undefined) return;
+  const step = findStep(state, trainer.trainer, reference.step);
+  const group = step && findGroup(step, reference.group);
+  if (step === undefined || group === undefined) return;
+  group.phase = "delivered";
+  group.committed = null;
+  group.prompt = "";
+  const left = step.groups.some((other) => other.phase !== "delivered");
+  if (!left) finishStep(trainer, step);
+}
+
+function replyOf(trainer: TrainerState, page: Page): DeliverReply {
+  return {
+    kind: "page",
+    cursor: formatCursor(trainer.trainer, page.to),
+    groups: page.groups,
+  };
+}
+
+function missingStep(
+  state: LedgerState,
+  command: CommitCommand,
+): Result<CommitOutcome, Failure> {
+  const trainer = state.trainers.get(command.trainer);
+  const finished = trainer?.finished.some((step) =>
+    step.progress.step === command.step
+  );
+  const forgotten = command.step < (trainer?.forgottenBelow ?? 0);
+  if (finished || forgotten) return Ok("duplicate");
+  return Err(fail("not_found", `step ${command.step} is not known`));
+}
+
+function findFault(
+  command: CommitCommand,
+  groupSize: number,
+): Failure | undefined {
+  if (command.samples.length !== groupSize) {
+    const message = `samples: ${command.samples.length} of ${groupSize}`;
+    return fail("malformed_request", message, { field: "samples" });
+  }
+  for (const sample of command.samples) {
+    let tokens = 0;
+    for (const run of sample.versions) tokens += run.tokens;
+    if (tokens === sample.tokens) continue;
+    const message = `versions: ${tokens} tokens named of ${sample.tokens}`;
+    return fail("malformed_request", message, { field: "versions" });
+  }
+  return undefined;
+}
--- /dev/null
+++ b/samples/ledger_steps.ts
@@ -0,0 +1,185 @@
+/**
+ * Submission of steps to the ledger.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import {
+  Err,
+  fail,
+  type Failure,
+  Ok,
+  type Result,
+  type TrainerEntry,
+} from "#core";
+import {
+  emptyTrainer,
+  findStep,
+  type LedgerState,
+  progressOf,
+  type StepState,
+  type TrainerState,
+} from "./ledger_state.ts";
+import {
+  MAXIMUM_GROUP_TOKENS,
+  MAXIMUM_STEP_SAMPLES,
+  type StepProgress,
+  type SubmitCommand,
+} from "./ledger_types.ts";
+
+/** Most unfinished steps of one trainer. */
+export const MAXIMUM_OPEN_STEPS = 4;
+/** Finished steps of which the digest is kept. */
+const FINISHED_STEPS_KEPT = 16;
+const OPEN_STEPS_RETRY_MS = 5_000;
+
+/** Takes a step, or gives the progress of the same step sent before. */
+export function submitStep(
+  state: LedgerState,
+  command: SubmitCommand,
+  rules: TrainerEntry | null,
+): Result<StepProgress, Failure> {
+  if (rules === null) return Err(unknownTrainer(command.trainer));
+  const digest = digestOf(command);
+  const known = findKnown(state, command, digest);
+  if (known !== undefined) return known;
+  const fault = findFault(command, rules);
+  if (fault !== undefined) return Err(fault);
+  const trainer = state.trainers.get(command.trainer) ??
+    emptyTrainer(command.trainer);
+  const refusal = findRefusal(trainer, command);
+  if (refusal !== undefined) return Err(refusal);
+  const step = makeStep(state, command, { rules, digest });
+  trainer.steps.push(step);
+  state.trainers.set(command.trainer, trainer);
+  return Ok(progressOf(step));
+}
+
+/** Moves a step whose groups are all handed over to the finished ones. */
+export function finishStep(trainer: TrainerState, step: StepState): void {
+  trainer.steps = trainer.steps.filter((other) => other !== step);
+  trainer.finished.push({ digest: step.digest, progress: progressOf(step) });
+  while (trainer.finished.length > FINISHED_STEPS_KEPT) {
+    const forgotten = trainer.finished.shift();
+    const number = forgotten?.progress.step ?? 0;
+    trainer.forgottenBelow = Math.max(trainer.forgottenBelow, number + 1);
+  }
+}
+
+/** The failure for a trainer that the bundle does not list. */
+export function unknownTrainer(trainer: string): Failure {
+  return fail("unknown_trainer", `there is no trainer ${trainer}`, {
+    field: "trainer",
+  });
+}
+
+function findKnown(
+  state: LedgerState,
+  command: SubmitCommand,
+  digest: string,
+): Result<StepProgress, Failure> | undefined {
+  const open = findStep(state, command.trainer, command.step);
+  if (open !== undefined) {
+    if (open.digest === digest) return Ok(progressOf(open));
+    return Err(otherContent(command));
+  }
+  const trainer = state.trainers.get(command.trainer);
+  for (const finished of trainer?.finished ?? []) {
+    if (finished.progress.step !== command.step) continue;
+    if (finished.digest === digest) return Ok(finished.progress);
+    return Err(otherContent(command));
+  }
+  return undefined;
+}
+
+function otherContent(command: SubmitCommand): Failure {
+  const name = `step ${command.step} of trainer ${command.trainer}`;
+  return fail("conflict", `${name} was submitted with other content`);
+}
+
+function findFault(
+  command: SubmitCommand,
+  rules: TrainerEntry,
+): Failure | undefined {
+  const seen = new Set<number>();
+  for (const { group } of command.groups) {
+    if (seen.has(group)) {
+      return invalid("groups", `group ${group} stands twice`);
+    }
+    seen.add(group);
+  }
+  const samples = command.groups.length * command.groupSize;
+  if (samples > MAXIMUM_STEP_SAMPLES) {
+    return invalid(
+      "groupSize",
+      `${samples} samples are more than ${MAXIMUM_STEP_SAMPLES}`,
+    );
+  }
+  const tokens = command.groupSize * command.maximumTokens;
+  if (tokens > MAXIMUM_GROUP_TOKENS) {
+    return invalid(
+      "maximumTokens",
+      `${tokens} tokens of a group are more than ${MAXIMUM_GROUP_TOKENS}`,
+    );
+  }
+  if (command.bound > rules.maximumStaleness) {
+    const message = `bound ${command.bound} is over ${rules.maximumStaleness}`;
+    return fail("bound_cannot_be_met", message, { field: "bound" });
+  }
+  return undefined;
+}
+
+function invalid(field: string, message: string): Failure {
+  return fail("invalid_step", `${field}: ${message}`, { field });
+}
+
+function findRefusal(
+  trainer: TrainerState,
+  command: SubmitCommand,
+): Failure | undefined {
+  if (command.step < trainer.forgottenBelow) {
+    const message = `step ${command.step} is older than the steps kept`;
+    return fail("conflict", message, { field: "step" });
+  }
+  if (trainer.steps.length < MAXIMUM_OPEN_STEPS) return undefined;
+  const message = `${MAXIMUM_OPEN_STEPS} steps of the trainer are unfinished`;
+  return fail("too_many_requests", message, {
+    retryAfterMs: OPEN_STEPS_RETRY_MS,
+  });
+}
+
+function makeStep(
+  state: LedgerState,
+  command: SubmitCommand,
+  options: { readonly rules: TrainerEntry; readonly digest: string },
+): StepState {
+  return {
+    trainer: command.trainer,
+    step: command.step,
+    model: options.rules.model,
+    digest: options.digest,
+    groupSize: command.groupSize,
+    bound: command.bound,
+    maximumTokens: command.maximumTokens,
+    allowedMs: command.deadlineMs,
+    deadlineAtMs: state.atMs + command.deadlineMs,
+    groups: command.groups.map(({ group, prompt }) => ({
+      group,
+      prompt,
+      phase: "open",
+      holder: null,
+      committed: null,
+    })),
+    reopened: 0,
+  };
+}
+
+function digestOf(command: SubmitCommand): string {
+  const hash = createHash("sha256");
+  const { groupSize, bound, deadlineMs, maximumTokens } = command;
+  hash.update(JSON.stringify({ groupSize, bound, deadlineMs, maximumTokens }));
+  for (const { group, prompt } of command.groups) {
+    hash.update(JSON.stringify([group, prompt]));
+  }
+  return hash.digest("hex");
+}
--- /dev/null
+++ b/samples/ledger_types.ts
@@ -0,0 +1,247 @@
+/**
+ * Commands, questions and replies of the sample ledger, with the schemas by which the machine checks
+ * what other VMs send.
+ *
+ * @module
+ */
+import { type Milliseconds, type VersionRun } from "#core";
+import { z } from "zod";
+
+/** Most groups of one step. */
+export const MAXIMUM_GROUPS = 8_192;
+/** Most samples of one group. */
+export const MAXIMUM_GROUP_SIZE = 1_024;
+/** Most samples of one step. */
+export const MAXIMUM_STEP_SAMPLES = 65_536;
+/** Most characters of one prompt. */
+export const MAXIMUM_PROMPT_CHARACTERS = 262_144;
+/** Most tokens of one sample. */
+export const MAXIMUM_SAMPLE_TOKENS = 1_048_576;
+/** Most tokens of one group, so that a whole group fits into one message. */
+export const MAXIMUM_GROUP_TOKENS = 2_097_152;
+/** Most samples that one hand-over may be asked for. */
+export const MAXIMUM_PAGE_SAMPLES = 4_096;
+
+const name = z.string().min(1).max(128);
+const count = z.number().int().nonnegative();
+const version = z.number().int().nonnegative().max(Number.MAX_SAFE_INTEGER);
+
+/** Schema of one group of a step as a trainer sends it. */
+export const groupRequestSchema = z.object({
+  group: count.max(MAXIMUM_GROUPS - 1),
+  prompt: z.string().min(1).max(MAXIMUM_PROMPT_CHARACTERS),
+});
+
+/** Schema of a step as a trainer sends it. */
+export const stepRequestSchema = z.object({
+  groups: z.array(groupRequestSchema).min(1).max(MAXIMUM_GROUPS),
+  groupSize: z.number().int().min(1).max(MAXIMUM_GROUP_SIZE),
+  /** Most versions that a sample may be behind the newest one at hand-over. */
+  bound: version,
+  /** Time from the submission until the step shall be whole. */
+  deadlineMs: z.number().int().min(1).max(86_400_000),
+  maximumTokens: z.number().int().min(1).max(MAXIMUM_SAMPLE_TOKENS),
+});
+
+const runSchema = z.object({ version, tokens: count });
+
+const sampleRecordSchema = z.object({
+  tokens: count.max(MAXIMUM_SAMPLE_TOKENS),
+  versions: z.array(runSchema).min(1).max(1_024),
+  score: z.number().finite(),
+  /** Bytes of this sample's text in UTF-8. */
+  textBytes: count,
+});
+
+const submitSchema = stepRequestSchema.extend({
+  kind: z.literal("submit"),
+  trainer: name,
+  step: version,
+});
+
+const leaseSchema = z.object({
+  kind: z.literal("lease"),
+  holder: name,
+  /** Drawn at each start of the holder. */
+  epoch: name,
+  /** Grows with each lease command of an epoch. */
+  sequence: count,
+  /** Most groups wanted besides those held. */
+  limit: count.max(MAXIMUM_GROUPS),
+  /** Groups that the holder can't make. */
+  returned: z.array(
+    z.object({ trainer: name, step: version, group: count }),
+  ).max(MAXIMUM_GROUPS),
+});
+
+const releaseSchema = z.object({
+  kind: z.literal("release"),
+  holder: name,
+  epoch: name,
+});
+
+const commitSchema = z.object({
+  kind: z.literal("commit"),
+  trainer: name,
+  step: version,
+  group: count,
+  samples: z.array(sampleRecordSchema).min(1).max(MAXIMUM_GROUP_SIZE),
+  /** Texts of all samples, one after the other, deflated. */
+  text: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+});
+
+const publishSchema = z.object({
+  kind: z.literal("publish"),
+  trainer: name,
+  version,
+});
+
+const deliverSchema = z.object({
+  kind: z.literal("deliver"),
+  trainer: name,
+  after: z.string().max(256),
+  limit: z.number().int().min(1).max(MAXIMUM_PAGE_SAMPLES),
+});
+
+/** Schema of all commands. */
+export const ledgerCommandSchema = z.discriminatedUnion("kind", [
+  submitSchema,
+  leaseSchema,
+  releaseSchema,
+  commitSchema,
+  publishSchema,
+  deliverSchema,
+]);
+
+/** Schema of all questions. */
+export const ledgerQuestionSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("step"), trainer: name, step: version }),
+  z.object({
+    kind: z.literal("ready"),
+    trainer: name,
+    after: z.string().max(256),
+  }),
+  z.object({ kind: z.literal("published") }),
+  z.object({ kind: z.literal("progress") }),
+]);
+
+/** A step as a trainer sends it. */
+export type StepRequest = Readonly<z.infer<typeof stepRequestSchema>>;
+/** What is kept of one sample besides its text. */
+export type SampleRecord = Readonly<z.infer<typeof sampleRecordSchema>>;
+/** A command of the ledger. */
+export type LedgerCommand = Readonly<z.infer<typeof ledgerCommandSchema>>;
+/** Submits a step. */
+export type SubmitCommand = Readonly<z.infer<typeof submitSchema>>;
+/** Renews a holder's lease and asks for groups. */
+export type LeaseCommand = Readonly<z.infer<typeof leaseSchema>>;
+/** Gives all groups of a holder back. */
+export type ReleaseCommand = Readonly<z.infer<typeof releaseSchema>>;
+/** Commits a whole group. */
+export type CommitCommand = Readonly<z.infer<typeof commitSchema>>;
+/** Publishes a version of a trainer's model. */
+export type PublishCommand = Readonly<z.infer<typeof publishSchema>>;
+/** Hands samples over. */
+export type DeliverCommand = Readonly<z.infer<typeof deliverSchema>>;
+/** A question to the ledger. */
+export type LedgerQuestion = Readonly<z.infer<typeof ledgerQuestionSchema>>;
+
+/** How far a step is. */
+export interface StepProgress {
+  readonly trainer: string;
+  readonly step: number;
+  readonly groups: number;
+  readonly groupSize: number;
+  /** Groups that nobody works on. */
+  readonly open: number;
+  readonly leased: number;
+  readonly committed: number;
+  readonly delivered: number;
+  /** Groups made again because they grew too old before the hand-over. */
+  readonly reopened: number;
+  /** When the step shall be whole, on the wall clock. */
+  readonly deadlineAtMs: Milliseconds;
+}
+
+/** A group that a holder is to make. */
+export interface LeasedGroup {
+  readonly trainer: string;
+  readonly step: number;
+  readonly group: number;
+  readonly prompt: string;
+  readonly groupSize: number;
+  readonly model: string;
+  readonly bound: number;
+  readonly maximumTokens: number;
+  readonly deadlineAtMs: Milliseconds;
+}
+
+/** Newest published version of a model. */
+export interface PublishedVersion {
+  readonly model: string;
+  readonly version: number;
+  readonly trainer: string;
+}
+
+/** Reply to a lease command. */
+export interface LeaseReply {
+  readonly kind: "leased";
+  /** False if groups that the holder had before are no longer its own. */
+  readonly renewed: boolean;
+  readonly groups: readonly LeasedGroup[];
+  readonly published: readonly PublishedVersion[];
+  readonly progress: readonly StepProgress[];
+  /** Newest log time that the ledger knows, on the wall clock. */
+  readonly atMs: Milliseconds;
+}
+
+/** What became of a commit. */
+export type CommitOutcome = "committed" | "duplicate" | "too_old";
+
+/** A group as handed over. */
+export interface DeliveredGroup {
+  readonly step: number;
+  readonly group: number;
+  readonly prompt: string;
+  readonly deliveredAtVersion: number;
+  readonly samples: readonly SampleRecord[];
+  readonly text: Uint8Array;
+}
+
+/** Reply to a deliver command. */
+export interface DeliverReply {
+  readonly kind: "page";
+  /** Cursor after these groups. */
+  readonly cursor: string;
+  readonly groups: readonly DeliveredGroup[];
+}
+
+/** Reply of the ledger to a command. */
+export type LedgerReply =
+  | { readonly kind: "submitted"; readonly progress: StepProgress }
+  | LeaseReply
+  | { readonly kind: "released" }
+  | { readonly kind: "commit"; readonly outcome: CommitOutcome }
+  | { readonly kind: "published"; readonly version: number }
+  | DeliverReply;
+
+/** Answer of the ledger to a question. */
+export type LedgerAnswer =
+  | { readonly kind: "step"; readonly progress: StepProgress }
+  | { readonly kind: "ready"; readonly ready: boolean }
+  | {
+    readonly kind: "published";
+    readonly published: readonly PublishedVersion[];
+  }
+  | {
+    readonly kind: "progress";
+    readonly progress: readonly StepProgress[];
+    readonly published: readonly PublishedVersion[];
+  };
+
+/** The oldest version of a run list. */
+export function oldestVersion(runs: readonly VersionRun[]): number {
+  let oldest = Number.MAX_SAFE_INTEGER;
+  for (const run of runs) oldest = Math.min(oldest, run.version);
+  return oldest;
+}
--- a/samples/mod.ts
+++ b/samples/mod.ts
@@ -1,6 +1,13 @@
 /**
- * Steps and groups of trainers: the ledger in the replicated log, generation, scoring, delivery by cursor and the staleness bound.
+ * Steps and groups of trainers: the ledger in the replicated log, generation, scoring, delivery by
+ * cursor and the staleness bound.
  *
  * @module
  */
-export {};
+export * from "./cursor.ts";
+export * from "./ledger_machine.ts";
+export * from "./ledger_types.ts";
+export type { TrainerRules } from "./ledger_leases.ts";
+export { HOLDER_LEASE_MS } from "./ledger_leases.ts";
+export * from "./entry_samples.ts";
+export * from "./events.ts";
--- /dev/null
+++ b/samples/sample_routes.ts
@@ -0,0 +1,211 @@
+/**
+ * The routes of trainers.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import {
+  type Clock,
+  type EventLog,
+  fail,
+  type Failure,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpRoute,
+  jsonAnswer,
+  type Milliseconds,
+} from "#core";
+import type { z } from "zod";
+import { formatCursor } from "./cursor.ts";
+import { SAMPLES_EVENTS } from "./events.ts";
+import { isPassing, type LedgerClient } from "./ledger_client.ts";
+import { MAXIMUM_PAGE_SAMPLES, stepRequestSchema } from "./ledger_types.ts";
+import { pageAnswer } from "./sample_page.ts";
+
+const POLL_MS: Milliseconds = 100;
+const MAXIMUM_WAIT_MS: Milliseconds = 60_000;
+const DEFAULT_LIMIT = 256;
+const WHOLE_NUMBER = /^(0|[1-9][0-9]{0,14})$/;
+
+/** What the routes are built from. */
+export interface SampleRouteOptions {
+  readonly ledger: LedgerClient;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Whether a planned stop is on: long polls end at once. */
+  readonly isDraining: () => boolean;
+}
+
+/** Answers trainers. */
+export class SampleRoutes {
+  readonly #options: SampleRouteOptions;
+
+  constructor(options: SampleRouteOptions) {
+    this.#options = options;
+  }
+
+  /** The routes to be served. */
+  routes(): readonly HttpRoute[] {
+    const step = "/v1/trainers/:trainer/steps/:step";
+    return [
+      {
+        method: "PUT",
+        pattern: step,
+        name: "put_step",
+        handle: (call) => this.#putStep(call),
+      },
+      {
+        method: "GET",
+        pattern: step,
+        name: "get_step",
+        handle: (call) => this.#getStep(call),
+      },
+      {
+        method: "GET",
+        pattern: "/v1/trainers/:trainer/samples",
+        name: "get_samples",
+        handle: (call) => this.#getSamples(call),
+      },
+      {
+        method: "PUT",
+        pattern: "/v1/trainers/:trainer/versions/:version",
+        name: "put_version",
+        handle: (call) => this.#putVersion(call),
+      },
+    ];
+  }
+
+  async #putStep(call: HttpCall): Promise<HttpAnswer | Failure> {
+    const trainer = trainerOf(call);
+    const step = readNumber(call.parameters["step"]);
+    if (step === undefined) return wrongNumber("step");
+    const body = readJson(call.body);
+    if (body === undefined) {
+      return fail("malformed_request", "the body is not JSON");
+    }
+    const parsed = stepRequestSchema.safeParse(body);
+    if (!parsed.success) return invalidStep(parsed.error);
+    const reply = await this.#options.ledger.submit({
+      kind: "submit",
+      trainer,
+      step,
+      ...parsed.data,
+    });
+    if (reply.err) return reply.val;
+    this.#options.events.emit(SAMPLES_EVENTS.stepAccepted, { trainer, step });
+    return jsonAnswer(200, reply.val);
+  }
+
+  async #getStep(call: HttpCall): Promise<HttpAnswer | Failure> {
+    const step = readNumber(call.parameters["step"]);
+    if (step === undefined) return wrongNumber("step");
+    const answer = await this.#options.ledger.ask<"step">({
+      kind: "step",
+      trainer: trainerOf(call),
+      step,
+    });
+    return answer.ok ? jsonAnswer(200, answer.val.progress) : answer.val;
+  }
+
+  async #putVersion(call: HttpCall): Promise<HttpAnswer | Failure> {
+    const trainer = trainerOf(call);
+    const version = readNumber(call.parameters["version"]);
+    if (version === undefined) return wrongNumber("version");
+    const reply = await this.#options.ledger.publish(trainer, version);
+    if (reply.err) return reply.val;
+    this.#options.events.emit(SAMPLES_EVENTS.versionPublished, {
+      trainer,
+      version,
+    });
+    return jsonAnswer(200, { trainer, version: reply.val });
+  }
+
+  async #getSamples(call: HttpCall): Promise<HttpAnswer | Failure> {
+    const trainer = trainerOf(call);
+    const after = call.query.get("after") ?? "";
+    const limit = readQuery(call, "limit", DEFAULT_LIMIT);
+    if (limit === undefined || limit < 1 || limit > MAXIMUM_PAGE_SAMPLES) {
+      return wrongNumber("limit");
+    }
+    const waitMs = readQuery(call, "wait_ms", 0);
+    if (waitMs === undefined) return wrongNumber("wait_ms");
+    const { clock, ledger } = this.#options;
+    const untilMs = clock.nowMs() + Math.min(waitMs, MAXIMUM_WAIT_MS);
+    const ready = await this.#waitUntilReady({ trainer, after, call, untilMs });
+    if (typeof ready !== "boolean") return ready;
+    if (!ready) return emptyPage(trainer, after);
+    const page = await ledger.deliver({
+      kind: "deliver",
+      trainer,
+      after,
+      limit,
+    });
+    return page.ok ? pageAnswer(trainer, page.val) : page.val;
+  }
+
+  async #waitUntilReady(wait: {
+    readonly trainer: string;
+    readonly after: string;
+    readonly call: HttpCall;
+    readonly untilMs: Milliseconds;
+  }): Promise<boolean | Failure> {
+    const { clock, ledger, isDraining } = this.#options;
+    const { trainer, after } = wait;
+    for (;;) {
+      const answer = await ledger.ask<"ready">({
+        kind: "ready",
+        trainer,
+        after,
+      });
+      if (answer.ok && answer.val.ready) return true;
+      if (answer.err && !isPassing(answer.val)) return answer.val;
+      const over = clock.nowMs() >= wait.untilMs || isDraining() ||
+        wait.call.signal.aborted;
+      if (over) return answer.ok ? false : answer.val;
+      await clock.sleep(POLL_MS);
+    }
+  }
+}
+
+function emptyPage(trainer: string, after: string): HttpAnswer {
+  const cursor = after === "" ? formatCursor(trainer, 0) : after;
+  return pageAnswer(trainer, { kind: "page", cursor, groups: [] });
+}
+
+function trainerOf(call: HttpCall): string {
+  return call.parameters["trainer"] ?? "";
+}
+
+function readNumber(text: string | undefined): number | undefined {
+  if (text === undefined || !WHOLE_NUMBER.test(text)) return undefined;
+  return Number(text);
+}
+
+function readQuery(
+  call: HttpCall,
+  name: string,
+  fallback: number,
+): number | undefined {
+  const text = call.query.get(name);
+  return text === null ? fallback : readNumber(text);
+}
+
+function wrongNumber(field: string): Failure {
+  const message = `${field}: must be a whole number within its limits`;
+  return fail("malformed_request", message, { field });
+}
+
+function invalidStep(error: z.ZodError): Failure {
+  const issue = error.issues[0];
+  const field = issue?.path.join(".") ?? "";
+  const message = `${field}: ${issue?.message ?? "is wrong"}`;
+  return fail("invalid_step", message, { field });
+}
+
+function readJson(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString("utf8")) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- a/weights/mod.ts
+++ b/weights/mod.ts
@@ -1,6 +1,11 @@
 /**
- * Orders to engines: wished versions with fences, the rollout plan under the weight store's rate limit, reading back what engines serve.
+ * Orders to engines: wished versions with fences, the rollout plan under the weight store's rate limit,
+ * reading back what engines serve.
  *
  * @module
  */
-export {};
+export * from "./engine_port.ts";
+export * from "./events.ts";
+export * from "./orders_machine.ts";
+export * from "./rollout_plan.ts";
+export * from "./weights_coordinator.ts";
--- /dev/null
+++ b/weights/weights_coordinator.ts
@@ -0,0 +1,358 @@
+/**
+ * The weights coordinator: on the leading control VM it brings engines to the published versions, in
+ * waves, with fenced orders that are read back.
+ *
+ * @module
+ */
+import type { ReplicatedLog } from "#agreement";
+import type {
+  AcceptedBundle,
+  Clock,
+  EventLog,
+  Metrics,
+  Milliseconds,
+  ModelEntry,
+  OrderView,
+  RandomSource,
+  Timer,
+  UpstreamRecord,
+} from "#core";
+import type { LedgerAnswer } from "#samples";
+import { announcedVersion, EngineMemory, isWished } from "./engine_memory.ts";
+import { type EnginePort, HttpEnginePort } from "./engine_port.ts";
+import { WEIGHTS_EVENTS } from "./events.ts";
+import type { OrdersReply, Wish } from "./orders_machine.ts";
+import { type RolloutPlan, WavePlan } from "./rollout_plan.ts";
+
+/** An order that got no answer within this time is read back and given again. */
+export const ORDER_LIMIT_MS: Milliseconds = 2_000;
+const TICK_MS: Milliseconds = 100;
+/** An order with less time left under the lease isn't begun. */
+const SHORTEST_ORDER_MS: Milliseconds = 50;
+const READ_LIMIT_MS: Milliseconds = 2_000;
+/** Most readings at once. */
+const MAXIMUM_READINGS = 128;
+
+/** What the coordinator is built from. */
+export interface WeightsCoordinatorOptions {
+  readonly vm: string;
+  /** Address from which engines are called. */
+  readonly sourceHost: string;
+  readonly log: ReplicatedLog;
+  readonly bundle: () => AcceptedBundle | null;
+  readonly upstreams: () => ReadonlyMap<string, UpstreamRecord>;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  /** Engines over HTTP unless given. */
+  readonly engines?: EnginePort;
+  /** Waves unless given. */
+  readonly makePlan?: () => RolloutPlan;
+}
+
+/** How far one model is. */
+export interface ModelRollout {
+  readonly model: string;
+  readonly version: number;
+  readonly engines: number;
+  readonly serving: number;
+  readonly loading: number;
+}
+
+/** What the coordinator tells of itself. */
+export interface WeightsStatus {
+  readonly leading: boolean;
+  readonly orders: readonly OrderView[];
+  readonly models: readonly ModelRollout[];
+}
+
+interface Leadership {
+  readonly sinceMs: Milliseconds;
+  readonly memories: Map<string, EngineMemory>;
+  readonly plans: Map<string, RolloutPlan>;
+  readonly done: Map<string, number>;
+  orders: Map<string, OrderView>;
+  /** Wishes whose fence an engine refused: they are committed again for a newer one. */
+  readonly refused: Set<string>;
+  readings: number;
+}
+
+/** Gives orders while this VM leads. */
+export class WeightsCoordinator {
+  readonly #options: WeightsCoordinatorOptions;
+  readonly #engines: EnginePort;
+  #timer: Timer | null = null;
+  #leadership: Leadership | null = null;
+  #rollouts: readonly ModelRollout[] = [];
+  #busy = false;
+
+  constructor(options: WeightsCoordinatorOptions) {
+    this.#options = options;
+    this.#engines = options.engines ?? new HttpEnginePort(options.sourceHost);
+  }
+
+  /** Begins to watch for leadership. */
+  start(): void {
+    this.#timer ??= this.#options.clock.every(TICK_MS, () => {
+      void this.#tick();
+    });
+  }
+
+  /** Gives no more orders. */
+  stop(): void {
+    this.#timer?.cancel();
+    this.#timer = null;
+    this.#leadership = null;
+    if (this.#engines instanceof HttpEnginePort) this.#engines.close();
+  }
+
+  /** What is known here; orders and models are empty unless this VM leads. */
+  status(): WeightsStatus {
+    return {
+      leading: this.#leadership !== null,
+      orders: [...this.#leadership?.orders.values() ?? []],
+      models: this.#leadership === null ? [] : this.#rollouts,
+    };
+  }
+
+  async #tick(): Promise<void> {
+    if (this.#busy) return;
+    this.#busy = true;
+    try {
+      await this.#advance();
+    } finally {
+      this.#busy = false;
+    }
+  }
+
+  async #advance(): Promise<void> {
+    const { clock, log } = this.#options;
+    if (log.leaseUntilMs() <= clock.nowMs()) {
+      this.#loseLeadership();
+      return;
+    }
+    const leadership = this.#leadership ?? await this.#takeLeadership();
+    if (leadership === null) return;
+    const published = await this.#published();
+    if (published === null || this.#leadership !== leadership) return;
+    const rollouts: ModelRollout[] = [];
+    for (const model of this.#models()) {
+      const version = published.get(model.name);
+      if (version === undefined) continue;
+      rollouts.push(await this.#rollOut(leadership, model, version));
+    }
+    this.#rollouts = rollouts;
+  }
+
+  #loseLeadership(): void {
+    if (this.#leadership === null) return;
+    this.#leadership = null;
+    this.#options.events.emit(WEIGHTS_EVENTS.leadershipLost);
+  }
+
+  async #takeLeadership(): Promise<Leadership | null> {
+    const { log, clock, events } = this.#options;
+    const answer = await log.query({ machine: "orders", question: null });
+    if (answer.err) return null;
+    const { orders } = answer.val as OrdersReply;
+    const leadership: Leadership = {
+      sinceMs: clock.nowMs(),
+      memories: new Map(),
+      plans: new Map(),
+      done: new Map(),
+      orders: new Map(orders.map((order) => [keyOf(order), order])),
+      refused: new Set(),
+      readings: 0,
+    };
+    this.#leadership = leadership;
+    events.emit(WEIGHTS_EVENTS.leadershipTaken, { orders: orders.length });
+    return leadership;
+  }
+
+  async #published(): Promise<ReadonlyMap<string, number> | null> {
+    const answer = await this.#options.log.query({
+      machine: "ledger",
+      question: { kind: "published" },
+    });
+    if (answer.err) return null;
+    const { published } = answer.val as Extract<
+      LedgerAnswer,
+      { readonly kind: "published" }
+    >;
+    return new Map(published.map((entry) => [entry.model, entry.version]));
+  }
+
+  #models(): readonly ModelEntry[] {
+    return this.#options.bundle()?.signed.bundle.models ?? [];
+  }
+
+  async #rollOut(
+    leadership: Leadership,
+    model: ModelEntry,
+    version: number,
+  ): Promise<ModelRollout> {
+    const memories = this.#engineMemories(leadership, model.name);
+    this.#readBack(leadership, memories);
+    const views = memories.map((memory) => memory.view());
+    const engines = views.filter((view) => view !== null);
+    const plan = leadership.plans.get(model.name) ??
+      (this.#options.makePlan?.() ?? new WavePlan());
+    leadership.plans.set(model.name, plan);
+    const chosen = plan.choose(
+      engines,
+      { ...model, version },
+      this.#options.clock.nowMs(),
+    );
+    const wishes = chosen.map((upstream) => ({
+      upstream,
+      model: model.name,
+      version,
+    }));
+    if (wishes.length > 0) await this.#order(leadership, wishes);
+    const serving = engines.filter((view) => view.serving === version).length;
+    const loading = engines.filter((view) => view.loading !== null).length;
+    if (memories.length > 0 && serving === memories.length) {
+      this.#noteDone(leadership, model.name, version);
+    }
+    return {
+      model: model.name,
+      version,
+      engines: memories.length,
+      serving,
+      loading,
+    };
+  }
+
+  #noteDone(leadership: Leadership, model: string, version: number): void {
+    if (leadership.done.get(model) === version) return;
+    leadership.done.set(model, version);
+    this.#options.events.emit(WEIGHTS_EVENTS.rolloutDone, { model, version });
+  }
+
+  /** Engines of a model: those that announce it, and those that were ordered to serve it. */
+  #engineMemories(
+    leadership: Leadership,
+    model: string,
+  ): readonly EngineMemory[] {
+    const memories: EngineMemory[] = [];
+    for (const record of this.#options.upstreams().values()) {
+      if (record.role !== "engine" || record.leaving) continue;
+      const key = keyOf({ upstream: record.id, model });
+      const announced = announcedVersion(record, model) !== null;
+      const known = leadership.memories.get(key);
+      if (!announced && !leadership.orders.has(key)) continue;
+      if (known === undefined) {
+        const memory = new EngineMemory(record, {
+          model,
+          restUntilMs: firstOrderMs(leadership, record),
+        });
+        leadership.memories.set(key, memory);
+        memories.push(memory);
+        continue;
+      }
+      known.announce(record);
+      memories.push(known);
+    }
+    return memories;
+  }
+
+  #readBack(leadership: Leadership, memories: readonly EngineMemory[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const memory of memories) {
+      if (leadership.readings >= MAXIMUM_READINGS) return;
+      if (!memory.needsReading(nowMs)) continue;
+      leadership.readings += 1;
+      void this.#read(leadership, memory);
+    }
+  }
+
+  async #read(leadership: Leadership, memory: EngineMemory): Promise<void> {
+    const { clock, events } = this.#options;
+    const begunAtMs = clock.nowMs();
+    memory.beginReading();
+    const state = await this.#engines.state(
+      memory.record.address,
+      READ_LIMIT_MS,
+    );
+    leadership.readings -= 1;
+    const nowMs = clock.nowMs();
+    if (state.err) {
+      memory.readFailed(nowMs);
+      return;
+    }
+    const outcome = memory.read(state.val, { begunAtMs, nowMs });
+    if (outcome !== "failed") return;
+    events.emit(WEIGHTS_EVENTS.swapFailed, { upstream: memory.record.id });
+  }
+
+  /** Commits the wishes that are new, then gives the orders. */
+  async #order(
+    leadership: Leadership,
+    wishes: readonly Wish[],
+  ): Promise<void> {
+    const fresh = wishes.filter((wish) =>
+      leadership.refused.has(keyOf(wish)) ||
+      !isWished(leadership.orders.get(keyOf(wish)), wish.version)
+    );
+    if (fresh.length > 0) {
+      const reply = await this.#options.log.propose({
+        machine: "orders",
+        command: { kind: "wish", wishes: fresh },
+      });
+      if (reply.err) return;
+      for (const order of (reply.val as OrdersReply).orders) {
+        leadership.orders.set(keyOf(order), order);
+        leadership.refused.delete(keyOf(order));
+      }
+    }
+    for (const wish of wishes) {
+      const order = leadership.orders.get(keyOf(wish));
+      const memory = leadership.memories.get(keyOf(wish));
+      if (order === undefined || memory === undefined) continue;
+      void this.#give(leadership, memory, order);
+    }
+  }
+
+  async #give(
+    leadership: Leadership,
+    memory: EngineMemory,
+    order: OrderView,
+  ): Promise<void> {
+    const { clock, events, log } = this.#options;
+    const nowMs = clock.nowMs();
+    const leftMs = log.leaseUntilMs() - nowMs;
+    const limitMs = Math.min(ORDER_LIMIT_MS, leftMs);
+    if (this.#leadership !== leadership || limitMs < SHORTEST_ORDER_MS) return;
+    memory.ordered(order.version, nowMs);
+    events.emit(WEIGHTS_EVENTS.orderGiven, { ...order });
+    const result = await this.#engines.order(
+      memory.record.address,
+      order,
+      limitMs,
+    );
+    if (result.ok) return;
+    const refused = result.val.kind === "stale_fence";
+    events.emit(
+      refused ? WEIGHTS_EVENTS.orderRefused : WEIGHTS_EVENTS.orderFailed,
+      { ...order, reason: result.val.message },
+    );
+    if (refused) leadership.refused.add(keyOf(order));
+    memory.orderFailed(clock.nowMs());
+  }
+}
+
+/** An engine that ignores fences gets no order until the old leader's last one has ended. */
+function firstOrderMs(
+  leadership: Leadership,
+  record: UpstreamRecord,
+): Milliseconds {
+  if (record.enforcesFences) return leadership.sinceMs;
+  return leadership.sinceMs + ORDER_LIMIT_MS;
+}
+
+function keyOf(
+  wish: { readonly upstream: string; readonly model: string },
+): string {
+  return JSON.stringify([wish.upstream, wish.model]);
+}
