--- /dev/null
+++ b/proof/fuzz_ledger.ts
@@ -0,0 +1,475 @@
+/**
+ * Stateful fuzz of the sample ledger against maps: entries that die before and after a commit, answers
+ * that are lost, cursors repeated and skipped, late twins, new versions and restarts at any moment.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import { type Failure, type Result, type TrainerEntry } from "#core";
+import {
+  formatCursor,
+  HOLDER_LEASE_MS,
+  type LeasedGroup,
+  LedgerMachine,
+  type LedgerReply,
+  type SubmitCommand,
+} from "#samples";
+import { decodeValue, encodeValue } from "#wire";
+import fc from "fast-check";
+import type { FuzzOptions } from "./fuzz.ts";
+import {
+  groupKey,
+  LedgerOracle,
+  MAXIMUM_STALENESS,
+  MODEL_OF,
+} from "./ledger_oracle.ts";
+
+const TRAINERS = [...MODEL_OF.keys()];
+const HOLDERS = ["entry-1", "entry-2", "entry-3"];
+const MOST_UNFINISHED_STEPS = 4;
+const PAGES_KEPT = 4;
+const MOST_COMMANDS = 60;
+
+/** What the fuzzer may do. */
+type Operation =
+  | {
+    readonly kind: "submit";
+    readonly trainer: string;
+    readonly step: number;
+    readonly groups: number;
+    readonly size: number;
+    readonly bound: number;
+  }
+  | {
+    readonly kind: "lease";
+    readonly holder: string;
+    readonly limit: number;
+    readonly again: boolean;
+    readonly restarted: boolean;
+  }
+  | {
+    readonly kind: "commit";
+    readonly pick: number;
+    readonly age: number;
+    readonly twice: boolean;
+  }
+  | {
+    readonly kind: "publish";
+    readonly trainer: string;
+    readonly step: number;
+  }
+  | {
+    readonly kind: "deliver";
+    readonly trainer: string;
+    readonly back: number;
+    readonly limit: number;
+  }
+  | {
+    readonly kind: "bad_cursor";
+    readonly trainer: string;
+    readonly by: number;
+  }
+  | { readonly kind: "release"; readonly holder: string }
+  | { readonly kind: "wait"; readonly forMs: number }
+  | { readonly kind: "restart" };
+
+class LedgerRun {
+  readonly oracle = new LedgerOracle();
+  readonly work: LeasedGroup[] = [];
+  readonly epochs = new Map<string, number>();
+  readonly sequences = new Map<string, number>();
+  readonly lastGiven = new Map<string, string>();
+  machine = makeMachine();
+  index = 0;
+  nowMs = 1_000;
+  marks = 0;
+
+  apply(command: unknown): Result<LedgerReply, Failure> {
+    this.index += 1;
+    const wire = decodeValue(encodeValue(command));
+    return this.machine.apply({
+      index: this.index,
+      atMs: this.nowMs,
+      command: wire,
+    });
+  }
+
+  /** Applies a command that must be refused and change nothing but the time. */
+  refuse(command: unknown, kind: string): void {
+    const before = this.#state();
+    const reply = this.apply(command);
+    assert.ok(reply.err, `${JSON.stringify(command)} was not refused`);
+    assert.equal(reply.val.kind, kind);
+    assert.deepEqual(this.#state(), before);
+  }
+
+  #state(): Uint8Array {
+    const state = this.machine.snapshot() as Readonly<Record<string, unknown>>;
+    return encodeValue({ ...state, atMs: 0 });
+  }
+}
+
+function makeMachine(): LedgerMachine {
+  return new LedgerMachine({
+    rules: (name) => {
+      const model = MODEL_OF.get(name);
+      if (model === undefined) return null;
+      return {
+        name,
+        tenant: "tana",
+        class: "drafting",
+        model,
+        scorer: "scorer",
+        weight: 1,
+        maximumStaleness: MAXIMUM_STALENESS,
+      } satisfies TrainerEntry;
+    },
+  });
+}
+
+class OperationCommand implements fc.Command<LedgerOracle, LedgerRun> {
+  readonly operation: Operation;
+
+  constructor(operation: Operation) {
+    this.operation = operation;
+  }
+
+  check(): boolean {
+    return true;
+  }
+
+  run(_oracle: LedgerOracle, run: LedgerRun): void {
+    runOperation(run, this.operation);
+  }
+
+  toString(): string {
+    return JSON.stringify(this.operation);
+  }
+}
+
+function runOperation(run: LedgerRun, operation: Operation): void {
+  if (operation.kind === "submit") return submit(run, operation);
+  if (operation.kind === "lease") return lease(run, operation);
+  if (operation.kind === "commit") return commit(run, operation);
+  if (operation.kind === "publish") return publish(run, operation);
+  if (operation.kind === "deliver") return deliver(run, operation);
+  if (operation.kind === "bad_cursor") return badCursor(run, operation);
+  if (operation.kind === "release") return release(run, operation.holder);
+  if (operation.kind === "wait") {
+    run.nowMs += operation.forMs;
+    return;
+  }
+  const state = decodeValue(encodeValue(run.machine.snapshot()));
+  run.machine = makeMachine();
+  run.machine.restore(state);
+}
+
+function submit(
+  run: LedgerRun,
+  operation: Extract<Operation, { readonly kind: "submit" }>,
+): void {
+  const { trainer, step } = operation;
+  const command: SubmitCommand = {
+    kind: "submit",
+    trainer,
+    step,
+    groupSize: operation.size,
+    bound: operation.bound,
+    deadlineMs: 60_000,
+    maximumTokens: 64,
+    groups: Array.from({ length: operation.groups }, (_, group) => ({
+      group,
+      prompt: `${trainer} ${step} ${group}`,
+    })),
+  };
+  const known = run.oracle.steps.get(`${trainer}/${step}`);
+  if (known !== undefined) {
+    const same = JSON.stringify(known.command) === JSON.stringify(command);
+    if (!same) return run.refuse(command, "conflict");
+    assert.ok(run.apply(command).ok);
+    return;
+  }
+  if (operation.bound > MAXIMUM_STALENESS) {
+    return run.refuse(command, "bound_cannot_be_met");
+  }
+  if (run.oracle.unfinished(trainer) >= MOST_UNFINISHED_STEPS) {
+    return run.refuse(command, "too_many_requests");
+  }
+  assert.ok(run.apply(command).ok);
+  run.oracle.steps.set(`${trainer}/${step}`, {
+    command,
+    model: MODEL_OF.get(trainer) ?? "",
+  });
+}
+
+function lease(
+  run: LedgerRun,
+  operation: Extract<Operation, { readonly kind: "lease" }>,
+): void {
+  const { holder } = operation;
+  if (operation.restarted) {
+    run.epochs.set(holder, (run.epochs.get(holder) ?? 0) + 1);
+    run.sequences.set(holder, 0);
+  }
+  const last = run.sequences.get(holder) ?? 0;
+  const repeats = operation.again && last > 0;
+  const sequence = repeats ? last : last + 1;
+  run.sequences.set(holder, sequence);
+  const reply = run.apply({
+    kind: "lease",
+    holder,
+    epoch: `epoch-${run.epochs.get(holder) ?? 0}`,
+    sequence,
+    limit: operation.limit,
+    returned: [],
+  });
+  assert.ok(reply.ok && reply.val.kind === "leased");
+  for (const group of reply.val.groups) {
+    const key = groupKey(group, group.group);
+    assert.ok(!run.oracle.ready.has(key), `${key} is whole already`);
+    assert.ok(!run.oracle.delivered.has(key), `${key} was handed over`);
+    run.work.push(group);
+  }
+}
+
+function commit(
+  run: LedgerRun,
+  operation: Extract<Operation, { readonly kind: "commit" }>,
+): void {
+  const group = run.work[operation.pick % Math.max(1, run.work.length)];
+  if (group === undefined) return;
+  const newest = run.oracle.published.get(group.model) ?? 3;
+  commitGroup(run, group, Math.max(0, newest - operation.age));
+  if (operation.twice) {
+    commitGroup(run, group, Math.max(0, newest - operation.age));
+  }
+}
+
+function commitGroup(run: LedgerRun, group: LeasedGroup, oldest: number): void {
+  run.marks += 1;
+  const mark = `commit ${run.marks}`;
+  const samples = Array.from({ length: group.groupSize }, (_, index) => ({
+    tokens: 4,
+    versions: index === 0
+      ? [{ version: oldest + 1, tokens: 3 }, { version: oldest, tokens: 1 }]
+      : [{ version: oldest, tokens: 4 }],
+    score: 0.5,
+    textBytes: 1,
+  }));
+  const reply = run.apply({
+    kind: "commit",
+    trainer: group.trainer,
+    step: group.step,
+    group: group.group,
+    samples,
+    text: new TextEncoder().encode(mark),
+  });
+  assert.ok(reply.ok && reply.val.kind === "commit");
+  const key = groupKey(group, group.group);
+  const step = run.oracle.steps.get(`${group.trainer}/${group.step}`);
+  assert.ok(step);
+  if (run.oracle.ready.has(key) || run.oracle.delivered.has(key)) {
+    assert.equal(reply.val.outcome, "duplicate");
+    return;
+  }
+  if (!run.oracle.isFresh(step, oldest)) {
+    assert.equal(reply.val.outcome, "too_old");
+    return;
+  }
+  assert.equal(reply.val.outcome, "committed");
+  run.oracle.ready.set(key, {
+    trainer: group.trainer,
+    step: group.step,
+    group: group.group,
+    oldest,
+    mark,
+  });
+}
+
+function publish(
+  run: LedgerRun,
+  operation: Extract<Operation, { readonly kind: "publish" }>,
+): void {
+  const { trainer } = operation;
+  const model = MODEL_OF.get(trainer) ?? "";
+  const newest = run.oracle.published.get(model);
+  const version = Math.max(0, (newest ?? 3) + operation.step);
+  const command = { kind: "publish", trainer, version };
+  const goesBack = newest !== undefined && version < newest;
+  const taken = newest === version &&
+    run.oracle.publishers.get(model) !== trainer;
+  if (goesBack || taken) return run.refuse(command, "conflict");
+  assert.ok(run.apply(command).ok);
+  run.oracle.publishers.set(model, trainer);
+  run.oracle.publish(model, version);
+}
+
+/** Asks from the newest cursor, or from one `back` pages before it. */
+function deliver(
+  run: LedgerRun,
+  operation: Extract<Operation, { readonly kind: "deliver" }>,
+): void {
+  const { trainer, limit } = operation;
+  const starts = run.oracle.starts.get(trainer) ?? [];
+  const end = run.oracle.ends.get(trainer) ?? 0;
+  const start = operation.back === 0
+    ? end
+    : starts[starts.length - operation.back] ?? end;
+  const command = {
+    kind: "deliver",
+    trainer,
+    after: formatCursor(trainer, start),
+    limit,
+  };
+  if (start !== end && operation.back > PAGES_KEPT + 1) {
+    return run.refuse(command, "stale_cursor");
+  }
+  const reply = run.apply(command);
+  if (reply.err && operation.back > PAGES_KEPT) {
+    assert.equal(reply.val.kind, "stale_cursor");
+    return;
+  }
+  assert.ok(reply.ok && reply.val.kind === "page");
+  const { cursor, groups } = reply.val;
+  const bytes = JSON.stringify(reply.val);
+  if (start !== end) {
+    const known = run.oracle.pages.get(command.after);
+    assert.equal(bytes, known, "a repeated cursor gave other bytes");
+    return;
+  }
+  const ready = run.oracle.readyOf(trainer).length;
+  assert.equal(groups.length > 0, ready > 0, "what is ready is handed over");
+  let samples = 0;
+  for (const group of groups) {
+    run.oracle.handOver(trainer, group);
+    samples += group.samples.length;
+  }
+  assert.ok(samples <= limit || groups.length === 1, "more than asked for");
+  assert.equal(cursor, formatCursor(trainer, end + samples));
+  if (groups.length === 0) return;
+  run.oracle.pages.set(command.after, bytes);
+  run.oracle.starts.set(trainer, [...starts, start]);
+  run.oracle.ends.set(trainer, end + samples);
+}
+
+function badCursor(
+  run: LedgerRun,
+  operation: Extract<Operation, { readonly kind: "bad_cursor" }>,
+): void {
+  const { trainer } = operation;
+  const end = run.oracle.ends.get(trainer) ?? 0;
+  const other = TRAINERS.find((name) => name !== trainer) ?? "";
+  for (
+    const after of [
+      formatCursor(trainer, end + operation.by),
+      formatCursor(other, end),
+      "not a cursor",
+    ]
+  ) {
+    const command = { kind: "deliver", trainer, after, limit: 8 };
+    run.refuse(command, "malformed_request");
+  }
+}
+
+function release(run: LedgerRun, holder: string): void {
+  const epoch = `epoch-${run.epochs.get(holder) ?? 0}`;
+  assert.ok(run.apply({ kind: "release", holder, epoch }).ok);
+  run.epochs.set(holder, (run.epochs.get(holder) ?? 0) + 1);
+  run.sequences.set(holder, 0);
+}
+
+/** All entries die; one that comes later must be able to finish every step. */
+function finish(run: LedgerRun): void {
+  run.nowMs += HOLDER_LEASE_MS + 1;
+  for (let round = 1; round <= 4; round += 1) {
+    const reply = run.apply({
+      kind: "lease",
+      holder: "entry-last",
+      epoch: "last",
+      sequence: round,
+      limit: 1_000,
+      returned: [],
+    });
+    assert.ok(reply.ok && reply.val.kind === "leased");
+    for (const group of reply.val.groups) {
+      commitGroup(run, group, run.oracle.published.get(group.model) ?? 3);
+    }
+    for (const trainer of TRAINERS) {
+      deliver(run, { kind: "deliver", trainer, back: 0, limit: 4_096 });
+    }
+  }
+  for (const { command } of run.oracle.steps.values()) {
+    for (const { group } of command.groups) {
+      const key = groupKey(command, group);
+      assert.ok(run.oracle.delivered.has(key), `${key} was never handed over`);
+    }
+  }
+}
+
+function operations(): fc.Arbitrary<Operation> {
+  const trainer = fc.constantFrom(...TRAINERS);
+  const holder = fc.constantFrom(...HOLDERS);
+  const plain = { noNullPrototype: true };
+  return fc.oneof(
+    fc.record({
+      kind: fc.constant("submit" as const),
+      trainer,
+      step: fc.integer({ min: 1, max: 6 }),
+      groups: fc.integer({ min: 1, max: 3 }),
+      size: fc.integer({ min: 1, max: 3 }),
+      bound: fc.integer({ min: 0, max: 3 }),
+    }, plain),
+    fc.record({
+      kind: fc.constant("lease" as const),
+      holder,
+      limit: fc.integer({ min: 0, max: 4 }),
+      again: fc.boolean(),
+      restarted: fc.boolean(),
+    }, plain),
+    fc.record({
+      kind: fc.constant("commit" as const),
+      pick: fc.nat(20),
+      age: fc.integer({ min: 0, max: 3 }),
+      twice: fc.boolean(),
+    }, plain),
+    fc.record({
+      kind: fc.constant("publish" as const),
+      trainer,
+      step: fc.integer({ min: -1, max: 2 }),
+    }, plain),
+    fc.record({
+      kind: fc.constant("deliver" as const),
+      trainer,
+      back: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: 8 })),
+      limit: fc.integer({ min: 1, max: 6 }),
+    }, plain),
+    fc.record({
+      kind: fc.constant("bad_cursor" as const),
+      trainer,
+      by: fc.integer({ min: 1, max: 9 }),
+    }, plain),
+    fc.record({ kind: fc.constant("release" as const), holder }, plain),
+    fc.record({
+      kind: fc.constant("wait" as const),
+      forMs: fc.constantFrom(10, 1_000, HOLDER_LEASE_MS + 1),
+    }, plain),
+    fc.record({ kind: fc.constant("restart" as const) }, plain),
+  );
+}
+
+/** Runs the fuzz; throws with the seed and the shrunk commands. */
+export function fuzz(options: FuzzOptions): Promise<void> {
+  const commands = fc.commands(
+    [operations().map((operation) => new OperationCommand(operation))],
+    { maxCommands: MOST_COMMANDS, size: "max" },
+  );
+  fc.assert(
+    fc.property(commands, (list) => {
+      const run = new LedgerRun();
+      fc.modelRun(() => ({ model: run.oracle, real: run }), list);
+      finish(run);
+    }),
+    { seed: options.seed, numRuns: options.runs, includeErrorInReport: true },
+  );
+  return Promise.resolve();
+}
--- /dev/null
+++ b/samples/ledger_machine_test.ts
@@ -0,0 +1,193 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Failure, Result, TrainerEntry } from "#core";
+import { HOLDER_LEASE_MS } from "./ledger_leases.ts";
+import { LedgerMachine } from "./ledger_machine.ts";
+import type { LeaseReply, LedgerReply } from "./ledger_types.ts";
+
+const WEIGHTS: ReadonlyMap<string, number> = new Map([
+  ["tuner", 1],
+  ["drafter", 3],
+]);
+
+class Ledger {
+  readonly machine = new LedgerMachine({ rules: rulesOf });
+  nowMs = 0;
+  #index = 0;
+
+  apply(command: unknown): Result<LedgerReply, Failure> {
+    this.#index += 1;
+    return this.machine.apply({
+      index: this.#index,
+      atMs: this.nowMs,
+      command,
+    });
+  }
+
+  lease(options: {
+    readonly holder: string;
+    readonly sequence: number;
+    readonly limit: number;
+    readonly epoch?: string;
+  }): LeaseReply {
+    const command = { kind: "lease", epoch: "1", returned: [], ...options };
+    const reply = this.apply(command);
+    assert.ok(reply.ok && reply.val.kind === "leased");
+    return reply.val;
+  }
+
+  refuses(command: unknown, kind: string): void {
+    const before = { ...this.machine.snapshot() as object };
+    const reply = this.apply(command);
+    assert.ok(reply.err);
+    assert.equal(reply.val.kind, kind);
+    assert.deepEqual(this.machine.snapshot(), before);
+  }
+}
+
+function rulesOf(name: string): TrainerEntry | null {
+  const weight = WEIGHTS.get(name);
+  if (weight === undefined) return null;
+  return {
+    name,
+    tenant: "tana",
+    class: "drafting",
+    model: "advice",
+    scorer: "scorer",
+    weight,
+    maximumStaleness: 2,
+  };
+}
+
+function makeStep(trainer = "tuner", groups = 2): Record<string, unknown> {
+  return {
+    kind: "submit",
+    trainer,
+    step: 1,
+    groupSize: 2,
+    bound: 1,
+    deadlineMs: 60_000,
+    maximumTokens: 64,
+    groups: Array.from(
+      { length: groups },
+      (_, group) => ({ group, prompt: `p${group}` }),
+    ),
+  };
+}
+
+function makeCommit(changes: Record<string, unknown>): unknown {
+  return {
+    kind: "commit",
+    trainer: "tuner",
+    step: 1,
+    group: 0,
+    samples: [1, 2].map(() => ({
+      tokens: 4,
+      versions: [{ version: 3, tokens: 4 }],
+      score: 0,
+      textBytes: 0,
+    })),
+    text: new Uint8Array(0),
+    ...changes,
+  };
+}
+
+test("a bad step is refused with a clear kind and changes nothing", () => {
+  const ledger = new Ledger();
+  const first = { group: 0, prompt: "p" };
+  ledger.refuses({ ...makeStep(), groups: [] }, "invalid_step");
+  ledger.refuses({ ...makeStep(), groups: [first, first] }, "invalid_step");
+  ledger.refuses({ ...makeStep(), bound: 3 }, "bound_cannot_be_met");
+  ledger.refuses({ ...makeStep(), bound: -1 }, "invalid_step");
+  ledger.refuses({ ...makeStep(), groupSize: 0 }, "invalid_step");
+  ledger.refuses(
+    { ...makeStep(), groupSize: 1_024, maximumTokens: 1_048_576 },
+    "invalid_step",
+  );
+  ledger.refuses(makeStep("nobody"), "unknown_trainer");
+});
+
+test("an unknown trainer gets no samples, publishes nothing and has no steps", () => {
+  const ledger = new Ledger();
+  const trainer = "nobody";
+  ledger.refuses({ kind: "publish", trainer, version: 1 }, "unknown_trainer");
+  ledger.refuses(
+    { kind: "deliver", trainer, after: "", limit: 1 },
+    "unknown_trainer",
+  );
+  const step = ledger.machine.ask({ kind: "step", trainer, step: 1 });
+  assert.ok(step.err);
+  assert.equal(step.val.kind, "unknown_trainer");
+});
+
+test("a version that goes back is a conflict, and the same one again is not", () => {
+  const ledger = new Ledger();
+  const publish = { kind: "publish", trainer: "tuner", version: 4 };
+  assert.ok(ledger.apply(publish).ok);
+  assert.ok(ledger.apply(publish).ok);
+  ledger.refuses({ ...publish, version: 3 }, "conflict");
+  ledger.refuses({ ...publish, trainer: "drafter" }, "conflict");
+});
+
+test("a group that is not whole, or names too few tokens, is refused", () => {
+  const ledger = new Ledger();
+  ledger.apply(makeStep());
+  const short = [{
+    tokens: 4,
+    versions: [{ version: 3, tokens: 3 }],
+    score: 0,
+    textBytes: 0,
+  }];
+  ledger.refuses(makeCommit({ samples: short }), "malformed_request");
+  ledger.refuses(
+    makeCommit({ samples: [...short, ...short] }),
+    "malformed_request",
+  );
+  ledger.refuses(makeCommit({ group: 9 }), "not_found");
+  ledger.refuses(makeCommit({ step: 9 }), "not_found");
+});
+
+test("a lease whose answer was lost gives the same groups again", () => {
+  const ledger = new Ledger();
+  ledger.apply(makeStep("tuner", 6));
+  const lease = { holder: "entry-1", sequence: 1, limit: 2 };
+  const first = ledger.lease(lease);
+  assert.deepEqual(ledger.lease(lease).groups, first.groups);
+  const other = ledger.lease({ ...lease, holder: "entry-2" });
+  const groups = [...first.groups, ...other.groups].map(({ group }) => group);
+  assert.equal(new Set(groups).size, 4);
+});
+
+test("a restarted entry frees at once what it had, a silent one after its lease", () => {
+  const ledger = new Ledger();
+  ledger.apply(makeStep("tuner", 2));
+  const lease = { holder: "entry-1", sequence: 1, limit: 9 };
+  assert.equal(ledger.lease(lease).groups.length, 2);
+  const restarted = ledger.lease({ ...lease, epoch: "2" });
+  assert.equal(restarted.groups.length, 2);
+  ledger.nowMs = HOLDER_LEASE_MS;
+  const second = { holder: "entry-2", sequence: 1, limit: 9 };
+  assert.equal(ledger.lease(second).groups.length, 0);
+  ledger.nowMs = HOLDER_LEASE_MS + 1;
+  assert.equal(ledger.lease({ ...second, sequence: 2 }).groups.length, 2);
+  const late = ledger.lease({ ...lease, epoch: "2", sequence: 2 });
+  assert.equal(late.renewed, false);
+});
+
+test("trainers share by weight, and a near deadline counts for more", () => {
+  const ledger = new Ledger();
+  ledger.apply(makeStep("tuner", 100));
+  ledger.apply(makeStep("drafter", 100));
+  const lease = { holder: "entry-1", sequence: 1, limit: 40 };
+  const early = ledger.lease(lease).groups;
+  const drafts = early.filter((group) => group.trainer === "drafter");
+  assert.equal(drafts.length, 30);
+  const late = new Ledger();
+  late.apply(makeStep("tuner", 100));
+  late.nowMs = 45_000;
+  late.apply(makeStep("drafter", 100));
+  const tuned = late.lease(lease).groups.filter((group) =>
+    group.trainer === "tuner"
+  );
+  assert.ok(tuned.length > 20, `${tuned.length} groups`);
+});
