Add the stand-ins for engine, service, weight store and trainer

Change: classes for tests inside a process and one program that runs each as a process. The engine's text is a pure function of model, version, prompt, seed and position, so that an answer alone shows whether its versions are named truly. Conclusion: the trainer's calls are written to the shape that the samples domain still has to confirm; they stand in fakes/trainer_protocol.ts alone.

--- /dev/null
+++ b/fakes/build_fakes.ts
@@ -0,0 +1,122 @@
+/**
+ * Builds stand-ins from checked settings.
+ *
+ * @module
+ */
+import type { Clock, EventLog, SettingValues } from "#core";
+import { FakeEngine } from "./engine.ts";
+import type {
+  COMMON_SETTINGS,
+  ENGINE_SETTINGS,
+  SERVICE_SETTINGS,
+  TRAINER_SETTINGS,
+  WEIGHT_STORE_SETTINGS,
+} from "./fake_settings.ts";
+import { FakeService } from "./service.ts";
+import { FakeTrainer } from "./trainer.ts";
+import type { UpstreamServerOptions } from "./upstream_server.ts";
+import { FakeWeightStore } from "./weight_store.ts";
+
+/** What every stand-in needs besides its settings. */
+export interface FakeSurroundings {
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Builds an engine. */
+export function buildEngine(
+  values: SettingValues<typeof ENGINE_SETTINGS>,
+  surroundings: FakeSurroundings,
+): FakeEngine {
+  return new FakeEngine({
+    ...upstreamOptions(values, surroundings),
+    model: values["model"],
+    version: values["version"],
+    weightStore: values["weight-store"],
+    swapMs: values["swap-ms"],
+    enforcesFences: values["enforces-fences"],
+    reportsVersions: values["reports-versions"],
+    pace: {
+      tokenMs: values["token-ms"],
+      slowdownAtCapacity: values["slowdown-at-capacity"],
+      prefillTokenMs: values["prefill-token-ms"],
+      cacheTokens: values["cache-tokens"],
+    },
+    naturalTokens: {
+      shortest: values["shortest-answer"],
+      longest: values["longest-answer"],
+    },
+    slowPart: values["slow-part"],
+    slowFactor: values["slow-factor"],
+    tickMs: 10,
+  });
+}
+
+/** Builds a plain service. */
+export function buildService(
+  values: SettingValues<typeof SERVICE_SETTINGS>,
+  surroundings: FakeSurroundings,
+): FakeService {
+  return new FakeService({
+    ...upstreamOptions(values, surroundings),
+    services: values["services"],
+    workMs: values["work-ms"],
+  });
+}
+
+/** Builds a weight store. */
+export function buildWeightStore(
+  values: SettingValues<typeof WEIGHT_STORE_SETTINGS>,
+  surroundings: FakeSurroundings,
+): FakeWeightStore {
+  return new FakeWeightStore({
+    ...upstreamOptions(values, surroundings),
+    loadsPerSecond: values["loads-per-second"],
+    transferMs: values["transfer-ms"],
+  });
+}
+
+/** Builds a trainer. */
+export function buildTrainer(
+  values: SettingValues<typeof TRAINER_SETTINGS>,
+  surroundings: FakeSurroundings,
+): FakeTrainer {
+  return new FakeTrainer({
+    ...surroundings,
+    trainer: values["trainer"],
+    model: values["model"],
+    entries: values["entry"],
+    steps: values["steps"],
+    firstStep: values["first-step"],
+    stepsAhead: values["steps-ahead"],
+    groups: values["groups"],
+    groupSize: values["group-size"],
+    maximumTokens: values["maximum-tokens"],
+    maximumStaleness: values["maximum-staleness"],
+    deadlineMs: values["deadline-ms"],
+    trainMs: values["train-ms"],
+    version: values["version"],
+    publishEvery: values["publish-every"],
+    pageLimit: values["page-limit"],
+    waitMs: values["wait-ms"],
+  });
+}
+
+function upstreamOptions(
+  values: SettingValues<typeof COMMON_SETTINGS>,
+  surroundings: FakeSurroundings,
+): UpstreamServerOptions {
+  const given = values["incarnation"];
+  return {
+    ...surroundings,
+    id: values["id"],
+    incarnation: given > 0 ? given : surroundings.clock.wallMs(),
+    zone: values["zone"],
+    listen: { host: values["listen-host"], port: values["listen-port"] },
+    entries: values["entry"],
+    renewEveryMs: values["renew-ms"],
+    reportEveryMs: values["report-ms"],
+    reportLagMs: values["report-lag-ms"],
+    capacity: values["capacity"],
+  };
+}
--- /dev/null
+++ b/fakes/completion_request.ts
@@ -0,0 +1,32 @@
+/**
+ * The body of a completion as engines receive it.
+ *
+ * @module
+ */
+import { z } from "zod";
+import { parseObject } from "./fake_server.ts";
+
+const SCHEMA = z.object({
+  request_id: z.string().min(1),
+  model: z.string().min(1),
+  prompt: z.string(),
+  max_tokens: z.number().int().min(1),
+  seed: z.number().int(),
+  stream: z.boolean().optional(),
+  resume: z.object({
+    text: z.string(),
+    tokens: z.number().int().min(0),
+  }).optional(),
+  kv: z.string().optional(),
+});
+
+/** A completion to make. */
+export type CompletionRequest = z.infer<typeof SCHEMA>;
+
+/** Reads the body; undefined if it is malformed. */
+export function parseCompletionRequest(
+  text: string,
+): CompletionRequest | undefined {
+  const parsed = SCHEMA.safeParse(parseObject(text));
+  return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/fakes/engine.ts
@@ -0,0 +1,325 @@
+/**
+ * The stand-in for a model engine: batches continuously, admits all that arrives, knows no priorities.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type { Milliseconds, Timer, UpstreamAnnouncement } from "#core";
+import type { FakeLoad } from "./announcer.ts";
+import {
+  type CompletionRequest,
+  parseCompletionRequest,
+} from "./completion_request.ts";
+import {
+  EngineBatch,
+  type EnginePace,
+  type SequenceChunk,
+} from "./engine_batch.ts";
+import { EngineRecord } from "./engine_record.ts";
+import { EngineWeights } from "./engine_weights.ts";
+import { FAKES_EVENTS } from "./events.ts";
+import { type FakeCall, parseObject, sendJson } from "./fake_server.ts";
+import { hashFraction } from "./token_text.ts";
+import {
+  UPSTREAM_DEFAULTS,
+  UpstreamServer,
+  type UpstreamServerOptions,
+} from "./upstream_server.ts";
+
+/** Settings of a stand-in engine. */
+export interface FakeEngineOptions extends UpstreamServerOptions {
+  readonly model: string;
+  /** Version served at the start. */
+  readonly version: number;
+  /** Base of the weight store, or null to load at once. */
+  readonly weightStore: string | null;
+  readonly swapMs: Milliseconds;
+  readonly enforcesFences: boolean;
+  readonly reportsVersions: boolean;
+  readonly pace: Omit<EnginePace, "capacity">;
+  /** Shortest and longest natural length of an answer, in tokens. */
+  readonly naturalTokens: {
+    readonly shortest: number;
+    readonly longest: number;
+  };
+  /** Part of the requests that are slow on this engine, 0 to 1. */
+  readonly slowPart: number;
+  /** Times that a slow request takes longer. */
+  readonly slowFactor: number;
+  /** Time between two chunks of a stream. */
+  readonly tickMs: Milliseconds;
+}
+
+/** The settings that most uses share. */
+export const ENGINE_DEFAULTS = {
+  ...UPSTREAM_DEFAULTS,
+  version: 1,
+  weightStore: null,
+  swapMs: 50,
+  enforcesFences: true,
+  reportsVersions: true,
+  pace: {
+    tokenMs: 2,
+    slowdownAtCapacity: 1,
+    prefillTokenMs: 0.1,
+    cacheTokens: 8_192,
+  },
+  naturalTokens: { shortest: 8, longest: 64 },
+  slowPart: 0,
+  slowFactor: 20,
+  tickMs: 10,
+} as const satisfies Partial<FakeEngineOptions>;
+
+interface Stream {
+  readonly request: CompletionRequest;
+  readonly response: ServerResponse;
+  sentTokens: number;
+}
+
+/** A model engine that makes text from its version, the prompt and the seed. */
+export class FakeEngine extends UpstreamServer {
+  readonly #engine: FakeEngineOptions;
+  readonly #batch: EngineBatch;
+  readonly #weights: EngineWeights;
+  readonly #record = new EngineRecord();
+  readonly #streams = new Map<string, Stream>();
+  #timer: Timer | undefined;
+
+  constructor(options: FakeEngineOptions) {
+    super(options);
+    this.#engine = options;
+    this.#batch = new EngineBatch({
+      ...options.pace,
+      capacity: options.capacity,
+    });
+    this.#weights = new EngineWeights({
+      model: options.model,
+      version: options.version,
+      enforcesFences: options.enforcesFences,
+      weightStore: options.weightStore,
+      swapMs: options.swapMs,
+      clock: options.clock,
+      client: this.client,
+      onChange: () => this.#weightsChanged(),
+      onFailure: (order) => {
+        this.options.events.emit(FAKES_EVENTS.swapFailed, { ...order });
+        this.#cutStreams();
+      },
+    });
+  }
+
+  /** What it truly did. */
+  get record(): EngineRecord {
+    return this.#record;
+  }
+
+  /** Its version, orders and faults of swaps. */
+  get weights(): EngineWeights {
+    return this.#weights;
+  }
+
+  override describe(): UpstreamAnnouncement {
+    const serving = this.#weights.state !== "failed";
+    const served = {
+      model: this.#engine.model,
+      version: this.#weights.version,
+    };
+    return {
+      id: this.options.id,
+      incarnation: this.options.incarnation,
+      zone: this.options.zone,
+      address: this.address,
+      role: "engine",
+      serves: serving ? [served] : [],
+      services: [],
+      capacity: this.options.capacity,
+      enforcesFences: this.#engine.enforcesFences,
+      reportsVersions: this.#engine.reportsVersions,
+    };
+  }
+
+  protected override measure(): FakeLoad {
+    return {
+      running: Math.min(this.#batch.running, this.options.capacity),
+      waiting: this.#batch.waiting,
+      cacheUse: this.#batch.cacheUse,
+    };
+  }
+
+  protected override answer(call: FakeCall): void {
+    const route = `${call.method} ${call.path}`;
+    if (route === "POST /v1/completions") return this.#complete(call);
+    if (route === "GET /v1/state") return this.#sendState(call);
+    if (route === "POST /v1/orders") return this.#takeOrder(call);
+    if (route === "POST /v1/kv/export") return this.#exportState(call);
+    if (route === "GET /fakes/record") return this.#sendRecord(call);
+    if (route === "POST /fakes/faults") return this.#takeFaults(call);
+    sendJson(call.response, 404, { error: "not found" });
+  }
+
+  #complete(call: FakeCall): void {
+    const request = parseCompletionRequest(call.body);
+    if (request === undefined) {
+      return sendJson(call.response, 400, { error: "malformed completion" });
+    }
+    if (request.model !== this.#engine.model) {
+      return sendJson(call.response, 404, { error: "unknown model" });
+    }
+    if (this.#weights.state === "failed") {
+      return sendJson(call.response, 503, { error: "no weights" });
+    }
+    if (this.#streams.has(request.request_id)) {
+      return sendJson(call.response, 409, { error: "already runs" });
+    }
+    this.#begin(request, call.response);
+  }
+
+  #begin(request: CompletionRequest, response: ServerResponse): void {
+    const id = request.request_id;
+    const resumedTokens = request.resume?.tokens ?? 0;
+    const natural = this.#naturalTokens(request);
+    const slow = hashFraction(`${this.options.id}/${id}`) <
+      this.#engine.slowPart;
+    this.#step();
+    this.#batch.add({
+      requestId: id,
+      source: request,
+      totalTokens: Math.min(natural, request.max_tokens),
+      finishReason: natural <= request.max_tokens ? "stop" : "length",
+      resumedTokens,
+      withState: request.kv !== undefined,
+      slowFactor: slow ? this.#engine.slowFactor : 1,
+    }, this.options.clock.nowMs());
+    this.#record.begin(id, resumedTokens);
+    this.#streams.set(id, { request, response, sentTokens: resumedTokens });
+    response.on("close", () => this.#closed(id, response));
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    response.flushHeaders();
+    this.#arm();
+  }
+
+  #naturalTokens(request: CompletionRequest): number {
+    const { shortest, longest } = this.#engine.naturalTokens;
+    const part = hashFraction(`${request.seed}/${request.prompt}`);
+    return shortest + Math.floor(part * (longest - shortest + 1));
+  }
+
+  #arm(): void {
+    if (this.#timer !== undefined) return;
+    this.#timer = this.options.clock.after(this.#engine.tickMs, () => {
+      this.#timer = undefined;
+      this.#step();
+      if (this.#batch.running > 0) this.#arm();
+    });
+  }
+
+  #step(): void {
+    const nowMs = this.options.clock.nowMs();
+    for (const chunk of this.#batch.step(nowMs, this.#weights.version)) {
+      this.#send(chunk);
+    }
+  }
+
+  #send(chunk: SequenceChunk): void {
+    const stream = this.#streams.get(chunk.requestId);
+    if (stream === undefined) return;
+    const tokens = chunk.totalTokens - stream.sentTokens;
+    stream.sentTokens = chunk.totalTokens;
+    this.#record.made(chunk, tokens);
+    const version = this.#engine.reportsVersions
+      ? { model_version: chunk.version }
+      : {};
+    const event = {
+      id: chunk.requestId,
+      object: "text_completion",
+      model: this.#engine.model,
+      ...version,
+      choices: [
+        { index: 0, text: chunk.text, finish_reason: chunk.finishReason },
+      ],
+      usage: { completion_tokens: chunk.totalTokens },
+    };
+    stream.response.write(`data: ${JSON.stringify(event)}\n\n`);
+    if (chunk.finishReason === null) return;
+    this.#streams.delete(chunk.requestId);
+    this.#record.end(chunk.requestId, "whole");
+    stream.response.end("data: [DONE]\n\n");
+  }
+
+  #closed(id: string, response: ServerResponse): void {
+    if (this.#streams.get(id)?.response !== response) return;
+    this.#streams.delete(id);
+    this.#batch.remove(id);
+    this.#record.end(id, "cancelled");
+  }
+
+  #cutStreams(): void {
+    for (const [id, stream] of this.#streams) {
+      this.#streams.delete(id);
+      this.#batch.remove(id);
+      this.#record.end(id, "cut");
+      stream.response.destroy();
+    }
+  }
+
+  #weightsChanged(): void {
+    this.#batch.forgetPrefixes();
+    void this.announcer.announce();
+  }
+
+  #sendState(call: FakeCall): void {
+    sendJson(call.response, 200, {
+      id: this.options.id,
+      incarnation: this.options.incarnation,
+      fence: this.#weights.fence,
+      models: [{
+        model: this.#engine.model,
+        version: this.#weights.version,
+        state: this.#weights.state,
+      }],
+      running: this.#batch.running,
+      waiting: this.#batch.waiting,
+    });
+  }
+
+  #takeOrder(call: FakeCall): void {
+    const body = parseObject(call.body) ?? {};
+    const order = {
+      fence: Number(body["fence"]),
+      model: String(body["model"]),
+      version: Number(body["version"]),
+    };
+    const valid = Number.isInteger(order.fence) &&
+      Number.isInteger(order.version) && order.model === this.#engine.model;
+    if (!valid) return sendJson(call.response, 400, { error: "bad order" });
+    this.#step();
+    if (!this.#weights.order(order)) {
+      return sendJson(call.response, 409, { fence: this.#weights.fence });
+    }
+    sendJson(call.response, 200, order);
+  }
+
+  #exportState(call: FakeCall): void {
+    const id = String(parseObject(call.body)?.["request_id"]);
+    const tokens = this.#batch.tokensOf(id);
+    if (tokens === undefined) {
+      return sendJson(call.response, 404, { error: "not running" });
+    }
+    const kv = Buffer.from(JSON.stringify({ id, tokens })).toString("base64");
+    sendJson(call.response, 200, { kv, tokens });
+  }
+
+  #sendRecord(call: FakeCall): void {
+    sendJson(call.response, 200, {
+      totals: this.#record.totals(),
+      executions: this.#record.executions(),
+      orders: this.#weights.orders(),
+    });
+  }
+
+  #takeFaults(call: FakeCall): void {
+    const failSwaps = parseObject(call.body)?.["failSwaps"];
+    if (typeof failSwaps === "number") this.#weights.failSwaps(failSwaps);
+    sendJson(call.response, 200, {});
+  }
+}
--- /dev/null
+++ b/fakes/engine_record.ts
@@ -0,0 +1,114 @@
+/**
+ * What a stand-in engine truly did, for checkers: executions, versions of every token, and work thrown away.
+ *
+ * @module
+ */
+import type { VersionRun } from "#core";
+import type { SequenceChunk } from "./engine_batch.ts";
+
+const KEPT_EXECUTIONS = 50_000;
+
+/** One run of a request on this engine. */
+export interface Execution {
+  readonly requestId: string;
+  /** Tokens that came with the request. */
+  readonly resumedTokens: number;
+  /** Versions that truly made the tokens after those. */
+  readonly runs: readonly VersionRun[];
+  readonly outcome: "running" | "whole" | "cancelled" | "cut";
+}
+
+/** Totals since the start. */
+export interface EngineTotals {
+  readonly executions: number;
+  readonly tokens: number;
+  /** Tokens of executions that were cancelled or cut. */
+  readonly tokensWithoutEnd: number;
+}
+
+interface MutableExecution {
+  readonly requestId: string;
+  readonly resumedTokens: number;
+  runs: readonly VersionRun[];
+  tokens: number;
+  outcome: Execution["outcome"];
+}
+
+/** Keeps the newest executions and the totals. */
+export class EngineRecord {
+  readonly #executions: MutableExecution[] = [];
+  readonly #running = new Map<string, MutableExecution>();
+  #count = 0;
+  #tokens = 0;
+  #tokensWithoutEnd = 0;
+
+  /** A request begins to run. */
+  begin(requestId: string, resumedTokens: number): void {
+    const execution: MutableExecution = {
+      requestId,
+      resumedTokens,
+      runs: [],
+      tokens: 0,
+      outcome: "running",
+    };
+    this.#count += 1;
+    this.#running.set(requestId, execution);
+    this.#executions.push(execution);
+    if (this.#executions.length > KEPT_EXECUTIONS) this.#executions.shift();
+  }
+
+  /** Tokens were made. */
+  made(chunk: SequenceChunk, tokens: number): void {
+    const execution = this.#running.get(chunk.requestId);
+    if (execution === undefined) return;
+    this.#tokens += tokens;
+    execution.tokens += tokens;
+    execution.runs = appendRun(execution.runs, {
+      version: chunk.version,
+      tokens,
+    });
+  }
+
+  /** A request ended. */
+  end(requestId: string, outcome: Execution["outcome"]): void {
+    const execution = this.#running.get(requestId);
+    if (execution === undefined) return;
+    this.#running.delete(requestId);
+    execution.outcome = outcome;
+    if (outcome !== "whole") this.#tokensWithoutEnd += execution.tokens;
+  }
+
+  /** The newest executions, oldest first. */
+  executions(): readonly Execution[] {
+    return this.#executions;
+  }
+
+  /** Totals since the start. */
+  totals(): EngineTotals {
+    return {
+      executions: this.#count,
+      tokens: this.#tokens,
+      tokensWithoutEnd: this.#tokensWithoutEnd,
+    };
+  }
+}
+
+/**
+ * Adds tokens to runs of versions, joining them to the last run where the version is the same.
+ *
+ * @example
+ * ```ts
+ * appendRun([{ version: 1, tokens: 4 }], { version: 1, tokens: 2 });
+ * // [{ version: 1, tokens: 6 }]
+ * ```
+ */
+export function appendRun(
+  runs: readonly VersionRun[],
+  run: VersionRun,
+): readonly VersionRun[] {
+  if (run.tokens === 0) return runs;
+  const last = runs.at(-1);
+  if (last === undefined || last.version !== run.version) return [...runs, run];
+  const joined = { version: run.version, tokens: last.tokens + run.tokens };
+  return [...runs.slice(0, -1), joined];
+}
--- /dev/null
+++ b/fakes/service.ts
@@ -0,0 +1,177 @@
+/**
+ * The stand-in for plain services: job cards whose executions are counted, lookups, and a scorer.
+ *
+ * @module
+ */
+import type { Milliseconds, UpstreamAnnouncement } from "#core";
+import type { FakeLoad } from "./announcer.ts";
+import { type FakeCall, parseObject, sendJson } from "./fake_server.ts";
+import { hashFraction } from "./token_text.ts";
+import {
+  UpstreamServer,
+  type UpstreamServerOptions,
+} from "./upstream_server.ts";
+
+/** What goes wrong with the next calls, for tests of failures. */
+export type ServiceFault =
+  | "none"
+  | "reset_before_running"
+  | "reset_after_running"
+  | "cut_answer"
+  | "silent";
+
+/** Settings of a plain service. */
+export interface FakeServiceOptions extends UpstreamServerOptions {
+  /** Names under which it is announced. */
+  readonly services: readonly string[];
+  /** Time that each call takes. */
+  readonly workMs: Milliseconds;
+}
+
+/** Job cards, lookups and scores. */
+export class FakeService extends UpstreamServer {
+  readonly #service: FakeServiceOptions;
+  readonly #executions = new Map<string, number>();
+  #running = 0;
+  #calls = 0;
+  #fault: ServiceFault = "none";
+  #faultsLeft = 0;
+
+  constructor(options: FakeServiceOptions) {
+    super(options);
+    this.#service = options;
+  }
+
+  /** How often the card with this identifier was saved. */
+  executionsOf(card: string): number {
+    return this.#executions.get(card) ?? 0;
+  }
+
+  /** Executions by card identifier. */
+  executions(): ReadonlyMap<string, number> {
+    return this.#executions;
+  }
+
+  /** Makes the next `count` calls go wrong. */
+  setFault(fault: ServiceFault, count: number): void {
+    this.#fault = fault;
+    this.#faultsLeft = count;
+  }
+
+  override describe(): UpstreamAnnouncement {
+    return {
+      id: this.options.id,
+      incarnation: this.options.incarnation,
+      zone: this.options.zone,
+      address: this.address,
+      role: "service",
+      serves: [],
+      services: this.#service.services,
+      capacity: this.options.capacity,
+      enforcesFences: false,
+      reportsVersions: false,
+    };
+  }
+
+  protected override measure(): FakeLoad {
+    const waiting = Math.max(0, this.#running - this.options.capacity);
+    return { running: this.#running, waiting, cacheUse: 0 };
+  }
+
+  protected override async answer(call: FakeCall): Promise<void> {
+    if (call.path === "/fakes/record") return this.#sendRecord(call);
+    if (call.path === "/fakes/faults") return this.#takeFaults(call);
+    const fault = this.#nextFault();
+    if (fault === "reset_before_running") {
+      call.response.destroy();
+      return;
+    }
+    this.#running += 1;
+    this.#calls += 1;
+    const answer = this.#run(call);
+    const crowding = Math.max(1, this.#running / this.options.capacity);
+    if (this.#service.workMs > 0) {
+      await this.options.clock.sleep(this.#service.workMs * crowding);
+    }
+    this.#running -= 1;
+    if (fault === "silent") return;
+    if (fault === "reset_after_running") {
+      call.response.destroy();
+      return;
+    }
+    if (fault === "cut_answer") return cutAnswer(call, answer);
+    sendJson(call.response, answer.status, answer.value);
+  }
+
+  #run(call: FakeCall): { readonly status: number; readonly value: unknown } {
+    if (call.method === "POST" && call.path === "/cards") {
+      return this.#saveCard(call);
+    }
+    if (call.method === "POST" && call.path === "/score") return score(call);
+    if (call.method === "GET" || call.method === "HEAD") {
+      return {
+        status: 200,
+        value: { path: call.path, answeredBy: this.options.id },
+      };
+    }
+    return { status: 404, value: { error: "not found" } };
+  }
+
+  #saveCard(
+    call: FakeCall,
+  ): { readonly status: number; readonly value: unknown } {
+    const id = parseObject(call.body)?.["id"];
+    if (typeof id !== "string") {
+      return { status: 400, value: { error: "id must be a text" } };
+    }
+    const executions = this.executionsOf(id) + 1;
+    this.#executions.set(id, executions);
+    return {
+      status: 201,
+      value: { id, executions, answeredBy: this.options.id },
+    };
+  }
+
+  #sendRecord(call: FakeCall): void {
+    sendJson(call.response, 200, {
+      calls: this.#calls,
+      executions: Object.fromEntries(this.#executions),
+    });
+  }
+
+  #takeFaults(call: FakeCall): void {
+    const body = parseObject(call.body) ?? {};
+    this.setFault(body["fault"] as ServiceFault, Number(body["count"] ?? 1));
+    sendJson(call.response, 200, {});
+  }
+
+  #nextFault(): ServiceFault {
+    if (this.#faultsLeft <= 0) return "none";
+    this.#faultsLeft -= 1;
+    return this.#fault;
+  }
+}
+
+function score(
+  call: FakeCall,
+): { readonly status: number; readonly value: unknown } {
+  const text = parseObject(call.body)?.["text"];
+  if (typeof text !== "string") {
+    return { status: 400, value: { error: "text must be a text" } };
+  }
+  return { status: 200, value: { score: hashFraction(text) } };
+}
+
+function cutAnswer(
+  call: FakeCall,
+  answer: { readonly status: number; readonly value: unknown },
+): void {
+  const text = JSON.stringify(answer.value);
+  call.response.writeHead(answer.status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+  });
+  call.response.write(text.slice(0, text.length / 2), () => {
+    call.response.destroy();
+  });
+}
--- /dev/null
+++ b/fakes/trainer.ts
@@ -0,0 +1,228 @@
+/**
+ * The stand-in for a trainer: submits steps, reads samples by cursor, trains, publishes versions, and measures how
+ * long it stood idle.
+ *
+ * @module
+ */
+import type { Clock, EventLog, Milliseconds } from "#core";
+import { FAKES_EVENTS } from "./events.ts";
+import { type JsonAnswer, type JsonCall, JsonClient } from "./json_client.ts";
+import {
+  parseSamplePage,
+  samplesPath,
+  type StepBody,
+  stepPath,
+  versionPath,
+} from "./trainer_protocol.ts";
+import { type TrainerReport, TrainerTally } from "./trainer_tally.ts";
+
+const RETRY_PAUSE_MS: Milliseconds = 200;
+const CALL_TIMEOUT_MS: Milliseconds = 5_000;
+const PROMPT_FILLER = "field note ".repeat(40);
+const SEEDS_PER_STEP = 100_000;
+const SEEDS_PER_GROUP = 100;
+
+/** Settings of a stand-in trainer. */
+export interface FakeTrainerOptions {
+  readonly trainer: string;
+  readonly model: string;
+  /** Bases of the entry VMs, in the order in which they are tried. */
+  readonly entries: readonly string[];
+  /** Steps to train on before it stops. */
+  readonly steps: number;
+  readonly firstStep: number;
+  /** Steps submitted before the one that it waits for is whole. */
+  readonly stepsAhead: number;
+  readonly groups: number;
+  readonly groupSize: number;
+  readonly maximumTokens: number;
+  readonly maximumStaleness: number;
+  readonly deadlineMs: Milliseconds;
+  /** Time to train on one step. */
+  readonly trainMs: Milliseconds;
+  /** Newest version when it starts. */
+  readonly version: number;
+  /** Steps between two publications; 0 to publish nothing. */
+  readonly publishEvery: number;
+  readonly pageLimit: number;
+  readonly waitMs: Milliseconds;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** The settings that most uses share. */
+export const TRAINER_DEFAULTS = {
+  steps: 1,
+  firstStep: 1,
+  stepsAhead: 1,
+  groups: 4,
+  groupSize: 4,
+  maximumTokens: 64,
+  maximumStaleness: 2,
+  deadlineMs: 540_000,
+  trainMs: 200,
+  version: 1,
+  publishEvery: 1,
+  pageLimit: 256,
+  waitMs: 2_000,
+} as const satisfies Partial<FakeTrainerOptions>;
+
+/** A trainer that checks every sample it receives. */
+export class FakeTrainer {
+  readonly #options: FakeTrainerOptions;
+  readonly #client = new JsonClient();
+  readonly #tally: TrainerTally;
+  #entry = 0;
+  #cursor = "";
+  #submitted = 0;
+  #whole = 0;
+  #newestVersion: number;
+  #idleMs: Milliseconds = 0;
+  #failedCalls = 0;
+  #stopped = false;
+  readonly #startedAtMs: Milliseconds;
+
+  constructor(options: FakeTrainerOptions) {
+    this.#options = options;
+    this.#tally = new TrainerTally(options.model);
+    this.#newestVersion = options.version;
+    this.#startedAtMs = options.clock.nowMs();
+  }
+
+  /** Trains on all steps, or until `stop`; gives what it saw. */
+  async run(): Promise<TrainerReport> {
+    while (!this.#stopped && this.#whole < this.#options.steps) {
+      await this.#submitAhead();
+      const step = this.#options.firstStep + this.#whole;
+      await this.#receive(step);
+      if (!this.#tally.isWhole(step)) break;
+      await this.#train(step);
+    }
+    await this.#acknowledge();
+    this.#client.close();
+    return this.report();
+  }
+
+  /** Ends after the call that is under way. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** What it saw so far. */
+  report(): TrainerReport {
+    return {
+      trainer: this.#options.trainer,
+      stepsWhole: this.#whole,
+      ...this.#tally.counts(),
+      idleMs: Math.round(this.#idleMs),
+      elapsedMs: Math.round(this.#options.clock.nowMs() - this.#startedAtMs),
+      newestVersion: this.#newestVersion,
+      failedCalls: this.#failedCalls,
+    };
+  }
+
+  async #submitAhead(): Promise<void> {
+    const { steps, stepsAhead, firstStep } = this.#options;
+    const until = Math.min(steps, this.#whole + 1 + stepsAhead);
+    while (!this.#stopped && this.#submitted < until) {
+      const step = firstStep + this.#submitted;
+      const body = this.#body(step);
+      this.#tally.submitted(step, body);
+      await this.#call({
+        method: "PUT",
+        path: stepPath(this.#options.trainer, step),
+        body,
+      });
+      this.#submitted += 1;
+    }
+  }
+
+  async #receive(step: number): Promise<void> {
+    const beganMs = this.#options.clock.nowMs();
+    while (!this.#stopped && !this.#tally.isWhole(step)) {
+      await this.#read(this.#options.waitMs);
+    }
+    this.#idleMs += this.#options.clock.nowMs() - beganMs;
+  }
+
+  async #read(waitMs: Milliseconds): Promise<void> {
+    const answer = await this.#call({
+      method: "GET",
+      path: samplesPath(this.#options.trainer, {
+        after: this.#cursor,
+        limit: this.#options.pageLimit,
+        waitMs,
+      }),
+    });
+    const page = answer === undefined
+      ? undefined
+      : parseSamplePage(answer.text);
+    if (page === undefined) return;
+    for (const sample of page.samples) {
+      this.#tally.received(sample, this.#newestVersion);
+    }
+    this.#cursor = String(page.cursor);
+  }
+
+  async #train(step: number): Promise<void> {
+    await this.#options.clock.sleep(this.#options.trainMs);
+    this.#whole += 1;
+    this.#options.events.emit(FAKES_EVENTS.stepTrained, { step });
+    const every = this.#options.publishEvery;
+    if (every === 0 || this.#whole % every !== 0) return;
+    const version = this.#newestVersion + 1;
+    const answer = await this.#call({
+      method: "PUT",
+      path: versionPath(this.#options.trainer, version),
+      body: {},
+    });
+    if (answer !== undefined) this.#newestVersion = version;
+  }
+
+  async #acknowledge(): Promise<void> {
+    if (this.#stopped || this.#cursor === "") return;
+    await this.#read(0);
+  }
+
+  /** Sends until an entry VM answers with success, to the next one after each failure. */
+  async #call(
+    call: Pick<JsonCall, "method" | "path" | "body">,
+  ): Promise<JsonAnswer | undefined> {
+    while (!this.#stopped) {
+      const entries = this.#options.entries;
+      const answer = await this.#client.send({
+        ...call,
+        base: entries[this.#entry % entries.length] ?? "",
+        timeoutMs: CALL_TIMEOUT_MS + this.#options.waitMs,
+      });
+      if (answer.status >= 200 && answer.status < 300) return answer;
+      this.#failedCalls += 1;
+      this.#options.events.emit(FAKES_EVENTS.trainerCallFailed, {
+        path: call.path,
+        status: answer.status,
+        answer: answer.text.slice(0, 300),
+      });
+      this.#entry += 1;
+      await this.#options.clock.sleep(RETRY_PAUSE_MS);
+    }
+    return undefined;
+  }
+
+  #body(step: number): StepBody {
+    const groups = [];
+    for (let group = 0; group < this.#options.groups; group += 1) {
+      groups.push({
+        prompt:
+          `${this.#options.trainer} step ${step} group ${group}: ${PROMPT_FILLER}`,
+        seed: step * SEEDS_PER_STEP + group * SEEDS_PER_GROUP,
+      });
+    }
+    return {
+      groups,
+      groupSize: this.#options.groupSize,
+      maximumTokens: this.#options.maximumTokens,
+      maximumStaleness: this.#options.maximumStaleness,
+      deadlineMs: this.#options.deadlineMs,
+    };
+  }
+}
--- /dev/null
+++ b/fakes/trainer_tally.ts
@@ -0,0 +1,117 @@
+/**
+ * What a stand-in trainer received, checked against what it asked for. Pure.
+ *
+ * @module
+ */
+import type { Milliseconds } from "#core";
+import { expectedText } from "./token_text.ts";
+import type { DeliveredSample, StepBody } from "./trainer_protocol.ts";
+
+/** What a trainer saw so far. */
+export interface TrainerReport {
+  readonly trainer: string;
+  readonly stepsWhole: number;
+  readonly samples: number;
+  /** Samples delivered more than once. */
+  readonly doubled: number;
+  /** Samples that no step asked for. */
+  readonly unasked: number;
+  /** Samples whose text the named versions did not make. */
+  readonly untrue: number;
+  /** Samples older than the bound when they were received. */
+  readonly overBound: number;
+  readonly idleMs: Milliseconds;
+  readonly elapsedMs: Milliseconds;
+  /** Mean and greatest number of versions that a sample was behind when received. */
+  readonly meanStaleness: number;
+  readonly greatestStaleness: number;
+  readonly newestVersion: number;
+  readonly failedCalls: number;
+}
+
+/** Counts and checks samples as they come. */
+export class TrainerTally {
+  readonly #model: string;
+  readonly #steps = new Map<number, StepBody>();
+  readonly #missing = new Map<number, Set<string>>();
+  #samples = 0;
+  #doubled = 0;
+  #unasked = 0;
+  #untrue = 0;
+  #overBound = 0;
+  #stalenessSum = 0;
+  #greatestStaleness = 0;
+
+  constructor(model: string) {
+    this.#model = model;
+  }
+
+  /** A step was submitted. */
+  submitted(step: number, body: StepBody): void {
+    if (this.#steps.has(step)) return;
+    this.#steps.set(step, body);
+    const slots = new Set<string>();
+    for (const [group] of body.groups.entries()) {
+      for (let index = 0; index < body.groupSize; index += 1) {
+        slots.add(`${group}/${index}`);
+      }
+    }
+    this.#missing.set(step, slots);
+  }
+
+  /** A sample was received while `newestVersion` was the newest published. */
+  received(sample: DeliveredSample, newestVersion: number): void {
+    const body = this.#steps.get(sample.step);
+    const missing = this.#missing.get(sample.step);
+    const group = body?.groups[sample.group];
+    if (body === undefined || missing === undefined || group === undefined) {
+      this.#unasked += 1;
+      return;
+    }
+    if (!missing.delete(`${sample.group}/${sample.index}`)) {
+      this.#doubled += 1;
+      return;
+    }
+    this.#samples += 1;
+    const oldest = Math.min(...sample.versions.map((run) => run.version));
+    const staleness = Math.max(0, newestVersion - oldest);
+    this.#stalenessSum += staleness;
+    this.#greatestStaleness = Math.max(this.#greatestStaleness, staleness);
+    if (staleness > body.maximumStaleness) this.#overBound += 1;
+    const expected = expectedText({
+      model: this.#model,
+      prompt: group.prompt,
+      seed: group.seed + sample.index,
+    }, sample.versions);
+    if (expected !== sample.text) this.#untrue += 1;
+  }
+
+  /** Whether every sample of the step was received. */
+  isWhole(step: number): boolean {
+    return this.#missing.get(step)?.size === 0;
+  }
+
+  /** The counts so far. */
+  counts(): Pick<
+    TrainerReport,
+    | "samples"
+    | "doubled"
+    | "unasked"
+    | "untrue"
+    | "overBound"
+    | "meanStaleness"
+    | "greatestStaleness"
+  > {
+    return {
+      samples: this.#samples,
+      doubled: this.#doubled,
+      unasked: this.#unasked,
+      untrue: this.#untrue,
+      overBound: this.#overBound,
+      meanStaleness: this.#samples === 0
+        ? 0
+        : this.#stalenessSum / this.#samples,
+      greatestStaleness: this.#greatestStaleness,
+    };
+  }
+}
--- /dev/null
+++ b/fakes/trainer_test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TrainerTally } from "./trainer_tally.ts";
+import { expectedText } from "./token_text.ts";
+import type { DeliveredSample, StepBody } from "./trainer_protocol.ts";
+
+const BODY: StepBody = {
+  groups: [{ prompt: "pitch 1", seed: 10 }, { prompt: "pitch 2", seed: 20 }],
+  groupSize: 2,
+  maximumTokens: 8,
+  maximumStaleness: 1,
+  deadlineMs: 1_000,
+};
+
+function sample(
+  slot: { readonly group: number; readonly index: number },
+  version = 1,
+): DeliveredSample {
+  const group = BODY.groups[slot.group];
+  const versions = [{ version, tokens: 8 }];
+  const text = expectedText({
+    model: "draft",
+    prompt: group?.prompt ?? "",
+    seed: (group?.seed ?? 0) + slot.index,
+  }, versions);
+  return { step: 1, ...slot, text, versions };
+}
+
+function tallyOf(
+  samples: readonly DeliveredSample[],
+  newestVersion = 1,
+): TrainerTally {
+  const tally = new TrainerTally("draft");
+  tally.submitted(1, BODY);
+  for (const one of samples) tally.received(one, newestVersion);
+  return tally;
+}
+
+test("a step is whole once every slot came, each once", () => {
+  const slots = [0, 1].flatMap((group) =>
+    [0, 1].map((index) => ({ group, index }))
+  );
+  const tally = tallyOf(slots.map((slot) => sample(slot)));
+  assert.equal(tally.isWhole(1), true);
+  assert.equal(tally.counts().samples, 4);
+  assert.equal(tally.counts().untrue, 0);
+});
+
+test("a sample that comes twice is counted as doubled", () => {
+  const one = sample({ group: 0, index: 1 });
+  assert.equal(tallyOf([one, one]).counts().doubled, 1);
+});
+
+test("a sample that names another version than made it is untrue", () => {
+  const one = sample({ group: 0, index: 1 });
+  const renamed = { ...one, versions: [{ version: 2, tokens: 8 }] };
+  assert.equal(tallyOf([renamed]).counts().untrue, 1);
+});
+
+test("a sample older than the bound is counted", () => {
+  const tally = tallyOf([sample({ group: 0, index: 0 })], 3);
+  assert.equal(tally.counts().overBound, 1);
+  assert.equal(tally.counts().greatestStaleness, 2);
+});
+
+test("a sample that no step asked for is counted", () => {
+  const stray = { ...sample({ group: 0, index: 0 }), step: 2 };
+  assert.equal(tallyOf([stray]).counts().unasked, 1);
+});
--- /dev/null
+++ b/fakes/weight_store.ts
@@ -0,0 +1,98 @@
+/**
+ * The stand-in for the weight store: a transfer takes time, and more transfers a second than its rate are refused.
+ *
+ * @module
+ */
+import type { Milliseconds, UpstreamAnnouncement } from "#core";
+import type { FakeLoad } from "./announcer.ts";
+import { type FakeCall, sendJson } from "./fake_server.ts";
+import {
+  UpstreamServer,
+  type UpstreamServerOptions,
+} from "./upstream_server.ts";
+
+const WEIGHTS_PATH = /^\/v1\/weights\/([^/]+)\/(\d+)$/;
+const SECOND_MS: Milliseconds = 1_000;
+
+/** Settings of the weight store. */
+export interface FakeWeightStoreOptions extends UpstreamServerOptions {
+  /** Transfers that may begin in a second. */
+  readonly loadsPerSecond: number;
+  /** Time of one transfer. */
+  readonly transferMs: Milliseconds;
+}
+
+/** A weight store with a rate. */
+export class FakeWeightStore extends UpstreamServer {
+  readonly #store: FakeWeightStoreOptions;
+  #tokens: number;
+  #refilledAtMs: Milliseconds;
+  #running = 0;
+  #transfers = 0;
+  #refusals = 0;
+
+  constructor(options: FakeWeightStoreOptions) {
+    super(options);
+    this.#store = options;
+    this.#tokens = Math.max(1, options.loadsPerSecond);
+    this.#refilledAtMs = options.clock.nowMs();
+  }
+
+  /** Transfers begun and refused so far. */
+  counts(): { readonly transfers: number; readonly refusals: number } {
+    return { transfers: this.#transfers, refusals: this.#refusals };
+  }
+
+  override describe(): UpstreamAnnouncement {
+    return {
+      id: this.options.id,
+      incarnation: this.options.incarnation,
+      zone: this.options.zone,
+      address: this.address,
+      role: "weight_store",
+      serves: [],
+      services: [],
+      capacity: this.options.capacity,
+      enforcesFences: false,
+      reportsVersions: false,
+    };
+  }
+
+  protected override measure(): FakeLoad {
+    return { running: this.#running, waiting: 0, cacheUse: 0 };
+  }
+
+  protected override async answer(call: FakeCall): Promise<void> {
+    if (call.path === "/fakes/record") {
+      return sendJson(call.response, 200, this.counts());
+    }
+    const match = WEIGHTS_PATH.exec(call.path);
+    if (match === null || call.method !== "GET") {
+      return sendJson(call.response, 404, { error: "not found" });
+    }
+    if (!this.#take()) {
+      this.#refusals += 1;
+      call.response.setHeader("retry-after", "1");
+      return sendJson(call.response, 429, { error: "over the rate" });
+    }
+    this.#transfers += 1;
+    this.#running += 1;
+    await this.options.clock.sleep(this.#store.transferMs);
+    this.#running -= 1;
+    sendJson(call.response, 200, {
+      model: decodeURIComponent(match[1] ?? ""),
+      version: Number(match[2]),
+    });
+  }
+
+  #take(): boolean {
+    const nowMs = this.options.clock.nowMs();
+    const rate = this.#store.loadsPerSecond;
+    const gained = (nowMs - this.#refilledAtMs) * rate / SECOND_MS;
+    this.#tokens = Math.min(Math.max(1, rate), this.#tokens + gained);
+    this.#refilledAtMs = nowMs;
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/programs/cicadafield_fakes.ts
@@ -0,0 +1,146 @@
+/**
+ * `cicadafield-fakes KIND`: runs one stand-in for what lies outside. For development only.
+ *
+ * @module
+ */
+import process from "node:process";
+import {
+  PinoEventLog,
+  readSettings,
+  type SettingDefinitions,
+  type SettingValues,
+  settingVariable,
+  SystemClock,
+} from "#core";
+import {
+  buildEngine,
+  buildService,
+  buildTrainer,
+  buildWeightStore,
+  ENGINE_SETTINGS,
+  FAKE_KINDS,
+  type FakeSurroundings,
+  SERVICE_SETTINGS,
+  TRAINER_SETTINGS,
+  type UpstreamServer,
+  WEIGHT_STORE_SETTINGS,
+} from "#fakes";
+
+const PROGRAM = "cicadafield-fakes";
+const VERSION = "0.1.0";
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+
+async function main(): Promise<void> {
+  const [kind, ...argv] = process.argv.slice(2);
+  if (kind === "--version") return console.log(VERSION);
+  if (kind === undefined || kind === "--help") return console.log(usage());
+  const known = FAKE_KINDS[kind];
+  if (known === undefined) {
+    console.error(`${PROGRAM}: ${kind} is no kind of stand-in\n${usage()}`);
+    return process.exit(EXIT_USAGE);
+  }
+  if (argv.includes("--help")) {
+    return console.log(settingsHelp(kind, known.settings));
+  }
+  await start(kind, argv);
+}
+
+async function start(kind: string, argv: readonly string[]): Promise<void> {
+  const surroundings: FakeSurroundings = {
+    clock: new SystemClock(),
+    events: new PinoEventLog({
+      program: PROGRAM,
+      level: process.env["CICADAFIELD_LOG_LEVEL"] ?? "info",
+    }),
+  };
+  if (kind === "engine") {
+    const values = settingsOrExit(ENGINE_SETTINGS, argv);
+    return await serve(buildEngine(values, surroundings));
+  }
+  if (kind === "service") {
+    const values = settingsOrExit(SERVICE_SETTINGS, argv);
+    return await serve(buildService(values, surroundings));
+  }
+  if (kind === "weight-store") {
+    const values = settingsOrExit(WEIGHT_STORE_SETTINGS, argv);
+    return await serve(buildWeightStore(values, surroundings));
+  }
+  await train(argv, surroundings);
+}
+
+async function serve(server: UpstreamServer): Promise<void> {
+  try {
+    await server.start();
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    console.error(`${PROGRAM}: can't listen: ${reason}`);
+    return process.exit(EXIT_FAILED);
+  }
+  const stop = async (): Promise<void> => {
+    await server.stop();
+    process.exit(0);
+  };
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+}
+
+/** Runs the trainer and prints its report as one JSON line. */
+async function train(
+  argv: readonly string[],
+  surroundings: FakeSurroundings,
+): Promise<void> {
+  const values = settingsOrExit(TRAINER_SETTINGS, argv);
+  const trainer = buildTrainer(values, surroundings);
+  process.once("SIGTERM", () => trainer.stop());
+  process.once("SIGINT", () => trainer.stop());
+  const report = await trainer.run();
+  console.log(JSON.stringify(report));
+  const faults = report.doubled + report.unasked + report.untrue +
+    report.overBound;
+  process.exit(faults > 0 ? EXIT_FAILED : 0);
+}
+
+function settingsOrExit<Definitions extends SettingDefinitions>(
+  definitions: Definitions,
+  argv: readonly string[],
+): SettingValues<Definitions> {
+  const settings = readSettings(definitions, {
+    argv,
+    environment: process.env,
+  });
+  if (settings.ok) return settings.val;
+  for (const fault of settings.val) {
+    const value = fault.value === undefined ? "" : ` (${fault.value})`;
+    console.error(`${PROGRAM}: ${fault.setting}${value} ${fault.message}`);
+  }
+  return process.exit(EXIT_USAGE);
+}
+
+function usage(): string {
+  const lines = [`usage: ${PROGRAM} KIND [flags]`, "kinds:"];
+  for (const [name, kind] of Object.entries(FAKE_KINDS)) {
+    lines.push(`  ${name.padEnd(13)} ${kind.summary}`);
+  }
+  lines.push(
+    `Each kind lists its flags with ${PROGRAM} KIND --help.`,
+    `example: ${PROGRAM} engine --id engine-1 --zone a --listen-host 127.0.1.20 --listen-port 9000 --entry http://127.0.1.1:8000 --model advice`,
+  );
+  return lines.join("\n");
+}
+
+function settingsHelp(kind: string, settings: SettingDefinitions): string {
+  const lines = [`usage: ${PROGRAM} ${kind} [flags]`];
+  for (const [name, setting] of Object.entries(settings)) {
+    const fallback = setting.fallback === undefined
+      ? "required"
+      : `default ${JSON.stringify(setting.fallback)}`;
+    lines.push(
+      `  --${name} ${setting.example}`,
+      `      ${setting.help} (${fallback}; ${settingVariable(name)})`,
+    );
+  }
+  return lines.join("\n");
+}
+
+await main();
