--- /dev/null
+++ b/proof/managed_process.ts
@@ -0,0 +1,175 @@
+/**
+ * One process of a test cluster: started from its built program, watched, and ended by its own identifier.
+ *
+ * @module
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, openSync, readFileSync } from "node:fs";
+import process from "node:process";
+import type { Milliseconds } from "#core";
+import { JsonClient } from "#fakes";
+
+const POLL_MS: Milliseconds = 50;
+const PROBE_TIMEOUT_MS: Milliseconds = 1_000;
+const LOG_TAIL_CHARACTERS = 4_000;
+
+/** What a process is started from. */
+export interface ProcessOptions {
+  readonly name: string;
+  /** Path of the built program. */
+  readonly program: string;
+  readonly arguments: readonly string[];
+  /** File that takes standard output and standard error. */
+  readonly logFile: string;
+  /** URL that answers 200 once it is ready. */
+  readonly readyUrl: string;
+}
+
+/** How a process ended. */
+export interface ProcessEnd {
+  readonly code: number | null;
+  readonly signal: string | null;
+}
+
+/** A process that can be killed, frozen, thawed and started again. */
+export class ManagedProcess {
+  readonly #options: ProcessOptions;
+  readonly #client = new JsonClient();
+  #child: ChildProcess;
+  #ended: Promise<ProcessEnd>;
+
+  constructor(options: ProcessOptions) {
+    this.#options = options;
+    this.#child = start(options);
+    this.#ended = endOf(this.#child);
+  }
+
+  /** Name in the cluster. */
+  get name(): string {
+    return this.#options.name;
+  }
+
+  /** Identifier of the process that runs now. */
+  get processId(): number | undefined {
+    return this.#child.pid;
+  }
+
+  /** Whether it has not ended. */
+  get runs(): boolean {
+    return this.#child.exitCode === null && this.#child.signalCode === null;
+  }
+
+  /** How it ends. */
+  ended(): Promise<ProcessEnd> {
+    return this.#ended;
+  }
+
+  /** Resolves once it is ready; rejects with the end of its log if it ends first or is late. */
+  async ready(timeoutMs: Milliseconds): Promise<void> {
+    const lateAtMs = performance.now() + timeoutMs;
+    while (!await this.isReady()) {
+      if (!this.runs) throw new Error(`${this.name} ended\n${this.logTail()}`);
+      if (performance.now() > lateAtMs) {
+        throw new Error(`${this.name} is not ready\n${this.logTail()}`);
+      }
+      await pause(POLL_MS);
+    }
+  }
+
+  /** Whether it is ready now. */
+  async isReady(): Promise<boolean> {
+    const url = new URL(this.#options.readyUrl);
+    const answer = await this.#client.send({
+      method: "GET",
+      base: url.origin,
+      path: url.pathname,
+      timeoutMs: PROBE_TIMEOUT_MS,
+    });
+    return answer.status === 200;
+  }
+
+  /** Kills it without warning. */
+  async kill(): Promise<void> {
+    this.#child.kill("SIGKILL");
+    await this.#ended;
+  }
+
+  /** Asks it to stop, and gives how it ended. */
+  async stop(): Promise<ProcessEnd> {
+    this.#child.kill("SIGTERM");
+    return await this.#ended;
+  }
+
+  /** Stops it from running without ending it. */
+  freeze(): void {
+    this.#child.kill("SIGSTOP");
+  }
+
+  /** Lets it run on after `freeze`. */
+  thaw(): void {
+    this.#child.kill("SIGCONT");
+  }
+
+  /** Starts it again after it ended. */
+  restart(): void {
+    this.#child = start(this.#options);
+    this.#ended = endOf(this.#child);
+  }
+
+  /** The end of its log. */
+  logTail(): string {
+    return readFileSync(this.#options.logFile, "utf8")
+      .slice(-LOG_TAIL_CHARACTERS);
+  }
+
+  /** Ends it however it stands. */
+  async cleanUp(): Promise<void> {
+    this.#client.close();
+    if (!this.runs) return;
+    this.#child.kill("SIGKILL");
+    await this.#ended;
+  }
+}
+
+/** Resolves after a time. */
+export function pause(timeMs: Milliseconds): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, timeMs));
+}
+
+/** Resolves once the check holds; rejects with what was waited for if it does not in time. */
+export async function waitUntil(
+  what: string,
+  timeoutMs: Milliseconds,
+  check: () => Promise<boolean> | boolean,
+): Promise<Milliseconds> {
+  const beganMs = performance.now();
+  while (!await check()) {
+    if (performance.now() > beganMs + timeoutMs) {
+      throw new Error(`not within ${timeoutMs} ms: ${what}`);
+    }
+    await pause(POLL_MS);
+  }
+  return performance.now() - beganMs;
+}
+
+function start(options: ProcessOptions): ChildProcess {
+  const log = openSync(options.logFile, "a");
+  const child = spawn(
+    process.execPath,
+    [options.program, ...options.arguments],
+    { stdio: ["ignore", log, log] },
+  );
+  closeSync(log);
+  const killAtExit = (): void => {
+    child.kill("SIGKILL");
+  };
+  process.once("exit", killAtExit);
+  child.once("exit", () => process.off("exit", killAtExit));
+  return child;
+}
+
+function endOf(child: ChildProcess): Promise<ProcessEnd> {
+  return new Promise((resolve) => {
+    child.once("exit", (code, signal) => resolve({ code, signal }));
+  });
+}
--- /dev/null
+++ b/proof/normalise_test.ts
@@ -0,0 +1,34 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { compareTranscripts } from "./golden_files.ts";
+import { Normaliser } from "./normalise.ts";
+
+test("equal identifiers get equal names and others get others", () => {
+  const normaliser = new Normaliser();
+  const one = "0123456789abcdef".repeat(2);
+  const two = "fedcba9876543210".repeat(2);
+  assert.equal(
+    normaliser.text(`${one} ${two} ${one}`),
+    "<identifier 1> <identifier 2> <identifier 1>",
+  );
+});
+
+test("times and places in the log are taken out, counts stay", () => {
+  const value = new Normaliser().json({
+    acceptedAtMs: 1_796_330_340_420,
+    index: 7,
+    version: 3,
+  });
+  assert.deepEqual(value, {
+    acceptedAtMs: "<acceptedAtMs>",
+    index: "<index>",
+    version: 3,
+  });
+});
+
+test("a differing transcript is shown by its lines", () => {
+  assert.throws(
+    () => compareTranscripts("a\nb\nc\n", "a\nx\nc\n"),
+    /\+ +'b',\n- +'x',/,
+  );
+});
--- /dev/null
+++ b/proof/process_cluster.ts
@@ -0,0 +1,274 @@
+/**
+ * A whole cluster of real processes for golden sessions, process tests and benchmarks: control VMs, entry VMs and
+ * stand-ins, each on its own loopback address.
+ *
+ * @module
+ */
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import type { Bundle, Milliseconds, SignedBundle, VmEntry } from "#core";
+import { type JsonAnswer, type JsonCall, JsonClient } from "#fakes";
+import { ManagedProcess, waitUntil } from "./managed_process.ts";
+import {
+  makeOperator,
+  signAs,
+  siteBundle,
+  type SiteOptions,
+  type TestOperator,
+} from "./site_bundle.ts";
+import { type StandIn, standInArguments } from "./stand_ins.ts";
+
+const PROGRAMS = join(dirname(fileURLToPath(import.meta.url)), "../programs");
+const START_TIMEOUT_MS: Milliseconds = 30_000;
+const CALL_TIMEOUT_MS: Milliseconds = 30_000;
+
+/** What a cluster is started from. */
+export interface ClusterOptions extends Omit<SiteOptions, "operators"> {
+  readonly standIns: readonly StandIn[];
+  /** Further flags of every entry VM and control VM. */
+  readonly flags: readonly string[];
+}
+
+/** The cluster that most tests use: three zones, six entry VMs, three control VMs. */
+export const CLUSTER_DEFAULTS = {
+  zones: ["a", "b", "c"],
+  entriesPerZone: 2,
+  controls: 3,
+  flags: ["--drain-notice-ms", "500"],
+} as const satisfies Partial<ClusterOptions>;
+
+/** A call to a VM of the cluster. */
+export type ClusterCall = Omit<JsonCall, "base" | "timeoutMs">;
+
+/** A running cluster. */
+export class ProcessCluster {
+  /** Operators whose keys the first bundle lists. */
+  readonly operators: readonly [TestOperator, TestOperator];
+  /** The first bundle. */
+  readonly firstBundle: Bundle;
+  readonly #options: ClusterOptions;
+  readonly #folder: string;
+  readonly #client = new JsonClient();
+  readonly #processes = new Map<string, ManagedProcess>();
+
+  private constructor(options: ClusterOptions) {
+    this.#options = options;
+    this.#folder = mkdtempSync(join(tmpdir(), "cicadafield-proof-"));
+    this.operators = [makeOperator("awa"), makeOperator("tomas")];
+    this.firstBundle = siteBundle({ ...options, operators: this.operators });
+  }
+
+  /** Starts all processes, puts the first bundle in force and waits until every entry VM is ready. */
+  static async start(options: ClusterOptions): Promise<ProcessCluster> {
+    const cluster = new ProcessCluster(options);
+    try {
+      await cluster.#startAll();
+    } catch (error) {
+      await cluster.cleanUp();
+      throw error;
+    }
+    return cluster;
+  }
+
+  /** A process by name. */
+  process(name: string): ManagedProcess {
+    const found = this.#processes.get(name);
+    if (found === undefined) throw new Error(`there is no process ${name}`);
+    return found;
+  }
+
+  /** VMs of the first bundle with this role, and in this zone if one is given. */
+  vms(role: VmEntry["role"], zone?: string): readonly VmEntry[] {
+    return this.firstBundle.vms.filter((vm) =>
+      vm.role === role && (zone === undefined || vm.zone === zone)
+    );
+  }
+
+  /** Base of the calls to a VM. */
+  base(vm: string): string {
+    const found = this.firstBundle.vms.find((each) => each.name === vm);
+    if (found === undefined) throw new Error(`there is no VM ${vm}`);
+    return `http://${found.http.host}:${found.http.port}`;
+  }
+
+  /** Data folder of a control VM. */
+  dataFolder(vm: string): string {
+    return join(this.#folder, vm);
+  }
+
+  /** Sends a call to a VM. */
+  call(vm: string, call: ClusterCall): Promise<JsonAnswer> {
+    return this.#client.send({
+      ...call,
+      base: this.base(vm),
+      timeoutMs: CALL_TIMEOUT_MS,
+    });
+  }
+
+  /** Submits a signed bundle to a VM. */
+  submit(vm: string, signed: SignedBundle): Promise<JsonAnswer> {
+    return this.call(vm, {
+      method: "PUT",
+      path: `/v1/bundles/${signed.bundle.version}`,
+      body: signed,
+    });
+  }
+
+  /** Version in force on a VM; 0 without one, undefined if it does not answer. */
+  async versionInForce(vm: string): Promise<number | undefined> {
+    const answer = await this.call(vm, {
+      method: "GET",
+      path: "/v1/bundles/current",
+    });
+    if (answer.status === 404) return 0;
+    if (answer.status !== 200) return undefined;
+    const version = /"version":(\d+)/.exec(answer.text)?.[1];
+    return version === undefined ? undefined : Number(version);
+  }
+
+  /** Waits until a version is in force on all given VMs; gives the time that took. */
+  waitInForce(
+    version: number,
+    options: {
+      readonly vms: readonly string[];
+      readonly timeoutMs: Milliseconds;
+    },
+  ): Promise<Milliseconds> {
+    const what = `version ${version} in force on ${options.vms.join(", ")}`;
+    return waitUntil(what, options.timeoutMs, async () => {
+      const versions = await Promise.all(
+        options.vms.map((vm) => this.versionInForce(vm)),
+      );
+      return versions.every((held) => held === version);
+    });
+  }
+
+  /** Cuts every link between the VMs of one zone and those of all others; none given heals all cuts. */
+  cutZone(zone: string | undefined): void {
+    for (const vm of this.firstBundle.vms) {
+      const others = this.firstBundle.vms
+        .filter(() => zone !== undefined)
+        .filter((other) => (vm.zone === zone) !== (other.zone === zone))
+        .map((other) => other.name);
+      writeFileSync(this.#cutFile(vm.name), others.join("\n"));
+    }
+  }
+
+  /** Ends every process, however it stands, and removes the files. */
+  async cleanUp(): Promise<void> {
+    this.#client.close();
+    const processes = [...this.#processes.values()];
+    await Promise.all(processes.map((each) => each.cleanUp()));
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async #startAll(): Promise<void> {
+    const controls = this.vms("control");
+    const entries = this.vms("entry");
+    for (const vm of controls) this.#startControl(vm);
+    for (const vm of entries) this.#startEntry(vm);
+    await waitUntil(
+      "a leader takes the first bundle",
+      START_TIMEOUT_MS,
+      () => this.#submitFirst(),
+    );
+    for (const standIn of this.#options.standIns) this.#startStandIn(standIn);
+    const names = entries.map((vm) => vm.name);
+    await this.waitInForce(1, { vms: names, timeoutMs: START_TIMEOUT_MS });
+    for (const name of names) {
+      await this.process(name).ready(START_TIMEOUT_MS);
+    }
+  }
+
+  async #submitFirst(): Promise<boolean> {
+    for (const managed of this.#processes.values()) {
+      if (managed.runs) continue;
+      throw new Error(`${managed.name} ended\n${managed.logTail()}`);
+    }
+    const vm = this.vms("control")[0]?.name ?? "";
+    const signed = signAs(this.operators[0], this.firstBundle);
+    const answer = await this.submit(vm, signed);
+    return answer.status >= 200 && answer.status < 300;
+  }
+
+  #startControl(vm: VmEntry): void {
+    mkdirSync(this.dataFolder(vm.name));
+    const keys = this.operators
+      .map(({ name, publicKey }) => `${name}=${publicKey}`)
+      .join(",");
+    this.#startVm(vm, "cicadafield_control.js", [
+      ...["--data-folder", this.dataFolder(vm.name)],
+      ...["--first-start", "yes"],
+      ...["--operator-keys", keys],
+    ]);
+  }
+
+  #startEntry(vm: VmEntry): void {
+    const others = this.vms("entry", vm.zone).filter((each) => each !== vm);
+    this.#startVm(vm, "cicadafield_entry.js", [
+      "--zone-vms",
+      vmList(others),
+    ]);
+  }
+
+  #startVm(vm: VmEntry, program: string, flags: readonly string[]): void {
+    writeFileSync(this.#cutFile(vm.name), "");
+    this.#start({
+      name: vm.name,
+      program,
+      flags: [
+        ...["--cluster", this.firstBundle.cluster],
+        ...["--vm", vm.name, "--zone", vm.zone],
+        ...["--listen-host", vm.peer.host],
+        ...["--http-port", String(vm.http.port)],
+        ...["--peer-port", String(vm.peer.port)],
+        ...["--control-vms", vmList(this.vms("control"))],
+        ...["--test-cut-file", this.#cutFile(vm.name)],
+        ...flags,
+        ...this.#options.flags,
+      ],
+      readyUrl: `${this.base(vm.name)}/readyz`,
+    });
+  }
+
+  #startStandIn(standIn: StandIn): void {
+    const entries = this.vms("entry", standIn.zone)
+      .map((vm) => this.base(vm.name));
+    this.#start({
+      name: standIn.id,
+      program: "cicadafield_fakes.js",
+      flags: standInArguments(standIn, entries),
+      readyUrl: `http://${standIn.host}:${standIn.port}/fakes/record`,
+    });
+  }
+
+  #start(
+    options: {
+      readonly name: string;
+      readonly program: string;
+      readonly flags: readonly string[];
+      readonly readyUrl: string;
+    },
+  ): void {
+    const managed = new ManagedProcess({
+      name: options.name,
+      program: join(PROGRAMS, options.program),
+      arguments: options.flags,
+      logFile: join(this.#folder, `${options.name}.log`),
+      readyUrl: options.readyUrl,
+    });
+    this.#processes.set(options.name, managed);
+  }
+
+  #cutFile(vm: string): string {
+    return join(this.#folder, `${vm}.cut`);
+  }
+}
+
+function vmList(vms: readonly VmEntry[]): string {
+  return vms
+    .map((vm) => `${vm.name}@${vm.zone}=${vm.peer.host}:${vm.peer.port}`)
+    .join(",");
+}
--- /dev/null
+++ b/proof/promises_page.ts
@@ -0,0 +1,84 @@
+/**
+ * Reads `docs/PROMISES.md` and finds the tests it names.
+ *
+ * @module
+ */
+import { readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+
+const TEST_FILE_SUFFIX = "_test.ts";
+const SKIPPED_FOLDERS: readonly string[] = ["build", "node_modules", ".git"];
+/** A reference to a test: `file_test.ts`: "title". */
+const REFERENCE = /`([\w/]+_test\.ts)`:\s+"([^"]+)"/g;
+/** A test as the code declares it. */
+const DECLARATION = /\btest\(\s*(?:"((?:[^"\\]|\\.)*)"|`([^`]*)`)/g;
+
+/** A test named on a page. */
+export interface TestReference {
+  readonly file: string;
+  readonly title: string;
+}
+
+/**
+ * Finds the tests that a page names.
+ *
+ * @example
+ * ```ts
+ * testReferences('`wire/frame_test.ts`: "a frame cut short waits for the rest"');
+ * ```
+ */
+export function testReferences(page: string): readonly TestReference[] {
+  const references: TestReference[] = [];
+  for (const [, file = "", title = ""] of page.matchAll(REFERENCE)) {
+    references.push({ file, title: title.replaceAll(/\s+/g, " ") });
+  }
+  return references;
+}
+
+/** The titles of the tests that a file declares. */
+export function declaredTitles(code: string): ReadonlySet<string> {
+  const titles = new Set<string>();
+  for (const [, quoted, template] of code.matchAll(DECLARATION)) {
+    const title = quoted ?? template ?? "";
+    titles.add(title.replaceAll(/\\(.)/g, "$1").replaceAll(/\s+/g, " "));
+  }
+  return titles;
+}
+
+/** References whose file or title does not exist below `root`. */
+export async function missingTests(
+  references: readonly TestReference[],
+  root: string,
+): Promise<readonly TestReference[]> {
+  const missing: TestReference[] = [];
+  for (const reference of references) {
+    const titles = await titlesOf(join(root, reference.file));
+    if (!titles.has(reference.title)) missing.push(reference);
+  }
+  return missing;
+}
+
+/** All test files below `root`, with their paths from there. */
+export async function testFiles(
+  root: string,
+  folder = "",
+): Promise<readonly string[]> {
+  const files: string[] = [];
+  for (
+    const entry of await readdir(join(root, folder), { withFileTypes: true })
+  ) {
+    if (SKIPPED_FOLDERS.includes(entry.name)) continue;
+    const path = join(folder, entry.name);
+    if (entry.isDirectory()) files.push(...await testFiles(root, path));
+    else if (entry.name.endsWith(TEST_FILE_SUFFIX)) files.push(path);
+  }
+  return files;
+}
+
+async function titlesOf(file: string): Promise<ReadonlySet<string>> {
+  try {
+    return declaredTitles(await readFile(file, "utf8"));
+  } catch {
+    return new Set();
+  }
+}
--- /dev/null
+++ b/proof/site_bundle.ts
@@ -0,0 +1,99 @@
+/**
+ * The bundle of a test site with three availability zones: entry VMs, control VMs, tenants, trainers and services of
+ * the two workloads.
+ *
+ * @module
+ */
+import { generateKeyPairSync, type KeyObject } from "node:crypto";
+import { publicKeyText, sampleBundle, signBundle } from "#bundles";
+import type { Bundle, SignedBundle } from "#core";
+
+/** An operator with both keys. */
+export interface TestOperator {
+  readonly name: string;
+  readonly privateKey: KeyObject;
+  readonly publicKey: string;
+}
+
+/** What a site is built from. */
+export interface SiteOptions {
+  /** First two numbers of the addresses, such as `127.7`. */
+  readonly block: string;
+  /** Third number of the addresses of the first zone; the others count on. */
+  readonly network: number;
+  readonly zones: readonly string[];
+  readonly entriesPerZone: number;
+  readonly controls: number;
+  readonly operators: readonly TestOperator[];
+}
+
+/** The first three numbers of the addresses of a zone. */
+export function zoneNetwork(
+  site: Pick<SiteOptions, "block" | "network">,
+  place: number,
+): string {
+  return `${site.block}.${site.network + place}`;
+}
+
+/** Makes an operator with new keys. */
+export function makeOperator(name: string): TestOperator {
+  const { publicKey, privateKey } = generateKeyPairSync("ed25519");
+  return { name, privateKey, publicKey: publicKeyText(publicKey) };
+}
+
+/** The first bundle of a site. */
+export function siteBundle(options: SiteOptions): Bundle {
+  const sample = sampleBundle({
+    cluster: "proof",
+    zones: options.zones,
+    entriesPerZone: options.entriesPerZone,
+    controls: options.controls,
+    block: options.block,
+    operators: options.operators.map(({ name, publicKey }) => ({
+      name,
+      publicKey,
+    })),
+  });
+  return {
+    ...sample,
+    vms: sample.vms.map((vm) => {
+      const place = options.zones.indexOf(vm.zone);
+      const row = vm.peer.host.split(".").at(-1);
+      const host = `${zoneNetwork(options, place)}.${row}`;
+      return { ...vm, peer: { ...vm.peer, host }, http: { ...vm.http, host } };
+    }),
+    models: [
+      { name: "advice", servingFloor: 0.5, loadsPerSecond: 20 },
+      { name: "draft", servingFloor: 0.5, loadsPerSecond: 20 },
+    ],
+    services: [
+      { name: "cards", idempotentMethods: ["GET", "HEAD"] },
+      { name: "lookup", idempotentMethods: ["GET", "HEAD"] },
+      { name: "score", idempotentMethods: ["GET", "HEAD", "POST"] },
+    ],
+    trainers: [
+      trainer({ name: "advice-tuning", tenant: "tana", model: "advice" }),
+      trainer({ name: "draft-tuning", tenant: "agence", model: "draft" }),
+    ],
+  };
+}
+
+/** Signs a bundle as an operator. */
+export function signAs(operator: TestOperator, bundle: Bundle): SignedBundle {
+  return signBundle(bundle, {
+    signer: operator.name,
+    privateKey: operator.privateKey,
+  });
+}
+
+function trainer(
+  names: Pick<Bundle["trainers"][number], "name" | "tenant" | "model">,
+): Bundle["trainers"][number] {
+  return {
+    ...names,
+    class: "drafting",
+    scorer: "score",
+    weight: 1,
+    maximumStaleness: 2,
+  };
+}
--- /dev/null
+++ b/proof/stand_ins.ts
@@ -0,0 +1,89 @@
+/**
+ * The stand-ins of a test cluster, as flags of `cicadafield-fakes`.
+ *
+ * @module
+ */
+import { type SiteOptions, zoneNetwork } from "./site_bundle.ts";
+
+/** One stand-in that listens. */
+export interface StandIn {
+  readonly kind: "engine" | "service" | "weight-store";
+  readonly id: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly port: number;
+  /** Further flags, such as `["--model", "advice"]`. */
+  readonly flags: readonly string[];
+}
+
+const PORT = 9_000;
+const FIRST_ENGINE = 20;
+const SERVICE = 40;
+const STORE = 60;
+
+/** An address to call a stand-in. */
+export function standInBase(standIn: StandIn): string {
+  return `http://${standIn.host}:${standIn.port}`;
+}
+
+/** Flags of a stand-in that announces itself to these entry VMs. */
+export function standInArguments(
+  standIn: StandIn,
+  entries: readonly string[],
+): readonly string[] {
+  return [
+    standIn.kind,
+    ...["--id", standIn.id, "--zone", standIn.zone],
+    ...["--listen-host", standIn.host, "--listen-port", String(standIn.port)],
+    ...["--entry", entries.join(",")],
+    ...standIn.flags,
+  ];
+}
+
+/** What the stand-ins of a site are made from. */
+export interface SiteStandIns
+  extends Pick<SiteOptions, "block" | "network" | "zones"> {
+  /** Engines of each zone, by model. */
+  readonly models: readonly string[];
+  /** Further flags of every engine. */
+  readonly engineFlags: readonly string[];
+}
+
+/** A weight store, and in each zone an engine for each model and a plain service. */
+export function siteStandIns(site: SiteStandIns): readonly StandIn[] {
+  const first = site.zones[0] ?? "a";
+  const store: StandIn = {
+    kind: "weight-store",
+    id: "store",
+    zone: first,
+    host: `${zoneNetwork(site, 0)}.${STORE}`,
+    port: PORT,
+    flags: ["--loads-per-second", "20", "--transfer-ms", "50"],
+  };
+  const standIns: StandIn[] = [store];
+  for (const [place, zone] of site.zones.entries()) {
+    const network = zoneNetwork(site, place);
+    for (const [row, model] of site.models.entries()) {
+      standIns.push({
+        kind: "engine",
+        id: `engine-${model}-${zone}`,
+        zone,
+        host: `${network}.${FIRST_ENGINE + row}`,
+        port: PORT,
+        flags: [
+          ...["--model", model, "--weight-store", standInBase(store)],
+          ...site.engineFlags,
+        ],
+      });
+    }
+    standIns.push({
+      kind: "service",
+      id: `service-${zone}`,
+      zone,
+      host: `${network}.${SERVICE}`,
+      port: PORT,
+      flags: ["--services", "cards,lookup,score"],
+    });
+  }
+  return standIns;
+}
