--- /dev/null
+++ b/programs/answer_writer.ts
@@ -0,0 +1,133 @@
+/**
+ * Writes an answer to its connection, with back pressure for streamed bodies.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import {
+  type Bytes,
+  type Clock,
+  type HttpAnswer,
+  KIBIBYTE,
+  type Milliseconds,
+} from "#core";
+
+const SLICE_BYTES: Bytes = 64 * KIBIBYTE;
+
+/** How the writing of an answer ended. */
+export type WriteOutcome =
+  | { readonly kind: "whole" }
+  /** The caller went away. */
+  | { readonly kind: "gone" }
+  /** The caller did not read for too long. */
+  | { readonly kind: "stalled" }
+  /** The source of chunks threw. */
+  | { readonly kind: "broken"; readonly error: unknown };
+
+/** What writing needs besides the answer. */
+export interface WriteOptions {
+  readonly clock: Clock;
+  /** Longest time without the caller taking any byte. */
+  readonly sendStallMs: Milliseconds;
+  readonly closeAfter: boolean;
+  /** Awaited before the connection may end, once the answer is written. */
+  readonly beforeEnd?: () => Promise<void>;
+}
+
+const WHOLE: WriteOutcome = { kind: "whole" };
+
+/** Writes an answer; a body that breaks off breaks the connection, so that it can't pass for whole. */
+export async function writeAnswer(
+  response: ServerResponse,
+  answer: HttpAnswer,
+  options: WriteOptions,
+): Promise<WriteOutcome> {
+  if (response.destroyed) return { kind: "gone" };
+  for (const [name, value] of Object.entries(answer.headers)) {
+    response.setHeader(name, value);
+  }
+  if (options.closeAfter) response.setHeader("Connection", "close");
+  response.statusCode = answer.status;
+  const body = answer.body;
+  const outcome = isChunked(body)
+    ? await writeChunks(response, body, options)
+    : await writeWhole(response, body, options);
+  if (outcome.kind !== "whole") response.destroy();
+  return outcome;
+}
+
+function isChunked(body: HttpAnswer["body"]): body is AsyncIterable<string> {
+  return typeof body !== "string" && !(body instanceof Uint8Array);
+}
+
+async function writeWhole(
+  response: ServerResponse,
+  body: string | Uint8Array,
+  options: WriteOptions,
+): Promise<WriteOutcome> {
+  const bytes = typeof body === "string" ? Buffer.from(body) : body;
+  if (allowsBody(response.statusCode)) {
+    response.setHeader("Content-Length", bytes.length);
+    for (let start = 0; start < bytes.length; start += SLICE_BYTES) {
+      const slice = bytes.subarray(start, start + SLICE_BYTES);
+      if (response.write(slice)) continue;
+      const drained = await flushed(response, "drain", options);
+      if (drained.kind !== "whole") return drained;
+    }
+  }
+  await options.beforeEnd?.();
+  response.end();
+  return flushed(response, "finish", options);
+}
+
+function allowsBody(status: number): boolean {
+  return status >= 200 && status !== 204 && status !== 304;
+}
+
+async function writeChunks(
+  response: ServerResponse,
+  body: AsyncIterable<string>,
+  options: WriteOptions,
+): Promise<WriteOutcome> {
+  response.flushHeaders();
+  try {
+    for await (const chunk of body) {
+      if (response.destroyed) return { kind: "gone" };
+      if (chunk === "" || response.write(chunk)) continue;
+      const drained = await flushed(response, "drain", options);
+      if (drained.kind !== "whole") return drained;
+    }
+  } catch (error) {
+    return { kind: "broken", error };
+  }
+  if (response.destroyed) return { kind: "gone" };
+  response.end();
+  return flushed(response, "finish", options);
+}
+
+function flushed(
+  response: ServerResponse,
+  event: "drain" | "finish",
+  options: WriteOptions,
+): Promise<WriteOutcome> {
+  if (event === "finish" && response.writableFinished) {
+    return Promise.resolve(WHOLE);
+  }
+  return new Promise((resolve) => {
+    const settle = (outcome: WriteOutcome): void => {
+      timer.cancel();
+      response.off(event, onFlushed);
+      response.off("close", onClose);
+      resolve(outcome);
+    };
+    const onFlushed = (): void => settle(WHOLE);
+    const onClose = (): void =>
+      settle(response.writableFinished ? WHOLE : { kind: "gone" });
+    const timer = options.clock.after(
+      options.sendStallMs,
+      () => settle({ kind: "stalled" }),
+    );
+    response.on(event, onFlushed);
+    response.on("close", onClose);
+  });
+}
--- /dev/null
+++ b/programs/failure_answer.ts
@@ -0,0 +1,45 @@
+/**
+ * Turns a failure into the answer that the table of error kinds gives it.
+ *
+ * @module
+ */
+import {
+  ERROR_TABLE,
+  type Failure,
+  type HttpAnswer,
+  jsonAnswer,
+  SECOND_MS,
+} from "#core";
+
+/** Header that tells whether the request can have run. */
+export const RAN_HEADER = "Cicadafield-Ran";
+
+/**
+ * Builds the answer to a request that failed.
+ *
+ * @example
+ * ```ts
+ * failureAnswer(fail("no_quorum", "no leader is known", { retryAfterMs: 1_200 }));
+ * // status 503, Cicadafield-Ran: no, Retry-After: 2
+ * ```
+ */
+export function failureAnswer(failure: Failure): HttpAnswer {
+  const entry = ERROR_TABLE[failure.kind];
+  const headers: Record<string, string> = { [RAN_HEADER]: failure.ran };
+  if (failure.retryAfterMs !== undefined) {
+    headers["Retry-After"] = retryAfterSeconds(failure.retryAfterMs);
+  }
+  const body = {
+    kind: failure.kind,
+    message: failure.message,
+    hint: entry.hint,
+    ran: failure.ran,
+    ...(failure.field === undefined ? {} : { field: failure.field }),
+    ...(failure.detail === undefined ? {} : { detail: failure.detail }),
+  };
+  return jsonAnswer(entry.status, body, headers);
+}
+
+function retryAfterSeconds(retryAfterMs: number): string {
+  return String(Math.max(1, Math.ceil(retryAfterMs / SECOND_MS)));
+}
--- /dev/null
+++ b/programs/http_drain_test.ts
@@ -0,0 +1,121 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type HttpRoute,
+  jsonAnswer,
+  type Milliseconds,
+  VirtualClock,
+} from "#core";
+import { ECHO_ROUTE, RawClient, withServer } from "./http_testing.ts";
+
+const NOTICE_MS: Milliseconds = 3_000;
+
+/** A route whose answers wait until they are released. */
+class HeldRoute {
+  #release = (): void => {};
+  #entered = (): void => {};
+  readonly entered = new Promise<void>((resolve) => {
+    this.#entered = resolve;
+  });
+  readonly released = new Promise<void>((resolve) => {
+    this.#release = resolve;
+  });
+  readonly route: HttpRoute = {
+    method: "GET",
+    pattern: "/held",
+    name: "held",
+    handle: async () => {
+      this.#entered();
+      await this.released;
+      return jsonAnswer(200, { held: true });
+    },
+  };
+
+  release(): void {
+    this.#release();
+  }
+}
+
+test("a drain is seen at once, serves new connections for the notice time, and then none", async () => {
+  const clock = new VirtualClock();
+  await withServer({ clock }, async ({ server, address }) => {
+    const drained = server.drain(NOTICE_MS);
+    assert.equal(server.draining, true);
+    const during = new RawClient(address);
+    during.send("GET /echo/a HTTP/1.1\r\nHost: h\r\n\r\n");
+    const raw = await during.untilClosed();
+    assert.match(raw, /^HTTP\/1.1 200/);
+    assert.match(raw, /\r\nConnection: close\r\n/);
+    await clock.advanceAsync(NOTICE_MS);
+    await drained;
+    const late = new RawClient(address);
+    late.send("GET /echo/a HTTP/1.1\r\nHost: h\r\n\r\n");
+    assert.equal(await late.untilClosed(), "");
+  });
+});
+
+test("a drain waits for the whole answer of each request that arrived", async () => {
+  const clock = new VirtualClock();
+  const held = new HeldRoute();
+  const routes = [held.route, ECHO_ROUTE];
+  await withServer({ clock, routes }, async ({ server, address }) => {
+    const client = new RawClient(address);
+    client.send(
+      "GET /held HTTP/1.1\r\nHost: h\r\n\r\nGET /echo/next HTTP/1.1\r\nHost: h\r\n\r\n",
+    );
+    await held.entered;
+    let done = false;
+    const drained = server.drain(NOTICE_MS).then(() => {
+      done = true;
+    });
+    await clock.advanceAsync(NOTICE_MS);
+    assert.equal(done, false);
+    held.release();
+    const raw = await client.untilClosed();
+    assert.match(raw, /"held":true/);
+    assert.match(raw, /"name":"next"/);
+    await drained;
+  });
+});
+
+test("a connection that rests between requests does not hold a drain up", async () => {
+  const clock = new VirtualClock();
+  await withServer({ clock }, async ({ server, address }) => {
+    const client = new RawClient(address);
+    client.send("GET /echo/a HTTP/1.1\r\nHost: h\r\n\r\n");
+    await client.until(/\}\n/);
+    const drained = server.drain(NOTICE_MS);
+    await clock.advanceAsync(NOTICE_MS);
+    await drained;
+    assert.doesNotMatch(client.received, /Connection: close/);
+  });
+});
+
+test("a large answer that the caller reads slowly is whole after a drain", async () => {
+  const size = 24 * 1_048_576;
+  const large: HttpRoute = {
+    method: "GET",
+    pattern: "/large",
+    name: "large",
+    handle: () =>
+      Promise.resolve({
+        status: 200,
+        headers: {},
+        body: new Uint8Array(size).fill(120),
+      }),
+  };
+  const clock = new VirtualClock();
+  await withServer({ clock, routes: [large] }, async ({ server, address }) => {
+    const client = new RawClient(address);
+    client.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    await client.until(/xx/);
+    client.socket.pause();
+    const drained = server.drain(NOTICE_MS);
+    await clock.advanceAsync(NOTICE_MS);
+    client.socket.resume();
+    await drained;
+    const raw = await client.untilClosed();
+    const head = raw.indexOf("\r\n\r\n") + 4;
+    assert.equal(raw.length - head, size);
+  });
+});
--- /dev/null
+++ b/programs/http_server.ts
@@ -0,0 +1,392 @@
+/**
+ * The HTTP server of the programs: reads whole requests within limits, finds their route, and writes
+ * answers with back pressure. A failure becomes the answer that the table of error kinds gives it.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { Server as TcpServer, type Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import {
+  type Address,
+  type Bytes,
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpRoute,
+  type Metrics,
+  type Milliseconds,
+  Ok,
+  type RandomSource,
+  type Result,
+  SECOND_MS,
+} from "#core";
+import { writeAnswer, type WriteOutcome } from "./answer_writer.ts";
+import { ConnectionTable } from "./connection_table.ts";
+import { HTTP_EVENTS } from "./events.ts";
+import { failureAnswer } from "./failure_answer.ts";
+import type { HttpLimits } from "./http_limits.ts";
+import { type ClientError, clientFailure, refuseRaw } from "./raw_refusal.ts";
+import { announcesTooMuch, bodyTooLarge, readBody } from "./request_body.ts";
+import { type CheckedRequest, checkRequest } from "./request_check.ts";
+import { type RouteMatch, RouteTable } from "./route_table.ts";
+
+const TIMEOUT_CHECKS_PER_TIMEOUT = 4;
+const UNMATCHED_ROUTE = "unmatched";
+
+/** What an HTTP server is built from. */
+export interface HttpServerOptions {
+  readonly listen: Address;
+  /** The routes now; the first that matches answers. */
+  readonly routes: () => readonly HttpRoute[];
+  readonly limits: HttpLimits;
+  /** A further limit of bodies, such as that of the bundle in force; undefined while there is none. */
+  readonly bodyLimit?: () => Bytes | undefined;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+}
+
+type FoundRoute = RouteMatch & CheckedRequest;
+
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly mayContinue: boolean;
+  readonly startedAtMs: Milliseconds;
+}
+
+/**
+ * Serves HTTP on one address.
+ *
+ * @example
+ * ```ts
+ * const server = new HttpServer({ listen, routes: () => routes, limits: DEFAULT_HTTP_LIMITS, clock, random, events, metrics });
+ * await server.listen();
+ * await server.drain(3_000);
+ * ```
+ */
+export class HttpServer {
+  readonly #options: HttpServerOptions;
+  readonly #server: Server;
+  readonly #connections = new ConnectionTable();
+  readonly #latency;
+  readonly #answers;
+  #routes: readonly HttpRoute[] = [];
+  #table = new RouteTable([]);
+  #draining = false;
+
+  constructor(options: HttpServerOptions) {
+    this.#options = options;
+    this.#latency = options.metrics.latency({
+      name: "cicadafield_http_seconds",
+      help: "Time from the headers of a request to the end of its answer.",
+      labels: ["route"],
+    });
+    this.#answers = options.metrics.counter({
+      name: "cicadafield_http_answers_total",
+      help: "Answers by route and status.",
+      labels: ["route", "status"],
+    });
+    this.#server = createServer(nodeOptions(options.limits));
+    this.#prepare();
+  }
+
+  /** True from the start of `drain`: readiness probes are to fail. */
+  get draining(): boolean {
+    return this.#draining;
+  }
+
+  /** The address listened on; its port is that given by the system if 0 was asked for. */
+  address(): Address {
+    const bound = this.#server.address();
+    if (bound === null || typeof bound === "string") {
+      return this.#options.listen;
+    }
+    return { host: bound.address, port: bound.port };
+  }
+
+  /** Starts to accept connections; rejects if the address can't be had. */
+  listen(): Promise<void> {
+    const { host, port } = this.#options.listen;
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen({ host, port }, () => {
+        this.#server.off("error", reject);
+        this.#options.events.emit(HTTP_EVENTS.listening, { ...this.address() });
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Stops without cutting off a request: `draining` is true at once, connections are accepted for
+   * `noticeMs` more while the balancer looks away, then no longer; resolves when every request that
+   * arrived has its whole answer and every connection is closed.
+   */
+  async drain(noticeMs: Milliseconds): Promise<void> {
+    this.#draining = true;
+    const requests = this.#connections.unanswered();
+    this.#options.events.emit(HTTP_EVENTS.draining, { requests, noticeMs });
+    await this.#options.clock.sleep(noticeMs);
+    const closed = this.#stopAccepting();
+    this.#connections.closeResting();
+    await closed;
+    this.#server.close();
+    this.#options.events.emit(HTTP_EVENTS.drained);
+  }
+
+  /** Stops at once and breaks every connection. */
+  async close(): Promise<void> {
+    this.#draining = true;
+    const closed = this.#stopAccepting();
+    this.#connections.destroyAll();
+    await closed;
+    this.#server.close();
+  }
+
+  #stopAccepting(): Promise<void> {
+    return new Promise((resolve) => {
+      // Node's own close of an HTTP server ends its timeouts of slow senders and can cut an answer that isn't flushed.
+      TcpServer.prototype.close.call(this.#server, () => resolve());
+    });
+  }
+
+  #prepare(): void {
+    const server = this.#server;
+    server.maxHeadersCount = 0;
+    server.maxConnections = this.#options.limits.maximumConnections;
+    server.on("connection", (socket) => this.#connections.add(socket));
+    server.on("drop", () => {
+      this.#options.events.emit(HTTP_EVENTS.connectionDropped);
+    });
+    server.on("request", (request, response) => {
+      this.#take(request, response, false);
+    });
+    server.on("checkContinue", (request, response) => {
+      this.#take(request, response, true);
+    });
+    server.on("checkExpectation", (request, response) => {
+      this.#take(request, response, false);
+    });
+    server.on("connect", (_request: IncomingMessage, socket: Duplex) => {
+      refuseRaw(socket, fail("method_not_allowed", "CONNECT is not offered"));
+    });
+    server.on("clientError", (error: ClientError, socket: Duplex) => {
+      this.#refuseConnection(error, socket);
+    });
+  }
+
+  #refuseConnection(error: ClientError, socket: Duplex): void {
+    const failure = clientFailure(error);
+    const answering = this.#connections.isAnswering(socket as Socket);
+    if (failure === undefined || answering) {
+      socket.destroy();
+      return;
+    }
+    this.#options.events.emit(HTTP_EVENTS.requestRefused, {
+      kind: failure.kind,
+    });
+    this.#count(UNMATCHED_ROUTE, failureAnswer(failure).status);
+    refuseRaw(socket, failure);
+  }
+
+  async #take(
+    request: IncomingMessage,
+    response: ServerResponse,
+    mayContinue: boolean,
+  ): Promise<void> {
+    const startedAtMs = this.#options.clock.nowMs();
+    const exchange = { request, response, mayContinue, startedAtMs };
+    response.on("error", () => response.destroy());
+    request.on("error", () => request.destroy());
+    try {
+      await this.#connections.inTurn(
+        request.socket,
+        () => this.#serve(exchange),
+      );
+    } catch (error) {
+      this.#internal(UNMATCHED_ROUTE, error);
+      response.destroy();
+    }
+  }
+
+  async #serve(exchange: Exchange): Promise<void> {
+    const found = this.#find(exchange.request);
+    const route = found.ok ? found.val.route.name : UNMATCHED_ROUTE;
+    const answer = found.ok
+      ? await this.#answer(exchange, found.val)
+      : found.val;
+    await this.#write(exchange, answer);
+    this.#count(route, answer.status);
+    this.#latency.observe(
+      { route },
+      (this.#options.clock.nowMs() - exchange.startedAtMs) / SECOND_MS,
+    );
+  }
+
+  #find(request: IncomingMessage): Result<FoundRoute, HttpAnswer> {
+    const checked = checkRequest(request);
+    if (checked.err) return Err(failureAnswer(checked.val));
+    const found = this.#currentTable().find({
+      method: request.method ?? "GET",
+      path: checked.val.path,
+    });
+    if (found.ok) return Ok({ ...checked.val, ...found.val });
+    const answer = failureAnswer(found.val.failure);
+    if (found.val.allow.length === 0) return Err(answer);
+    const headers = { ...answer.headers, Allow: found.val.allow.join(", ") };
+    return Err({ ...answer, headers });
+  }
+
+  #currentTable(): RouteTable {
+    const routes = this.#options.routes();
+    if (routes !== this.#routes) {
+      this.#routes = routes;
+      this.#table = new RouteTable(routes);
+    }
+    return this.#table;
+  }
+
+  async #answer(exchange: Exchange, found: FoundRoute): Promise<HttpAnswer> {
+    const { request, response } = exchange;
+    const maximumBytes = this.#maximumBodyBytes();
+    if (announcesTooMuch(request, maximumBytes)) {
+      return failureAnswer(bodyTooLarge(maximumBytes));
+    }
+    if (exchange.mayContinue) response.writeContinue();
+    const body = await readBody(request, maximumBytes);
+    if (body.err) return failureAnswer(body.val);
+    return this.#handle(exchange, found, body.val);
+  }
+
+  #maximumBodyBytes(): Bytes {
+    const own = this.#options.limits.maximumBodyBytes;
+    return Math.min(own, this.#options.bodyLimit?.() ?? own);
+  }
+
+  async #handle(
+    exchange: Exchange,
+    found: FoundRoute,
+    body: Uint8Array,
+  ): Promise<HttpAnswer> {
+    const gone = new AbortController();
+    const { request, response } = exchange;
+    response.once("close", () => {
+      if (!response.writableFinished) gone.abort();
+    });
+    const call = buildCall(request, { found, body, signal: gone.signal });
+    try {
+      const answer = await found.route.handle(call);
+      return "kind" in answer ? failureAnswer(answer) : answer;
+    } catch (error) {
+      return failureAnswer(this.#internal(found.route.name, error));
+    }
+  }
+
+  #internal(route: string, error: unknown): Failure {
+    const request = this.#options.random.identifier();
+    const stack = error instanceof Error ? error.stack : String(error);
+    this.#options.events.emit(HTTP_EVENTS.handlerFailed, {
+      route,
+      request,
+      stack,
+    });
+    return fail("internal", `the handler failed; request ${request}`, {
+      detail: request,
+    });
+  }
+
+  async #write(exchange: Exchange, answer: HttpAnswer): Promise<void> {
+    const { request, response } = exchange;
+    this.#connections.startAnswer(request.socket);
+    const leftover = !request.complete;
+    const closeAfter = leftover ||
+      (this.#draining && this.#connections.isLast(request.socket));
+    const outcome = await writeAnswer(response, answer, {
+      clock: this.#options.clock,
+      sendStallMs: this.#options.limits.sendStallMs,
+      closeAfter,
+      ...(leftover ? { beforeEnd: () => this.#linger(request) } : {}),
+    });
+    this.#report(outcome);
+  }
+
+  #linger(request: IncomingMessage): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        timer.cancel();
+        resolve();
+      };
+      const timer = this.#options.clock.after(
+        this.#options.limits.lingerMs,
+        finish,
+      );
+      request.once("end", finish);
+      request.once("close", finish);
+      request.resume();
+    });
+  }
+
+  #report(outcome: WriteOutcome): void {
+    if (outcome.kind === "stalled") {
+      this.#options.events.emit(HTTP_EVENTS.readerStalled);
+    }
+    if (outcome.kind !== "broken") return;
+    const error = outcome.error;
+    const reason = error instanceof Error ? error.message : String(error);
+    this.#options.events.emit(HTTP_EVENTS.answerBroken, { reason });
+  }
+
+  #count(route: string, status: number): void {
+    this.#answers.inc({ route, status: String(status) });
+  }
+}
+
+function nodeOptions(limits: HttpLimits) {
+  const headersTimeout = Math.min(
+    limits.headersTimeoutMs,
+    limits.requestTimeoutMs,
+  );
+  return {
+    maxHeaderSize: limits.maximumHeaderBytes,
+    headersTimeout,
+    requestTimeout: limits.requestTimeoutMs,
+    keepAliveTimeout: limits.keepAliveMs,
+    connectionsCheckingInterval: Math.ceil(
+      headersTimeout / TIMEOUT_CHECKS_PER_TIMEOUT,
+    ),
+    noDelay: true,
+    requireHostHeader: false,
+  };
+}
+
+function buildCall(
+  request: IncomingMessage,
+  parts: {
+    readonly found: FoundRoute;
+    readonly body: Uint8Array;
+    readonly signal: AbortSignal;
+  },
+): HttpCall {
+  const { path, query, headers, parameters } = parts.found;
+  return {
+    method: request.method ?? "GET",
+    path,
+    parameters,
+    query,
+    headers,
+    body: parts.body,
+    signal: parts.signal,
+  };
+}
--- /dev/null
+++ b/programs/http_server_test.ts
@@ -0,0 +1,258 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { fail, type HttpRoute, jsonAnswer } from "#core";
+import {
+  ECHO_ROUTE,
+  exchange,
+  parseAnswer,
+  RawClient,
+  withServer,
+} from "./http_testing.ts";
+
+function route(
+  pattern: string,
+  handle: HttpRoute["handle"],
+): HttpRoute {
+  return { method: "GET", pattern, name: pattern, handle };
+}
+
+test("a route gets method, decoded parameters, query and the whole body", async () => {
+  await withServer({}, async ({ address }) => {
+    const raw = await exchange(
+      address,
+      "PUT /echo/a%20b?x=1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" +
+        "Content-Length: 4\r\n\r\nbody",
+    );
+    assert.deepEqual(parseAnswer(raw), {
+      status: 200,
+      body: { method: "PUT", name: "a b", query: "x=1", body: "body" },
+    });
+  });
+});
+
+test("a failure becomes status, kind, hint, Cicadafield-Ran and whole seconds of Retry-After", async () => {
+  const refusing = route("/x", () =>
+    Promise.resolve(
+      fail("too_many_requests", "queue full", {
+        retryAfterMs: 1_200,
+        field: "class",
+      }),
+    ));
+  await withServer({ routes: [refusing] }, async ({ address }) => {
+    const raw = await exchange(
+      address,
+      "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    assert.match(raw, /\r\nCicadafield-Ran: no\r\n/);
+    assert.match(raw, /\r\nRetry-After: 2\r\n/);
+    assert.deepEqual(parseAnswer(raw), {
+      status: 429,
+      body: {
+        kind: "too_many_requests",
+        message: "queue full",
+        hint: "Come back after the time given.",
+        ran: "no",
+        field: "class",
+      },
+    });
+  });
+});
+
+test("an unknown path is 404, and a known one with another method 405 with Allow", async () => {
+  const routes = [
+    route("/v1/status", () => Promise.resolve(jsonAnswer(200, {}))),
+  ];
+  await withServer({ routes }, async ({ address }) => {
+    const unknown = parseAnswer(
+      await exchange(
+        address,
+        "GET /v2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      ),
+    );
+    assert.equal(unknown.status, 404);
+    assert.equal(unknown.body.kind, "unknown_route");
+    const raw = await exchange(
+      address,
+      "PUT /v1/status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    assert.match(raw, /\r\nAllow: GET\r\n/);
+    assert.equal(parseAnswer(raw).status, 405);
+    assert.equal(parseAnswer(raw).body.kind, "method_not_allowed");
+  });
+});
+
+test("the rest of a path is handed on as it was sent", async () => {
+  const rest = route(
+    "/services/:service/*path",
+    (call) => Promise.resolve(jsonAnswer(200, call.parameters)),
+  );
+  await withServer({ routes: [rest] }, async ({ address }) => {
+    const raw = await exchange(
+      address,
+      "GET /services/job%2Fcards/a%2Fb/c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    assert.deepEqual(parseAnswer(raw).body, {
+      service: "job/cards",
+      path: "a%2Fb/c",
+    });
+  });
+});
+
+test("a handler that throws gives 500 with an identifier that is in the log, and the server goes on", async () => {
+  const broken = route("/broken", () => Promise.reject(new Error("a fault")));
+  const routes = [broken, ECHO_ROUTE];
+  await withServer({ routes }, async ({ address, events }) => {
+    const raw = await exchange(
+      address,
+      "GET /broken HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    const { status, body } = parseAnswer(raw);
+    assert.equal(status, 500);
+    assert.equal(body.ran, "unknown");
+    const logged = events.records().find((each) => each.event.code === 1804);
+    assert.equal(logged?.fields.request, body.detail);
+    assert.match(String(logged?.fields.stack), /a fault/);
+    const next = await exchange(
+      address,
+      "GET /echo/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    assert.equal(parseAnswer(next).status, 200);
+  });
+});
+
+test("a streamed body ends with the closing chunk when whole, and without it when its source throws", async () => {
+  async function* source(breaks: boolean): AsyncGenerator<string> {
+    yield "one";
+    await Promise.resolve();
+    if (breaks) throw new Error("the upstream broke off");
+    yield "two";
+  }
+  const streamed = route("/stream/:breaks", (call) =>
+    Promise.resolve({
+      status: 200,
+      headers: {},
+      body: source(call.parameters.breaks === "yes"),
+    }));
+  await withServer({ routes: [streamed] }, async ({ address, events }) => {
+    const whole = await exchange(
+      address,
+      "GET /stream/no HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    assert.match(whole, /3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n$/);
+    const broken = await exchange(
+      address,
+      "GET /stream/yes HTTP/1.1\r\nHost: h\r\n\r\n",
+    );
+    assert.doesNotMatch(broken, /\r\n0\r\n\r\n$/);
+    assert.equal(
+      events.records().some((each) => each.event.code === 1805),
+      true,
+    );
+  });
+});
+
+test("a caller that reads slowly holds the source of a streamed answer back", async () => {
+  const chunk = "x".repeat(64 * 1_024);
+  const total = 400;
+  let made = 0;
+  let atPause = 0;
+  async function* source(): AsyncGenerator<string> {
+    while (made < total) {
+      made += 1;
+      yield chunk;
+      await Promise.resolve();
+    }
+  }
+  const streamed = route(
+    "/stream",
+    () => Promise.resolve({ status: 200, headers: {}, body: source() }),
+  );
+  await withServer({ routes: [streamed] }, async ({ address }) => {
+    const client = new RawClient(address);
+    client.send("GET /stream HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    await client.until(/xx/);
+    client.socket.pause();
+    let before = -1;
+    while (before !== made) {
+      before = made;
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+    atPause = made;
+    assert.ok(atPause < total, "the source ran ahead of the caller");
+    client.socket.resume();
+    const raw = await client.untilClosed();
+    assert.ok(raw.length >= total * chunk.length);
+  });
+});
+
+test("a handler's signal is aborted when the caller goes away, and not after a whole answer", async () => {
+  const signals: AbortSignal[] = [];
+  let entered = (): void => {};
+  const waiting = new Promise<void>((resolve) => {
+    entered = resolve;
+  });
+  const hang = route("/hang", (call) => {
+    signals.push(call.signal);
+    entered();
+    return new Promise((resolve) => {
+      call.signal.addEventListener(
+        "abort",
+        () => resolve(fail("cancelled", "gone")),
+      );
+    });
+  });
+  const quick = route("/quick", (call) => {
+    signals.push(call.signal);
+    return Promise.resolve(jsonAnswer(200, {}));
+  });
+  await withServer({ routes: [quick, hang] }, async ({ address }) => {
+    await exchange(
+      address,
+      "GET /quick HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    const client = new RawClient(address);
+    client.send("GET /hang HTTP/1.1\r\nHost: h\r\n\r\n");
+    await waiting;
+    const signal = signals[1];
+    assert.ok(signal !== undefined && !signal.aborted);
+    const aborted = new Promise((resolve) =>
+      signal.addEventListener("abort", resolve)
+    );
+    client.socket.destroy();
+    await aborted;
+    assert.equal(signals[0]?.aborted, false);
+  });
+});
+
+test("requests sent ahead on one connection are handled one after the other, in order", async () => {
+  const order: string[] = [];
+  const slow = route("/slow/:name", async (call) => {
+    order.push(`start ${call.parameters.name}`);
+    await new Promise((resolve) => setImmediate(resolve));
+    order.push(`end ${call.parameters.name}`);
+    return jsonAnswer(200, { name: call.parameters.name });
+  });
+  await withServer({ routes: [slow] }, async ({ address }) => {
+    await exchange(
+      address,
+      "GET /slow/a HTTP/1.1\r\nHost: h\r\n\r\n" +
+        "GET /slow/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    assert.deepEqual(order, ["start a", "end a", "start b", "end b"]);
+  });
+});
+
+test("each route has a histogram of its latency and a count by status", async () => {
+  await withServer({}, async ({ address, metrics }) => {
+    await exchange(
+      address,
+      "GET /echo/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    const text = await metrics.render();
+    assert.match(text, /cicadafield_http_seconds_count\{route="echo"\} 1/);
+    assert.match(
+      text,
+      /cicadafield_http_answers_total\{route="echo",status="200"\} 1/,
+    );
+  });
+});
--- /dev/null
+++ b/programs/request_body.ts
@@ -0,0 +1,65 @@
+/**
+ * Reads the body of a request whole, within a limit.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import { type Bytes, Err, fail, type Failure, Ok, type Result } from "#core";
+
+/** Tells whether the announced length is over the limit, before any byte is read. */
+export function announcesTooMuch(
+  request: IncomingMessage,
+  maximumBytes: Bytes,
+): boolean {
+  const announced = Number(request.headers["content-length"] ?? 0);
+  return announced > maximumBytes;
+}
+
+/** The failure for a body over the limit. */
+export function bodyTooLarge(maximumBytes: Bytes): Failure {
+  return fail(
+    "body_too_large",
+    `the body is over the limit of ${maximumBytes} bytes`,
+    { field: "body" },
+  );
+}
+
+/**
+ * Reads a body; fails with `body_too_large` as soon as the limit is passed, and with `cancelled` if
+ * the caller goes away first.
+ *
+ * @example
+ * ```ts
+ * const body = await readBody(request, 1_048_576);
+ * ```
+ */
+export function readBody(
+  request: IncomingMessage,
+  maximumBytes: Bytes,
+): Promise<Result<Uint8Array, Failure>> {
+  return new Promise((resolve) => {
+    const chunks: Uint8Array[] = [];
+    let received = 0;
+    const finish = (result: Result<Uint8Array, Failure>): void => {
+      request.removeAllListeners("data");
+      resolve(result);
+    };
+    request.on("data", (chunk: Uint8Array) => {
+      received += chunk.length;
+      if (received > maximumBytes) {
+        finish(Err(bodyTooLarge(maximumBytes)));
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.once("end", () => finish(Ok(Buffer.concat(chunks))));
+    request.once("error", () => finish(Err(goneAway())));
+    request.once("close", () => finish(Err(goneAway())));
+  });
+}
+
+function goneAway(): Failure {
+  return fail("cancelled", "the caller went away before its body was whole", {
+    ran: "no",
+  });
+}
--- /dev/null
+++ b/programs/request_check.ts
@@ -0,0 +1,69 @@
+/**
+ * Checks a request before any route sees it.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import { Err, fail, type Failure, Ok, type Result } from "#core";
+
+const SINGLE_HEADERS: ReadonlySet<string> = new Set([
+  "content-type",
+  "host",
+  "idempotency-key",
+]);
+const OWN_PREFIX = "cicadafield-";
+
+/** The parts of a checked request. */
+export interface CheckedRequest {
+  /** Path as sent, without the query. */
+  readonly path: string;
+  readonly query: URLSearchParams;
+  /** Lower-case names. */
+  readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Takes the target and the headers apart; fails with `malformed_request`, `missing_header` or `conflicting_headers`. */
+export function checkRequest(
+  request: IncomingMessage,
+): Result<CheckedRequest, Failure> {
+  const target = request.url ?? "";
+  if (!target.startsWith("/")) {
+    const message = `the request target ${target} does not start with a slash`;
+    return Err(fail("malformed_request", message, { field: "path" }));
+  }
+  if (request.headers.host === undefined && request.httpVersion === "1.1") {
+    const message = "HTTP/1.1 asks for a Host header";
+    return Err(fail("missing_header", message, { field: "host" }));
+  }
+  const repeated = repeatedHeader(request.rawHeaders);
+  if (repeated !== undefined) {
+    const message = `the header ${repeated} is given more than once`;
+    return Err(fail("conflicting_headers", message, { field: repeated }));
+  }
+  const mark = target.indexOf("?");
+  const path = mark < 0 ? target : target.slice(0, mark);
+  const query = new URLSearchParams(mark < 0 ? "" : target.slice(mark + 1));
+  return Ok({ path, query, headers: flatHeaders(request) });
+}
+
+function repeatedHeader(rawHeaders: readonly string[]): string | undefined {
+  const seen = new Set<string>();
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = (rawHeaders[index] ?? "").toLowerCase();
+    if (!SINGLE_HEADERS.has(name) && !name.startsWith(OWN_PREFIX)) continue;
+    if (seen.has(name)) return name;
+    seen.add(name);
+  }
+  return undefined;
+}
+
+function flatHeaders(
+  request: IncomingMessage,
+): Readonly<Record<string, string>> {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(request.headers)) {
+    if (value === undefined) continue;
+    headers[name] = typeof value === "string" ? value : value.join(", ");
+  }
+  return headers;
+}
--- /dev/null
+++ b/programs/start_fault.ts
@@ -0,0 +1,58 @@
+/**
+ * Explains why a program could not start.
+ *
+ * @module
+ */
+
+interface SystemError extends Error {
+  readonly code?: string;
+  readonly address?: string;
+  readonly port?: number;
+  readonly path?: string;
+}
+
+/**
+ * Gives one line for the operator: what was tried, what was wrong and what to do.
+ *
+ * @example
+ * ```ts
+ * try {
+ *   await server.listen();
+ * } catch (error) {
+ *   console.error(startFaultText("cicadafield-entry", error));
+ *   process.exitCode = EXIT_CODES.failure;
+ * }
+ * ```
+ */
+export function startFaultText(program: string, error: unknown): string {
+  return `${program}: ${reason(error)}`;
+}
+
+function reason(error: unknown): string {
+  if (!(error instanceof Error)) return String(error);
+  const fault = error as SystemError;
+  const address = `${fault.address ?? "the address"}:${fault.port ?? "?"}`;
+  const path = fault.path ?? "the data folder";
+  switch (fault.code) {
+    case "EADDRINUSE":
+      return `${address} is in use; stop the program that listens there or choose another port`;
+    case "EADDRNOTAVAIL":
+      return `${address} is no address of this VM; choose one that is`;
+    case "EACCES":
+    case "EPERM":
+    case "EROFS":
+      if (fault.port !== undefined) {
+        return `${address} may not be listened on; choose a port above 1023`;
+      }
+      return `${path} can't be written; give this user the right to, or choose another data folder`;
+    case "ENOTDIR":
+    case "EEXIST":
+      return `${path} is no folder; choose another data folder`;
+    case "ENOENT":
+      return `${path} does not exist; create it or choose another`;
+    case "ENOSPC":
+      return `the disk of ${path} is full; make room and start again`;
+    default:
+      return fault.message;
+  }
+}
