Replicate the log among a group of replicas: elections, lease, one sync a batch

Change: QuorumLog drives a pure replica (trial votes, votes, entries, a lease that a majority renews, formation by an explicit first start) over a data folder with checksummed records; a replica is its data folder, by an identity drawn when the folder is created. Ruled out: one config entry that swaps a seat under the old majority alone (majorities of the old and new lists need not meet); a change of voters is decided by majorities of both lists until it is known to be committed.

--- /dev/null
+++ b/agreement/election.ts
@@ -0,0 +1,145 @@
+/**
+ * Elections: trial votes first, so that a replica that was cut off doesn't disturb a leader that the
+ * others hear; then votes that count.
+ *
+ * @module
+ */
+import type { Milliseconds } from "#core";
+import type { MessageOf } from "./messages.ts";
+import type { ReplicaState } from "./replica_state.ts";
+
+/** Asks for and gives votes. */
+export class Elector {
+  readonly #state: ReplicaState;
+  #trial = true;
+  #round = 0;
+  #granted = new Set<string>();
+
+  constructor(state: ReplicaState) {
+    this.#state = state;
+  }
+
+  /** Tries to lead when no leader was heard for long enough. Returns whether this replica has won. */
+  tick(nowMs: Milliseconds): boolean {
+    const state = this.#state;
+    if (state.role === "leader" || nowMs < state.electionDueMs) return false;
+    state.delayElection(nowMs);
+    if (!state.isVoter()) return false;
+    state.role = "candidate";
+    state.leader = null;
+    return this.#campaign({ trial: true, handover: false });
+  }
+
+  /** Tries to lead at once because the leader asked for it. */
+  takeHandover(message: MessageOf<"handover">, nowMs: Milliseconds): boolean {
+    const state = this.#state;
+    if (message.term !== state.term || state.role !== "follower") return false;
+    state.delayElection(nowMs);
+    if (!state.isVoter()) return false;
+    return this.#startVote(true);
+  }
+
+  /** Answers a request for a vote. */
+  takeVote(vm: string, message: MessageOf<"vote">, nowMs: Milliseconds): void {
+    const state = this.#state;
+    if (!message.handover && this.#holdsToLeader(nowMs)) return;
+    if (!message.trial && message.term > state.term) {
+      state.follow(message.term, null);
+    }
+    const granted = this.#mayGrant(message);
+    if (granted && !message.trial) {
+      if (state.votedFor === null) state.setHard({ votedFor: message.from });
+      state.delayElection(nowMs);
+    }
+    const committedIndex = state.committedIndex;
+    const reply = state.message("voteReply", {
+      to: message.from,
+      group: message.group,
+      trial: message.trial,
+      round: message.term,
+      granted,
+      committedIndex,
+      committedTerm: state.log.termAt(committedIndex) ?? 0,
+    });
+    state.sendOnceDurable(vm, reply);
+  }
+
+  /** Counts a vote. Returns whether this replica has won. */
+  takeReply(message: MessageOf<"voteReply">): boolean {
+    const state = this.#state;
+    this.#learnCommitted(message);
+    if (state.role !== "candidate") return false;
+    if (message.round !== this.#round || message.trial !== this.#trial) {
+      return false;
+    }
+    if (message.term > this.#round) {
+      state.follow(message.term, null);
+      return false;
+    }
+    if (!message.granted) return false;
+    this.#granted.add(message.from);
+    return this.#count();
+  }
+
+  #holdsToLeader(nowMs: Milliseconds): boolean {
+    const state = this.#state;
+    if (state.role === "leader") return true;
+    return nowMs < state.leaderHeardMs + state.timing.electionMinimumMs;
+  }
+
+  #mayGrant(message: MessageOf<"vote">): boolean {
+    const state = this.#state;
+    if (message.lastTerm < state.log.lastTerm) return false;
+    if (
+      message.lastTerm === state.log.lastTerm &&
+      message.lastIndex < state.log.lastIndex
+    ) return false;
+    if (message.trial) return message.term > state.term;
+    if (message.term !== state.term) return false;
+    return state.votedFor === null || state.votedFor === message.from;
+  }
+
+  #campaign(
+    options: { readonly trial: boolean; readonly handover: boolean },
+  ): boolean {
+    const state = this.#state;
+    this.#trial = options.trial;
+    this.#round = options.trial ? state.term + 1 : state.term;
+    this.#granted = new Set([state.identity]);
+    for (const seat of state.rules().seats()) {
+      if (seat.replica === state.identity) continue;
+      const request = state.message("vote", {
+        to: seat.replica,
+        term: this.#round,
+        trial: options.trial,
+        handover: options.handover,
+        lastIndex: state.log.lastIndex,
+        lastTerm: state.log.lastTerm,
+      });
+      state.sendOnceDurable(seat.vm, request);
+    }
+    return this.#count();
+  }
+
+  #startVote(handover: boolean): boolean {
+    const state = this.#state;
+    state.setHard({ term: state.term + 1, votedFor: state.identity });
+    state.role = "candidate";
+    state.leader = null;
+    return this.#campaign({ trial: false, handover });
+  }
+
+  #count(): boolean {
+    if (!this.#state.rules().reached(this.#granted)) return false;
+    return this.#trial ? this.#startVote(false) : true;
+  }
+
+  /** A voter that knows more to be committed shares it: the lists of voters can depend on it. */
+  #learnCommitted(message: MessageOf<"voteReply">): void {
+    const state = this.#state;
+    const { committedIndex, committedTerm } = message;
+    if (committedIndex <= state.committedIndex) return;
+    if (state.log.termAt(committedIndex) !== committedTerm) return;
+    state.commit(committedIndex);
+  }
+}
--- /dev/null
+++ b/agreement/file_folder.ts
@@ -0,0 +1,157 @@
+/**
+ * A data folder on a disk.
+ *
+ * @module
+ */
+import {
+  type FileHandle,
+  mkdir,
+  open,
+  readdir,
+  rename,
+} from "node:fs/promises";
+import { rm, stat } from "node:fs/promises";
+import { createServer, type Server } from "node:net";
+import { join } from "node:path";
+import { type Bytes, fail } from "#core";
+import { DataFolder, StorageFault } from "./data_folder.ts";
+
+const TEMPORARY_SUFFIX = ".new";
+
+/**
+ * Files in one folder of a local disk. The lock is an abstract socket named after the folder's device
+ * and inode: the kernel lets it go when the process ends, however that happens.
+ *
+ * @example
+ * ```ts
+ * const folder = new FileFolder("/var/lib/cicadafield");
+ * ```
+ */
+export class FileFolder extends DataFolder {
+  readonly #path: string;
+  #lock: Server | undefined;
+  #appending: { readonly name: string; readonly file: FileHandle } | undefined;
+
+  constructor(path: string) {
+    super();
+    this.#path = path;
+  }
+
+  override async lock(): Promise<void> {
+    await mkdir(this.#path, { recursive: true });
+    const { dev, ino } = await stat(this.#path);
+    const server = createServer((socket) => socket.destroy());
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", () => {
+        const message = `another process uses the data folder ${this.#path}`;
+        reject(new StorageFault(fail("storage_failed", message)));
+      });
+      server.listen(`\0cicadafield-${dev}-${ino}`, resolve);
+    });
+    server.unref();
+    this.#lock = server;
+  }
+
+  override async close(): Promise<void> {
+    await this.#closeAppending();
+    const lock = this.#lock;
+    this.#lock = undefined;
+    if (lock === undefined) return;
+    await new Promise((resolve) => lock.close(resolve));
+  }
+
+  override async list(): Promise<readonly string[]> {
+    const names = await readdir(this.#path);
+    for (
+      const name of names.filter((each) => each.endsWith(TEMPORARY_SUFFIX))
+    ) {
+      await rm(join(this.#path, name), { force: true });
+    }
+    return names.filter((each) => !each.endsWith(TEMPORARY_SUFFIX));
+  }
+
+  override async read(name: string): Promise<Uint8Array> {
+    const { size } = await stat(join(this.#path, name));
+    return this.readPart(name, { offset: 0, length: size });
+  }
+
+  override async readPart(
+    name: string,
+    part: { readonly offset: Bytes; readonly length: Bytes },
+  ): Promise<Uint8Array> {
+    const file = await open(join(this.#path, name), "r");
+    try {
+      const buffer = new Uint8Array(part.length);
+      const { bytesRead } = await file.read(
+        buffer,
+        0,
+        part.length,
+        part.offset,
+      );
+      return buffer.subarray(0, bytesRead);
+    } finally {
+      await file.close();
+    }
+  }
+
+  override async replace(name: string, bytes: Uint8Array): Promise<void> {
+    await this.#closeAppending();
+    const target = join(this.#path, name);
+    const file = await open(target + TEMPORARY_SUFFIX, "w");
+    try {
+      await file.writeFile(bytes);
+      await file.sync();
+    } finally {
+      await file.close();
+    }
+    await rename(target + TEMPORARY_SUFFIX, target);
+    await this.#syncFolder();
+  }
+
+  override async append(name: string, bytes: Uint8Array): Promise<void> {
+    const file = await this.#open(name);
+    await file.writeFile(bytes);
+    await file.datasync();
+  }
+
+  override async truncate(name: string, length: Bytes): Promise<void> {
+    await this.#closeAppending();
+    const file = await open(join(this.#path, name), "r+");
+    try {
+      await file.truncate(length);
+      await file.sync();
+    } finally {
+      await file.close();
+    }
+  }
+
+  override async remove(name: string): Promise<void> {
+    await this.#closeAppending();
+    await rm(join(this.#path, name), { force: true });
+    await this.#syncFolder();
+  }
+
+  async #open(name: string): Promise<FileHandle> {
+    if (this.#appending?.name === name) return this.#appending.file;
+    await this.#closeAppending();
+    const file = await open(join(this.#path, name), "a");
+    this.#appending = { name, file };
+    await this.#syncFolder();
+    return file;
+  }
+
+  async #closeAppending(): Promise<void> {
+    const appending = this.#appending;
+    this.#appending = undefined;
+    await appending?.file.close();
+  }
+
+  async #syncFolder(): Promise<void> {
+    const folder = await open(this.#path, "r");
+    try {
+      await folder.sync();
+    } finally {
+      await folder.close();
+    }
+  }
+}
--- /dev/null
+++ b/agreement/formation.ts
@@ -0,0 +1,81 @@
+/**
+ * The explicit first start: the first of the named VMs collects the identities of all replicas, then
+ * writes them as the first entry. No group is formed while one of them already belongs to one.
+ *
+ * @module
+ */
+import type { Milliseconds } from "#core";
+import { encodeSeats, type Seat } from "./entries.ts";
+import type { MessageOf } from "./messages.ts";
+import type { ReplicaState } from "./replica_state.ts";
+
+const FIRST_TERM = 1;
+const FIRST_INDEX = 1;
+const GROUP_IDENTIFIER_LENGTH = 16;
+
+/** Forms a group among replicas without one. */
+export class Formation {
+  readonly #state: ReplicaState;
+  readonly #voters: readonly string[];
+  readonly #replicas = new Map<string, string>();
+  #abandoned = false;
+
+  constructor(state: ReplicaState, voters: readonly string[]) {
+    this.#state = state;
+    this.#voters = [...voters].sort();
+  }
+
+  /** Whether this replica collects the identities. */
+  coordinates(): boolean {
+    if (this.#abandoned || this.#state.group !== null) return false;
+    return this.#voters[0] === this.#state.vm;
+  }
+
+  /** Asks the other voters who they are. */
+  ask(): void {
+    if (!this.coordinates()) return;
+    for (const vm of this.#voters) {
+      if (vm === this.#state.vm) continue;
+      const hello = this.#state.message("hello", { to: null, formed: false });
+      this.#state.send(vm, hello);
+    }
+  }
+
+  /** Takes an answer that was meant for this identity. */
+  takeAnswer(vm: string, message: MessageOf<"hello">): void {
+    if (!this.coordinates() || message.to !== this.#state.identity) return;
+    if (message.formed) {
+      this.#abandoned = true;
+      return;
+    }
+    if (this.#voters.includes(vm)) this.#replicas.set(vm, message.from);
+  }
+
+  /** Writes the first entry once all voters are known; returns whether it did. */
+  tryForm(instant: {
+    readonly nowMs: Milliseconds;
+    readonly wallMs: Milliseconds;
+  }): boolean {
+    if (!this.coordinates()) return false;
+    const state = this.#state;
+    this.#replicas.set(state.vm, state.identity);
+    const seats: Seat[] = [];
+    for (const vm of this.#voters) {
+      const replica = this.#replicas.get(vm);
+      if (replica === undefined) return false;
+      seats.push({ replica, vm });
+    }
+    const group = state.random.identifier().slice(0, GROUP_IDENTIFIER_LENGTH);
+    state.setHard({ group, term: FIRST_TERM });
+    state.append([{
+      index: FIRST_INDEX,
+      term: FIRST_TERM,
+      atMs: instant.wallMs,
+      kind: "seats",
+      body: encodeSeats({ before: [], after: seats }),
+    }]);
+    state.role = "follower";
+    state.electionDueMs = instant.nowMs;
+    return true;
+  }
+}
--- /dev/null
+++ b/agreement/leadership.ts
@@ -0,0 +1,241 @@
+/**
+ * What a replica does while it leads: it sends entries, counts acknowledgements, and holds a lease as
+ * long as a majority answers.
+ *
+ * @module
+ */
+import { type Bytes, MEBIBYTE, type Milliseconds } from "#core";
+import type { EntryKind, EntryPosition, Seat } from "./entries.ts";
+import { type MessageOf, packEntry } from "./messages.ts";
+import type { ReplicaState } from "./replica_state.ts";
+
+const MAXIMUM_APPEND_BYTES: Bytes = MEBIBYTE;
+const MAXIMUM_UNACKNOWLEDGED_ENTRIES = 8_192;
+
+/** Both clocks of the leader. */
+export interface Instant {
+  readonly nowMs: Milliseconds;
+  readonly wallMs: Milliseconds;
+}
+
+/** What the leader knows of another replica. */
+export interface Progress {
+  readonly seat: Seat;
+  /** Next entry to send. */
+  next: number;
+  /** Last entry that is on its disk. */
+  match: number;
+  /** Commit index that it has on its disk or in memory. */
+  committedIndex: number;
+  /** When the newest message that it answered was sent. */
+  contactMs: Milliseconds;
+  /** Last entry that it had at the last heartbeat, to find lost messages. */
+  matchAtHeartbeat: number;
+}
+
+/** A replica for which the log no longer reaches back far enough. */
+export type SnapshotNeeded = (progress: Progress) => void;
+
+/** Leads one term. */
+export class Leadership {
+  readonly #state: ReplicaState;
+  readonly #snapshotNeeded: SnapshotNeeded;
+  readonly #progress = new Map<string, Progress>();
+  readonly #barrierIndex: number;
+  #heartbeatDueMs: Milliseconds;
+  #quorumSeenMs: Milliseconds;
+  #lastAtMs: Milliseconds;
+
+  constructor(
+    state: ReplicaState,
+    options: {
+      readonly instant: Instant;
+      readonly lastAtMs: Milliseconds;
+      readonly snapshotNeeded: SnapshotNeeded;
+    },
+  ) {
+    this.#state = state;
+    this.#snapshotNeeded = options.snapshotNeeded;
+    this.#lastAtMs = options.lastAtMs;
+    this.#quorumSeenMs = options.instant.nowMs;
+    this.#heartbeatDueMs = options.instant.nowMs;
+    state.role = "leader";
+    state.leader = { replica: state.identity, vm: state.vm };
+    const { index } = this.add("barrier", new Uint8Array(0), options.instant);
+    this.#barrierIndex = index;
+  }
+
+  /** When `tick` has to be called next. */
+  get dueMs(): Milliseconds {
+    return this.#heartbeatDueMs;
+  }
+
+  /** Whether an entry of this term is committed, so that the state holds all that ever was. */
+  get established(): boolean {
+    return this.#state.committedIndex >= this.#barrierIndex;
+  }
+
+  /** Index of the first entry of this term. */
+  get barrierIndex(): number {
+    return this.#barrierIndex;
+  }
+
+  /** Every replica that gets entries. */
+  progress(): readonly Progress[] {
+    return [...this.#progress.values()];
+  }
+
+  /** What is known of one replica. */
+  progressOf(replica: string): Progress | undefined {
+    return this.#progress.get(replica);
+  }
+
+  /** Adds an entry to the log. */
+  add(kind: EntryKind, body: Uint8Array, instant: Instant): EntryPosition {
+    const state = this.#state;
+    this.#lastAtMs = Math.max(this.#lastAtMs, instant.wallMs);
+    const index = state.log.lastIndex + 1;
+    const term = state.term;
+    state.append([{ index, term, atMs: this.#lastAtMs, kind, body }]);
+    return { index, term };
+  }
+
+  /** Until when no other replica can lead; in the past if that isn't known. */
+  leaseUntilMs(nowMs: Milliseconds): Milliseconds {
+    return this.#quorumContactMs(nowMs) + this.#state.timing.leaseMs;
+  }
+
+  /** Sends heartbeats when they are due; false if the leader has lost its majority. */
+  tick(nowMs: Milliseconds): boolean {
+    const { timing } = this.#state;
+    const contactMs = this.#quorumContactMs(nowMs);
+    this.#quorumSeenMs = Math.max(this.#quorumSeenMs, contactMs);
+    if (nowMs > this.#quorumSeenMs + timing.electionMinimumMs) return false;
+    if (nowMs < this.#heartbeatDueMs) return true;
+    this.#heartbeatDueMs = nowMs + timing.heartbeatMs;
+    this.#followSeats();
+    for (const progress of this.#progress.values()) {
+      if (progress.match === progress.matchAtHeartbeat) {
+        progress.next = progress.match + 1;
+      }
+      progress.matchAtHeartbeat = progress.match;
+      this.#send(progress, nowMs);
+    }
+    return true;
+  }
+
+  /** Sends new entries to those that have the ones before. */
+  replicate(nowMs: Milliseconds): void {
+    this.#followSeats();
+    for (const progress of this.#progress.values()) {
+      if (progress.next <= this.#state.log.lastIndex) {
+        this.#send(progress, nowMs);
+      }
+    }
+  }
+
+  /** Counts an acknowledgement. */
+  takeReply(message: MessageOf<"appendReply">, nowMs: Milliseconds): void {
+    const progress = this.#progress.get(message.from);
+    if (progress === undefined) return;
+    this.heard(progress, message.sentMs);
+    progress.committedIndex = message.committedIndex;
+    if (message.matched) {
+      progress.match = Math.max(progress.match, message.index);
+      progress.next = Math.max(progress.next, progress.match + 1);
+      this.advance();
+    } else {
+      progress.next = Math.max(progress.match, message.index) + 1;
+    }
+    if (progress.next > this.#state.log.lastIndex) return;
+    this.#send(progress, nowMs);
+  }
+
+  /** Takes note of an answer to a message sent at `sentMs`. */
+  heard(progress: Progress, sentMs: Milliseconds): void {
+    progress.contactMs = Math.max(progress.contactMs, sentMs);
+  }
+
+  /** Commits what a majority has on its disks; only entries of this term are counted. */
+  advance(): void {
+    const state = this.#state;
+    const index = state.rules().agreed((replica) =>
+      replica === state.identity
+        ? state.durableIndex
+        : this.#progress.get(replica)?.match ?? 0
+    );
+    if (index <= state.committedIndex) return;
+    if (state.log.termAt(index) !== state.term) return;
+    state.commit(index);
+  }
+
+  /** Starts to send entries to a replica. */
+  follow(seat: Seat): Progress {
+    const known = this.#progress.get(seat.replica);
+    if (known !== undefined) return known;
+    const progress: Progress = {
+      seat,
+      next: this.#state.log.lastIndex + 1,
+      match: 0,
+      committedIndex: 0,
+      contactMs: -Infinity,
+      matchAtHeartbeat: 0,
+    };
+    this.#progress.set(seat.replica, progress);
+    return progress;
+  }
+
+  /** Stops to send entries to a replica. */
+  unfollow(replica: string): void {
+    this.#progress.delete(replica);
+  }
+
+  #followSeats(): void {
+    for (const seat of this.#state.rules().seats()) {
+      if (seat.replica !== this.#state.identity) this.follow(seat);
+    }
+  }
+
+  #quorumContactMs(nowMs: Milliseconds): Milliseconds {
+    const state = this.#state;
+    return state.rules().agreed((replica) =>
+      replica === state.identity
+        ? nowMs
+        : this.#progress.get(replica)?.contactMs ?? -Infinity
+    );
+  }
+
+  #send(progress: Progress, nowMs: Milliseconds): void {
+    const { log } = this.#state;
+    if (progress.next <= log.base.index) {
+      this.#snapshotNeeded(progress);
+      this.#append(progress, { index: log.lastIndex + 1, nowMs });
+      return;
+    }
+    this.#append(progress, { index: progress.next, nowMs });
+  }
+
+  #append(
+    progress: Progress,
+    from: { readonly index: number; readonly nowMs: Milliseconds },
+  ): void {
+    const state = this.#state;
+    const waiting = from.index - progress.match;
+    const entries = waiting > MAXIMUM_UNACKNOWLEDGED_ENTRIES
+      ? []
+      : state.log.from(from.index, MAXIMUM_APPEND_BYTES);
+    const previousIndex = from.index - 1;
+    const message = state.message("append", {
+      to: progress.seat.replica,
+      previousIndex,
+      previousTerm: state.log.termAt(previousIndex) ?? 0,
+      committedIndex: state.committedIndex,
+      sentMs: from.nowMs,
+      entries: entries.map(packEntry),
+    });
+    if (from.index === progress.next) {
+      progress.next = from.index + entries.length;
+    }
+    state.send(progress.seat.vm, message);
+  }
+}
--- a/agreement/mod.ts
+++ b/agreement/mod.ts
@@ -5,3 +5,9 @@
  */
 export * from "./replicated_log.ts";
 export * from "./single_replica_log.ts";
+export * from "./data_folder.ts";
+export * from "./events.ts";
+export * from "./file_folder.ts";
+export * from "./memory_folder.ts";
+export * from "./quorum_log.ts";
+export * from "./timing.ts";
--- /dev/null
+++ b/agreement/replica_state.ts
@@ -0,0 +1,270 @@
+/**
+ * The state that the roles of a replica share: term and vote, log, voters, and what is to be sent and
+ * synced.
+ *
+ * @module
+ */
+import type { Milliseconds, RandomSource } from "#core";
+import type { EntryPosition, LogEntry, Seat } from "./entries.ts";
+import { EntryLog } from "./entry_log.ts";
+import type {
+  DurableBatch,
+  EncodedSnapshot,
+  HardState,
+  RecoveredState,
+} from "./log_storage.ts";
+import type { Message, MessageKind, MessageOf } from "./messages.ts";
+import { NO_SEATS, SeatHistory, SeatRules } from "./seats.ts";
+import type { LogTiming } from "./timing.ts";
+
+/** Role of a replica. */
+export type Role = "leader" | "follower" | "candidate" | "learner";
+
+/** A message and the VM it goes to. */
+export interface Outgoing {
+  readonly vm: string;
+  readonly message: Message;
+}
+
+/** A batch and what it makes durable. */
+export interface TakenBatch {
+  readonly batch: DurableBatch;
+  /** Messages that may leave once the batch is synced. */
+  readonly held: readonly Outgoing[];
+  /** Last entry of the log when the batch was taken. */
+  readonly last: EntryPosition;
+  readonly hardVersion: number;
+}
+
+/** Fields of a message that its sender chooses. */
+export type MessageFields<Kind extends MessageKind> = Omit<
+  MessageOf<Kind>,
+  "kind" | "group" | "from" | "to" | "term"
+>;
+
+/** What the state is built from. */
+export interface ReplicaOptions {
+  readonly vm: string;
+  readonly recovered: RecoveredState;
+  readonly timing: LogTiming;
+  readonly random: RandomSource;
+  readonly nowMs: Milliseconds;
+}
+
+/** State shared by the roles of one replica. */
+export class ReplicaState {
+  readonly vm: string;
+  readonly identity: string;
+  readonly timing: LogTiming;
+  readonly random: RandomSource;
+  readonly log: EntryLog;
+  readonly seats: SeatHistory;
+  /** The newest snapshot on this replica's disk. */
+  snapshot: EncodedSnapshot | null;
+  role: Role = "follower";
+  leader: Seat | null = null;
+  /** When this replica last heard a leader; voters hold to it for a while. */
+  leaderHeardMs: Milliseconds;
+  electionDueMs: Milliseconds;
+  #hard: HardState;
+  #hardVersion = 0;
+  #takenHardVersion = 0;
+  #durableHardVersion = 0;
+  #committedIndex: number;
+  #pendingFrom: number;
+  #durableIndex: number;
+  #ready: Outgoing[] = [];
+  #held: Outgoing[] = [];
+
+  constructor(options: ReplicaOptions) {
+    const { recovered } = options;
+    this.vm = options.vm;
+    this.identity = recovered.identity;
+    this.timing = options.timing;
+    this.random = options.random;
+    this.log = new EntryLog(recovered.base, recovered.entries);
+    const seats = recovered.snapshot?.meta.seats ?? NO_SEATS;
+    const snapshotIndex = recovered.snapshot?.meta.index ?? 0;
+    this.seats = new SeatHistory(
+      seats,
+      recovered.entries.filter((entry) => entry.index > snapshotIndex),
+    );
+    this.snapshot = recovered.encoded;
+    this.#committedIndex = Math.max(
+      snapshotIndex,
+      recovered.hard.committedSeatsIndex,
+    );
+    this.#hard = recovered.hard;
+    this.#durableIndex = this.log.lastIndex;
+    this.#pendingFrom = this.log.lastIndex + 1;
+    this.leaderHeardMs = recovered.fresh ? -Infinity : options.nowMs;
+    this.electionDueMs = options.nowMs;
+    this.delayElection(options.nowMs);
+    this.role = this.isVoter() ? "follower" : "learner";
+  }
+
+  get term(): number {
+    return this.#hard.term;
+  }
+
+  get votedFor(): string | null {
+    return this.#hard.votedFor;
+  }
+
+  get group(): string | null {
+    return this.#hard.group;
+  }
+
+  /** Term, vote and group. */
+  get hard(): HardState {
+    return this.#hard;
+  }
+
+  /** Last index known to be committed. */
+  get committedIndex(): number {
+    return this.#committedIndex;
+  }
+
+  /** Last index of which this disk holds everything. */
+  get durableIndex(): number {
+    return this.#durableIndex;
+  }
+
+  /** The lists of voters that decide now. */
+  rules(): SeatRules {
+    return this.seats.rules(this.committedIndex);
+  }
+
+  /** Whether this replica has a seat. */
+  isVoter(): boolean {
+    return this.rules().has(this.identity);
+  }
+
+  /** Starts to follow in a term, at least as high as the current one. */
+  follow(term: number, leader: Seat | null): void {
+    if (term > this.term) this.setHard({ term, votedFor: null });
+    this.role = this.isVoter() ? "follower" : "learner";
+    this.leader = leader;
+  }
+
+  /** Changes term, vote or group; promises made from now on wait for the sync. */
+  setHard(change: Partial<HardState>): void {
+    this.#hard = { ...this.#hard, ...change };
+    this.#hardVersion += 1;
+  }
+
+  /** Sets the next time to try to lead. */
+  delayElection(nowMs: Milliseconds): void {
+    const { electionMinimumMs, electionSpreadMs } = this.timing;
+    this.electionDueMs = nowMs + electionMinimumMs +
+      this.random.fraction() * electionSpreadMs;
+  }
+
+  /**
+   * Takes note that entries up to an index are committed. That a change of voters is committed is kept on
+   * the disk: after a restart the replica must not need the voters before it.
+   */
+  commit(index: number): void {
+    if (index <= this.#committedIndex) return;
+    this.#committedIndex = index;
+    const seatsIndex = this.seats.at(index).index;
+    if (seatsIndex <= this.#hard.committedSeatsIndex) return;
+    this.setHard({ committedSeatsIndex: seatsIndex });
+  }
+
+  /** Adds entries to the log, replacing those at and after the first one's index. */
+  append(entries: readonly LogEntry[]): void {
+    const first = entries[0];
+    if (first === undefined) return;
+    if (first.index <= this.committedIndex) {
+      throw new Error(`committed entry ${first.index} would be replaced`);
+    }
+    this.log.append(entries);
+    this.seats.append(entries);
+    this.#pendingFrom = Math.min(this.#pendingFrom, first.index);
+    this.#durableIndex = Math.min(this.#durableIndex, first.index - 1);
+  }
+
+  /** Forgets the whole log in favour of a snapshot that is on the disk. */
+  install(snapshot: EncodedSnapshot): void {
+    const { index, term, seats } = snapshot.meta;
+    const matches = this.log.termAt(index) === term;
+    if (matches) {
+      this.log.compact(index);
+    } else {
+      this.log.reset({ index, term });
+    }
+    const rest = this.log.from(index + 1, Infinity);
+    this.seats.reset(seats);
+    this.seats.append(rest);
+    this.snapshot = snapshot;
+    this.commit(index);
+    this.#pendingFrom = this.log.lastIndex + 1;
+    this.#durableIndex = this.log.lastIndex;
+  }
+
+  /** Builds a message from this replica. */
+  message<Kind extends MessageKind>(
+    kind: Kind,
+    fields: MessageFields<Kind> & {
+      readonly to: string | null;
+      readonly group?: string | null;
+      readonly term?: number;
+    },
+  ): MessageOf<Kind> {
+    const header = {
+      kind,
+      group: this.group,
+      from: this.identity,
+      term: this.term,
+    };
+    return { ...header, ...fields } as unknown as MessageOf<Kind>;
+  }
+
+  /** Sends at once. */
+  send(vm: string, message: Message): void {
+    this.#ready.push({ vm, message });
+  }
+
+  /** Sends a promise once term, vote and group are on the disk. */
+  sendOnceDurable(vm: string, message: Message): void {
+    const durable = this.#hardVersion === this.#durableHardVersion;
+    (durable ? this.#ready : this.#held).push({ vm, message });
+  }
+
+  /** Messages that may leave now. */
+  takeReady(): readonly Outgoing[] {
+    const ready = this.#ready;
+    this.#ready = [];
+    return ready;
+  }
+
+  /** Whether something waits for a sync. */
+  hasPending(): boolean {
+    if (this.#hardVersion > this.#takenHardVersion) return true;
+    return this.#pendingFrom <= this.log.lastIndex;
+  }
+
+  /** Everything to be synced next. */
+  takeBatch(): TakenBatch {
+    const entries = this.log.from(this.#pendingFrom, Infinity);
+    const batch: DurableBatch = {
+      hard: this.#hardVersion > this.#takenHardVersion ? this.#hard : null,
+      entries: this.#pendingFrom <= this.log.lastIndex ? entries : [],
+    };
+    const held = this.#held;
+    this.#held = [];
+    this.#takenHardVersion = this.#hardVersion;
+    this.#pendingFrom = this.log.lastIndex + 1;
+    const last = { index: this.log.lastIndex, term: this.log.lastTerm };
+    return { batch, held, last, hardVersion: this.#hardVersion };
+  }
+
+  /** Takes note that a batch is on the disk. */
+  synced(taken: TakenBatch): void {
+    this.#durableHardVersion = taken.hardVersion;
+    const { index, term } = taken.last;
+    if (this.log.termAt(index) !== term) return;
+    this.#durableIndex = Math.max(this.#durableIndex, index);
+  }
+}
