Wire the entry and control programs

Cause: the parts stood alone. Change: the programs, their settings, status by asking each VM, probes, the cut file of tests; the signed bytes of a bundle no longer depend on the order of its lists, which had refused a bundle signed before its lists were sorted.

--- a/bundles/bundle_schema.ts
+++ b/bundles/bundle_schema.ts
@@ -132,7 +132,8 @@
   return text === "" ? "(bundle)" : text;
 }
 
-function sortLists(bundle: Bundle): Bundle {
+/** The same content with every list sorted by name. */
+export function sortLists(bundle: Bundle): Bundle {
   return {
     ...bundle,
     zones: byName(bundle.zones),
--- a/bundles/bundle_signature.ts
+++ b/bundles/bundle_signature.ts
@@ -24,12 +24,13 @@
   type Result,
   type SignedBundle,
 } from "#core";
+import { sortLists } from "./bundle_schema.ts";
 
 const ED25519_RAW_BYTES = 32;
 
-/** The bytes that are signed and digested. */
+/** The bytes that are signed and digested; the order of lists does not change them. */
 export function bundleBytes(bundle: Bundle): Uint8Array {
-  return Buffer.from(canonicalize(bundle) ?? "", "utf8");
+  return Buffer.from(canonicalize(sortLists(bundle)) ?? "", "utf8");
 }
 
 /** SHA-256 of the canonical bytes, in hexadecimal. */
--- /dev/null
+++ b/programs/probe_routes.ts
@@ -0,0 +1,56 @@
+/**
+ * Routes for the platform: liveness, readiness and metrics.
+ *
+ * @module
+ */
+import {
+  fail,
+  type HttpRoute,
+  jsonAnswer,
+  type Metrics,
+  type Milliseconds,
+} from "#core";
+
+const RETRY_AFTER_MS: Milliseconds = 1_000;
+
+/** What the probes answer from. */
+export interface ProbeOptions {
+  /** Why this VM is not ready, or undefined if it is. */
+  readonly notReady: () => string | undefined;
+  readonly metrics: Metrics;
+}
+
+/** Makes the routes. */
+export function probeRoutes(options: ProbeOptions): readonly HttpRoute[] {
+  return [
+    {
+      method: "GET",
+      pattern: "/healthz",
+      name: "healthz",
+      handle: () => Promise.resolve(jsonAnswer(200, { alive: true })),
+    },
+    {
+      method: "GET",
+      pattern: "/readyz",
+      name: "readyz",
+      handle: () => {
+        const reason = options.notReady();
+        return Promise.resolve(
+          reason === undefined
+            ? jsonAnswer(200, { ready: true })
+            : fail("not_ready", reason, { retryAfterMs: RETRY_AFTER_MS }),
+        );
+      },
+    },
+    {
+      method: "GET",
+      pattern: "/metrics",
+      name: "metrics",
+      handle: async () => ({
+        status: 200,
+        headers: { "content-type": "text/plain; version=0.0.4" },
+        body: await options.metrics.render(),
+      }),
+    },
+  ];
+}
--- /dev/null
+++ b/programs/vm_base.ts
@@ -0,0 +1,93 @@
+/**
+ * What the entry and control programs have in common: clock, random source, log, metrics, board,
+ * directory and peer network.
+ *
+ * @module
+ */
+import {
+  Blackboard,
+  BOARD_WRITERS,
+  type BoardSections,
+  type Clock,
+  EMPTY_BOARD,
+  type EventLog,
+  Metrics,
+  PinoEventLog,
+  type RandomSource,
+  type SettingValues,
+  SystemClock,
+  SystemRandom,
+  type VmRole,
+} from "#core";
+import { type DirectoryEntry, VmDirectory } from "#membership";
+import { TcpNetwork } from "#wire";
+import { CONTROL_SETTINGS } from "./control_settings.ts";
+import { ENTRY_SETTINGS } from "./entry_settings.ts";
+import { TestCut } from "./test_cut.ts";
+
+/** Settings of `cicadafield-entry`, checked. */
+export type EntrySettings = SettingValues<typeof ENTRY_SETTINGS>;
+/** Settings of `cicadafield-control`, checked. */
+export type ControlSettings = SettingValues<typeof CONTROL_SETTINGS>;
+
+/** The common parts of a VM. */
+export interface VmBase {
+  readonly role: VmRole;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly board: Blackboard<BoardSections>;
+  readonly directory: VmDirectory;
+  readonly network: TcpNetwork;
+  readonly cut: TestCut;
+  /** Start of this process, in wall milliseconds. */
+  readonly epoch: number;
+}
+
+/** Builds the common parts; opens nothing. */
+export function buildVmBase(
+  settings: EntrySettings | ControlSettings,
+  options: {
+    readonly role: VmRole;
+    readonly program: string;
+    readonly seeds: readonly DirectoryEntry[];
+  },
+): VmBase {
+  const clock = new SystemClock();
+  const events = new PinoEventLog({
+    program: options.program,
+    level: settings["log-level"],
+  });
+  const board = new Blackboard<BoardSections>(EMPTY_BOARD, BOARD_WRITERS);
+  const directory = new VmDirectory({
+    seeds: options.seeds,
+    bundle: () => board.read("bundle"),
+  });
+  const cut = new TestCut(settings["test-cut-file"]);
+  const seeds = new Map(options.seeds.map((seed) => [seed.name, seed.peer]));
+  const network = new TcpNetwork({
+    cluster: settings.cluster,
+    self: settings.vm,
+    listen: {
+      host: settings["listen-host"],
+      port: settings["peer-port"],
+    },
+    clock,
+    events,
+    resolve: (vm) => directory.find(vm)?.peer ?? seeds.get(vm),
+    mayPass: (route) => cut.mayPass(route),
+  });
+  return {
+    role: options.role,
+    clock,
+    random: new SystemRandom(),
+    events,
+    metrics: new Metrics(),
+    board,
+    directory,
+    network,
+    cut,
+    epoch: clock.wallMs(),
+  };
+}
