Measure what it costs a VM to stay in touch

Cause: the target allows a node 1.7% of a core, 256 MB and 2 KB a second for control; nothing showed where today's protocols stand. Change: `npm run bench -- control_cost` by VMs, zones and upstreams.

--- /dev/null
+++ b/proof/bench_control_cost.ts
@@ -0,0 +1,215 @@
+/**
+ * `npm run bench -- control_cost`: what it costs a VM to stay in touch: probes, upstreams with their load, and the
+ * watch for bundles, by number of VMs and upstreams. All VMs run in one process over loopback connections, so
+ * processor time and heap are divided by their number; the process itself is measured beside them.
+ *
+ * @module
+ */
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import type { Milliseconds, UpstreamAnnouncement, VmEntry } from "#core";
+import type { BenchFigures, BenchOptions } from "./bench.ts";
+import { acceptedBundle, benchBundle, type SiteSize } from "./bench_site.ts";
+import { BenchVm } from "./bench_vm.ts";
+import { pause, waitUntil } from "./managed_process.ts";
+import { fitLine, type Line, median, rounded } from "./statistics.ts";
+
+const START_TIMEOUT_MS: Milliseconds = 60_000;
+const SETTLE_MS: Milliseconds = 4_000;
+const RENEW_MS: Milliseconds = 1_000;
+const REPORT_MS: Milliseconds = 500;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+const SECOND_MS = 1_000;
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+
+/** A size to measure at. */
+interface CostSize extends SiteSize {
+  readonly upstreamsPerZone: number;
+}
+
+/** Today's site first; then one number grows at a time. */
+const SIZES: readonly CostSize[] = [
+  { zones: 3, entriesPerZone: 2, upstreamsPerZone: 0 },
+  { zones: 3, entriesPerZone: 2, upstreamsPerZone: 4 },
+  { zones: 3, entriesPerZone: 2, upstreamsPerZone: 40 },
+  { zones: 3, entriesPerZone: 2, upstreamsPerZone: 155 },
+  { zones: 3, entriesPerZone: 10, upstreamsPerZone: 40 },
+  { zones: 3, entriesPerZone: 30, upstreamsPerZone: 40 },
+  { zones: 3, entriesPerZone: 30, upstreamsPerZone: 155 },
+  { zones: 6, entriesPerZone: 10, upstreamsPerZone: 40 },
+  { zones: 11, entriesPerZone: 10, upstreamsPerZone: 40 },
+];
+
+interface Cost {
+  readonly coreShare: number;
+  /** Bytes sent a second by each entry VM that is no relay. */
+  readonly entryBytesPerSecond: number;
+  /** Bytes sent a second by the entry VM that sends most. */
+  readonly relayBytesPerSecond: number;
+  readonly controlBytesPerSecond: number;
+  readonly heapBytes: number;
+}
+
+/** Runs the benchmark. */
+export async function run(options: BenchOptions): Promise<BenchFigures> {
+  const spanMs = options.quick ? 4_000 : 15_000;
+  const sizes = options.quick ? SIZES.slice(0, 3) : SIZES;
+  const figures: Record<string, unknown> = { spanMs };
+  const costs = new Map<CostSize, Cost>();
+  for (const size of sizes) {
+    const cost = await measure(size, spanMs);
+    costs.set(size, cost);
+    figures[nameOf(size)] = {
+      corePercentPerVm: rounded(cost.coreShare * 100),
+      entryBytesPerSecond: Math.round(cost.entryBytesPerSecond),
+      relayBytesPerSecond: Math.round(cost.relayBytesPerSecond),
+      controlBytesPerSecond: Math.round(cost.controlBytesPerSecond),
+      heapKilobytesPerVm: rounded(cost.heapBytes / 1_024),
+    };
+  }
+  return {
+    ...figures,
+    processRssMegabytes: rounded(process.memoryUsage().rss / 1_048_576),
+    slopes: slopes(costs),
+  };
+}
+
+/** The cost of one more upstream of the zone (at 2 entries a zone). */
+function slopes(costs: ReadonlyMap<CostSize, Cost>): BenchFigures {
+  const rows = [...costs].filter(([size]) =>
+    size.zones === 3 && size.entriesPerZone === 2
+  );
+  const byUpstreams = (pick: (cost: Cost) => number): Line =>
+    fitLine(
+      rows.map(([size, cost]) => ({ x: size.upstreamsPerZone, y: pick(cost) })),
+    );
+  const bytes = byUpstreams((cost) => cost.entryBytesPerSecond);
+  const share = byUpstreams((cost) => cost.coreShare * 100);
+  const heap = byUpstreams((cost) => cost.heapBytes);
+  return {
+    entryBytesPerSecondPerUpstream: rounded(bytes.slope),
+    entryBytesPerSecondWithoutUpstreams: rounded(bytes.intercept),
+    corePercentPerUpstream: rounded(share.slope),
+    heapBytesPerUpstream: rounded(heap.slope),
+  };
+}
+
+function nameOf(size: CostSize): string {
+  const { zones, entriesPerZone, upstreamsPerZone } = size;
+  return `zones_${zones}_entries_${entriesPerZone}_upstreams_${upstreamsPerZone}`;
+}
+
+async function measure(size: CostSize, spanMs: Milliseconds): Promise<Cost> {
+  const bundle = benchBundle(size);
+  const heapBefore = heapUsed();
+  const vms = bundle.vms.map((vm, seed) =>
+    new BenchVm({ vm, bundle, seed, relayed: true, onBundle: () => {} })
+  );
+  const entries = vms.filter((vm) => vm.vm.role === "entry");
+  const controls = vms.filter((vm) => vm.vm.role === "control");
+  for (const control of controls) control.offer(acceptedBundle(bundle));
+  for (const vm of vms) await vm.start({ talking: false });
+  const timers: NodeJS.Timeout[] = [];
+  try {
+    await waitUntil(
+      "the first bundle in force",
+      START_TIMEOUT_MS,
+      () => entries.every((vm) => vm.board.read("bundle") !== null),
+    );
+    for (const vm of vms) vm.talk();
+    timers.push(...announceAll(entries, size.upstreamsPerZone));
+    const all = size.zones * size.upstreamsPerZone;
+    await waitUntil(
+      "every upstream known everywhere",
+      START_TIMEOUT_MS,
+      () => vms.every((vm) => vm.board.read("upstreams").size === all),
+    );
+    await pause(SETTLE_MS);
+    const sentBefore = vms.map((vm) => vm.network.traffic().sentBytes);
+    const cpuBefore = process.cpuUsage();
+    const beganMs = performance.now();
+    await pause(spanMs);
+    const seconds = (performance.now() - beganMs) / SECOND_MS;
+    const cpu = process.cpuUsage(cpuBefore);
+    const rates = new Map<BenchVm, number>();
+    for (const [place, vm] of vms.entries()) {
+      const sent = vm.network.traffic().sentBytes - (sentBefore[place] ?? 0);
+      rates.set(vm, sent / seconds);
+    }
+    const entryRates = entries.map((vm) => rates.get(vm) ?? 0);
+    const cpuMs = (cpu.user + cpu.system) / MICROSECONDS_PER_MILLISECOND;
+    return {
+      coreShare: cpuMs / (seconds * SECOND_MS) / vms.length,
+      entryBytesPerSecond: median(entryRates),
+      relayBytesPerSecond: Math.max(...entryRates),
+      controlBytesPerSecond: median(controls.map((vm) => rates.get(vm) ?? 0)),
+      heapBytes: (heapUsed() - heapBefore) / vms.length,
+    };
+  } finally {
+    for (const timer of timers) clearInterval(timer);
+    for (const vm of vms) vm.stop();
+    await pause(SETTLE_MS);
+  }
+}
+
+/** Announces the upstreams of each zone in turn to its entries, renews them and reports their load. */
+function announceAll(
+  entries: readonly BenchVm[],
+  perZone: number,
+): readonly NodeJS.Timeout[] {
+  const timers: NodeJS.Timeout[] = [];
+  const zones = new Set(entries.map((vm) => vm.vm.zone));
+  for (const zone of zones) {
+    const homes = entries.filter((vm) => vm.vm.zone === zone);
+    for (let each = 0; each < perZone; each += 1) {
+      const home = homes[each % homes.length];
+      if (home === undefined) continue;
+      timers.push(...keepAnnounced(home, announcement(home.vm, each)));
+    }
+  }
+  return timers;
+}
+
+function keepAnnounced(
+  home: BenchVm,
+  upstream: UpstreamAnnouncement,
+): readonly NodeJS.Timeout[] {
+  let sequence = 1;
+  const announce = (): void => {
+    home.registry.announce({ announcement: upstream, sequence });
+    sequence += 1;
+  };
+  const report = (): void => {
+    home.registry.report({
+      id: upstream.id,
+      running: sequence % upstream.capacity,
+      waiting: 0,
+      cacheUse: 0.5,
+    });
+  };
+  announce();
+  return [setInterval(announce, RENEW_MS), setInterval(report, REPORT_MS)];
+}
+
+function announcement(vm: VmEntry, each: number): UpstreamAnnouncement {
+  return {
+    id: `engine-${vm.zone}-${each}`,
+    incarnation: 1,
+    zone: vm.zone,
+    address: { host: "127.7.250.1", port: 9_000 + each },
+    role: "engine",
+    serves: [{ model: "advice", version: 1 }],
+    services: [],
+    capacity: 16,
+    enforcesFences: true,
+    reportsVersions: true,
+  };
+}
+
+function heapUsed(): number {
+  collectGarbage();
+  return process.memoryUsage().heapUsed;
+}
