Add the quickstart of the whole path

Cause: nothing showed a newcomer the service at work. Ruled out: shell scripts per process (no readiness, orphans left behind).

--- /dev/null
+++ b/proof/quickstart.ts
@@ -0,0 +1,247 @@
+/**
+ * `./quickstart [--short] [--stay]`: a site of three availability zones on loopback addresses, from the first
+ * bundle to delivered samples, with a summary for newcomers.
+ *
+ * @module
+ */
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import process from "node:process";
+import { setTimeout as pause } from "node:timers/promises";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { type Milliseconds, SECOND_MS } from "#core";
+import type { JsonAnswer, TrainerReport } from "#fakes";
+import { ManagedProcess, waitUntil } from "./managed_process.ts";
+import {
+  CLUSTER_DEFAULTS,
+  type ClusterCall,
+  ProcessCluster,
+} from "./process_cluster.ts";
+import { siteStandIns } from "./stand_ins.ts";
+
+const PROGRAMS = join(dirname(fileURLToPath(import.meta.url)), "../programs");
+const BLOCK = "127.1";
+const CALLS = 20;
+const UPSTREAM_WAIT_MS: Milliseconds = 30_000;
+const PATIENCE_MS: Milliseconds = 60_000;
+const MODELS = ["advice", "draft"];
+const TRAINERS = [
+  { trainer: "advice-tuning", model: "advice" },
+  { trainer: "draft-tuning", model: "draft" },
+];
+
+/** What is left to say when all went well. */
+interface Summary {
+  readonly inForce: { readonly entries: number; readonly of: number };
+  readonly answered: number;
+  readonly cardsSaved: number;
+  readonly reports: readonly TrainerReport[];
+}
+
+async function main(): Promise<number> {
+  const { values } = parseArgs({
+    options: {
+      short: { type: "boolean", default: false },
+      stay: { type: "boolean", default: false },
+    },
+  });
+  const site = { ...CLUSTER_DEFAULTS, block: BLOCK, network: 1 };
+  console.log("Starting 3 control VMs, 6 entry VMs and their upstreams ...");
+  const standIns = siteStandIns({ ...site, models: MODELS, engineFlags: [] });
+  const cluster = await ProcessCluster.start({ ...site, standIns });
+  try {
+    await waitForUpstreams(cluster, standIns.length);
+    const summary = await show(cluster, values.short ? 1 : 3);
+    print(summary);
+    if (values.stay) await stay(cluster);
+    return isWhole(summary) ? 0 : 1;
+  } finally {
+    await cluster.cleanUp();
+  }
+}
+
+async function show(
+  cluster: ProcessCluster,
+  steps: number,
+): Promise<Summary> {
+  const training = train(cluster, steps);
+  const answered = await complete(cluster);
+  const cardsSaved = await saveCards(cluster);
+  const reports = await training;
+  const status = await cluster.call("entry-a1", {
+    method: "GET",
+    path: "/v1/status",
+  });
+  const { inForce } = JSON.parse(status.text) as Pick<Summary, "inForce">;
+  return { inForce, answered, cardsSaved, reports };
+}
+
+/** Waits until every entry VM knows every upstream, those of other zones included. */
+async function waitForUpstreams(
+  cluster: ProcessCluster,
+  expected: number,
+): Promise<void> {
+  const names = cluster.vms("entry").map((vm) => vm.name);
+  await waitUntil("upstreams known", UPSTREAM_WAIT_MS, async () => {
+    const counts = await Promise.all(
+      names.map((name) => countUpstreams(cluster, name)),
+    );
+    return counts.every((count) => count === expected);
+  });
+}
+
+async function countUpstreams(
+  cluster: ProcessCluster,
+  vm: string,
+): Promise<number> {
+  const answer = await cluster.call(vm, { method: "GET", path: "/v1/status" });
+  if (answer.status !== 200) return 0;
+  const status = JSON.parse(answer.text) as { readonly upstreams: unknown[] };
+  return status.upstreams.length;
+}
+
+async function complete(cluster: ProcessCluster): Promise<number> {
+  const entries = cluster.vms("entry");
+  let answered = 0;
+  for (let call = 0; call < CALLS; call += 1) {
+    const vm = entries[call % entries.length]?.name ?? "";
+    const answer = await callPatiently(cluster, vm, {
+      method: "POST",
+      path: "/v1/completions",
+      headers: {
+        "cicadafield-tenant": call % 2 === 0 ? "tana" : "agence",
+        "cicadafield-class": "lookup",
+      },
+      body: {
+        model: MODELS[call % MODELS.length],
+        prompt: `fault ${call}: no hot water in flat ${call}`,
+        max_tokens: 16,
+      },
+    });
+    if (answer.status === 200) answered += 1;
+  }
+  return answered;
+}
+
+/** Sends a call, and again after the time that a refusal gives. */
+async function callPatiently(
+  cluster: ProcessCluster,
+  vm: string,
+  call: ClusterCall,
+): Promise<JsonAnswer> {
+  const untilMs = performance.now() + PATIENCE_MS;
+  while (true) {
+    const answer = await cluster.call(vm, call);
+    const seconds = Number(answer.headers["retry-after"] ?? "1");
+    const isRefused = answer.status === 503 || answer.status === 429;
+    if (!isRefused || performance.now() > untilMs) return answer;
+    await pause(seconds * SECOND_MS);
+  }
+}
+
+/** Saves each card twice through different entry VMs; the second must not run again. */
+async function saveCards(cluster: ProcessCluster): Promise<number> {
+  const entries = cluster.vms("entry");
+  let saved = 0;
+  for (let card = 0; card < entries.length; card += 1) {
+    const texts: string[] = [];
+    for (const turn of [0, 1]) {
+      const vm = entries[(card + turn) % entries.length]?.name ?? "";
+      const answer = await callPatiently(cluster, vm, {
+        method: "POST",
+        path: "/services/cards/cards",
+        headers: {
+          "cicadafield-tenant": "tana",
+          "cicadafield-class": "lookup",
+          "idempotency-key": `card-${card}`,
+        },
+        body: { id: `card-${card}` },
+      });
+      texts.push(answer.text);
+    }
+    const once = texts[0]?.includes('"executions":1') === true;
+    if (once && texts[0] === texts[1]) saved += 1;
+  }
+  return saved;
+}
+
+async function train(
+  cluster: ProcessCluster,
+  steps: number,
+): Promise<readonly TrainerReport[]> {
+  const folder = mkdtempSync(join(tmpdir(), "cicadafield-quickstart-"));
+  const entries = cluster.vms("entry").map((vm) => cluster.base(vm.name));
+  try {
+    const running = TRAINERS.map(({ trainer, model }) => {
+      const logFile = join(folder, `${trainer}.log`);
+      const managed = new ManagedProcess({
+        name: trainer,
+        program: join(PROGRAMS, "cicadafield_fakes.js"),
+        arguments: [
+          ...["trainer", "--trainer", trainer, "--model", model],
+          ...["--entry", entries.join(","), "--steps", String(steps)],
+        ],
+        logFile,
+        readyUrl: "",
+      });
+      return managed.ended().then(() => readReport(managed));
+    });
+    return await Promise.all(running);
+  } finally {
+    rmSync(folder, { recursive: true, force: true });
+  }
+}
+
+function readReport(managed: ManagedProcess): TrainerReport {
+  const line = managed.logTail().trim().split("\n").at(-1) ?? "";
+  try {
+    return JSON.parse(line) as TrainerReport;
+  } catch {
+    throw new Error(`${managed.name} printed no report: ${managed.logTail()}`);
+  }
+}
+
+function print(summary: Summary): void {
+  const { inForce, answered, cardsSaved, reports } = summary;
+  console.log(`bundle in force on ${inForce.entries} of ${inForce.of}`);
+  console.log(`completions answered: ${answered} of ${CALLS}`);
+  console.log(`job cards sent twice and saved once: ${cardsSaved} of 6`);
+  for (const report of reports) console.log(describe(report));
+}
+
+function describe(report: TrainerReport): string {
+  const idle = (report.idleMs / 1_000).toFixed(1);
+  const elapsed = (report.elapsedMs / 1_000).toFixed(1);
+  return `trainer ${report.trainer}: ${report.stepsWhole} steps whole, ` +
+    `${report.samples} samples delivered, ${report.doubled} twice, ` +
+    `${report.untrue} with untrue versions, ` +
+    `newest version ${report.newestVersion}, ` +
+    `at most ${report.greatestStaleness} versions behind, ` +
+    `idle ${idle} s of ${elapsed} s`;
+}
+
+function isWhole(summary: Summary): boolean {
+  const { inForce, answered, cardsSaved, reports } = summary;
+  for (const report of reports) {
+    const faults = report.doubled + report.unasked + report.untrue +
+      report.overBound;
+    if (faults > 0 || report.stepsWhole === 0) return false;
+  }
+  return inForce.entries === inForce.of && answered === CALLS &&
+    cardsSaved === 6;
+}
+
+async function stay(cluster: ProcessCluster): Promise<void> {
+  console.log("Running until interrupted (Ctrl-C). Addresses:");
+  for (const vm of [...cluster.vms("entry"), ...cluster.vms("control")]) {
+    console.log(`  ${vm.name.padEnd(12)} ${cluster.base(vm.name)}`);
+  }
+  await new Promise<void>((resolve) => {
+    process.once("SIGINT", () => resolve());
+    process.once("SIGTERM", () => resolve());
+  });
+}
+
+process.exit(await main());
