Know the versions of engines that can't tell by reading before and after

Cause: an engine that does not name versions with its tokens left its samples without versions, so they were made again without end. Change: EngineWitness reads such engines; an answer counts as one version only if one engine made it, a reading that ended before the request and one that began after the answer are equal in identifier, incarnation, fence and models, with no other reading between and all models serving. EntrySamples takes the readings through the optional engineStates.

--- /dev/null
+++ b/samples/engine_fleet_test_support.ts
@@ -0,0 +1,232 @@
+/**
+ * Stand-in engines in virtual time whose text says which version truly made each token.
+ *
+ * @module
+ */
+import {
+  type Address,
+  type CompletionAnswer,
+  type CompletionCall,
+  type CompletionOptions,
+  CompletionPort,
+  Err,
+  fail,
+  type Failure,
+  Ok,
+  type Result,
+  type UpstreamRecord,
+  type VersionRun,
+  type VirtualClock,
+} from "#core";
+import { type EngineState, EngineStatePort } from "./engine_state.ts";
+import { ENGINE } from "./entry_test_support.ts";
+
+const TOKEN_MS = 10;
+const TOKENS = 12;
+const TOKENS_OF_CHUNK = 3;
+
+/** One stand-in engine. */
+export class FleetEngine {
+  readonly record: UpstreamRecord;
+  incarnation = 1;
+  fence = 0;
+  /** Version that makes tokens. */
+  version = 3;
+  /** Version that its state names, which lags behind while it loads. */
+  statedVersion = 3;
+  state: "serving" | "loading" | "failed" = "serving";
+  readonly #clock: VirtualClock;
+
+  constructor(
+    clock: VirtualClock,
+    options: { readonly id: string; readonly reportsVersions: boolean },
+  ) {
+    this.#clock = clock;
+    this.record = {
+      ...ENGINE,
+      ...options,
+      address: { host: options.id, port: 1 },
+    };
+  }
+
+  /** Loads the next version, keeping its streams. */
+  swap(loadMs: number): void {
+    if (this.state === "loading") return;
+    const { incarnation } = this;
+    this.fence += 1;
+    this.state = "loading";
+    this.#clock.after(loadMs, () => {
+      if (this.incarnation !== incarnation) return;
+      this.version += 1;
+      this.statedVersion = this.version;
+      this.state = "serving";
+    });
+  }
+
+  /** Makes tokens with the next version for a while, fails, and goes back to the old one. */
+  failSwap(loadMs: number): void {
+    if (this.state === "loading") return;
+    const { incarnation } = this;
+    this.fence += 1;
+    this.state = "loading";
+    this.#clock.after(loadMs / 2, () => {
+      if (this.incarnation === incarnation) this.version += 1;
+    });
+    this.#clock.after(loadMs, () => {
+      if (this.incarnation !== incarnation) return;
+      this.version -= 1;
+      this.state = "serving";
+    });
+  }
+
+  /** Starts again under the same identifier, with the next version. */
+  restart(): void {
+    this.incarnation += 1;
+    this.fence = 0;
+    this.version += 1;
+    this.statedVersion = this.version;
+    this.state = "serving";
+  }
+}
+
+/** All stand-in engines as a completion port; a broken stream goes on at another engine. */
+export class EngineFleet extends CompletionPort {
+  readonly engines: readonly FleetEngine[];
+  readonly #clock: VirtualClock;
+  #next = 0;
+
+  constructor(clock: VirtualClock, engines: readonly FleetEngine[]) {
+    super();
+    this.#clock = clock;
+    this.engines = engines;
+  }
+
+  override async complete(
+    call: CompletionCall,
+    options: CompletionOptions = {},
+  ): Promise<Result<CompletionAnswer, Failure>> {
+    const answer = new FleetAnswer(options);
+    let engine = this.#pick(call);
+    let { incarnation } = engine;
+    while (answer.tokens < TOKENS) {
+      await this.#clock.sleep(TOKEN_MS);
+      if (options.signal?.aborted) return Err(fail("cancelled", "ended"));
+      if (engine.incarnation !== incarnation) {
+        answer.flush(engine);
+        engine = this.#pick(call);
+        incarnation = engine.incarnation;
+      }
+      answer.add(engine);
+    }
+    answer.flush(engine);
+    return Ok(answer.whole(engine));
+  }
+
+  #pick(call: CompletionCall): FleetEngine {
+    const free = this.engines.filter((engine) =>
+      !call.avoid.includes(engine.record.id)
+    );
+    this.#next += 1;
+    const engine = free[this.#next % free.length] ?? this.engines[0];
+    if (engine === undefined) throw new Error("there are no engines");
+    return engine;
+  }
+}
+
+/** Reads the stand-in engines, with a delay both ways. */
+export class FleetStates extends EngineStatePort {
+  readonly #clock: VirtualClock;
+  readonly #engines: readonly FleetEngine[];
+
+  constructor(clock: VirtualClock, engines: readonly FleetEngine[]) {
+    super();
+    this.#clock = clock;
+    this.#engines = engines;
+  }
+
+  override async state(
+    address: Address,
+  ): Promise<Result<EngineState, Failure>> {
+    await this.#clock.sleep(TOKEN_MS / 2);
+    const engine = this.#engines.find((candidate) =>
+      candidate.record.id === address.host
+    );
+    if (engine === undefined) return Err(fail("not_found", "no such engine"));
+    const { incarnation, fence, statedVersion: version, state } = engine;
+    const answer = {
+      id: address.host,
+      incarnation,
+      fence,
+      models: [{ model: "advice", version, state }],
+    };
+    await this.#clock.sleep(TOKEN_MS / 2);
+    return Ok(answer);
+  }
+}
+
+class FleetAnswer {
+  readonly #options: CompletionOptions;
+  #text = "";
+  #runs: VersionRun[] | null = [];
+  #pending = { version: 0, tokens: 0 };
+  tokens = 0;
+
+  constructor(options: CompletionOptions) {
+    this.#options = options;
+  }
+
+  add(engine: FleetEngine): void {
+    const { version } = engine;
+    const full = this.#pending.tokens === TOKENS_OF_CHUNK;
+    if (full || this.#pending.version !== version) this.flush(engine);
+    this.#pending = { version, tokens: this.#pending.tokens + 1 };
+    this.#text += `${version} `;
+    this.tokens += 1;
+  }
+
+  flush(engine: FleetEngine): void {
+    const { version, tokens } = this.#pending;
+    this.#pending = { version, tokens: 0 };
+    if (tokens === 0) return;
+    const told = engine.record.reportsVersions;
+    this.#runs = told ? extend(this.#runs, { version, tokens }) : null;
+    this.#options.onChunk?.({
+      text: "",
+      tokens,
+      version: told ? version : null,
+      upstream: engine.record.id,
+    });
+  }
+
+  whole(engine: FleetEngine): CompletionAnswer {
+    return {
+      text: this.#text,
+      tokens: this.tokens,
+      runs: this.#runs,
+      upstream: engine.record.id,
+      finishReason: "stop",
+    };
+  }
+}
+
+function extend(
+  runs: VersionRun[] | null,
+  run: VersionRun,
+): VersionRun[] | null {
+  if (runs === null) return null;
+  const last = runs.at(-1);
+  if (last?.version !== run.version) return [...runs, run];
+  return [
+    ...runs.slice(0, -1),
+    { version: run.version, tokens: last.tokens + run.tokens },
+  ];
+}
+
+/** The runs that a text says. */
+export function trueRuns(text: string): readonly VersionRun[] {
+  let runs: VersionRun[] = [];
+  for (const word of text.trim().split(" ")) {
+    runs = extend(runs, { version: Number(word), tokens: 1 }) ?? [];
+  }
+  return runs;
+}
--- a/samples/entry_samples.ts
+++ b/samples/entry_samples.ts
@@ -15,6 +15,8 @@
   RandomSource,
   ServicePort,
 } from "#core";
+import type { EngineStatePort } from "./engine_state.ts";
+import { EngineWitness } from "./engine_witness.ts";
 import { Generation } from "./generation.ts";
 import { LedgerClient } from "./ledger_client.ts";
 import { SampleRoutes } from "./sample_routes.ts";
@@ -33,6 +35,8 @@
   readonly random: RandomSource;
   readonly events: EventLog;
   readonly metrics: Metrics;
+  /** Reads engines that don't name their versions; without it their samples are discarded. */
+  readonly engineStates?: EngineStatePort;
 }
 
 /** What samples at an entry tell of themselves. */
@@ -57,6 +61,10 @@
       ledger,
       scoring: new Scoring(options),
       policy: this.#policy,
+      witness: options.engineStates === undefined ? null : new EngineWitness({
+        states: options.engineStates,
+        clock: options.clock,
+      }),
     });
     this.#routes = new SampleRoutes({
       ledger,
--- a/samples/generation.ts
+++ b/samples/generation.ts
@@ -33,7 +33,7 @@
 export interface GenerationOptions extends
   Omit<
     GroupWorkOptions,
-    "newest" | "isTail" | "refresh"
+    "newest" | "isTail" | "refresh" | "upstreams"
   > {
   readonly vm: string;
   readonly zone: string;
@@ -64,6 +64,7 @@
       newest: (model) => this.#published.get(model) ?? null,
       isTail: (trainer, step) => this.#isTail(trainer, step),
       refresh: () => this.#ask(),
+      upstreams: () => options.board.read("upstreams"),
     };
   }
 
@@ -98,6 +99,8 @@
 
   async #tick(): Promise<void> {
     this.#doubleStragglers();
+    const upstreams = this.#options.board.read("upstreams");
+    this.#options.witness?.observe(upstreams.values());
     if (this.#busy) return;
     this.#busy = true;
     try {
--- a/samples/mod.ts
+++ b/samples/mod.ts
@@ -11,3 +11,4 @@
 export { HOLDER_LEASE_MS } from "./ledger_leases.ts";
 export * from "./entry_samples.ts";
 export * from "./events.ts";
+export * from "./engine_state.ts";
--- a/samples/sample_work.ts
+++ b/samples/sample_work.ts
@@ -5,18 +5,21 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type {
-  Clock,
-  CompletionAnswer,
-  CompletionChunk,
-  CompletionPort,
-  EventLog,
-  Failure,
-  Milliseconds,
-  RandomSource,
-  Result,
-  TrainerEntry,
+import {
+  type Clock,
+  type CompletionAnswer,
+  type CompletionChunk,
+  type CompletionPort,
+  type EventLog,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type RandomSource,
+  type Result,
+  type TrainerEntry,
+  type UpstreamRecord,
 } from "#core";
+import type { EngineWitness } from "./engine_witness.ts";
 import { SAMPLES_EVENTS } from "./events.ts";
 import { type LeasedGroup, oldestVersion } from "./ledger_types.ts";
 import { retryDelayMs } from "./retry_delay.ts";
@@ -32,6 +35,10 @@
   readonly random: RandomSource;
   readonly events: EventLog;
   readonly policy: StragglerPolicy;
+  /** Engines by identifier. */
+  readonly upstreams: () => ReadonlyMap<string, UpstreamRecord>;
+  /** Versions of engines that don't name them, or null if such engines aren't read. */
+  readonly witness: EngineWitness | null;
   /** Newest published version of a model, or null before the first. */
   readonly newest: (model: string) => number | null;
   /** Whether nothing of the step is left to be started. */
@@ -51,7 +58,8 @@
   firstChunkAtMs: Milliseconds | null;
   tokens: number;
   oldest: number;
-  upstream: string | null;
+  /** Engines that gave tokens, in order. */
+  readonly upstreams: Set<string>;
 }
 
 /** Makes one sample. */
@@ -113,7 +121,7 @@
     this.#doubled = true;
     const avoid: string[] = [];
     for (const attempt of this.#attempts) {
-      if (attempt.upstream !== null) avoid.push(attempt.upstream);
+      avoid.push(...attempt.upstreams);
     }
     this.#launch(avoid);
   }
@@ -153,14 +161,14 @@
       firstChunkAtMs: null,
       tokens: 0,
       oldest: Number.MAX_SAFE_INTEGER,
-      upstream: null,
+      upstreams: new Set(),
     };
     this.#attempts.add(attempt);
     void this.#call(attempt, avoid);
   }
 
   async #call(attempt: Attempt, avoid: readonly string[]): Promise<void> {
-    const { group, trainer, index } = this.#slot;
+    const { group, trainer } = this.#slot;
     const nowMs = this.#options.clock.nowMs();
     const leftMs = group.deadlineAtMs - this.#options.clock.wallMs();
     const newest = this.#options.newest(group.model);
@@ -184,25 +192,44 @@
       onChunk: (chunk) => this.#progress(attempt, chunk),
       signal: attempt.controller.signal,
     });
-    if (this.#attempts.has(attempt)) this.#ended(attempt, { index, result });
+    if (!this.#attempts.has(attempt)) return;
+    const told = await this.#withVersions(attempt, result);
+    if (this.#attempts.has(attempt)) this.#ended(attempt, told);
+  }
+
+  /** Finds the version of an answer that one engine made without naming it. */
+  async #withVersions(
+    attempt: Attempt,
+    result: Result<CompletionAnswer, Failure>,
+  ): Promise<Result<CompletionAnswer, Failure>> {
+    if (result.err || result.val.runs !== null) return result;
+    attempt.upstreams.add(result.val.upstream);
+    const { upstreams, witness } = this.#options;
+    const record = upstreams().get(result.val.upstream);
+    const alone = attempt.upstreams.size === 1;
+    if (witness === null || record === undefined || !alone) return result;
+    const version = await witness.versionSince(
+      record,
+      this.#slot.group.model,
+      attempt.startedAtMs,
+    );
+    if (version === null) return result;
+    const { tokens } = result.val;
+    return Ok({ ...result.val, runs: [{ version, tokens }] });
   }
 
   #progress(attempt: Attempt, chunk: CompletionChunk): void {
     attempt.firstChunkAtMs ??= this.#options.clock.nowMs();
     attempt.tokens += chunk.tokens;
-    attempt.upstream = chunk.upstream;
+    attempt.upstreams.add(chunk.upstream);
     if (chunk.version === null) return;
     attempt.oldest = Math.min(attempt.oldest, chunk.version);
   }
 
   #ended(
     attempt: Attempt,
-    ended: {
-      readonly index: number;
-      readonly result: Result<CompletionAnswer, Failure>;
-    },
+    result: Result<CompletionAnswer, Failure>,
   ): void {
-    const { result } = ended;
     if (result.ok && this.#isUsable(result.val)) {
       this.#finish(attempt, result.val);
       return;
--- /dev/null
+++ b/samples/version_truth_test.ts
@@ -0,0 +1,116 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock } from "#core";
+import fc from "fast-check";
+import {
+  EngineFleet,
+  FleetEngine,
+  FleetStates,
+  trueRuns,
+} from "./engine_fleet_test_support.ts";
+import { makeSite, makeStep, pageOf, type Site } from "./entry_test_support.ts";
+import type { DeliveredSample } from "./sample_page.ts";
+
+const FAULTS_END_MS = 1_500;
+const LIMIT_MS = 60_000;
+const GROUPS = 8;
+const GROUP_SIZE = 2;
+
+interface EngineFault {
+  readonly atMs: number;
+  readonly engine: number;
+  readonly kind: "swap" | "fail_swap" | "restart";
+  readonly loadMs: number;
+}
+
+interface Scenario {
+  readonly tell: readonly boolean[];
+  readonly faults: readonly EngineFault[];
+  readonly publishAtMs: readonly number[];
+}
+
+function makeFleet(
+  scenario: Scenario,
+): { readonly site: Site; readonly fleet: EngineFleet } {
+  const clock = new VirtualClock(1_000);
+  const engines = scenario.tell.map((reportsVersions, index) =>
+    new FleetEngine(clock, { id: `e${index}`, reportsVersions })
+  );
+  const fleet = new EngineFleet(clock, engines);
+  const site = makeSite({
+    clock,
+    engines: engines.map((engine) => engine.record),
+    completions: () => fleet,
+    engineStates: new FleetStates(clock, engines),
+  });
+  for (const fault of scenario.faults) {
+    clock.after(fault.atMs, () => {
+      const engine = engines[fault.engine % engines.length];
+      if (fault.kind === "swap") engine?.swap(fault.loadMs);
+      if (fault.kind === "fail_swap") engine?.failSwap(fault.loadMs);
+      if (fault.kind === "restart") engine?.restart();
+    });
+  }
+  return { site, fleet };
+}
+
+async function deliverAll(
+  scenario: Scenario,
+): Promise<readonly DeliveredSample[]> {
+  const { site, fleet } = makeFleet(scenario);
+  for (const atMs of scenario.publishAtMs) {
+    site.clock.after(atMs, () => {
+      const version = Math.min(
+        ...fleet.engines.map((engine) => engine.version),
+      );
+      void site.call(0, `PUT /v1/trainers/tuner/versions/${version}`);
+    });
+  }
+  await site.clock.advanceAsync(300);
+  site.entries[0]?.start();
+  await site.call(
+    0,
+    "PUT /v1/trainers/tuner/steps/1",
+    makeStep(GROUPS, GROUP_SIZE),
+  );
+  const received: DeliveredSample[] = [];
+  let cursor = "";
+  for (let atMs = 0; atMs < LIMIT_MS; atMs += 250) {
+    if (received.length === GROUPS * GROUP_SIZE) break;
+    await site.clock.advanceAsync(250);
+    const page = pageOf(
+      await site.call(0, `GET /v1/trainers/tuner/samples?after=${cursor}`),
+    );
+    cursor = page.cursor;
+    received.push(...page.samples);
+  }
+  return received;
+}
+
+test("each sample names the versions that truly made it, through swaps, failed swaps and restarts", async () => {
+  const fault = fc.record({
+    atMs: fc.nat(FAULTS_END_MS),
+    engine: fc.nat(2),
+    kind: fc.constantFrom("swap" as const, "fail_swap", "restart"),
+    loadMs: fc.integer({ min: 10, max: 800 }),
+  }, { noNullPrototype: true });
+  const scenarios = fc.record({
+    tell: fc.array(fc.boolean(), { minLength: 3, maxLength: 3 }),
+    faults: fc.array(fault, { maxLength: 24 }),
+    publishAtMs: fc.array(fc.nat(FAULTS_END_MS), { maxLength: 3 }),
+  }, { noNullPrototype: true });
+  await fc.assert(
+    fc.asyncProperty(scenarios, async (scenario) => {
+      const samples = await deliverAll(scenario);
+      assert.equal(samples.length, GROUPS * GROUP_SIZE, "not all came");
+      for (const sample of samples) {
+        assert.deepEqual(sample.versions, trueRuns(sample.text));
+        const oldest = Math.min(
+          ...sample.versions.map((run) => run.version),
+        );
+        assert.ok(oldest >= sample.deliveredAtVersion - 1, "over the bound");
+      }
+    }),
+    { seed: 5, numRuns: 400, includeErrorInReport: true },
+  );
+});
--- a/weights/engine_memory.ts
+++ b/weights/engine_memory.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Milliseconds, OrderView, UpstreamRecord } from "#core";
-import type { EngineState } from "./engine_port.ts";
+import type { EngineState } from "#samples";
 import type { RolloutEngine } from "./rollout_plan.ts";
 
 /** An order without an answer from the engine's state for this long counts as failed. */
--- a/weights/engine_port.ts
+++ b/weights/engine_port.ts
@@ -16,7 +16,7 @@
   type OrderView,
   type Result,
 } from "#core";
-import { z } from "zod";
+import { type EngineState, EngineStatePort, parseEngineState } from "#samples";
 
 /** Most bytes of an engine's answer. */
 const MAXIMUM_ANSWER_BYTES = MEBIBYTE;
@@ -24,33 +24,14 @@
 const HTTP_CONFLICT = 409;
 const MAXIMUM_SOCKETS = 256;
 
-const stateSchema = z.object({
-  id: z.string(),
-  incarnation: z.number(),
-  fence: z.number(),
-  models: z.array(z.object({
-    model: z.string(),
-    version: z.number(),
-    state: z.enum(["serving", "loading", "failed"]),
-  })),
-});
-
-/** What an engine says of itself when read back. */
-export type EngineState = Readonly<z.infer<typeof stateSchema>>;
-
 /** Gives orders to engines and reads them back. */
-export abstract class EnginePort {
+export abstract class EnginePort extends EngineStatePort {
   /** Gives an order; an answer after the time limit counts as none. */
   abstract order(
     address: Address,
     order: OrderView,
     limitMs: Milliseconds,
   ): Promise<Result<null, Failure>>;
-  /** Reads what the engine serves. */
-  abstract state(
-    address: Address,
-    limitMs: Milliseconds,
-  ): Promise<Result<EngineState, Failure>>;
 }
 
 interface HttpReply {
@@ -106,7 +87,7 @@
       const message = `the engine's state answered ${reply.val.status}`;
       return Err(fail("upstream_failed", message));
     }
-    return readState(reply.val.body);
+    return parseEngineState(reply.val.body);
   }
 
   /** Closes idle connections. */
@@ -161,13 +142,3 @@
     });
   }
 }
-
-function readState(body: string): Result<EngineState, Failure> {
-  try {
-    const parsed = stateSchema.safeParse(JSON.parse(body));
-    if (parsed.success) return Ok(parsed.data);
-  } catch {
-    return Err(fail("upstream_failed", "the engine's state is not JSON"));
-  }
-  return Err(fail("upstream_failed", "the engine's state has a wrong shape"));
-}
