--- a/samples/entry_samples_test.ts
+++ b/samples/entry_samples_test.ts
@@ -1,6 +1,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { isFailure } from "#core";
+import {
+  type CompletionAnswer,
+  type CompletionCall,
+  type CompletionOptions,
+  Err,
+  fail,
+  type Failure,
+  isFailure,
+  type Result,
+} from "#core";
 import {
   FakeCompletions,
   makeSite,
@@ -106,3 +115,68 @@
   assert.ok(step.ok && step.val.kind === "step");
   assert.equal(step.val.progress.open + step.val.progress.leased, 0);
 });
+
+class OneSlowEngine extends FakeCompletions {
+  readonly avoided: (readonly string[])[] = [];
+  cancelled = 0;
+
+  override async complete(
+    call: CompletionCall,
+    options: CompletionOptions = {},
+  ): Promise<Result<CompletionAnswer, Failure>> {
+    if (call.avoid.length > 0) this.avoided.push(call.avoid);
+    const first = this.calls === 0;
+    if (!first) return await super.complete(call, options);
+    this.calls += 1;
+    options.onChunk?.({ text: "a", tokens: 1, version: 3, upstream: "e1" });
+    return await new Promise((resolve) => {
+      options.signal?.addEventListener("abort", () => {
+        this.cancelled += 1;
+        resolve(Err(fail("cancelled", "ended")));
+      });
+    });
+  }
+}
+
+test("a sample on a stuck engine is run on another one, and the first run is cancelled", async () => {
+  let completions: OneSlowEngine | undefined;
+  const site = makeSite({
+    completions: (clock) => completions = new OneSlowEngine(clock),
+  });
+  site.entries[0]?.start();
+  await site.call(0, "PUT /v1/trainers/tuner/steps/1", makeStep(8));
+  await site.clock.advanceAsync(4_000);
+  const page = pageOf(await site.call(0, "GET /v1/trainers/tuner/samples"));
+  assert.equal(page.samples.length, 16);
+  assert.deepEqual(completions?.avoided, [["e1"]]);
+  assert.equal(completions?.cancelled, 1);
+});
+
+const BAD_REQUESTS = [
+  ["PUT /v1/trainers/tuner/steps/1", makeStep(0), "invalid_step"],
+  ["PUT /v1/trainers/tuner/steps/1", "{", "malformed_request"],
+  ["PUT /v1/trainers/tuner/steps/x", makeStep(1), "malformed_request"],
+  ["PUT /v1/trainers/nobody/steps/1", makeStep(1), "unknown_trainer"],
+  ["GET /v1/trainers/tuner/steps/7", null, "not_found"],
+  ["GET /v1/trainers/tuner/samples?limit=0", null, "malformed_request"],
+  ["GET /v1/trainers/tuner/samples?wait_ms=-1", null, "malformed_request"],
+  ["GET /v1/trainers/tuner/samples?after=tuner~9", null, "malformed_request"],
+  ["GET /v1/trainers/tuner/samples?after=other~0", null, "malformed_request"],
+  ["GET /v1/trainers/nobody/samples", null, "unknown_trainer"],
+  ["PUT /v1/trainers/nobody/versions/1", null, "unknown_trainer"],
+  ["PUT /v1/trainers/tuner/versions/1.5", null, "malformed_request"],
+] as const;
+
+for (const [request, body, kind] of BAD_REQUESTS) {
+  test(`${request} with ${JSON.stringify(body)?.slice(0, 20)} is ${kind}`, async () => {
+    const site = makeSite();
+    const before = site.ledger.snapshot();
+    const answer = await site.call(0, request, body);
+    assert.ok(isFailure(answer));
+    assert.equal(answer.kind, kind);
+    assert.deepEqual(
+      { ...site.ledger.snapshot() as object, atMs: 0 },
+      { ...before as object, atMs: 0 },
+    );
+  });
+}
--- a/samples/generation.ts
+++ b/samples/generation.ts
@@ -98,7 +98,7 @@
   }
 
   async #tick(): Promise<void> {
-    this.#doubleStragglers();
+    this.#runStragglersAgain();
     const upstreams = this.#options.board.read("upstreams");
     this.#options.witness?.observe(upstreams.values());
     if (this.#busy) return;
@@ -110,7 +110,7 @@
     }
   }
 
-  #doubleStragglers(): void {
+  #runStragglersAgain(): void {
     const running = [];
     for (const work of this.#work.values()) {
       for (const sample of work.samples) {
@@ -123,7 +123,7 @@
     if (chosen.size === 0) return;
     for (const work of this.#work.values()) {
       for (const sample of work.samples) {
-        if (chosen.has(sample.key)) sample.double();
+        if (chosen.has(sample.key)) sample.runAgain();
       }
     }
   }
--- a/samples/mod.ts
+++ b/samples/mod.ts
@@ -12,3 +12,4 @@
 export * from "./entry_samples.ts";
 export * from "./events.ts";
 export * from "./engine_state.ts";
+export * from "./straggler_policy.ts";
--- a/samples/sample_work.ts
+++ b/samples/sample_work.ts
@@ -69,7 +69,6 @@
   readonly #slot: SampleSlot;
   readonly #attempts = new Set<Attempt>();
   #round = 0;
-  #doubled = false;
   #retryAfterMs: Milliseconds = 0;
   #resolve: ((answer: CompletionAnswer | null) => void) | null = null;
 
@@ -115,10 +114,9 @@
     if (this.#attempts.size === 0) this.#finish(null, null);
   }
 
-  /** Starts a second run on another engine. */
-  double(): void {
-    if (this.#doubled || this.#resolve === null) return;
-    this.#doubled = true;
+  /** Starts another run on another engine. */
+  runAgain(): void {
+    if (this.#resolve === null) return;
     const avoid: string[] = [];
     for (const attempt of this.#attempts) {
       avoid.push(...attempt.upstreams);
@@ -129,24 +127,28 @@
   /** The sample as the straggler policy sees it, or null while no run is on. */
   view(): RunningSample | null {
     if (this.#resolve === null) return null;
-    const first = this.#attempts.values().next().value;
-    if (first === undefined) return null;
+    let newest: Attempt | undefined;
+    let tokensAtRisk = 0;
+    for (const attempt of this.#attempts) {
+      newest = attempt;
+      tokensAtRisk += attempt.tokens;
+    }
+    if (newest === undefined) return null;
     const { group } = this.#slot;
     return {
       key: this.key,
       model: group.model,
-      startedAtMs: first.startedAtMs,
-      firstChunkAtMs: first.firstChunkAtMs,
-      tokens: first.tokens,
-      maximumTokens: group.maximumTokens,
-      doubled: this.#doubled,
+      startedAtMs: newest.startedAtMs,
+      firstChunkAtMs: newest.firstChunkAtMs,
+      tokens: newest.tokens,
+      runs: this.#attempts.size,
+      tokensAtRisk,
       tail: this.#options.isTail(group.trainer, group.step),
     };
   }
 
   #runOnce(): Promise<CompletionAnswer | null> {
     this.#round += 1;
-    this.#doubled = false;
     this.#retryAfterMs = 0;
     return new Promise((resolve) => {
       this.#resolve = resolve;
--- a/samples/straggler_policy.ts
+++ b/samples/straggler_policy.ts
@@ -1,23 +1,25 @@
 /**
- * Decides which running samples get a second run: those whose engine is much slower than the others,
- * within a budget of tokens.
+ * Decides which running samples get another run: those whose newest run is much slower than
+ * the others, within a budget of tokens.
  *
  * @module
  */
 import type { Milliseconds } from "#core";
 
-/** A sample in work as the policy sees it. */
+/** A sample in work as the policy sees it: its newest run, and the cost of all. */
 export interface RunningSample {
   readonly key: string;
   readonly model: string;
-  /** When its first run was asked for. */
+  /** When the newest run was asked for. */
   readonly startedAtMs: Milliseconds;
-  /** When its first token came, or null. */
+  /** When the newest run's first token came, or null. */
   readonly firstChunkAtMs: Milliseconds | null;
+  /** Tokens that the newest run has made. */
   readonly tokens: number;
-  readonly maximumTokens: number;
-  /** Whether it already has a second run. */
-  readonly doubled: boolean;
+  /** Runs that are on. */
+  readonly runs: number;
+  /** Tokens that are wasted if another run wins. */
+  readonly tokensAtRisk: number;
   /** Whether nothing of its step is left to be started. */
   readonly tail: boolean;
 }
@@ -42,6 +44,8 @@
   readonly allowanceTokens: number;
   /** Shortest time after the first token before a run is judged. */
   readonly shortestMs: Milliseconds;
+  /** Most runs of one sample at once. */
+  readonly maximumRuns: number;
 }
 
 /** Limits in use unless others are given. */
@@ -50,6 +54,7 @@
   budget: 0.04,
   allowanceTokens: 4_096,
   shortestMs: 200,
+  maximumRuns: 4,
 };
 
 const REMEMBERED_RUNS = 128;
@@ -98,18 +103,18 @@
     return all === 0 ? 0 : this.#wastedTokens / all;
   }
 
-  /** Names the samples that get a second run now, slowest first. */
+  /** Names the samples that get another run now, slowest first. */
   choose(
     running: readonly RunningSample[],
     nowMs: Milliseconds,
   ): readonly string[] {
     let left = this.#tokensLeft();
     for (const sample of running) {
-      if (sample.doubled) left -= sample.tokens;
+      if (sample.runs > 1) left -= sample.tokensAtRisk;
     }
     const chosen: string[] = [];
     for (const sample of this.#slowest(running, nowMs)) {
-      const risk = Math.max(1, sample.tokens);
+      const risk = Math.max(1, sample.tokensAtRisk);
       if (risk > left) continue;
       left -= risk;
       chosen.push(sample.key);
@@ -130,7 +135,7 @@
     const slow: { readonly sample: RunningSample; readonly ratio: number }[] =
       [];
     for (const sample of running) {
-      if (sample.doubled) continue;
+      if (sample.runs >= this.#limits.maximumRuns) continue;
       let pace = paces.get(sample.model);
       if (pace === undefined) {
         pace = this.#paceOf(sample.model);
