--- /dev/null
+++ b/requests/attempt_test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { type AttemptCause, CallProgress } from "./attempt.ts";
+
+const STAGES = ["sent", "first_byte", "whole"] as const;
+const CAUSES: readonly AttemptCause[] = [
+  "not_connected",
+  "connection_lost",
+  "short_answer",
+  "foreign_answer",
+  "answer_too_large",
+  "refused",
+  "deadline",
+  "cancelled",
+];
+
+test("a call that may not be repeated is sent at most once, whatever goes wrong", () => {
+  fc.assert(
+    fc.property(
+      fc.boolean(),
+      fc.array(
+        fc.record({
+          reached: fc.subarray([...STAGES]),
+          cause: fc.constantFrom(...CAUSES),
+        }, { noNullPrototype: true }),
+        { minLength: 1, maxLength: 6 },
+      ),
+      (repeatable, attempts) => {
+        const progress = new CallProgress({ repeatable, maximumAttempts: 4 });
+        let sent = 0;
+        for (const attempt of attempts) {
+          progress.dispatched();
+          for (const stage of attempt.reached) progress.reached(stage);
+          if (attempt.reached.length > 0) sent += 1;
+          if (attempt.reached.includes("whole")) break;
+          const verdict = progress.failed(attempt.cause);
+          const ran = progress.ran;
+          assert.equal(ran === "no", sent === 0 && ran !== "yes");
+          if (verdict.next === "again") continue;
+          assert.equal(verdict.failure.ran, ran);
+          break;
+        }
+        assert.ok(repeatable || sent <= 1);
+        assert.ok(progress.attempts <= 4);
+      },
+    ),
+    { seed: 3, numRuns: 500 },
+  );
+});
+
+test("a later attempt that never connected doesn't undo what an earlier one may have run", () => {
+  const progress = new CallProgress({ repeatable: true, maximumAttempts: 2 });
+  progress.dispatched();
+  progress.reached("sent");
+  assert.deepEqual(progress.failed("connection_lost"), { next: "again" });
+  progress.dispatched();
+  const verdict = progress.failed("not_connected");
+  assert.equal(verdict.next, "fail");
+  assert.equal(progress.ran, "unknown");
+});
+
+test("a second attempt of a call that may have run is a fault of the program", () => {
+  const progress = new CallProgress({ repeatable: false, maximumAttempts: 2 });
+  progress.dispatched();
+  progress.reached("sent");
+  progress.failed("connection_lost");
+  assert.throws(() => progress.dispatched());
+});
--- a/requests/claim_client.ts
+++ b/requests/claim_client.ts
@@ -9,6 +9,7 @@
   type Clock,
   type ControlPort,
   Err,
+  type ErrorKind,
   type EventLog,
   fail,
   type Failure,
@@ -30,7 +31,19 @@
 export const OPEN_CLAIM_RETRY_MS: Milliseconds = 1_000;
 /** Most time that an answer waits for being stored; storing goes on after it. */
 export const STORE_WAIT_MS: Milliseconds = 500;
+/** Most time that a refusal waits for its claim being given back; that goes on after it. */
+export const WITHDRAW_WAIT_MS: Milliseconds = 30;
 
+/** Most time that a claim is waited for. */
+export const CLAIM_WAIT_MS: Milliseconds = 2_000;
+
+const CLAIM_WAIT_SHARE = 0.5;
+/** Kinds that the machine gives after it looked the key up; all others say nothing about the key. */
+const MACHINE_REFUSALS: ReadonlySet<ErrorKind> = new Set([
+  "conflict",
+  "too_many_requests",
+  "malformed_request",
+]);
 const STORE_ATTEMPTS = 5;
 const STORE_PAUSE_MS: Milliseconds = 200;
 
@@ -62,7 +75,7 @@
     this.#options = options;
   }
 
-  /** Commands still on their way. */
+  /** Answers and withdrawals still on their way. */
   get pending(): number {
     return this.#pending;
   }
@@ -76,20 +89,21 @@
       key: JSON.stringify([call.tenant, call.service, call.idempotencyKey]),
       token: this.#options.random.identifier(),
     };
-    const reply = await this.#propose({
-      operation: "claim",
-      ...claim,
-      fingerprint: fingerprintOf(call),
-      retentionMs: limits.claimRetentionMs,
-      maximumStored: limits.claimsStored,
-    });
+    const leftMs = call.deadlineMs - this.#options.clock.nowMs();
+    const reply = await Promise.race([
+      this.#propose({
+        operation: "claim",
+        ...claim,
+        fingerprint: fingerprintOf(call),
+        retentionMs: limits.claimRetentionMs,
+        maximumStored: limits.claimsStored,
+      }),
+      this.#tooSlow(Math.min(CLAIM_WAIT_MS, leftMs * CLAIM_WAIT_SHARE)),
+    ]);
     if (reply.ok) return readReply(reply.val as ClaimReply, claim);
-    if (reply.val.ran === "no") return Err(reply.val);
-    this.withdraw(claim);
-    return Err(fail("no_quorum", "the claim could not be confirmed", {
-      ran: "no",
-      retryAfterMs: OPEN_CLAIM_RETRY_MS,
-    }));
+    if (MACHINE_REFUSALS.has(reply.val.kind)) return Err(reply.val);
+    if (reply.val.ran !== "no") await this.withdraw(claim);
+    return Err(unconfirmed(reply.val));
   }
 
   /** Stores the answer; resolves once stored, or after `STORE_WAIT_MS` while storing goes on. */
@@ -100,18 +114,37 @@
       ...claim,
       answer: kept ? { ...answer } : null,
     });
-    await Promise.race([
-      stored,
-      this.#options.clock.sleep(STORE_WAIT_MS),
-    ]);
+    await this.#atMost(STORE_WAIT_MS, stored);
+  }
+
+  /**
+   * Gives a claim back of which no byte was sent; resolves once done, or after `WITHDRAW_WAIT_MS` while it
+   * goes on, so that the refusal is not held back.
+   */
+  async withdraw(claim: GrantedClaim): Promise<void> {
+    const withdrawn = this.#repeat({ operation: "withdraw", ...claim });
+    await this.#atMost(WITHDRAW_WAIT_MS, withdrawn);
+  }
+
+  async #tooSlow(afterMs: Milliseconds): Promise<Result<never, Failure>> {
+    await this.#options.clock.sleep(afterMs);
+    return Err(fail("outcome_unknown", "the control VMs are slow"));
   }
 
-  /** Gives a claim back of which no byte was sent. */
-  withdraw(claim: GrantedClaim): Promise<boolean> {
-    return this.#repeat({ operation: "withdraw", ...claim });
+  async #atMost(mostMs: Milliseconds, work: Promise<unknown>): Promise<void> {
+    await Promise.race([work, this.#options.clock.sleep(mostMs)]);
   }
 
   async #repeat(command: ClaimCommand): Promise<boolean> {
+    this.#pending += 1;
+    try {
+      return await this.#tryRepeatedly(command);
+    } finally {
+      this.#pending -= 1;
+    }
+  }
+
+  async #tryRepeatedly(command: ClaimCommand): Promise<boolean> {
     for (let attempt = 0; attempt < STORE_ATTEMPTS; attempt += 1) {
       const reply = await this.#propose(command);
       if (reply.ok) return true;
@@ -123,21 +156,23 @@
     return false;
   }
 
-  async #propose(
-    command: ClaimCommand,
-  ): Promise<Result<unknown, Failure>> {
-    this.#pending += 1;
-    try {
-      return await this.#options.control.propose({
-        machine: "claims",
-        command,
-      });
-    } finally {
-      this.#pending -= 1;
-    }
+  #propose(command: ClaimCommand): Promise<Result<unknown, Failure>> {
+    return this.#options.control.propose({ machine: "claims", command });
   }
 }
 
+/** This arrival was not sent, but an earlier one with the key may have run: `unknown` is the truth. */
+function unconfirmed(cause: Failure): Failure {
+  return fail(
+    "no_quorum",
+    `the key can't be looked up: ${cause.message}; this arrival was not sent`,
+    {
+      ran: "unknown",
+      retryAfterMs: cause.retryAfterMs ?? OPEN_CLAIM_RETRY_MS,
+    },
+  );
+}
+
 function readReply(
   reply: ClaimReply,
   claim: GrantedClaim,
--- a/requests/claims.ts
+++ b/requests/claims.ts
@@ -21,7 +21,9 @@
 /** Most bytes of an answer that is kept; of a longer one only the fact is kept. */
 export const STORED_ANSWER_BYTES: Bytes = 64 * KIBIBYTE;
 /** How long a withdrawn token is remembered, so that its delayed claim takes no effect. */
-export const WITHDRAWN_TOKEN_MS: Milliseconds = 600_000;
+export const WITHDRAWN_TOKEN_MS: Milliseconds = 60_000;
+/** Most withdrawn tokens remembered; forgetting one can only leave a key open, never run it twice. */
+export const WITHDRAWN_TOKENS_KEPT = 10_000;
 
 const KEY_LENGTH = 1_024;
 
@@ -186,6 +188,10 @@
       this.#claims.delete(command.key);
     }
     this.#withdrawn.set(command.token, atMs + WITHDRAWN_TOKEN_MS);
+    if (this.#withdrawn.size > WITHDRAWN_TOKENS_KEPT) {
+      const [oldest] = this.#withdrawn.keys();
+      if (oldest !== undefined) this.#withdrawn.delete(oldest);
+    }
     return Ok({ state: "done" });
   }
 
--- /dev/null
+++ b/requests/claims_test.ts
@@ -0,0 +1,165 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { decodeValue, encodeValue } from "#wire";
+import { ClaimsMachine, STORED_ANSWER_BYTES } from "./claims.ts";
+
+const RETENTION_MS = 1_000;
+const MAXIMUM = 3;
+
+interface Step {
+  readonly operation: "claim" | "store" | "withdraw" | "snapshot";
+  readonly key: string;
+  readonly token: string;
+  readonly fingerprint: string;
+  readonly passMs: number;
+}
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+  operation: fc.constantFrom("claim", "claim", "store", "withdraw", "snapshot"),
+  key: fc.constantFrom("a", "b", "c", "d", "e"),
+  token: fc.constantFrom("1", "2", "3"),
+  fingerprint: fc.constantFrom("f", "f", "f", "g"),
+  passMs: fc.constantFrom(0, 0, 10, 400),
+}, { noNullPrototype: true });
+
+function answer(body: string): unknown {
+  return {
+    status: 200,
+    headers: {},
+    body: new TextEncoder().encode(body),
+    upstream: "u",
+  };
+}
+
+function commandOf(step: Step): unknown {
+  const { operation, key } = step;
+  const token = `${key}${step.token}`;
+  if (operation === "store") {
+    return { operation, key, token, answer: answer(token) };
+  }
+  if (operation === "withdraw") return { operation, key, token };
+  return {
+    operation,
+    key,
+    token,
+    fingerprint: step.fingerprint,
+    retentionMs: RETENTION_MS,
+    maximumStored: MAXIMUM,
+  };
+}
+
+interface Known {
+  readonly token: string;
+  readonly fingerprint: string;
+  readonly expiresAtMs: number;
+  stored: boolean;
+}
+
+/** The oracle: what a map says a command finds. */
+class ClaimOracle {
+  readonly #known = new Map<string, Known>();
+  readonly #withdrawn = new Set<string>();
+
+  apply(step: Step, atMs: number): string {
+    for (const [key, known] of this.#known) {
+      if (known.expiresAtMs <= atMs) this.#known.delete(key);
+    }
+    const token = `${step.key}${step.token}`;
+    const known = this.#known.get(step.key);
+    const isOwn = known?.token === token;
+    if (step.operation === "store") {
+      if (isOwn) known.stored = true;
+      return "done";
+    }
+    if (step.operation === "withdraw") {
+      if (isOwn && !known.stored) this.#known.delete(step.key);
+      this.#withdrawn.add(token);
+      return "done";
+    }
+    if (this.#withdrawn.has(token)) return "conflict";
+    if (known !== undefined) {
+      if (known.fingerprint !== step.fingerprint) return "conflict";
+      if (known.stored) return `answered ${known.token}`;
+      return isOwn ? "granted" : "open";
+    }
+    if (this.#known.size >= MAXIMUM) return "too_many_requests";
+    this.#known.set(step.key, {
+      token,
+      fingerprint: step.fingerprint,
+      expiresAtMs: atMs + RETENTION_MS,
+      stored: false,
+    });
+    return "granted";
+  }
+}
+
+function found(machine: ClaimsMachine, entry: {
+  readonly index: number;
+  readonly atMs: number;
+  readonly command: unknown;
+}): string {
+  const reply = machine.apply(entry);
+  if (!reply.ok) return reply.val.kind;
+  if (reply.val.state !== "answered") return reply.val.state;
+  return `answered ${new TextDecoder().decode(reply.val.answer.body)}`;
+}
+
+test("claims agree with a map, through snapshots too", () => {
+  fc.assert(
+    fc.property(fc.array(stepArbitrary, { maxLength: 40 }), (steps) => {
+      let machine = new ClaimsMachine();
+      const oracle = new ClaimOracle();
+      let atMs = 5;
+      for (const [index, step] of steps.entries()) {
+        atMs += step.passMs;
+        if (step.operation === "snapshot") {
+          const state = decodeValue(encodeValue(machine.snapshot()));
+          machine = new ClaimsMachine();
+          machine.restore(state);
+          continue;
+        }
+        const command = decodeValue(encodeValue(commandOf(step)));
+        assert.equal(
+          found(machine, { index, atMs, command }),
+          oracle.apply(step, atMs),
+        );
+      }
+    }),
+    { seed: 8, numRuns: 1_000 },
+  );
+});
+
+test("of an answer that is too long only the fact is kept", () => {
+  const machine = new ClaimsMachine();
+  const claim = { ...commandOf(stepOf("claim")) as object };
+  machine.apply({ index: 1, atMs: 0, command: claim });
+  machine.apply({
+    index: 2,
+    atMs: 0,
+    command: {
+      operation: "store",
+      key: "a",
+      token: "a1",
+      answer: answer("x".repeat(STORED_ANSWER_BYTES + 1)),
+    },
+  });
+  const again = commandOf({ ...stepOf("claim"), token: "2" });
+  assert.equal(
+    found(machine, { index: 3, atMs: 0, command: again }),
+    "answer_not_kept",
+  );
+});
+
+test("malformed commands are refused and change nothing", () => {
+  const machine = new ClaimsMachine();
+  for (const command of [null, 7, {}, { operation: "claim", key: "" }]) {
+    const kind = found(machine, { index: 1, atMs: 0, command });
+    assert.equal(kind, "malformed_request");
+  }
+  assert.deepEqual(machine.ask({ question: "count" }).val, { claims: 0 });
+});
+
+function stepOf(operation: Step["operation"]): Step {
+  return { operation, key: "a", token: "1", fingerprint: "f", passMs: 0 };
+}
