--- /dev/null
+++ b/requests/service_sessions_test.ts
@@ -0,0 +1,265 @@
+import { Buffer } from "node:buffer";
+import assert from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
+import { test } from "node:test";
+import { isFailure, type UpstreamRecord } from "#core";
+import {
+  callForResult,
+  claimsControl,
+  listen,
+  makeEntry,
+  record,
+  textOf,
+} from "./test_entry.ts";
+
+const FAULTS = [
+  "none",
+  "refused",
+  "reset_before_execution",
+  "reset_after_execution",
+  "half_head",
+  "short_body",
+  "unmarked_end",
+  "doubled_answer",
+  "too_large",
+  "frozen",
+] as const;
+
+type Fault = typeof FAULTS[number];
+
+/** A service at the level of bytes that counts its executions; only its first connection is faulty. */
+class OracleService {
+  readonly server: Server;
+  executions = 0;
+  connections = 0;
+  readonly #fault: Fault;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(fault: Fault) {
+    this.#fault = fault;
+    this.server = createServer((socket) => this.#accept(socket));
+  }
+
+  close(): void {
+    for (const socket of this.#sockets) socket.destroy();
+    this.server.close();
+  }
+
+  #accept(socket: Socket): void {
+    this.#sockets.add(socket);
+    this.connections += 1;
+    const fault = this.connections === 1 ? this.#fault : "none";
+    socket.on("error", () => socket.destroy());
+    let received = "";
+    socket.on("data", (bytes) => {
+      received += bytes.toString();
+      if (!received.endsWith("card")) return;
+      received = "";
+      this.#answer(socket, fault);
+    });
+  }
+
+  #answer(socket: Socket, fault: Fault): void {
+    if (fault === "frozen") return;
+    if (fault === "reset_before_execution") {
+      socket.resetAndDestroy();
+      return;
+    }
+    this.executions += 1;
+    const body = `card ${this.executions}`;
+    const head = "HTTP/1.1 201 Created\r\ncontent-type: text/plain\r\n";
+    const whole = `${head}content-length: ${body.length}\r\n\r\n${body}`;
+    switch (fault) {
+      case "reset_after_execution":
+        socket.resetAndDestroy();
+        return;
+      case "half_head":
+        socket.end("HTTP/1.1 201 Cre");
+        return;
+      case "short_body":
+        socket.end(`${head}content-length: 500\r\n\r\n${body}`);
+        return;
+      case "unmarked_end":
+        socket.end(`${head}connection: close\r\n\r\n${body}`);
+        return;
+      case "doubled_answer":
+        socket.write(whole + whole.replace("card", "CARD"));
+        return;
+      case "too_large":
+        socket.write(`${head}content-length: 70000\r\n\r\n`);
+        socket.write("x".repeat(70_000));
+        return;
+      default:
+        socket.write(whole);
+    }
+  }
+}
+
+const SAVE_DEADLINE_MS = 3_000;
+
+interface Session {
+  readonly first: string;
+  readonly second: string;
+  readonly executions: number;
+}
+
+/** A job card saved with a key at one entry and sent again at another. */
+async function playKeyed(fault: Fault): Promise<Session> {
+  const oracle = new OracleService(fault);
+  await listen(oracle.server);
+  const upstream = record("cards-1", oracle.server, { role: "service" });
+  const closed = { ...upstream, address: { ...upstream.address, port: 1 } };
+  const control = claimsControl();
+  const first = makeEntry([fault === "refused" ? closed : upstream], control);
+  const second = makeEntry([upstream], control);
+  first.start();
+  second.start();
+  try {
+    const told = await save(first, "key-1");
+    const again = await save(second, "key-1");
+    await Promise.all([first.drain(), second.drain()]);
+    return { first: told, second: again, executions: oracle.executions };
+  } finally {
+    first.stop();
+    second.stop();
+    oracle.close();
+  }
+}
+
+async function save(
+  entry: ReturnType<typeof makeEntry>,
+  key: string,
+): Promise<string> {
+  const answer = await callForResult(entry, {
+    route: "services",
+    path: "/services/cards/save",
+    parameters: { service: "cards", path: "save" },
+    headers: {
+      "cicadafield-tenant": "tana",
+      "cicadafield-deadline-ms": String(SAVE_DEADLINE_MS),
+      "idempotency-key": key,
+    },
+    body: Buffer.from("card"),
+  });
+  if (isFailure(answer)) return `${answer.kind}, ran ${answer.ran}`;
+  return `${answer.status} ${await textOf(answer)}, ran ${
+    answer.headers["cicadafield-ran"]
+  }`;
+}
+
+const SAVED = "201 card 1, ran yes";
+const OPEN = "outcome_unknown, ran unknown";
+
+const GOLDEN: Readonly<Record<Fault, Session>> = {
+  none: { first: SAVED, second: SAVED, executions: 1 },
+  refused: { first: "upstream_refused, ran no", second: SAVED, executions: 1 },
+  reset_before_execution: {
+    first: "upstream_failed, ran unknown",
+    second: OPEN,
+    executions: 0,
+  },
+  reset_after_execution: {
+    first: "upstream_failed, ran unknown",
+    second: OPEN,
+    executions: 1,
+  },
+  half_head: {
+    first: "upstream_failed, ran unknown",
+    second: OPEN,
+    executions: 1,
+  },
+  short_body: {
+    first: "short_answer, ran unknown",
+    second: OPEN,
+    executions: 1,
+  },
+  unmarked_end: {
+    first: "short_answer, ran unknown",
+    second: OPEN,
+    executions: 1,
+  },
+  doubled_answer: { first: SAVED, second: SAVED, executions: 1 },
+  too_large: {
+    first: "answer_too_large, ran yes",
+    second: OPEN,
+    executions: 1,
+  },
+  frozen: {
+    first: "deadline_passed, ran unknown",
+    second: OPEN,
+    executions: 0,
+  },
+};
+
+for (const fault of FAULTS) {
+  test(`a job card saved twice under one key with fault ${fault} goes as recorded`, async () => {
+    assert.deepEqual(await playKeyed(fault), GOLDEN[fault]);
+  });
+}
+
+test("a call that may not be repeated never uses a connection that served another", async () => {
+  const oracle = new OracleService("none");
+  await listen(oracle.server);
+  const upstream = record("cards-1", oracle.server, { role: "service" });
+  const entry = makeEntry([upstream]);
+  entry.start();
+  try {
+    assert.equal(await save(entry, "key-1"), "201 card 1, ran yes");
+    assert.equal(await save(entry, "key-2"), "201 card 2, ran yes");
+    assert.equal(oracle.connections, 2);
+  } finally {
+    entry.stop();
+    oracle.close();
+  }
+});
+
+test("a key used with another body is a conflict that did not run", async () => {
+  const oracle = new OracleService("none");
+  await listen(oracle.server);
+  const upstream = record("cards-1", oracle.server, { role: "service" });
+  const entry = makeEntry([upstream]);
+  entry.start();
+  try {
+    await save(entry, "key-1");
+    const other = await callForResult(entry, {
+      route: "services",
+      path: "/services/cards/save",
+      parameters: { service: "cards", path: "save" },
+      headers: { "cicadafield-tenant": "tana", "idempotency-key": "key-1" },
+      body: Buffer.from("another card"),
+    });
+    assert(isFailure(other));
+    assert.equal(other.kind, "conflict");
+    assert.equal(other.ran, "no");
+    assert.equal(oracle.executions, 1);
+  } finally {
+    entry.stop();
+    oracle.close();
+  }
+});
+
+test("headers that contradict each other or are missing are refused before anything runs", async () => {
+  const upstreams: readonly UpstreamRecord[] = [];
+  const entry = makeEntry(upstreams);
+  const tenant = { "cicadafield-tenant": "tana" };
+  const cases: readonly (readonly [Record<string, string>, string])[] = [
+    [{}, "missing_header"],
+    [{ "cicadafield-tenant": "nobody" }, "unknown_tenant"],
+    [{ ...tenant, "cicadafield-class": "x" }, "unknown_class"],
+    [{ ...tenant, "cicadafield-deadline-ms": "1, 2" }, "conflicting_headers"],
+    [{ ...tenant, "cicadafield-deadline-ms": "-5" }, "malformed_request"],
+    [{ ...tenant, "idempotency-key": "" }, "malformed_request"],
+    [tenant, "no_upstream"],
+  ];
+  for (const [headers, kind] of cases) {
+    const answer = await callForResult(entry, {
+      route: "services",
+      path: "/services/cards/save",
+      parameters: { service: "cards", path: "save" },
+      headers,
+    });
+    assert(isFailure(answer));
+    assert.equal(answer.kind, kind);
+    assert.equal(answer.ran, "no");
+  }
+});
--- /dev/null
+++ b/requests/test_entry.ts
@@ -0,0 +1,182 @@
+/**
+ * An entry over real sockets with a fixed bundle, for the tests of this folder.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import assert from "node:assert/strict";
+import type { Server } from "node:net";
+import {
+  type AcceptedBundle,
+  Blackboard,
+  BOARD_WRITERS,
+  type BoardSections,
+  type Bundle,
+  type ControlPort,
+  EMPTY_BOARD,
+  type Failure,
+  type HttpAnswer,
+  type HttpCall,
+  isFailure,
+  LocalControl,
+  MemoryEventLog,
+  Metrics,
+  SeededRandom,
+  SystemClock,
+  type UpstreamRecord,
+} from "#core";
+import { MemoryNetwork } from "#wire";
+import { ClaimsMachine } from "./claims.ts";
+import { EntryRequests } from "./entry_requests.ts";
+
+/** Where the stand-ins of the tests listen. */
+export const HOST = "127.5.0.2";
+
+const BUNDLE: Bundle = {
+  schema: 1,
+  cluster: "test",
+  version: 1,
+  predecessor: null,
+  zones: [{ name: "a", region: "r" }],
+  vms: [],
+  tenants: [{ name: "tana", weight: 1, maximumOutstanding: 100 }],
+  classes: [
+    {
+      name: "drafting",
+      rank: 1,
+      floor: 0,
+      maximumQueued: 100,
+      defaultDeadlineMs: 60_000,
+    },
+    {
+      name: "lookup",
+      rank: 2,
+      floor: 0.1,
+      maximumQueued: 100,
+      defaultDeadlineMs: 60_000,
+    },
+  ],
+  models: [{ name: "advice", servingFloor: 0.5, loadsPerSecond: 1 }],
+  services: [{ name: "cards", idempotentMethods: ["GET"] }],
+  trainers: [],
+  operators: [],
+  limits: {
+    bodyBytes: 65_536,
+    answerBytes: 65_536,
+    claimRetentionMs: 600_000,
+    claimsStored: 100,
+    upstreamLeaseMs: 60_000,
+  },
+};
+
+const ACCEPTED: AcceptedBundle = {
+  signed: { bundle: BUNDLE, signer: "", signature: "" },
+  digest: "",
+  index: 1,
+  acceptedAtMs: 0,
+};
+
+/** The record of a listening stand-in. */
+export function record(
+  id: string,
+  server: Server,
+  offer: { readonly role: "engine" | "service" },
+): UpstreamRecord {
+  const address = server.address();
+  assert(typeof address === "object" && address !== null);
+  const isEngine = offer.role === "engine";
+  return {
+    id,
+    incarnation: 1,
+    sequence: 1,
+    zone: "a",
+    address: { host: HOST, port: address.port },
+    role: offer.role,
+    serves: isEngine ? [{ model: "advice", version: 4 }] : [],
+    services: isEngine ? [] : ["cards"],
+    capacity: 4,
+    enforcesFences: true,
+    reportsVersions: true,
+    leaving: false,
+    expiresAtMs: Number.POSITIVE_INFINITY,
+  };
+}
+
+let entriesMade = 0;
+
+/** A control port over a claims machine in memory. */
+export function claimsControl(): ControlPort {
+  return new LocalControl([new ClaimsMachine()], new SystemClock());
+}
+
+/** An entry that knows the given upstreams. */
+export function makeEntry(
+  records: readonly UpstreamRecord[],
+  control: ControlPort = claimsControl(),
+): EntryRequests {
+  const clock = new SystemClock();
+  entriesMade += 1;
+  const random = new SeededRandom(entriesMade);
+  const board = new Blackboard<BoardSections>({
+    ...EMPTY_BOARD,
+    bundle: ACCEPTED,
+    upstreams: new Map(records.map((each) => [each.id, each])),
+  }, BOARD_WRITERS);
+  return new EntryRequests({
+    vm: "entry-1",
+    zone: "a",
+    sourceHost: "127.5.0.1",
+    board,
+    control,
+    network: new MemoryNetwork({ clock, random }).join("entry-1"),
+    clock,
+    random,
+    events: new MemoryEventLog(),
+    metrics: new Metrics(),
+  });
+}
+
+/** Listens on a free port. */
+export function listen(server: Server): Promise<void> {
+  return new Promise((resolve) => server.listen(0, HOST, resolve));
+}
+
+/** Calls a route of an entry; gives its answer or its failure. */
+export async function callForResult(
+  entry: EntryRequests,
+  call: Partial<HttpCall> & { readonly route: string },
+): Promise<HttpAnswer | Failure> {
+  const route = entry.routes().find((each) => each.name === call.route);
+  assert(route !== undefined);
+  return await route.handle({
+    method: "POST",
+    path: "/",
+    parameters: {},
+    query: new URLSearchParams(),
+    headers: { "cicadafield-tenant": "tana" },
+    body: new Uint8Array(),
+    signal: new AbortController().signal,
+    ...call,
+  });
+}
+
+/** Calls a route of an entry that must answer. */
+export async function callRoute(
+  entry: EntryRequests,
+  call: Partial<HttpCall> & { readonly route: string },
+): Promise<HttpAnswer> {
+  const answer = await callForResult(entry, call);
+  assert(!isFailure(answer), JSON.stringify(answer));
+  return answer as HttpAnswer;
+}
+
+/** The whole body of an answer. */
+export async function textOf(answer: HttpAnswer): Promise<string> {
+  if (typeof answer.body === "string") return answer.body;
+  if (answer.body instanceof Uint8Array) {
+    return Buffer.from(answer.body).toString();
+  }
+  let text = "";
+  for await (const part of answer.body) text += part;
+  return text;
+}
--- a/requests/upstream_client.ts
+++ b/requests/upstream_client.ts
@@ -208,10 +208,12 @@
         : "connection_lost";
       this.#fail(cause, messageOf(error));
     });
-    outgoing.on(
-      "close",
-      () => this.#fail("connection_lost", "the connection closed"),
-    );
+    outgoing.on("close", () => {
+      const cause = this.#reach === "first_byte"
+        ? "short_answer"
+        : "connection_lost";
+      this.#fail(cause, "the connection closed");
+    });
   }
 
   #receive(incoming: IncomingMessage): void {
