Prove the admission queue against a sorted array

Cause: order, fair shares and floors had no oracle.

Change: the credit is dropped after the item has left. The fuzz also keeps all classes backlogged and checks that each gets its floor, less two items, at every moment.

--- /dev/null
+++ b/proof/fuzz_requests_queue.ts
@@ -0,0 +1,267 @@
+/**
+ * Fuzz of the admission queue against a sorted array: the same item comes next, and a class with a floor
+ * gets its part of the work while it waits.
+ *
+ * @module
+ */
+import fc from "fast-check";
+import { AdmissionQueue, type QueuePolicy, type WorkItem } from "#requests";
+import type { FuzzOptions } from "./fuzz.ts";
+
+const CLASSES = {
+  drafting: { rank: 1, floor: 0 },
+  cards: { rank: 2, floor: 0.2 },
+  lookup: { rank: 3, floor: 0.1 },
+} as const;
+const TENANTS = { tana: 1, agency: 3 } as const;
+const TRAINERS = { first: 1, second: 2 } as const;
+
+const POLICY: QueuePolicy = {
+  classPolicy: (name) => CLASSES[name as keyof typeof CLASSES],
+  tenantWeight: (name) => TENANTS[name as keyof typeof TENANTS],
+  trainerWeight: (name) => TRAINERS[name as keyof typeof TRAINERS],
+};
+
+type ItemFields = Pick<
+  WorkItem,
+  "class" | "tenant" | "trainer" | "urgent" | "cost"
+>;
+
+type Step =
+  | { readonly step: "push"; readonly fields: ItemFields }
+  | { readonly step: "take"; readonly refuse: number }
+  | { readonly step: "remove"; readonly index: number };
+
+const fieldsArbitrary: fc.Arbitrary<ItemFields> = fc.record({
+  class: fc.constantFrom("drafting", "cards", "lookup"),
+  tenant: fc.constantFrom("tana", "agency"),
+  trainer: fc.constantFrom("first", "second", null),
+  urgent: fc.boolean(),
+  cost: fc.integer({ min: 1, max: 20 }),
+}, { noNullPrototype: true });
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({ step: fc.constant("push" as const), fields: fieldsArbitrary }, {
+    noNullPrototype: true,
+  }),
+  fc.record({
+    step: fc.constant("take" as const),
+    refuse: fc.constantFrom(0, 0, 2, 3),
+  }, { noNullPrototype: true }),
+  fc.record({
+    step: fc.constant("remove" as const),
+    index: fc.nat({ max: 30 }),
+  }, { noNullPrototype: true }),
+);
+
+/** Runs the fuzz. */
+export function fuzz(options: FuzzOptions): Promise<void> {
+  fc.assert(
+    fc.property(
+      fc.array(stepArbitrary, { maxLength: 120, size: "max" }),
+      (steps) => playSteps(steps),
+    ),
+    {
+      seed: options.seed,
+      numRuns: options.runs,
+      includeErrorInReport: true,
+    },
+  );
+  fc.assert(
+    fc.property(
+      fc.array(fieldsArbitrary, { minLength: 20, maxLength: 80, size: "max" }),
+      (all) => playBacklog(all),
+    ),
+    {
+      seed: options.seed,
+      numRuns: options.runs,
+      includeErrorInReport: true,
+    },
+  );
+  return Promise.resolve();
+}
+
+function playSteps(steps: readonly Step[]): void {
+  const queue = new AdmissionQueue(POLICY);
+  const oracle = new SortedArray();
+  for (const [index, step] of steps.entries()) {
+    if (step.step === "push") {
+      const item = makeItem(index, step.fields);
+      queue.push(item);
+      oracle.push(item);
+    } else if (step.step === "remove") {
+      const id = `item-${step.index}`;
+      check(queue.remove(id)?.id, oracle.remove(id));
+    } else {
+      const fits = (item: WorkItem): boolean =>
+        step.refuse === 0 || Number(item.id.slice(5)) % step.refuse !== 0;
+      check(queue.take(fits)?.id, oracle.take(fits));
+    }
+    check(queue.size, oracle.size);
+  }
+}
+
+/** Keeps every class backlogged and counts what each gets. */
+function playBacklog(all: readonly ItemFields[]): void {
+  const queue = new AdmissionQueue(POLICY);
+  const cost = 5;
+  let made = 0;
+  const push = (name: string, fields: ItemFields): void => {
+    queue.push(makeItem(made, { ...fields, class: name, cost }));
+    made += 1;
+  };
+  const got = new Map<string, number>();
+  let total = 0;
+  for (const fields of all) {
+    for (const name of Object.keys(CLASSES)) {
+      while (queue.sizeOf(name) < 3) push(name, fields);
+    }
+    const item = queue.take(() => true);
+    if (item === undefined) throw new Error("nothing was taken");
+    total += item.cost;
+    got.set(item.class, (got.get(item.class) ?? 0) + item.cost);
+    for (const [name, policy] of Object.entries(CLASSES)) {
+      const least = policy.floor * total - 2 * cost;
+      if ((got.get(name) ?? 0) >= least) continue;
+      throw new Error(`${name} got ${got.get(name)} of ${total}`);
+    }
+  }
+}
+
+/** The oracle: sorts everything for each decision. */
+class SortedArray {
+  #items: WorkItem[] = [];
+  readonly #starts = new Map<string, number>();
+  readonly #clocks = new Map<string, number>();
+  readonly #credits = new Map<string, number>();
+  readonly #known: string[] = [];
+
+  get size(): number {
+    return this.#items.length;
+  }
+
+  push(item: WorkItem): void {
+    for (const [flow, group] of flowsOf(item)) {
+      if (!this.#known.includes(flow)) this.#known.push(flow);
+      if (this.#items.some((each) => flowNames(each).includes(flow))) continue;
+      const start = this.#starts.get(flow) ?? 0;
+      this.#starts.set(flow, Math.max(start, this.#clocks.get(group) ?? 0));
+    }
+    this.#items.push(item);
+  }
+
+  remove(id: string): string | undefined {
+    const item = this.#items.find((each) => each.id === id);
+    if (item !== undefined) this.#drop(item);
+    return item?.id;
+  }
+
+  take(fits: (item: WorkItem) => boolean): string | undefined {
+    const sorted = this.#sorted();
+    const item = sorted.slice(0, 32).find(fits);
+    if (item === undefined) return undefined;
+    for (const name of new Set(this.#items.map((each) => each.class))) {
+      const floor = POLICY.classPolicy(name).floor;
+      const credit = this.#credits.get(name) ?? 0;
+      this.#credits.set(name, credit + floor * item.cost);
+    }
+    const credit = (this.#credits.get(item.class) ?? 0) - item.cost;
+    this.#credits.set(item.class, Math.max(0, credit));
+    const [tenant, trainer] = flowsOf(item);
+    this.#charge(tenant, item.cost / POLICY.tenantWeight(item.tenant));
+    const weight = item.trainer === null
+      ? 1
+      : POLICY.trainerWeight(item.trainer);
+    this.#charge(trainer, item.cost / weight);
+    this.#drop(item);
+    return item.id;
+  }
+
+  #charge(flow: readonly [string, string], amount: number): void {
+    const [name, group] = flow;
+    const start = this.#starts.get(name) ?? 0;
+    const clock = this.#clocks.get(group) ?? 0;
+    this.#clocks.set(group, Math.max(clock, start));
+    this.#starts.set(name, start + amount);
+  }
+
+  #drop(item: WorkItem): void {
+    this.#items = this.#items.filter((each) => each !== item);
+    if (this.#items.some((each) => each.class === item.class)) return;
+    this.#credits.delete(item.class);
+  }
+
+  /** By class owed its floor, rank, start of tenant, start of trainer, urgency, arrival. */
+  #sorted(): readonly WorkItem[] {
+    const byRest = [...this.#items].sort((a, b) => this.#compare(a, b));
+    const owed = new Set<string>();
+    for (const name of new Set(byRest.map((each) => each.class))) {
+      const first = byRest.find((each) => each.class === name);
+      const credit = this.#credits.get(name) ?? 0;
+      if (first !== undefined && credit > 0 && credit >= first.cost) {
+        owed.add(name);
+      }
+    }
+    return [
+      ...byRest.filter((each) => owed.has(each.class)),
+      ...byRest.filter((each) => !owed.has(each.class)),
+    ];
+  }
+
+  #compare(a: WorkItem, b: WorkItem): number {
+    const keysA = this.#keys(a);
+    const keysB = this.#keys(b);
+    for (const [index, key] of keysA.entries()) {
+      const difference = key - (keysB[index] ?? 0);
+      if (difference !== 0) return difference;
+    }
+    return 0;
+  }
+
+  #keys(item: WorkItem): readonly number[] {
+    const [tenant, trainer] = flowNames(item);
+    return [
+      POLICY.classPolicy(item.class).rank,
+      this.#starts.get(tenant ?? "") ?? 0,
+      this.#known.indexOf(tenant ?? ""),
+      this.#starts.get(trainer ?? "") ?? 0,
+      this.#known.indexOf(trainer ?? ""),
+      item.urgent ? 0 : 1,
+      this.#items.indexOf(item),
+    ];
+  }
+}
+
+/** The flows of an item with the group that shares among them. */
+function flowsOf(
+  item: WorkItem,
+): readonly [readonly [string, string], readonly [string, string]] {
+  const tenant = `${item.class}/${item.tenant}`;
+  return [
+    [tenant, item.class],
+    [`${tenant}/${item.trainer ?? ""}`, tenant],
+  ];
+}
+
+function flowNames(item: WorkItem): readonly string[] {
+  return flowsOf(item).map(([name]) => name);
+}
+
+function makeItem(index: number, fields: ItemFields): WorkItem {
+  return {
+    id: `item-${index}`,
+    ...fields,
+    target: { kind: "model", name: "m" },
+    prefixKey: "",
+    minimumVersion: null,
+    avoid: [],
+    admitted: false,
+    arrivedMs: 0,
+    deadlineMs: 1_000,
+  };
+}
+
+function check(actual: unknown, expected: unknown): void {
+  if (actual === expected) return;
+  throw new Error(`the queue gave ${actual}, the array ${expected}`);
+}
--- a/requests/admission_queue.ts
+++ b/requests/admission_queue.ts
@@ -76,8 +76,8 @@
   remove(id: string): WorkItem | undefined {
     const item = this.#items.get(id);
     if (item === undefined) return undefined;
-    this.#forget(item);
     this.#classes.get(item.class)?.remove(item);
+    this.#forget(item);
     return item;
   }
 
--- a/requests/mod.ts
+++ b/requests/mod.ts
@@ -3,11 +3,16 @@
  *
  * @module
  */
+export * from "./adaptive_limit.ts";
+export * from "./admission_queue.ts";
 export * from "./attempt.ts";
 export * from "./claims.ts";
 export * from "./decision_log.ts";
+export * from "./demand_shares.ts";
 export * from "./entry_requests.ts";
 export * from "./events.ts";
 export * from "./scheduler.ts";
 export * from "./upstream_client.ts";
+export * from "./upstream_pool.ts";
+export * from "./upstream_state.ts";
 export * from "./work_item.ts";
