--- a/requests/adaptive_limit.ts
+++ b/requests/adaptive_limit.ts
@@ -19,7 +19,6 @@
 
 const SHRINK_FACTOR = 0.9;
 const FLOOR_RISE = 1.01;
-const MAXIMUM_FACTOR = 2;
 const MINIMUM_WINDOW = 4;
 
 /** The bound of one upstream. */
@@ -32,10 +31,10 @@
   #count = 0;
   #saturated = 0;
 
-  /** @param capacity what the upstream announces as its capacity */
-  constructor(capacity: number) {
+  /** Starts at the capacity that the upstream announces and stays below `maximumFactor` times it. */
+  constructor(capacity: number, maximumFactor: number) {
     this.#limit = Math.max(this.#minimum, capacity);
-    this.#maximum = Math.max(this.#minimum, capacity * MAXIMUM_FACTOR);
+    this.#maximum = Math.max(this.#minimum, capacity * maximumFactor);
   }
 
   /** The bound, a whole number of at least 1. */
--- a/requests/scheduler.ts
+++ b/requests/scheduler.ts
@@ -17,13 +17,12 @@
 import { type DemandNotice, DemandShares } from "./demand_shares.ts";
 import { DrainEstimate } from "./drain_estimate.ts";
 import { BundlePolicy } from "./policy.ts";
+import { DEFAULT_TUNING, type PolicyTuning } from "./tuning.ts";
 import type { Selection } from "./upstream_pool.ts";
 import type { UpstreamState } from "./upstream_state.ts";
 import { UpstreamTable } from "./upstream_table.ts";
 import { type Target, targetKey, type WorkItem } from "./work_item.ts";
 
-/** Part of its time that a request may spend in the queue. */
-export const MAXIMUM_WAIT_SHARE = 0.5;
 /** When to come back if no upstream serves a target. */
 export const NO_UPSTREAM_RETRY_MS: Milliseconds = 1_000;
 /** Shortest and longest time after which a refused caller is asked to come back. */
@@ -62,6 +61,8 @@
   readonly vm: string;
   readonly zone: string;
   readonly random: RandomSource;
+  /** Settings of the policy; the usual ones unless given. */
+  readonly tuning?: PolicyTuning;
 }
 
 interface RunningItem {
@@ -81,6 +82,7 @@
 export class Scheduler {
   readonly policy = new BundlePolicy();
   readonly #random: RandomSource;
+  readonly #tuning: PolicyTuning;
   readonly #table: UpstreamTable;
   readonly #shares: DemandShares;
   readonly #queues = new Map<string, TargetQueue>();
@@ -90,7 +92,11 @@
 
   constructor(options: SchedulerOptions) {
     this.#random = options.random;
-    this.#table = new UpstreamTable(options.zone);
+    this.#tuning = options.tuning ?? DEFAULT_TUNING;
+    this.#table = new UpstreamTable({
+      zone: options.zone,
+      tuning: this.#tuning,
+    });
     this.#shares = new DemandShares(options.vm);
   }
 
@@ -287,7 +293,7 @@
     const { waitMs, nowMs, queue: { drain } } = options;
     const leftMs = item.deadlineMs - nowMs;
     const neededMs = waitMs + drain.serviceMs(item.class);
-    const isTooSlow = waitMs > leftMs * MAXIMUM_WAIT_SHARE;
+    const isTooSlow = waitMs > leftMs * this.#tuning.maximumWaitShare;
     if (leftMs > 0 && neededMs <= leftMs && !isTooSlow) return undefined;
     return fail(
       "deadline_unreachable",
@@ -306,7 +312,7 @@
     const budgetMs = item.deadlineMs - item.arrivedMs;
     const serviceMs = queue.drain.serviceMs(item.class);
     const hasWaitedLong = nowMs - item.arrivedMs >
-      budgetMs * MAXIMUM_WAIT_SHARE;
+      budgetMs * this.#tuning.maximumWaitShare;
     if (!hasWaitedLong && nowMs + serviceMs <= item.deadlineMs) {
       return undefined;
     }
--- /dev/null
+++ b/requests/tuning.ts
@@ -0,0 +1,34 @@
+/**
+ * What the policy under load can be tuned by.
+ *
+ * @module
+ */
+
+/** Settings of the policy. */
+export interface PolicyTuning {
+  /** Upstreams on the ring that a prefix is tried on. */
+  readonly affinitySteps: number;
+  /** Load over the mean up to which a prefix stays with its upstream. */
+  readonly affinityLoadFactor: number;
+  /** Part of an upstream's bound up to which a prefix stays with it however idle the others are. */
+  readonly affinityFreePart: number;
+  /** Part of its time that a request may spend in the queue. */
+  readonly maximumWaitShare: number;
+  /** Part of another zone's spare capacity that one entry uses on overflow. */
+  readonly overflowPart: number;
+  /** Bound of an upstream over its announced capacity at most. */
+  readonly maximumLimitFactor: number;
+}
+
+/** The policy before the last change that was kept. */
+export const PREVIOUS_TUNING: PolicyTuning = {
+  affinitySteps: 2,
+  affinityLoadFactor: 1.25,
+  affinityFreePart: 0,
+  maximumWaitShare: 0.5,
+  overflowPart: 0.5,
+  maximumLimitFactor: 2,
+};
+
+/** The policy in use. */
+export const DEFAULT_TUNING: PolicyTuning = PREVIOUS_TUNING;
--- a/requests/upstream_pool.ts
+++ b/requests/upstream_pool.ts
@@ -6,14 +6,10 @@
  */
 import type { Milliseconds, RandomSource } from "#core";
 import { AffinityRing, hashOf } from "./affinity_ring.ts";
+import type { PolicyTuning } from "./tuning.ts";
 import type { UpstreamState } from "./upstream_state.ts";
 import type { Target, WorkItem } from "./work_item.ts";
 
-/** Upstreams on the ring that a prefix is tried on. */
-export const AFFINITY_STEPS = 2;
-/** Load over the mean up to which a prefix stays with its upstream. */
-export const AFFINITY_LOAD_FACTOR = 1.25;
-
 const RANDOM_TRIES = 4;
 
 /** Why an upstream was chosen. */
@@ -43,11 +39,12 @@
     members: {
       readonly near: readonly UpstreamState[];
       readonly far: readonly UpstreamState[];
+      readonly tuning: PolicyTuning;
     },
   ) {
     this.target = target;
-    this.#near = new ZoneGroup(members.near);
-    this.#far = new ZoneGroup(members.far);
+    this.#near = new ZoneGroup(members.near, members.tuning);
+    this.#far = new ZoneGroup(members.far, members.tuning);
   }
 
   /** Upstreams of the own zone. */
@@ -130,9 +127,11 @@
 class ZoneGroup {
   readonly members: readonly UpstreamState[];
   readonly #ring: AffinityRing;
+  readonly #tuning: PolicyTuning;
 
-  constructor(members: readonly UpstreamState[]) {
+  constructor(members: readonly UpstreamState[], tuning: PolicyTuning) {
     this.members = members;
+    this.#tuning = tuning;
     this.#ring = new AffinityRing(members.map((member) => member.id));
   }
 
@@ -149,9 +148,16 @@
   ): UpstreamState | undefined {
     if (prefixKey === "" || this.members.length === 0) return undefined;
     const most = this.#affinityBound();
-    for (const index of this.#ring.walk(hashOf(prefixKey), AFFINITY_STEPS)) {
+    for (
+      const index of this.#ring.walk(
+        hashOf(prefixKey),
+        this.#tuning.affinitySteps,
+      )
+    ) {
       const member = this.members[index];
-      if (member === undefined || member.running >= most) continue;
+      if (member === undefined) continue;
+      const free = member.part * this.#tuning.affinityFreePart;
+      if (member.running >= Math.max(most, free)) continue;
       if (fits(member)) return member;
     }
     return undefined;
@@ -194,7 +200,7 @@
     let running = 0;
     for (const member of this.members) running += member.running;
     const mean = (running + 1) / this.members.length;
-    return Math.ceil(mean * AFFINITY_LOAD_FACTOR);
+    return Math.ceil(mean * this.#tuning.affinityLoadFactor);
   }
 }
 
--- a/requests/upstream_state.ts
+++ b/requests/upstream_state.ts
@@ -7,6 +7,7 @@
 import type { LoadReport, Milliseconds, UpstreamRecord } from "#core";
 import { AdaptiveLimit } from "./adaptive_limit.ts";
 import { hashOf } from "./affinity_ring.ts";
+import type { PolicyTuning } from "./tuning.ts";
 import type { Target } from "./work_item.ts";
 
 /** Age at which a load report counts no longer. */
@@ -24,6 +25,7 @@
   readonly id: string;
   /** 0 to 1, the same on every entry. */
   readonly offset: number;
+  readonly #tuning: PolicyTuning;
   #record: UpstreamRecord;
   #limit: AdaptiveLimit;
   #running = 0;
@@ -35,11 +37,12 @@
   /** Work that this entry may have outstanding here. */
   part: number;
 
-  constructor(record: UpstreamRecord) {
+  constructor(record: UpstreamRecord, tuning: PolicyTuning) {
+    this.#tuning = tuning;
     this.id = record.id;
     this.offset = hashOf(record.id) / UINT32_RANGE;
     this.#record = record;
-    this.#limit = new AdaptiveLimit(record.capacity);
+    this.#limit = this.#startLimit(record);
     this.part = this.#limit.value;
   }
 
@@ -74,7 +77,7 @@
     this.#record = record;
     const isNew = record.incarnation !== before.incarnation;
     if (isNew || record.capacity !== before.capacity) {
-      this.#limit = new AdaptiveLimit(record.capacity);
+      this.#limit = this.#startLimit(record);
     }
     if (!isNew) return;
     this.#failures = 0;
@@ -146,4 +149,11 @@
     this.#failures += 1;
     this.#suspendedUntilMs = nowMs + pause;
   }
+
+  #startLimit(record: UpstreamRecord): AdaptiveLimit {
+    return new AdaptiveLimit(
+      record.capacity,
+      this.#tuning.maximumLimitFactor,
+    );
+  }
 }
--- a/requests/upstream_table.ts
+++ b/requests/upstream_table.ts
@@ -6,24 +6,30 @@
  */
 import type { LoadReport, Milliseconds, UpstreamRecord } from "#core";
 import type { DemandShares } from "./demand_shares.ts";
+import type { PolicyTuning } from "./tuning.ts";
 import { UpstreamPool } from "./upstream_pool.ts";
 import { UpstreamState } from "./upstream_state.ts";
 import { type Target, targetKey } from "./work_item.ts";
 
-/** Part of another zone's spare capacity that one entry uses on overflow. */
-export const OVERFLOW_FACTOR = 0.5;
+/** What a table is built from. */
+export interface UpstreamTableOptions {
+  /** Zone of this entry. */
+  readonly zone: string;
+  readonly tuning: PolicyTuning;
+}
 
 /** Upstreams by identifier and by target. */
 export class UpstreamTable {
   readonly #zone: string;
+  readonly #tuning: PolicyTuning;
   readonly #states = new Map<string, UpstreamState>();
   #pools = new Map<string, UpstreamPool>();
   #records: ReadonlyMap<string, UpstreamRecord> = new Map();
   #loads: ReadonlyMap<string, LoadReport> = new Map();
 
-  /** @param zone of this entry */
-  constructor(zone: string) {
-    this.#zone = zone;
+  constructor(options: UpstreamTableOptions) {
+    this.#zone = options.zone;
+    this.#tuning = options.tuning;
   }
 
   /** The upstream of an identifier, also when it has left but still runs own work. */
@@ -51,7 +57,7 @@
       if (before === record && known !== undefined) continue;
       if (before === undefined || !sameTargets(before, record)) regroup = true;
       if (known === undefined) {
-        this.#states.set(record.id, new UpstreamState(record));
+        this.#states.set(record.id, new UpstreamState(record, this.#tuning));
       } else known.update(record);
     }
     for (const [id, state] of this.#states) {
@@ -97,7 +103,9 @@
           nowMs,
         });
       }
-      for (const state of pool.far) state.part = overflowPart(state, nowMs);
+      for (const state of pool.far) {
+        state.part = overflowPart(state, nowMs, this.#tuning.overflowPart);
+      }
     }
   }
 
@@ -119,17 +127,27 @@
     }
     this.#pools = new Map();
     for (const [key, group] of members) {
-      this.#pools.set(key, new UpstreamPool(group.target, group));
+      this.#pools.set(
+        key,
+        new UpstreamPool(group.target, {
+          ...group,
+          tuning: this.#tuning,
+        }),
+      );
     }
   }
 }
 
-/** Half of what the other zone leaves unused, by its own report; one place without a report. */
-function overflowPart(state: UpstreamState, nowMs: Milliseconds): number {
+/** Part of what the other zone leaves unused, by its own report; one place without a report. */
+function overflowPart(
+  state: UpstreamState,
+  nowMs: Milliseconds,
+  part: number,
+): number {
   const limit = state.limit.value;
   const spare = limit - state.loadAt(nowMs) + state.running;
-  const most = Math.floor(limit * OVERFLOW_FACTOR);
-  return Math.max(1, Math.min(most, Math.floor(spare * OVERFLOW_FACTOR)));
+  const most = Math.floor(limit * part);
+  return Math.max(1, Math.min(most, Math.floor(spare * part)));
 }
 
 function targetsOf(record: UpstreamRecord): readonly Target[] {
