Close connections that come to rest during a planned stop

Cause: an answer begun before a drain and finished after it left its connection open until the keep-alive time ran out, 60 s by default, and the drain waited for it. Change: once no connection is accepted, each connection is closed as soon as it rests. Figures: tests of programs 61.2 s before, 0.5 s after; the test of the large answer now has a keep-alive time of an hour and fails by hanging without the change. Conclusion: a stop waits for requests only.

--- a/programs/connection_table.ts
+++ b/programs/connection_table.ts
@@ -19,6 +19,7 @@
 /** Knows of each connection whether it rests between two requests. */
 export class ConnectionTable {
   readonly #connections = new Map<Socket, Connection>();
+  #closing = false;
 
   /** Follows a connection until it closes. */
   add(socket: Socket): void {
@@ -74,17 +75,17 @@
         connection.served = true;
         connection.answering = false;
         connection.bytesAtRest = socket.bytesRead;
+        if (this.#closing) closeIfResting(socket, connection);
       });
     connection.turn = mine.catch(() => undefined);
     await mine;
   }
 
-  /** Closes connections that rest after a whole answer. */
+  /** Closes each connection that rests after a whole answer, now and from now on. */
   closeResting(): void {
+    this.#closing = true;
     for (const [socket, connection] of this.#connections) {
-      if (connection.unanswered > 0 || !connection.served) continue;
-      if (socket.bytesRead !== connection.bytesAtRest) continue;
-      socket.destroySoon();
+      closeIfResting(socket, connection);
     }
   }
 
@@ -93,3 +94,9 @@
     for (const socket of this.#connections.keys()) socket.destroy();
   }
 }
+
+function closeIfResting(socket: Socket, connection: Connection): void {
+  if (connection.unanswered > 0 || !connection.served) return;
+  if (socket.bytesRead !== connection.bytesAtRest) return;
+  socket.destroySoon();
+}
--- a/programs/http_drain_test.ts
+++ b/programs/http_drain_test.ts
@@ -4,11 +4,13 @@
   type HttpRoute,
   jsonAnswer,
   type Milliseconds,
+  MINUTE_MS,
   VirtualClock,
 } from "#core";
 import { ECHO_ROUTE, RawClient, withServer } from "./http_testing.ts";
 
 const NOTICE_MS: Milliseconds = 3_000;
+const HOUR_MS: Milliseconds = 60 * MINUTE_MS;
 
 /** A route whose answers wait until they are released. */
 class HeldRoute {
@@ -91,7 +93,7 @@
   });
 });
 
-test("a large answer that the caller reads slowly is whole after a drain", async () => {
+test("a large answer begun before a drain comes whole, and its connection is closed then", async () => {
   const size = 24 * 1_048_576;
   const large: HttpRoute = {
     method: "GET",
@@ -105,7 +107,9 @@
       }),
   };
   const clock = new VirtualClock();
-  await withServer({ clock, routes: [large] }, async ({ server, address }) => {
+  const limits = { keepAliveMs: HOUR_MS };
+  const options = { clock, routes: [large], limits };
+  await withServer(options, async ({ server, address }) => {
     const client = new RawClient(address);
     client.send("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
     await client.until(/xx/);
