--- a/samples/generation.ts
+++ b/samples/generation.ts
@@ -33,7 +33,7 @@
 export interface GenerationOptions extends
   Omit<
     GroupWorkOptions,
-    "newest" | "isTail" | "refresh"
+    "newest" | "isTail" | "refresh" | "upstreams"
   > {
   readonly vm: string;
   readonly zone: string;
@@ -64,6 +64,7 @@
       newest: (model) => this.#published.get(model) ?? null,
       isTail: (trainer, step) => this.#isTail(trainer, step),
       refresh: () => this.#ask(),
+      upstreams: () => options.board.read("upstreams"),
     };
   }
 
@@ -97,7 +98,9 @@
   }
 
   async #tick(): Promise<void> {
-    this.#doubleStragglers();
+    this.#runStragglersAgain();
+    const upstreams = this.#options.board.read("upstreams");
+    this.#options.witness?.observe(upstreams.values());
     if (this.#busy) return;
     this.#busy = true;
     try {
@@ -107,7 +110,7 @@
     }
   }
 
-  #doubleStragglers(): void {
+  #runStragglersAgain(): void {
     const running = [];
     for (const work of this.#work.values()) {
       for (const sample of work.samples) {
@@ -120,7 +123,7 @@
     if (chosen.size === 0) return;
     for (const work of this.#work.values()) {
       for (const sample of work.samples) {
-        if (chosen.has(sample.key)) sample.double();
+        if (chosen.has(sample.key)) sample.runAgain();
       }
     }
   }
