Give orders with whole milliseconds

Cause: an order is limited to what is left of the lease, a fraction of a millisecond included, and the platform's timer refuses fractions: the leading control VM crashed on its first order after a publication, then the next leader did.

--- a/weights/engine_port.ts
+++ b/weights/engine_port.ts
@@ -117,7 +117,7 @@
           "content-type": "application/json",
           "content-length": bytes.length,
         },
-        signal: AbortSignal.timeout(call.limitMs),
+        signal: AbortSignal.timeout(wholeMs(call.limitMs)),
       });
       sent.on("error", (error) => {
         resolve(Err(fail("upstream_failed", error.message)));
@@ -142,3 +142,8 @@
     });
   }
 }
+
+/** Timers of the platform take whole milliseconds; rounding down keeps the order within its lease. */
+function wholeMs(limitMs: Milliseconds): Milliseconds {
+  return Math.max(1, Math.floor(limitMs));
+}
