--- a/membership/bundle_server.ts
+++ b/membership/bundle_server.ts
@@ -64,7 +64,8 @@
     if (!parsed.success) return Err(fail("malformed_request", "not a watch"));
     const { waitMs } = parsed.data;
     const now = this.#update(parsed.data);
-    const mayWait = waitMs > 0 && this.#wakers.size < MAXIMUM_WATCHERS;
+    const mayWait = waitMs > 0 && this.#wakers.size < MAXIMUM_WATCHERS &&
+      this.#options.fresh();
     if (now.kind === "none" && mayWait) await this.#wait(waitMs);
     const update = this.#update(parsed.data);
     return Ok({ update, fresh: this.#options.fresh() });
