--- /dev/null
+++ b/programs/commands/bundle_sign.ts
@@ -0,0 +1,72 @@
+/**
+ * `cicadafield bundle sign FILE --key KEY`.
+ *
+ * @module
+ */
+import { writeFile } from "node:fs/promises";
+import { bundleDigest, signBundle } from "#bundles";
+import { fail } from "#core";
+import { readOperatorKey } from "../operator_keys.ts";
+import { fileFaultOutcome, readBundleFile } from "./bundle_file.ts";
+import {
+  type CommandHelp,
+  type CommandOutcome,
+  done,
+  failed,
+} from "./command_outcome.ts";
+
+/** Names under which the command is called. */
+export const commandNames: string[][] = [["bundle", "sign"]];
+
+/** Help of the command. */
+export const help: CommandHelp = {
+  category: "Bundles",
+  description: "Check and sign a bundle with an operator's key; asks no VM.",
+  details:
+    "The signer is the name of the key file unless --signer is given. Refuses a key file that others can read.",
+  examples: [[
+    "Sign a draft",
+    "cicadafield bundle sign bundle-2.json --key keys/awa.pem --out bundle-2.signed.json",
+  ]],
+};
+
+/** What the command takes. */
+export interface SignOptions {
+  readonly file: string;
+  readonly key: string;
+  readonly signer?: string;
+  /** Where the signed bundle goes; standard output if not given. */
+  readonly out?: string;
+}
+
+/** Signs the bundle in a file. */
+export async function handler(options: SignOptions): Promise<CommandOutcome> {
+  const bundle = await readBundleFile(options.file);
+  if (bundle.err) return fileFaultOutcome(bundle.val);
+  const key = await readOperatorKey(options.key);
+  if (key.err) return failed(key.val);
+  const signer = options.signer ?? key.val.name;
+  const signed = signBundle(bundle.val, {
+    signer,
+    privateKey: key.val.privateKey,
+  });
+  if (options.out === undefined) {
+    return done(JSON.stringify(signed, null, 2), signed);
+  }
+  try {
+    await writeFile(options.out, JSON.stringify(signed, null, 2) + "\n");
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return failed(
+      fail("invalid_settings", `${options.out} can't be written: ${reason}`, {
+        field: "out",
+      }),
+    );
+  }
+  const version = bundle.val.version;
+  const digest = bundleDigest(bundle.val);
+  return done(
+    `${options.out}: version ${version} signed by ${signer}\ndigest ${digest}`,
+    { version, digest, signer, file: options.out },
+  );
+}
--- /dev/null
+++ b/programs/commands/command_outcome.ts
@@ -0,0 +1,38 @@
+/**
+ * What the operator commands give back, and how it is printed.
+ *
+ * @module
+ */
+import { ERROR_TABLE, type Failure } from "#core";
+import { EXIT_CODES, failureExitCode } from "../exit_codes.ts";
+
+/** The result of a command: for people as text, for programs as JSON. */
+export interface CommandOutcome {
+  readonly exitCode: number;
+  readonly text: string;
+  readonly json: unknown;
+}
+
+/** Help of a command in the form that clipanion prints. */
+export interface CommandHelp {
+  readonly category: string;
+  readonly description: string;
+  readonly details: string;
+  readonly examples: [string, string][];
+}
+
+/** The outcome of a command that did what was asked. */
+export function done(text: string, json: unknown): CommandOutcome {
+  return { exitCode: EXIT_CODES.success, text, json };
+}
+
+/** The outcome for a failure. */
+export function failed(failure: Failure): CommandOutcome {
+  const hint = ERROR_TABLE[failure.kind].hint;
+  const field = failure.field === undefined ? "" : ` (${failure.field})`;
+  return {
+    exitCode: failureExitCode(failure),
+    text: `${failure.kind}${field}: ${failure.message}\n${hint}`,
+    json: { ...failure, hint },
+  };
+}
--- /dev/null
+++ b/programs/commands/status.ts
@@ -0,0 +1,79 @@
+/**
+ * `cicadafield status`.
+ *
+ * @module
+ */
+import type { OperatorClient } from "../operator_client.ts";
+import { summary } from "./bundle_status.ts";
+import {
+  type CommandHelp,
+  type CommandOutcome,
+  done,
+  failed,
+} from "./command_outcome.ts";
+import { fetchStatus, type StatusAnswer } from "./status_answer.ts";
+
+const CUT_OFF = "cut_off";
+
+/** Names under which the command is called. */
+export const commandNames: string[][] = [["status"]];
+
+/** Help of the command. */
+export const help: CommandHelp = {
+  category: "State",
+  description:
+    "Show VMs, zones, upstreams, versions in force, the leader and what is cut off.",
+  details:
+    "Everything is as the VM that answers sees it: ask a VM of each zone when zones are cut off from each other.",
+  examples: [
+    ["Ask an entry VM", "cicadafield status --entry 10.0.1.7:8000"],
+    ["For programs", "cicadafield status --entry 10.0.1.7:8000 --json"],
+  ],
+};
+
+/** Shows the status. */
+export async function handler(client: OperatorClient): Promise<CommandOutcome> {
+  const status = await fetchStatus(client);
+  if (status.err) return failed(status.val);
+  return done(describe(status.val), status.val);
+}
+
+function describe(status: StatusAnswer): string {
+  const lines = [
+    `seen from ${status.vm} in zone ${status.zone}`,
+    `bundle: ${summary(status)}`,
+    `leader: ${status.leader ?? "unknown"}`,
+  ];
+  for (const zone of status.zones) {
+    lines.push(
+      `zone ${zone}`,
+      ...vmLines(status, zone),
+      ...upstreamLines(status, zone),
+    );
+  }
+  const cutOff = status.vms.filter((vm) => vm.state === CUT_OFF);
+  const names = cutOff.map((vm) => vm.vm).join(", ");
+  lines.push(`cut off: ${names === "" ? "none" : names}`);
+  return lines.join("\n");
+}
+
+function vmLines(status: StatusAnswer, zone: string): readonly string[] {
+  return status.vms.filter((vm) => vm.zone === zone).map((vm) => {
+    const ready = vm.ready ? "ready" : "not ready";
+    return `  ${vm.role} ${vm.vm}: ${vm.state}, ${ready}, version ${
+      vm.bundleVersion ?? "unknown"
+    }`;
+  });
+}
+
+function upstreamLines(status: StatusAnswer, zone: string): readonly string[] {
+  return status.upstreams.filter((each) => each.zone === zone).map((each) => {
+    const serves = each.serves.map((model) =>
+      `${model.model}@${model.version}`
+    );
+    const what = [...serves, ...each.services].join(" ") || "nothing";
+    return `  ${each.role} ${each.id}: ${
+      each.leaving ? "leaving" : "in use"
+    }, serves ${what}`;
+  });
+}
--- /dev/null
+++ b/programs/operator_client.ts
@@ -0,0 +1,106 @@
+/**
+ * HTTP client of the operator commands: asks one entry VM after the other until one answers.
+ *
+ * @module
+ */
+import { request as httpRequest } from "node:http";
+import {
+  type Address,
+  Err,
+  fail,
+  type Failure,
+  isFailure,
+  type Milliseconds,
+  Ok,
+  type Result,
+} from "#core";
+
+/** A request to an entry VM. Sending it twice must be safe. */
+export interface OperatorRequest {
+  readonly method: "GET" | "PUT";
+  readonly path: string;
+  readonly body?: unknown;
+}
+
+/** Asks entry VMs; fails with the answer of the VM, or `outcome_unknown` if none answers. */
+export class OperatorClient {
+  readonly #entries: readonly Address[];
+  readonly #timeoutMs: Milliseconds;
+
+  constructor(entries: readonly Address[], timeoutMs: Milliseconds) {
+    this.#entries = entries;
+    this.#timeoutMs = timeoutMs;
+  }
+
+  /**
+   * Sends the request to each entry VM until one answers.
+   *
+   * @example
+   * ```ts
+   * const status = await client.send({ method: "GET", path: "/v1/status" });
+   * ```
+   */
+  async send(request: OperatorRequest): Promise<Result<unknown, Failure>> {
+    const faults: string[] = [];
+    for (const entry of this.#entries) {
+      const answer = await this.#ask(entry, request);
+      if (answer.ok) return answer.val;
+      faults.push(`${entry.host}:${entry.port}: ${answer.val}`);
+    }
+    return Err(
+      fail("outcome_unknown", `no entry VM answered (${faults.join("; ")})`),
+    );
+  }
+
+  #ask(
+    entry: Address,
+    request: OperatorRequest,
+  ): Promise<Result<Result<unknown, Failure>, string>> {
+    return new Promise((resolve) => {
+      const body = request.body === undefined
+        ? undefined
+        : JSON.stringify(request.body);
+      const outgoing = httpRequest({
+        host: entry.host,
+        port: entry.port,
+        method: request.method,
+        path: request.path,
+        headers: body === undefined ? {} : {
+          "Content-Type": "application/json",
+          "Content-Length": Buffer.byteLength(body),
+        },
+        timeout: this.#timeoutMs,
+        agent: false,
+      }, (incoming) => {
+        const chunks: Uint8Array[] = [];
+        incoming.on("data", (chunk: Uint8Array) => chunks.push(chunk));
+        incoming.on("error", (error) => resolve(Err(error.message)));
+        incoming.on("end", () => {
+          const text = Buffer.concat(chunks).toString();
+          resolve(readAnswer(incoming.statusCode ?? 0, text));
+        });
+      });
+      outgoing.on(
+        "timeout",
+        () => outgoing.destroy(new Error("no answer in time")),
+      );
+      outgoing.on("error", (error) => resolve(Err(error.message)));
+      outgoing.end(body);
+    });
+  }
+}
+
+function readAnswer(
+  status: number,
+  text: string,
+): Result<Result<unknown, Failure>, string> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    return Err(`the answer with status ${status} is not JSON`);
+  }
+  if (status >= 200 && status < 300) return Ok(Ok(value));
+  if (isFailure(value)) return Ok(Err(value));
+  return Err(`the answer has status ${status} and no kind`);
+}
--- /dev/null
+++ b/programs/operator_keys.ts
@@ -0,0 +1,163 @@
+/**
+ * Operators' signing keys: Ed25519 private keys as PEM files that only their owner can read.
+ *
+ * @module
+ */
+import {
+  createPrivateKey,
+  generateKeyPairSync,
+  type KeyObject,
+} from "node:crypto";
+import { chmod, mkdir, open, readdir, readFile, stat } from "node:fs/promises";
+import { join } from "node:path";
+import { publicKeyText } from "#bundles";
+import { Err, fail, type Failure, Ok, type Result } from "#core";
+
+const KEY_SUFFIX = ".pem";
+const OWNER_ONLY_FILE = 0o600;
+const OWNER_ONLY_FOLDER = 0o700;
+const READABLE_BY_OTHERS = 0o077;
+const NAME_PATTERN = /^[a-z0-9][a-z0-9._-]{0,63}$/;
+
+/** A private key with the name under which a bundle lists its public half. */
+export interface OperatorKey {
+  readonly name: string;
+  /** Raw public key in base64, as bundles list it. */
+  readonly publicKey: string;
+  readonly file: string;
+  readonly privateKey: KeyObject;
+}
+
+/** A key file as listed: a key, or why it can't be used. */
+export interface ListedKey {
+  readonly name: string;
+  readonly file: string;
+  readonly publicKey: string | null;
+  readonly fault: string | null;
+}
+
+/**
+ * Makes a key pair and stores it as `FOLDER/NAME.pem`; never replaces a file.
+ *
+ * @example
+ * ```ts
+ * const key = await generateOperatorKey("keys", "awa");
+ * ```
+ */
+export async function generateOperatorKey(
+  folder: string,
+  name: string,
+): Promise<Result<OperatorKey, Failure>> {
+  if (!NAME_PATTERN.test(name)) {
+    return Err(
+      invalid(
+        `${name} must be lower-case letters, digits, dots, underscores and hyphens`,
+      ),
+    );
+  }
+  const file = join(folder, name + KEY_SUFFIX);
+  const { privateKey } = generateKeyPairSync("ed25519");
+  try {
+    await mkdir(folder, { recursive: true, mode: OWNER_ONLY_FOLDER });
+    await writeNew(
+      file,
+      String(privateKey.export({ type: "pkcs8", format: "pem" })),
+    );
+  } catch (error) {
+    return Err(invalid(`${file} can't be written: ${reason(error)}`));
+  }
+  return Ok({ name, publicKey: publicKeyText(privateKey), file, privateKey });
+}
+
+/** Reads a key; refuses a file that others can read or that holds no Ed25519 key. */
+export async function readOperatorKey(
+  file: string,
+): Promise<Result<OperatorKey, Failure>> {
+  let text: string;
+  try {
+    const { mode } = await stat(file);
+    if ((mode & READABLE_BY_OTHERS) !== 0) return Err(openToOthers(file, mode));
+    text = await readFile(file, "utf8");
+  } catch (error) {
+    return Err(invalid(`${file} can't be read: ${reason(error)}`));
+  }
+  const privateKey = parseKey(text);
+  if (privateKey === undefined) {
+    return Err(
+      invalid(
+        `${file} holds no Ed25519 private key in PEM; make one with keys generate`,
+      ),
+    );
+  }
+  return Ok({
+    name: keyName(file),
+    publicKey: publicKeyText(privateKey),
+    file,
+    privateKey,
+  });
+}
+
+/** Lists the key files of a folder by name. */
+export async function listOperatorKeys(
+  folder: string,
+): Promise<Result<readonly ListedKey[], Failure>> {
+  let files: readonly string[];
+  try {
+    files = await readdir(folder);
+  } catch (error) {
+    return Err(invalid(`${folder} can't be read: ${reason(error)}`));
+  }
+  const listed: ListedKey[] = [];
+  for (const each of [...files].sort()) {
+    if (!each.endsWith(KEY_SUFFIX)) continue;
+    const file = join(folder, each);
+    const key = await readOperatorKey(file);
+    listed.push({
+      name: keyName(file),
+      file,
+      publicKey: key.ok ? key.val.publicKey : null,
+      fault: key.ok ? null : key.val.message,
+    });
+  }
+  return Ok(listed);
+}
+
+async function writeNew(file: string, text: string): Promise<void> {
+  const handle = await open(file, "wx", OWNER_ONLY_FILE);
+  try {
+    await handle.writeFile(text);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+  await chmod(file, OWNER_ONLY_FILE);
+}
+
+function parseKey(text: string): KeyObject | undefined {
+  try {
+    const key = createPrivateKey(text);
+    return key.asymmetricKeyType === "ed25519" ? key : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function keyName(file: string): string {
+  const base = file.slice(file.lastIndexOf("/") + 1);
+  return base.endsWith(KEY_SUFFIX) ? base.slice(0, -KEY_SUFFIX.length) : base;
+}
+
+function openToOthers(file: string, mode: number): Failure {
+  const shown = (mode & 0o777).toString(8).padStart(4, "0");
+  return invalid(
+    `${file} has mode ${shown} and is open to others; run: chmod 600 ${file}`,
+  );
+}
+
+function invalid(message: string): Failure {
+  return fail("invalid_settings", message, { field: "key" });
+}
+
+function reason(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
