--- a/samples/sample_work.ts
+++ b/samples/sample_work.ts
@@ -5,18 +5,21 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type {
-  Clock,
-  CompletionAnswer,
-  CompletionChunk,
-  CompletionPort,
-  EventLog,
-  Failure,
-  Milliseconds,
-  RandomSource,
-  Result,
-  TrainerEntry,
+import {
+  type Clock,
+  type CompletionAnswer,
+  type CompletionChunk,
+  type CompletionPort,
+  type EventLog,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type RandomSource,
+  type Result,
+  type TrainerEntry,
+  type UpstreamRecord,
 } from "#core";
+import type { EngineWitness } from "./engine_witness.ts";
 import { SAMPLES_EVENTS } from "./events.ts";
 import { type LeasedGroup, oldestVersion } from "./ledger_types.ts";
 import { retryDelayMs } from "./retry_delay.ts";
@@ -32,6 +35,10 @@
   readonly random: RandomSource;
   readonly events: EventLog;
   readonly policy: StragglerPolicy;
+  /** Engines by identifier. */
+  readonly upstreams: () => ReadonlyMap<string, UpstreamRecord>;
+  /** Versions of engines that don't name them, or null if such engines aren't read. */
+  readonly witness: EngineWitness | null;
   /** Newest published version of a model, or null before the first. */
   readonly newest: (model: string) => number | null;
   /** Whether nothing of the step is left to be started. */
@@ -51,7 +58,8 @@
   firstChunkAtMs: Milliseconds | null;
   tokens: number;
   oldest: number;
-  upstream: string | null;
+  /** Engines that gave tokens, in order. */
+  readonly upstreams: Set<string>;
 }
 
 /** Makes one sample. */
@@ -61,7 +69,6 @@
   readonly #slot: SampleSlot;
   readonly #attempts = new Set<Attempt>();
   #round = 0;
-  #doubled = false;
   #retryAfterMs: Milliseconds = 0;
   #resolve: ((answer: CompletionAnswer | null) => void) | null = null;
 
@@ -107,13 +114,12 @@
     if (this.#attempts.size === 0) this.#finish(null, null);
   }
 
-  /** Starts a second run on another engine. */
-  double(): void {
-    if (this.#doubled || this.#resolve === null) return;
-    this.#doubled = true;
+  /** Starts another run on another engine. */
+  runAgain(): void {
+    if (this.#resolve === null) return;
     const avoid: string[] = [];
     for (const attempt of this.#attempts) {
-      if (attempt.upstream !== null) avoid.push(attempt.upstream);
+      avoid.push(...attempt.upstreams);
     }
     this.#launch(avoid);
   }
@@ -121,24 +127,28 @@
   /** The sample as the straggler policy sees it, or null while no run is on. */
   view(): RunningSample | null {
     if (this.#resolve === null) return null;
-    const first = this.#attempts.values().next().value;
-    if (first === undefined) return null;
+    let newest: Attempt | undefined;
+    let tokensAtRisk = 0;
+    for (const attempt of this.#attempts) {
+      newest = attempt;
+      tokensAtRisk += attempt.tokens;
+    }
+    if (newest === undefined) return null;
     const { group } = this.#slot;
     return {
       key: this.key,
       model: group.model,
-      startedAtMs: first.startedAtMs,
-      firstChunkAtMs: first.firstChunkAtMs,
-      tokens: first.tokens,
-      maximumTokens: group.maximumTokens,
-      doubled: this.#doubled,
+      startedAtMs: newest.startedAtMs,
+      firstChunkAtMs: newest.firstChunkAtMs,
+      tokens: newest.tokens,
+      runs: this.#attempts.size,
+      tokensAtRisk,
       tail: this.#options.isTail(group.trainer, group.step),
     };
   }
 
   #runOnce(): Promise<CompletionAnswer | null> {
     this.#round += 1;
-    this.#doubled = false;
     this.#retryAfterMs = 0;
     return new Promise((resolve) => {
       this.#resolve = resolve;
@@ -153,14 +163,14 @@
       firstChunkAtMs: null,
       tokens: 0,
       oldest: Number.MAX_SAFE_INTEGER,
-      upstream: null,
+      upstreams: new Set(),
     };
     this.#attempts.add(attempt);
     void this.#call(attempt, avoid);
   }
 
   async #call(attempt: Attempt, avoid: readonly string[]): Promise<void> {
-    const { group, trainer, index } = this.#slot;
+    const { group, trainer } = this.#slot;
     const nowMs = this.#options.clock.nowMs();
     const leftMs = group.deadlineAtMs - this.#options.clock.wallMs();
     const newest = this.#options.newest(group.model);
@@ -184,25 +194,44 @@
       onChunk: (chunk) => this.#progress(attempt, chunk),
       signal: attempt.controller.signal,
     });
-    if (this.#attempts.has(attempt)) this.#ended(attempt, { index, result });
+    if (!this.#attempts.has(attempt)) return;
+    const told = await this.#withVersions(attempt, result);
+    if (this.#attempts.has(attempt)) this.#ended(attempt, told);
+  }
+
+  /** Finds the version of an answer that one engine made without naming it. */
+  async #withVersions(
+    attempt: Attempt,
+    result: Result<CompletionAnswer, Failure>,
+  ): Promise<Result<CompletionAnswer, Failure>> {
+    if (result.err || result.val.runs !== null) return result;
+    attempt.upstreams.add(result.val.upstream);
+    const { upstreams, witness } = this.#options;
+    const record = upstreams().get(result.val.upstream);
+    const alone = attempt.upstreams.size === 1;
+    if (witness === null || record === undefined || !alone) return result;
+    const version = await witness.versionSince(
+      record,
+      this.#slot.group.model,
+      attempt.startedAtMs,
+    );
+    if (version === null) return result;
+    const { tokens } = result.val;
+    return Ok({ ...result.val, runs: [{ version, tokens }] });
   }
 
   #progress(attempt: Attempt, chunk: CompletionChunk): void {
     attempt.firstChunkAtMs ??= this.#options.clock.nowMs();
     attempt.tokens += chunk.tokens;
-    attempt.upstream = chunk.upstream;
+    attempt.upstreams.add(chunk.upstream);
     if (chunk.version === null) return;
     attempt.oldest = Math.min(attempt.oldest, chunk.version);
   }
 
   #ended(
     attempt: Attempt,
-    ended: {
-      readonly index: number;
-      readonly result: Result<CompletionAnswer, Failure>;
-    },
+    result: Result<CompletionAnswer, Failure>,
   ): void {
-    const { result } = ended;
     if (result.ok && this.#isUsable(result.val)) {
       this.#finish(attempt, result.val);
       return;
