--- /dev/null
+++ b/programs/cicadafield_test.ts
@@ -0,0 +1,200 @@
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { BundlesMachine, sampleBundle } from "#bundles";
+import { type Bundle, LocalControl, VirtualClock } from "#core";
+import { handler as signHandler } from "./commands/bundle_sign.ts";
+import { generateOperatorKey } from "./operator_keys.ts";
+import { bundleRoutes } from "./bundle_routes.ts";
+import { withServer } from "./http_testing.ts";
+
+const PROGRAM = fileURLToPath(new URL("./cicadafield.js", import.meta.url));
+
+interface Ended {
+  readonly exitCode: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** A folder with a key, and a store of bundles behind HTTP. */
+interface Desk {
+  readonly folder: string;
+  readonly entry: string;
+  readonly publicKey: string;
+  readonly machine: BundlesMachine;
+}
+
+function run(...argv: readonly string[]): Promise<Ended> {
+  const child = spawn(process.execPath, [PROGRAM, ...argv], {
+    env: { PATH: process.env["PATH"] },
+  });
+  let stdout = "";
+  let stderr = "";
+  child.stdout.on("data", (bytes) => stdout += bytes);
+  child.stderr.on("data", (bytes) => stderr += bytes);
+  return new Promise((resolve) => {
+    child.on("close", (exitCode) => resolve({ exitCode, stdout, stderr }));
+  });
+}
+
+async function withDesk(use: (desk: Desk) => Promise<void>): Promise<void> {
+  const folder = await mkdtemp(join(tmpdir(), "cicadafield-desk-"));
+  const machine = new BundlesMachine();
+  const control = new LocalControl([machine], new VirtualClock());
+  const routes = bundleRoutes({ control, inForce: () => machine.current() });
+  try {
+    await withServer({ routes }, async ({ address }) => {
+      const entry = `${address.host}:${address.port}`;
+      const made = await generateOperatorKey(folder, "awa");
+      const { publicKey } = made.unwrap();
+      await use({ folder, entry, publicKey, machine });
+    });
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+}
+
+async function sign(desk: Desk, bundle: Bundle): Promise<string> {
+  const draft = join(desk.folder, `${bundle.version}.json`);
+  const signed = join(desk.folder, `${bundle.version}.signed.json`);
+  await writeFile(draft, JSON.stringify(bundle));
+  const key = join(desk.folder, "awa.pem");
+  const outcome = await signHandler({ file: draft, key, out: signed });
+  assert.equal(outcome.exitCode, 0, outcome.text);
+  return signed;
+}
+
+function submit(desk: Desk, file: string): Promise<Ended> {
+  return run("bundle", "submit", file, "--entry", desk.entry, "--json");
+}
+
+function firstBundle(desk: Desk): Bundle {
+  const operators = [{ name: "awa", publicKey: desk.publicKey }];
+  return sampleBundle({ operators });
+}
+
+test("a bundle is signed, submitted, and submitted again with the same answer", async () => {
+  await withDesk(async (desk) => {
+    const file = await sign(desk, firstBundle(desk));
+    const first = await submit(desk, file);
+    assert.equal(first.exitCode, 0, first.stderr);
+    const again = await submit(desk, file);
+    assert.equal(again.stdout, first.stdout);
+    assert.equal(desk.machine.current()?.signed.bundle.version, 1);
+  });
+});
+
+test("a draft of the next version follows the bundle in force, and diff shows its change", async () => {
+  await withDesk(async (desk) => {
+    await submit(desk, await sign(desk, firstBundle(desk)));
+    const draft = await run("bundle", "draft", "--entry", desk.entry);
+    const bundle: Bundle = JSON.parse(draft.stdout);
+    const moved = {
+      ...bundle,
+      zones: bundle.zones.filter((zone) => zone.name !== "c"),
+      vms: bundle.vms.filter((vm) => vm.zone !== "c"),
+    };
+    const file = await sign(desk, moved);
+    const diff = await run("bundle", "diff", join(desk.folder, "1.json"), file);
+    assert.match(diff.stdout, /version 1 -> 2/);
+    assert.match(diff.stdout, /- zones c/);
+    assert.equal((await submit(desk, file)).exitCode, 0);
+    assert.equal(desk.machine.current()?.signed.bundle.version, 2);
+  });
+});
+
+test("a bundle with an unknown field is refused before it is sent, naming the field", async () => {
+  await withDesk(async (desk) => {
+    const file = join(desk.folder, "odd.json");
+    await writeFile(
+      file,
+      JSON.stringify({ ...firstBundle(desk), colour: "red" }),
+    );
+    const checked = await run("bundle", "check", file);
+    assert.equal(checked.exitCode, 2);
+    assert.match(checked.stderr, /colour/);
+    assert.equal((await submit(desk, file)).exitCode, 2);
+    assert.equal(desk.machine.current(), null);
+  });
+});
+
+test("a wrong signature is refused and changes nothing", async () => {
+  await withDesk(async (desk) => {
+    const file = await sign(desk, firstBundle(desk));
+    const signed = JSON.parse(await readFile(file, "utf8"));
+    signed.bundle.models[0].loadsPerSecond += 1;
+    await writeFile(file, JSON.stringify(signed));
+    const ended = await submit(desk, file);
+    assert.equal(ended.exitCode, 3);
+    assert.equal(JSON.parse(ended.stdout).kind, "bad_signature");
+    assert.equal(desk.machine.current(), null);
+  });
+});
+
+test("a bundle whose predecessor is not in force is refused and changes nothing", async () => {
+  await withDesk(async (desk) => {
+    const first = firstBundle(desk);
+    await submit(desk, await sign(desk, first));
+    const predecessor = "0".repeat(64);
+    const file = await sign(desk, { ...first, version: 2, predecessor });
+    const ended = await submit(desk, file);
+    assert.equal(ended.exitCode, 3);
+    assert.equal(JSON.parse(ended.stdout).kind, "missing_predecessor");
+    assert.equal(desk.machine.current()?.signed.bundle.version, 1);
+  });
+});
+
+test("the loser of two bundles with one version is told so", async () => {
+  await withDesk(async (desk) => {
+    const first = firstBundle(desk);
+    await submit(desk, await sign(desk, first));
+    const limits = { ...first.limits, claimsStored: 5 };
+    const file = await sign(desk, { ...first, limits });
+    const ended = await submit(desk, file);
+    assert.equal(ended.exitCode, 3);
+    assert.equal(JSON.parse(ended.stdout).kind, "version_conflict");
+    assert.match(JSON.parse(ended.stdout).message, /signed by awa/);
+  });
+});
+
+test("without an entry VM that answers the exit code is 4, and the next VM is asked", async () => {
+  await withDesk(async (desk) => {
+    const file = await sign(desk, firstBundle(desk));
+    const nobody = "127.3.0.3:1";
+    const ended = await run("bundle", "submit", file, "--entry", nobody);
+    assert.equal(ended.exitCode, 4);
+    assert.match(ended.stderr, /127\.3\.0\.3:1: .*ECONNREFUSED/);
+    const next = await run(
+      "bundle",
+      "submit",
+      file,
+      "--entry",
+      nobody,
+      "--entry",
+      desk.entry,
+    );
+    assert.equal(next.exitCode, 0, next.stderr);
+  });
+});
+
+test("an unknown command, an unknown flag and a wrong value exit with 2", async () => {
+  const calls = [
+    ["bundle", "paint"],
+    ["bundle", "check", "x.json", "--colour", "red"],
+    ["bundle", "check", "no-such-file.json"],
+    ["bundle", "wait", "zero", "--entry", "127.3.0.3:1"],
+    ["status", "--entry", "example.org:80"],
+    ["status"],
+  ];
+  for (const argv of calls) {
+    const ended = await run(...argv);
+    assert.equal(ended.exitCode, 2, argv.join(" "));
+    assert.notEqual(ended.stderr, "");
+    assert.equal(ended.stdout, "");
+  }
+});
--- a/programs/http_drain_test.ts
+++ b/programs/http_drain_test.ts
@@ -123,3 +123,18 @@
     assert.equal(raw.length - head, size);
   });
 });
+
+test("a caller that stops halfway through a request is refused with 408 and does not hold a drain up", async () => {
+  const clock = new VirtualClock();
+  const limits = { headersTimeoutMs: 40, requestTimeoutMs: 80 };
+  await withServer({ clock, limits }, async ({ server, address }) => {
+    const client = new RawClient(address);
+    await new Promise((resolve) => client.socket.once("connect", resolve));
+    const drained = server.drain(NOTICE_MS);
+    await clock.advanceAsync(0);
+    client.send("GET /echo/a HTTP/1.1\r\nHost");
+    await clock.advanceAsync(NOTICE_MS);
+    assert.match(await client.untilClosed(), /^HTTP\/1.1 408/);
+    await drained;
+  });
+});
--- /dev/null
+++ b/programs/start_faults_test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { mkdtemp, readdir, rm, writeFile } from "node:fs/promises";
+import { createServer, type Server } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+
+const HOST = "127.3.0.4";
+const HTTP_PORT = "18100";
+const PEER_PORT = "17100";
+
+interface Ended {
+  readonly exitCode: number | null;
+  readonly stderr: string;
+}
+
+function run(program: string, argv: readonly string[]): Promise<Ended> {
+  const file = fileURLToPath(new URL(`./${program}.js`, import.meta.url));
+  const child = spawn(process.execPath, [file, ...argv], {
+    env: { PATH: process.env["PATH"] },
+  });
+  let stderr = "";
+  child.stderr.on("data", (bytes) => stderr += bytes);
+  return new Promise((resolve) => {
+    child.on("close", (exitCode) => resolve({ exitCode, stderr }));
+  });
+}
+
+function rightFlags(dataFolder: string): readonly string[] {
+  return [
+    ["--cluster", "test"],
+    ["--vm", "control-a1"],
+    ["--zone", "a"],
+    ["--listen-host", HOST],
+    ["--http-port", HTTP_PORT],
+    ["--peer-port", PEER_PORT],
+    ["--control-vms", `control-a1@a=${HOST}:${PEER_PORT}`],
+    ["--data-folder", dataFolder],
+    ["--first-start", "yes"],
+  ].flat();
+}
+
+async function withFolder(
+  use: (folder: string) => Promise<void>,
+): Promise<void> {
+  const folder = await mkdtemp(join(tmpdir(), "cicadafield-start-"));
+  try {
+    await use(folder);
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+}
+
+function occupy(port: string): Promise<Server> {
+  const server = createServer();
+  return new Promise((resolve) => {
+    server.listen({ host: HOST, port: Number(port) }, () => resolve(server));
+  });
+}
+
+test("an unknown flag, a value out of range and a missing setting are listed together, and nothing starts", async () => {
+  await withFolder(async (folder) => {
+    for (const program of ["cicadafield_control", "cicadafield_entry"]) {
+      const ended = await run(program, [
+        "--colour",
+        "red",
+        "--http-port",
+        "70000",
+        "--listen-host",
+        "localhost",
+      ]);
+      assert.equal(ended.exitCode, 2, program);
+      assert.match(ended.stderr, /--colour: is an unknown flag/);
+      assert.match(
+        ended.stderr,
+        /--http-port \(CICADAFIELD_HTTP_PORT\) "70000": .*65535/,
+      );
+      assert.match(ended.stderr, /--listen-host .*must be an IP number/);
+      assert.match(ended.stderr, /--cluster .*is required/);
+    }
+    assert.deepEqual(await readdir(folder), []);
+  });
+});
+
+test("two settings that contradict are refused, and nothing is changed", async () => {
+  await withFolder(async (folder) => {
+    const flags = [...rightFlags(folder), "--test-cut-file", "/cut"]
+      .map((each) => each === HOST ? "10.9.9.9" : each);
+    const ended = await run("cicadafield_control", flags);
+    assert.equal(ended.exitCode, 2);
+    assert.match(ended.stderr, /--test-cut-file .*listen-host/);
+    assert.deepEqual(await readdir(folder), []);
+  });
+});
+
+test("a port in use is named", async () => {
+  await withFolder(async (folder) => {
+    for (const port of [PEER_PORT, HTTP_PORT]) {
+      const occupant = await occupy(port);
+      try {
+        const ended = await run("cicadafield_control", rightFlags(folder));
+        assert.equal(ended.exitCode, 1);
+        assert.match(ended.stderr, new RegExp(`${HOST}:${port} is in use`));
+      } finally {
+        occupant.close();
+      }
+    }
+  });
+});
+
+test("a data folder that is no folder is named", async () => {
+  await withFolder(async (folder) => {
+    const file = join(folder, "file");
+    await writeFile(file, "");
+    const ended = await run(
+      "cicadafield_control",
+      rightFlags(join(file, "data")),
+    );
+    assert.equal(ended.exitCode, 1);
+    assert.match(ended.stderr, /file.* (is no folder|can't be written)/);
+    assert.deepEqual(await readdir(folder), ["file"]);
+  });
+});
