Make the pages of settings and events from the code

Change: docs/SETTINGS.md and docs/EVENTS.md come from the definitions; tests check that pages and code agree and that codes are unique and within the range of their folder.

--- /dev/null
+++ b/programs/reference_pages.ts
@@ -0,0 +1,138 @@
+/**
+ * Makes `docs/SETTINGS.md` and `docs/EVENTS.md` from the definitions in the code.
+ *
+ * @module
+ */
+import { readdir } from "node:fs/promises";
+import { join } from "node:path";
+import { pathToFileURL } from "node:url";
+import {
+  type EventDefinition,
+  type SettingDefinitions,
+  settingVariable,
+} from "#core";
+import { FAKE_KINDS } from "#fakes";
+import { CONTROL_SETTINGS } from "./control_settings.ts";
+import { ENTRY_SETTINGS } from "./entry_settings.ts";
+
+/** An event with the folder and the name under which the code defines it. */
+export interface CataloguedEvent {
+  readonly folder: string;
+  readonly name: string;
+  readonly definition: EventDefinition;
+}
+
+/** The first code of each folder; a folder has the hundred from there. */
+export const EVENT_RANGES: Readonly<Record<string, number>> = {
+  core: 1000,
+  wire: 1100,
+  agreement: 1200,
+  bundles: 1300,
+  membership: 1400,
+  requests: 1500,
+  samples: 1600,
+  weights: 1700,
+  programs: 1800,
+  fakes: 1900,
+};
+
+const EVENTS_MODULE = "events.js";
+
+/** Finds the events of all folders of a build, by code. */
+export async function collectEvents(
+  build: string,
+): Promise<readonly CataloguedEvent[]> {
+  const events: CataloguedEvent[] = [];
+  for (const folder of Object.keys(EVENT_RANGES)) {
+    const files = await readdir(join(build, folder));
+    if (!files.includes(EVENTS_MODULE)) continue;
+    const file = join(build, folder, EVENTS_MODULE);
+    const module = await import(pathToFileURL(file).href);
+    for (const catalogue of Object.values(module)) {
+      events.push(...catalogued(folder, catalogue));
+    }
+  }
+  return events.sort((a, b) => a.definition.code - b.definition.code);
+}
+
+/** The text of `docs/EVENTS.md`, before formatting. */
+export function eventsPage(events: readonly CataloguedEvent[]): string {
+  const lines = [
+    "# Log events",
+    "",
+    "Every program writes its log as JSON lines to standard error. The field `event` holds the number of the event; numbers stay the same from release to release. This page is made from the code by `node build/programs/write_reference_pages.js`, and a test checks that both agree.",
+  ];
+  for (const [folder, first] of Object.entries(EVENT_RANGES)) {
+    const own = events.filter((event) => event.folder === folder);
+    if (own.length === 0) continue;
+    lines.push("", `## ${folder}, from ${first}`, "");
+    for (const { definition: { code, level, text, action } } of own) {
+      lines.push(`- **${code}** (${level}): ${text}. What to do: ${action}`);
+    }
+  }
+  return lines.join("\n") + "\n";
+}
+
+/** The text of `docs/SETTINGS.md`, before formatting. */
+export function settingsPage(): string {
+  const lines = [
+    "# Settings",
+    "",
+    "Each setting is a flag, such as `--zone a`, or a variable, such as `CICADAFIELD_ZONE=a`; the flag goes first. All settings are checked at start; if one is at fault, the program lists every fault, changes nothing and exits with 2. This page is made from the code by `node build/programs/write_reference_pages.js`, and a test checks that both agree.",
+    "",
+    ...programLines("cicadafield-entry", ENTRY_SETTINGS),
+    ...programLines("cicadafield-control", CONTROL_SETTINGS),
+    "## cicadafield",
+    "",
+    "- `--entry HOST:PORT` or `CICADAFIELD_ENTRY`: entry VMs to ask, one after the other until one answers. Give the flag several times, or separate the addresses by commas in the variable.",
+    "",
+    "The flags of each command are in `cicadafield COMMAND --help`.",
+    "",
+  ];
+  for (const [kind, { settings }] of Object.entries(FAKE_KINDS)) {
+    lines.push(...programLines(`cicadafield-fakes ${kind}`, settings));
+  }
+  return lines.join("\n");
+}
+
+function programLines(
+  program: string,
+  definitions: SettingDefinitions,
+): readonly string[] {
+  const lines = [`## ${program}`, ""];
+  for (const [name, definition] of Object.entries(definitions)) {
+    const fallback = definition.fallback === undefined
+      ? "Required."
+      : `Default: ${code(definition.fallback)}.`;
+    lines.push(
+      `- \`--${name}\` or \`${
+        settingVariable(name)
+      }\`: ${definition.help} ${fallback} Example: ${
+        code(definition.example)
+      }.`,
+    );
+  }
+  lines.push("");
+  return lines;
+}
+
+function code(text: string): string {
+  return text === "" ? "empty" : `\`${text}\``;
+}
+
+function catalogued(
+  folder: string,
+  catalogue: unknown,
+): readonly CataloguedEvent[] {
+  const events: CataloguedEvent[] = [];
+  for (const [name, value] of Object.entries(catalogue ?? {})) {
+    if (!isDefinition(value)) continue;
+    events.push({ folder, name, definition: value });
+  }
+  return events;
+}
+
+function isDefinition(value: unknown): value is EventDefinition {
+  return typeof value === "object" && value !== null && "code" in value &&
+    "level" in value;
+}
--- /dev/null
+++ b/programs/reference_pages_test.ts
@@ -0,0 +1,46 @@
+import assert from "node:assert/strict";
+import { readFile } from "node:fs/promises";
+import { dirname, join } from "node:path";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import {
+  collectEvents,
+  EVENT_RANGES,
+  eventsPage,
+  settingsPage,
+} from "./reference_pages.ts";
+
+const BUILD = join(dirname(fileURLToPath(import.meta.url)), "..");
+const DOCS = join(BUILD, "../docs");
+const REMEDY =
+  "run: node build/programs/write_reference_pages.js && npm run format";
+
+/** Formatting only moves white space. */
+function words(page: string): string {
+  return page.split(/\s+/).join(" ").trim();
+}
+
+async function readPage(name: string): Promise<string> {
+  return words(await readFile(join(DOCS, name), "utf8"));
+}
+
+test("the page of settings is that of the code", async () => {
+  assert.equal(await readPage("SETTINGS.md"), words(settingsPage()), REMEDY);
+});
+
+test("the page of events is that of the code", async () => {
+  const page = words(eventsPage(await collectEvents(BUILD)));
+  assert.equal(await readPage("EVENTS.md"), page, REMEDY);
+});
+
+test("each event has a code of its own within the range of its folder", async () => {
+  const events = await collectEvents(BUILD);
+  const codes = new Set<number>();
+  for (const { folder, name, definition: { code } } of events) {
+    assert.ok(!codes.has(code), `${folder} ${name} uses ${code} again`);
+    codes.add(code);
+    const first = EVENT_RANGES[folder] ?? 0;
+    assert.ok(code >= first && code < first + 100, `${folder} ${name}`);
+  }
+  assert.ok(codes.size > 0);
+});
--- /dev/null
+++ b/programs/write_reference_pages.ts
@@ -0,0 +1,18 @@
+/**
+ * Writes `docs/SETTINGS.md` and `docs/EVENTS.md`; format them with `npm run format` afterwards.
+ *
+ * @module
+ */
+import { writeFile } from "node:fs/promises";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { collectEvents, eventsPage, settingsPage } from "./reference_pages.ts";
+
+const BUILD = join(dirname(fileURLToPath(import.meta.url)), "..");
+const DOCS = join(BUILD, "../docs");
+
+await writeFile(join(DOCS, "SETTINGS.md"), settingsPage());
+await writeFile(
+  join(DOCS, "EVENTS.md"),
+  eventsPage(await collectEvents(BUILD)),
+);
