--- a/programs/commands/bundle_submit.ts
+++ b/programs/commands/bundle_submit.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
+import { type Clock, type Milliseconds, SECOND_MS } from "#core";
 import { z } from "zod";
+import { EXIT_CODES, failureExitCode } from "../exit_codes.ts";
 import type { OperatorClient } from "../operator_client.ts";
 import { fileFaultOutcome, readSignedFile } from "./bundle_file.ts";
 import {
@@ -22,7 +24,7 @@
   description:
     "Submit a signed bundle; it is accepted once the control VMs agree.",
   details:
-    "Sending the same bundle again gives the first answer again. Exit code 3 if it is refused, 4 if no VM could answer: then submit it again.",
+    "Sending the same bundle again gives the first answer again, so it is sent up to three times while no VM can answer. Exit code 3 if it is refused, 4 if the outcome is still unknown: then submit it again.",
   examples: [[
     "Submit to either of two entry VMs",
     "cicadafield bundle submit bundle-2.signed.json --entry 10.0.1.7:8000 --entry 10.0.2.7:8000",
@@ -34,23 +36,42 @@
   digest: z.string(),
 });
 
-/** Submits the signed bundle in a file. */
+const ATTEMPTS = 3;
+const PAUSE_MS: Milliseconds = SECOND_MS;
+
+/** What the command takes. */
+export interface SubmitOptions {
+  readonly file: string;
+  readonly clock: Clock;
+}
+
+/** Submits the signed bundle in a file; sends it again while the outcome is unknown or no VM can answer. */
 export async function handler(
-  options: { readonly file: string },
+  options: SubmitOptions,
   client: OperatorClient,
 ): Promise<CommandOutcome> {
   const signed = await readSignedFile(options.file);
   if (signed.err) return fileFaultOutcome(signed.val);
-  const answer = await client.send({
+  const request = {
     method: "PUT",
     path: `/v1/bundles/${signed.val.bundle.version}`,
     body: signed.val,
-  });
-  if (answer.err) return failed(answer.val);
-  const receipt = receiptSchema.parse(answer.val);
+  } as const;
+  let answer = await client.send(request);
+  for (let attempt = 1; attempt < ATTEMPTS; attempt += 1) {
+    if (answer.ok) break;
+    if (failureExitCode(answer.val) !== EXIT_CODES.unreachable) break;
+    await options.clock.sleep(PAUSE_MS);
+    answer = await client.send(request);
+  }
+  return answer.ok ? accepted(answer.val) : failed(answer.val);
+}
+
+function accepted(answer: unknown): CommandOutcome {
+  const receipt = receiptSchema.parse(answer);
   return done(
     `version ${receipt.version} is accepted\ndigest ${receipt.digest}\n` +
       `Wait for it with: cicadafield bundle wait ${receipt.version}`,
-    answer.val,
+    answer,
   );
 }
--- a/programs/commands/mod.ts
+++ b/programs/commands/mod.ts
@@ -87,7 +87,10 @@
   file = Option.String();
 
   override run(): Promise<CommandOutcome> {
-    return bundleSubmit.handler({ file: this.file }, this.client());
+    return bundleSubmit.handler(
+      { file: this.file, clock: new SystemClock() },
+      this.client(),
+    );
   }
 }
 
