--- a/programs/reference_pages_test.ts
+++ b/programs/reference_pages_test.ts
@@ -3,6 +3,7 @@
 import { dirname, join } from "node:path";
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
+import { parseBundle } from "#bundles";
 import {
   collectEvents,
   EVENT_RANGES,
@@ -44,3 +45,9 @@
   }
   assert.ok(codes.size > 0);
 });
+
+test("the first bundle of the documentation is valid", async () => {
+  const file = join(DOCS, "examples/bundle-1.json");
+  const bundle = parseBundle(JSON.parse(await readFile(file, "utf8")));
+  assert.deepEqual(bundle.ok ? [] : bundle.val, []);
+});
