--- a/agreement/election.ts
+++ b/agreement/election.ts
@@ -68,12 +68,12 @@
   takeReply(message: MessageOf<"voteReply">): boolean {
     const state = this.#state;
     this.#learnCommitted(message);
-    if (state.role !== "candidate") return false;
-    if (message.round !== this.#round || message.trial !== this.#trial) {
+    if (message.term > state.term) {
+      state.follow(message.term, null);
       return false;
     }
-    if (message.term > this.#round) {
-      state.follow(message.term, null);
+    if (state.role !== "candidate") return false;
+    if (message.round !== this.#round || message.trial !== this.#trial) {
       return false;
     }
     if (!message.granted) return false;
--- a/agreement/following.ts
+++ b/agreement/following.ts
@@ -3,11 +3,17 @@
  *
  * @module
  */
-import type { Milliseconds } from "#core";
+import type { Bytes, Milliseconds } from "#core";
 import type { LogEntry } from "./entries.ts";
 import { type MessageOf, unpackEntry } from "./messages.ts";
 import type { ReplicaState } from "./replica_state.ts";
 
+/** A part of a snapshot that has to be written to the disk. */
+export interface ReceivedChunk {
+  readonly vm: string;
+  readonly chunk: MessageOf<"chunk">;
+}
+
 /** Takes entries and acknowledges them once they are on the disk. */
 export class Following {
   readonly #state: ReplicaState;
@@ -18,6 +24,7 @@
   #sentMs: Milliseconds = 0;
   /** Commit index of the first leader heard; null until then. */
   #startGoal: number | null = null;
+  #chunks: ReceivedChunk[] = [];
 
   constructor(state: ReplicaState) {
     this.#state = state;
@@ -39,7 +46,7 @@
       this.#reply({ vm, message }, { matched: false, index: 0 });
       return;
     }
-    this.heardLeader(vm, message, nowMs);
+    this.#heardLeader(vm, message, nowMs);
     const { previousIndex, previousTerm } = message;
     const held = previousIndex <= state.log.base.index
       ? previousTerm
@@ -58,8 +65,38 @@
     if (entries.length === 0) this.#acknowledge(vm, message.from);
   }
 
+  /** Takes part of a snapshot. */
+  takeChunk(
+    vm: string,
+    chunk: MessageOf<"chunk">,
+    nowMs: Milliseconds,
+  ): void {
+    if (chunk.term < this.#state.term) return;
+    this.#heardLeader(vm, chunk, nowMs);
+    this.#chunks.push({ vm, chunk });
+  }
+
+  /** The next part of a snapshot to write. */
+  nextChunk(): ReceivedChunk | undefined {
+    return this.#chunks.shift();
+  }
+
+  /** Tells the leader how much of a snapshot is on the disk. */
+  replyToChunk(received: ReceivedChunk, heldBytes: Bytes): void {
+    const { vm, chunk } = received;
+    if (chunk.term !== this.#state.term) return;
+    const reply = this.#state.message("chunkReply", {
+      to: chunk.from,
+      index: chunk.index,
+      hash: chunk.hash,
+      offset: heldBytes,
+      sentMs: chunk.sentMs,
+    });
+    this.#state.sendOnceDurable(vm, reply);
+  }
+
   /** Takes note of the leader of a term. */
-  heardLeader(
+  #heardLeader(
     vm: string,
     message: MessageOf<"append"> | MessageOf<"chunk">,
     nowMs: Milliseconds,
--- /dev/null
+++ b/agreement/fuzz_model.ts
@@ -0,0 +1,272 @@
+/**
+ * Stateful fuzzing of the replicated log: random commands and faults on a simulated group, checked
+ * against a list.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { match } from "ts-pattern";
+import type { Milliseconds } from "#core";
+import { SimulatedGroup, type SimulatedVm } from "./simulated_group.ts";
+
+/** Time within which a group must commit again once all faults have ended. */
+export const PROGRESS_MS: Milliseconds = 10_000;
+/** Time within which every replica must hold everything after that. */
+export const CONVERGENCE_MS: Milliseconds = 20_000;
+
+const POLL_MS: Milliseconds = 100;
+const MAXIMUM_STEPS = 24;
+const REPLICAS = 3;
+
+/** One command or fault; VMs are counted around the group. */
+export type FuzzStep =
+  | { readonly kind: "propose"; readonly count: number }
+  | { readonly kind: "proposeAt"; readonly vm: number }
+  | { readonly kind: "query" }
+  | { readonly kind: "wait"; readonly ms: Milliseconds }
+  | { readonly kind: "cut"; readonly from: number; readonly to: number }
+  | { readonly kind: "isolate"; readonly vm: number; readonly way: Way }
+  | { readonly kind: "heal" }
+  | { readonly kind: "links"; readonly drop: number; readonly double: number }
+  | { readonly kind: "freeze"; readonly vm: number }
+  | { readonly kind: "freezeLeader" }
+  | { readonly kind: "thaw"; readonly vm: number }
+  | { readonly kind: "crash"; readonly vm: number }
+  | {
+    readonly kind: "crashAtSync";
+    readonly vm: number;
+    readonly syncs: number;
+  }
+  | { readonly kind: "stop"; readonly vm: number }
+  | { readonly kind: "start"; readonly vm: number; readonly first: boolean }
+  | { readonly kind: "loseDisk"; readonly vm: number };
+
+type Way = "in" | "out" | "both";
+
+const vm = fc.nat({ max: REPLICAS - 1 });
+
+function step<Kind extends FuzzStep["kind"], Fields extends object>(
+  kind: Kind,
+  fields: { [Name in keyof Fields]: fc.Arbitrary<Fields[Name]> },
+): fc.Arbitrary<{ kind: Kind } & Fields> {
+  return fc.record({ kind: fc.constant(kind), ...fields }, {
+    noNullPrototype: true,
+  }) as unknown as fc.Arbitrary<{ kind: Kind } & Fields>;
+}
+
+const stepArbitrary: fc.Arbitrary<FuzzStep> = fc.oneof(
+  {
+    weight: 6,
+    arbitrary: step("propose", { count: fc.integer({ min: 1, max: 12 }) }),
+  },
+  { weight: 2, arbitrary: step("proposeAt", { vm }) },
+  { weight: 4, arbitrary: step("query", {}) },
+  {
+    weight: 6,
+    arbitrary: step("wait", { ms: fc.integer({ min: 1, max: 40 }) }),
+  },
+  {
+    weight: 6,
+    arbitrary: step("wait", { ms: fc.integer({ min: 200, max: 3_000 }) }),
+  },
+  { weight: 2, arbitrary: step("cut", { from: vm, to: vm }) },
+  {
+    weight: 2,
+    arbitrary: step("isolate", {
+      vm,
+      way: fc.constantFrom<Way>("in", "out", "both"),
+    }),
+  },
+  { weight: 2, arbitrary: step("heal", {}) },
+  {
+    weight: 2,
+    arbitrary: step("links", {
+      drop: fc.constantFrom(0, 0.1, 0.3),
+      double: fc.constantFrom(0, 0.3),
+    }),
+  },
+  { weight: 1, arbitrary: step("freeze", { vm }) },
+  { weight: 2, arbitrary: step("freezeLeader", {}) },
+  { weight: 2, arbitrary: step("thaw", { vm }) },
+  { weight: 2, arbitrary: step("crash", { vm }) },
+  {
+    weight: 3,
+    arbitrary: step("crashAtSync", { vm, syncs: fc.nat({ max: 8 }) }),
+  },
+  { weight: 1, arbitrary: step("stop", { vm }) },
+  { weight: 5, arbitrary: step("start", { vm, first: fc.boolean() }) },
+  { weight: 2, arbitrary: step("loseDisk", { vm }) },
+);
+
+/** A step as a command of fast-check; the oracle checks at every moment of `run`. */
+class StepCommand implements fc.AsyncCommand<object, SimulatedGroup> {
+  readonly #step: FuzzStep;
+
+  constructor(step: FuzzStep) {
+    this.#step = step;
+  }
+
+  check(): boolean {
+    return true;
+  }
+
+  async run(_model: object, group: SimulatedGroup): Promise<void> {
+    await runStep(group, this.#step);
+  }
+
+  toString(): string {
+    return JSON.stringify(this.#step);
+  }
+}
+
+/** Does one step. */
+export async function runStep(
+  group: SimulatedGroup,
+  step: FuzzStep,
+): Promise<void> {
+  await match(step)
+    .with({ kind: "propose" }, ({ count }) => {
+      const leader = leadingVm(group);
+      for (let left = count; left > 0; left -= 1) group.propose(leader);
+    })
+    .with({ kind: "proposeAt" }, (each) => group.propose(group.vm(each.vm)))
+    .with({ kind: "query" }, () => {
+      for (const each of group.vms) group.query(each);
+    })
+    .with({ kind: "wait" }, ({ ms }) => group.run(ms))
+    .with({ kind: "cut" }, ({ from, to }) => {
+      group.network.cut(group.vm(from).name, group.vm(to).name);
+    })
+    .with({ kind: "isolate" }, (each) => isolate(group, each))
+    .with({ kind: "heal" }, () => group.network.heal())
+    .with({ kind: "links" }, ({ drop, double }) => {
+      group.network.links = {
+        minimumDelayMs: 0.5,
+        maximumDelayMs: drop > 0 ? 60 : 2,
+        dropChance: drop,
+        doubleChance: double,
+      };
+    })
+    .with({ kind: "freeze" }, (each) => group.freeze(group.vm(each.vm)))
+    .with({ kind: "freezeLeader" }, () => group.freeze(leadingVm(group)))
+    .with({ kind: "thaw" }, (each) => {
+      group.thaw(group.vm(each.vm));
+      for (const every of group.vms) group.query(every);
+    })
+    .with({ kind: "crash" }, (each) => group.crash(group.vm(each.vm)))
+    .with(
+      { kind: "crashAtSync" },
+      (each) => group.crashAtSync(group.vm(each.vm), each.syncs),
+    )
+    .with({ kind: "stop" }, (each) => group.stop(group.vm(each.vm)))
+    .with(
+      { kind: "start" },
+      (each) => group.start(group.vm(each.vm), each.first),
+    )
+    .with({ kind: "loseDisk" }, (each) => {
+      const lost = group.vm(each.vm);
+      if (!group.mayLoseDisk(lost)) return;
+      group.loseDisk(lost);
+      group.start(lost);
+    })
+    .exhaustive();
+}
+
+/** Ends all faults, then checks that the group commits and every replica holds everything. */
+export async function checkRecovery(group: SimulatedGroup): Promise<void> {
+  group.mend();
+  const before = group.oracle.acknowledgedCount;
+  await waitFor(group, {
+    what: "a commit",
+    limitMs: PROGRESS_MS,
+    check: () => {
+      if (group.oracle.acknowledgedCount > before) return true;
+      group.propose(leadingVm(group));
+      return false;
+    },
+  });
+  await waitFor(group, {
+    what: "equal replicas",
+    limitMs: CONVERGENCE_MS,
+    check: () => isConverged(group),
+  });
+  for (const each of group.vms) group.query(each);
+  await group.run(POLL_MS);
+  for (const each of group.vms) {
+    group.oracle.complete(each.process?.machine.items ?? []);
+  }
+}
+
+/** Runs the model; throws with the seed and the shrunk commands. */
+export async function fuzzLog(
+  options: { readonly seed: number; readonly runs: number },
+): Promise<void> {
+  const commands = fc.commands(
+    [stepArbitrary.map((each) => new StepCommand(each))],
+    { maxCommands: MAXIMUM_STEPS, size: "max" },
+  );
+  const property = fc.asyncProperty(
+    fc.nat(),
+    commands,
+    async (seed, steps) => {
+      const group = new SimulatedGroup({ seed, vms: ["a", "b", "c"] });
+      await group.startAll();
+      await fc.asyncModelRun(() => ({ model: {}, real: group }), steps);
+      await checkRecovery(group);
+    },
+  );
+  await fc.assert(property, {
+    seed: options.seed,
+    numRuns: options.runs,
+    includeErrorInReport: true,
+  });
+}
+
+async function waitFor(
+  group: SimulatedGroup,
+  goal: {
+    readonly what: string;
+    readonly limitMs: Milliseconds;
+    readonly check: () => boolean;
+  },
+): Promise<void> {
+  const untilMs = group.clock.nowMs() + goal.limitMs;
+  while (!goal.check()) {
+    const state = group.vms.map((each) => each.process?.log.status());
+    assert.ok(
+      group.clock.nowMs() < untilMs,
+      `no ${goal.what} in time: ${JSON.stringify(state)}`,
+    );
+    await group.run(POLL_MS);
+  }
+}
+
+function isConverged(group: SimulatedGroup): boolean {
+  const statuses = group.vms.map((each) => each.process?.log.status());
+  const index = statuses[0]?.appliedIndex;
+  for (const status of statuses) {
+    if (status?.ready !== true || status.appliedIndex !== index) return false;
+    if (status.committedIndex !== index) return false;
+  }
+  const seats = group.settledSeats;
+  return group.vms.every((each) =>
+    seats.some((seat) => seat.replica === each.replica)
+  );
+}
+
+function leadingVm(group: SimulatedGroup): SimulatedVm {
+  const leader = group.leader();
+  return group.vms.find((each) => each.process === leader) ?? group.vm(0);
+}
+
+function isolate(
+  group: SimulatedGroup,
+  step: { readonly vm: number; readonly way: Way },
+): void {
+  const { name } = group.vm(step.vm);
+  for (const other of group.vms) {
+    if (step.way !== "out") group.network.cut(other.name, name);
+    if (step.way !== "in") group.network.cut(name, other.name);
+  }
+}
--- a/agreement/leadership.ts
+++ b/agreement/leadership.ts
@@ -8,6 +8,7 @@
 import type { EntryKind, EntryPosition, Seat } from "./entries.ts";
 import { type MessageOf, packEntry } from "./messages.ts";
 import type { ReplicaState } from "./replica_state.ts";
+import { SnapshotSending } from "./snapshot_sending.ts";
 
 const MAXIMUM_APPEND_BYTES: Bytes = MEBIBYTE;
 const MAXIMUM_UNACKNOWLEDGED_ENTRIES = 8_192;
@@ -29,17 +30,16 @@
   committedIndex: number;
   /** When the newest message that it answered was sent. */
   contactMs: Milliseconds;
+  /** When entries were last sent again; refusals of older messages are out of date. */
+  retriedMs: Milliseconds;
   /** Last entry that it had at the last heartbeat, to find lost messages. */
   matchAtHeartbeat: number;
 }
 
-/** A replica for which the log no longer reaches back far enough. */
-export type SnapshotNeeded = (progress: Progress) => void;
-
 /** Leads one term. */
 export class Leadership {
   readonly #state: ReplicaState;
-  readonly #snapshotNeeded: SnapshotNeeded;
+  readonly #sending: SnapshotSending;
   readonly #progress = new Map<string, Progress>();
   readonly #barrierIndex: number;
   #heartbeatDueMs: Milliseconds;
@@ -51,11 +51,10 @@
     options: {
       readonly instant: Instant;
       readonly lastAtMs: Milliseconds;
-      readonly snapshotNeeded: SnapshotNeeded;
     },
   ) {
     this.#state = state;
-    this.#snapshotNeeded = options.snapshotNeeded;
+    this.#sending = new SnapshotSending(state.timing.heartbeatMs);
     this.#lastAtMs = options.lastAtMs;
     this.#quorumSeenMs = options.instant.nowMs;
     this.#heartbeatDueMs = options.instant.nowMs;
@@ -80,6 +79,11 @@
     return this.#barrierIndex;
   }
 
+  /** Transfers of snapshots. */
+  get sending(): SnapshotSending {
+    return this.#sending;
+  }
+
   /** Every replica that gets entries. */
   progress(): readonly Progress[] {
     return [...this.#progress.values()];
@@ -138,22 +142,27 @@
   takeReply(message: MessageOf<"appendReply">, nowMs: Milliseconds): void {
     const progress = this.#progress.get(message.from);
     if (progress === undefined) return;
-    this.heard(progress, message.sentMs);
+    heard(progress, message.sentMs);
     progress.committedIndex = message.committedIndex;
     if (message.matched) {
       progress.match = Math.max(progress.match, message.index);
       progress.next = Math.max(progress.next, progress.match + 1);
       this.advance();
     } else {
+      if (message.sentMs < progress.retriedMs) return;
+      progress.retriedMs = nowMs;
       progress.next = Math.max(progress.match, message.index) + 1;
     }
     if (progress.next > this.#state.log.lastIndex) return;
     this.#send(progress, nowMs);
   }
 
-  /** Takes note of an answer to a message sent at `sentMs`. */
-  heard(progress: Progress, sentMs: Milliseconds): void {
-    progress.contactMs = Math.max(progress.contactMs, sentMs);
+  /** Goes on with the transfer of a snapshot. */
+  takeChunkReply(message: MessageOf<"chunkReply">, nowMs: Milliseconds): void {
+    const progress = this.#progress.get(message.from);
+    if (progress === undefined) return;
+    heard(progress, message.sentMs);
+    this.#sending.takeReply(progress, message, nowMs);
   }
 
   /** Commits what a majority has on its disks; only entries of this term are counted. */
@@ -179,6 +188,7 @@
       match: 0,
       committedIndex: 0,
       contactMs: -Infinity,
+      retriedMs: -Infinity,
       matchAtHeartbeat: 0,
     };
     this.#progress.set(seat.replica, progress);
@@ -208,7 +218,10 @@
   #send(progress: Progress, nowMs: Milliseconds): void {
     const { log } = this.#state;
     if (progress.next <= log.base.index) {
-      this.#snapshotNeeded(progress);
+      const { snapshot } = this.#state;
+      if (snapshot !== null) {
+        this.#sending.needed(progress, { snapshot, nowMs });
+      }
       this.#append(progress, { index: log.lastIndex + 1, nowMs });
       return;
     }
@@ -239,3 +252,8 @@
     state.send(progress.seat.vm, message);
   }
 }
+
+/** Takes note of an answer to a message sent at `sentMs`. */
+function heard(progress: Progress, sentMs: Milliseconds): void {
+  progress.contactMs = Math.max(progress.contactMs, sentMs);
+}
--- a/agreement/log_storage.ts
+++ b/agreement/log_storage.ts
@@ -2,7 +2,8 @@
  * The durable state of a replica: its identity, term and vote, entries and snapshot.
  *
  * Files: `log-N` is one base record and then one record for each batch; the greatest N counts.
- * `snapshot-I` is one record with the state after entry I. `incoming` is a snapshot on its way.
+ * `snapshot-I` is one record with the state after entry I. `incoming-H` is a snapshot of hash H
+ * on its way; it stays over a restart, so that the transfer can go on.
  *
  * @module
  */
@@ -18,7 +19,7 @@
 const FORMAT = 1;
 const LOG_PREFIX = "log-";
 const SNAPSHOT_PREFIX = "snapshot-";
-const INCOMING = "incoming";
+const INCOMING_PREFIX = "incoming-";
 
 /** Term, vote and group of a replica. */
 export interface HardState {
@@ -58,6 +59,27 @@
   readonly hash: string;
 }
 
+/** A snapshot with its CBOR. */
+export interface PackedSnapshot {
+  readonly snapshot: Snapshot;
+  readonly encoded: EncodedSnapshot;
+  readonly payload: Uint8Array;
+}
+
+/** Part of a snapshot that the leader sends. */
+export interface SnapshotChunk {
+  readonly hash: string;
+  readonly offset: Bytes;
+  readonly total: Bytes;
+  readonly bytes: Uint8Array;
+}
+
+/** How much of a snapshot is held, and the snapshot once it is whole. */
+export interface ReceivedSnapshot {
+  readonly heldBytes: Bytes;
+  readonly whole: PackedSnapshot | null;
+}
+
 /** Changes that one sync makes durable together. */
 export interface DurableBatch {
   readonly hard: HardState | null;
@@ -101,6 +123,8 @@
   #identity = "";
   #sequence = 0;
   #snapshotIndex = 0;
+  #incoming: string | null = null;
+  #incomingBytes: Bytes = 0;
 
   constructor(folder: DataFolder) {
     this.#folder = folder;
@@ -132,17 +156,43 @@
   }
 
   /** Stores a snapshot and starts a new log file behind it. */
-  async saveSnapshot(
-    snapshot: Snapshot,
-    log: LogBase,
-  ): Promise<EncodedSnapshot> {
-    const payload = encodeValue(snapshot);
+  async saveSnapshot(snapshot: PackedSnapshot, log: LogBase): Promise<void> {
+    const { index } = snapshot.encoded.meta;
     await this.#folder.replace(
-      snapshotName(snapshot.meta.index),
-      encodeRecord(payload),
+      snapshotName(index),
+      encodeRecord(snapshot.payload),
     );
-    await this.#startLog(snapshot.meta.index, log);
-    return encodedOf(snapshot, payload);
+    await this.#startLog(index, log);
+  }
+
+  /** Keeps a chunk of a snapshot that the leader sends. Gives what is held, and the whole at the end. */
+  async receiveChunk(chunk: SnapshotChunk): Promise<ReceivedSnapshot> {
+    const name = INCOMING_PREFIX + chunk.hash;
+    await this.#chooseIncoming(name);
+    if (chunk.offset === this.#incomingBytes && chunk.bytes.length > 0) {
+      await this.#folder.append(name, chunk.bytes);
+      this.#incomingBytes += chunk.bytes.length;
+    }
+    if (this.#incomingBytes < chunk.total) {
+      return { heldBytes: this.#incomingBytes, whole: null };
+    }
+    const payload = await this.#folder.read(name);
+    await this.#folder.remove(name);
+    this.#incoming = null;
+    if (hashOf(payload) !== chunk.hash) return { heldBytes: 0, whole: null };
+    return { heldBytes: chunk.total, whole: unpackSnapshot(payload) };
+  }
+
+  async #chooseIncoming(name: string): Promise<void> {
+    if (this.#incoming === name) return;
+    const names = await this.#folder.list();
+    for (const other of names) {
+      if (!other.startsWith(INCOMING_PREFIX) || other === name) continue;
+      await this.#folder.remove(other);
+    }
+    const held = names.includes(name) ? await this.#folder.read(name) : null;
+    this.#incomingBytes = held?.length ?? 0;
+    this.#incoming = name;
   }
 
   /** Reads part of the stored snapshot. */
@@ -211,8 +261,8 @@
     if (scan.fault !== "none" || payload === undefined) {
       throw corrupt(`${name} is damaged`);
     }
-    const snapshot = decodeValue(payload) as Snapshot;
-    return { snapshot, encoded: encodedOf(snapshot, payload) };
+    const { snapshot, encoded } = unpackSnapshot(payload);
+    return { snapshot, encoded };
   }
 
   async #startLog(snapshotIndex: number, log: LogBase): Promise<void> {
@@ -240,7 +290,7 @@
   }
 
   #isObsolete(name: string): boolean {
-    if (name === INCOMING) return false;
+    if (name.startsWith(INCOMING_PREFIX)) return false;
     if (name.startsWith(LOG_PREFIX)) return name !== this.#logName();
     if (!name.startsWith(SNAPSHOT_PREFIX)) return false;
     return name !== snapshotName(this.#snapshotIndex);
@@ -260,12 +310,22 @@
   return { hard, base: base.base, entries };
 }
 
-function encodedOf(snapshot: Snapshot, payload: Uint8Array): EncodedSnapshot {
-  return {
+/** Encodes a snapshot. */
+export function packSnapshot(snapshot: Snapshot): PackedSnapshot {
+  return describe(snapshot, encodeValue(snapshot));
+}
+
+function unpackSnapshot(payload: Uint8Array): PackedSnapshot {
+  return describe(decodeValue(payload) as Snapshot, payload);
+}
+
+function describe(snapshot: Snapshot, payload: Uint8Array): PackedSnapshot {
+  const encoded = {
     meta: snapshot.meta,
     bytes: payload.length,
     hash: hashOf(payload),
   };
+  return { snapshot, encoded, payload };
 }
 
 function logName(sequence: number): string {
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -20,8 +20,9 @@
   type Timer,
 } from "#core";
 import { encodeValue, type PeerNetwork } from "#wire";
+import { Applier } from "./applier.ts";
+import { ChunkSender } from "./chunk_sender.ts";
 import { type DataFolder, StorageFault } from "./data_folder.ts";
-import type { LogEntry } from "./entries.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
 import type { Instant } from "./leadership.ts";
 import { LogStorage } from "./log_storage.ts";
@@ -29,12 +30,21 @@
 import { packMessage, unpackMessage } from "./messages.ts";
 import { notLeader, Proposals } from "./proposals.ts";
 import { Replica } from "./replica.ts";
-import type { Outgoing, TakenBatch } from "./replica_state.ts";
+import type { Outgoing } from "./replica_state.ts";
 import { type LogStatus, ReplicatedLog } from "./replicated_log.ts";
+import type { SeatingReport } from "./seating.ts";
+import {
+  DEFAULT_SNAPSHOT_POLICY,
+  type SnapshotPolicy,
+  SyncLoop,
+} from "./sync_loop.ts";
 import { DEFAULT_TIMING, type LogTiming } from "./timing.ts";
 
 const IDENTITY_LENGTH = 16;
 const MAXIMUM_COMMAND_BYTES = 4 * MEBIBYTE;
+const MINIMUM_TIMER_MS: Milliseconds = 1;
+const HANDOVER_WAIT_MS: Milliseconds = 1_000;
+const HANDOVER_POLL_MS: Milliseconds = 10;
 const NO_QUORUM_RETRY_MS: Milliseconds = 1_000;
 const NOT_READY_RETRY_MS: Milliseconds = 100;
 
@@ -55,6 +65,7 @@
    */
   readonly firstStart?: { readonly voters: readonly string[] };
   readonly timing?: LogTiming;
+  readonly snapshots?: SnapshotPolicy;
   /** Called once when the disk fails; the replica has stopped by then. */
   readonly onFatal?: (failure: Failure) => void;
 }
@@ -84,10 +95,10 @@
   readonly #storage: LogStorage;
   readonly #host: MachineHost;
   readonly #proposals: Proposals;
-  readonly #listeners = new Set<(index: number) => void>();
+  readonly #applier: Applier;
   #replica: Replica | undefined;
-  #appliedIndex = 0;
-  #syncing = false;
+  #loop: SyncLoop | undefined;
+  #chunks: ChunkSender | undefined;
   #timer: { readonly dueMs: Milliseconds; readonly timer: Timer } | undefined;
   #lastLeader: string | null = null;
 
@@ -98,29 +109,39 @@
     this.#host = new MachineHost(options.machines, options.events);
     const { proposalTimeoutMs } = options.timing ?? DEFAULT_TIMING;
     this.#proposals = new Proposals(options.clock, proposalTimeoutMs);
+    this.#applier = new Applier({
+      host: this.#host,
+      proposals: this.#proposals,
+    });
   }
 
   override async start(): Promise<void> {
-    const { clock, events, network, random, vm } = this.#options;
+    const { clock, events, network, random } = this.#options;
     const recovered = await this.#storage.open(() =>
       random.identifier().slice(0, IDENTITY_LENGTH)
     );
-    if (recovered.snapshot !== null) {
-      this.#host.restore(recovered.snapshot.states);
-      this.#appliedIndex = recovered.snapshot.meta.index;
-    }
-    this.#replica = new Replica({
-      vm,
+    if (recovered.snapshot !== null) this.#applier.restore(recovered.snapshot);
+    const replica = new Replica({
+      vm: this.#options.vm,
       recovered,
       random,
       timing: this.#options.timing ?? DEFAULT_TIMING,
       nowMs: clock.nowMs(),
       firstVoters: this.#options.firstStart?.voters,
+      peers: this.#options.peers,
+      report: (report) => this.#reportSeats(report),
+    });
+    this.#replica = replica;
+    this.#loop = this.#makeLoop(replica);
+    this.#chunks = new ChunkSender({
+      replica,
+      storage: this.#storage,
+      send: (messages) => this.#send(messages),
     });
     events.emit(AGREEMENT_EVENTS.started, {
       replica: recovered.identity,
       fresh: recovered.fresh,
-      lastIndex: this.#replica.state.log.lastIndex,
+      lastIndex: replica.state.log.lastIndex,
     });
     network.onNotice("agreement", (from, body) => this.#receive(from, body));
     this.#step();
@@ -129,9 +150,12 @@
   override async stop(): Promise<void> {
     const replica = this.#replica;
     if (replica === undefined) return;
-    this.#replica = undefined;
-    this.#timer?.timer.cancel();
-    this.#proposals.abandonAll();
+    if (replica.handOver(this.#options.clock.nowMs())) {
+      this.#step();
+      await this.#waitForSuccessor(replica);
+    }
+    this.#close();
+    await this.#loop?.stop();
     await this.#storage.close();
   }
 
@@ -171,9 +195,9 @@
       term: state?.term ?? 0,
       leader: state?.leader?.vm ?? null,
       committedIndex: state?.committedIndex ?? 0,
-      appliedIndex: this.#appliedIndex,
+      appliedIndex: this.#applier.appliedIndex,
       voters: (state?.rules().seats() ?? []).map((seat) => seat.vm),
-      ready: goal !== null && this.#appliedIndex >= goal,
+      ready: goal !== null && this.#applier.appliedIndex >= goal,
     };
   }
 
@@ -183,8 +207,7 @@
   }
 
   override onApplied(listener: (index: number) => void): () => void {
-    this.#listeners.add(listener);
-    return () => this.#listeners.delete(listener);
+    return this.#applier.onApplied(listener);
   }
 
   /** Why this replica can't take a request; such a request is never run. */
@@ -205,7 +228,7 @@
   #notEstablished(): Failure | undefined {
     const leadership = this.#replica?.leadership;
     if (leadership === undefined) return notLeader(null);
-    const caughtUp = this.#appliedIndex >= leadership.barrierIndex;
+    const caughtUp = this.#applier.appliedIndex >= leadership.barrierIndex;
     if (leadership.established && caughtUp) return undefined;
     return fail("not_ready", "the leader is still catching up", {
       retryAfterMs: NOT_READY_RETRY_MS,
@@ -233,10 +256,11 @@
   #step(): void {
     const replica = this.#replica;
     if (replica === undefined) return;
-    this.#applyCommitted(replica);
+    this.#applier.advance(replica);
     this.#send(replica.takeReady());
+    this.#chunks?.send();
     this.#reportLeader(replica);
-    this.#sync(replica);
+    this.#loop?.run();
     this.#arm(replica);
   }
 
@@ -244,7 +268,8 @@
     const dueMs = replica.dueMs();
     if (this.#timer !== undefined && this.#timer.dueMs <= dueMs) return;
     this.#timer?.timer.cancel();
-    const delayMs = Math.max(0, dueMs - this.#options.clock.nowMs());
+    const waitMs = dueMs - this.#options.clock.nowMs();
+    const delayMs = Math.max(MINIMUM_TIMER_MS, waitMs);
     const timer = this.#options.clock.after(delayMs, () => {
       this.#timer = undefined;
       this.#replica?.tick(this.#instant());
@@ -262,49 +287,35 @@
     }
   }
 
-  async #sync(replica: Replica): Promise<void> {
-    if (this.#syncing) return;
-    this.#syncing = true;
-    try {
-      while (replica === this.#replica) {
-        const taken = replica.takeBatch(this.#options.clock.nowMs());
-        this.#send(replica.takeReady());
-        if (taken === undefined) break;
-        await this.#storage.append(taken.batch);
-        this.#finish(replica, taken);
-      }
-    } catch (error) {
-      this.#halt(error);
-    } finally {
-      this.#syncing = false;
-    }
-  }
-
-  #finish(replica: Replica, taken: TakenBatch): void {
-    if (replica !== this.#replica) return;
-    replica.synced(taken);
-    this.#send(taken.held);
-    this.#applyCommitted(replica);
-    this.#send(replica.takeReady());
-    this.#arm(replica);
+  #makeLoop(replica: Replica): SyncLoop {
+    return new SyncLoop({
+      replica,
+      storage: this.#storage,
+      applier: this.#applier,
+      clock: this.#options.clock,
+      events: this.#options.events,
+      policy: this.#options.snapshots ?? DEFAULT_SNAPSHOT_POLICY,
+      send: (messages) => this.#send(messages),
+      afterSync: () => this.#step(),
+      onFault: (error) => this.#halt(error),
+    });
   }
 
-  #applyCommitted(replica: Replica): void {
-    let entry = replica.committedEntry(this.#appliedIndex + 1);
-    while (entry !== undefined) {
-      this.#appliedIndex = entry.index;
-      this.#apply(entry, replica);
-      entry = replica.committedEntry(this.#appliedIndex + 1);
+  async #waitForSuccessor(replica: Replica): Promise<void> {
+    const { clock } = this.#options;
+    const untilMs = clock.nowMs() + HANDOVER_WAIT_MS;
+    while (this.#replica === replica && clock.nowMs() < untilMs) {
+      if (replica.state.leader !== null) return;
+      await clock.sleep(HANDOVER_POLL_MS);
     }
   }
 
-  #apply(entry: LogEntry, replica: Replica): void {
-    const leader = replica.state.leader?.vm ?? null;
-    const result = entry.kind === "command"
-      ? this.#host.apply(entry)
-      : Err(notLeader(leader));
-    this.#proposals.decided(entry, result, leader);
-    for (const listener of this.#listeners) listener(entry.index);
+  #reportSeats(report: SeatingReport): void {
+    const event = report.kind === "settled"
+      ? AGREEMENT_EVENTS.seatsChanged
+      : AGREEMENT_EVENTS.seatRefused;
+    const { seats, index } = report;
+    this.#options.events.emit(event, { seats, index });
   }
 
   #reportLeader(replica: Replica): void {
@@ -320,9 +331,13 @@
       ? error.failure
       : fail("storage_failed", String(error));
     this.#options.events.emit(AGREEMENT_EVENTS.storageFailed, { ...failure });
+    this.#close();
+    this.#options.onFatal?.(failure);
+  }
+
+  #close(): void {
     this.#replica = undefined;
     this.#timer?.timer.cancel();
     this.#proposals.abandonAll();
-    this.#options.onFatal?.(failure);
   }
 }
--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -4,13 +4,13 @@
  *
  * @module
  */
-import type { Milliseconds } from "#core";
+import type { Bytes, Milliseconds } from "#core";
 import { match } from "ts-pattern";
 import { Elector } from "./election.ts";
 import type { EntryKind, EntryPosition, LogEntry } from "./entries.ts";
-import { Following } from "./following.ts";
+import { Following, type ReceivedChunk } from "./following.ts";
 import { Formation } from "./formation.ts";
-import { type Instant, Leadership } from "./leadership.ts";
+import { type Instant, Leadership, type Progress } from "./leadership.ts";
 import type { Message, MessageOf } from "./messages.ts";
 import {
   type Outgoing,
@@ -18,29 +18,35 @@
   ReplicaState,
   type TakenBatch,
 } from "./replica_state.ts";
+import { Seating, type SeatingReport } from "./seating.ts";
 
-const HELLO_PERIOD_MS: Milliseconds = 250;
+const HELLO_PERIOD_MS: Milliseconds = 500;
+
+/** What a replica is built from. */
+export interface ReplicaParts extends ReplicaOptions {
+  /** VMs of an explicit first start. */
+  readonly firstVoters: readonly string[] | undefined;
+  /** Control VMs that should have seats. */
+  readonly peers: () => readonly string[];
+  readonly report: (report: SeatingReport) => void;
+}
 
 /** A replica as its driver sees it. */
 export class Replica {
   readonly state: ReplicaState;
+  readonly #options: ReplicaParts;
   readonly #elector: Elector;
   readonly #following: Following;
   readonly #formation: Formation | undefined;
-  readonly #lastAtMs: Milliseconds;
   #leadership: Leadership | undefined;
+  #seating: Seating | undefined;
   #helloDueMs: Milliseconds;
 
-  constructor(
-    options: ReplicaOptions & {
-      /** VMs of an explicit first start. */
-      readonly firstVoters: readonly string[] | undefined;
-    },
-  ) {
+  constructor(options: ReplicaParts) {
+    this.#options = options;
     this.state = new ReplicaState(options);
     this.#elector = new Elector(this.state);
     this.#following = new Following(this.state);
-    this.#lastAtMs = options.recovered.snapshot?.meta.atMs ?? 0;
     this.#helloDueMs = options.nowMs;
     if (options.firstVoters === undefined) return;
     this.#formation = new Formation(this.state, options.firstVoters);
@@ -62,21 +68,22 @@
   dueMs(): Milliseconds {
     const leadership = this.leadership;
     if (leadership !== undefined) return leadership.dueMs;
-    if (this.state.group === null) return this.#helloDueMs;
-    return this.state.electionDueMs;
+    const { role, electionDueMs } = this.state;
+    if (role === "learner") return this.#helloDueMs;
+    if (role === "follower") return electionDueMs;
+    return Math.min(electionDueMs, this.#helloDueMs);
   }
 
   /** Does what is due. */
   tick(instant: Instant): void {
     const leadership = this.leadership;
     if (leadership !== undefined) {
-      if (!leadership.tick(instant.nowMs)) this.resign();
-      return;
-    }
-    if (this.state.group === null) {
-      this.#sayHello(instant);
+      if (leadership.tick(instant.nowMs)) this.#tickSeats(instant);
+      else this.#resign();
       return;
     }
+    if (this.state.role !== "follower") this.#sayHello(instant);
+    if (this.state.role === "learner") return;
     if (this.#elector.tick(instant.nowMs)) this.#lead(instant);
   }
 
@@ -107,7 +114,16 @@
         { kind: "handover" },
         (handover) => this.#elector.takeHandover(handover, instant.nowMs),
       )
-      .with({ kind: "chunk" }, { kind: "chunkReply" }, () => false)
+      .with({ kind: "chunk" }, (chunk) => {
+        this.#following.takeChunk(vm, chunk, instant.nowMs);
+        return false;
+      })
+      .with({ kind: "chunkReply" }, (reply) => {
+        if (reply.term === state.term) {
+          this.leadership?.takeChunkReply(reply, instant.nowMs);
+        }
+        return false;
+      })
       .exhaustive();
     if (won) this.#lead(instant);
   }
@@ -129,10 +145,25 @@
     return untilMs > nowMs ? untilMs : 0;
   }
 
-  /** Gives leadership up. */
-  resign(): void {
-    this.#leadership = undefined;
-    this.state.follow(this.state.term, null);
+  /** Gives leadership up and asks the replica that has most of the log to lead; false if none can. */
+  handOver(nowMs: Milliseconds): boolean {
+    const { state } = this;
+    const best = this.#successor(nowMs);
+    if (best === undefined) return false;
+    const { replica, vm } = best.seat;
+    this.#resign();
+    state.send(vm, state.message("handover", { to: replica }));
+    return true;
+  }
+
+  /** The next part of a snapshot to write to the disk. */
+  nextChunk(): ReceivedChunk | undefined {
+    return this.#following.nextChunk();
+  }
+
+  /** Tells the leader how much of a snapshot is on the disk. */
+  replyToChunk(received: ReceivedChunk, heldBytes: Bytes): void {
+    this.#following.replyToChunk(received, heldBytes);
   }
 
   /** Messages that may leave now. */
@@ -165,8 +196,12 @@
     const last = state.log.get(state.log.lastIndex);
     this.#leadership = new Leadership(state, {
       instant,
-      lastAtMs: last?.atMs ?? this.#lastAtMs,
-      snapshotNeeded: () => {},
+      lastAtMs: last?.atMs ?? state.snapshot?.meta.atMs ?? 0,
+    });
+    this.#seating = new Seating(state, {
+      leadership: this.#leadership,
+      peers: this.#options.peers,
+      report: this.#options.report,
     });
     this.#leadership.tick(instant.nowMs);
   }
@@ -184,11 +219,39 @@
     this.leadership?.takeReply(message, instant.nowMs);
   }
 
+  #resign(): void {
+    this.#leadership = undefined;
+    this.state.follow(this.state.term, null);
+  }
+
+  #successor(nowMs: Milliseconds): Progress | undefined {
+    const { state } = this;
+    let best: Progress | undefined;
+    for (const progress of this.leadership?.progress() ?? []) {
+      if (!state.rules().has(progress.seat.replica)) continue;
+      if (nowMs > progress.contactMs + state.timing.leaseMs) continue;
+      if (best === undefined || progress.match > best.match) best = progress;
+    }
+    return best;
+  }
+
+  #tickSeats(instant: Instant): void {
+    if (this.#seating?.tick(instant) !== "handover") return;
+    this.handOver(instant.nowMs);
+  }
+
+  /** A candidate says it too: the entry that gave it a seat may have been replaced by another. */
   #sayHello(instant: Instant): void {
     if (instant.nowMs < this.#helloDueMs) return;
     this.#helloDueMs = instant.nowMs + HELLO_PERIOD_MS;
     this.#formation?.ask();
     this.#tryForm(instant);
+    if (this.#formation?.coordinates() === true) return;
+    const { state } = this;
+    for (const vm of this.#options.peers()) {
+      if (vm === state.vm) continue;
+      state.send(vm, state.message("hello", { to: null, formed: false }));
+    }
   }
 
   #takeHello(vm: string, message: MessageOf<"hello">, instant: Instant): void {
@@ -197,6 +260,10 @@
       const formed = state.group !== null;
       const answer = state.message("hello", { to: message.from, formed });
       state.sendOnceDurable(vm, answer);
+      const joining = message.group === null || message.group === state.group;
+      if (this.leadership !== undefined && joining) {
+        this.#seating?.takeHello(vm, message, instant.nowMs);
+      }
       return;
     }
     this.#formation?.takeAnswer(vm, message);
--- a/agreement/replica_state.ts
+++ b/agreement/replica_state.ts
@@ -185,22 +185,23 @@
     this.#durableIndex = Math.min(this.#durableIndex, first.index - 1);
   }
 
-  /** Forgets the whole log in favour of a snapshot that is on the disk. */
-  install(snapshot: EncodedSnapshot): void {
+  /**
+   * Replaces the log up to a snapshot's index. The result goes to `synced` once the snapshot is on the
+   * disk; nothing counts as durable before.
+   */
+  install(snapshot: EncodedSnapshot): TakenBatch {
     const { index, term, seats } = snapshot.meta;
-    const matches = this.log.termAt(index) === term;
-    if (matches) {
+    if (this.log.termAt(index) === term) {
       this.log.compact(index);
     } else {
       this.log.reset({ index, term });
     }
-    const rest = this.log.from(index + 1, Infinity);
     this.seats.reset(seats);
-    this.seats.append(rest);
+    this.seats.append(this.log.from(index + 1, Infinity));
     this.snapshot = snapshot;
     this.commit(index);
-    this.#pendingFrom = this.log.lastIndex + 1;
-    this.#durableIndex = this.log.lastIndex;
+    this.#durableIndex = 0;
+    return this.takeBatch();
   }
 
   /** Builds a message from this replica. */
@@ -245,7 +246,7 @@
     return this.#pendingFrom <= this.log.lastIndex;
   }
 
-  /** Everything to be synced next. */
+  /** Everything to be synced next; a log file that is written anew holds it as well. */
   takeBatch(): TakenBatch {
     const entries = this.log.from(this.#pendingFrom, Infinity);
     const batch: DurableBatch = {
--- /dev/null
+++ b/agreement/seating.ts
@@ -0,0 +1,191 @@
+/**
+ * Who gets a seat, decided by the leader: a replica without one first learns the log; once it has caught
+ * up it takes the seat of the replica that its VM ran before, or a new seat if its VM is named as a
+ * control VM. Seats of VMs that are no longer named go last. One change at a time.
+ *
+ * @module
+ */
+import { match, P } from "ts-pattern";
+import type { Milliseconds } from "#core";
+import { encodeSeats, type Seat } from "./entries.ts";
+import type { Instant, Leadership, Progress } from "./leadership.ts";
+import type { MessageOf } from "./messages.ts";
+import type { ReplicaState } from "./replica_state.ts";
+
+const CAUGHT_UP_ENTRIES = 64;
+const LEARNER_FORGOTTEN_MS: Milliseconds = 10_000;
+
+/** What the leader reports of seats. */
+export interface SeatingReport {
+  /** `settled`: all voters know that the change is committed. `refused`: a replica can't have a seat. */
+  readonly kind: "settled" | "refused";
+  readonly seats: readonly Seat[];
+  /** Index of the change, or 0. */
+  readonly index: number;
+}
+
+/** Decides on seats for one term. */
+export class Seating {
+  readonly #state: ReplicaState;
+  readonly #leadership: Leadership;
+  readonly #peers: () => readonly string[];
+  readonly #report: (report: SeatingReport) => void;
+  readonly #learners = new Map<string, Milliseconds>();
+  readonly #refused = new Set<string>();
+  #settledIndex = 0;
+
+  constructor(
+    state: ReplicaState,
+    options: {
+      readonly leadership: Leadership;
+      readonly peers: () => readonly string[];
+      readonly report: (report: SeatingReport) => void;
+    },
+  ) {
+    this.#state = state;
+    this.#leadership = options.leadership;
+    this.#peers = options.peers;
+    this.#report = options.report;
+  }
+
+  /** Lets a replica without a seat learn. */
+  takeHello(
+    vm: string,
+    message: MessageOf<"hello">,
+    nowMs: Milliseconds,
+  ): void {
+    if (this.#state.rules().has(message.from)) return;
+    const seat = { replica: message.from, vm };
+    if (!this.#mayLearn(vm)) {
+      this.#refuse(seat);
+      return;
+    }
+    this.#learners.set(message.from, nowMs);
+    this.#leadership.follow(seat);
+  }
+
+  /** Makes the next change if one is due; `handover` if this replica should stop to lead first. */
+  tick(instant: Instant): "handover" | "none" {
+    this.#forgetLearners(instant.nowMs);
+    const { newest } = this.#state.seats;
+    if (!this.#leadership.established) return "none";
+    if (newest.index > this.#state.committedIndex) return "none";
+    this.#reportSettled();
+    const seats = newest.change.after;
+    const promoted = this.#promotion(seats, instant.nowMs);
+    if (promoted !== undefined) {
+      this.#change({ before: seats, after: promoted }, instant);
+      return "none";
+    }
+    const leaving = this.#leaving(seats);
+    if (leaving === undefined) return "none";
+    if (leaving.replica === this.#state.identity) return "handover";
+    const after = seats.filter((seat) => seat !== leaving);
+    this.#change({ before: seats, after }, instant);
+    return "none";
+  }
+
+  #change(
+    change: {
+      readonly before: readonly Seat[];
+      readonly after: readonly Seat[];
+    },
+    instant: Instant,
+  ): void {
+    this.#leadership.add("seats", encodeSeats(change), instant);
+  }
+
+  #mayLearn(vm: string): boolean {
+    if (this.#peers().includes(vm)) return true;
+    return this.#state.rules().seats().some((seat) => seat.vm === vm);
+  }
+
+  #refuse(seat: Seat): void {
+    if (this.#refused.has(seat.replica)) return;
+    this.#refused.add(seat.replica);
+    this.#report({ kind: "refused", seats: [seat], index: 0 });
+  }
+
+  #forgetLearners(nowMs: Milliseconds): void {
+    for (const [replica, heardMs] of this.#learners) {
+      if (nowMs < heardMs + LEARNER_FORGOTTEN_MS) continue;
+      this.#learners.delete(replica);
+      if (!this.#state.rules().has(replica)) {
+        this.#leadership.unfollow(replica);
+      }
+    }
+  }
+
+  /** The seats after the first learner that has caught up got one. */
+  #promotion(
+    seats: readonly Seat[],
+    nowMs: Milliseconds,
+  ): readonly Seat[] | undefined {
+    for (const replica of this.#learners.keys()) {
+      const progress = this.#leadership.progressOf(replica);
+      if (progress === undefined) continue;
+      if (seats.some((seat) => seat.replica === replica)) {
+        this.#learners.delete(replica);
+        continue;
+      }
+      if (!this.#caughtUp(progress, nowMs)) continue;
+      const promoted = this.#seatsWith(progress.seat, seats, nowMs);
+      if (promoted !== undefined) return promoted;
+    }
+    return undefined;
+  }
+
+  #caughtUp(progress: Progress, nowMs: Milliseconds): boolean {
+    const { committedIndex, timing } = this.#state;
+    if (nowMs > progress.contactMs + timing.electionMinimumMs) return false;
+    return progress.match + CAUGHT_UP_ENTRIES >= committedIndex &&
+      progress.match > 0;
+  }
+
+  #seatsWith(
+    learner: Seat,
+    seats: readonly Seat[],
+    nowMs: Milliseconds,
+  ): readonly Seat[] | undefined {
+    const old = seats.find((seat) => seat.vm === learner.vm);
+    return match(old)
+      .with(undefined, () => [...seats, learner])
+      .with(P.not(undefined), (replaced) => {
+        if (this.#isAlive(replaced, nowMs)) {
+          this.#refuse(learner);
+          return undefined;
+        }
+        return seats.map((seat) => seat === replaced ? learner : seat);
+      })
+      .exhaustive();
+  }
+
+  #isAlive(seat: Seat, nowMs: Milliseconds): boolean {
+    if (seat.replica === this.#state.identity) return true;
+    const contactMs = this.#leadership.progressOf(seat.replica)?.contactMs ??
+      -Infinity;
+    return nowMs < contactMs + this.#state.timing.electionMinimumMs;
+  }
+
+  /** A seat whose VM is no longer named, once all VMs that are named have seats. */
+  #leaving(seats: readonly Seat[]): Seat | undefined {
+    const peers = this.#peers();
+    if (peers.length === 0) return undefined;
+    for (const vm of peers) {
+      if (!seats.some((seat) => seat.vm === vm)) return undefined;
+    }
+    return seats.find((seat) => !peers.includes(seat.vm));
+  }
+
+  #reportSettled(): void {
+    const { index, change } = this.#state.seats.newest;
+    if (index <= this.#settledIndex) return;
+    for (const seat of change.after) {
+      if (seat.replica === this.#state.identity) continue;
+      const progress = this.#leadership.progressOf(seat.replica);
+      if (progress === undefined || progress.committedIndex < index) return;
+    }
+    this.#settledIndex = index;
+    this.#report({ kind: "settled", seats: change.after, index });
+  }
+}
--- /dev/null
+++ b/agreement/sync_loop.ts
@@ -0,0 +1,168 @@
+/**
+ * The one writer of a replica's disk: batches of entries, chunks of snapshots that arrive, and own
+ * snapshots, one after the other.
+ *
+ * @module
+ */
+import { type Bytes, type Clock, type EventLog, MEBIBYTE } from "#core";
+import type { Applier } from "./applier.ts";
+import { AGREEMENT_EVENTS } from "./events.ts";
+import type { ReceivedChunk } from "./following.ts";
+import {
+  type LogBase,
+  type LogStorage,
+  type PackedSnapshot,
+  packSnapshot,
+} from "./log_storage.ts";
+import type { Replica } from "./replica.ts";
+import type { Outgoing, TakenBatch } from "./replica_state.ts";
+
+/** When snapshots are taken, and how much of the log stays behind them. */
+export interface SnapshotPolicy {
+  /** Entries after which a snapshot is taken. */
+  readonly entries: number;
+  /** Bytes of entries after which a snapshot is taken. */
+  readonly bytes: Bytes;
+  /** Entries that stay before the snapshot, for replicas that lag a little. */
+  readonly retainedEntries: number;
+}
+
+/** Policy of the programs. */
+export const DEFAULT_SNAPSHOT_POLICY: SnapshotPolicy = {
+  entries: 8_192,
+  bytes: 32 * MEBIBYTE,
+  retainedEntries: 1_024,
+};
+
+const POSTPONED_FACTOR = 4;
+
+/** What the loop is built from. */
+export interface SyncLoopOptions {
+  readonly replica: Replica;
+  readonly storage: LogStorage;
+  readonly applier: Applier;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly policy: SnapshotPolicy;
+  /** Sends messages that may leave. */
+  readonly send: (messages: readonly Outgoing[]) => void;
+  /** Called after each change of the disk. */
+  readonly afterSync: () => void;
+  /** Called when the disk fails. */
+  readonly onFault: (error: unknown) => void;
+}
+
+/** Writes while there is something to write. */
+export class SyncLoop {
+  readonly #options: SyncLoopOptions;
+  #running = false;
+  #stopped = false;
+  #idle: (() => void)[] = [];
+
+  constructor(options: SyncLoopOptions) {
+    this.#options = options;
+  }
+
+  /** Stops after the write that is under way; resolves then. */
+  stop(): Promise<void> {
+    this.#stopped = true;
+    if (!this.#running) return Promise.resolve();
+    return new Promise((resolve) => this.#idle.push(resolve));
+  }
+
+  /** Starts to write unless it does already. */
+  async run(): Promise<void> {
+    if (this.#running) return;
+    this.#running = true;
+    try {
+      while (!this.#stopped && await this.#writeNext());
+    } catch (error) {
+      this.#stopped = true;
+      this.#options.onFault(error);
+    } finally {
+      this.#running = false;
+    }
+    for (const resolve of this.#idle) resolve();
+    this.#idle = [];
+  }
+
+  async #writeNext(): Promise<boolean> {
+    const { replica, clock, send } = this.#options;
+    const taken = replica.takeBatch(clock.nowMs());
+    send(replica.takeReady());
+    if (taken !== undefined) {
+      await this.#options.storage.append(taken.batch);
+      this.#finish(taken);
+      return true;
+    }
+    const chunk = replica.nextChunk();
+    if (chunk !== undefined) {
+      await this.#receive(chunk);
+      return true;
+    }
+    return this.#saveSnapshot();
+  }
+
+  #finish(taken: TakenBatch): void {
+    if (this.#stopped) return;
+    this.#options.replica.synced(taken);
+    this.#options.send(taken.held);
+    this.#options.afterSync();
+  }
+
+  async #receive(received: ReceivedChunk): Promise<void> {
+    const { replica, storage, afterSync } = this.#options;
+    const { heldBytes, whole } = await storage.receiveChunk(received.chunk);
+    if (this.#stopped) return;
+    if (whole !== null) await this.#install(whole);
+    if (this.#stopped) return;
+    replica.replyToChunk(received, heldBytes);
+    afterSync();
+  }
+
+  async #install(whole: PackedSnapshot): Promise<void> {
+    const { replica, storage, applier, events } = this.#options;
+    const { state } = replica;
+    const { index } = whole.encoded.meta;
+    if (index <= state.committedIndex) return;
+    const taken = state.install(whole.encoded);
+    applier.restore(whole.snapshot);
+    await storage.saveSnapshot(whole, this.#logBase(state.log.base.index));
+    this.#finish(taken);
+    events.emit(AGREEMENT_EVENTS.snapshotInstalled, { index });
+  }
+
+  async #saveSnapshot(): Promise<boolean> {
+    const { replica, storage, applier, events, policy } = this.#options;
+    if (!this.#snapshotDue()) return false;
+    const snapshot = applier.snapshot(replica);
+    if (snapshot === undefined) return false;
+    const { state } = replica;
+    const { index } = snapshot.meta;
+    const base = Math.max(state.log.base.index, index - policy.retainedEntries);
+    const packed = packSnapshot(snapshot);
+    await storage.saveSnapshot(packed, this.#logBase(base));
+    state.snapshot = packed.encoded;
+    state.log.compact(base);
+    const { bytes } = packed.encoded;
+    events.emit(AGREEMENT_EVENTS.snapshotSaved, { index, bytes });
+    return true;
+  }
+
+  #snapshotDue(): boolean {
+    const { replica, applier, policy, clock } = this.#options;
+    const sending = replica.leadership?.sending.busy(clock.nowMs()) ?? false;
+    const factor = sending ? POSTPONED_FACTOR : 1;
+    if (applier.entriesSinceSnapshot >= policy.entries * factor) return true;
+    return applier.bytesSinceSnapshot >= policy.bytes * factor;
+  }
+
+  #logBase(baseIndex: number): LogBase {
+    const { state } = this.#options.replica;
+    return {
+      hard: state.hard,
+      base: { index: baseIndex, term: state.log.termAt(baseIndex) ?? 0 },
+      entries: state.log.from(baseIndex + 1, Infinity),
+    };
+  }
+}
