Fill engines with lower classes only up to their announced capacity

Cause: lookups filled every place up to the engine's bound, twice its capacity, so a step's stragglers decoded at half speed for as long as lookups waited.

Ruled out: order in the queue, which was strict already.

Change: classes below the first get places only up to the announced capacity; the rest is kept for the first class.

--- a/requests/policy.ts
+++ b/requests/policy.ts
@@ -45,6 +45,15 @@
     return last?.name;
   }
 
+  /** Whether no class goes before this one. */
+  isFirstClass(name: string): boolean {
+    const rank = this.classPolicy(name).rank;
+    for (const each of this.#classes.values()) {
+      if (each.rank < rank) return false;
+    }
+    return true;
+  }
+
   classPolicy(name: string): ClassPolicy {
     return this.#classes.get(name) ?? UNKNOWN_CLASS;
   }
--- a/requests/scheduler.ts
+++ b/requests/scheduler.ts
@@ -229,11 +229,18 @@
   #takeOne(queue: TargetQueue, nowMs: Milliseconds): Dispatch | undefined {
     const pool = this.#table.pool(queue.target);
     if (pool === undefined || !pool.hasRoom(nowMs)) return undefined;
-    const context = { nowMs, random: this.#random };
     let selection: Selection | undefined;
+    const fullFor = new Set<string>();
     const item = queue.queue.take((candidate) => {
-      selection = pool.select(candidate, context);
-      return selection !== undefined;
+      if (isUsual(candidate) && fullFor.has(candidate.class)) return false;
+      selection = pool.select(candidate, {
+        nowMs,
+        random: this.#random,
+        isFirstClass: this.policy.isFirstClass(candidate.class),
+      });
+      if (selection !== undefined) return true;
+      if (isUsual(candidate)) fullFor.add(candidate.class);
+      return false;
     });
     if (item === undefined || selection === undefined) return undefined;
     this.#start(item, { queue, selection, nowMs });
@@ -333,7 +340,7 @@
       class: item.class,
       ahead: queue.aheadOf(item.class),
       aheadInClass: queue.sizeOf(item.class),
-      slots: pool.slots(nowMs),
+      slots: pool.slots(nowMs, this.policy.isFirstClass(item.class)),
       nowMs,
     });
   }
@@ -387,3 +394,8 @@
     return queue === undefined ? 0 : queue.queue.size + queue.running;
   }
 }
+
+/** Whether any upstream of the target suits the item, so that one refusal speaks for its class. */
+function isUsual(item: WorkItem): boolean {
+  return item.minimumVersion === null && item.avoid.length === 0;
+}
--- a/requests/tuning.ts
+++ b/requests/tuning.ts
@@ -18,6 +18,8 @@
   readonly overflowPart: number;
   /** Bound of an upstream over its announced capacity at most. */
   readonly maximumLimitFactor: number;
+  /** Part of an upstream's announced capacity up to which classes below the first may fill it. */
+  readonly lowerClassPart: number;
 }
 
 /** The policy before the last change that was kept. */
@@ -28,7 +30,11 @@
   maximumWaitShare: 0.5,
   overflowPart: 0.5,
   maximumLimitFactor: 2,
+  lowerClassPart: Number.POSITIVE_INFINITY,
 };
 
 /** The policy in use. */
-export const DEFAULT_TUNING: PolicyTuning = PREVIOUS_TUNING;
+export const DEFAULT_TUNING: PolicyTuning = {
+  ...PREVIOUS_TUNING,
+  lowerClassPart: 1,
+};
--- a/requests/upstream_pool.ts
+++ b/requests/upstream_pool.ts
@@ -26,6 +26,8 @@
 export interface SelectionContext {
   readonly nowMs: Milliseconds;
   readonly random: RandomSource;
+  /** Whether the item's class goes before all others. */
+  readonly isFirstClass: boolean;
 }
 
 /** The upstreams of one target. */
@@ -82,11 +84,11 @@
   }
 
   /** Work that this entry may have outstanding on open upstreams. */
-  slots(nowMs: Milliseconds): number {
+  slots(nowMs: Milliseconds, isFirstClass: boolean): number {
     let slots = 0;
     for (const group of [this.near, this.far]) {
       for (const upstream of group) {
-        if (upstream.isOpen(nowMs)) slots += upstream.part;
+        if (upstream.isOpen(nowMs)) slots += upstream.boundFor(isFirstClass);
       }
     }
     return slots;
@@ -102,7 +104,8 @@
   ): Selection | undefined {
     const { item, context, ownZone } = options;
     const fits = (upstream: UpstreamState): boolean =>
-      upstream.running < upstream.part && upstream.isOpen(context.nowMs) &&
+      upstream.running < upstream.boundFor(context.isFirstClass) &&
+      upstream.isOpen(context.nowMs) &&
       this.#suits(upstream, item);
     const affine = group.byAffinity(item.prefixKey, fits);
     if (affine !== undefined) {
--- a/requests/upstream_state.ts
+++ b/requests/upstream_state.ts
@@ -124,6 +124,14 @@
     return false;
   }
 
+  /** Work that this entry may have outstanding here for a class; less for classes below the first. */
+  boundFor(isFirstClass: boolean): number {
+    if (isFirstClass) return this.part;
+    const capacity = this.#record.capacity * this.#tuning.lowerClassPart;
+    const allowed = Math.round(this.part * capacity / this.#limit.value);
+    return Math.min(this.part, Math.max(1, allowed));
+  }
+
   /** Notes that a call began. */
   begin(): void {
     this.#running += 1;
