--- /dev/null
+++ b/requests/selection_test.ts
@@ -0,0 +1,236 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { SeededRandom, type UpstreamRecord } from "#core";
+import { AdaptiveLimit } from "./adaptive_limit.ts";
+import { DEMAND_TTL_MS, DemandShares } from "./demand_shares.ts";
+import { Scheduler } from "./scheduler.ts";
+import { BUNDLE } from "./test_entry.ts";
+import type { WorkItem } from "./work_item.ts";
+
+const CAPACITY = 4;
+const SIZE = 6;
+
+function recordOf(
+  index: number,
+  changes: Partial<UpstreamRecord> = {},
+): UpstreamRecord {
+  return {
+    id: `engine-${index}`,
+    incarnation: 1,
+    sequence: 1,
+    zone: index % 2 === 0 ? "near" : "far",
+    address: { host: "127.0.0.1", port: 1 },
+    role: "engine",
+    serves: [{ model: "topo", version: index }],
+    services: [],
+    capacity: CAPACITY,
+    enforcesFences: true,
+    reportsVersions: true,
+    leaving: false,
+    expiresAtMs: 1_000_000,
+    ...changes,
+  };
+}
+
+function itemOf(index: number, changes: Partial<WorkItem> = {}): WorkItem {
+  return {
+    id: `item-${index}`,
+    tenant: "tana",
+    class: "drafting",
+    trainer: null,
+    target: { kind: "model", name: "topo" },
+    prefixKey: "",
+    minimumVersion: null,
+    urgent: false,
+    avoid: [],
+    admitted: false,
+    arrivedMs: 0,
+    deadlineMs: 900_000,
+    cost: 10,
+    ...changes,
+  };
+}
+
+function makeScheduler(records: readonly UpstreamRecord[]): Scheduler {
+  const random = new SeededRandom(4);
+  const scheduler = new Scheduler({ vm: "entry-1", zone: "near", random });
+  scheduler.setBundle(BUNDLE);
+  scheduler.setUpstreams(mapOf(records), 0);
+  return scheduler;
+}
+
+function mapOf(
+  records: readonly UpstreamRecord[],
+): ReadonlyMap<string, UpstreamRecord> {
+  return new Map(records.map((each) => [each.id, each]));
+}
+
+const strangeNumber = fc.constantFrom(
+  0,
+  1,
+  3,
+  1e9,
+  -5,
+  Number.NaN,
+  Number.POSITIVE_INFINITY,
+);
+
+test("late, missing and absurd load reports neither overfill an upstream nor stop work that has room", () => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record({
+          engine: fc.nat({ max: SIZE - 1 }),
+          running: strangeNumber,
+          waiting: strangeNumber,
+          receivedAtMs: strangeNumber,
+          prefixKey: fc.constantFrom("", "a", "b"),
+          finish: fc.boolean(),
+        }, { noNullPrototype: true }),
+        { maxLength: 60, size: "max" },
+      ),
+      (steps) => {
+        const records = Array.from({ length: SIZE }, (_, at) => recordOf(at));
+        const scheduler = makeScheduler(records);
+        const running = new Map<string, string>();
+        const count = (engine: string): number =>
+          [...running.values()].filter((each) => each === engine).length;
+        for (const [index, step] of steps.entries()) {
+          const id = `engine-${step.engine}`;
+          scheduler.setLoads(
+            new Map([[id, { id, cacheUse: Number.NaN, ...step }]]),
+          );
+          scheduler.divide(index);
+          const { prefixKey } = step;
+          const item = itemOf(index, { prefixKey, arrivedMs: index });
+          const nearHasRoom = (): boolean =>
+            records.some((each) =>
+              each.zone === "near" && count(each.id) < CAPACITY
+            );
+          assert.equal(scheduler.submit(item, index), undefined);
+          const dispatches = scheduler.take(index);
+          if (nearHasRoom()) assert.ok(dispatches.length > 0);
+          for (const { item: taken, selection } of dispatches) {
+            const near = selection.upstream.record.zone === "near";
+            assert.ok(near || !nearHasRoom());
+            running.set(taken.id, selection.upstream.id);
+          }
+          for (const record of records) {
+            assert.ok(count(record.id) <= CAPACITY * 2);
+          }
+          const [first] = running.keys();
+          if (!step.finish || first === undefined) continue;
+          running.delete(first);
+          scheduler.finish(first, {
+            result: "whole",
+            totalMs: 10,
+            firstByteMs: 1,
+            units: 10,
+          }, index);
+        }
+      },
+    ),
+    { seed: 6, numRuns: 200 },
+  );
+});
+
+test("leaving, lapsed, avoided and outdated upstreams get no work", () => {
+  const records = [
+    recordOf(0, { leaving: true }),
+    recordOf(2, { expiresAtMs: 5 }),
+    recordOf(4),
+    recordOf(6, { serves: [{ model: "topo", version: 2 }] }),
+    recordOf(8),
+  ];
+  const scheduler = makeScheduler(records);
+  const item = { minimumVersion: 3, avoid: ["engine-8"] };
+  for (let index = 0; index < CAPACITY; index += 1) {
+    scheduler.submit(itemOf(index, item), 10);
+  }
+  const chosen = scheduler.take(10).map((each) => each.selection.upstream.id);
+  assert.deepEqual(new Set(chosen), new Set(["engine-4"]));
+  scheduler.setUpstreams(
+    mapOf(records.map((each) => ({ ...each, leaving: true }))),
+    11,
+  );
+  const refusal = scheduler.submit(itemOf(99, item), 11);
+  assert.equal(refusal?.kind, "no_upstream");
+  assert.ok((refusal?.retryAfterMs ?? 0) > 0);
+});
+
+test("other zones are used only when the own zone is full", () => {
+  const scheduler = makeScheduler([recordOf(0), recordOf(1)]);
+  for (let index = 0; index <= CAPACITY; index += 1) {
+    scheduler.submit(itemOf(index), 0);
+  }
+  const zones = scheduler.take(0).map((each) => each.selection.ownZone);
+  assert.deepEqual(zones, [true, true, true, true, false]);
+});
+
+test("the parts of the entries of a zone add up to each upstream's bound", () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.nat({ max: 50 }), { minLength: 1, maxLength: 8 }),
+      fc.integer({ min: 1, max: 64 }),
+      fc.double({ min: 0, max: 0.999, noNaN: true }),
+      (demands, limit, offset) => {
+        const names = demands.map((_, index) => `entry-${index}`);
+        let sum = 0;
+        for (const [index, name] of names.entries()) {
+          const shares = new DemandShares(name);
+          for (const [other, from] of names.entries()) {
+            const demand = { topo: demands[other] ?? 0 };
+            shares.hear(from, { demand }, 0);
+          }
+          const part = shares.partOf({
+            target: "topo",
+            limit,
+            totalLimit: limit * 4,
+            offset,
+            ownDemand: demands[index] ?? 0,
+            nowMs: 1,
+          });
+          assert.ok(part >= 0);
+          sum += part;
+        }
+        assert.equal(sum, limit);
+      },
+    ),
+    { seed: 7, numRuns: 500 },
+  );
+});
+
+test("an entry that is not heard any more leaves its part to the others", () => {
+  const shares = new DemandShares("entry-1");
+  shares.hear("entry-2", { demand: { topo: 10 } }, 0);
+  const options = {
+    target: "topo",
+    limit: 8,
+    totalLimit: 8,
+    offset: 0.5,
+    ownDemand: 10,
+  };
+  assert.equal(shares.partOf({ ...options, nowMs: 1 }), 4);
+  assert.equal(shares.partOf({ ...options, nowMs: DEMAND_TTL_MS + 1 }), 8);
+});
+
+test("the bound shrinks while latency is over its floor and grows back when it is used", () => {
+  const limit = new AdaptiveLimit(16, 2);
+  const play = (latencyMs: number, samples: number): void => {
+    for (let sample = 0; sample < samples; sample += 1) {
+      limit.record({ latencyMs, saturated: true });
+    }
+  };
+  play(10, 200);
+  const high = limit.value;
+  assert.ok(high > 16 && high <= 32);
+  play(50, 400);
+  assert.ok(limit.value < high);
+  const low = limit.value;
+  play(10, 400);
+  assert.ok(limit.value > low);
+  play(Number.NaN, 400);
+  play(-1, 400);
+  assert.ok(limit.value >= 1 && limit.value <= 32);
+});
--- a/requests/test_entry.ts
+++ b/requests/test_entry.ts
@@ -32,7 +32,8 @@
 /** Where the stand-ins of the tests listen. */
 export const HOST = "127.5.0.2";
 
-const BUNDLE: Bundle = {
+/** The bundle of the tests: drafting goes before lookups. */
+export const BUNDLE: Bundle = {
   schema: 1,
   cluster: "test",
   version: 1,
