Keep a quarter of the announced capacity from lower classes

Cause: with all announced places filled, each lookup's prefill slows the samples that share its engine, the stragglers of a step above all.

Ruled out in trials: keeping prefixes with their engine longer (affinity up to half or all of its places: no gain); no bound above the announced capacity (drafting unchanged).

Change: classes below the first fill an engine up to three quarters of its announced capacity.

--- a/requests/tuning.ts
+++ b/requests/tuning.ts
@@ -38,7 +38,7 @@
   overflowPart: 0.5,
   maximumLimitFactor: 2,
   lowerClassPart: 1,
-  standingAfterMs: Number.POSITIVE_INFINITY,
+  standingAfterMs: 100,
   standingLength: 2,
   standingWaitMs: 50,
 };
@@ -46,5 +46,5 @@
 /** The policy in use. */
 export const DEFAULT_TUNING: PolicyTuning = {
   ...PREVIOUS_TUNING,
-  standingAfterMs: 100,
+  lowerClassPart: 0.75,
 };
