Fuzz orders and fences; let a whole zone spare one engine, not more

Cause: a zone whose engines differ in capacity could lose two of them in one wave, because the spare for 'one engine' was reckoned by the largest; found by the property of the plan.

--- /dev/null
+++ b/proof/fuzz_orders_test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock } from "#core";
+import { ORDER_LIMIT_MS } from "#weights";
+import { fuzz } from "./fuzz_orders.ts";
+import { LEASE_MS, OrdersWorld } from "./orders_world.ts";
+
+test("no engine ends on an older order than the last committed, whatever the network and the leaders do", async () => {
+  await fuzz({ seed: 1, runs: 40 });
+});
+
+test("a new leader waits before its first order to an engine that ignores fences, and not for others", async () => {
+  const clock = new VirtualClock(1_000);
+  const world = new OrdersWorld(clock, 4);
+  await clock.advanceAsync(3_000);
+  world.changeLeader();
+  await clock.advanceAsync(LEASE_MS - 10);
+  world.published = 2;
+  await clock.advanceAsync(20_000);
+  for (const coordinator of world.coordinators) coordinator.stop();
+  const ledSinceMs = world.ledSinceMs.get("control-2") ?? 0;
+  const waited = new Map<boolean, number>();
+  for (const { vm, order, atMs } of world.given) {
+    if (vm !== "control-2") continue;
+    const engine = world.engines.find((one) => one.id === order.upstream);
+    const enforces = engine?.enforcesFences ?? true;
+    const known = waited.get(enforces) ?? Number.MAX_SAFE_INTEGER;
+    waited.set(enforces, Math.min(known, atMs - ledSinceMs));
+  }
+  assert.ok((waited.get(true) ?? 0) < ORDER_LIMIT_MS);
+  assert.ok((waited.get(false) ?? 0) >= ORDER_LIMIT_MS);
+});
--- /dev/null
+++ b/weights/orders_machine_test.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { OrdersMachine } from "./orders_machine.ts";
+
+function wish(version: number, upstream = "e1"): unknown {
+  return { kind: "wish", wishes: [{ upstream, model: "advice", version }] };
+}
+
+test("the fence of a wish is the index of its commit, also when it is committed again", () => {
+  const orders = new OrdersMachine();
+  orders.apply({ index: 7, atMs: 0, command: wish(4) });
+  const again = orders.apply({ index: 9, atMs: 0, command: wish(4) });
+  assert.deepEqual(again.unwrap(), {
+    orders: [{ upstream: "e1", model: "advice", version: 4, fence: 9 }],
+  });
+});
+
+test("a wish for an older version is a conflict and changes nothing, nor does its batch", () => {
+  const orders = new OrdersMachine();
+  orders.apply({ index: 1, atMs: 0, command: wish(4) });
+  const before = orders.snapshot();
+  const batch = {
+    kind: "wish",
+    wishes: [
+      { upstream: "e2", model: "advice", version: 5 },
+      { upstream: "e1", model: "advice", version: 3 },
+    ],
+  };
+  const reply = orders.apply({ index: 2, atMs: 0, command: batch });
+  assert.ok(reply.err);
+  assert.equal(reply.val.kind, "conflict");
+  assert.deepEqual(orders.snapshot(), before);
+});
+
+test("commands of a wrong shape are refused", () => {
+  const orders = new OrdersMachine();
+  const none = { kind: "wish", wishes: [] };
+  for (const command of [null, {}, none, wish(-1), wish(1.5), wish(1, "")]) {
+    const reply = orders.apply({ index: 1, atMs: 0, command });
+    assert.ok(reply.err);
+    assert.equal(reply.val.kind, "malformed_request");
+  }
+});
+
+test("a restored machine answers as the one it was taken from", () => {
+  const orders = new OrdersMachine();
+  orders.apply({ index: 1, atMs: 0, command: wish(4) });
+  orders.apply({ index: 2, atMs: 0, command: wish(4, "e2") });
+  orders.apply({
+    index: 3,
+    atMs: 0,
+    command: { kind: "forget", upstreams: ["e1"] },
+  });
+  const other = new OrdersMachine();
+  other.restore(orders.snapshot());
+  assert.deepEqual(other.ask(null), orders.ask(null));
+});
--- a/weights/rollout_plan.ts
+++ b/weights/rollout_plan.ts
@@ -54,15 +54,12 @@
     nowMs: Milliseconds,
   ): readonly string[] {
     this.#fill(goal, nowMs);
-    const spare = spareOfZones(engines, goal.servingFloor);
+    const zones = zonesOf(engines, goal.servingFloor);
     const chosen: string[] = [];
     for (const engine of inOrder(engines)) {
       if (this.#tokens < 1) break;
       if (!needsOrder(engine, goal.version, nowMs)) continue;
-      const cost = engine.serving === null ? 0 : engine.capacity;
-      const left = spare.get(engine.zone) ?? 0;
-      if (cost > left) continue;
-      spare.set(engine.zone, left - cost);
+      if (!takeOut(engine, zones.get(engine.zone))) continue;
       this.#tokens -= 1;
       chosen.push(engine.upstream);
     }
@@ -93,32 +90,40 @@
 interface ZoneCapacity {
   all: number;
   serving: number;
-  largest: number;
+  /** Capacity that may be taken out without going below the floor. */
+  spare: number;
 }
 
-/**
- * Capacity that each zone can do without now. One engine of a zone may always change while all others
- * serve; engines that failed again and again count for nothing, so that they don't hold the rest back.
- */
-function spareOfZones(
+/** Capacity by zone; engines that failed for good count for nothing, so that they hold nobody back. */
+function zonesOf(
   engines: readonly RolloutEngine[],
   floor: number,
-): Map<string, number> {
+): ReadonlyMap<string, ZoneCapacity> {
   const zones = new Map<string, ZoneCapacity>();
   for (const engine of engines) {
     if (engine.failures >= GIVEN_UP_FAILURES) continue;
-    const zone = zones.get(engine.zone) ?? { all: 0, serving: 0, largest: 0 };
+    const zone = zones.get(engine.zone) ?? { all: 0, serving: 0, spare: 0 };
     zone.all += engine.capacity;
-    zone.largest = Math.max(zone.largest, engine.capacity);
     if (isServing(engine)) zone.serving += engine.capacity;
     zones.set(engine.zone, zone);
   }
-  const spare = new Map<string, number>();
-  for (const [name, zone] of zones) {
-    const least = zone.serving === zone.all ? zone.largest : 0;
-    spare.set(name, Math.max(zone.serving - zone.all * floor, least));
+  for (const zone of zones.values()) {
+    zone.spare = zone.serving - zone.all * floor;
   }
-  return spare;
+  return zones;
+}
+
+/** Takes an engine out if its zone can do without it; a zone that is whole can always spare one. */
+function takeOut(
+  engine: RolloutEngine,
+  zone: ZoneCapacity | undefined,
+): boolean {
+  if (zone === undefined || engine.serving === null) return true;
+  const whole = zone.serving === zone.all;
+  if (engine.capacity > zone.spare && !whole) return false;
+  zone.serving -= engine.capacity;
+  zone.spare -= engine.capacity;
+  return true;
 }
 
 function isServing(engine: RolloutEngine): boolean {
--- /dev/null
+++ b/weights/rollout_plan_test.ts
@@ -0,0 +1,121 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { type RolloutEngine, WavePlan } from "./rollout_plan.ts";
+
+const FAILED_FOR_GOOD = 3;
+
+function makeEngine(
+  index: number,
+  changes: Partial<RolloutEngine>,
+): RolloutEngine {
+  return {
+    upstream: `e${index}`,
+    zone: `z${index % 3}`,
+    capacity: 4,
+    serving: 1,
+    loading: null,
+    restUntilMs: 0,
+    failures: 0,
+    ...changes,
+  };
+}
+
+test("a wave leaves the floor of each zone serving, or takes a single engine", () => {
+  const part = fc.record({
+    capacity: fc.integer({ min: 1, max: 16 }),
+    serving: fc.constantFrom(null, 1, 2),
+    loading: fc.constantFrom(null, null, 2),
+    failures: fc.nat(2),
+  }, { noNullPrototype: true });
+  fc.assert(
+    fc.property(
+      fc.array(part, { minLength: 1, maxLength: 30 }),
+      fc.constantFrom(0, 0.25, 0.5, 0.75, 1),
+      (parts, servingFloor) => {
+        const engines = parts.map((changes, index) =>
+          makeEngine(index, changes)
+        );
+        const goal = { version: 2, servingFloor, loadsPerSecond: 1_000 };
+        const plan = new WavePlan();
+        plan.choose([], goal, 0);
+        const chosen = new Set(plan.choose(engines, goal, 1_000));
+        for (const zone of ["z0", "z1", "z2"]) {
+          checkZone(engines.filter((engine) => engine.zone === zone), {
+            chosen,
+            servingFloor,
+          });
+        }
+      },
+    ),
+    { seed: 9, numRuns: 1_000 },
+  );
+});
+
+function checkZone(
+  engines: readonly RolloutEngine[],
+  wave: {
+    readonly chosen: ReadonlySet<string>;
+    readonly servingFloor: number;
+  },
+): void {
+  let all = 0;
+  let before = 0;
+  let after = 0;
+  let taken = 0;
+  for (const engine of engines) {
+    all += engine.capacity;
+    if (engine.serving === null || engine.loading !== null) continue;
+    before += engine.capacity;
+    if (wave.chosen.has(engine.upstream)) taken += 1;
+    else after += engine.capacity;
+  }
+  if (taken === 0) return;
+  const single = before === all && taken === 1;
+  assert.ok(after >= all * wave.servingFloor || single);
+}
+
+test("loads begin no faster than the store allows", () => {
+  const plan = new WavePlan();
+  const goal = { version: 2, servingFloor: 0, loadsPerSecond: 5 };
+  const engines = Array.from(
+    { length: 100 },
+    (_, index) => makeEngine(index, {}),
+  );
+  let begun = 0;
+  for (let nowMs = 0; nowMs <= 10_000; nowMs += 100) {
+    const chosen = new Set(plan.choose(engines, goal, nowMs));
+    begun += chosen.size;
+    for (const [index, engine] of engines.entries()) {
+      if (!chosen.has(engine.upstream)) continue;
+      engines[index] = { ...engine, loading: 2 };
+    }
+  }
+  assert.ok(begun <= 51, `${begun} loads in 10 s`);
+  assert.ok(begun >= 49, `${begun} loads in 10 s`);
+});
+
+test("an engine that failed rests, and one that failed for good holds nobody back", () => {
+  const goal = { version: 2, servingFloor: 0.6, loadsPerSecond: 100 };
+  const resting = makeEngine(0, { serving: null, restUntilMs: 5_000 });
+  const others = [makeEngine(3, {}), makeEngine(6, {})];
+  const first = new WavePlan();
+  assert.deepEqual(first.choose([resting, ...others], goal, 0), []);
+  const broken = { ...resting, failures: FAILED_FOR_GOOD };
+  assert.deepEqual(new WavePlan().choose([broken, ...others], goal, 0), ["e3"]);
+  assert.deepEqual(
+    new WavePlan().choose([resting, ...others], goal, 5_000),
+    ["e0"],
+  );
+});
+
+test("loads that were not begun add up for one second only", () => {
+  const plan = new WavePlan();
+  const goal = { version: 2, servingFloor: 0, loadsPerSecond: 5 };
+  const engines = Array.from(
+    { length: 100 },
+    (_, index) => makeEngine(index, {}),
+  );
+  plan.choose([], goal, 0);
+  assert.equal(plan.choose(engines, goal, 60_000).length, 5);
+});
