Keep two golden sessions through the real programs

Change: a morning at Tana (job cards, keyed saves at two entry VMs, advice whole and streamed, two steps with two published versions, refusals) and two operators racing with equal versions. Three control VMs, six entry VMs and the stand-ins run as processes; a call that may be repeated is sent again until its answer tells.

--- a/fakes/build_fakes.ts
+++ b/fakes/build_fakes.ts
@@ -88,6 +88,7 @@
     entries: values["entry"],
     steps: values["steps"],
     firstStep: values["first-step"],
+    cursor: values["cursor"],
     stepsAhead: values["steps-ahead"],
     groups: values["groups"],
     groupSize: values["group-size"],
--- a/fakes/fake_settings.ts
+++ b/fakes/fake_settings.ts
@@ -230,6 +230,12 @@
     fallback: "1",
     example: "1",
   },
+  "cursor": {
+    help: "Cursor to read on from; empty to begin",
+    schema: z.string().max(256),
+    fallback: "",
+    example: "advice-tuning~64",
+  },
   "steps-ahead": {
     help: "Steps submitted before the one waited for is whole",
     schema: count,
--- a/fakes/trainer.ts
+++ b/fakes/trainer.ts
@@ -18,6 +18,8 @@
 
 const RETRY_PAUSE_MS: Milliseconds = 200;
 const CALL_TIMEOUT_MS: Milliseconds = 5_000;
+/** Refusals in a row after which sending the same call again is taken to be in vain. */
+const MAXIMUM_REFUSALS = 20;
 const PROMPT_FILLER = "field note ".repeat(40);
 
 /** Settings of a stand-in trainer. */
@@ -29,6 +31,8 @@
   /** Steps to train on before it stops. */
   readonly steps: number;
   readonly firstStep: number;
+  /** Cursor to read on from; empty to begin. */
+  readonly cursor: string;
   /** Steps submitted before the one that it waits for is whole. */
   readonly stepsAhead: number;
   readonly groups: number;
@@ -52,6 +56,7 @@
 export const TRAINER_DEFAULTS = {
   steps: 1,
   firstStep: 1,
+  cursor: "",
   stepsAhead: 1,
   groups: 4,
   groupSize: 4,
@@ -71,7 +76,7 @@
   readonly #client = new JsonClient();
   readonly #tally: TrainerTally;
   #entry = 0;
-  #cursor = "";
+  #cursor: string;
   #submitted = 0;
   #whole = 0;
   #newestVersion: number;
@@ -84,6 +89,7 @@
     this.#options = options;
     this.#tally = new TrainerTally(options.model);
     this.#newestVersion = options.version;
+    this.#cursor = options.cursor;
     this.#startedAtMs = options.clock.nowMs();
   }
 
@@ -116,6 +122,7 @@
       elapsedMs: Math.round(this.#options.clock.nowMs() - this.#startedAtMs),
       newestVersion: this.#newestVersion,
       failedCalls: this.#failedCalls,
+      cursor: this.#cursor,
     };
   }
 
@@ -186,6 +193,7 @@
   async #call(
     call: Pick<JsonCall, "method" | "path" | "body">,
   ): Promise<JsonAnswer | undefined> {
+    let refusals = 0;
     while (!this.#stopped) {
       const entries = this.#options.entries;
       const answer = await this.#client.send({
@@ -195,6 +203,10 @@
       });
       if (answer.status >= 200 && answer.status < 300) return answer;
       this.#failedCalls += 1;
+      if (isRefusal(answer.status)) refusals += 1;
+      if (refusals >= MAXIMUM_REFUSALS) {
+        throw new Error(`${call.path} was refused: ${answer.text}`);
+      }
       this.#options.events.emit(FAKES_EVENTS.trainerCallFailed, {
         path: call.path,
         status: answer.status,
@@ -221,3 +233,8 @@
     };
   }
 }
+
+function isRefusal(status: number): boolean {
+  if (status === 408 || status === 429) return false;
+  return status >= 400 && status < 500;
+}
--- a/fakes/trainer_tally.ts
+++ b/fakes/trainer_tally.ts
@@ -27,6 +27,8 @@
   readonly greatestStaleness: number;
   readonly newestVersion: number;
   readonly failedCalls: number;
+  /** Cursor to read on from. */
+  readonly cursor: string;
 }
 
 /** Counts and checks samples as they come. */
--- a/programs/cicadafield_fakes.ts
+++ b/programs/cicadafield_fakes.ts
@@ -20,8 +20,10 @@
   ENGINE_SETTINGS,
   FAKE_KINDS,
   type FakeSurroundings,
+  type FakeTrainer,
   SERVICE_SETTINGS,
   TRAINER_SETTINGS,
+  type TrainerReport,
   type UpstreamServer,
   WEIGHT_STORE_SETTINGS,
 } from "#fakes";
@@ -94,13 +96,23 @@
   const trainer = buildTrainer(values, surroundings);
   process.once("SIGTERM", () => trainer.stop());
   process.once("SIGINT", () => trainer.stop());
-  const report = await trainer.run();
+  const report = await runTrainer(trainer);
   console.log(JSON.stringify(report));
   const faults = report.doubled + report.unasked + report.untrue +
     report.overBound;
   process.exit(faults > 0 ? EXIT_FAILED : 0);
 }
 
+async function runTrainer(trainer: FakeTrainer): Promise<TrainerReport> {
+  try {
+    return await trainer.run();
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    console.error(`${PROGRAM}: ${reason}`);
+    return process.exit(EXIT_FAILED);
+  }
+}
+
 function settingsOrExit<Definitions extends SettingDefinitions>(
   definitions: Definitions,
   argv: readonly string[],
--- a/proof/bench.ts
+++ b/proof/bench.ts
@@ -32,9 +32,9 @@
     return 2;
   }
   const bench = await loadNamed("bench_", name) as BenchModule;
-  const figures = await bench.run({ quick: flags.includes("--quick") });
   const commit = execFileSync("git", ["rev-parse", "--short", "HEAD"])
     .toString().trim();
+  const figures = await bench.run({ quick: flags.includes("--quick") });
   const machine = { cores: cpus().length, node: process.version };
   console.log(JSON.stringify({ bench: name, commit, machine, ...figures }));
   return 0;
--- /dev/null
+++ b/proof/golden_session_operators.ts
@@ -0,0 +1,157 @@
+/**
+ * Golden session: two operators race with equal version numbers, resend after lost answers, and try what must be
+ * refused.
+ *
+ * @module
+ */
+import { bundleDigest } from "#bundles";
+import type { Bundle, SignedBundle } from "#core";
+import { CLUSTER_DEFAULTS, ProcessCluster } from "./process_cluster.ts";
+import { makeOperator, signAs } from "./site_bundle.ts";
+import type { Transcript } from "./transcript.ts";
+
+const IN_FORCE_TIMEOUT_MS = 30_000;
+
+/** Runs the session. */
+export async function session(transcript: Transcript): Promise<void> {
+  const cluster = await ProcessCluster.start({
+    ...CLUSTER_DEFAULTS,
+    block: "127.7",
+    network: 31,
+    standIns: [],
+  });
+  try {
+    await race(cluster, transcript);
+    await refusals(cluster, transcript);
+  } finally {
+    await cluster.cleanUp();
+  }
+}
+
+async function race(
+  cluster: ProcessCluster,
+  transcript: Transcript,
+): Promise<void> {
+  const [one, other] = cluster.operators;
+  const first = cluster.firstBundle;
+  const offers = [
+    signAs(one, withWeight(first, 2)),
+    signAs(other, withWeight(first, 3)),
+  ];
+  transcript.part("two operators submit version 2 at once, at two entry VMs");
+  const answers = await Promise.all([
+    cluster.submitUntilTold("entry-a1", required(offers[0])),
+    cluster.submitUntilTold("entry-c1", required(offers[1])),
+  ]);
+  const statuses = answers.map((answer) => answer.status);
+  transcript.saw(`statuses ${[...statuses].sort().join(" and ")}`);
+  const winner = required(offers[statuses.indexOf(200)]);
+  const loser = required(offers.find((offer) => offer !== winner));
+
+  transcript.part("it is in force on every entry VM");
+  const vms = cluster.vms("entry").map((vm) => vm.name);
+  await cluster.waitInForce(2, { vms, timeoutMs: IN_FORCE_TIMEOUT_MS });
+  transcript.saw(`version 2 in force on ${vms.length} of ${vms.length}`);
+
+  transcript.part("the winner sends again, because the answer was lost");
+  const again = await cluster.submitUntilTold("entry-b2", winner);
+  const answer = answers[statuses.indexOf(200)];
+  transcript.saw(`status ${again.status}`);
+  transcript.saw(`the first answer again: ${again.text === answer?.text}`);
+
+  transcript.part("the loser sends again");
+  const lost = await cluster.submitUntilTold("entry-b1", loser);
+  transcript.saw(
+    `status ${lost.status}, ran ${lost.headers["cicadafield-ran"]}`,
+  );
+  transcript.saw(`kind ${kindOf(lost.text)}`);
+
+  transcript.part("the loser builds version 3 on what is in force");
+  const next = { ...withWeight(winner.bundle, 4), version: 3 };
+  const rebuilt = await cluster.submitUntilTold(
+    "entry-b1",
+    signAs(other, next),
+  );
+  transcript.saw(`status ${rebuilt.status}`);
+  await cluster.waitInForce(3, { vms, timeoutMs: IN_FORCE_TIMEOUT_MS });
+  transcript.saw(`version 3 in force on ${vms.length} of ${vms.length}`);
+}
+
+async function refusals(
+  cluster: ProcessCluster,
+  transcript: Transcript,
+): Promise<void> {
+  const [one] = cluster.operators;
+  const current = await cluster.call("entry-a1", {
+    method: "GET",
+    path: "/v1/bundles/current",
+  });
+  const inForce =
+    (JSON.parse(current.text) as { readonly signed: SignedBundle })
+      .signed.bundle;
+  const next = { ...withWeight(inForce, 5), version: 4 };
+  const attempts: readonly (readonly [string, SignedBundle])[] = [
+    ["signed by a stranger", signAs(makeOperator("eve"), next)],
+    ["changed after signing", {
+      ...signAs(one, next),
+      bundle: { ...next, tenants: withWeight(next, 6).tenants },
+    }],
+    [
+      "built on an older version",
+      signAs(one, {
+        ...next,
+        predecessor: bundleDigest(cluster.firstBundle),
+      }),
+    ],
+    ["with a version left out", signAs(one, { ...next, version: 5 })],
+    [
+      "with a zone that does not exist",
+      signAs(one, {
+        ...next,
+        vms: next.vms.map((vm) => ({ ...vm, zone: "z" })),
+      }),
+    ],
+    [
+      "of version 1 with other content",
+      signAs(one, {
+        ...withWeight(cluster.firstBundle, 7),
+        version: 1,
+        predecessor: null,
+      }),
+    ],
+  ];
+  for (const [title, signed] of attempts) {
+    transcript.part(`a bundle ${title} is refused`);
+    const answer = await cluster.submitUntilTold("entry-a2", signed);
+    transcript.saw(
+      `status ${answer.status}, ran ${answer.headers["cicadafield-ran"]}`,
+    );
+    transcript.saw(`kind ${kindOf(answer.text)}`);
+  }
+  transcript.part("nothing has changed");
+  for (const vm of cluster.vms("entry")) {
+    const version = await cluster.versionInForce(vm.name);
+    transcript.saw(`${vm.name} has version ${version} in force`);
+  }
+}
+
+/** The next version of a bundle, with another weight of the first tenant. */
+function withWeight(bundle: Bundle, weight: number): Bundle {
+  return {
+    ...bundle,
+    version: bundle.version + 1,
+    predecessor: bundleDigest(bundle),
+    tenants: bundle.tenants.map((tenant, place) =>
+      place === 0 ? { ...tenant, weight } : tenant
+    ),
+  };
+}
+
+function kindOf(text: string): string {
+  return /"kind":\s*"(\w+)"/.exec(text)?.[1] ?? "none";
+}
+
+function required<Value>(value: Value | undefined): Value {
+  if (value === undefined) throw new Error("no bundle was accepted");
+  return value;
+}
--- /dev/null
+++ b/proof/golden_session_tana_morning.ts
@@ -0,0 +1,151 @@
+/**
+ * Golden session: a morning at Tana: job cards, advice whole and streamed, a tuning batch, and calls that are refused.
+ *
+ * @module
+ */
+import { MemoryEventLog, SystemClock } from "#core";
+import { FakeTrainer, TRAINER_DEFAULTS } from "#fakes";
+import { Caller, streamSummary } from "./caller.ts";
+import { CLUSTER_DEFAULTS, ProcessCluster } from "./process_cluster.ts";
+import { siteStandIns } from "./stand_ins.ts";
+import type { Transcript } from "./transcript.ts";
+
+const SITE = { block: "127.7", network: 11, zones: CLUSTER_DEFAULTS.zones };
+
+/** Runs the session. */
+export async function session(transcript: Transcript): Promise<void> {
+  const cluster = await ProcessCluster.start({
+    ...CLUSTER_DEFAULTS,
+    ...SITE,
+    standIns: siteStandIns({ ...SITE, models: ["advice"], engineFlags: [] }),
+  });
+  try {
+    await cluster.waitUpstreams(7);
+    const tana = new Caller(cluster, { tenant: "tana", class: "lookup" });
+    await jobCards(tana, transcript);
+    await advice(tana, transcript);
+    await tuning(cluster, transcript);
+    await refusals(cluster, transcript);
+  } finally {
+    await cluster.cleanUp();
+  }
+}
+
+async function jobCards(tana: Caller, transcript: Transcript): Promise<void> {
+  const save = {
+    method: "POST",
+    service: "cards",
+    path: "/cards",
+    body: { id: "card-1", work: "plate exchanger descaled" },
+  } as const;
+  transcript.part("a job card is saved");
+  transcript.answered("POST card-1", await tana.service("entry-a1", save));
+
+  const keyed = {
+    ...save,
+    key: "visit-2",
+    body: { id: "card-2", work: "valve replaced" },
+  };
+  transcript.part("a job card with a key is saved");
+  const first = await tana.service("entry-a1", keyed);
+  transcript.answered("POST card-2, key visit-2", first);
+
+  transcript.part("it is sent again at another entry VM: the stored answer");
+  const again = await tana.service("entry-c2", keyed);
+  transcript.answered("POST card-2, key visit-2", again);
+  transcript.saw(`the same answer: ${again.text === first.text}`);
+
+  transcript.part("the key is used with another body");
+  const other = { ...keyed, body: { id: "card-3" } };
+  transcript.answered(
+    "POST card-3, key visit-2",
+    await tana.service("entry-b1", other),
+  );
+}
+
+async function advice(tana: Caller, transcript: Transcript): Promise<void> {
+  const body = {
+    model: "advice",
+    prompt: "E4 on a heat interface unit, flat 12, cold in the evening",
+    max_tokens: 12,
+    seed: 7,
+  };
+  transcript.part("advice is asked for");
+  transcript.answered(
+    "POST completion",
+    await tana.completion("entry-b1", body),
+  );
+
+  transcript.part("the same advice is streamed at another entry VM");
+  const streamed = await tana.completion("entry-c1", { ...body, stream: true });
+  const { isWhole, ...summary } = streamSummary(streamed.text);
+  transcript.saw(`status ${streamed.status}, whole ${isWhole}`);
+  transcript.saw(JSON.stringify(summary, null, 2));
+}
+
+async function tuning(
+  cluster: ProcessCluster,
+  transcript: Transcript,
+): Promise<void> {
+  transcript.part("the trainer gets two steps and publishes two versions");
+  const trainer = new FakeTrainer({
+    ...TRAINER_DEFAULTS,
+    trainer: "advice-tuning",
+    model: "advice",
+    entries: cluster.vms("entry").map((vm) => cluster.base(vm.name)),
+    steps: 2,
+    trainMs: 50,
+    clock: new SystemClock(),
+    events: new MemoryEventLog(),
+  });
+  const report = await trainer.run();
+  const { stepsWhole, samples, doubled, unasked, untrue, overBound } = report;
+  transcript.saw(JSON.stringify(
+    {
+      stepsWhole,
+      samples,
+      doubled,
+      unasked,
+      untrue,
+      overBound,
+      newestVersion: report.newestVersion,
+    },
+    null,
+    2,
+  ));
+}
+
+async function refusals(
+  cluster: ProcessCluster,
+  transcript: Transcript,
+): Promise<void> {
+  const stranger = new Caller(cluster, { tenant: "nobody", class: "lookup" });
+  const tana = new Caller(cluster, { tenant: "tana", class: "lookup" });
+  transcript.part("an unknown tenant is refused");
+  transcript.answered(
+    "POST completion",
+    await stranger.completion("entry-a1", { model: "advice", prompt: "?" }),
+  );
+  transcript.part("an unknown model is refused");
+  transcript.answered(
+    "POST completion",
+    await tana.completion("entry-a1", { model: "weather", prompt: "?" }),
+  );
+  transcript.part("an unknown service is refused");
+  transcript.answered(
+    "GET weather",
+    await tana.service("entry-a1", {
+      method: "GET",
+      service: "weather",
+      path: "/today",
+    }),
+  );
+  transcript.part("a trainer that the bundle does not list is refused");
+  transcript.answered(
+    "GET samples",
+    await cluster.call("entry-a1", {
+      method: "GET",
+      path: "/v1/trainers/nobody/samples?after=&limit=1&wait_ms=0",
+    }),
+  );
+}
