--- a/proof/bench_bundles.ts
+++ b/proof/bench_bundles.ts
@@ -11,8 +11,8 @@
   benchBundle,
   nextBundle,
   type SiteSize,
-} from "./bench_site.ts";
-import { BenchVm } from "./bench_vm.ts";
+} from "./loopback_site.ts";
+import { LoopbackVm } from "./loopback_vm.ts";
 import { pause, waitUntil } from "./managed_process.ts";
 import {
   fitLine,
@@ -109,7 +109,7 @@
   let accepted: AcceptedBundle = acceptedBundle(bundle);
   const held = new Map<string, number>();
   const vms = bundle.vms.map((vm, seed) =>
-    new BenchVm({
+    new LoopbackVm({
       vm,
       bundle,
       seed,
@@ -162,7 +162,7 @@
   }
 }
 
-function bytesOf(vms: readonly BenchVm[]): number {
+function bytesOf(vms: readonly LoopbackVm[]): number {
   let bytes = 0;
   for (const vm of vms) {
     const traffic = vm.network.traffic();
--- a/proof/bench_control_cost.ts
+++ b/proof/bench_control_cost.ts
@@ -10,8 +10,8 @@
 import { runInNewContext } from "node:vm";
 import type { Milliseconds, UpstreamAnnouncement, VmEntry } from "#core";
 import type { BenchFigures, BenchOptions } from "./bench.ts";
-import { acceptedBundle, benchBundle, type SiteSize } from "./bench_site.ts";
-import { BenchVm } from "./bench_vm.ts";
+import { acceptedBundle, benchBundle, type SiteSize } from "./loopback_site.ts";
+import { LoopbackVm } from "./loopback_vm.ts";
 import { pause, waitUntil } from "./managed_process.ts";
 import { fitLine, type Line, median, rounded } from "./statistics.ts";
 
@@ -106,7 +106,7 @@
   const bundle = benchBundle(size);
   const heapBefore = heapUsed();
   const vms = bundle.vms.map((vm, seed) =>
-    new BenchVm({ vm, bundle, seed, relayed: true, onBundle: () => {} })
+    new LoopbackVm({ vm, bundle, seed, relayed: true, onBundle: () => {} })
   );
   const entries = vms.filter((vm) => vm.vm.role === "entry");
   const controls = vms.filter((vm) => vm.vm.role === "control");
@@ -134,7 +134,7 @@
     await pause(spanMs);
     const seconds = (performance.now() - beganMs) / SECOND_MS;
     const cpu = process.cpuUsage(cpuBefore);
-    const rates = new Map<BenchVm, number>();
+    const rates = new Map<LoopbackVm, number>();
     for (const [place, vm] of vms.entries()) {
       const sent = vm.network.traffic().sentBytes - (sentBefore[place] ?? 0);
       rates.set(vm, sent / seconds);
@@ -157,7 +157,7 @@
 
 /** Announces the upstreams of each zone in turn to its entries, renews them and reports their load. */
 function announceAll(
-  entries: readonly BenchVm[],
+  entries: readonly LoopbackVm[],
   perZone: number,
 ): readonly NodeJS.Timeout[] {
   const timers: NodeJS.Timeout[] = [];
@@ -174,7 +174,7 @@
 }
 
 function keepAnnounced(
-  home: BenchVm,
+  home: LoopbackVm,
   upstream: UpstreamAnnouncement,
 ): readonly NodeJS.Timeout[] {
   let sequence = 1;
--- a/proof/bench_vm.ts
+++ b/proof/loopback_vm.ts
@@ -24,7 +24,7 @@
 import { TcpNetwork } from "#wire";
 
 /** What a VM is built from. */
-export interface BenchVmOptions {
+export interface LoopbackVmOptions {
   readonly vm: VmEntry;
   /** Bundle from which addresses are known. */
   readonly bundle: Bundle;
@@ -36,7 +36,7 @@
 }
 
 /** An entry VM or control VM without callers, trainers and the log. */
-export class BenchVm {
+export class LoopbackVm {
   readonly vm: VmEntry;
   readonly network: TcpNetwork;
   readonly board = new Blackboard<BoardSections>(EMPTY_BOARD, BOARD_WRITERS);
@@ -45,7 +45,7 @@
   readonly #members: MemberService;
   readonly #follower: BundleFollower;
 
-  constructor(options: BenchVmOptions) {
+  constructor(options: LoopbackVmOptions) {
     const { vm, bundle } = options;
     this.vm = vm;
     const clock = new SystemClock();
