Find the leader by asking all control VMs at once

Cause: with the zone of the leading control VM cut off, keyed saves outside were refused for about 30 s after a new leader stood. The client went round the control VMs one call at a time, spent 2 s on the one that was cut off, and gave up before it followed the hint of the next. Ruled out: the log itself (a new leader stood within 2 s); the load of the machine alone, since the loop gives up by its own rule. Change: one shared search asks every control VM for its status and takes the one that says it leads itself; commands go to that VM only. While none is found, new callers wait for one search of 100 ms and are refused as not run.

--- a/core/board_sections.ts
+++ b/core/board_sections.ts
@@ -47,7 +47,6 @@
 /** Who leads the control VMs, as last heard. */
 export interface LeaseView {
   readonly leader: string;
-  readonly term: number;
 }
 
 /** All sections; each has the writer that `BOARD_WRITERS` names. */
--- a/membership/control_client.ts
+++ b/membership/control_client.ts
@@ -1,6 +1,6 @@
 /**
- * Reaches the leading control VM from any VM: follows hints, goes round when the leader is gone, and
- * gives up at once with a time to come back when no quorum is to be found.
+ * Reaches the leading control VM from any VM: asks all control VMs which of them leads, keeps to it
+ * while it answers, and gives up at once with a time to come back when no quorum is to be found.
  *
  * @module
  */
@@ -19,12 +19,13 @@
   type Result,
 } from "#core";
 import type { PeerNetwork } from "#wire";
-import type { ControlRequest } from "./control_messages.ts";
+import { type ControlRequest, parseVmStatus } from "./control_messages.ts";
 import type { VmDirectory } from "./vm_directory.ts";
 
 const ATTEMPT_TIMEOUT_MS: Milliseconds = 2_000;
+const STATUS_TIMEOUT_MS: Milliseconds = 500;
 const SEARCH_MS: Milliseconds = 3_000;
-const PAUSE_MS: Milliseconds = 50;
+const PAUSE_MS: Milliseconds = 100;
 const RETRY_AFTER_MS: Milliseconds = 2_000;
 const FAST_REFUSAL_MS: Milliseconds = 1_000;
 
@@ -47,9 +48,8 @@
 /** A control port over the network. */
 export class ControlClient extends ControlPort {
   readonly #options: ControlClientOptions;
-  #leader: string | undefined;
-  #turn = 0;
-  #refusedAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
+  #search: Promise<string | undefined> | undefined;
+  #missedAtMs: Milliseconds = Number.NEGATIVE_INFINITY;
 
   constructor(options: ControlClientOptions) {
     super();
@@ -66,22 +66,19 @@
 
   async #send(request: ControlRequest): Promise<Result<unknown, Failure>> {
     const { clock } = this.#options;
-    const startedAtMs = clock.nowMs();
+    const giveUpAtMs = clock.nowMs() + this.#patienceMs();
     let maybeRan = false;
     while (true) {
-      const to = this.#next();
-      if (to === undefined) break;
-      const result = await this.#attempt(to, request);
-      if (result.ok || !LOG_FAILURES.has(result.val.kind)) {
-        this.#noteLeader(to);
-        return result;
+      const leader = this.#known() ?? await this.#findLeader();
+      if (leader !== undefined) {
+        const result = await this.#attempt(leader, request);
+        if (result.ok || !LOG_FAILURES.has(result.val.kind)) return result;
+        maybeRan ||= result.val.ran !== "no";
+        this.#forget(leader);
       }
-      maybeRan ||= result.val.ran !== "no";
-      const hinted = this.#follow(to, result.val);
-      if (this.#mustGiveUp(startedAtMs)) break;
-      if (!hinted) await clock.sleep(PAUSE_MS);
+      if (clock.nowMs() >= giveUpAtMs) break;
+      await clock.sleep(PAUSE_MS);
     }
-    this.#refusedAtMs = clock.nowMs();
     return Err(giveUp(maybeRan && request.kind === "propose"));
   }
 
@@ -95,35 +92,52 @@
     );
   }
 
-  /** While the quorum is known to be gone, callers wait for one round only. */
-  #mustGiveUp(startedAtMs: Milliseconds): boolean {
-    const nowMs = this.#options.clock.nowMs();
-    const knownGone = nowMs - this.#refusedAtMs < FAST_REFUSAL_MS;
-    const limitMs = knownGone ? PAUSE_MS : SEARCH_MS;
-    return nowMs - startedAtMs >= limitMs;
+  /** While no leader is to be found, new callers wait for one search only. */
+  #patienceMs(): Milliseconds {
+    const sinceMs = this.#options.clock.nowMs() - this.#missedAtMs;
+    return sinceMs < FAST_REFUSAL_MS ? PAUSE_MS : SEARCH_MS;
   }
 
-  #next(): string | undefined {
-    if (this.#leader !== undefined) return this.#leader;
-    const controls = this.#options.directory.list("control");
-    if (controls.length === 0) return undefined;
-    this.#turn = (this.#turn + 1) % controls.length;
-    return controls[this.#turn]?.name;
+  #known(): string | undefined {
+    return this.#options.board.read("lease")?.leader;
+  }
+
+  #forget(leader: string): void {
+    if (this.#known() !== leader) return;
+    this.#options.board.write("control", "lease", null);
+  }
+
+  /** One search at a time, shared by all calls. */
+  async #findLeader(): Promise<string | undefined> {
+    this.#search ??= this.#askAll();
+    const leader = await this.#search;
+    this.#search = undefined;
+    if (leader === undefined) {
+      this.#missedAtMs = this.#options.clock.nowMs();
+    } else {
+      this.#options.board.write("control", "lease", { leader });
+    }
+    return leader;
   }
 
-  #follow(asked: string, failure: Failure): boolean {
-    const hint = failure.kind === "not_leader" ? failure.detail : undefined;
-    const known = hint !== undefined && hint !== asked &&
-      this.#options.directory.find(hint) !== undefined;
-    this.#leader = known ? hint : undefined;
-    if (!known) this.#options.board.write("control", "lease", null);
-    return known;
+  /** Asks every control VM at once; the first that says it leads itself counts. */
+  #askAll(): Promise<string | undefined> {
+    const controls = this.#options.directory.list("control");
+    return new Promise((resolve) => {
+      const asked = controls.map(async (vm) => {
+        if (await this.#leads(vm.name)) resolve(vm.name);
+      });
+      Promise.all(asked).then(() => resolve(undefined));
+    });
   }
 
-  #noteLeader(leader: string): void {
-    if (this.#options.board.read("lease")?.leader === leader) return;
-    this.#leader = leader;
-    this.#options.board.write("control", "lease", { leader, term: 0 });
+  async #leads(vm: string): Promise<boolean> {
+    const answer = await this.#options.network.request(
+      { to: vm, channel: "control", timeoutMs: STATUS_TIMEOUT_MS },
+      { kind: "status" },
+    );
+    if (!answer.ok) return false;
+    return parseVmStatus(answer.val)?.leader === vm;
   }
 }
 
