--- a/programs/http_limits_test.ts
+++ b/programs/http_limits_test.ts
@@ -45,6 +45,24 @@
   );
 });
 
+test("a caller that sends a refused body to its end sees the refusal and no broken connection", async () => {
+  const size = 4_000_000;
+  await withServer(
+    { limits: { maximumBodyBytes: 10, lingerMs: 60_000 } },
+    async ({ address }) => {
+      const client = new RawClient(address);
+      client.send(
+        `PUT /echo/a HTTP/1.1\r\nHost: h\r\nContent-Length: ${size}\r\n\r\n`,
+      );
+      await client.until(/\}\n/);
+      client.send("x".repeat(size));
+      const raw = await client.untilClosed();
+      assert.equal(parseAnswer(raw).status, 413);
+      assert.equal(client.error, undefined);
+    },
+  );
+});
+
 test("a chunked body over the limit is refused, also when the caller sends it all first", async () => {
   await withServer(
     { limits: { maximumBodyBytes: 10 } },
--- a/programs/http_testing.ts
+++ b/programs/http_testing.ts
@@ -83,6 +83,7 @@
   readonly socket: Socket;
   #received = "";
   #closed = false;
+  #error: Error | undefined;
   readonly #changed = new Set<() => void>();
 
   constructor(address: Address) {
@@ -95,7 +96,10 @@
       this.#received += bytes.toString("latin1");
       this.#notify();
     });
-    this.socket.on("error", () => this.socket.destroy());
+    this.socket.on("error", (error) => {
+      this.#error = error;
+      this.socket.destroy();
+    });
     this.socket.on("close", () => {
       this.#closed = true;
       this.#notify();
@@ -117,6 +121,11 @@
     return this.#closed;
   }
 
+  /** The error that broke the connection, if one did. */
+  get error(): Error | undefined {
+    return this.#error;
+  }
+
   /** Waits until what was received matches, or the connection is closed. */
   async until(pattern: RegExp): Promise<string> {
     while (!pattern.test(this.#received) && !this.#closed) await this.#change();
