Ask several entry VMs to explain a request

Cause: each entry VM keeps the decisions on its own requests only, and an operator behind the balancer doesn't know which one took a request.

--- a/programs/commands/explain.ts
+++ b/programs/commands/explain.ts
@@ -19,7 +19,7 @@
   category: "State",
   description: "Show why a request was routed or refused as it was.",
   details:
-    "Ask the entry VM that took the request: each keeps the decisions on its own latest requests.",
+    "Each entry VM keeps the decisions on its own latest requests: name the one that took it, or several, which are asked in turn.",
   examples: [[
     "Explain a request",
     "cicadafield explain 5f0c0a --entry 10.0.1.7:8000",
@@ -34,6 +34,7 @@
   const answer = await client.send({
     method: "GET",
     path: `/v1/explain/${encodeURIComponent(options.request)}`,
+    untilFound: true,
   });
   if (answer.err) return failed(answer.val);
   return done(JSON.stringify(answer.val, null, 2), answer.val);
--- a/programs/operator_client.ts
+++ b/programs/operator_client.ts
@@ -20,6 +20,8 @@
   readonly method: "GET" | "PUT";
   readonly path: string;
   readonly body?: unknown;
+  /** Whether to ask the next entry VM also if one answers `not_found`. */
+  readonly untilFound?: boolean;
 }
 
 /** Asks entry VMs; fails with the answer of the VM, or `outcome_unknown` if none answers. */
@@ -42,11 +44,17 @@
    */
   async send(request: OperatorRequest): Promise<Result<unknown, Failure>> {
     const faults: string[] = [];
+    let notFound: Result<unknown, Failure> | undefined;
     for (const entry of this.#entries) {
       const answer = await this.#ask(entry, request);
-      if (answer.ok) return answer.val;
+      if (answer.ok) {
+        notFound = answer.val;
+        if (!isMissing(request, answer.val)) return answer.val;
+        continue;
+      }
       faults.push(`${entry.host}:${entry.port}: ${answer.val}`);
     }
+    if (notFound !== undefined) return notFound;
     return Err(
       fail("outcome_unknown", `no entry VM answered (${faults.join("; ")})`),
     );
@@ -90,6 +98,14 @@
   }
 }
 
+function isMissing(
+  request: OperatorRequest,
+  answer: Result<unknown, Failure>,
+): boolean {
+  return request.untilFound === true && answer.err &&
+    answer.val.kind === "not_found";
+}
+
 function readAnswer(
   status: number,
   text: string,
--- /dev/null
+++ b/programs/operator_client_test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { fail, type HttpRoute, jsonAnswer } from "#core";
+import { withServer } from "./http_testing.ts";
+import { OperatorClient } from "./operator_client.ts";
+
+const TIMEOUT_MS = 5_000;
+const NOBODY = { host: "127.3.0.3", port: 1 };
+
+function answering(handle: HttpRoute["handle"]): HttpRoute {
+  return { method: "GET", pattern: "/x", name: "x", handle };
+}
+
+const FOUND = answering(() => Promise.resolve(jsonAnswer(200, { found: 1 })));
+const MISSING = answering(() =>
+  Promise.resolve(fail("not_found", "nothing is kept"))
+);
+
+test("an entry VM that does not answer is passed over", async () => {
+  await withServer({ routes: [FOUND] }, async ({ address }) => {
+    const client = new OperatorClient([NOBODY, address], TIMEOUT_MS);
+    const answer = await client.send({ method: "GET", path: "/x" });
+    assert.deepEqual(answer.unwrap(), { found: 1 });
+  });
+});
+
+test("a refusal is the answer, unless the next VM may have what was not found", async () => {
+  await withServer({ routes: [MISSING] }, async (first) => {
+    await withServer({ routes: [FOUND] }, async (second) => {
+      const entries = [first.address, second.address];
+      const client = new OperatorClient(entries, TIMEOUT_MS);
+      const request = { method: "GET", path: "/x" } as const;
+      const refused = await client.send(request);
+      assert.ok(refused.err && refused.val.kind === "not_found");
+      const found = await client.send({ ...request, untilFound: true });
+      assert.deepEqual(found.unwrap(), { found: 1 });
+      const nowhere = new OperatorClient([first.address, NOBODY], TIMEOUT_MS);
+      const missing = await nowhere.send({ ...request, untilFound: true });
+      assert.ok(missing.err && missing.val.kind === "not_found");
+    });
+  });
+});
+
+test("without any answer the outcome is unknown and each fault is named", async () => {
+  const client = new OperatorClient([NOBODY], TIMEOUT_MS);
+  const answer = await client.send({ method: "GET", path: "/x" });
+  assert.ok(answer.err && answer.val.kind === "outcome_unknown");
+  assert.match(answer.val.message, /127\.3\.0\.3:1: .*ECONNREFUSED/);
+});
