Show that the proof of the log catches its mutations; test the storage and the promises of a replica

Change: the model reads at the moment of a thaw and while a leader is cut off, and disks are now and then slow.

--- a/agreement/fuzz_model.ts
+++ b/agreement/fuzz_model.ts
@@ -15,6 +15,9 @@
 /** Time within which every replica must hold everything after that. */
 export const CONVERGENCE_MS: Milliseconds = 20_000;
 
+/** Time in which everything proposed before is decided. */
+const QUIET_MS: Milliseconds = 2_000;
+const WATCH_MS: Milliseconds = 25;
 const POLL_MS: Milliseconds = 100;
 const MAXIMUM_STEPS = 24;
 const REPLICAS = 3;
@@ -25,6 +28,7 @@
   | { readonly kind: "proposeAt"; readonly vm: number }
   | { readonly kind: "query" }
   | { readonly kind: "wait"; readonly ms: Milliseconds }
+  | { readonly kind: "watch"; readonly times: number }
   | { readonly kind: "cut"; readonly from: number; readonly to: number }
   | { readonly kind: "isolate"; readonly vm: number; readonly way: Way }
   | { readonly kind: "heal" }
@@ -70,6 +74,10 @@
     weight: 6,
     arbitrary: step("wait", { ms: fc.integer({ min: 200, max: 3_000 }) }),
   },
+  {
+    weight: 2,
+    arbitrary: step("watch", { times: fc.integer({ min: 10, max: 50 }) }),
+  },
   { weight: 2, arbitrary: step("cut", { from: vm, to: vm }) },
   {
     weight: 2,
@@ -135,6 +143,7 @@
       for (const each of group.vms) group.query(each);
     })
     .with({ kind: "wait" }, ({ ms }) => group.run(ms))
+    .with({ kind: "watch" }, ({ times }) => watch(group, times))
     .with({ kind: "cut" }, ({ from, to }) => {
       group.network.cut(group.vm(from).name, group.vm(to).name);
     })
@@ -173,6 +182,17 @@
     .exhaustive();
 }
 
+/** Writes and reads all the time, so that a leader that acts too long is seen. */
+async function watch(group: SimulatedGroup, times: number): Promise<void> {
+  for (let left = times; left > 0; left -= 1) {
+    group.propose(leadingVm(group));
+    for (const each of group.vms) {
+      if (each.process?.log.status().role === "leader") group.query(each);
+    }
+    await group.run(WATCH_MS);
+  }
+}
+
 /** Ends all faults, then checks that the group commits and every replica holds everything. */
 export async function checkRecovery(group: SimulatedGroup): Promise<void> {
   group.mend();
@@ -186,6 +206,7 @@
       return false;
     },
   });
+  await group.run(QUIET_MS);
   await waitFor(group, {
     what: "equal replicas",
     limitMs: CONVERGENCE_MS,
--- a/agreement/memory_folder.ts
+++ b/agreement/memory_folder.ts
@@ -17,8 +17,8 @@
 export interface MemoryDiskOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** How long each change takes to become durable. */
-  readonly syncMs: Milliseconds;
+  /** How long the next change takes to become durable. */
+  readonly syncMs: () => Milliseconds;
 }
 
 interface PendingChange {
@@ -72,7 +72,7 @@
   ): Promise<void> {
     if (session !== this.#session) return forever();
     this.#pending = change;
-    await this.options.clock.sleep(this.options.syncMs);
+    await this.options.clock.sleep(this.options.syncMs());
     if (session !== this.#session) return forever();
     this.beforeSync();
     if (session !== this.#session) return forever();
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -25,7 +25,7 @@
 import { type DataFolder, StorageFault } from "./data_folder.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
 import type { Instant } from "./leadership.ts";
-import { LogStorage } from "./log_storage.ts";
+import { LogStorage, type RecoveredState } from "./log_storage.ts";
 import { MachineHost, unknownMachine } from "./machine_host.ts";
 import { packMessage, unpackMessage } from "./messages.ts";
 import { notLeader, Proposals } from "./proposals.ts";
@@ -117,9 +117,7 @@
 
   override async start(): Promise<void> {
     const { clock, events, network, random } = this.#options;
-    const recovered = await this.#storage.open(() =>
-      random.identifier().slice(0, IDENTITY_LENGTH)
-    );
+    const recovered = await this.#open();
     if (recovered.snapshot !== null) this.#applier.restore(recovered.snapshot);
     const replica = new Replica({
       vm: this.#options.vm,
@@ -287,6 +285,17 @@
     }
   }
 
+  async #open(): Promise<RecoveredState> {
+    try {
+      return await this.#storage.open(() =>
+        this.#options.random.identifier().slice(0, IDENTITY_LENGTH)
+      );
+    } catch (error) {
+      await this.#storage.close();
+      throw error;
+    }
+  }
+
   #makeLoop(replica: Replica): SyncLoop {
     return new SyncLoop({
       replica,
--- a/agreement/simulated_group.ts
+++ b/agreement/simulated_group.ts
@@ -21,6 +21,8 @@
 import { ProcessClock, ProcessNetwork } from "./simulated_process.ts";
 
 const SYNC_MS: Milliseconds = 2;
+const SLOW_SYNC_MS: Milliseconds = 200;
+const SLOW_SYNC_CHANCE = 0.1;
 const MAXIMUM_CLOCK_RATE_ERROR = 0.02;
 const MAXIMUM_OFFSET_MS: Milliseconds = 100_000;
 const SMALL_SNAPSHOTS = { entries: 8, bytes: 1_000_000, retainedEntries: 3 };
@@ -93,7 +95,7 @@
       disk: new MemoryDisk({
         clock: this.clock,
         random: this.random,
-        syncMs: SYNC_MS,
+        syncMs: () => this.#syncMs(),
       }),
       process: undefined,
       replica: undefined,
@@ -103,7 +105,7 @@
   /** Starts the first processes of all VMs as a new group. */
   async startAll(): Promise<void> {
     for (const vm of this.vms) this.start(vm, true);
-    await this.run(5_000);
+    await this.run(2_000);
   }
 
   /** The VM at a position, counted around. */
@@ -203,17 +205,15 @@
     this.network.freeze(vm.name);
   }
 
-  /** Lets a process go on. */
+  /** Lets a process go on: with a request, what was due, or what arrived first. */
   thaw(vm: SimulatedVm): void {
     if (vm.process?.frozen !== true) return;
     vm.process.frozen = false;
-    if (this.random.fraction() < 0.5) {
-      vm.process.clock.thaw();
-      this.network.thaw(vm.name);
-      return;
-    }
-    this.network.thaw(vm.name);
+    const first = this.random.below(3);
+    if (first === 0) this.query(vm);
+    if (first === 1) this.network.thaw(vm.name);
     vm.process.clock.thaw();
+    this.network.thaw(vm.name);
   }
 
   /** Proposes the next number at a VM and checks what is told of it. */
@@ -279,6 +279,11 @@
     return this.#events.settled;
   }
 
+  #syncMs(): Milliseconds {
+    const slow = this.random.fraction() < SLOW_SYNC_CHANCE;
+    return this.random.fraction() * (slow ? SLOW_SYNC_MS : SYNC_MS);
+  }
+
   #holds(seat: Seat): boolean {
     const vm = this.vms.find((each) => each.name === seat.vm);
     return vm?.replica === seat.replica;
