--- /dev/null
+++ b/requests/entry_requests_test.ts
@@ -0,0 +1,89 @@
+import { Buffer } from "node:buffer";
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import { test } from "node:test";
+import { callRoute, listen, makeEntry, record, textOf } from "./test_entry.ts";
+
+test("a completion comes back whole, as one answer and as a stream", async () => {
+  const engine = createServer((request, response) => {
+    let body = "";
+    request.on("data", (bytes) => body += bytes);
+    request.on("end", () => {
+      const id = JSON.parse(body).request_id;
+      response.writeHead(200, { "content-type": "text/event-stream" });
+      for (const tokens of [1, 2, 3]) {
+        const last = tokens === 3;
+        response.write(`data: ${
+          JSON.stringify({
+            id,
+            model_version: 4,
+            choices: [{
+              text: `t${tokens} `,
+              finish_reason: last ? "stop" : null,
+            }],
+            usage: { completion_tokens: tokens },
+          })
+        }\n\n`);
+      }
+      response.end("data: [DONE]\n\n");
+    });
+  });
+  await listen(engine);
+  const entry = makeEntry([record("engine-1", engine, { role: "engine" })]);
+  entry.start();
+  try {
+    const body = { model: "advice", prompt: "p", max_tokens: 3 };
+    const whole = await callRoute(entry, {
+      route: "completions",
+      body: Buffer.from(JSON.stringify(body)),
+    });
+    const parsed = JSON.parse(await textOf(whole));
+    assert.equal(parsed.choices[0].text, "t1 t2 t3 ");
+    assert.deepEqual(parsed.model_versions, [{ version: 4, tokens: 3 }]);
+    const stream = await callRoute(entry, {
+      route: "completions",
+      body: Buffer.from(JSON.stringify({ ...body, stream: true })),
+    });
+    assert.match(await textOf(stream), /t1 .*t2 .*t3 .*\[DONE\]\n\n$/s);
+    const id = stream.headers["cicadafield-request"] ?? "";
+    assert.notEqual(entry.explain(id), undefined);
+    await entry.drain();
+  } finally {
+    entry.stop();
+    engine.close();
+  }
+});
+
+test("a keyed save runs once and its answer is given again", async () => {
+  let runs = 0;
+  const service = createServer((request, response) => {
+    request.resume();
+    request.on("end", () => {
+      runs += 1;
+      response.writeHead(201, { "content-type": "text/plain" });
+      response.end(`card ${runs} ${request.url}`);
+    });
+  });
+  await listen(service);
+  const entry = makeEntry([record("cards-1", service, { role: "service" })]);
+  entry.start();
+  try {
+    const call = {
+      route: "services",
+      path: "/services/cards/save",
+      parameters: { service: "cards", path: "save" },
+      headers: { "cicadafield-tenant": "tana", "idempotency-key": "k1" },
+      body: Buffer.from("card"),
+    };
+    const first = await callRoute(entry, call);
+    const second = await callRoute(entry, call);
+    assert.equal(first.status, 201);
+    assert.equal(await textOf(first), "card 1 /save");
+    assert.equal(await textOf(second), "card 1 /save");
+    assert.equal(runs, 1);
+    await entry.drain();
+  } finally {
+    entry.stop();
+    service.close();
+  }
+});
