Give up waiting work of lower classes once its forecast is too long

Cause: when a trainer's step arrives, lookups that already wait behind it keep waiting up to half their deadline although nothing can reach them in time.

Change: a waiting request of a lower class is given up as soon as the work that goes first is forecast to take longer than its time allows.

--- a/requests/scheduler.ts
+++ b/requests/scheduler.ts
@@ -324,7 +324,8 @@
     const { nowMs, queue } = options;
     const budgetMs = item.deadlineMs - item.arrivedMs;
     const serviceMs = queue.drain.serviceMs(item.class);
-    const hasWaitedLong = nowMs - item.arrivedMs >
+    const expectedMs = this.#forecastMs(item, options);
+    const hasWaitedLong = nowMs + expectedMs - item.arrivedMs >
       budgetMs * this.#tuning.maximumWaitShare;
     if (!hasWaitedLong && nowMs + serviceMs <= item.deadlineMs) {
       return undefined;
@@ -334,6 +335,25 @@
     });
   }
 
+  /** Expected wait of waiting work behind all classes that go first; 0 for the first class. */
+  #forecastMs(
+    item: WorkItem,
+    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
+  ): Milliseconds {
+    const isForecast = this.#tuning.givesUpByForecast && !item.admitted &&
+      !this.policy.isFirstClass(item.class);
+    if (!isForecast) return 0;
+    const { queue: { queue, drain, target }, nowMs } = options;
+    const pool = this.#table.pool(target);
+    return drain.waitMs({
+      class: item.class,
+      ahead: queue.aheadOf(item.class) - queue.sizeOf(item.class),
+      aheadInClass: 0,
+      slots: pool?.slots(nowMs, false) ?? 0,
+      nowMs,
+    });
+  }
+
   #waitMs(
     item: WorkItem,
     options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
--- a/requests/tuning.ts
+++ b/requests/tuning.ts
@@ -27,6 +27,8 @@
   readonly standingLength: number;
   /** Longest expected wait with which work is admitted to a standing queue. */
   readonly standingWaitMs: Milliseconds;
+  /** Whether waiting work of lower classes is given up once its expected wait is too long. */
+  readonly givesUpByForecast: boolean;
 }
 
 /** The policy before the last change that was kept. */
@@ -37,14 +39,15 @@
   maximumWaitShare: 0.5,
   overflowPart: 0.5,
   maximumLimitFactor: 2,
-  lowerClassPart: 1,
+  lowerClassPart: 0.75,
   standingAfterMs: 100,
   standingLength: 2,
   standingWaitMs: 50,
+  givesUpByForecast: false,
 };
 
 /** The policy in use. */
 export const DEFAULT_TUNING: PolicyTuning = {
   ...PREVIOUS_TUNING,
-  lowerClassPart: 0.75,
+  givesUpByForecast: true,
 };
