--- /dev/null
+++ b/agreement/quorum_log.ts
@@ -0,0 +1,343 @@
+/**
+ * The replicated log of a group of control VMs: drives a replica with the machine's disk, network and
+ * clock, and applies what is committed.
+ *
+ * @module
+ */
+import {
+  type AnyStateMachine,
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type MachineCommand,
+  type MachineQuestion,
+  MEBIBYTE,
+  type Milliseconds,
+  type RandomSource,
+  type Result,
+  type Timer,
+} from "#core";
+import { encodeValue, type PeerNetwork } from "#wire";
+import { Applier } from "./applier.ts";
+import { ChunkSender } from "./chunk_sender.ts";
+import { type DataFolder, StorageFault } from "./data_folder.ts";
+import { AGREEMENT_EVENTS } from "./events.ts";
+import type { Instant } from "./leadership.ts";
+import { LogStorage } from "./log_storage.ts";
+import { MachineHost, unknownMachine } from "./machine_host.ts";
+import { packMessage, unpackMessage } from "./messages.ts";
+import { notLeader, Proposals } from "./proposals.ts";
+import { Replica } from "./replica.ts";
+import type { Outgoing } from "./replica_state.ts";
+import { type LogStatus, ReplicatedLog } from "./replicated_log.ts";
+import type { SeatingReport } from "./seating.ts";
+import {
+  DEFAULT_SNAPSHOT_POLICY,
+  type SnapshotPolicy,
+  SyncLoop,
+} from "./sync_loop.ts";
+import { DEFAULT_TIMING, type LogTiming } from "./timing.ts";
+
+const IDENTITY_LENGTH = 16;
+const MAXIMUM_COMMAND_BYTES = 4 * MEBIBYTE;
+const MINIMUM_TIMER_MS: Milliseconds = 1;
+const HANDOVER_WAIT_MS: Milliseconds = 1_000;
+const HANDOVER_POLL_MS: Milliseconds = 10;
+const NO_QUORUM_RETRY_MS: Milliseconds = 1_000;
+const NOT_READY_RETRY_MS: Milliseconds = 100;
+
+/** What a replica is built from. */
+export interface QuorumLogOptions {
+  readonly vm: string;
+  readonly network: PeerNetwork;
+  readonly folder: DataFolder;
+  readonly machines: readonly AnyStateMachine[];
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  /** VM names of the control VMs as settings or the bundle say now. */
+  readonly peers: () => readonly string[];
+  /**
+   * Forms a new group of these VMs, each with an empty data folder. Without it an empty folder is a new
+   * replica that waits for a seat; with a used folder it has no effect.
+   */
+  readonly firstStart?: { readonly voters: readonly string[] };
+  readonly timing?: LogTiming;
+  readonly snapshots?: SnapshotPolicy;
+  /** Called once when the disk fails; the replica has stopped by then. */
+  readonly onFatal?: (failure: Failure) => void;
+}
+
+/**
+ * One replica of the log.
+ *
+ * @example
+ * ```ts
+ * const log = new QuorumLog({
+ *   vm: "control-1",
+ *   network,
+ *   folder: new FileFolder("/var/lib/cicadafield"),
+ *   machines: [bundles, claims, ledger, orders],
+ *   clock: new SystemClock(),
+ *   random: new SystemRandom(),
+ *   events,
+ *   peers: () => ["control-1", "control-2", "control-3"],
+ *   firstStart: { voters: ["control-1", "control-2", "control-3"] },
+ * });
+ * await log.start();
+ * const reply = await log.propose({ machine: "bundles", command });
+ * ```
+ */
+export class QuorumLog extends ReplicatedLog {
+  readonly #options: QuorumLogOptions;
+  readonly #storage: LogStorage;
+  readonly #host: MachineHost;
+  readonly #proposals: Proposals;
+  readonly #applier: Applier;
+  #replica: Replica | undefined;
+  #loop: SyncLoop | undefined;
+  #chunks: ChunkSender | undefined;
+  #timer: { readonly dueMs: Milliseconds; readonly timer: Timer } | undefined;
+  #lastLeader: string | null = null;
+
+  constructor(options: QuorumLogOptions) {
+    super();
+    this.#options = options;
+    this.#storage = new LogStorage(options.folder);
+    this.#host = new MachineHost(options.machines, options.events);
+    const { proposalTimeoutMs } = options.timing ?? DEFAULT_TIMING;
+    this.#proposals = new Proposals(options.clock, proposalTimeoutMs);
+    this.#applier = new Applier({
+      host: this.#host,
+      proposals: this.#proposals,
+    });
+  }
+
+  override async start(): Promise<void> {
+    const { clock, events, network, random } = this.#options;
+    const recovered = await this.#storage.open(() =>
+      random.identifier().slice(0, IDENTITY_LENGTH)
+    );
+    if (recovered.snapshot !== null) this.#applier.restore(recovered.snapshot);
+    const replica = new Replica({
+      vm: this.#options.vm,
+      recovered,
+      random,
+      timing: this.#options.timing ?? DEFAULT_TIMING,
+      nowMs: clock.nowMs(),
+      firstVoters: this.#options.firstStart?.voters,
+      peers: this.#options.peers,
+      report: (report) => this.#reportSeats(report),
+    });
+    this.#replica = replica;
+    this.#loop = this.#makeLoop(replica);
+    this.#chunks = new ChunkSender({
+      replica,
+      storage: this.#storage,
+      send: (messages) => this.#send(messages),
+    });
+    events.emit(AGREEMENT_EVENTS.started, {
+      replica: recovered.identity,
+      fresh: recovered.fresh,
+      lastIndex: replica.state.log.lastIndex,
+    });
+    network.onNotice("agreement", (from, body) => this.#receive(from, body));
+    this.#step();
+  }
+
+  override async stop(): Promise<void> {
+    const replica = this.#replica;
+    if (replica === undefined) return;
+    if (replica.handOver(this.#options.clock.nowMs())) {
+      this.#step();
+      await this.#waitForSuccessor(replica);
+    }
+    this.#close();
+    await this.#loop?.stop();
+    await this.#storage.close();
+  }
+
+  override propose(request: MachineCommand): Promise<Result<unknown, Failure>> {
+    const refusal = this.#refusal();
+    if (refusal !== undefined) return Promise.resolve(Err(refusal));
+    if (!this.#host.has(request.machine)) {
+      return Promise.resolve(unknownMachine(request.machine));
+    }
+    const { machine, command } = request;
+    const body = encodeValue({ machine, command });
+    if (body.length > MAXIMUM_COMMAND_BYTES) {
+      const message = `a command of ${body.length} bytes is over the limit`;
+      return Promise.resolve(Err(fail("body_too_large", message)));
+    }
+    const position = this.#replica?.add("command", body, this.#instant());
+    if (position === undefined) {
+      return Promise.resolve(Err(notLeader(null)));
+    }
+    const outcome = this.#proposals.wait(position);
+    this.#step();
+    return outcome;
+  }
+
+  override query(request: MachineQuestion): Promise<Result<unknown, Failure>> {
+    const refusal = this.#refusal() ?? this.#notEstablished();
+    if (refusal !== undefined) return Promise.resolve(Err(refusal));
+    return Promise.resolve(this.#host.ask(request));
+  }
+
+  override status(): LogStatus {
+    const state = this.#replica?.state;
+    const goal = this.#replica?.startGoal ?? null;
+    return {
+      replica: state?.identity ?? "",
+      role: state?.role ?? "learner",
+      term: state?.term ?? 0,
+      leader: state?.leader?.vm ?? null,
+      committedIndex: state?.committedIndex ?? 0,
+      appliedIndex: this.#applier.appliedIndex,
+      voters: (state?.rules().seats() ?? []).map((seat) => seat.vm),
+      ready: goal !== null && this.#applier.appliedIndex >= goal,
+    };
+  }
+
+  override leaseUntilMs(): number {
+    if (this.#notEstablished() !== undefined) return 0;
+    return this.#replica?.leaseUntilMs(this.#options.clock.nowMs()) ?? 0;
+  }
+
+  override onApplied(listener: (index: number) => void): () => void {
+    return this.#applier.onApplied(listener);
+  }
+
+  /** Why this replica can't take a request; such a request is never run. */
+  #refusal(): Failure | undefined {
+    const replica = this.#replica;
+    if (replica === undefined) {
+      return fail("not_ready", "the replica isn't started");
+    }
+    if (replica.leadership === undefined) {
+      return notLeader(replica.state.leader?.vm ?? null);
+    }
+    if (replica.leaseUntilMs(this.#options.clock.nowMs()) > 0) return undefined;
+    return fail("no_quorum", "the leader can't reach a majority of replicas", {
+      retryAfterMs: NO_QUORUM_RETRY_MS,
+    });
+  }
+
+  #notEstablished(): Failure | undefined {
+    const leadership = this.#replica?.leadership;
+    if (leadership === undefined) return notLeader(null);
+    const caughtUp = this.#applier.appliedIndex >= leadership.barrierIndex;
+    if (leadership.established && caughtUp) return undefined;
+    return fail("not_ready", "the leader is still catching up", {
+      retryAfterMs: NOT_READY_RETRY_MS,
+    });
+  }
+
+  #instant(): Instant {
+    const { clock } = this.#options;
+    return { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+  }
+
+  #receive(from: string, body: unknown): void {
+    const replica = this.#replica;
+    if (replica === undefined) return;
+    const message = unpackMessage(body);
+    if (message === undefined) {
+      this.#options.events.emit(AGREEMENT_EVENTS.messageRefused, { from });
+      return;
+    }
+    replica.receive(from, message, this.#instant());
+    this.#step();
+  }
+
+  /** Does everything that follows from the last input. */
+  #step(): void {
+    const replica = this.#replica;
+    if (replica === undefined) return;
+    this.#applier.advance(replica);
+    this.#send(replica.takeReady());
+    this.#chunks?.send();
+    this.#reportLeader(replica);
+    this.#loop?.run();
+    this.#arm(replica);
+  }
+
+  #arm(replica: Replica): void {
+    const dueMs = replica.dueMs();
+    if (this.#timer !== undefined && this.#timer.dueMs <= dueMs) return;
+    this.#timer?.timer.cancel();
+    const waitMs = dueMs - this.#options.clock.nowMs();
+    const delayMs = Math.max(MINIMUM_TIMER_MS, waitMs);
+    const timer = this.#options.clock.after(delayMs, () => {
+      this.#timer = undefined;
+      this.#replica?.tick(this.#instant());
+      this.#step();
+    });
+    this.#timer = { dueMs, timer };
+  }
+
+  #send(messages: readonly Outgoing[]): void {
+    for (const { vm, message } of messages) {
+      this.#options.network.notify(
+        { to: vm, channel: "agreement" },
+        packMessage(message),
+      );
+    }
+  }
+
+  #makeLoop(replica: Replica): SyncLoop {
+    return new SyncLoop({
+      replica,
+      storage: this.#storage,
+      applier: this.#applier,
+      clock: this.#options.clock,
+      events: this.#options.events,
+      policy: this.#options.snapshots ?? DEFAULT_SNAPSHOT_POLICY,
+      send: (messages) => this.#send(messages),
+      afterSync: () => this.#step(),
+      onFault: (error) => this.#halt(error),
+    });
+  }
+
+  async #waitForSuccessor(replica: Replica): Promise<void> {
+    const { clock } = this.#options;
+    const untilMs = clock.nowMs() + HANDOVER_WAIT_MS;
+    while (this.#replica === replica && clock.nowMs() < untilMs) {
+      if (replica.state.leader !== null) return;
+      await clock.sleep(HANDOVER_POLL_MS);
+    }
+  }
+
+  #reportSeats(report: SeatingReport): void {
+    const event = report.kind === "settled"
+      ? AGREEMENT_EVENTS.seatsChanged
+      : AGREEMENT_EVENTS.seatRefused;
+    const { seats, index } = report;
+    this.#options.events.emit(event, { seats, index });
+  }
+
+  #reportLeader(replica: Replica): void {
+    const leader = replica.state.leader?.vm ?? null;
+    if (leader === this.#lastLeader) return;
+    this.#lastLeader = leader;
+    const { term } = replica.state;
+    this.#options.events.emit(AGREEMENT_EVENTS.leaderChanged, { leader, term });
+  }
+
+  #halt(error: unknown): void {
+    const failure = error instanceof StorageFault
+      ? error.failure
+      : fail("storage_failed", String(error));
+    this.#options.events.emit(AGREEMENT_EVENTS.storageFailed, { ...failure });
+    this.#close();
+    this.#options.onFatal?.(failure);
+  }
+
+  #close(): void {
+    this.#replica = undefined;
+    this.#timer?.timer.cancel();
+    this.#proposals.abandonAll();
+  }
+}
--- /dev/null
+++ b/agreement/replica.ts
@@ -0,0 +1,287 @@
+/**
+ * One replica's decisions, without input or output: it is fed with messages, time and syncs, and gives
+ * messages to send, batches to sync and an index up to which entries are committed.
+ *
+ * @module
+ */
+import type { Bytes, Milliseconds } from "#core";
+import { match } from "ts-pattern";
+import { Elector } from "./election.ts";
+import type { EntryKind, EntryPosition, LogEntry } from "./entries.ts";
+import { Following, type ReceivedChunk } from "./following.ts";
+import { Formation } from "./formation.ts";
+import { type Instant, Leadership, type Progress } from "./leadership.ts";
+import type { Message, MessageOf } from "./messages.ts";
+import {
+  type Outgoing,
+  type ReplicaOptions,
+  ReplicaState,
+  type TakenBatch,
+} from "./replica_state.ts";
+import { Seating, type SeatingReport } from "./seating.ts";
+
+const HELLO_PERIOD_MS: Milliseconds = 500;
+
+/** What a replica is built from. */
+export interface ReplicaParts extends ReplicaOptions {
+  /** VMs of an explicit first start. */
+  readonly firstVoters: readonly string[] | undefined;
+  /** Control VMs that should have seats. */
+  readonly peers: () => readonly string[];
+  readonly report: (report: SeatingReport) => void;
+}
+
+/** A replica as its driver sees it. */
+export class Replica {
+  readonly state: ReplicaState;
+  readonly #options: ReplicaParts;
+  readonly #elector: Elector;
+  readonly #following: Following;
+  readonly #formation: Formation | undefined;
+  #leadership: Leadership | undefined;
+  #seating: Seating | undefined;
+  #helloDueMs: Milliseconds;
+
+  constructor(options: ReplicaParts) {
+    this.#options = options;
+    this.state = new ReplicaState(options);
+    this.#elector = new Elector(this.state);
+    this.#following = new Following(this.state);
+    this.#helloDueMs = options.nowMs;
+    if (options.firstVoters === undefined) return;
+    this.#formation = new Formation(this.state, options.firstVoters);
+  }
+
+  /** The leader's part, while this replica leads. */
+  get leadership(): Leadership | undefined {
+    return this.state.role === "leader" ? this.#leadership : undefined;
+  }
+
+  /** Commit index to apply before this replica counts as caught up; null if it isn't known. */
+  get startGoal(): number | null {
+    const leadership = this.leadership;
+    if (leadership !== undefined) return leadership.barrierIndex;
+    return this.#following.startGoal;
+  }
+
+  /** When `tick` has to be called next. */
+  dueMs(): Milliseconds {
+    const leadership = this.leadership;
+    if (leadership !== undefined) return leadership.dueMs;
+    const { role, electionDueMs } = this.state;
+    if (role === "learner") return this.#helloDueMs;
+    if (role === "follower") return electionDueMs;
+    return Math.min(electionDueMs, this.#helloDueMs);
+  }
+
+  /** Does what is due. */
+  tick(instant: Instant): void {
+    const leadership = this.leadership;
+    if (leadership !== undefined) {
+      if (leadership.tick(instant.nowMs)) this.#tickSeats(instant);
+      else this.#resign();
+      return;
+    }
+    if (this.state.role !== "follower") this.#sayHello(instant);
+    if (this.state.role === "learner") return;
+    if (this.#elector.tick(instant.nowMs)) this.#lead(instant);
+  }
+
+  /** Takes a message from a VM. */
+  receive(vm: string, message: Message, instant: Instant): void {
+    const state = this.state;
+    if (message.to !== null && message.to !== state.identity) return;
+    if (message.kind === "hello") {
+      this.#takeHello(vm, message, instant);
+      return;
+    }
+    if (!this.#sameGroup(message)) return;
+    const won = match(message)
+      .with({ kind: "vote" }, (vote) => {
+        this.#elector.takeVote(vm, vote, instant.nowMs);
+        return false;
+      })
+      .with({ kind: "voteReply" }, (reply) => this.#elector.takeReply(reply))
+      .with({ kind: "append" }, (append) => {
+        this.#following.takeAppend(vm, append, instant.nowMs);
+        return false;
+      })
+      .with({ kind: "appendReply" }, (reply) => {
+        this.#takeAppendReply(reply, instant);
+        return false;
+      })
+      .with(
+        { kind: "handover" },
+        (handover) => this.#elector.takeHandover(handover, instant.nowMs),
+      )
+      .with({ kind: "chunk" }, (chunk) => {
+        this.#following.takeChunk(vm, chunk, instant.nowMs);
+        return false;
+      })
+      .with({ kind: "chunkReply" }, (reply) => {
+        if (reply.term === state.term) {
+          this.leadership?.takeChunkReply(reply, instant.nowMs);
+        }
+        return false;
+      })
+      .exhaustive();
+    if (won) this.#lead(instant);
+  }
+
+  /** Adds an entry if this replica leads. */
+  add(
+    kind: EntryKind,
+    body: Uint8Array,
+    instant: Instant,
+  ): EntryPosition | undefined {
+    return this.leadership?.add(kind, body, instant);
+  }
+
+  /** Until when this replica may act as leader; 0 if it may not. */
+  leaseUntilMs(nowMs: Milliseconds): Milliseconds {
+    const leadership = this.leadership;
+    if (leadership === undefined) return 0;
+    const untilMs = leadership.leaseUntilMs(nowMs);
+    return untilMs > nowMs ? untilMs : 0;
+  }
+
+  /** Gives leadership up and asks the replica that has most of the log to lead; false if none can. */
+  handOver(nowMs: Milliseconds): boolean {
+    const { state } = this;
+    const best = this.#successor(nowMs);
+    if (best === undefined) return false;
+    const { replica, vm } = best.seat;
+    this.#resign();
+    state.send(vm, state.message("handover", { to: replica }));
+    return true;
+  }
+
+  /** The next part of a snapshot to write to the disk. */
+  nextChunk(): ReceivedChunk | undefined {
+    return this.#following.nextChunk();
+  }
+
+  /** Tells the leader how much of a snapshot is on the disk. */
+  replyToChunk(received: ReceivedChunk, heldBytes: Bytes): void {
+    this.#following.replyToChunk(received, heldBytes);
+  }
+
+  /** Messages that may leave now. */
+  takeReady(): readonly Outgoing[] {
+    return this.state.takeReady();
+  }
+
+  /** The next batch to sync, if anything changed; followers get the entries meanwhile. */
+  takeBatch(nowMs: Milliseconds): TakenBatch | undefined {
+    if (!this.state.hasPending()) return undefined;
+    this.leadership?.replicate(nowMs);
+    return this.state.takeBatch();
+  }
+
+  /** Takes note that a batch is on the disk. */
+  synced(taken: TakenBatch): void {
+    this.state.synced(taken);
+    this.leadership?.advance();
+    this.#following.synced();
+  }
+
+  /** The committed entry at an index. */
+  committedEntry(index: number): LogEntry | undefined {
+    if (index > this.state.committedIndex) return undefined;
+    return this.state.log.get(index);
+  }
+
+  #lead(instant: Instant): void {
+    const state = this.state;
+    const last = state.log.get(state.log.lastIndex);
+    this.#leadership = new Leadership(state, {
+      instant,
+      lastAtMs: last?.atMs ?? state.snapshot?.meta.atMs ?? 0,
+    });
+    this.#seating = new Seating(state, {
+      leadership: this.#leadership,
+      peers: this.#options.peers,
+      report: this.#options.report,
+    });
+    this.#leadership.tick(instant.nowMs);
+  }
+
+  #takeAppendReply(
+    message: MessageOf<"appendReply">,
+    instant: Instant,
+  ): void {
+    const state = this.state;
+    if (message.term > state.term) {
+      state.follow(message.term, null);
+      return;
+    }
+    if (message.term < state.term) return;
+    this.leadership?.takeReply(message, instant.nowMs);
+  }
+
+  #resign(): void {
+    this.#leadership = undefined;
+    this.state.follow(this.state.term, null);
+  }
+
+  #successor(nowMs: Milliseconds): Progress | undefined {
+    const { state } = this;
+    let best: Progress | undefined;
+    for (const progress of this.leadership?.progress() ?? []) {
+      if (!state.rules().has(progress.seat.replica)) continue;
+      if (nowMs > progress.contactMs + state.timing.leaseMs) continue;
+      if (best === undefined || progress.match > best.match) best = progress;
+    }
+    return best;
+  }
+
+  #tickSeats(instant: Instant): void {
+    if (this.#seating?.tick(instant) !== "handover") return;
+    this.handOver(instant.nowMs);
+  }
+
+  /** A candidate says it too: the entry that gave it a seat may have been replaced by another. */
+  #sayHello(instant: Instant): void {
+    if (instant.nowMs < this.#helloDueMs) return;
+    this.#helloDueMs = instant.nowMs + HELLO_PERIOD_MS;
+    this.#formation?.ask();
+    this.#tryForm(instant);
+    if (this.#formation?.coordinates() === true) return;
+    const { state } = this;
+    for (const vm of this.#options.peers()) {
+      if (vm === state.vm) continue;
+      state.send(vm, state.message("hello", { to: null, formed: false }));
+    }
+  }
+
+  #takeHello(vm: string, message: MessageOf<"hello">, instant: Instant): void {
+    const state = this.state;
+    if (message.to === null && vm !== state.vm) {
+      const formed = state.group !== null;
+      const answer = state.message("hello", { to: message.from, formed });
+      state.sendOnceDurable(vm, answer);
+      const joining = message.group === null || message.group === state.group;
+      if (this.leadership !== undefined && joining) {
+        this.#seating?.takeHello(vm, message, instant.nowMs);
+      }
+      return;
+    }
+    this.#formation?.takeAnswer(vm, message);
+    this.#tryForm(instant);
+  }
+
+  #tryForm(instant: Instant): void {
+    if (this.#formation?.tryForm(instant) !== true) return;
+    if (this.#elector.tick(instant.nowMs)) this.#lead(instant);
+  }
+
+  #sameGroup(message: Message): boolean {
+    const state = this.state;
+    if (message.group === null) return false;
+    if (message.group === state.group) return true;
+    if (state.group !== null) return false;
+    const trial = message.kind === "vote" && message.trial;
+    if (!trial) state.setHard({ group: message.group });
+    return true;
+  }
+}
--- /dev/null
+++ b/programs/commands/bundle_submit.ts
@@ -0,0 +1,77 @@
+/**
+ * `cicadafield bundle submit FILE`.
+ *
+ * @module
+ */
+import { type Clock, type Milliseconds, SECOND_MS } from "#core";
+import { z } from "zod";
+import { EXIT_CODES, failureExitCode } from "../exit_codes.ts";
+import type { OperatorClient } from "../operator_client.ts";
+import { fileFaultOutcome, readSignedFile } from "./bundle_file.ts";
+import {
+  type CommandHelp,
+  type CommandOutcome,
+  done,
+  failed,
+} from "./command_outcome.ts";
+
+/** Names under which the command is called. */
+export const commandNames: string[][] = [["bundle", "submit"]];
+
+/** Help of the command. */
+export const help: CommandHelp = {
+  category: "Bundles",
+  description:
+    "Submit a signed bundle; it is accepted once the control VMs agree.",
+  details:
+    "Sending the same bundle again gives the first answer again, so it is sent up to three times while no VM can answer. Exit code 3 if it is refused, 4 if the outcome is still unknown: then submit it again.",
+  examples: [[
+    "Submit to either of two entry VMs",
+    "cicadafield bundle submit bundle-2.signed.json --entry 10.0.1.7:8000 --entry 10.0.2.7:8000",
+  ]],
+};
+
+const receiptSchema = z.looseObject({
+  version: z.number(),
+  digest: z.string(),
+});
+
+const ATTEMPTS = 3;
+const PAUSE_MS: Milliseconds = SECOND_MS;
+
+/** What the command takes. */
+export interface SubmitOptions {
+  readonly file: string;
+  readonly clock: Clock;
+}
+
+/** Submits the signed bundle in a file; sends it again while the outcome is unknown or no VM can answer. */
+export async function handler(
+  options: SubmitOptions,
+  client: OperatorClient,
+): Promise<CommandOutcome> {
+  const signed = await readSignedFile(options.file);
+  if (signed.err) return fileFaultOutcome(signed.val);
+  const request = {
+    method: "PUT",
+    path: `/v1/bundles/${signed.val.bundle.version}`,
+    body: signed.val,
+  } as const;
+  let answer = await client.send(request);
+  for (let attempt = 1; attempt < ATTEMPTS; attempt += 1) {
+    if (answer.ok) break;
+    if (failureExitCode(answer.val) !== EXIT_CODES.unreachable) break;
+    await options.clock.sleep(PAUSE_MS);
+    answer = await client.send(request);
+  }
+  return answer.ok ? accepted(answer.val) : failed(answer.val);
+}
+
+function accepted(answer: unknown): CommandOutcome {
+  const receipt = receiptSchema.parse(answer);
+  return done(
+    `version ${receipt.version} is accepted\ndigest ${receipt.digest}\n` +
+      `Wait for it with: cicadafield bundle wait ${receipt.version}`,
+    answer,
+  );
+}
