Order a failed engine again however often it is read

Cause: each reading of a failed engine prolonged its rest; with the rest at 16 s or more and a reading every 15 s it was never ordered again. Mutation made, seen to fail, taken back: rest prolonged by each reading ('an engine that fails again and again ...'). Conclusion: mended.

--- a/proof/fuzz_orders_test.ts
+++ b/proof/fuzz_orders_test.ts
@@ -9,6 +9,19 @@
   await fuzz({ seed: 1, runs: 40 });
 });
 
+test("an engine that fails again and again is ordered again, however often it is read meanwhile", async () => {
+  const clock = new VirtualClock(1_000);
+  const world = new OrdersWorld(clock, 1);
+  const [engine] = world.engines;
+  assert.ok(engine);
+  engine.failNext = 8;
+  world.published = 2;
+  await clock.advanceAsync(300_000);
+  for (const coordinator of world.coordinators) coordinator.stop();
+  assert.equal(engine.state, "serving");
+  assert.equal(engine.version, 2);
+});
+
 test("a new leader waits before its first order to an engine that ignores fences, and not for others", async () => {
   const clock = new VirtualClock(1_000);
   const world = new OrdersWorld(clock, 4);
--- a/weights/engine_memory.ts
+++ b/weights/engine_memory.ts
@@ -31,6 +31,8 @@
   #readSequence = -1;
   #reading = false;
   #failures = 0;
+  /** Whether the failed state that it was last read in has had its rest. */
+  #failureRested = false;
   #restUntilMs: Milliseconds;
   readonly #model: string;
 
@@ -94,6 +96,7 @@
   ordered(version: number, nowMs: Milliseconds): void {
     this.#loading = { version, sinceMs: nowMs };
     this.#readAtMs = nowMs;
+    this.#failureRested = false;
   }
 
   /** Notes that an order was refused, or had no answer: the engine is read again before the next. */
@@ -134,6 +137,8 @@
     const wasLoading = this.#loading;
     this.#loading = null;
     if (failed !== undefined && serving === undefined) {
+      if (this.#failureRested) return "other";
+      this.#failureRested = true;
       this.#rest(times.nowMs);
       return "failed";
     }
@@ -142,6 +147,7 @@
       return "failed";
     }
     this.#failures = 0;
+    this.#failureRested = false;
     return "serving";
   }
 
