--- a/samples/mod.ts
+++ b/samples/mod.ts
@@ -13,3 +13,4 @@
 export * from "./events.ts";
 export * from "./engine_state.ts";
 export * from "./straggler_policy.ts";
+export * from "./engine_state_client.ts";
--- a/weights/weights_coordinator.ts
+++ b/weights/weights_coordinator.ts
@@ -89,7 +89,7 @@
 
   constructor(options: WeightsCoordinatorOptions) {
     this.#options = options;
-    this.#engines = options.engines ?? new HttpEnginePort(options.sourceHost);
+    this.#engines = options.engines ?? new HttpEnginePort(options);
   }
 
   /** Begins to watch for leadership. */
