Let the quickstart change the bundle with the command line

Cause: the quickstart submitted its bundle over HTTP only, so it showed no operator at work. Ruled out: generating the first bundle with the command line (the cluster needs it before any VM is ready). Change: a draft of the bundle in force is changed, signed, submitted and waited for with cicadafield; the summary names its version.

--- a/proof/quickstart.ts
+++ b/proof/quickstart.ts
@@ -19,6 +19,7 @@
   type ClusterCall,
   ProcessCluster,
 } from "./process_cluster.ts";
+import { changeBundle } from "./quickstart_operator.ts";
 import { siteStandIns } from "./stand_ins.ts";
 
 const PROGRAMS = join(dirname(fileURLToPath(import.meta.url)), "../programs");
@@ -34,6 +35,8 @@
 
 /** What is left to say when all went well. */
 interface Summary {
+  /** Version that the operator signed. */
+  readonly version: number;
   readonly inForce: { readonly entries: number; readonly of: number };
   readonly answered: number;
   readonly cardsSaved: number;
@@ -69,13 +72,14 @@
   const training = train(cluster, steps);
   const answered = await complete(cluster);
   const cardsSaved = await saveCards(cluster);
+  const version = await changeBundle(cluster);
   const reports = await training;
   const status = await cluster.call("entry-a1", {
     method: "GET",
     path: "/v1/status",
   });
   const { inForce } = JSON.parse(status.text) as Pick<Summary, "inForce">;
-  return { inForce, answered, cardsSaved, reports };
+  return { version, inForce, answered, cardsSaved, reports };
 }
 
 /** Waits until every entry VM knows every upstream, those of other zones included. */
@@ -204,8 +208,10 @@
 }
 
 function print(summary: Summary): void {
-  const { inForce, answered, cardsSaved, reports } = summary;
-  console.log(`bundle in force on ${inForce.entries} of ${inForce.of}`);
+  const { version, inForce, answered, cardsSaved, reports } = summary;
+  console.log(
+    `bundle ${version} in force on ${inForce.entries} of ${inForce.of}`,
+  );
   console.log(`completions answered: ${answered} of ${CALLS}`);
   console.log(`job cards sent twice and saved once: ${cardsSaved} of 6`);
   for (const report of reports) console.log(describe(report));
--- /dev/null
+++ b/proof/quickstart_operator.ts
@@ -0,0 +1,69 @@
+/**
+ * What an operator does in the quickstart, with the command line: draft a change of the bundle, sign it, submit
+ * it, and wait until it is in force everywhere.
+ *
+ * @module
+ */
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
+import type { Bundle } from "#core";
+import type { ProcessCluster } from "./process_cluster.ts";
+
+const PROGRAM = join(
+  dirname(fileURLToPath(import.meta.url)),
+  "../programs/cicadafield.js",
+);
+const OWNER_ONLY = 0o600;
+const WAIT_SECONDS = "30";
+
+const run = promisify(execFile);
+
+/** Changes one tenant's weight by a signed bundle; resolves with its version once it is in force on all entries. */
+export async function changeBundle(cluster: ProcessCluster): Promise<number> {
+  const folder = mkdtempSync(join(tmpdir(), "cicadafield-operator-"));
+  try {
+    return await change(cluster, folder);
+  } finally {
+    rmSync(folder, { recursive: true, force: true });
+  }
+}
+
+async function change(
+  cluster: ProcessCluster,
+  folder: string,
+): Promise<number> {
+  const operator = cluster.operators[0];
+  const key = join(folder, `${operator.name}.pem`);
+  const draft = join(folder, "bundle.json");
+  const signed = join(folder, "bundle.signed.json");
+  const pem = operator.privateKey.export({ format: "pem", type: "pkcs8" });
+  writeFileSync(key, pem, { mode: OWNER_ONLY });
+  const entries = cluster.vms("entry")
+    .flatMap((vm) => ["--entry", `${vm.http.host}:${vm.http.port}`]);
+  const printed = await command(["bundle", "draft", ...entries]);
+  const bundle = doubleWeight(JSON.parse(printed) as Bundle);
+  writeFileSync(draft, JSON.stringify(bundle));
+  await command(["bundle", "sign", draft, "--key", key, "--out", signed]);
+  await command(["bundle", "submit", signed, ...entries]);
+  const version = String(bundle.version);
+  const wait = ["bundle", "wait", version, "--seconds", WAIT_SECONDS];
+  await command([...wait, ...entries]);
+  return bundle.version;
+}
+
+function doubleWeight(bundle: Bundle): Bundle {
+  const tenants = bundle.tenants.map((tenant) =>
+    tenant.name === "tana" ? { ...tenant, weight: tenant.weight * 2 } : tenant
+  );
+  return { ...bundle, tenants };
+}
+
+async function command(words: readonly string[]): Promise<string> {
+  const { stdout } = await run(process.execPath, [PROGRAM, ...words]);
+  return stdout;
+}
