Cut off a zone of a running cluster, and heal it

Change: a process test that cuts off the zone of the leading control VM: inside, lookups and completions go on and a keyed save is refused and not sent; outside, a keyed save, a bundle and a step go on; after the healing all is in force, and each save has run once. Conclusion: the refusal inside says "unknown", not "not run": the claims say that an earlier arrival with the key may have run.

--- /dev/null
+++ b/proof/golden_session_agence_day.ts
@@ -0,0 +1,192 @@
+/**
+ * Golden session: a day at the Agence: drafting batches, lookups, zone c cut off and healed.
+ *
+ * @module
+ */
+import { Caller } from "./caller.ts";
+import {
+  CLUSTER_DEFAULTS,
+  ProcessCluster,
+  untilTold,
+} from "./process_cluster.ts";
+import { siteStandIns } from "./stand_ins.ts";
+import type { Transcript } from "./transcript.ts";
+import { draftTrainer, submitNext } from "./zone_cut.ts";
+
+const SITE = { block: "127.7", network: 21, zones: CLUSTER_DEFAULTS.zones };
+const HEAL_TIMEOUT_MS = 30_000;
+
+/** The entry VMs on both sides of the cut. */
+interface Sides {
+  readonly zone: string;
+  readonly inside: readonly string[];
+  readonly outside: readonly string[];
+}
+
+/** Runs the session. */
+export async function session(transcript: Transcript): Promise<void> {
+  const cluster = await ProcessCluster.start({
+    ...CLUSTER_DEFAULTS,
+    ...SITE,
+    standIns: siteStandIns({ ...SITE, models: ["draft"], engineFlags: [] }),
+  });
+  try {
+    await cluster.waitUpstreams(7);
+    const cursor = await drafting(cluster, transcript);
+    const sides = await chooseSides(cluster);
+    await cut(cluster, { transcript, sides });
+    await healed(cluster, { transcript, sides, cursor });
+  } finally {
+    await cluster.cleanUp();
+  }
+}
+
+async function drafting(
+  cluster: ProcessCluster,
+  transcript: Transcript,
+): Promise<string> {
+  transcript.part("drafting and lookups at the same time");
+  const climber = new Caller(cluster, { tenant: "agence", class: "lookup" });
+  const entries = cluster.vms("entry").map((vm) => vm.name);
+  const drafted = draftTrainer(cluster, {
+    entries,
+    run: 1,
+    cursor: "",
+  });
+  const lookups = await Promise.all(
+    entries.map((vm) =>
+      climber.service(vm, {
+        method: "GET",
+        service: "lookup",
+        path: "/crags/ngor",
+      })
+    ),
+  );
+  const report = await drafted;
+  const found = lookups.filter((answer) => answer.status === 200);
+  transcript.saw(`${found.length} of ${lookups.length} lookups answered`);
+  transcript.saw(
+    `${report.samples} samples, ${report.doubled} doubled, ${report.untrue} untrue`,
+  );
+  return report.cursor;
+}
+
+/** The zone to cut: the last one that does not hold the leading control VM. */
+async function chooseSides(cluster: ProcessCluster): Promise<Sides> {
+  const entries = cluster.vms("entry");
+  const leader = (await cluster.status("entry-a1"))?.leader;
+  const leading = cluster.vms("control").find((vm) => vm.name === leader);
+  const zone = SITE.zones.findLast((each) => each !== leading?.zone) ?? "c";
+  const names = (wanted: boolean): readonly string[] =>
+    entries.filter((vm) => (vm.zone === zone) === wanted)
+      .map((vm) => vm.name);
+  return { zone, inside: names(true), outside: names(false) };
+}
+
+async function cut(
+  cluster: ProcessCluster,
+  context: { readonly transcript: Transcript; readonly sides: Sides },
+): Promise<void> {
+  const { transcript, sides } = context;
+  const [insider = ""] = sides.inside;
+  const [outsider = ""] = sides.outside;
+  const editor = new Caller(cluster, { tenant: "agence", class: "lookup" });
+  cluster.cutZone(sides.zone);
+  await cluster.waitCutOff(insider);
+  transcript.part("a zone is cut off: inside, lookups and drafting go on");
+  for (const [place, vm] of sides.inside.entries()) {
+    const lookup = await editor.service(vm, {
+      method: "GET",
+      service: "lookup",
+      path: "/crags/mamelles",
+    });
+    transcript.saw(`entry ${place + 1}: lookup ${lookup.status}`);
+    const draft = await editor.completion(vm, {
+      model: "draft",
+      prompt: "new bolts at the Mamelles, six pitches",
+      max_tokens: 8,
+      seed: 1,
+    });
+    transcript.saw(`entry ${place + 1}: completion ${draft.status}`);
+  }
+  transcript.part("inside, a save with a key is refused and not sent");
+  const refused = await editor.service(insider, {
+    method: "POST",
+    service: "cards",
+    path: "/cards",
+    body: { id: "card-c" },
+    key: "note-1",
+  });
+  const kind = /"kind":"(\w+)"/.exec(refused.text)?.[1];
+  transcript.saw(`status ${refused.status}, kind ${kind}`);
+  transcript.saw(`ran ${refused.headers["cicadafield-ran"]}`);
+  const retryAfter = refused.headers["retry-after"] !== undefined;
+  transcript.saw(`told when to come back: ${retryAfter}`);
+  transcript.part("outside, a save with a key is taken");
+  transcript.answered(
+    "POST card-a, key note-2",
+    await untilTold(() =>
+      editor.service(outsider, {
+        method: "POST",
+        service: "cards",
+        path: "/cards",
+        body: { id: "card-a" },
+        key: "note-2",
+      })
+    ),
+  );
+  transcript.part("outside, version 2 is accepted; inside, version 1 stays");
+  const submitted = await submitNext(cluster, {
+    vm: outsider,
+    from: cluster.firstBundle,
+  });
+  transcript.saw(`status ${submitted.status}`);
+  await cluster.waitInForce(2, {
+    vms: sides.outside,
+    timeoutMs: HEAL_TIMEOUT_MS,
+  });
+  transcript.saw("outside: version 2 in force on 4 of 4");
+  for (const vm of sides.inside) {
+    transcript.saw(`inside: version ${await cluster.versionInForce(vm)}`);
+  }
+}
+
+async function healed(
+  cluster: ProcessCluster,
+  context: {
+    readonly transcript: Transcript;
+    readonly sides: Sides;
+    readonly cursor: string;
+  },
+): Promise<void> {
+  const { transcript, sides, cursor } = context;
+  const [insider = ""] = sides.inside;
+  cluster.cutZone(undefined);
+  transcript.part("the cut is healed: version 2 comes into force inside");
+  await cluster.waitInForce(2, {
+    vms: sides.inside,
+    timeoutMs: HEAL_TIMEOUT_MS,
+  });
+  transcript.saw("version 2 in force inside on 2 of 2");
+  const editor = new Caller(cluster, { tenant: "agence", class: "lookup" });
+  transcript.part("inside, the refused save is sent again, and taken");
+  transcript.answered(
+    "POST card-c, key note-1",
+    await untilTold(() =>
+      editor.service(insider, {
+        method: "POST",
+        service: "cards",
+        path: "/cards",
+        body: { id: "card-c" },
+        key: "note-1",
+      })
+    ),
+  );
+  transcript.part("drafting goes on through the healed zone");
+  const report = await draftTrainer(cluster, {
+    entries: sides.inside,
+    run: 2,
+    cursor,
+  });
+  transcript.saw(`${report.stepsWhole} step whole`);
+}
--- /dev/null
+++ b/proof/zone_cut_test.ts
@@ -0,0 +1,99 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Caller } from "./caller.ts";
+import { waitUntil } from "./managed_process.ts";
+import {
+  CLUSTER_DEFAULTS,
+  ProcessCluster,
+  untilTold,
+} from "./process_cluster.ts";
+import { siteStandIns } from "./stand_ins.ts";
+import { draftTrainer, submitNext } from "./zone_cut.ts";
+
+const SITE = { block: "127.7", network: 41, zones: CLUSTER_DEFAULTS.zones };
+const HEALED_WITHIN_MS = 30_000;
+
+test("the zone of the leader is cut off and healed: nothing accepted is lost or turned back", async () => {
+  const cluster = await ProcessCluster.start({
+    ...CLUSTER_DEFAULTS,
+    ...SITE,
+    standIns: siteStandIns({ ...SITE, models: ["draft"], engineFlags: [] }),
+  });
+  try {
+    await cluster.waitUpstreams(7);
+    const leader = (await cluster.status("entry-a1"))?.leader;
+    const cutZone = cluster.vms("control").find((vm) => vm.name === leader)
+      ?.zone ?? "a";
+    const names = (wanted: boolean): readonly string[] =>
+      cluster.vms("entry")
+        .filter((vm) => (vm.zone === cutZone) === wanted)
+        .map((vm) => vm.name);
+    const inside = names(true);
+    const outside = names(false);
+    const [insider = ""] = inside;
+    const [outsider = ""] = outside;
+    const editor = new Caller(cluster, { tenant: "agence", class: "lookup" });
+    const save = (vm: string, id: string) =>
+      editor.service(vm, {
+        method: "POST",
+        service: "cards",
+        path: "/cards",
+        body: { id },
+        key: id,
+      });
+
+    assert.equal((await untilTold(() => save(insider, "before"))).status, 201);
+    cluster.cutZone(cutZone);
+    await cluster.waitCutOff(insider);
+
+    const refused = await save(insider, "inside");
+    assert.equal(refused.status, 503);
+    assert.notEqual(refused.headers["cicadafield-ran"], "yes");
+    const lookup = await editor.service(insider, {
+      method: "GET",
+      service: "lookup",
+      path: "/crags/ngor",
+    });
+    assert.equal(lookup.status, 200);
+    const completion = await editor.completion(insider, {
+      model: "draft",
+      prompt: "six pitches at the Mamelles",
+      max_tokens: 8,
+      seed: 1,
+    });
+    assert.equal(completion.status, 200);
+
+    assert.equal(
+      (await untilTold(() => save(outsider, "outside"))).status,
+      201,
+    );
+    const submitted = await submitNext(cluster, {
+      vm: outsider,
+      from: cluster.firstBundle,
+    });
+    assert.equal(submitted.status, 200);
+    const drafted = draftTrainer(cluster, {
+      entries: outside,
+      run: 1,
+      cursor: "",
+    });
+
+    cluster.cutZone(undefined);
+    const vms = cluster.vms("entry").map((vm) => vm.name);
+    await cluster.waitInForce(2, { vms, timeoutMs: HEALED_WITHIN_MS });
+    const report = await drafted;
+    assert.equal(report.samples, 16);
+    assert.equal(report.doubled + report.untrue + report.overBound, 0);
+    for (const id of ["before", "inside", "outside"]) {
+      const again = await untilTold(() => save(insider, id));
+      assert.equal(again.status, 201);
+      assert.equal(JSON.parse(again.text).executions, 1);
+    }
+    await waitUntil("no VM is cut off", HEALED_WITHIN_MS, async () => {
+      const status = await cluster.status(insider);
+      return status?.vms.every((row) => row.state !== "cut_off") ?? false;
+    });
+  } finally {
+    await cluster.cleanUp();
+  }
+});
