Read engines that don't name their versions

Cause: the entry program did not hand the reader of engines to the samples, so samples of such engines would have been discarded without end. Ruled out: a default reader inside samples (the source address is the program's to know). Change: one client for these readings, closed with the VM.

--- a/programs/entry_wiring.ts
+++ b/programs/entry_wiring.ts
@@ -14,8 +14,8 @@
   upstreamRoutes,
   type VmStatus,
 } from "#membership";
-import { EntryRequests } from "#requests";
-import { EntrySamples } from "#samples";
+import { EntryRequests, UpstreamClient } from "#requests";
+import { EngineStateClient, EntrySamples } from "#samples";
 import { bundleRoutes } from "./bundle_routes.ts";
 import { DEFAULT_HTTP_LIMITS } from "./http_limits.ts";
 import { HttpServer } from "./http_server.ts";
@@ -33,6 +33,7 @@
   readonly #bundles: BundleServer;
   readonly #requests: EntryRequests;
   readonly #samples: EntrySamples;
+  readonly #engineReads: UpstreamClient;
   readonly #server: HttpServer;
   readonly #routes: readonly HttpRoute[];
   #started = false;
@@ -76,8 +77,13 @@
       ...common,
       sourceHost: settings["listen-host"],
     });
+    this.#engineReads = new UpstreamClient({
+      sourceHost: settings["listen-host"],
+      clock: base.clock,
+    });
     this.#samples = new EntrySamples({
       ...common,
+      engineStates: new EngineStateClient(this.#engineReads, base.clock),
       completions: this.#requests.completions,
       services: this.#requests.services,
     });
@@ -142,6 +148,7 @@
     this.#registry.stop();
     this.#members.stop();
     this.#requests.stop();
+    this.#engineReads.close();
     this.#base.cut.stop();
     this.#base.network.close();
   }
