Probe a suspected VM again before it counts as unreachable

Cause: a test froze a VM for 2 s, less than the 3 s of suspicion, and others still took it for unreachable: its refutation rides on probes and can take longer than the rest of the suspicion. Ruled out: a longer suspicion (every real loss would be seen later); refuting by a notice to all (its cost grows with the number of VMs). Change: a VM suspected for half of the time is probed once more, in place of that period's probe, so the number of probes stays. Conclusion: suspicion comes before removal, at constant cost.

--- a/membership/member_service.ts
+++ b/membership/member_service.ts
@@ -117,7 +117,7 @@
     this.#table.follow(vms, nowMs);
     this.#table.tick(nowMs);
     this.#publish();
-    const target = this.#table.nextProbe();
+    const target = this.#table.nextProbe(nowMs);
     if (target !== undefined) this.#probe(target);
   }
 
--- /dev/null
+++ b/membership/member_service_test.ts
@@ -0,0 +1,129 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  Blackboard,
+  BOARD_WRITERS,
+  type BoardSections,
+  EMPTY_BOARD,
+  MemoryEventLog,
+  type Milliseconds,
+  SeededRandom,
+  VirtualClock,
+  type VmState,
+} from "#core";
+import { MemoryNetwork } from "#wire";
+import { MemberService, PROBE_PERIOD_MS } from "./member_service.ts";
+import { SUSPICION_MS } from "./member_table.ts";
+import { type DirectoryEntry, VmDirectory } from "./vm_directory.ts";
+
+const VMS: readonly DirectoryEntry[] = ["a", "b", "c"].flatMap((zone) =>
+  [1, 2, 3, 4].map((row) => ({
+    name: `entry-${zone}${row}`,
+    zone,
+    role: "entry" as const,
+    peer: { host: "127.0.0.1", port: 1 },
+  }))
+);
+const SETTLED_MS: Milliseconds = 15_000;
+/** Each VM probes all others once in this time, so that someone probes a given VM far sooner. */
+const ROUND_MS: Milliseconds = VMS.length * PROBE_PERIOD_MS;
+
+class Members {
+  readonly clock = new VirtualClock(1_000);
+  readonly network: MemoryNetwork;
+  readonly #boards = new Map<string, Blackboard<BoardSections>>();
+  readonly #services = new Map<string, MemberService>();
+  readonly #random: SeededRandom;
+  #incarnation = 1;
+
+  constructor(seed: number) {
+    this.#random = new SeededRandom(seed);
+    this.network = new MemoryNetwork({
+      clock: this.clock,
+      random: this.#random,
+    });
+    for (const vm of VMS) this.start(vm.name);
+  }
+
+  start(name: string): void {
+    this.#incarnation += 1;
+    const board = new Blackboard<BoardSections>(EMPTY_BOARD, BOARD_WRITERS);
+    const service = new MemberService({
+      self: name,
+      incarnation: this.#incarnation,
+      board,
+      directory: new VmDirectory({ seeds: VMS, bundle: () => null }),
+      network: this.network.join(name),
+      clock: this.clock,
+      random: this.#random,
+      events: new MemoryEventLog(),
+    });
+    this.#boards.set(name, board);
+    this.#services.set(name, service);
+    service.start();
+  }
+
+  kill(name: string): void {
+    this.#services.get(name)?.stop();
+    this.#services.delete(name);
+    this.network.leave(name);
+  }
+
+  /** What every running VM believes of one. */
+  beliefs(of: string): ReadonlySet<VmState | undefined> {
+    const states = new Set<VmState | undefined>();
+    for (const name of this.#services.keys()) {
+      if (name === of) continue;
+      states.add(this.#boards.get(name)?.read("members").get(of)?.state);
+    }
+    return states;
+  }
+}
+
+test("a dead VM is unreachable for all others after suspicion, and alive for all again once restarted", async () => {
+  for (const seed of [1, 2, 3]) {
+    const members = new Members(seed);
+    await members.clock.advanceAsync(SETTLED_MS);
+    members.kill("entry-b2");
+    await members.clock.advanceAsync(SUSPICION_MS / 2);
+    assert.equal(members.beliefs("entry-b2").has("unreachable"), false);
+    await members.clock.advanceAsync(ROUND_MS + SUSPICION_MS);
+    assert.deepEqual([...members.beliefs("entry-b2")], ["unreachable"]);
+    members.start("entry-b2");
+    await members.clock.advanceAsync(ROUND_MS);
+    assert.deepEqual([...members.beliefs("entry-b2")], ["alive"]);
+  }
+});
+
+test("a link cut between two VMs makes neither unreachable, since others probe for them", async () => {
+  const members = new Members(4);
+  members.network.cut("entry-a1", "entry-c1");
+  members.network.cut("entry-c1", "entry-a1");
+  for (let round = 0; round < 3; round += 1) {
+    await members.clock.advanceAsync(ROUND_MS);
+    assert.deepEqual([...members.beliefs("entry-c1")], ["alive"]);
+    assert.deepEqual([...members.beliefs("entry-a1")], ["alive"]);
+  }
+});
+
+test("a VM frozen for less than the suspicion time is never unreachable", async () => {
+  const members = new Members(5);
+  await members.clock.advanceAsync(SETTLED_MS);
+  members.network.freeze("entry-a3");
+  await members.clock.advanceAsync(SUSPICION_MS - PROBE_PERIOD_MS);
+  members.network.thaw("entry-a3");
+  for (let second = 0; second < 20; second += 1) {
+    await members.clock.advanceAsync(PROBE_PERIOD_MS);
+    assert.equal(members.beliefs("entry-a3").has("unreachable"), false);
+  }
+});
+
+test("a VM sends the same number of probes however many VMs there are", async () => {
+  const members = new Members(6);
+  await members.clock.advanceAsync(SETTLED_MS);
+  const before = members.network.sentMessages;
+  await members.clock.advanceAsync(SETTLED_MS);
+  const sent = members.network.sentMessages - before;
+  const periods = SETTLED_MS / PROBE_PERIOD_MS;
+  assert.equal(sent, 2 * VMS.length * periods);
+});
--- a/membership/member_table.ts
+++ b/membership/member_table.ts
@@ -45,6 +45,8 @@
 interface Member {
   readonly view: VmView;
   readonly suspectedAtMs: Milliseconds;
+  /** Whether it was probed again since it is suspected. */
+  readonly probedAgain: boolean;
 }
 
 /** What a table is built from. */
@@ -86,6 +88,7 @@
       }
       this.#members.set(vm.name, {
         suspectedAtMs: 0,
+        probedAgain: false,
         view: {
           name: vm.name,
           zone: vm.zone,
@@ -98,8 +101,17 @@
     }
   }
 
-  /** The VM to probe next: each once, in random order, then again. */
-  nextProbe(): string | undefined {
+  /**
+   * The VM to probe next: one that has been suspected for half of the time, once; else each VM once, in
+   * random order, then again.
+   */
+  nextProbe(nowMs: Milliseconds): string | undefined {
+    for (const [name, member] of this.#members) {
+      if (member.view.state !== "suspected" || member.probedAgain) continue;
+      if (nowMs - member.suspectedAtMs < SUSPICION_MS / 2) continue;
+      this.#members.set(name, { ...member, probedAgain: true });
+      return name;
+    }
     while (this.#order.length > 0) {
       const name = this.#order.pop();
       if (name !== undefined && this.#members.has(name)) return name;
@@ -198,7 +210,7 @@
 
   #set(view: VmView, suspectedAtMs: Milliseconds): void {
     const before = this.#members.get(view.name)?.view;
-    this.#members.set(view.name, { view, suspectedAtMs });
+    this.#members.set(view.name, { view, suspectedAtMs, probedAgain: false });
     if (before?.state === view.state) return;
     this.#changes.push({ vm: view.name, state: view.state });
     this.#spread({ vm: view.name, ...pick(view) });
