Prove that an upstream that leaves gets no new work anywhere after 2 s

Change: a process test: twelve callers at six entry VMs save job cards; one service leaves, told to one entry VM only; its count of calls stands still from 2 s later on, and no call fails.

--- /dev/null
+++ b/proof/requests_leave_test.ts
@@ -0,0 +1,93 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { JsonClient } from "#fakes";
+import { Caller } from "./caller.ts";
+import { pause } from "./managed_process.ts";
+import { CLUSTER_DEFAULTS, ProcessCluster } from "./process_cluster.ts";
+import { siteStandIns, type StandIn, standInBase } from "./stand_ins.ts";
+
+const SITE = { block: "127.5", network: 31, zones: CLUSTER_DEFAULTS.zones };
+const INCARNATION = 7;
+const WORK_MS = 100;
+const WORKERS_EACH = 2;
+const NOTICE_MS = 2_000;
+const WATCH_MS = 2_000;
+
+function withWork(standIn: StandIn): StandIn {
+  if (standIn.kind !== "service") return standIn;
+  const flags = [
+    ...standIn.flags,
+    ...["--incarnation", String(INCARNATION)],
+    ...["--work-ms", String(WORK_MS)],
+  ];
+  return { ...standIn, flags };
+}
+
+async function callsAt(standIn: StandIn): Promise<number> {
+  const client = new JsonClient();
+  const answer = await client.send({
+    method: "GET",
+    base: standInBase(standIn),
+    path: "/fakes/record",
+    timeoutMs: 10_000,
+  });
+  client.close();
+  return (JSON.parse(answer.text) as { calls: number }).calls;
+}
+
+test("an upstream that leaves at one entry VM gets no new work from any after 2 s and finishes what it has", async () => {
+  const standIns = siteStandIns({ ...SITE, models: [], engineFlags: [] })
+    .map(withWork);
+  const leaving = standIns.find((each) => each.id === "service-a");
+  assert(leaving !== undefined);
+  const cluster = await ProcessCluster.start({
+    ...CLUSTER_DEFAULTS,
+    ...SITE,
+    standIns,
+  });
+  try {
+    await cluster.waitUpstreams(4);
+    let isDone = false;
+    let calls = 0;
+    const failures: string[] = [];
+    const caller = new Caller(cluster, { tenant: "tana", class: "lookup" });
+    const work = async (vm: string, worker: number): Promise<void> => {
+      for (let call = 0; !isDone; call += 1) {
+        const answer = await caller.service(vm, {
+          method: "POST",
+          service: "cards",
+          path: "/cards",
+          body: { id: `${vm}-${worker}-${call}` },
+        });
+        calls += 1;
+        if (answer.status !== 201) failures.push(`${vm}: ${answer.text}`);
+      }
+    };
+    const running: Promise<void>[] = [];
+    for (const vm of cluster.vms("entry")) {
+      for (let worker = 0; worker < WORKERS_EACH; worker += 1) {
+        running.push(work(vm.name, worker));
+      }
+    }
+    await pause(WATCH_MS);
+    const before = await callsAt(leaving);
+    const left = await cluster.call("entry-a1", {
+      method: "POST",
+      path: "/v1/upstreams/service-a/leave",
+      body: { incarnation: INCARNATION },
+    });
+    await pause(NOTICE_MS);
+    const atNotice = await callsAt(leaving);
+    await pause(WATCH_MS);
+    const after = await callsAt(leaving);
+    isDone = true;
+    await Promise.all(running);
+    console.log(`${calls} calls, ${failures.length} failed`);
+    assert.ok(left.status >= 200 && left.status < 300, left.text);
+    assert.ok(before > 0);
+    assert.equal(after, atNotice);
+    assert.deepEqual(failures.slice(0, 5), []);
+  } finally {
+    await cluster.cleanUp();
+  }
+});
