Prove a step whole over processes under kills

Every page is read twice at different entry VMs. Samples give a histogram of group times and a counter of outcomes by trainer, tenant and class.

--- /dev/null
+++ b/proof/step_reader.ts
@@ -0,0 +1,125 @@
+/**
+ * A trainer of one step that reads from whichever entry VM answers, and checks what it is given.
+ *
+ * @module
+ */
+import type { Milliseconds } from "#core";
+import {
+  type JsonAnswer,
+  parseSamplePage,
+  samplesPath,
+  type StepBody,
+  stepPath,
+  TrainerTally,
+  versionPath,
+} from "#fakes";
+import { z } from "zod";
+import { pause } from "./managed_process.ts";
+import type { ClusterCall, ProcessCluster } from "./process_cluster.ts";
+
+const RETRY_MS: Milliseconds = 200;
+const WAIT_MS: Milliseconds = 1_000;
+const LIMIT = 64;
+
+const handOverSchema = z.object({
+  samples: z.array(z.object({
+    deliveredAtVersion: z.number(),
+    versions: z.array(z.object({ version: z.number() })),
+  })),
+});
+
+/** What the step is. */
+export interface StepReaderOptions {
+  readonly cluster: ProcessCluster;
+  readonly trainer: string;
+  readonly model: string;
+  readonly step: number;
+  readonly body: StepBody;
+}
+
+/** Submits a step and reads it to its end. */
+export class StepReader {
+  readonly tally: TrainerTally;
+  /** Samples that were over the bound when they were handed over. */
+  overBound = 0;
+  /** Repeated cursors that gave other bytes. */
+  changedPages = 0;
+  readonly #options: StepReaderOptions;
+  #entry = 0;
+  #cursor = "";
+
+  constructor(options: StepReaderOptions) {
+    this.#options = options;
+    this.tally = new TrainerTally(options.model);
+  }
+
+  /** Submits the step. */
+  async submit(): Promise<void> {
+    const { trainer, step, body } = this.#options;
+    this.tally.submitted(step, body);
+    await this.#call({ method: "PUT", path: stepPath(trainer, step), body });
+  }
+
+  /** Publishes a version. */
+  async publish(version: number): Promise<void> {
+    const path = versionPath(this.#options.trainer, version);
+    await this.#call({ method: "PUT", path, body: {} });
+  }
+
+  /** Reads until the step is whole or the time is over, each page twice. */
+  async readAll(limitMs: Milliseconds): Promise<void> {
+    const untilMs = performance.now() + limitMs;
+    while (!this.tally.isWhole(this.#options.step)) {
+      if (performance.now() > untilMs) return;
+      const answer = await this.#call(this.#pageCall());
+      const page = parseSamplePage(answer.text);
+      if (page === undefined) continue;
+      if (page.samples.length > 0) await this.#readAgain(answer);
+      for (const sample of page.samples) this.tally.received(sample, 0);
+      this.#countOverBound(answer);
+      this.#cursor = String(page.cursor);
+    }
+  }
+
+  async #readAgain(first: JsonAnswer): Promise<void> {
+    this.#entry += 1;
+    const second = await this.#call(this.#pageCall());
+    if (second.text !== first.text) this.changedPages += 1;
+  }
+
+  #countOverBound(answer: JsonAnswer): void {
+    const { samples } = handOverSchema.parse(JSON.parse(answer.text));
+    for (const sample of samples) {
+      const oldest = Math.min(...sample.versions.map((run) => run.version));
+      const age = sample.deliveredAtVersion - oldest;
+      if (age > this.#options.body.bound) this.overBound += 1;
+    }
+  }
+
+  #pageCall(): ClusterCall {
+    const path = samplesPath(this.#options.trainer, {
+      after: this.#cursor,
+      limit: LIMIT,
+      waitMs: WAIT_MS,
+    });
+    return { method: "GET", path };
+  }
+
+  /** Calls one entry VM after the other until one answers with success. */
+  async #call(call: ClusterCall): Promise<JsonAnswer> {
+    const { cluster } = this.#options;
+    const entries = cluster.vms("entry");
+    for (;;) {
+      const vm = entries[this.#entry % entries.length]?.name ?? "";
+      if (cluster.process(vm).runs) {
+        const answer = await cluster.call(vm, call);
+        if (answer.status === 200) return answer;
+        const isRefused = answer.status >= 400 && answer.status < 500 &&
+          answer.status !== 429 && answer.status !== 408;
+        if (isRefused) throw new Error(`${call.path}: ${answer.text}`);
+      }
+      this.#entry += 1;
+      await pause(RETRY_MS);
+    }
+  }
+}
--- a/samples/entry_samples.ts
+++ b/samples/entry_samples.ts
@@ -19,6 +19,7 @@
 import { EngineWitness } from "./engine_witness.ts";
 import { Generation } from "./generation.ts";
 import { LedgerClient } from "./ledger_client.ts";
+import { SampleMetrics } from "./sample_metrics.ts";
 import { SampleRoutes } from "./sample_routes.ts";
 import { Scoring } from "./scoring.ts";
 import { StragglerPolicy } from "./straggler_policy.ts";
@@ -61,6 +62,7 @@
       ledger,
       scoring: new Scoring(options),
       policy: this.#policy,
+      metrics: new SampleMetrics(options.metrics),
       witness: options.engineStates === undefined ? null : new EngineWitness({
         states: options.engineStates,
         clock: options.clock,
--- a/samples/group_work.ts
+++ b/samples/group_work.ts
@@ -8,6 +8,7 @@
 import { packTexts } from "./group_text.ts";
 import { isPassing, type LedgerClient } from "./ledger_client.ts";
 import type { CommitOutcome, LeasedGroup } from "./ledger_types.ts";
+import type { SampleMetrics } from "./sample_metrics.ts";
 import { SampleWork, type SampleWorkOptions } from "./sample_work.ts";
 import type { Scoring } from "./scoring.ts";
 
@@ -17,10 +18,14 @@
 export interface GroupWorkOptions extends SampleWorkOptions {
   readonly ledger: LedgerClient;
   readonly scoring: Scoring;
+  readonly metrics: SampleMetrics;
   /** Fetches what the ledger knows of published versions. */
   readonly refresh: () => Promise<void>;
 }
 
+/** How the work on a group ended. */
+export type GroupOutcome = CommitOutcome | "aborted" | "refused";
+
 interface ScoredSample {
   readonly answer: CompletionAnswer;
   readonly score: number;
@@ -54,7 +59,17 @@
   }
 
   /** Works until the group is committed by anybody, refused for good, or aborted. */
-  async run(): Promise<CommitOutcome | "aborted" | "refused"> {
+  async run(): Promise<GroupOutcome> {
+    const beganMs = this.#options.clock.nowMs();
+    const outcome = await this.#work();
+    this.#options.metrics.groupEnded(this.#trainer, {
+      outcome,
+      tookMs: this.#options.clock.nowMs() - beganMs,
+    });
+    return outcome;
+  }
+
+  async #work(): Promise<GroupOutcome> {
     const made: (ScoredSample | null)[] = this.samples.map(() => null);
     while (!this.#controller.signal.aborted) {
       await this.#fill(made);
