Let another run of a slow sample go on from its tokens

Cause: the second run of a sample started from the prompt, since a completion call had no place for tokens received before; the model of stragglers had it already. Ruled out: resuming where a chunk named no version (the witness of such engines vouches for answers of one engine only). Change: the completion port takes the beginning of an answer; samples hand over the longest one, with its versions, and count its tokens as used when the resumed run wins.

--- a/core/ports.ts
+++ b/core/ports.ts
@@ -58,8 +58,18 @@
   readonly finishReason: "stop" | "length";
 }
 
+/** The beginning of an answer, to be gone on with. */
+export interface PartialAnswer {
+  readonly text: string;
+  readonly tokens: number;
+  /** Versions that made the tokens, in order. */
+  readonly runs: readonly VersionRun[];
+}
+
 /** Optional parts of a completion call. */
 export interface CompletionOptions {
+  /** Beginning made by an earlier run with the same seed; the whole answer includes it, the chunks don't. */
+  readonly resume?: PartialAnswer;
   /** Called for each chunk, in order. */
   readonly onChunk?: (chunk: CompletionChunk) => void;
   /** Ends the call early; the engine is told. */
--- a/requests/completions.ts
+++ b/requests/completions.ts
@@ -109,6 +109,9 @@
     this.#call = options.call;
     this.#options = options.options;
     this.#arrivedMs = options.arrivedMs;
+    const { resume } = options.options;
+    if (resume === undefined) return;
+    this.#received = { ...resume, finishReason: null };
   }
 
   async result(): Promise<Result<CompletionAnswer, Failure>> {
--- a/requests/engine_sessions_test.ts
+++ b/requests/engine_sessions_test.ts
@@ -161,6 +161,21 @@
   });
 });
 
+test("a call with the beginning of an answer sends it on and gives the whole answer", async () => {
+  const engine = new OracleEngine(4, []);
+  await withEngines([engine], async (entry) => {
+    const call = { ...completion("r"), deadlineMs: performance.now() + 20_000 };
+    const runs = [{ version: 1, tokens: 2 }];
+    const resume = { text: "1 2 ", tokens: 2, runs };
+    const result = await entry.completions.complete(call, { resume });
+    const answer = result.unwrap();
+    assert.equal(answer.text, "1 2 3 4 ");
+    assert.equal(answer.tokens, 4);
+    assert.deepEqual(answer.runs?.[0], { version: 1, tokens: 2 });
+    assert.deepEqual(engine.requests.map((each) => each.resume?.tokens), [2]);
+  });
+});
+
 for (const fault of ["foreign", "answer_again", "no_end_marker"] as const) {
   test(`an engine's fault ${fault} gives no caller a wrong answer`, async () => {
     const engine = new OracleEngine(4, [fault, fault]);
--- a/samples/entry_samples_test.ts
+++ b/samples/entry_samples_test.ts
@@ -8,6 +8,8 @@
   fail,
   type Failure,
   isFailure,
+  Ok,
+  type PartialAnswer,
   type Result,
 } from "#core";
 import {
@@ -152,6 +154,47 @@
   assert.equal(completions?.cancelled, 1);
 });
 
+/** The first run gives one token and stops; a run that goes on from them gives the rest. */
+class StoppingEngine extends OneSlowEngine {
+  readonly resumed: (PartialAnswer | undefined)[] = [];
+
+  override async complete(
+    call: CompletionCall,
+    options: CompletionOptions = {},
+  ): Promise<Result<CompletionAnswer, Failure>> {
+    if (call.avoid.length === 0) return await super.complete(call, options);
+    this.resumed.push(options.resume);
+    const before = options.resume ?? { text: "", tokens: 0, runs: [] };
+    return Ok({
+      text: `${before.text}bcd`,
+      tokens: before.tokens + 3,
+      runs: [...before.runs, { version: 4, tokens: 3 }],
+      upstream: "e2",
+      finishReason: "stop",
+    });
+  }
+}
+
+test("another run of a sample goes on from the tokens that the slow one made, and names both versions", async () => {
+  let completions: StoppingEngine | undefined;
+  const site = makeSite({
+    completions: (clock) => completions = new StoppingEngine(clock),
+  });
+  site.entries[0]?.start();
+  await site.call(0, "PUT /v1/trainers/tuner/steps/1", makeStep(8));
+  await site.clock.advanceAsync(4_000);
+  const page = pageOf(await site.call(0, "GET /v1/trainers/tuner/samples"));
+  assert.deepEqual(completions?.resumed, [
+    { text: "a", tokens: 1, runs: [{ version: 3, tokens: 1 }] },
+  ]);
+  const resumed = page.samples.find((sample) => sample.text === "abcd");
+  assert.deepEqual(resumed?.versions, [
+    { version: 3, tokens: 1 },
+    { version: 4, tokens: 3 },
+  ]);
+  assert.equal(site.entries[0]?.status().wastedPart, 0);
+});
+
 const BAD_REQUESTS = [
   ["PUT /v1/trainers/tuner/steps/1", makeStep(0), "invalid_step"],
   ["PUT /v1/trainers/tuner/steps/1", "{", "malformed_request"],
--- a/samples/sample_work.ts
+++ b/samples/sample_work.ts
@@ -14,6 +14,7 @@
   type Failure,
   type Milliseconds,
   Ok,
+  type PartialAnswer,
   type RandomSource,
   type Result,
   type TrainerEntry,
@@ -52,10 +53,18 @@
   readonly trainer: TrainerEntry;
 }
 
+const NOTHING: PartialAnswer = { text: "", tokens: 0, runs: [] };
+
 interface Attempt {
   readonly controller: AbortController;
   readonly startedAtMs: Milliseconds;
+  /** Run whose beginning this one went on with, and that beginning. */
+  readonly source: Attempt | null;
+  readonly resumed: PartialAnswer;
+  /** Beginning of the answer so far, or null once a chunk named no version. */
+  made: PartialAnswer | null;
   firstChunkAtMs: Milliseconds | null;
+  /** Tokens made by this run itself. */
   tokens: number;
   oldest: number;
   /** Engines that gave tokens, in order. */
@@ -114,14 +123,17 @@
     if (this.#attempts.size === 0) this.#finish(null, null);
   }
 
-  /** Starts another run on another engine. */
+  /** Starts another run on another engine, from the longest beginning made so far. */
   runAgain(): void {
     if (this.#resolve === null) return;
     const avoid: string[] = [];
+    let source: Attempt | null = null;
     for (const attempt of this.#attempts) {
       avoid.push(...attempt.upstreams);
+      const length = attempt.made?.tokens ?? 0;
+      if (length > (source?.made?.tokens ?? 0)) source = attempt;
     }
-    this.#launch(avoid);
+    this.#launch(avoid, source);
   }
 
   /** The sample as the straggler policy sees it, or null while no run is on. */
@@ -152,17 +164,21 @@
     this.#retryAfterMs = 0;
     return new Promise((resolve) => {
       this.#resolve = resolve;
-      this.#launch([]);
+      this.#launch([], null);
     });
   }
 
-  #launch(avoid: readonly string[]): void {
+  #launch(avoid: readonly string[], source: Attempt | null): void {
+    const resumed = source?.made ?? NOTHING;
     const attempt: Attempt = {
+      source,
+      resumed,
+      made: resumed,
       controller: new AbortController(),
       startedAtMs: this.#options.clock.nowMs(),
       firstChunkAtMs: null,
       tokens: 0,
-      oldest: Number.MAX_SAFE_INTEGER,
+      oldest: oldestOf(resumed),
       upstreams: new Set(),
     };
     this.#attempts.add(attempt);
@@ -193,6 +209,7 @@
     }, {
       onChunk: (chunk) => this.#progress(attempt, chunk),
       signal: attempt.controller.signal,
+      ...(attempt.resumed.tokens === 0 ? {} : { resume: attempt.resumed }),
     });
     if (!this.#attempts.has(attempt)) return;
     const told = await this.#withVersions(attempt, result);
@@ -224,6 +241,7 @@
     attempt.firstChunkAtMs ??= this.#options.clock.nowMs();
     attempt.tokens += chunk.tokens;
     attempt.upstreams.add(chunk.upstream);
+    attempt.made = extend(attempt.made, chunk);
     if (chunk.version === null) return;
     attempt.oldest = Math.min(attempt.oldest, chunk.version);
   }
@@ -261,9 +279,14 @@
     return false;
   }
 
-  #drop(attempt: Attempt): void {
+  /** Ends a run; tokens that the winner went on with are not wasted. */
+  #drop(attempt: Attempt, winner: Attempt | null = null): void {
     this.#attempts.delete(attempt);
-    this.#options.policy.wasted(attempt.tokens);
+    const used = winner === null
+      ? 0
+      : winner.resumed.tokens - attempt.resumed.tokens;
+    this.#options.policy.wasted(attempt.tokens - used);
+    if (used > 0) this.#options.policy.reused(used);
     attempt.controller.abort();
   }
 
@@ -271,18 +294,20 @@
     const resolve = this.#resolve;
     if (resolve === null) return;
     this.#resolve = null;
-    if (winner !== null && answer !== null) this.#record(winner, answer);
-    for (const attempt of this.#attempts) this.#drop(attempt);
+    if (winner !== null && answer !== null) this.#record(winner);
+    for (const attempt of this.#attempts) {
+      this.#drop(attempt, winner?.source === attempt ? winner : null);
+    }
     resolve(answer);
   }
 
-  #record(winner: Attempt, answer: CompletionAnswer): void {
+  #record(winner: Attempt): void {
     this.#attempts.delete(winner);
     const nowMs = this.#options.clock.nowMs();
     const firstMs = winner.firstChunkAtMs ?? nowMs;
     this.#options.policy.finished({
       model: this.#slot.group.model,
-      tokens: answer.tokens,
+      tokens: winner.tokens,
       waitedMs: firstMs - winner.startedAtMs,
       generatedMs: nowMs - firstMs,
     });
@@ -305,3 +330,30 @@
 function seedOf(key: string): number {
   return createHash("sha256").update(key).digest().readUInt32BE(0);
 }
+
+function oldestOf(partial: PartialAnswer): number {
+  return partial.runs.length === 0
+    ? Number.MAX_SAFE_INTEGER
+    : oldestVersion(partial.runs);
+}
+
+/** Adds a chunk to a beginning; null if the version of any token is not named. */
+function extend(
+  made: PartialAnswer | null,
+  chunk: CompletionChunk,
+): PartialAnswer | null {
+  if (made === null || chunk.version === null) return null;
+  const last = made.runs.at(-1);
+  const run = { version: chunk.version, tokens: chunk.tokens };
+  const runs = last?.version === chunk.version
+    ? [
+      ...made.runs.slice(0, -1),
+      { ...run, tokens: last.tokens + chunk.tokens },
+    ]
+    : [...made.runs, run];
+  return {
+    text: made.text + chunk.text,
+    tokens: made.tokens + chunk.tokens,
+    runs,
+  };
+}
--- a/samples/straggler_policy.ts
+++ b/samples/straggler_policy.ts
@@ -97,6 +97,11 @@
     this.#wastedTokens += tokens;
   }
 
+  /** Records tokens of an ended run that the winner went on with. */
+  reused(tokens: number): void {
+    this.#madeTokens += tokens;
+  }
+
   /** Tokens made and not used, over all tokens made. */
   wastedPart(): number {
     const all = this.#madeTokens + this.#wastedTokens;
