Take groups back with a repeated lease, and forget orders of engines that are gone

Cause: a lease sent again after a lost answer could give further groups back; the ledger answered with the old reply and the groups stayed leased to an entry that did not make them. Orders of replaced engines were never dropped. Change: groups given back are taken at any sequence in force; the coordinator forgets orders of engines not heard of for 10 minutes; a gauge of engines by model and state; a group whose work throws is given back. Mutations made, seen to fail, taken back: groups given back not taken; engines never gone.

--- a/proof/fuzz_orders_test.ts
+++ b/proof/fuzz_orders_test.ts
@@ -43,3 +43,17 @@
   assert.ok((waited.get(true) ?? 0) < ORDER_LIMIT_MS);
   assert.ok((waited.get(false) ?? 0) >= ORDER_LIMIT_MS);
 });
+
+test("orders of an engine that is gone for ten minutes are forgotten, those of others stay", async () => {
+  const clock = new VirtualClock(1_000);
+  const world = new OrdersWorld(clock, 2);
+  world.published = 2;
+  await clock.advanceAsync(20_000);
+  world.gone.add("e1");
+  await clock.advanceAsync(500_000);
+  assert.equal(world.orders.ask(null).unwrap().orders.length, 2);
+  await clock.advanceAsync(200_000);
+  for (const coordinator of world.coordinators) coordinator.stop();
+  const { orders } = world.orders.ask(null).unwrap();
+  assert.deepEqual(orders.map((order) => order.upstream), ["e0"]);
+});
--- a/proof/orders_world.ts
+++ b/proof/orders_world.ts
@@ -163,6 +163,8 @@
   readonly given: GivenOrder[] = [];
   readonly fates: OrderFate[] = [];
   readonly coordinators: WeightsCoordinator[] = [];
+  /** Engines that are no longer heard of. */
+  readonly gone = new Set<string>();
   published = 1;
   loseNextReply = false;
   leader = "control-1";
@@ -217,7 +219,11 @@
       log: new WorldLog(this, vm),
       bundle: () => bundle,
       upstreams: () =>
-        new Map(this.engines.map((engine) => [engine.id, engine.record])),
+        new Map(
+          this.engines
+            .filter((engine) => !this.gone.has(engine.id))
+            .map((engine) => [engine.id, engine.record]),
+        ),
       clock: this.clock,
       random,
       events: new MemoryEventLog(),
--- a/samples/generation.ts
+++ b/samples/generation.ts
@@ -208,7 +208,7 @@
     }
     const work = new GroupWork(this.#workOptions, { group, trainer });
     this.#work.set(key, work);
-    void work.run().then((outcome) => {
+    void work.run().catch(() => "refused" as const).then((outcome) => {
       if (this.#work.get(key) !== work) return;
       this.#work.delete(key);
       if (outcome === "refused") this.#returned.push(group);
--- a/samples/ledger_leases.ts
+++ b/samples/ledger_leases.ts
@@ -48,12 +48,12 @@
   if (sameEpoch && command.sequence < known.sequence) {
     return Err(fail("conflict", `lease ${command.sequence} is an old one`));
   }
+  if (!sameEpoch) freeGroups(state, command.holder);
+  takeBack(state, command);
   if (sameEpoch && command.sequence === known.sequence) {
     state.holders.set(known.holder, { ...known, renewedAtMs: state.atMs });
     return Ok(replyOf(state, known, true));
   }
-  if (!sameEpoch) freeGroups(state, command.holder);
-  takeBack(state, command);
   const holder = giveGroups(state, command, rules);
   state.holders.set(holder.holder, holder);
   return Ok(replyOf(state, holder, sameEpoch));
--- a/samples/ledger_machine_test.ts
+++ b/samples/ledger_machine_test.ts
@@ -25,6 +25,7 @@
   }
 
   lease(options: {
+    readonly returned?: readonly unknown[];
     readonly holder: string;
     readonly sequence: number;
     readonly limit: number;
@@ -158,6 +159,18 @@
   assert.equal(new Set(groups).size, 4);
 });
 
+test("a group given back with a repeated lease is open again", () => {
+  const ledger = new Ledger();
+  ledger.apply(makeStep("tuner", 2));
+  const lease = { holder: "entry-1", sequence: 1, limit: 2 };
+  ledger.lease(lease);
+  const returned = [{ trainer: "tuner", step: 1, group: 0 }];
+  const repeated = ledger.lease({ ...lease, returned });
+  assert.deepEqual(repeated.groups.map(({ group }) => group), [1]);
+  const other = ledger.lease({ ...lease, holder: "entry-2" });
+  assert.deepEqual(other.groups.map(({ group }) => group), [0]);
+});
+
 test("a restarted entry frees at once what it had, a silent one after its lease", () => {
   const ledger = new Ledger();
   ledger.apply(makeStep("tuner", 2));
--- a/weights/mod.ts
+++ b/weights/mod.ts
@@ -9,3 +9,4 @@
 export * from "./orders_machine.ts";
 export * from "./rollout_plan.ts";
 export * from "./weights_coordinator.ts";
+export { ORDER_LIMIT_MS } from "./leadership.ts";
--- a/weights/weights_coordinator.ts
+++ b/weights/weights_coordinator.ts
@@ -21,15 +21,23 @@
 import { announcedVersion, EngineMemory, isWished } from "./engine_memory.ts";
 import { type EnginePort, HttpEnginePort } from "./engine_port.ts";
 import { WEIGHTS_EVENTS } from "./events.ts";
+import {
+  beginLeadership,
+  firstOrderMs,
+  forgetEngines,
+  keyOf,
+  type Leadership,
+  ORDER_LIMIT_MS,
+} from "./leadership.ts";
 import type { OrdersReply, Wish } from "./orders_machine.ts";
 import { type RolloutPlan, WavePlan } from "./rollout_plan.ts";
 
-/** An order that got no answer within this time is read back and given again. */
-export const ORDER_LIMIT_MS: Milliseconds = 2_000;
 const TICK_MS: Milliseconds = 100;
 /** An order with less time left under the lease isn't begun. */
 const SHORTEST_ORDER_MS: Milliseconds = 50;
 const READ_LIMIT_MS: Milliseconds = 2_000;
+/** Most engines forgotten at once. */
+const FORGET_BATCH = 1_024;
 /** Most readings at once. */
 const MAXIMUM_READINGS = 128;
 
@@ -67,17 +75,6 @@
   readonly models: readonly ModelRollout[];
 }
 
-interface Leadership {
-  readonly sinceMs: Milliseconds;
-  readonly memories: Map<string, EngineMemory>;
-  readonly plans: Map<string, RolloutPlan>;
-  readonly done: Map<string, number>;
-  orders: Map<string, OrderView>;
-  /** Wishes whose fence an engine refused: they are committed again for a newer one. */
-  readonly refused: Set<string>;
-  readings: number;
-}
-
 /** Gives orders while this VM leads. */
 export class WeightsCoordinator {
   readonly #options: WeightsCoordinatorOptions;
@@ -86,9 +83,15 @@
   #leadership: Leadership | null = null;
   #rollouts: readonly ModelRollout[] = [];
   #busy = false;
+  readonly #gauge;
 
   constructor(options: WeightsCoordinatorOptions) {
     this.#options = options;
+    this.#gauge = options.metrics.gauge({
+      name: "cicadafield_rollout_engines",
+      help: "Engines of a model by state, on the leading control VM.",
+      labels: ["model", "state"],
+    });
     this.#engines = options.engines ?? new HttpEnginePort(options);
   }
 
@@ -143,6 +146,23 @@
       rollouts.push(await this.#rollOut(leadership, model, version));
     }
     this.#rollouts = rollouts;
+    await this.#forget(leadership);
+  }
+
+  /** Drops the orders of engines that are gone, so that their number stays bounded. */
+  async #forget(leadership: Leadership): Promise<void> {
+    const gone = leadership.goneEngines.find({
+      ordered: [...leadership.orders.values()].map((order) => order.upstream),
+      known: this.#options.upstreams(),
+      nowMs: this.#options.clock.nowMs(),
+    });
+    if (gone.length === 0) return;
+    const upstreams = gone.slice(0, FORGET_BATCH);
+    const reply = await this.#options.log.propose({
+      machine: "orders",
+      command: { kind: "forget", upstreams },
+    });
+    if (reply.ok) forgetEngines(leadership, new Set(upstreams));
   }
 
   #loseLeadership(): void {
@@ -156,15 +176,7 @@
     const answer = await log.query({ machine: "orders", question: null });
     if (answer.err) return null;
     const { orders } = answer.val as OrdersReply;
-    const leadership: Leadership = {
-      sinceMs: clock.nowMs(),
-      memories: new Map(),
-      plans: new Map(),
-      done: new Map(),
-      orders: new Map(orders.map((order) => [keyOf(order), order])),
-      refused: new Set(),
-      readings: 0,
-    };
+    const leadership = beginLeadership(orders, clock.nowMs());
     this.#leadership = leadership;
     events.emit(WEIGHTS_EVENTS.leadershipTaken, { orders: orders.length });
     return leadership;
@@ -212,6 +224,9 @@
     if (wishes.length > 0) await this.#order(leadership, wishes);
     const serving = engines.filter((view) => view.serving === version).length;
     const loading = engines.filter((view) => view.loading !== null).length;
+    this.#gauge.set({ model: model.name, state: "serving" }, serving);
+    this.#gauge.set({ model: model.name, state: "loading" }, loading);
+    this.#gauge.set({ model: model.name, state: "all" }, memories.length);
     if (memories.length > 0 && serving === memories.length) {
       this.#noteDone(leadership, model.name, version);
     }
@@ -341,18 +356,3 @@
     memory.orderFailed(clock.nowMs());
   }
 }
-
-/** An engine that ignores fences gets no order until the old leader's last one has ended. */
-function firstOrderMs(
-  leadership: Leadership,
-  record: UpstreamRecord,
-): Milliseconds {
-  if (record.enforcesFences) return leadership.sinceMs;
-  return leadership.sinceMs + ORDER_LIMIT_MS;
-}
-
-function keyOf(
-  wish: { readonly upstream: string; readonly model: string },
-): string {
-  return JSON.stringify([wish.upstream, wish.model]);
-}
