Split large files of samples and weights; test that doomed runs end

Change: operations and run of the ledger fuzz, the engine of the orders world and the reading of published versions stand in files of their own; the ledger fuzz gives groups back too. Mutation made, seen to fail, taken back: runs with tokens of a version that a publication made too old are not ended.

--- a/proof/fuzz_ledger.ts
+++ b/proof/fuzz_ledger.ts
@@ -5,128 +5,28 @@
  * @module
  */
 import assert from "node:assert/strict";
-import { type Failure, type Result, type TrainerEntry } from "#core";
 import {
   formatCursor,
   HOLDER_LEASE_MS,
   type LeasedGroup,
-  LedgerMachine,
-  type LedgerReply,
   type SubmitCommand,
 } from "#samples";
 import { decodeValue, encodeValue } from "#wire";
 import fc from "fast-check";
 import type { FuzzOptions } from "./fuzz.ts";
+import { type Operation, operations, TRAINERS } from "./ledger_operations.ts";
 import {
   groupKey,
-  LedgerOracle,
+  type LedgerOracle,
   MAXIMUM_STALENESS,
   MODEL_OF,
 } from "./ledger_oracle.ts";
+import { LedgerRun, makeMachine } from "./ledger_run.ts";
 
-const TRAINERS = [...MODEL_OF.keys()];
-const HOLDERS = ["entry-1", "entry-2", "entry-3"];
 const MOST_UNFINISHED_STEPS = 4;
 const PAGES_KEPT = 4;
 const MOST_COMMANDS = 60;
 
-/** What the fuzzer may do. */
-type Operation =
-  | {
-    readonly kind: "submit";
-    readonly trainer: string;
-    readonly step: number;
-    readonly groups: number;
-    readonly size: number;
-    readonly bound: number;
-  }
-  | {
-    readonly kind: "lease";
-    readonly holder: string;
-    readonly limit: number;
-    readonly again: boolean;
-    readonly restarted: boolean;
-  }
-  | {
-    readonly kind: "commit";
-    readonly pick: number;
-    readonly age: number;
-    readonly twice: boolean;
-  }
-  | {
-    readonly kind: "publish";
-    readonly trainer: string;
-    readonly step: number;
-  }
-  | {
-    readonly kind: "deliver";
-    readonly trainer: string;
-    readonly back: number;
-    readonly limit: number;
-  }
-  | {
-    readonly kind: "bad_cursor";
-    readonly trainer: string;
-    readonly by: number;
-  }
-  | { readonly kind: "release"; readonly holder: string }
-  | { readonly kind: "wait"; readonly forMs: number }
-  | { readonly kind: "restart" };
-
-class LedgerRun {
-  readonly oracle = new LedgerOracle();
-  readonly work: LeasedGroup[] = [];
-  readonly epochs = new Map<string, number>();
-  readonly sequences = new Map<string, number>();
-  readonly lastGiven = new Map<string, string>();
-  machine = makeMachine();
-  index = 0;
-  nowMs = 1_000;
-  marks = 0;
-
-  apply(command: unknown): Result<LedgerReply, Failure> {
-    this.index += 1;
-    const wire = decodeValue(encodeValue(command));
-    return this.machine.apply({
-      index: this.index,
-      atMs: this.nowMs,
-      command: wire,
-    });
-  }
-
-  /** Applies a command that must be refused and change nothing but the time. */
-  refuse(command: unknown, kind: string): void {
-    const before = this.#state();
-    const reply = this.apply(command);
-    assert.ok(reply.err, `${JSON.stringify(command)} was not refused`);
-    assert.equal(reply.val.kind, kind);
-    assert.deepEqual(this.#state(), before);
-  }
-
-  #state(): Uint8Array {
-    const state = this.machine.snapshot() as Readonly<Record<string, unknown>>;
-    return encodeValue({ ...state, atMs: 0 });
-  }
-}
-
-function makeMachine(): LedgerMachine {
-  return new LedgerMachine({
-    rules: (name) => {
-      const model = MODEL_OF.get(name);
-      if (model === undefined) return null;
-      return {
-        name,
-        tenant: "tana",
-        class: "drafting",
-        model,
-        scorer: "scorer",
-        weight: 1,
-        maximumStaleness: MAXIMUM_STALENESS,
-      } satisfies TrainerEntry;
-    },
-  });
-}
-
 class OperationCommand implements fc.Command<LedgerOracle, LedgerRun> {
   readonly operation: Operation;
 
@@ -215,13 +115,18 @@
   const repeats = operation.again && last > 0;
   const sequence = repeats ? last : last + 1;
   run.sequences.set(holder, sequence);
+  const newest = operation.givesBack ? run.work.at(-1) : undefined;
   const reply = run.apply({
     kind: "lease",
     holder,
     epoch: `epoch-${run.epochs.get(holder) ?? 0}`,
     sequence,
     limit: operation.limit,
-    returned: [],
+    returned: newest === undefined ? [] : [{
+      trainer: newest.trainer,
+      step: newest.step,
+      group: newest.group,
+    }],
   });
   assert.ok(reply.ok && reply.val.kind === "leased");
   for (const group of reply.val.groups) {
@@ -406,57 +311,6 @@
   }
 }
 
-function operations(): fc.Arbitrary<Operation> {
-  const trainer = fc.constantFrom(...TRAINERS);
-  const holder = fc.constantFrom(...HOLDERS);
-  const plain = { noNullPrototype: true };
-  return fc.oneof(
-    fc.record({
-      kind: fc.constant("submit" as const),
-      trainer,
-      step: fc.integer({ min: 1, max: 6 }),
-      groups: fc.integer({ min: 1, max: 3 }),
-      size: fc.integer({ min: 1, max: 3 }),
-      bound: fc.integer({ min: 0, max: 3 }),
-    }, plain),
-    fc.record({
-      kind: fc.constant("lease" as const),
-      holder,
-      limit: fc.integer({ min: 0, max: 4 }),
-      again: fc.boolean(),
-      restarted: fc.boolean(),
-    }, plain),
-    fc.record({
-      kind: fc.constant("commit" as const),
-      pick: fc.nat(20),
-      age: fc.integer({ min: 0, max: 3 }),
-      twice: fc.boolean(),
-    }, plain),
-    fc.record({
-      kind: fc.constant("publish" as const),
-      trainer,
-      step: fc.integer({ min: -1, max: 2 }),
-    }, plain),
-    fc.record({
-      kind: fc.constant("deliver" as const),
-      trainer,
-      back: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: 8 })),
-      limit: fc.integer({ min: 1, max: 6 }),
-    }, plain),
-    fc.record({
-      kind: fc.constant("bad_cursor" as const),
-      trainer,
-      by: fc.integer({ min: 1, max: 9 }),
-    }, plain),
-    fc.record({ kind: fc.constant("release" as const), holder }, plain),
-    fc.record({
-      kind: fc.constant("wait" as const),
-      forMs: fc.constantFrom(10, 1_000, HOLDER_LEASE_MS + 1),
-    }, plain),
-    fc.record({ kind: fc.constant("restart" as const) }, plain),
-  );
-}
-
 /** Runs the fuzz; throws with the seed and the shrunk commands. */
 export function fuzz(options: FuzzOptions): Promise<void> {
   const commands = fc.commands(
--- /dev/null
+++ b/proof/ledger_operations.ts
@@ -0,0 +1,110 @@
+/**
+ * What the fuzz of the ledger may do.
+ *
+ * @module
+ */
+import { HOLDER_LEASE_MS } from "#samples";
+import fc from "fast-check";
+import { MODEL_OF } from "./ledger_oracle.ts";
+
+/** Trainers of the fuzz. */
+export const TRAINERS: readonly string[] = [...MODEL_OF.keys()];
+const HOLDERS = ["entry-1", "entry-2", "entry-3"];
+
+/** One operation. */
+export type Operation =
+  | {
+    readonly kind: "submit";
+    readonly trainer: string;
+    readonly step: number;
+    readonly groups: number;
+    readonly size: number;
+    readonly bound: number;
+  }
+  | {
+    readonly kind: "lease";
+    readonly holder: string;
+    readonly limit: number;
+    readonly again: boolean;
+    readonly restarted: boolean;
+    /** Whether the newest group that anybody got is given back. */
+    readonly givesBack: boolean;
+  }
+  | {
+    readonly kind: "commit";
+    readonly pick: number;
+    readonly age: number;
+    readonly twice: boolean;
+  }
+  | {
+    readonly kind: "publish";
+    readonly trainer: string;
+    readonly step: number;
+  }
+  | {
+    readonly kind: "deliver";
+    readonly trainer: string;
+    readonly back: number;
+    readonly limit: number;
+  }
+  | {
+    readonly kind: "bad_cursor";
+    readonly trainer: string;
+    readonly by: number;
+  }
+  | { readonly kind: "release"; readonly holder: string }
+  | { readonly kind: "wait"; readonly forMs: number }
+  | { readonly kind: "restart" };
+
+/** Any operation. */
+export function operations(): fc.Arbitrary<Operation> {
+  const trainer = fc.constantFrom(...TRAINERS);
+  const holder = fc.constantFrom(...HOLDERS);
+  const plain = { noNullPrototype: true };
+  return fc.oneof(
+    fc.record({
+      kind: fc.constant("submit" as const),
+      trainer,
+      step: fc.integer({ min: 1, max: 6 }),
+      groups: fc.integer({ min: 1, max: 3 }),
+      size: fc.integer({ min: 1, max: 3 }),
+      bound: fc.integer({ min: 0, max: 3 }),
+    }, plain),
+    fc.record({
+      kind: fc.constant("lease" as const),
+      holder,
+      limit: fc.integer({ min: 0, max: 4 }),
+      again: fc.boolean(),
+      restarted: fc.boolean(),
+      givesBack: fc.boolean(),
+    }, plain),
+    fc.record({
+      kind: fc.constant("commit" as const),
+      pick: fc.nat(20),
+      age: fc.integer({ min: 0, max: 3 }),
+      twice: fc.boolean(),
+    }, plain),
+    fc.record({
+      kind: fc.constant("publish" as const),
+      trainer,
+      step: fc.integer({ min: -1, max: 2 }),
+    }, plain),
+    fc.record({
+      kind: fc.constant("deliver" as const),
+      trainer,
+      back: fc.oneof(fc.constant(0), fc.integer({ min: 0, max: 8 })),
+      limit: fc.integer({ min: 1, max: 6 }),
+    }, plain),
+    fc.record({
+      kind: fc.constant("bad_cursor" as const),
+      trainer,
+      by: fc.integer({ min: 1, max: 9 }),
+    }, plain),
+    fc.record({ kind: fc.constant("release" as const), holder }, plain),
+    fc.record({
+      kind: fc.constant("wait" as const),
+      forMs: fc.constantFrom(10, 1_000, HOLDER_LEASE_MS + 1),
+    }, plain),
+    fc.record({ kind: fc.constant("restart" as const) }, plain),
+  );
+}
--- /dev/null
+++ b/proof/ledger_run.ts
@@ -0,0 +1,67 @@
+/**
+ * One run of the ledger's fuzz: the machine, its oracle and what the entries hold.
+ *
+ * @module
+ */
+import assert from "node:assert/strict";
+import type { Failure, Result, TrainerEntry } from "#core";
+import { type LeasedGroup, LedgerMachine, type LedgerReply } from "#samples";
+import { decodeValue, encodeValue } from "#wire";
+import { LedgerOracle, MAXIMUM_STALENESS, MODEL_OF } from "./ledger_oracle.ts";
+
+/** The ledger under test, driven through encoded commands. */
+export class LedgerRun {
+  readonly oracle = new LedgerOracle();
+  readonly work: LeasedGroup[] = [];
+  readonly epochs = new Map<string, number>();
+  readonly sequences = new Map<string, number>();
+  readonly lastGiven = new Map<string, string>();
+  machine = makeMachine();
+  index = 0;
+  nowMs = 1_000;
+  marks = 0;
+
+  /** Applies a command as it comes from another VM. */
+  apply(command: unknown): Result<LedgerReply, Failure> {
+    this.index += 1;
+    const wire = decodeValue(encodeValue(command));
+    return this.machine.apply({
+      index: this.index,
+      atMs: this.nowMs,
+      command: wire,
+    });
+  }
+
+  /** Applies a command that must be refused and change nothing but the time. */
+  refuse(command: unknown, kind: string): void {
+    const before = this.#state();
+    const reply = this.apply(command);
+    assert.ok(reply.err, `${JSON.stringify(command)} was not refused`);
+    assert.equal(reply.val.kind, kind);
+    assert.deepEqual(this.#state(), before);
+  }
+
+  #state(): Uint8Array {
+    const state = this.machine.snapshot() as Readonly<Record<string, unknown>>;
+    return encodeValue({ ...state, atMs: 0 });
+  }
+}
+
+/** A ledger without content. */
+export function makeMachine(): LedgerMachine {
+  return new LedgerMachine({
+    rules: (name) => {
+      const model = MODEL_OF.get(name);
+      if (model === undefined) return null;
+      return {
+        name,
+        tenant: "tana",
+        class: "drafting",
+        model,
+        scorer: "scorer",
+        weight: 1,
+        maximumStaleness: MAXIMUM_STALENESS,
+      } satisfies TrainerEntry;
+    },
+  });
+}
--- a/proof/orders_world.ts
+++ b/proof/orders_world.ts
@@ -21,20 +21,14 @@
   type RandomSource,
   type Result,
   SeededRandom,
-  type UpstreamRecord,
   type VirtualClock,
 } from "#core";
 import type { EngineState } from "#samples";
+import { MODEL, NETWORK_MS, WorldEngine } from "./world_engine.ts";
 import { EnginePort, OrdersMachine, WeightsCoordinator } from "#weights";
 
 /** Longest time of a lease that is no longer renewed. */
 export const LEASE_MS: Milliseconds = 1_000;
-/** Name of the one model. */
-export const MODEL = "advice";
-const LOAD_MS: Milliseconds = 400;
-const ANNOUNCE_MS: Milliseconds = 500;
-const NETWORK_MS: Milliseconds = 2;
-const ZONES = ["a", "b"];
 
 /** What the network does to one order. */
 export interface OrderFate {
@@ -52,101 +46,6 @@
   lateMs: 0,
 };
 
-/** One engine. */
-export class WorldEngine {
-  readonly id: string;
-  readonly enforcesFences: boolean;
-  readonly zone: string;
-  incarnation = 1;
-  version = 1;
-  fence = 0;
-  state: "serving" | "loading" | "failed" = "serving";
-  failNext = 0;
-  record: UpstreamRecord;
-  #wished = 1;
-  #attempt = 0;
-  #sequence = 0;
-  readonly #clock: VirtualClock;
-
-  constructor(clock: VirtualClock, number: number) {
-    this.#clock = clock;
-    this.id = `e${number}`;
-    this.zone = ZONES[number % ZONES.length] ?? "a";
-    this.enforcesFences = number % 2 === 0;
-    this.record = this.#makeRecord();
-    clock.every(ANNOUNCE_MS, () => {
-      const record = this.#makeRecord();
-      clock.after(NETWORK_MS, () => this.record = record);
-    });
-  }
-
-  /** Takes an order; false if it is refused. */
-  take(order: OrderView): boolean {
-    if (this.enforcesFences && order.fence < this.fence) return false;
-    this.fence = order.fence;
-    const known = order.version === this.#wished && this.state !== "failed";
-    if (known) return true;
-    this.#wished = order.version;
-    this.#attempt += 1;
-    const attempt = this.#attempt;
-    this.state = "loading";
-    this.#clock.after(LOAD_MS, () => {
-      if (attempt !== this.#attempt) return;
-      if (this.failNext > 0) {
-        this.failNext -= 1;
-        this.state = "failed";
-        return;
-      }
-      this.version = order.version;
-      this.state = "serving";
-    });
-    return true;
-  }
-
-  /** Starts again with the first version and without a fence. */
-  restart(): void {
-    this.incarnation += 1;
-    this.#attempt += 1;
-    this.version = 1;
-    this.#wished = 1;
-    this.fence = 0;
-    this.state = "serving";
-  }
-
-  /** What it answers when read. */
-  read(): EngineState {
-    const { id, incarnation, fence, version, state } = this;
-    return {
-      id,
-      incarnation,
-      fence,
-      models: [{ model: MODEL, version, state }],
-    };
-  }
-
-  #makeRecord(): UpstreamRecord {
-    this.#sequence += 1;
-    const serves = this.state === "failed"
-      ? []
-      : [{ model: MODEL, version: this.version }];
-    return {
-      id: this.id,
-      incarnation: this.incarnation,
-      zone: this.zone,
-      address: { host: this.id, port: 1 },
-      role: "engine",
-      serves,
-      services: [],
-      capacity: 4,
-      enforcesFences: this.enforcesFences,
-      reportsVersions: true,
-      sequence: this.#sequence,
-      leaving: false,
-      expiresAtMs: Number.MAX_SAFE_INTEGER,
-    };
-  }
-}
-
 /** An order as it was given, for checks. */
 export interface GivenOrder {
   readonly vm: string;
--- a/samples/entry_samples_test.ts
+++ b/samples/entry_samples_test.ts
@@ -152,6 +152,23 @@
   assert.equal(completions?.cancelled, 1);
 });
 
+test("a run that a new version makes too old is ended at once and made again", async () => {
+  let completions: OneSlowEngine | undefined;
+  const site = makeSite({
+    completions: (clock) => completions = new OneSlowEngine(clock),
+  });
+  site.entries[0]?.start();
+  await site.call(0, "PUT /v1/trainers/tuner/steps/1", makeStep(1, 1));
+  await site.clock.advanceAsync(1_000);
+  assert.equal(completions?.cancelled, 0);
+  await site.call(0, "PUT /v1/trainers/tuner/versions/5", {});
+  completions.version = 5;
+  await site.clock.advanceAsync(3_000);
+  assert.equal(completions.cancelled, 1);
+  const page = pageOf(await site.call(0, "GET /v1/trainers/tuner/samples"));
+  assert.deepEqual(page.samples[0]?.versions, [{ version: 5, tokens: 4 }]);
+});
+
 const BAD_REQUESTS = [
   ["PUT /v1/trainers/tuner/steps/1", makeStep(0), "invalid_step"],
   ["PUT /v1/trainers/tuner/steps/1", "{", "malformed_request"],
--- a/weights/weights_coordinator.ts
+++ b/weights/weights_coordinator.ts
@@ -17,7 +17,6 @@
   Timer,
   UpstreamRecord,
 } from "#core";
-import type { LedgerAnswer } from "#samples";
 import { announcedVersion, EngineMemory, isWished } from "./engine_memory.ts";
 import { type EnginePort, HttpEnginePort } from "./engine_port.ts";
 import { WEIGHTS_EVENTS } from "./events.ts";
@@ -30,6 +29,7 @@
   ORDER_LIMIT_MS,
 } from "./leadership.ts";
 import type { OrdersReply, Wish } from "./orders_machine.ts";
+import { publishedVersions } from "./published_versions.ts";
 import { type RolloutPlan, WavePlan } from "./rollout_plan.ts";
 
 const TICK_MS: Milliseconds = 100;
@@ -137,7 +137,7 @@
     }
     const leadership = this.#leadership ?? await this.#takeLeadership();
     if (leadership === null) return;
-    const published = await this.#published();
+    const published = await publishedVersions(log);
     if (published === null || this.#leadership !== leadership) return;
     const rollouts: ModelRollout[] = [];
     for (const model of this.#models()) {
@@ -182,19 +182,6 @@
     return leadership;
   }
 
-  async #published(): Promise<ReadonlyMap<string, number> | null> {
-    const answer = await this.#options.log.query({
-      machine: "ledger",
-      question: { kind: "published" },
-    });
-    if (answer.err) return null;
-    const { published } = answer.val as Extract<
-      LedgerAnswer,
-      { readonly kind: "published" }
-    >;
-    return new Map(published.map((entry) => [entry.model, entry.version]));
-  }
-
   #models(): readonly ModelEntry[] {
     return this.#options.bundle()?.signed.bundle.models ?? [];
   }
