Limit the requests that one connection sends ahead

Cause: answers of one connection are made in turn, so that requests sent ahead waited in memory without a bound. Change: beyond 64 requests ahead the further ones are dropped unread, and the connection is closed after the last answer; finding routes and dropping bodies moved out of the server module. Ruled out: breaking the connection at once, since that would cut off the answers to the first ones.

--- a/programs/connection_table.ts
+++ b/programs/connection_table.ts
@@ -12,6 +12,8 @@
   bytesAtRest: number;
   served: boolean;
   answering: boolean;
+  /** Whether requests were dropped because too many were sent ahead. */
+  overrun: boolean;
   /** Settles when the answer before the next request is whole. */
   turn: Promise<void>;
 }
@@ -19,8 +21,14 @@
 /** Knows of each connection whether it rests between two requests. */
 export class ConnectionTable {
   readonly #connections = new Map<Socket, Connection>();
+  readonly #maximumAhead: number;
   #closing = false;
 
+  /** A table whose connections take at most `maximumAhead` requests before the first is answered. */
+  constructor(maximumAhead: number) {
+    this.#maximumAhead = maximumAhead;
+  }
+
   /** Follows a connection until it closes. */
   add(socket: Socket): void {
     this.#connections.set(socket, {
@@ -28,6 +36,7 @@
       bytesAtRest: 0,
       served: false,
       answering: false,
+      overrun: false,
       turn: Promise.resolve(),
     });
     socket.once("close", () => this.#connections.delete(socket));
@@ -52,6 +61,11 @@
     return (this.#connections.get(socket)?.unanswered ?? 1) <= 1;
   }
 
+  /** Whether requests of the connection were dropped, so that it must end after its last answer. */
+  isOverrun(socket: Socket): boolean {
+    return this.#connections.get(socket)?.overrun ?? false;
+  }
+
   /** Notes that an answer is being written, so that no other bytes may go to the connection. */
   startAnswer(socket: Socket): void {
     const connection = this.#connections.get(socket);
@@ -66,7 +80,12 @@
   /** Runs `work` for a request after the answers to earlier ones on its connection are whole. */
   async inTurn(socket: Socket, work: () => Promise<void>): Promise<void> {
     const connection = this.#connections.get(socket);
-    if (connection === undefined) return;
+    if (connection === undefined || connection.overrun) return;
+    if (connection.unanswered >= this.#maximumAhead) {
+      connection.overrun = true;
+      socket.pause();
+      return;
+    }
     connection.unanswered += 1;
     const before = connection.turn;
     const mine = before.then(() => socket.destroyed ? undefined : work())
--- a/programs/http_limits.ts
+++ b/programs/http_limits.ts
@@ -18,6 +18,8 @@
   readonly maximumHeaderBytes: Bytes;
   /** Open connections; more are closed at once. */
   readonly maximumConnections: number;
+  /** Requests that one connection sends before the first is answered; it is closed after those. */
+  readonly maximumRequestsAhead: number;
   /** Time for the headers of a request to arrive. */
   readonly headersTimeoutMs: Milliseconds;
   /** Time for a whole request to arrive. */
@@ -35,6 +37,7 @@
   maximumBodyBytes: 4 * MEBIBYTE,
   maximumHeaderBytes: 16 * KIBIBYTE,
   maximumConnections: 2_048,
+  maximumRequestsAhead: 64,
   headersTimeoutMs: 10 * SECOND_MS,
   requestTimeoutMs: 30 * SECOND_MS,
   keepAliveMs: 60 * SECOND_MS,
--- a/programs/http_limits_test.ts
+++ b/programs/http_limits_test.ts
@@ -223,3 +223,15 @@
     );
   });
 });
+
+test("a connection that sends too many requests ahead gets the first answers and is closed", async () => {
+  await withServer(
+    { limits: { maximumRequestsAhead: 3 } },
+    async ({ address }) => {
+      const one = "GET /echo/a HTTP/1.1\r\nHost: h\r\n\r\n";
+      const raw = await exchange(address, one.repeat(50));
+      assert.equal(raw.split("HTTP/1.1 200 OK").length - 1, 3);
+      await expectService(address);
+    },
+  );
+});
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -16,18 +16,14 @@
   type Address,
   type Bytes,
   type Clock,
-  Err,
   type EventLog,
   fail,
   type Failure,
   type HttpAnswer,
-  type HttpCall,
   type HttpRoute,
   type Metrics,
   type Milliseconds,
-  Ok,
   type RandomSource,
-  type Result,
   SECOND_MS,
 } from "#core";
 import { writeAnswer, type WriteOutcome } from "./answer_writer.ts";
@@ -36,9 +32,13 @@
 import { failureAnswer } from "./failure_answer.ts";
 import type { HttpLimits } from "./http_limits.ts";
 import { type ClientError, clientFailure, refuseRaw } from "./raw_refusal.ts";
-import { announcesTooMuch, bodyTooLarge, readBody } from "./request_body.ts";
-import { type CheckedRequest, checkRequest } from "./request_check.ts";
-import { type RouteMatch, RouteTable } from "./route_table.ts";
+import {
+  announcesTooMuch,
+  bodyTooLarge,
+  dropRest,
+  readBody,
+} from "./request_body.ts";
+import { buildCall, type FoundRoute, RouteFinder } from "./route_finder.ts";
 
 const TIMEOUT_CHECKS_PER_TIMEOUT = 4;
 const UNMATCHED_ROUTE = "unmatched";
@@ -57,8 +57,6 @@
   readonly metrics: Metrics;
 }
 
-type FoundRoute = RouteMatch & CheckedRequest;
-
 interface Exchange {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
@@ -79,15 +77,17 @@
 export class HttpServer {
   readonly #options: HttpServerOptions;
   readonly #server: Server;
-  readonly #connections = new ConnectionTable();
+  readonly #connections: ConnectionTable;
   readonly #latency;
   readonly #answers;
-  #routes: readonly HttpRoute[] = [];
-  #table = new RouteTable([]);
+  readonly #routes: RouteFinder;
   #draining = false;
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
+    this.#connections = new ConnectionTable(
+      options.limits.maximumRequestsAhead,
+    );
     this.#latency = options.metrics.latency({
       name: "cicadafield_http_seconds",
       help: "Time from the headers of a request to the end of its answer.",
@@ -98,6 +98,7 @@
       help: "Answers by route and status.",
       labels: ["route", "status"],
     });
+    this.#routes = new RouteFinder(options.routes);
     this.#server = createServer(nodeOptions(options.limits));
     this.#prepare();
   }
@@ -222,7 +223,7 @@
   }
 
   async #serve(exchange: Exchange): Promise<void> {
-    const found = this.#find(exchange.request);
+    const found = this.#routes.find(exchange.request);
     const route = found.ok ? found.val.route.name : UNMATCHED_ROUTE;
     const answer = found.ok
       ? await this.#answer(exchange, found.val)
@@ -235,29 +236,6 @@
     );
   }
 
-  #find(request: IncomingMessage): Result<FoundRoute, HttpAnswer> {
-    const checked = checkRequest(request);
-    if (checked.err) return Err(failureAnswer(checked.val));
-    const found = this.#currentTable().find({
-      method: request.method ?? "GET",
-      path: checked.val.path,
-    });
-    if (found.ok) return Ok({ ...checked.val, ...found.val });
-    const answer = failureAnswer(found.val.failure);
-    if (found.val.allow.length === 0) return Err(answer);
-    const headers = { ...answer.headers, Allow: found.val.allow.join(", ") };
-    return Err({ ...answer, headers });
-  }
-
-  #currentTable(): RouteTable {
-    const routes = this.#options.routes();
-    if (routes !== this.#routes) {
-      this.#routes = routes;
-      this.#table = new RouteTable(routes);
-    }
-    return this.#table;
-  }
-
   async #answer(exchange: Exchange, found: FoundRoute): Promise<HttpAnswer> {
     const { request, response } = exchange;
     const maximumBytes = this.#maximumBodyBytes();
@@ -311,31 +289,24 @@
     const { request, response } = exchange;
     this.#connections.startAnswer(request.socket);
     const leftover = !request.complete;
-    const closeAfter = leftover ||
-      (this.#draining && this.#connections.isLast(request.socket));
+    const closeAfter = leftover || this.#endsAfter(request.socket);
     const outcome = await writeAnswer(response, answer, {
       clock: this.#options.clock,
       sendStallMs: this.#options.limits.sendStallMs,
       closeAfter,
-      ...(leftover ? { beforeEnd: () => this.#linger(request) } : {}),
+      ...(leftover ? { beforeEnd: () => this.#dropRest(request) } : {}),
     });
     this.#report(outcome);
   }
 
-  #linger(request: IncomingMessage): Promise<void> {
-    return new Promise((resolve) => {
-      const finish = (): void => {
-        timer.cancel();
-        resolve();
-      };
-      const timer = this.#options.clock.after(
-        this.#options.limits.lingerMs,
-        finish,
-      );
-      request.once("end", finish);
-      request.once("close", finish);
-      request.resume();
-    });
+  #endsAfter(socket: Socket): boolean {
+    if (!this.#connections.isLast(socket)) return false;
+    return this.#draining || this.#connections.isOverrun(socket);
+  }
+
+  #dropRest(request: IncomingMessage): Promise<void> {
+    const { clock, limits } = this.#options;
+    return dropRest(request, { clock, lingerMs: limits.lingerMs });
   }
 
   #report(outcome: WriteOutcome): void {
@@ -370,23 +341,3 @@
     requireHostHeader: false,
   };
 }
-
-function buildCall(
-  request: IncomingMessage,
-  parts: {
-    readonly found: FoundRoute;
-    readonly body: Uint8Array;
-    readonly signal: AbortSignal;
-  },
-): HttpCall {
-  const { path, query, headers, parameters } = parts.found;
-  return {
-    method: request.method ?? "GET",
-    path,
-    parameters,
-    query,
-    headers,
-    body: parts.body,
-    signal: parts.signal,
-  };
-}
--- a/programs/request_body.ts
+++ b/programs/request_body.ts
@@ -4,7 +4,16 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
-import { type Bytes, Err, fail, type Failure, Ok, type Result } from "#core";
+import {
+  type Bytes,
+  type Clock,
+  Err,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type Result,
+} from "#core";
 
 /** Tells whether the announced length is over the limit, before any byte is read. */
 export function announcesTooMuch(
@@ -58,6 +67,23 @@
   });
 }
 
+/** Reads and drops the rest of a refused body for a while, so that its caller sees the refusal. */
+export function dropRest(
+  request: IncomingMessage,
+  options: { readonly clock: Clock; readonly lingerMs: Milliseconds },
+): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = (): void => {
+      timer.cancel();
+      resolve();
+    };
+    const timer = options.clock.after(options.lingerMs, finish);
+    request.once("end", finish);
+    request.once("close", finish);
+    request.resume();
+  });
+}
+
 function goneAway(): Failure {
   return fail("cancelled", "the caller went away before its body was whole", {
     ran: "no",
--- /dev/null
+++ b/programs/route_finder.ts
@@ -0,0 +1,76 @@
+/**
+ * Finds the route of a request as Node received it, and builds the call that the route is given.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import {
+  Err,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpRoute,
+  Ok,
+  type Result,
+} from "#core";
+import { failureAnswer } from "./failure_answer.ts";
+import { type CheckedRequest, checkRequest } from "./request_check.ts";
+import { type RouteMatch, RouteTable } from "./route_table.ts";
+
+/** The route of a request with the checked parts of the request. */
+export type FoundRoute = RouteMatch & CheckedRequest;
+
+/** Finds routes in a list that can change from request to request. */
+export class RouteFinder {
+  readonly #routes: () => readonly HttpRoute[];
+  #listed: readonly HttpRoute[] = [];
+  #table = new RouteTable([]);
+
+  constructor(routes: () => readonly HttpRoute[]) {
+    this.#routes = routes;
+  }
+
+  /** Checks a request and finds its route, or gives the answer that refuses it. */
+  find(request: IncomingMessage): Result<FoundRoute, HttpAnswer> {
+    const checked = checkRequest(request);
+    if (checked.err) return Err(failureAnswer(checked.val));
+    const found = this.#currentTable().find({
+      method: request.method ?? "GET",
+      path: checked.val.path,
+    });
+    if (found.ok) return Ok({ ...checked.val, ...found.val });
+    const answer = failureAnswer(found.val.failure);
+    if (found.val.allow.length === 0) return Err(answer);
+    const headers = { ...answer.headers, Allow: found.val.allow.join(", ") };
+    return Err({ ...answer, headers });
+  }
+
+  #currentTable(): RouteTable {
+    const routes = this.#routes();
+    if (routes !== this.#listed) {
+      this.#listed = routes;
+      this.#table = new RouteTable(routes);
+    }
+    return this.#table;
+  }
+}
+
+/** Builds the call that a route is given. */
+export function buildCall(
+  request: IncomingMessage,
+  parts: {
+    readonly found: FoundRoute;
+    readonly body: Uint8Array;
+    readonly signal: AbortSignal;
+  },
+): HttpCall {
+  const { path, query, headers, parameters } = parts.found;
+  return {
+    method: request.method ?? "GET",
+    path,
+    parameters,
+    query,
+    headers,
+    body: parts.body,
+    signal: parts.signal,
+  };
+}
