Split the peer network and the registry's service into smaller modules

Cause: two modules of nearly 400 lines each did several jobs. Ruled out: splitting by class only (the network's reading and answering have no state in common with its links). Change: envelope reader, channel handlers, pending requests; fetching of sets and notices. Conclusion: nothing behaves otherwise.

--- a/membership/registry_service.ts
+++ b/membership/registry_service.ts
@@ -25,8 +25,6 @@
 import { MEMBERSHIP_EVENTS } from "./events.ts";
 import {
   type Departure,
-  registryFetchAnswerSchema,
-  registryHeadersSchema,
   type RegistryNotice,
   registryNoticeSchema,
   registryRequestSchema,
@@ -34,6 +32,8 @@
   type SetUpdate,
 } from "./registry_messages.ts";
 import type { SequencedAnnouncement } from "./upstream_registry.ts";
+import { headersNotice, zoneLoads, zoneSum } from "./registry_notices.ts";
+import { SetFetcher } from "./set_fetcher.ts";
 import { UpstreamRegistry } from "./upstream_registry.ts";
 import type { VmDirectory } from "./vm_directory.ts";
 import { ZoneExport } from "./zone_export.ts";
@@ -41,7 +41,6 @@
 /** Heartbeats sent during one lease. */
 export const HEARTBEATS_PER_LEASE = 4;
 const DIGEST_EVERY_HEARTBEATS = 2;
-const FETCH_TIMEOUT_MS: Milliseconds = 1_000;
 const DEFAULT_LEASE_MS: Milliseconds = 6_000;
 const DEPARTURE_LEASES = 10;
 
@@ -68,7 +67,7 @@
   readonly #options: RegistryServiceOptions;
   readonly #registry: UpstreamRegistry;
   readonly #export: ZoneExport;
-  readonly #fetching = new Set<string>();
+  readonly #fetcher: SetFetcher;
   #published: ReadonlyMap<string, UpstreamRecord> | undefined;
   #exported: ReadonlyMap<string, UpstreamRecord> | undefined;
   #pushedVersion = 0;
@@ -84,6 +83,12 @@
       leaseMs: () => this.#leaseMs(),
     });
     this.#export = new ZoneExport({ self, zone, epoch });
+    this.#fetcher = new SetFetcher({
+      network: options.network,
+      clock: options.clock,
+      registry: this.#registry,
+      onTaken: () => this.#publish(),
+    });
   }
 
   /** Begins to listen and, on an entry, to vouch. */
@@ -106,8 +111,7 @@
 
   /** Asks the zone's other entries for what they hold; resolves when each answered or timed out. */
   async synchronise(): Promise<void> {
-    const asked = this.#peers().map((peer) => this.#synchroniseWith(peer));
-    await Promise.all(asked);
+    await this.#fetcher.synchronise(this.#peers());
   }
 
   /** Takes an announcement of an upstream of this zone. */
@@ -218,7 +222,7 @@
 
   #beatOtherZones(): void {
     const header = this.#followZone();
-    const load = this.#zoneLoad();
+    const load = zoneSum(this.#registry.loads(), this.#options.zone);
     this.#sendAll(this.#outsiders(), headersNotice([header], [load]));
   }
 
@@ -242,17 +246,6 @@
     return names;
   }
 
-  #zoneLoad(): LoadReport {
-    const sum = { running: 0, waiting: 0, cacheUse: 0 };
-    for (const [id, load] of this.#registry.loads()) {
-      if (id.startsWith("zone:")) continue;
-      sum.running += load.running;
-      sum.waiting += load.waiting;
-    }
-    const receivedAtMs = this.#options.clock.nowMs();
-    return { id: `zone:${this.#options.zone}`, ...sum, receivedAtMs };
-  }
-
   #push(): void {
     this.#publish();
     const nowMs = this.#options.clock.nowMs();
@@ -285,7 +278,9 @@
     }
     const nowMs = this.#options.clock.nowMs();
     for (const header of notice.headers) {
-      if (this.#registry.hear(header, nowMs)) this.#fetch(from, header.home);
+      if (this.#registry.hear(header, nowMs)) {
+        this.#fetcher.fetch(from, header.home);
+      }
     }
     for (const load of notice.loads) {
       this.#registry.report({ ...load, receivedAtMs: nowMs });
@@ -296,42 +291,12 @@
   #takeUpdate(from: string, update: SetUpdate): void {
     const fits = this.#registry.take(update, this.#options.clock.nowMs());
     if (!fits) {
-      this.#fetch(from, update.header.home);
+      this.#fetcher.fetch(from, update.header.home);
       return;
     }
     this.#publish();
   }
 
-  async #synchroniseWith(peer: string): Promise<void> {
-    const answer = await this.#options.network.request(
-      { to: peer, channel: "registry", timeoutMs: FETCH_TIMEOUT_MS },
-      { kind: "headers" },
-    );
-    if (!answer.ok) return;
-    const parsed = registryHeadersSchema.safeParse(answer.val);
-    if (!parsed.success) return;
-    const nowMs = this.#options.clock.nowMs();
-    const missing = parsed.data.headers
-      .filter((header) => this.#registry.hear(header, nowMs));
-    await Promise.all(missing.map((header) => this.#fetch(peer, header.home)));
-  }
-
-  async #fetch(from: string, home: string): Promise<void> {
-    if (this.#fetching.has(home)) return;
-    this.#fetching.add(home);
-    const held = this.#registry.heldVersion(home);
-    const answer = await this.#options.network.request(
-      { to: from, channel: "registry", timeoutMs: FETCH_TIMEOUT_MS },
-      { kind: "fetch", home, epoch: held.epoch, since: held.version },
-    );
-    this.#fetching.delete(home);
-    if (!answer.ok) return;
-    const parsed = registryFetchAnswerSchema.safeParse(answer.val);
-    if (!parsed.success || parsed.data.update === null) return;
-    this.#registry.take(parsed.data.update, this.#options.clock.nowMs());
-    this.#publish();
-  }
-
   #answer(body: unknown): Promise<Result<unknown, Failure>> {
     const parsed = registryRequestSchema.safeParse(body);
     if (!parsed.success) {
@@ -368,25 +333,3 @@
     this.#options.board.write("registry", "load", this.#registry.loads());
   }
 }
-
-function headersNotice(
-  headers: readonly SetHeader[],
-  loads: readonly LoadReport[],
-): RegistryNotice {
-  return {
-    kind: "headers",
-    headers,
-    loads: loads.map(({ id, running, waiting, cacheUse }) => ({
-      id,
-      running,
-      waiting,
-      cacheUse,
-    })),
-  };
-}
-
-function zoneLoads(
-  loads: ReadonlyMap<string, LoadReport>,
-): readonly LoadReport[] {
-  return [...loads.values()].filter((load) => load.id.startsWith("zone:"));
-}
--- a/membership/upstream_registry.ts
+++ b/membership/upstream_registry.ts
@@ -22,6 +22,7 @@
   type UpstreamRecord,
 } from "#core";
 import { HomeSet, isNewer, type Lease } from "./home_set.ts";
+import { ZONE_LOAD_PREFIX } from "./registry_notices.ts";
 import { mergeSets } from "./merged_view.ts";
 import type {
   Departure,
@@ -31,7 +32,6 @@
 } from "./registry_messages.ts";
 
 const DEPARTURE_LEASES = 10;
-const ZONE_LOAD_PREFIX = "zone:";
 
 /** Whether a call changed more than a lease. */
 export interface Change {
--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -16,11 +16,13 @@
   type Milliseconds,
   Ok,
   type Result,
-  type Timer,
 } from "#core";
 import { WIRE_EVENTS } from "./events.ts";
-import { encodeFrame, FrameDecoder } from "./frame.ts";
-import { type Channel, type Envelope, parseEnvelope } from "./messages.ts";
+import { ChannelHandlers } from "./channel_handlers.ts";
+import { readEnvelopes } from "./envelope_reader.ts";
+import { encodeFrame } from "./frame.ts";
+import type { Channel, Envelope } from "./messages.ts";
+import { PendingRequests } from "./pending_requests.ts";
 import {
   type NoticeHandler,
   type NoticeOptions,
@@ -48,12 +50,6 @@
   readonly mayPass?: (route: { from: string; to: string }) => boolean;
 }
 
-interface Waiting {
-  readonly resolve: (result: Result<unknown, Failure>) => void;
-  readonly timer: Timer;
-  readonly link: OutgoingLink;
-}
-
 interface OutgoingLink {
   readonly to: string;
   readonly address: Address;
@@ -71,14 +67,12 @@
 export class TcpNetwork extends PeerNetwork {
   override readonly self: string;
   readonly #options: TcpNetworkOptions;
-  readonly #notices = new Map<Channel, NoticeHandler>();
-  readonly #requests = new Map<Channel, RequestHandler>();
+  readonly #handlers: ChannelHandlers;
   readonly #links = new Map<string, OutgoingLink>();
   readonly #incoming = new Set<Socket>();
-  readonly #waiting = new Map<number, Waiting>();
+  readonly #pending: PendingRequests<OutgoingLink>;
   readonly #pausedUntilMs = new Map<string, Milliseconds>();
   #server: Server | undefined;
-  #nextCorrelation = 1;
   #sentBytes = 0;
   #receivedBytes = 0;
 
@@ -86,6 +80,8 @@
     super();
     this.self = options.self;
     this.#options = options;
+    this.#handlers = new ChannelHandlers(options);
+    this.#pending = new PendingRequests(options.clock);
   }
 
   /** Starts to accept connections; rejects if the address is in use. */
@@ -116,11 +112,11 @@
   }
 
   override onNotice(channel: Channel, handler: NoticeHandler): void {
-    this.#notices.set(channel, handler);
+    this.#handlers.setNotice(channel, handler);
   }
 
   override onRequest(channel: Channel, handler: RequestHandler): void {
-    this.#requests.set(channel, handler);
+    this.#handlers.setRequest(channel, handler);
   }
 
   override notify(options: NoticeOptions, body: unknown): void {
@@ -143,31 +139,15 @@
         Err(fail("not_ready", `there is no connection to ${options.to}`)),
       );
     }
-    const correlation = this.#nextCorrelation;
-    this.#nextCorrelation += 1;
-    return new Promise((resolve) => {
-      const timer = this.#options.clock.after(options.timeoutMs, () => {
-        this.#settle(
-          correlation,
-          Err(fail("outcome_unknown", `no answer from ${options.to} in time`)),
-        );
-      });
-      this.#waiting.set(correlation, { resolve, timer, link });
-      this.#send(link.socket, options.to, {
-        kind: "request",
-        channel: options.channel,
-        correlation,
-        body,
-      });
+    const { to, channel, timeoutMs } = options;
+    const { correlation, answer } = this.#pending.open({ link, to, timeoutMs });
+    this.#send(link.socket, to, {
+      kind: "request",
+      channel,
+      correlation,
+      body,
     });
-  }
-
-  #settle(correlation: number, result: Result<unknown, Failure>): void {
-    const waiting = this.#waiting.get(correlation);
-    if (waiting === undefined) return;
-    this.#waiting.delete(correlation);
-    waiting.timer.cancel();
-    waiting.resolve(result);
+    return answer;
   }
 
   #link(to: string): OutgoingLink | undefined {
@@ -222,26 +202,23 @@
         this.#options.clock.nowMs() + RECONNECT_PAUSE_MS,
       );
     }
-    for (const [correlation, waiting] of this.#waiting) {
-      if (waiting.link !== link) continue;
-      const failure = link.open
-        ? fail("outcome_unknown", `the connection to ${link.to} broke`)
-        : fail("not_ready", `${link.to} can't be reached`);
-      this.#settle(correlation, Err(failure));
-    }
+    const failure = link.open
+      ? fail("outcome_unknown", `the connection to ${link.to} broke`)
+      : fail("not_ready", `${link.to} can't be reached`);
+    this.#pending.failAll(link, failure);
   }
 
   #takeAnswer(from: string, envelope: Envelope): void {
     if (!this.#passes(from, this.self)) return;
     if (envelope.kind === "reply") {
-      this.#settle(envelope.correlation, Ok(envelope.body));
+      this.#pending.settle(envelope.correlation, Ok(envelope.body));
       return;
     }
     if (envelope.kind !== "refusal") return;
     const failure = isFailure(envelope.failure)
       ? envelope.failure
       : fail("internal", `${from} sent a malformed refusal`);
-    this.#settle(envelope.correlation, Err(failure));
+    this.#pending.settle(envelope.correlation, Err(failure));
   }
 
   #accept(socket: Socket): void {
@@ -286,10 +263,10 @@
     envelope: Envelope,
   ): void {
     if (!this.#passes(source.from, this.self)) return;
+    const { from } = source;
     if (envelope.kind === "notice") {
-      this.#guard(() =>
-        this.#notices.get(envelope.channel)?.(source.from, envelope.body)
-      );
+      const { channel, body } = envelope;
+      this.#handlers.notice({ from, channel, body });
       return;
     }
     if (envelope.kind !== "request") return;
@@ -300,11 +277,9 @@
     source: { readonly from: string; readonly socket: Socket },
     request: Extract<Envelope, { kind: "request" }>,
   ): Promise<void> {
-    const handler = this.#requests.get(request.channel);
-    const correlation = request.correlation;
-    const result = handler === undefined
-      ? Err(fail("not_ready", `${this.self} has no ${request.channel} yet`))
-      : await this.#call(handler, { from: source.from, body: request.body });
+    const { from } = source;
+    const { channel, correlation, body } = request;
+    const result = await this.#handlers.request({ from, channel, body });
     if (source.socket.destroyed) return;
     const envelope: Envelope = result.ok
       ? { kind: "reply", correlation, body: result.val }
@@ -312,48 +287,13 @@
     this.#send(source.socket, source.from, envelope);
   }
 
-  async #call(
-    handler: RequestHandler,
-    message: { readonly from: string; readonly body: unknown },
-  ): Promise<Result<unknown, Failure>> {
-    try {
-      return await handler(message.from, message.body);
-    } catch (error) {
-      this.#reportHandler(error);
-      return Err(fail("internal", "the handler of a peer request failed"));
-    }
-  }
-
-  #guard(action: () => void): void {
-    try {
-      action();
-    } catch (error) {
-      this.#reportHandler(error);
-    }
-  }
-
-  #reportHandler(error: unknown): void {
-    const stack = error instanceof Error ? error.stack : String(error);
-    this.#options.events.emit(WIRE_EVENTS.handlerFailed, { stack });
-  }
-
-  #read(socket: Socket, take: (envelope: Envelope) => void): void {
-    const decoder = new FrameDecoder();
-    socket.on("data", (bytes: Uint8Array) => {
-      this.#receivedBytes += bytes.length;
-      const bodies = decoder.push(bytes);
-      if (!bodies.ok) {
-        this.#refuseFrame(socket, bodies.val.message);
-        return;
-      }
-      for (const body of bodies.val) {
-        const envelope = parseEnvelope(body);
-        if (envelope === undefined) {
-          this.#refuseFrame(socket, "a frame holds no known message");
-          return;
-        }
-        take(envelope);
-      }
+  #read(socket: Socket, onEnvelope: (envelope: Envelope) => void): void {
+    readEnvelopes(socket, {
+      onEnvelope,
+      onBytes: (count) => {
+        this.#receivedBytes += count;
+      },
+      onRefused: (reason) => this.#refuseFrame(socket, reason),
     });
   }
 
