--- a/programs/cicadafield_test.ts
+++ b/programs/cicadafield_test.ts
@@ -123,6 +123,39 @@
   });
 });
 
+test("a bundle's faults are listed at once with field, value and what would be right", async () => {
+  await withDesk(async (desk) => {
+    const bundle = firstBundle(desk);
+    const file = join(desk.folder, "faulty.json");
+    const [vm, ...others] = bundle.vms;
+    const limits = { ...bundle.limits, upstreamLeaseMs: 5 };
+    await writeFile(
+      file,
+      JSON.stringify({
+        ...bundle,
+        vms: [
+          { ...vm, http: { host: "example.org", port: 70_000 } },
+          ...others,
+        ],
+        limits,
+      }),
+    );
+    const checked = await run("bundle", "check", file);
+    assert.equal(checked.exitCode, 2);
+    assert.match(checked.stderr, /3 faults/);
+    assert.match(
+      checked.stderr,
+      /vms\[0\]\.http\.host "example\.org": must be an IP number/,
+    );
+    assert.match(checked.stderr, /vms\[0\]\.http\.port 70000: .*<=65535/);
+    assert.match(checked.stderr, /limits\.upstreamLeaseMs 5: .*>=1000/);
+    const foreign = { ...bundle, vms: [{ ...vm, zone: "z" }, ...others] };
+    await writeFile(file, JSON.stringify(foreign));
+    const unlisted = await run("bundle", "check", file);
+    assert.match(unlisted.stderr, /vms\..*\.zone "z": .*does not list/);
+  });
+});
+
 test("a wrong signature is refused and changes nothing", async () => {
   await withDesk(async (desk) => {
     const file = await sign(desk, firstBundle(desk));
--- a/programs/commands/bundle_file.ts
+++ b/programs/commands/bundle_file.ts
@@ -18,19 +18,26 @@
 import { EXIT_CODES } from "../exit_codes.ts";
 import { type CommandOutcome, failed } from "./command_outcome.ts";
 
+const MAXIMUM_SHOWN_CHARACTERS = 80;
+
 const signedSchema = z.strictObject({
   bundle: z.unknown(),
   signer: z.string().min(1),
   signature: z.string().min(1),
 });
 
+/** A fault with the value at fault, if it is short enough to show. */
+export interface ValuedFault extends BundleFault {
+  readonly value?: string;
+}
+
 /** Why a file holds no bundle that could be used. */
 export type BundleFileFault =
   | { readonly kind: "unreadable"; readonly failure: Failure }
   | {
     readonly kind: "invalid";
     readonly file: string;
-    readonly faults: readonly BundleFault[];
+    readonly faults: readonly ValuedFault[];
   };
 
 /** Reads a bundle, or the bundle inside a signed one. */
@@ -64,7 +71,10 @@
 /** The outcome of a command whose file was at fault. */
 export function fileFaultOutcome(fault: BundleFileFault): CommandOutcome {
   if (fault.kind === "unreadable") return failed(fault.failure);
-  const lines = fault.faults.map((each) => `  ${each.field}: ${each.message}`);
+  const lines = fault.faults.map((each) => {
+    const value = each.value === undefined ? "" : ` ${each.value}`;
+    return `  ${each.field}${value}: ${each.message}`;
+  });
   const count = lines.length === 1 ? "1 fault" : `${lines.length} faults`;
   return {
     exitCode: EXIT_CODES.usage,
@@ -79,7 +89,29 @@
 ): Result<Bundle, BundleFileFault> {
   const bundle = parseBundle(value);
   if (bundle.ok) return bundle;
-  return Err({ kind: "invalid", file, faults: bundle.val });
+  const faults = bundle.val.map((fault) => {
+    const shown = shownValue(value, fault.field);
+    return shown === undefined ? fault : { ...fault, value: shown };
+  });
+  return Err({ kind: "invalid", file, faults });
+}
+
+/** The value of a field such as `vms[2].zone` or `vms.entry-a1.zone`, as JSON. */
+function shownValue(bundle: unknown, field: string): string | undefined {
+  let value = bundle;
+  for (const part of field.split(/[.[\]]+/).filter((each) => each !== "")) {
+    value = member(value, part);
+  }
+  if (value === undefined) return undefined;
+  const text = JSON.stringify(value);
+  return text.length <= MAXIMUM_SHOWN_CHARACTERS ? text : undefined;
+}
+
+function member(value: unknown, part: string): unknown {
+  if (typeof value !== "object" || value === null) return undefined;
+  if (Object.hasOwn(value, part)) return Reflect.get(value, part);
+  if (!Array.isArray(value)) return undefined;
+  return value.find((entry) => entry?.name === part);
 }
 
 async function readJsonFile(
