Find the leader when it is no longer named, and count a replica ready only with its seat

Cause: a bundle that drops the leader's VM left the new control VM asking only the named ones for a seat, so the move never began (seen in the test of the move, seats stayed a, b, c for 20 s). A repaired replica called itself ready before it had its seat, so an operator could not tell when a second loss is safe. Change: the answer to a replica without a seat names the leader; ready needs the committed seat. Directed tests of recovery.

--- a/agreement/formation.ts
+++ b/agreement/formation.ts
@@ -36,7 +36,11 @@
     if (!this.coordinates()) return;
     for (const vm of this.#voters) {
       if (vm === this.#state.vm) continue;
-      const hello = this.#state.message("hello", { to: null, formed: false });
+      const hello = this.#state.message("hello", {
+        to: null,
+        formed: false,
+        leader: null,
+      });
       this.#state.send(vm, hello);
     }
   }
--- a/agreement/messages.ts
+++ b/agreement/messages.ts
@@ -32,7 +32,12 @@
 
 const SHAPES = {
   /** A replica without a seat makes itself known. */
-  hello: z.object({ ...header, formed: z.boolean() }),
+  hello: z.object({
+    ...header,
+    formed: z.boolean(),
+    /** VM that leads, as far as the sender knows. */
+    leader: name.nullable(),
+  }),
   /** Asks for a vote; a trial changes nothing at the voter. */
   vote: z.object({
     ...header,
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -101,6 +101,7 @@
   #chunks: ChunkSender | undefined;
   #timer: { readonly dueMs: Milliseconds; readonly timer: Timer } | undefined;
   #lastLeader: string | null = null;
+  #ready = false;
 
   constructor(options: QuorumLogOptions) {
     super();
@@ -186,7 +187,7 @@
 
   override status(): LogStatus {
     const state = this.#replica?.state;
-    const goal = this.#replica?.startGoal ?? null;
+    this.#ready ||= this.#isCaughtUp();
     return {
       replica: state?.identity ?? "",
       role: state?.role ?? "learner",
@@ -195,7 +196,7 @@
       committedIndex: state?.committedIndex ?? 0,
       appliedIndex: this.#applier.appliedIndex,
       voters: (state?.rules().seats() ?? []).map((seat) => seat.vm),
-      ready: goal !== null && this.#applier.appliedIndex >= goal,
+      ready: this.#ready,
     };
   }
 
@@ -223,6 +224,13 @@
     });
   }
 
+  #isCaughtUp(): boolean {
+    const replica = this.#replica;
+    if (replica === undefined || !replica.seated) return false;
+    const goal = replica.startGoal;
+    return goal !== null && this.#applier.appliedIndex >= goal;
+  }
+
   #notEstablished(): Failure | undefined {
     const leadership = this.#replica?.leadership;
     if (leadership === undefined) return notLeader(null);
--- /dev/null
+++ b/agreement/recovery_test.ts
@@ -0,0 +1,116 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SimulatedGroup, type SimulatedVm } from "./simulated_group.ts";
+
+const REPAIR_MS = 10_000;
+
+async function groupOf(
+  ...spares: readonly string[]
+): Promise<SimulatedGroup> {
+  const group = new SimulatedGroup({ seed: 9, vms: ["a", "b", "c"], spares });
+  await group.startAll();
+  return group;
+}
+
+function vmOf(group: SimulatedGroup, name: string): SimulatedVm {
+  return group.vms.find((vm) => vm.name === name) as SimulatedVm;
+}
+
+async function commit(group: SimulatedGroup, count: number): Promise<number> {
+  const before = group.oracle.acknowledgedCount;
+  for (let left = count; left > 0; left -= 1) {
+    const leader = group.leader();
+    const vm = group.vms.find((each) => each.process === leader);
+    if (vm !== undefined) group.propose(vm);
+    await group.run(20);
+  }
+  await group.run(1_000);
+  return group.oracle.acknowledgedCount - before;
+}
+
+function seated(group: SimulatedGroup): readonly string[] {
+  return group.settledSeats.map((seat) => seat.vm).sort();
+}
+
+test("a replica restarted after 500 changes is not ready before it has them all", async () => {
+  const group = await groupOf();
+  const late = vmOf(group, "c");
+  group.crash(late);
+  await group.run(3_000);
+  assert.equal(await commit(group, 500), 500);
+  group.start(late);
+  let readyItems: number | undefined;
+  for (let step = 0; step < 2_000 && readyItems === undefined; step += 1) {
+    await group.run(2);
+    if (late.process?.log.status().ready !== true) continue;
+    readyItems = late.process.machine.items.length;
+  }
+  assert.equal(readyItems, 500);
+});
+
+test("a second VM may be lost right after the repair of a first", async () => {
+  const group = await groupOf();
+  await commit(group, 30);
+  const first = vmOf(group, "c");
+  const old = first.replica;
+  group.loseDisk(first);
+  group.start(first);
+  await group.run(REPAIR_MS);
+  assert.notEqual(first.replica, old);
+  assert.ok(group.settledSeats.some((seat) => seat.replica === first.replica));
+  group.loseDisk(vmOf(group, "a"));
+  await group.run(REPAIR_MS);
+  assert.equal(await commit(group, 5), 5);
+});
+
+test("after a repair the old replica is needed no more, not even when all restart", async () => {
+  const group = await groupOf();
+  await commit(group, 1);
+  const first = vmOf(group, "c");
+  group.loseDisk(first);
+  group.start(first);
+  await group.run(REPAIR_MS);
+  for (const vm of group.vms) group.crash(vm);
+  group.start(vmOf(group, "b"));
+  group.start(first);
+  await group.run(REPAIR_MS);
+  assert.equal(await commit(group, 5), 5);
+});
+
+test("an emptied VM whose first start is asked for again joins its group", async () => {
+  const group = await groupOf();
+  await commit(group, 5);
+  const first = vmOf(group, "a");
+  group.loseDisk(first);
+  group.start(first, true);
+  await group.run(REPAIR_MS);
+  assert.equal(first.process?.machine.items.length, 5);
+  assert.ok(group.settledSeats.some((seat) => seat.replica === first.replica));
+});
+
+test("a VM that is named as a control VM gets a seat before another one loses its own", async () => {
+  const group = await groupOf("d");
+  await commit(group, 30);
+  group.peers = ["b", "c", "d"];
+  await group.run(REPAIR_MS);
+  assert.deepEqual(seated(group), ["a", "b", "c"]);
+  group.start(vmOf(group, "d"));
+  await group.run(2 * REPAIR_MS);
+  assert.deepEqual(seated(group), ["b", "c", "d"]);
+  group.crash(vmOf(group, "a"));
+  assert.equal(await commit(group, 5), 5);
+});
+
+test("a leader that was frozen reads nothing once others have a leader", async () => {
+  const group = await groupOf();
+  await commit(group, 5);
+  const old = group.vms.find((vm) => vm.process === group.leader());
+  assert.ok(old?.process !== undefined);
+  group.freeze(old);
+  await group.run(5_000);
+  assert.equal(await commit(group, 5), 5);
+  const { log } = old.process;
+  const answer = await log.query({ machine: "bundles", question: null });
+  assert.equal(answer.ok, false);
+  assert.equal(log.leaseUntilMs(), 0);
+});
--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -64,6 +64,14 @@
     return this.#following.startGoal;
   }
 
+  /** Whether this replica has a seat that is known to be committed. */
+  get seated(): boolean {
+    const { index, change } = this.state.seats.newest;
+    if (index > this.state.committedIndex) return false;
+    const { identity } = this.state;
+    return change.after.some((seat) => seat.replica === identity);
+  }
+
   /** When `tick` has to be called next. */
   dueMs(): Milliseconds {
     const leadership = this.leadership;
@@ -250,15 +258,22 @@
     const { state } = this;
     for (const vm of this.#options.peers()) {
       if (vm === state.vm) continue;
-      state.send(vm, state.message("hello", { to: null, formed: false }));
+      this.#sayHelloTo(vm);
     }
   }
 
+  #sayHelloTo(vm: string): void {
+    const fields = { to: null, formed: false, leader: null };
+    this.state.send(vm, this.state.message("hello", fields));
+  }
+
   #takeHello(vm: string, message: MessageOf<"hello">, instant: Instant): void {
     const state = this.state;
     if (message.to === null && vm !== state.vm) {
       const formed = state.group !== null;
-      const answer = state.message("hello", { to: message.from, formed });
+      const leader = state.leader?.vm ?? null;
+      const fields = { to: message.from, formed, leader };
+      const answer = state.message("hello", fields);
       state.sendOnceDurable(vm, answer);
       const joining = message.group === null || message.group === state.group;
       if (this.leadership !== undefined && joining) {
@@ -267,9 +282,17 @@
       return;
     }
     this.#formation?.takeAnswer(vm, message);
+    this.#followToLeader(vm, message);
     this.#tryForm(instant);
   }
 
+  /** The leader may be a VM that is no longer named as a control VM. */
+  #followToLeader(vm: string, message: MessageOf<"hello">): void {
+    const { leader } = message;
+    if (leader === null || leader === vm || leader === this.state.vm) return;
+    if (this.state.role === "learner") this.#sayHelloTo(leader);
+  }
+
   #tryForm(instant: Instant): void {
     if (this.#formation?.tryForm(instant) !== true) return;
     if (this.#elector.tick(instant.nowMs)) this.#lead(instant);
--- a/agreement/replicated_log.ts
+++ b/agreement/replicated_log.ts
@@ -17,7 +17,7 @@
   readonly appliedIndex: number;
   /** VM names of the replicas that vote. */
   readonly voters: readonly string[];
-  /** Whether this replica has caught up since its start. */
+  /** Whether this replica has caught up since its start and has a seat. */
   readonly ready: boolean;
 }
 
--- a/agreement/simulated_group.ts
+++ b/agreement/simulated_group.ts
@@ -32,6 +32,8 @@
   readonly seed: number;
   /** VMs of the first start. */
   readonly vms: readonly string[];
+  /** Further VMs, without a seat at first. */
+  readonly spares?: readonly string[];
 }
 
 /** One VM: its disk outlives its processes. */
@@ -90,7 +92,8 @@
       clock: this.clock,
       random: this.random,
     });
-    this.vms = options.vms.map((name) => ({
+    const names = [...options.vms, ...options.spares ?? []];
+    this.vms = names.map((name) => ({
       name,
       disk: new MemoryDisk({
         clock: this.clock,
@@ -104,7 +107,9 @@
 
   /** Starts the first processes of all VMs as a new group. */
   async startAll(): Promise<void> {
-    for (const vm of this.vms) this.start(vm, true);
+    for (const vm of this.vms) {
+      if (this.#firstVoters.includes(vm.name)) this.start(vm, true);
+    }
     await this.run(2_000);
   }
 
