--- a/programs/http_limits_test.ts
+++ b/programs/http_limits_test.ts
@@ -45,6 +45,24 @@
   );
 });
 
+test("a caller that sends a refused body to its end sees the refusal and no broken connection", async () => {
+  const size = 4_000_000;
+  await withServer(
+    { limits: { maximumBodyBytes: 10, lingerMs: 60_000 } },
+    async ({ address }) => {
+      const client = new RawClient(address);
+      client.send(
+        `PUT /echo/a HTTP/1.1\r\nHost: h\r\nContent-Length: ${size}\r\n\r\n`,
+      );
+      await client.until(/\}\n/);
+      client.send("x".repeat(size));
+      const raw = await client.untilClosed();
+      assert.equal(parseAnswer(raw).status, 413);
+      assert.equal(client.error, undefined);
+    },
+  );
+});
+
 test("a chunked body over the limit is refused, also when the caller sends it all first", async () => {
   await withServer(
     { limits: { maximumBodyBytes: 10 } },
@@ -205,3 +223,15 @@
     );
   });
 });
+
+test("a connection that sends too many requests ahead gets the first answers and is closed", async () => {
+  await withServer(
+    { limits: { maximumRequestsAhead: 3 } },
+    async ({ address }) => {
+      const one = "GET /echo/a HTTP/1.1\r\nHost: h\r\n\r\n";
+      const raw = await exchange(address, one.repeat(50));
+      assert.equal(raw.split("HTTP/1.1 200 OK").length - 1, 3);
+      await expectService(address);
+    },
+  );
+});
