Ask whether the class itself has room before calling its wait nil

Cause: an empty queue counted as no wait while any place was free, also places that a class below the first may not use.

--- a/requests/scheduler.ts
+++ b/requests/scheduler.ts
@@ -230,7 +230,7 @@
 
   #takeOne(queue: TargetQueue, nowMs: Milliseconds): Dispatch | undefined {
     const pool = this.#table.pool(queue.target);
-    if (pool === undefined || !pool.hasRoom(nowMs)) return undefined;
+    if (pool === undefined || !pool.hasRoom(nowMs, true)) return undefined;
     let selection: Selection | undefined;
     const fullFor = new Set<string>();
     const item = queue.queue.take((candidate) => {
@@ -361,12 +361,13 @@
     const { queue: { queue, drain, target }, nowMs } = options;
     const pool = this.#table.pool(target);
     if (pool === undefined) return 0;
-    if (queue.size === 0 && pool.hasRoom(nowMs)) return 0;
+    const isFirstClass = this.policy.isFirstClass(item.class);
+    if (queue.size === 0 && pool.hasRoom(nowMs, isFirstClass)) return 0;
     return drain.waitMs({
       class: item.class,
       ahead: queue.aheadOf(item.class),
       aheadInClass: queue.sizeOf(item.class),
-      slots: pool.slots(nowMs, this.policy.isFirstClass(item.class)),
+      slots: pool.slots(nowMs, isFirstClass),
       nowMs,
     });
   }
--- a/requests/upstream_pool.ts
+++ b/requests/upstream_pool.ts
@@ -65,9 +65,10 @@
       this.#selectIn(this.#far, { item, context, ownZone: false });
   }
 
-  /** Whether any upstream may take work now. */
-  hasRoom(nowMs: Milliseconds): boolean {
-    return this.#near.hasRoom(nowMs) || this.#far.hasRoom(nowMs);
+  /** Whether any upstream may take work of the class now. */
+  hasRoom(nowMs: Milliseconds, isFirstClass: boolean): boolean {
+    return this.#near.hasRoom(nowMs, isFirstClass) ||
+      this.#far.hasRoom(nowMs, isFirstClass);
   }
 
   /** Whether any upstream could serve the item if it had room; admitted work also waits out a pause. */
@@ -138,9 +139,10 @@
     this.#ring = new AffinityRing(members.map((member) => member.id));
   }
 
-  hasRoom(nowMs: Milliseconds): boolean {
+  hasRoom(nowMs: Milliseconds, isFirstClass: boolean): boolean {
     for (const member of this.members) {
-      if (member.running < member.part && member.isOpen(nowMs)) return true;
+      const bound = member.boundFor(isFirstClass);
+      if (member.running < bound && member.isOpen(nowMs)) return true;
     }
     return false;
   }
