--- a/membership/registry_messages.ts
+++ b/membership/registry_messages.ts
@@ -53,7 +53,13 @@
   departures: z.array(departureSchema),
   gone: z.array(name),
 });
-const namedLoadSchema = loadSchema.extend({ id: name });
+/** Loads cross the network as whole numbers: a fraction would take nine bytes. */
+const sentLoadSchema = z.object({
+  id: name,
+  running: count,
+  waiting: count,
+  cachePercent: z.number().int().min(0).max(100),
+});
 
 /** A record as sets hold it. */
 export interface HeldRecord extends UpstreamAnnouncement {
@@ -64,6 +70,8 @@
 export type Departure = Readonly<z.infer<typeof departureSchema>>;
 /** Names a state of a home's set, and for how long its copies may be used. */
 export type SetHeader = Readonly<z.infer<typeof headerSchema>>;
+/** A load as notices carry it; the receiver notes its own time. */
+export type SentLoad = Readonly<z.infer<typeof sentLoadSchema>>;
 /** Changes of a set since a version; `since` 0 is the whole set. */
 export interface SetUpdate {
   readonly header: SetHeader;
@@ -81,7 +89,7 @@
   z.object({
     kind: z.literal("headers"),
     headers: z.array(headerSchema),
-    loads: z.array(namedLoadSchema),
+    loads: z.array(sentLoadSchema),
   }),
   z.object({ kind: z.literal("update"), update: updateSchema }),
 ]);
@@ -90,7 +98,7 @@
   | {
     readonly kind: "headers";
     readonly headers: readonly SetHeader[];
-    readonly loads: readonly Readonly<z.infer<typeof namedLoadSchema>>[];
+    readonly loads: readonly SentLoad[];
   }
   | { readonly kind: "update"; readonly update: SetUpdate };
 
--- a/membership/registry_notices.ts
+++ b/membership/registry_notices.ts
@@ -3,29 +3,35 @@
  *
  * @module
  */
-import type { LoadReport } from "#core";
-import type { RegistryNotice, SetHeader } from "./registry_messages.ts";
+import type { LoadReport, Milliseconds } from "#core";
+import type { SentLoad } from "./registry_messages.ts";
 
 /** Loads under this prefix are the sums of a zone. */
 export const ZONE_LOAD_PREFIX = "zone:";
 
-/** A load as notices carry it: the receiver notes its own time. */
-export type SentLoad = Omit<LoadReport, "receivedAtMs">;
+const PERCENT = 100;
 
-/** A notice of set headers and loads. */
-export function headersNotice(
-  headers: readonly SetHeader[],
-  loads: readonly SentLoad[],
-): RegistryNotice {
+/** A load as notices carry it. */
+export function packLoad(load: LoadReport): SentLoad {
   return {
-    kind: "headers",
-    headers,
-    loads: loads.map(({ id, running, waiting, cacheUse }) => ({
-      id,
-      running,
-      waiting,
-      cacheUse,
-    })),
+    id: load.id,
+    running: Math.round(load.running),
+    waiting: Math.round(load.waiting),
+    cachePercent: Math.round(load.cacheUse * PERCENT),
+  };
+}
+
+/** A load as it came, with the time at which it did. */
+export function unpackLoad(
+  sent: SentLoad,
+  receivedAtMs: Milliseconds,
+): LoadReport {
+  return {
+    id: sent.id,
+    running: sent.running,
+    waiting: sent.waiting,
+    cacheUse: sent.cachePercent / PERCENT,
+    receivedAtMs,
   };
 }
 
@@ -50,5 +56,10 @@
     running += load.running;
     waiting += load.waiting;
   }
-  return { id: `${ZONE_LOAD_PREFIX}${zone}`, running, waiting, cacheUse: 0 };
+  return {
+    id: `${ZONE_LOAD_PREFIX}${zone}`,
+    running,
+    waiting,
+    cachePercent: 0,
+  };
 }
--- a/membership/registry_service.ts
+++ b/membership/registry_service.ts
@@ -32,7 +32,12 @@
   type SetUpdate,
 } from "./registry_messages.ts";
 import type { SequencedAnnouncement } from "./upstream_registry.ts";
-import { headersNotice, zoneLoads, zoneSum } from "./registry_notices.ts";
+import {
+  packLoad,
+  unpackLoad,
+  zoneLoads,
+  zoneSum,
+} from "./registry_notices.ts";
 import { SetFetcher } from "./set_fetcher.ts";
 import { UpstreamRegistry } from "./upstream_registry.ts";
 import type { VmDirectory } from "./vm_directory.ts";
@@ -204,12 +209,12 @@
   #beatZone(): void {
     const nowMs = this.#options.clock.nowMs();
     const headers = [this.#registry.beat()];
-    const loads: LoadReport[] = [...this.#registry.ownLoads()];
+    const loads = this.#registry.ownLoads().map(packLoad);
     if (this.#isRelay()) {
       headers.push(...this.#registry.foreignHeaders(nowMs));
-      loads.push(...zoneLoads(this.#registry.loads()));
+      loads.push(...zoneLoads(this.#registry.loads()).map(packLoad));
     }
-    this.#sendAll(this.#peers(), headersNotice(headers, loads));
+    this.#sendAll(this.#peers(), { kind: "headers", headers, loads });
   }
 
   #sendDigest(): void {
@@ -217,13 +222,18 @@
     const peer = peers[this.#options.random.below(peers.length)];
     if (peer === undefined) return;
     const headers = this.#registry.headers(this.#options.clock.nowMs());
-    this.#sendAll([peer], headersNotice(headers, []));
+    this.#sendAll([peer], { kind: "headers", headers, loads: [] });
   }
 
   #beatOtherZones(): void {
     const header = this.#followZone();
     const load = zoneSum(this.#registry.loads(), this.#options.zone);
-    this.#sendAll(this.#outsiders(), headersNotice([header], [load]));
+    const notice = {
+      kind: "headers",
+      headers: [header],
+      loads: [load],
+    } as const;
+    this.#sendAll(this.#outsiders(), notice);
   }
 
   #followZone(): SetHeader {
@@ -283,7 +293,7 @@
       }
     }
     for (const load of notice.loads) {
-      this.#registry.report({ ...load, receivedAtMs: nowMs });
+      this.#registry.report(unpackLoad(load, nowMs));
     }
     if (notice.loads.length > 0) this.#publishLoads();
   }
--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -23,7 +23,7 @@
 const LENGTH_BYTES = 4;
 const VERSION_BYTES = 1;
 
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true });
+const codec = new Encoder({ useRecords: true, mapsAsObjects: true });
 
 /** Encodes a plain value as CBOR. */
 export function encodeValue(value: unknown): Uint8Array {
