--- /dev/null
+++ b/programs/http_fuzz_test.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { Address } from "#core";
+import {
+  exchange,
+  parseAnswer,
+  RawClient,
+  withServer,
+} from "./http_testing.ts";
+
+const SEED = 20_261_203;
+const RUNS = 300;
+const LINE_END = "\r\n";
+
+const line = fc.oneof(
+  fc.constantFrom(
+    "Host: h",
+    "Content-Length: 4",
+    "Content-Length: -1",
+    "Content-Length: 99999999999999999999",
+    "Transfer-Encoding: chunked",
+    "Transfer-Encoding: gzip, chunked",
+    "Expect: 100-continue",
+    "Expect: something",
+    "Connection: upgrade",
+    "Upgrade: websocket",
+    "Cicadafield-Tenant: tana",
+    "Idempotency-Key: a",
+    " folded",
+    "",
+  ),
+  fc.string({ maxLength: 40 }),
+);
+
+const request = fc.record({
+  method: fc.constantFrom("GET", "PUT", "HEAD", "CONNECT", "PRI", "get", "X"),
+  target: fc.oneof(
+    fc.constantFrom("/echo/a", "/echo/%zz", "*", "http://h/echo/a", "//"),
+    fc.string({ maxLength: 30 }),
+  ),
+  protocol: fc.constantFrom("HTTP/1.1", "HTTP/1.0", "HTTP/2.0", "HTTP/1"),
+  lines: fc.array(line, { maxLength: 6 }),
+  body: fc.oneof(
+    fc.constantFrom(
+      "",
+      "body",
+      "4\r\nbody\r\n0\r\n\r\n",
+      "zz\r\n",
+      "4;x=y\r\n",
+    ),
+    fc.string({ maxLength: 40 }),
+  ),
+});
+
+type RequestText = typeof request extends fc.Arbitrary<infer Value> ? Value
+  : never;
+
+function render(parts: RequestText): string {
+  const head = `${parts.method} ${parts.target} ${parts.protocol}`;
+  const lines = [head, ...parts.lines].join(LINE_END);
+  return lines + LINE_END + LINE_END + parts.body;
+}
+
+async function answersTo(address: Address, text: string): Promise<string> {
+  const client = new RawClient(address);
+  client.send(text);
+  client.socket.end();
+  return await client.untilClosed();
+}
+
+test("whatever bytes a caller sends, the answer is no fault of the server and the next caller is served", async () => {
+  await withServer({}, async ({ address, events }) => {
+    const property = fc.asyncProperty(request, async (parts) => {
+      const raw = await answersTo(address, render(parts));
+      for (const [, status] of raw.matchAll(/^HTTP\/1\.1 (\d+)/gm)) {
+        assert.ok(Number(status) < 500, raw);
+        if (Number(status) < 400 || parts.method === "HEAD") continue;
+        assert.match(raw, /"kind":"[a-z_]+"/);
+      }
+    });
+    await fc.assert(property, { seed: SEED, numRuns: RUNS });
+    const failed = events.records().filter((each) => each.event.code === 1804);
+    assert.deepEqual(failed, []);
+    const next = await exchange(
+      address,
+      "GET /echo/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+    );
+    assert.equal(parseAnswer(next).status, 200);
+  });
+});
