Never let a refusal pass for the answer to an earlier request

Cause: when a caller sent a request and after it bytes that are no HTTP on one connection, the refusal of the second was written first: the caller of a running request read 400 and 'not run', which was untrue. Change: a refusal is written at once only if no earlier request waits for its answer; otherwise it follows in turn, and the connection is closed after the last answer. Mutation seen caught: refusals written at once (the new test fails).

--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -181,7 +181,10 @@
       this.#take(request, response, false);
     });
     server.on("connect", (_request: IncomingMessage, socket: Duplex) => {
-      refuseRaw(socket, fail("method_not_allowed", "CONNECT is not offered"));
+      this.#refuse(
+        socket as Socket,
+        fail("method_not_allowed", "CONNECT is not offered"),
+      );
     });
     server.on("clientError", (error: ClientError, socket: Duplex) => {
       this.#refuseConnection(error, socket);
@@ -190,14 +193,19 @@
 
   #refuseConnection(error: ClientError, socket: Duplex): void {
     const failure = clientFailure(error);
-    const answering = this.#connections.isAnswering(socket as Socket);
-    if (failure === undefined || answering) {
+    if (failure === undefined) {
       socket.destroy();
       return;
     }
+    this.#refuse(socket as Socket, failure);
+  }
+
+  #refuse(socket: Socket, failure: Failure): void {
     this.#options.events.emit(HTTP_EVENTS.requestRefused, {
       kind: failure.kind,
     });
+    // A refusal written before the answers to earlier requests would pass for the answer to the first.
+    if (!this.#connections.breakOff(socket, failure)) return;
     this.#count(UNMATCHED_ROUTE, failureAnswer(failure).status);
     refuseRaw(socket, failure);
   }
@@ -213,8 +221,8 @@
     request.on("error", () => request.destroy());
     try {
       await this.#connections.inTurn(
-        request.socket,
-        () => this.#serve(exchange),
+        request,
+        (failure) => this.#serve(exchange, failure),
       );
     } catch (error) {
       this.#internal(UNMATCHED_ROUTE, error);
@@ -222,7 +230,16 @@
     }
   }
 
-  async #serve(exchange: Exchange): Promise<void> {
+  async #serve(
+    exchange: Exchange,
+    failure: Failure | undefined,
+  ): Promise<void> {
+    if (failure !== undefined) {
+      const refusal = failureAnswer(failure);
+      await this.#write(exchange, refusal);
+      this.#count(UNMATCHED_ROUTE, refusal.status);
+      return;
+    }
     const found = this.#routes.find(exchange.request);
     const route = found.ok ? found.val.route.name : UNMATCHED_ROUTE;
     const answer = found.ok
--- a/programs/http_server_test.ts
+++ b/programs/http_server_test.ts
@@ -256,3 +256,36 @@
     );
   });
 });
+
+test("what follows a request on its connection and can't be read never takes the place of its answer", async () => {
+  let release = (): void => {};
+  let entered = (): void => {};
+  const released = new Promise<void>((resolve) => {
+    release = resolve;
+  });
+  const running = new Promise<void>((resolve) => {
+    entered = resolve;
+  });
+  const held = route("/held", async () => {
+    entered();
+    await released;
+    return jsonAnswer(200, { saved: true });
+  });
+  const garbage = [
+    "nonsense\r\n\r\n",
+    "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n",
+    "GET /held HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+  ];
+  for (const text of garbage) {
+    await withServer({ routes: [held] }, async ({ address }) => {
+      const client = new RawClient(address);
+      client.send(`GET /held HTTP/1.1\r\nHost: h\r\n\r\n${text}`);
+      await running;
+      await new Promise((resolve) => setImmediate(resolve));
+      release();
+      const raw = await client.untilClosed();
+      assert.match(raw, /^HTTP\/1\.1 200/, text);
+      assert.match(raw, /"saved":true/);
+    });
+  }
+});
