--- a/programs/http_limits.ts
+++ b/programs/http_limits.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { ServerOptions } from "node:http";
 import {
   type Bytes,
   KIBIBYTE,
@@ -11,6 +12,8 @@
   SECOND_MS,
 } from "#core";
 
+const TIMEOUT_CHECKS_PER_TIMEOUT = 4;
+
 /** What the HTTP server takes from callers at most. */
 export interface HttpLimits {
   readonly maximumBodyBytes: Bytes;
@@ -44,3 +47,22 @@
   sendStallMs: 30 * SECOND_MS,
   lingerMs: SECOND_MS,
 };
+
+/** The options of Node's server that hold the limits. */
+export function nodeOptions(limits: HttpLimits): ServerOptions {
+  const headersTimeout = Math.min(
+    limits.headersTimeoutMs,
+    limits.requestTimeoutMs,
+  );
+  return {
+    maxHeaderSize: limits.maximumHeaderBytes,
+    headersTimeout,
+    requestTimeout: limits.requestTimeoutMs,
+    keepAliveTimeout: limits.keepAliveMs,
+    connectionsCheckingInterval: Math.ceil(
+      headersTimeout / TIMEOUT_CHECKS_PER_TIMEOUT,
+    ),
+    noDelay: true,
+    requireHostHeader: false,
+  };
+}
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -30,7 +30,7 @@
 import { ConnectionTable } from "./connection_table.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import { failureAnswer } from "./failure_answer.ts";
-import type { HttpLimits } from "./http_limits.ts";
+import { type HttpLimits, nodeOptions } from "./http_limits.ts";
 import { type ClientError, clientFailure, refuseRaw } from "./raw_refusal.ts";
 import {
   announcesTooMuch,
@@ -40,7 +40,6 @@
 } from "./request_body.ts";
 import { buildCall, type FoundRoute, RouteFinder } from "./route_finder.ts";
 
-const TIMEOUT_CHECKS_PER_TIMEOUT = 4;
 const UNMATCHED_ROUTE = "unmatched";
 
 /** What an HTTP server is built from. */
@@ -340,21 +339,3 @@
     this.#answers.inc({ route, status: String(status) });
   }
 }
-
-function nodeOptions(limits: HttpLimits) {
-  const headersTimeout = Math.min(
-    limits.headersTimeoutMs,
-    limits.requestTimeoutMs,
-  );
-  return {
-    maxHeaderSize: limits.maximumHeaderBytes,
-    headersTimeout,
-    requestTimeout: limits.requestTimeoutMs,
-    keepAliveTimeout: limits.keepAliveMs,
-    connectionsCheckingInterval: Math.ceil(
-      headersTimeout / TIMEOUT_CHECKS_PER_TIMEOUT,
-    ),
-    noDelay: true,
-    requireHostHeader: false,
-  };
-}
