Fuzz the log while its control VMs change

Cause: the model only replaced replicas of a fixed set of VMs, and the directed test of a move had just found a fault. Change: a second property with a spare VM and bundles that name other control VMs, under all the other faults; a disk is lost there only while the voters are settled.

--- a/agreement/fuzz_model.ts
+++ b/agreement/fuzz_model.ts
@@ -21,6 +21,8 @@
 const POLL_MS: Milliseconds = 100;
 const MAXIMUM_STEPS = 24;
 const REPLICAS = 3;
+const VOTERS = ["a", "b", "c"];
+const SPARES = ["d"];
 
 /** One command or fault; VMs are counted around the group. */
 export type FuzzStep =
@@ -44,11 +46,12 @@
   }
   | { readonly kind: "stop"; readonly vm: number }
   | { readonly kind: "start"; readonly vm: number; readonly first: boolean }
-  | { readonly kind: "loseDisk"; readonly vm: number };
+  | { readonly kind: "loseDisk"; readonly vm: number }
+  | { readonly kind: "move"; readonly peers: readonly string[] };
 
 type Way = "in" | "out" | "both";
 
-const vm = fc.nat({ max: REPLICAS - 1 });
+const vm = fc.nat({ max: REPLICAS });
 
 function step<Kind extends FuzzStep["kind"], Fields extends object>(
   kind: Kind,
@@ -107,6 +110,16 @@
   { weight: 2, arbitrary: step("loseDisk", { vm }) },
 );
 
+const moveArbitrary: fc.Arbitrary<FuzzStep> = step("move", {
+  peers: fc.constantFrom(
+    ["a", "b", "c"],
+    ["a", "b", "d"],
+    ["a", "c", "d"],
+    ["b", "c", "d"],
+    ["a", "b", "c", "d"],
+  ),
+});
+
 /** A step as a command of fast-check; the oracle checks at every moment of `run`. */
 class StepCommand implements fc.AsyncCommand<object, SimulatedGroup> {
   readonly #step: FuzzStep;
@@ -179,6 +192,9 @@
       group.loseDisk(lost);
       group.start(lost);
     })
+    .with({ kind: "move" }, ({ peers }) => {
+      group.peers = peers;
+    })
     .exhaustive();
 }
 
@@ -214,24 +230,33 @@
   });
   for (const each of group.vms) group.query(each);
   await group.run(POLL_MS);
-  for (const each of group.vms) {
+  for (const each of namedVms(group)) {
     group.oracle.complete(each.process?.machine.items ?? []);
   }
 }
 
 /** Runs the model; throws with the seed and the shrunk commands. */
 export async function fuzzLog(
-  options: { readonly seed: number; readonly runs: number },
+  options: {
+    readonly seed: number;
+    readonly runs: number;
+    /** Whether the control VMs change as well. */
+    readonly moves: boolean;
+  },
 ): Promise<void> {
+  const steps = options.moves
+    ? [stepArbitrary, moveArbitrary, stepArbitrary]
+    : [stepArbitrary];
   const commands = fc.commands(
-    [stepArbitrary.map((each) => new StepCommand(each))],
+    steps.map((each) => each.map((step) => new StepCommand(step))),
     { maxCommands: MAXIMUM_STEPS, size: "max" },
   );
+  const spares = options.moves ? SPARES : [];
   const property = fc.asyncProperty(
     fc.nat(),
     commands,
     async (seed, steps) => {
-      const group = new SimulatedGroup({ seed, vms: ["a", "b", "c"] });
+      const group = new SimulatedGroup({ seed, vms: VOTERS, spares });
       await group.startAll();
       await fc.asyncModelRun(() => ({ model: {}, real: group }), steps);
       await checkRecovery(group);
@@ -264,18 +289,23 @@
 }
 
 function isConverged(group: SimulatedGroup): boolean {
-  const statuses = group.vms.map((each) => each.process?.log.status());
+  const statuses = namedVms(group).map((each) => each.process?.log.status());
   const index = statuses[0]?.appliedIndex;
   for (const status of statuses) {
     if (status?.ready !== true || status.appliedIndex !== index) return false;
     if (status.committedIndex !== index) return false;
   }
   const seats = group.settledSeats;
-  return group.vms.every((each) =>
+  if (seats.length !== group.peers.length) return false;
+  return namedVms(group).every((each) =>
     seats.some((seat) => seat.replica === each.replica)
   );
 }
 
+function namedVms(group: SimulatedGroup): readonly SimulatedVm[] {
+  return group.vms.filter((each) => group.peers.includes(each.name));
+}
+
 function leadingVm(group: SimulatedGroup): SimulatedVm {
   const leader = group.leader();
   return group.vms.find((each) => each.process === leader) ?? group.vm(0);
--- a/agreement/fuzz_test.ts
+++ b/agreement/fuzz_test.ts
@@ -2,5 +2,9 @@
 import { fuzzLog } from "./fuzz_model.ts";
 
 test("no fault loses or changes what was acknowledged, and a majority that can talk goes on", async () => {
-  await fuzzLog({ seed: 4, runs: 2_000 });
+  await fuzzLog({ seed: 4, runs: 2_000, moves: false });
+});
+
+test("nor does any fault while the control VMs themselves change", async () => {
+  await fuzzLog({ seed: 5, runs: 300, moves: true });
 });
--- a/agreement/simulated_group.ts
+++ b/agreement/simulated_group.ts
@@ -198,6 +198,8 @@
     const seats = this.#events.settled;
     if (seats.length === 0) return false;
     const intact = seats.filter((seat) => this.#holds(seat));
+    const moving = this.vms.length > this.#firstVoters.length;
+    if (moving && !this.#isSettled(seats)) return false;
     const left = intact.filter((seat) => seat.vm !== vm.name);
     return left.length > seats.length / 2;
   }
@@ -289,6 +291,19 @@
     return this.random.fraction() * (slow ? SLOW_SYNC_MS : SYNC_MS);
   }
 
+  /** Whether all voters are intact and no running replica knows of others. */
+  #isSettled(seats: readonly Seat[]): boolean {
+    if (!seats.every((seat) => this.#holds(seat))) return false;
+    const names = seats.map((seat) => seat.vm).sort().join();
+    for (const { process } of this.vms) {
+      const voters = process?.log.status().voters ?? [];
+      if (voters.length > 0 && [...voters].sort().join() !== names) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   #holds(seat: Seat): boolean {
     const vm = this.vms.find((each) => each.name === seat.vm);
     return vm?.replica === seat.replica;
--- a/proof/fuzz_agreement.ts
+++ b/proof/fuzz_agreement.ts
@@ -6,7 +6,8 @@
 import { fuzzLog } from "../agreement/fuzz_model.ts";
 import type { FuzzOptions } from "./fuzz.ts";
 
-/** Runs the model. */
-export function fuzz(options: FuzzOptions): Promise<void> {
-  return fuzzLog(options);
+/** Runs the model with fixed control VMs, then with changing ones. */
+export async function fuzz(options: FuzzOptions): Promise<void> {
+  await fuzzLog({ ...options, moves: false });
+  await fuzzLog({ ...options, moves: true });
 }
