Try: count work that runs beyond the places of a class in its expected wait

Cause: while samples hold more places than a lower class may fill, none of that class can start, but its wait was worked out as if its places were free.

--- a/requests/drain_estimate.ts
+++ b/requests/drain_estimate.ts
@@ -14,6 +14,8 @@
   readonly aheadInClass: number;
   /** Work that this entry may have outstanding. */
   readonly slots: number;
+  /** Work of all classes at upstreams; what is over the slots must end before a place is free. */
+  readonly running: number;
   readonly nowMs: Milliseconds;
 }
 
@@ -62,7 +64,9 @@
 
   #byService(options: WaitOptions): Milliseconds {
     if (this.#meanServiceMs === undefined || options.slots <= 0) return 0;
-    return (options.ahead + 1) * this.#meanServiceMs / options.slots;
+    const { ahead, running, slots } = options;
+    const over = Math.max(0, running - slots);
+    return (ahead + 1 + over) * this.#meanServiceMs / Math.max(slots, running);
   }
 
   /** By the rate at which the class itself left the queue while it was backlogged. */
