--- a/requests/drain_estimate.ts
+++ b/requests/drain_estimate.ts
@@ -14,8 +14,6 @@
   readonly aheadInClass: number;
   /** Work that this entry may have outstanding. */
   readonly slots: number;
-  /** Work of all classes at upstreams; what is over the slots must end before a place is free. */
-  readonly running: number;
   readonly nowMs: Milliseconds;
 }
 
@@ -64,9 +62,7 @@
 
   #byService(options: WaitOptions): Milliseconds {
     if (this.#meanServiceMs === undefined || options.slots <= 0) return 0;
-    const { ahead, running, slots } = options;
-    const over = Math.max(0, running - slots);
-    return (ahead + 1 + over) * this.#meanServiceMs / Math.max(slots, running);
+    return (options.ahead + 1) * this.#meanServiceMs / options.slots;
   }
 
   /** By the rate at which the class itself left the queue while it was backlogged. */
--- a/requests/scheduler.ts
+++ b/requests/scheduler.ts
@@ -350,7 +350,6 @@
       ahead: queue.aheadOf(item.class) - queue.sizeOf(item.class),
       aheadInClass: 0,
       slots: pool?.slots(nowMs, false) ?? 0,
-      running: this.#runningForWait(options.queue),
       nowMs,
     });
   }
@@ -369,15 +368,10 @@
       ahead: queue.aheadOf(item.class),
       aheadInClass: queue.sizeOf(item.class),
       slots: pool.slots(nowMs, isFirstClass),
-      running: this.#runningForWait(options.queue),
       nowMs,
     });
   }
 
-  #runningForWait(queue: TargetQueue): number {
-    return this.#tuning.countsWorkBeyondBound ? queue.running : 0;
-  }
-
   #unservable(item: WorkItem, nowMs: Milliseconds): Failure | undefined {
     const pool = this.#table.pool(item.target);
     if (pool?.canServe(item, nowMs) === true) return undefined;
--- a/requests/tuning.ts
+++ b/requests/tuning.ts
@@ -29,8 +29,6 @@
   readonly standingWaitMs: Milliseconds;
   /** Whether waiting work of lower classes is given up once its expected wait is too long. */
   readonly givesUpByForecast: boolean;
-  /** Whether an expected wait counts work that runs beyond the places of the class. */
-  readonly countsWorkBeyondBound: boolean;
 }
 
 /** The policy before the last change that was kept. */
@@ -45,12 +43,11 @@
   standingAfterMs: 100,
   standingLength: 2,
   standingWaitMs: 50,
-  givesUpByForecast: true,
-  countsWorkBeyondBound: false,
+  givesUpByForecast: false,
 };
 
 /** The policy in use. */
 export const DEFAULT_TUNING: PolicyTuning = {
   ...PREVIOUS_TUNING,
-  countsWorkBeyondBound: true,
+  givesUpByForecast: true,
 };
