--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -25,7 +25,7 @@
 import { type DataFolder, StorageFault } from "./data_folder.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
 import type { Instant } from "./leadership.ts";
-import { LogStorage } from "./log_storage.ts";
+import { LogStorage, type RecoveredState } from "./log_storage.ts";
 import { MachineHost, unknownMachine } from "./machine_host.ts";
 import { packMessage, unpackMessage } from "./messages.ts";
 import { notLeader, Proposals } from "./proposals.ts";
@@ -101,6 +101,7 @@
   #chunks: ChunkSender | undefined;
   #timer: { readonly dueMs: Milliseconds; readonly timer: Timer } | undefined;
   #lastLeader: string | null = null;
+  #ready = false;
 
   constructor(options: QuorumLogOptions) {
     super();
@@ -117,9 +118,7 @@
 
   override async start(): Promise<void> {
     const { clock, events, network, random } = this.#options;
-    const recovered = await this.#storage.open(() =>
-      random.identifier().slice(0, IDENTITY_LENGTH)
-    );
+    const recovered = await this.#open();
     if (recovered.snapshot !== null) this.#applier.restore(recovered.snapshot);
     const replica = new Replica({
       vm: this.#options.vm,
@@ -188,7 +187,7 @@
 
   override status(): LogStatus {
     const state = this.#replica?.state;
-    const goal = this.#replica?.startGoal ?? null;
+    this.#ready ||= this.#isCaughtUp();
     return {
       replica: state?.identity ?? "",
       role: state?.role ?? "learner",
@@ -197,7 +196,7 @@
       committedIndex: state?.committedIndex ?? 0,
       appliedIndex: this.#applier.appliedIndex,
       voters: (state?.rules().seats() ?? []).map((seat) => seat.vm),
-      ready: goal !== null && this.#applier.appliedIndex >= goal,
+      ready: this.#ready,
     };
   }
 
@@ -225,6 +224,13 @@
     });
   }
 
+  #isCaughtUp(): boolean {
+    const replica = this.#replica;
+    if (replica === undefined || !replica.seated) return false;
+    const goal = replica.startGoal;
+    return goal !== null && this.#applier.appliedIndex >= goal;
+  }
+
   #notEstablished(): Failure | undefined {
     const leadership = this.#replica?.leadership;
     if (leadership === undefined) return notLeader(null);
@@ -287,6 +293,17 @@
     }
   }
 
+  async #open(): Promise<RecoveredState> {
+    try {
+      return await this.#storage.open(() =>
+        this.#options.random.identifier().slice(0, IDENTITY_LENGTH)
+      );
+    } catch (error) {
+      await this.#storage.close();
+      throw error;
+    }
+  }
+
   #makeLoop(replica: Replica): SyncLoop {
     return new SyncLoop({
       replica,
