Read loading engines at a bounded rate, and don't take a running load for a failed one

Cause: engines name the old version while they load; the leader took that for the version ordered, counted a load that then succeeded as failed, and read the engine every 0.5 s as if it had announced the version. Found by counting the readings of 400 engines. Change: the version ordered is kept, what a loading engine names is not relied on; readings of engines that load are held to 200 a second all together.

--- a/proof/bench_weights.ts
+++ b/proof/bench_weights.ts
@@ -104,7 +104,7 @@
     zone: `z${index % site.zones}`,
     capacity: 16,
     serving: 1 + index % 2,
-    loading: null,
+    loading: false,
     restUntilMs: 0,
     failures: 0,
   }));
--- a/proof/fuzz_orders_test.ts
+++ b/proof/fuzz_orders_test.ts
@@ -1,10 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { VirtualClock } from "#core";
-import { ORDER_LIMIT_MS } from "#weights";
+import { ORDER_LIMIT_MS, WEIGHTS_EVENTS } from "#weights";
 import { fuzz } from "./fuzz_orders.ts";
 import { LEASE_MS, OrdersWorld } from "./orders_world.ts";
 
+const MANY_ENGINES = 400;
+const MANY_SECONDS = 70;
+
 test("no engine ends on an older order than the last committed, whatever the network and the leaders do", async () => {
   await fuzz({ seed: 1, runs: 40 });
 });
@@ -57,3 +60,46 @@
   const { orders } = world.orders.ask(null).unwrap();
   assert.deepEqual(orders.map((order) => order.upstream), ["e0"]);
 });
+
+test("a wish whose fence an engine refuses is committed again for a newer one", async () => {
+  const clock = new VirtualClock(1_000);
+  const world = new OrdersWorld(clock, 1);
+  const [engine] = world.engines;
+  assert.ok(engine);
+  await clock.advanceAsync(1_000);
+  engine.fence = world.index + 2;
+  world.published = 2;
+  await clock.advanceAsync(20_000);
+  for (const coordinator of world.coordinators) coordinator.stop();
+  assert.equal(engine.version, 2);
+  assert.equal(world.index, 2);
+});
+
+test("a rollout without faults reports no failed swap and gives each order once", async () => {
+  const clock = new VirtualClock(1_000);
+  const world = new OrdersWorld(clock, 8);
+  for (const engine of world.engines) engine.loadMs = 3_000;
+  world.published = 2;
+  await clock.advanceAsync(40_000);
+  for (const coordinator of world.coordinators) coordinator.stop();
+  const failed = world.events.records().filter(({ event }) =>
+    event.code === WEIGHTS_EVENTS.swapFailed.code
+  );
+  assert.deepEqual(failed, []);
+  assert.equal(world.given.length, 8);
+  for (const engine of world.engines) assert.equal(engine.version, 2);
+});
+
+test("readings of many engines that load stay under their limit", async () => {
+  const clock = new VirtualClock(1_000);
+  const world = new OrdersWorld(clock, MANY_ENGINES);
+  for (const engine of world.engines) engine.loadMs = 20_000;
+  world.published = 2;
+  await clock.advanceAsync(MANY_SECONDS * 1_000);
+  for (const coordinator of world.coordinators) coordinator.stop();
+  const paceSeconds = MANY_ENGINES / 200;
+  const whileLoading = 20 / paceSeconds + 2;
+  const settled = 1 + MANY_SECONDS / 15;
+  assert.ok(world.readings <= MANY_ENGINES * (whileLoading + settled));
+  for (const engine of world.engines) assert.equal(engine.version, 2);
+});
--- a/proof/orders_world.ts
+++ b/proof/orders_world.ts
@@ -60,11 +60,14 @@
   readonly engines: readonly WorldEngine[];
   readonly orders = new OrdersMachine();
   readonly given: GivenOrder[] = [];
+  readonly events = new MemoryEventLog();
   readonly fates: OrderFate[] = [];
   readonly coordinators: WeightsCoordinator[] = [];
   /** Engines that are no longer heard of. */
   readonly gone = new Set<string>();
   published = 1;
+  /** Readings of engines so far. */
+  readings = 0;
   loseNextReply = false;
   leader = "control-1";
   /** When the lease ends that is no longer renewed, or null while it is. */
@@ -125,7 +128,7 @@
         ),
       clock: this.clock,
       random,
-      events: new MemoryEventLog(),
+      events: this.events,
       metrics: new Metrics(),
       engines: new WorldEnginePort(this, vm),
     });
@@ -242,6 +245,7 @@
   ): Promise<Result<EngineState, Failure>> {
     const { clock } = this.#world;
     await clock.sleep(NETWORK_MS);
+    this.#world.readings += 1;
     const state = this.#engine(address).read();
     await clock.sleep(NETWORK_MS);
     return Ok(state);
--- a/proof/rollout_model.ts
+++ b/proof/rollout_model.ts
@@ -56,7 +56,7 @@
     goal: { readonly version: number },
     nowMs: Milliseconds,
   ): readonly string[] {
-    if (engines.some((engine) => engine.loading !== null)) return [];
+    if (engines.some((engine) => engine.loading)) return [];
     const next = engines.find((engine) =>
       needsOrder(engine, goal.version, nowMs)
     );
@@ -100,7 +100,7 @@
       zone: `z${index % site.zones}`,
       capacity: 16,
       serving: 1,
-      loading: null,
+      loading: false,
       restUntilMs: 0,
       failures: 0,
     }));
@@ -130,7 +130,7 @@
   }
 
   #begin(index: number, engine: RolloutEngine): void {
-    this.#engines[index] = { ...engine, loading: 2 };
+    this.#engines[index] = { ...engine, loading: true };
     this.#loads.set(index, {
       askAtMs: this.#nowMs,
       doneAtMs: Number.MAX_SAFE_INTEGER,
@@ -165,12 +165,12 @@
       this.#engines[index] = failed
         ? {
           ...engine,
-          loading: null,
+          loading: false,
           serving: null,
           failures: engine.failures + 1,
           restUntilMs: this.#nowMs + REST_MS,
         }
-        : { ...engine, loading: null, serving: 2, failures: 0 };
+        : { ...engine, loading: false, serving: 2, failures: 0 };
     }
   }
 
@@ -180,7 +180,7 @@
     let total = 0;
     for (const engine of this.#engines) {
       all.set(engine.zone, (all.get(engine.zone) ?? 0) + 1);
-      if (engine.serving === null || engine.loading !== null) continue;
+      if (engine.serving === null || engine.loading) continue;
       serving.set(engine.zone, (serving.get(engine.zone) ?? 0) + 1);
       total += 1;
     }
--- a/proof/world_engine.ts
+++ b/proof/world_engine.ts
@@ -29,6 +29,8 @@
   fence = 0;
   state: "serving" | "loading" | "failed" = "serving";
   failNext = 0;
+  /** Time of a load. */
+  loadMs: Milliseconds = LOAD_MS;
   record: UpstreamRecord;
   #wished = 1;
   #attempt = 0;
@@ -57,7 +59,7 @@
     this.#attempt += 1;
     const attempt = this.#attempt;
     this.state = "loading";
-    this.#clock.after(LOAD_MS, () => {
+    this.#clock.after(this.loadMs, () => {
       if (attempt !== this.#attempt) return;
       if (this.failNext > 0) {
         this.failNext -= 1;
--- a/weights/engine_memory.ts
+++ b/weights/engine_memory.ts
@@ -10,8 +10,8 @@
 
 /** An order without an answer from the engine's state for this long counts as failed. */
 const LOAD_LIMIT_MS: Milliseconds = 120_000;
-/** Time between readings while a load is on. */
-const READ_MS: Milliseconds = 500;
+/** Shortest time between two readings. */
+export const READ_MS: Milliseconds = 500;
 /** Time between readings of an engine that serves what it shall. */
 const AUDIT_MS: Milliseconds = 15_000;
 const FIRST_REST_MS: Milliseconds = 1_000;
@@ -20,13 +20,17 @@
 /** What came of a reading. */
 export type ReadOutcome = "serving" | "loading" | "failed" | "other";
 
+interface Load {
+  /** Version ordered, or null if another leader ordered it. */
+  readonly version: number | null;
+  readonly sinceMs: Milliseconds;
+}
+
 /** One engine's part in one model. */
 export class EngineMemory {
   #record: UpstreamRecord;
   #serving: number | null;
-  #loading:
-    | { readonly version: number; readonly sinceMs: Milliseconds }
-    | null = null;
+  #loading: Load | null = null;
   #readAtMs: Milliseconds | null = null;
   #readSequence = -1;
   #reading = false;
@@ -69,18 +73,26 @@
       zone: this.#record.zone,
       capacity: this.#record.capacity,
       serving: this.#serving,
-      loading: this.#loading?.version ?? null,
+      loading: this.#loading !== null,
       restUntilMs: this.#restUntilMs,
       failures: this.#failures,
     };
   }
 
-  /** Whether the engine is to be read back now. */
-  needsReading(nowMs: Milliseconds): boolean {
+  /**
+   * Whether the engine is to be read back now: `loadingReadMs` after the last reading while a load is
+   * on, and sooner once its announcement names the version.
+   */
+  needsReading(nowMs: Milliseconds, loadingReadMs: Milliseconds): boolean {
     if (this.#reading) return false;
     if (this.#readAtMs === null) return true;
     const sinceMs = nowMs - this.#readAtMs;
-    if (this.#loading !== null) return sinceMs >= READ_MS;
+    if (this.#loading !== null) {
+      const announced = announcedVersion(this.#record, this.#model);
+      const isAnnounced = announced !== null &&
+        announced === this.#loading.version;
+      return sinceMs >= (isAnnounced ? READ_MS : loadingReadMs);
+    }
     if (sinceMs >= AUDIT_MS) return true;
     const announced = announcedVersion(this.#record, this.#model);
     return announced !== this.#serving && sinceMs >= READ_MS &&
@@ -130,7 +142,7 @@
     const failed = own.find((entry) => entry.state === "failed");
     this.#serving = serving?.version ?? null;
     if (loading !== undefined) {
-      this.#noteLoading(loading.version, times.nowMs);
+      this.#noteLoading(times.nowMs);
       this.#giveUpLoad(times.nowMs);
       return "loading";
     }
@@ -142,7 +154,8 @@
       this.#rest(times.nowMs);
       return "failed";
     }
-    if (wasLoading !== null && serving?.version !== wasLoading.version) {
+    const expected = wasLoading?.version ?? null;
+    if (expected !== null && serving?.version !== expected) {
       this.#rest(times.nowMs);
       return "failed";
     }
@@ -151,9 +164,9 @@
     return "serving";
   }
 
-  #noteLoading(version: number, nowMs: Milliseconds): void {
-    if (this.#loading?.version === version) return;
-    this.#loading = { version, sinceMs: nowMs };
+  /** Engines differ in which version they name while they load, so that it is not relied on. */
+  #noteLoading(nowMs: Milliseconds): void {
+    this.#loading ??= { version: null, sinceMs: nowMs };
   }
 
   #giveUpLoad(nowMs: Milliseconds): void {
--- a/weights/rollout_plan.ts
+++ b/weights/rollout_plan.ts
@@ -16,8 +16,8 @@
   readonly capacity: number;
   /** Version served, or null while it serves none of the model. */
   readonly serving: number | null;
-  /** Version it was told to load and has not reported, or null. */
-  readonly loading: number | null;
+  /** Whether it was told to load a version that it has not reported. */
+  readonly loading: boolean;
   /** Until when it gets no further order, after a failed one. */
   readonly restUntilMs: Milliseconds;
   /** Loads that failed one after the other. */
@@ -82,7 +82,7 @@
   version: number,
   nowMs: Milliseconds,
 ): boolean {
-  if (engine.loading !== null) return false;
+  if (engine.loading) return false;
   if (engine.serving !== null && engine.serving >= version) return false;
   return engine.restUntilMs <= nowMs;
 }
@@ -127,7 +127,7 @@
 }
 
 function isServing(engine: RolloutEngine): boolean {
-  return engine.serving !== null && engine.loading === null;
+  return engine.serving !== null && !engine.loading;
 }
 
 /** Engines that serve nothing first, then those with the oldest version. */
--- a/weights/rollout_plan_test.ts
+++ b/weights/rollout_plan_test.ts
@@ -14,7 +14,7 @@
     zone: `z${index % 3}`,
     capacity: 4,
     serving: 1,
-    loading: null,
+    loading: false,
     restUntilMs: 0,
     failures: 0,
     ...changes,
@@ -25,7 +25,7 @@
   const part = fc.record({
     capacity: fc.integer({ min: 1, max: 16 }),
     serving: fc.constantFrom(null, 1, 2),
-    loading: fc.constantFrom(null, null, 2),
+    loading: fc.constantFrom(false, false, true),
     failures: fc.nat(2),
   }, { noNullPrototype: true });
   fc.assert(
@@ -65,7 +65,7 @@
   let taken = 0;
   for (const engine of engines) {
     all += engine.capacity;
-    if (engine.serving === null || engine.loading !== null) continue;
+    if (engine.serving === null || engine.loading) continue;
     before += engine.capacity;
     if (wave.chosen.has(engine.upstream)) taken += 1;
     else after += engine.capacity;
@@ -88,7 +88,7 @@
     begun += chosen.size;
     for (const [index, engine] of engines.entries()) {
       if (!chosen.has(engine.upstream)) continue;
-      engines[index] = { ...engine, loading: 2 };
+      engines[index] = { ...engine, loading: true };
     }
   }
   assert.ok(begun <= 51, `${begun} loads in 10 s`);
--- a/weights/weights_coordinator.ts
+++ b/weights/weights_coordinator.ts
@@ -5,19 +5,25 @@
  * @module
  */
 import type { ReplicatedLog } from "#agreement";
-import type {
-  AcceptedBundle,
-  Clock,
-  EventLog,
-  Metrics,
-  Milliseconds,
-  ModelEntry,
-  OrderView,
-  RandomSource,
-  Timer,
-  UpstreamRecord,
+import {
+  type AcceptedBundle,
+  type Clock,
+  type EventLog,
+  type Metrics,
+  type Milliseconds,
+  type ModelEntry,
+  type OrderView,
+  type RandomSource,
+  SECOND_MS,
+  type Timer,
+  type UpstreamRecord,
 } from "#core";
-import { announcedVersion, EngineMemory, isWished } from "./engine_memory.ts";
+import {
+  announcedVersion,
+  EngineMemory,
+  isWished,
+  READ_MS,
+} from "./engine_memory.ts";
 import { type EnginePort, HttpEnginePort } from "./engine_port.ts";
 import { WEIGHTS_EVENTS } from "./events.ts";
 import {
@@ -38,6 +44,8 @@
 const READ_LIMIT_MS: Milliseconds = 2_000;
 /** Most engines forgotten at once. */
 const FORGET_BATCH = 1_024;
+/** Readings of engines that load, all together. */
+const READINGS_PER_SECOND = 200;
 /** Most readings at once. */
 const MAXIMUM_READINGS = 128;
 
@@ -140,7 +148,8 @@
     const published = await publishedVersions(log);
     if (published === null || this.#leadership !== leadership) return;
     const rollouts: ModelRollout[] = [];
-    for (const model of this.#models()) {
+    const models = this.#options.bundle()?.signed.bundle.models ?? [];
+    for (const model of models) {
       const version = published.get(model.name);
       if (version === undefined) continue;
       rollouts.push(await this.#rollOut(leadership, model, version));
@@ -182,10 +191,6 @@
     return leadership;
   }
 
-  #models(): readonly ModelEntry[] {
-    return this.#options.bundle()?.signed.bundle.models ?? [];
-  }
-
   async #rollOut(
     leadership: Leadership,
     model: ModelEntry,
@@ -210,20 +215,15 @@
     }));
     if (wishes.length > 0) await this.#order(leadership, wishes);
     const serving = engines.filter((view) => view.serving === version).length;
-    const loading = engines.filter((view) => view.loading !== null).length;
+    const loading = engines.filter((view) => view.loading).length;
     this.#gauge.set({ model: model.name, state: "serving" }, serving);
     this.#gauge.set({ model: model.name, state: "loading" }, loading);
     this.#gauge.set({ model: model.name, state: "all" }, memories.length);
     if (memories.length > 0 && serving === memories.length) {
       this.#noteDone(leadership, model.name, version);
     }
-    return {
-      model: model.name,
-      version,
-      engines: memories.length,
-      serving,
-      loading,
-    };
+    const counts = { engines: memories.length, serving, loading };
+    return { model: model.name, version, ...counts };
   }
 
   #noteDone(leadership: Leadership, model: string, version: number): void {
@@ -261,9 +261,11 @@
 
   #readBack(leadership: Leadership, memories: readonly EngineMemory[]): void {
     const nowMs = this.#options.clock.nowMs();
+    const paceMs = memories.length * SECOND_MS / READINGS_PER_SECOND;
+    const loadingReadMs = Math.max(READ_MS, paceMs);
     for (const memory of memories) {
       if (leadership.readings >= MAXIMUM_READINGS) return;
-      if (!memory.needsReading(nowMs)) continue;
+      if (!memory.needsReading(nowMs, loadingReadMs)) continue;
       leadership.readings += 1;
       void this.#read(leadership, memory);
     }
