Let one cluster at a time use a range of addresses

Cause: two runs of the tests on one machine took each other's addresses: "127.7.21.2:7000 is in use" failed four process tests; and a stand-in's stream of 100 tokens could end before the swap that was to cut it. Change: a cluster holds a lock port of its range and others wait for it; the stream to be cut has a million tokens. Also seen once in the failed run, not mended: the rolling restart of six entry VMs had 1 of 2,015 calls without an answer.

--- a/fakes/engine_test.ts
+++ b/fakes/engine_test.ts
@@ -158,11 +158,14 @@
   }));
 
 test("a swap that fails partway cuts streams, and none is served after", () =>
-  withEngine({ swapMs: 5 }, async (engine, post) => {
+  withEngine({
+    swapMs: 5,
+    naturalTokens: { shortest: 1_000_000, longest: 1_000_000 },
+  }, async (engine, post) => {
     engine.weights.failSwaps(1);
     const pending = post("/v1/completions", {
       ...REQUEST,
-      max_tokens: 10_000,
+      max_tokens: 1_000_000,
     });
     while (engine.record.totals().tokens < 5) {
       await engine.options.clock.sleep(5);
--- a/proof/process_cluster.ts
+++ b/proof/process_cluster.ts
@@ -10,6 +10,7 @@
 import { fileURLToPath } from "node:url";
 import type { Bundle, Milliseconds, SignedBundle, VmEntry } from "#core";
 import { type JsonAnswer, type JsonCall, JsonClient } from "#fakes";
+import { lockNetwork, type NetworkLock } from "./network_lock.ts";
 import { ManagedProcess, waitUntil } from "./managed_process.ts";
 import {
   makeOperator,
@@ -63,9 +64,11 @@
   readonly #folder: string;
   readonly #client = new JsonClient();
   readonly #processes = new Map<string, ManagedProcess>();
+  readonly #lock: NetworkLock;
 
-  private constructor(options: ClusterOptions) {
+  private constructor(options: ClusterOptions, lock: NetworkLock) {
     this.#options = options;
+    this.#lock = lock;
     this.#folder = mkdtempSync(join(tmpdir(), "cicadafield-proof-"));
     this.operators = [makeOperator("awa"), makeOperator("tomas")];
     this.firstBundle = siteBundle({ ...options, operators: this.operators });
@@ -73,7 +76,7 @@
 
   /** Starts all processes, puts the first bundle in force and waits until every entry VM is ready. */
   static async start(options: ClusterOptions): Promise<ProcessCluster> {
-    const cluster = new ProcessCluster(options);
+    const cluster = new ProcessCluster(options, await lockNetwork(options));
     try {
       await cluster.#startAll();
     } catch (error) {
@@ -203,6 +206,7 @@
     this.#client.close();
     const processes = [...this.#processes.values()];
     await Promise.all(processes.map((each) => each.cleanUp()));
+    await this.#lock.release();
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
