Show a right example of the operators' keys

Cause: the documented value was refused by its own check. Ruled out: a check that is too strict (a raw Ed25519 key has 44 characters in base64). Change: the example; a test that each example and default passes its check, which failed before. Conclusion: the page of settings shows values that work.

--- a/programs/control_settings.ts
+++ b/programs/control_settings.ts
@@ -61,6 +61,6 @@
       "Operators who may sign the first bundle: NAME=KEY, separated by commas.",
     schema: operatorKeys,
     fallback: "",
-    example: "awa=MCowBQYDK2VwAyEAGb9ECWmEzf6FQbrBZ9w7lshQhqowtrbLDFw=",
+    example: "awa=UNhY4JhezH9gQYqvDMWrWH9CwlcKiECVqejMrND2VFw=",
   },
 } as const;
--- a/programs/reference_pages_test.ts
+++ b/programs/reference_pages_test.ts
@@ -4,6 +4,9 @@
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
 import { parseBundle } from "#bundles";
+import type { SettingDefinition } from "#core";
+import { CONTROL_SETTINGS } from "./control_settings.ts";
+import { ENTRY_SETTINGS } from "./entry_settings.ts";
 import {
   collectEvents,
   EVENT_RANGES,
@@ -11,6 +14,8 @@
   settingsPage,
 } from "./reference_pages.ts";
 
+type AnySetting = SettingDefinition<unknown>;
+
 const BUILD = join(dirname(fileURLToPath(import.meta.url)), "..");
 const DOCS = join(BUILD, "../docs");
 const REMEDY =
@@ -51,3 +56,17 @@
   const bundle = parseBundle(JSON.parse(await readFile(file, "utf8")));
   assert.deepEqual(bundle.ok ? [] : bundle.val, []);
 });
+
+test("each example and each default of a setting is right by its own check", () => {
+  const programs = { ...ENTRY_SETTINGS, ...CONTROL_SETTINGS };
+  const wrong: string[] = [];
+  for (const [name, setting] of Object.entries<AnySetting>(programs)) {
+    for (const text of [setting.example, setting.fallback]) {
+      if (text === undefined || setting.schema.safeParse(text).success) {
+        continue;
+      }
+      wrong.push(`${name}: ${text}`);
+    }
+  }
+  assert.deepEqual(wrong, []);
+});
