Tell demand only where there is some, at a bounded rate

Cause: each entry told its demand to every other entry of its zone five times a second, with or without work: with 30 entries a zone 145 notices a second and VM, about 11 KB/s by arithmetic at 80 bytes, and none of it counted by control_cost. Ruled out: telling through a relay (its bytes grow with the square instead); dropping the shares (the parts would no longer add up to the bound). Change: an entry without work is silent and gets no part until it has some; a changed demand goes out at most every 200 ms for each 4 other entries, an equal one every 2 s. Figures, by the test of the decision: 0 notices a second idle (5 before), at most 25 a second in zones of 2 to 30 entries (145 before at 30); the first work is told within 50 ms. Conclusion: kept; bytes of a busy VM at the target are still to be measured.

--- a/requests/demand_shares.ts
+++ b/requests/demand_shares.ts
@@ -7,7 +7,7 @@
 import type { Milliseconds } from "#core";
 
 /** How long another entry's demand counts after it was heard. */
-export const DEMAND_TTL_MS: Milliseconds = 2_000;
+export const DEMAND_TTL_MS: Milliseconds = 4_000;
 
 /** Demand of another entry: work queued and running, by target. */
 export interface DemandNotice {
--- a/requests/work_gate.ts
+++ b/requests/work_gate.ts
@@ -16,10 +16,10 @@
   Ok,
   type RandomSource,
   type Result,
-  type Timer,
 } from "#core";
 import type { PeerNetwork } from "#wire";
 import type { DecisionLog } from "./decision_log.ts";
+import { DemandTelling } from "./demand_telling.ts";
 import { REQUEST_EVENTS } from "./events.ts";
 import { type Dispatch, Scheduler, type WorkOutcome } from "./scheduler.ts";
 import type { UpstreamState } from "./upstream_state.ts";
@@ -27,8 +27,6 @@
 
 /** How often waiting work is checked and demand is told to the zone. */
 export const TICK_MS: Milliseconds = 50;
-/** How often demand is told to the other entries of the zone. */
-export const DEMAND_PERIOD_MS: Milliseconds = 200;
 
 const demandSchema = z.object({
   demand: z.record(z.string().max(256), z.number().finite().nonnegative()),
@@ -62,6 +60,7 @@
     (result: Result<Slot, Failure>) => void
   >();
   readonly #stops: (() => void)[] = [];
+  readonly #telling = new DemandTelling();
 
   constructor(options: WorkGateOptions) {
     this.#options = options;
@@ -83,11 +82,11 @@
       }));
     }
     this.#readBoard();
-    const timers: readonly Timer[] = [
-      clock.every(TICK_MS, () => this.#tick()),
-      clock.every(DEMAND_PERIOD_MS, () => this.#tellDemand()),
-    ];
-    for (const timer of timers) this.#stops.push(() => timer.cancel());
+    const timer = clock.every(TICK_MS, () => {
+      this.#tick();
+      this.#tellDemand();
+    });
+    this.#stops.push(() => timer.cancel());
   }
 
   /** Ends the timers; what waits or runs goes on. */
@@ -201,12 +200,23 @@
   }
 
   #tellDemand(): void {
-    const { board, network, vm, zone } = this.#options;
     const notice = this.scheduler.demand();
+    const peers = this.#peers();
+    const nowMs = this.#options.clock.nowMs();
+    const options = { notice, peers: peers.length, nowMs };
+    if (!this.#telling.isDue(options)) return;
+    for (const to of peers) {
+      this.#options.network.notify({ to, channel: "requests" }, notice);
+    }
+  }
+
+  #peers(): readonly string[] {
+    const { board, vm, zone } = this.#options;
+    const peers: string[] = [];
     for (const view of board.read("members").values()) {
-      if (view.name === vm || view.zone !== zone) continue;
-      network.notify({ to: view.name, channel: "requests" }, notice);
+      if (view.name !== vm && view.zone === zone) peers.push(view.name);
     }
+    return peers;
   }
 
   #hear(from: string, body: unknown): void {
