--- a/proof/requests_rolling_restart_test.ts
+++ b/proof/requests_rolling_restart_test.ts
@@ -138,7 +138,10 @@
     );
     balancer.isDone = true;
     await Promise.all(running);
-    console.log(`${tally.calls} calls, ${tally.failures.length} failed`);
+    console.log(
+      `${tally.calls} calls, ${tally.failures.length} failed`,
+      tally.failures.slice(0, 5),
+    );
     assert.deepEqual(tally.failures.slice(0, 5), []);
     assert.deepEqual(codes, [0, 0, 0, 0, 0, 0]);
   } finally {
