Let a replica that lost its seat ask for one once it hears no leader

Change: without a seat at the election time it becomes a learner, which makes itself known. Mutation, seen to fail and taken back: staying a follower (replica_test 7). The directed test of a VM named again passes with it; the shorter path needs the unit test.

--- a/agreement/election.ts
+++ b/agreement/election.ts
@@ -24,7 +24,10 @@
     const state = this.#state;
     if (state.role === "leader" || nowMs < state.electionDueMs) return false;
     state.delayElection(nowMs);
-    if (!state.isVoter()) return false;
+    if (!state.isVoter()) {
+      state.role = "learner";
+      return false;
+    }
     state.role = "candidate";
     state.leader = null;
     return this.#campaign({ trial: true, handover: false });
--- a/agreement/recovery_test.ts
+++ b/agreement/recovery_test.ts
@@ -101,6 +101,21 @@
   assert.equal(await commit(group, 5), 5);
 });
 
+test("a VM that lost its seat and is named again gets one again", async () => {
+  const group = await groupOf("d");
+  group.start(vmOf(group, "d"));
+  for (const peers of [["b", "c", "d"], ["a", "b", "c"], ["a", "c", "d"]]) {
+    group.peers = peers;
+    await group.run(2 * REPAIR_MS);
+    assert.deepEqual(seated(group), peers);
+    const leader = group.vms.find((vm) => vm.process === group.leader());
+    assert.ok(leader !== undefined);
+    group.crash(leader);
+    await group.run(REPAIR_MS);
+    group.start(leader);
+  }
+});
+
 test("a leader that was frozen reads nothing once others have a leader", async () => {
   const group = await groupOf();
   await commit(group, 5);
--- a/agreement/replica_test.ts
+++ b/agreement/replica_test.ts
@@ -163,3 +163,25 @@
   assert.equal(joint.reached(new Set(["replica-a", "replica-d"])), false);
   assert.equal(joint.reached(new Set(["replica-a", "replica-b"])), true);
 });
+
+test("a replica whose seat was taken asks for one once it hears no leader", () => {
+  const replica = replicaOf("a");
+  const after = [SEATS[1] as Seat, SEATS[2] as Seat];
+  const body = encodeSeats({ before: SEATS, after });
+  replica.receive("b", {
+    kind: "append",
+    group: GROUP,
+    from: "replica-b",
+    to: "replica-a",
+    term: 2,
+    previousIndex: 1,
+    previousTerm: 1,
+    committedIndex: 2,
+    sentMs: 0,
+    entries: [[2, 2, 0, "seats", body as Uint8Array<ArrayBuffer>]],
+  }, LATER);
+  const silent = { nowMs: LATER.nowMs + 3_000, wallMs: 0 };
+  replica.tick(silent);
+  replica.tick({ nowMs: silent.nowMs + 3_000, wallMs: 0 });
+  assert.equal(only(replica.takeReady(), "hello").length, 2);
+});
