--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -30,7 +30,7 @@
 import { ConnectionTable } from "./connection_table.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import { failureAnswer } from "./failure_answer.ts";
-import type { HttpLimits } from "./http_limits.ts";
+import { type HttpLimits, nodeOptions } from "./http_limits.ts";
 import { type ClientError, clientFailure, refuseRaw } from "./raw_refusal.ts";
 import {
   announcesTooMuch,
@@ -40,7 +40,6 @@
 } from "./request_body.ts";
 import { buildCall, type FoundRoute, RouteFinder } from "./route_finder.ts";
 
-const TIMEOUT_CHECKS_PER_TIMEOUT = 4;
 const UNMATCHED_ROUTE = "unmatched";
 
 /** What an HTTP server is built from. */
@@ -181,7 +180,10 @@
       this.#take(request, response, false);
     });
     server.on("connect", (_request: IncomingMessage, socket: Duplex) => {
-      refuseRaw(socket, fail("method_not_allowed", "CONNECT is not offered"));
+      this.#refuse(
+        socket as Socket,
+        fail("method_not_allowed", "CONNECT is not offered"),
+      );
     });
     server.on("clientError", (error: ClientError, socket: Duplex) => {
       this.#refuseConnection(error, socket);
@@ -190,14 +192,19 @@
 
   #refuseConnection(error: ClientError, socket: Duplex): void {
     const failure = clientFailure(error);
-    const answering = this.#connections.isAnswering(socket as Socket);
-    if (failure === undefined || answering) {
+    if (failure === undefined) {
       socket.destroy();
       return;
     }
+    this.#refuse(socket as Socket, failure);
+  }
+
+  #refuse(socket: Socket, failure: Failure): void {
     this.#options.events.emit(HTTP_EVENTS.requestRefused, {
       kind: failure.kind,
     });
+    // A refusal written before the answers to earlier requests would pass for the answer to the first.
+    if (!this.#connections.breakOff(socket, failure)) return;
     this.#count(UNMATCHED_ROUTE, failureAnswer(failure).status);
     refuseRaw(socket, failure);
   }
@@ -213,8 +220,8 @@
     request.on("error", () => request.destroy());
     try {
       await this.#connections.inTurn(
-        request.socket,
-        () => this.#serve(exchange),
+        request,
+        (failure) => this.#serve(exchange, failure),
       );
     } catch (error) {
       this.#internal(UNMATCHED_ROUTE, error);
@@ -222,7 +229,16 @@
     }
   }
 
-  async #serve(exchange: Exchange): Promise<void> {
+  async #serve(
+    exchange: Exchange,
+    failure: Failure | undefined,
+  ): Promise<void> {
+    if (failure !== undefined) {
+      const refusal = failureAnswer(failure);
+      await this.#write(exchange, refusal);
+      this.#count(UNMATCHED_ROUTE, refusal.status);
+      return;
+    }
     const found = this.#routes.find(exchange.request);
     const route = found.ok ? found.val.route.name : UNMATCHED_ROUTE;
     const answer = found.ok
@@ -323,21 +339,3 @@
     this.#answers.inc({ route, status: String(status) });
   }
 }
-
-function nodeOptions(limits: HttpLimits) {
-  const headersTimeout = Math.min(
-    limits.headersTimeoutMs,
-    limits.requestTimeoutMs,
-  );
-  return {
-    maxHeaderSize: limits.maximumHeaderBytes,
-    headersTimeout,
-    requestTimeout: limits.requestTimeoutMs,
-    keepAliveTimeout: limits.keepAliveMs,
-    connectionsCheckingInterval: Math.ceil(
-      headersTimeout / TIMEOUT_CHECKS_PER_TIMEOUT,
-    ),
-    noDelay: true,
-    requireHostHeader: false,
-  };
-}
