Read-through: admission rules apart from the scheduler, one start for the daemons

Ruled out: splitting by request stage (admission and giving up share the forecasts). Change: admission rules and the queue of a target are modules of their own; runProgram reads settings and runs a daemon; shared version and exit codes. Conclusion: nothing behaves otherwise.

--- a/programs/cicadafield_fakes.ts
+++ b/programs/cicadafield_fakes.ts
@@ -27,11 +27,10 @@
   type UpstreamServer,
   WEIGHT_STORE_SETTINGS,
 } from "#fakes";
+import { EXIT_CODES } from "./exit_codes.ts";
+import { VERSION } from "./version.ts";
 
 const PROGRAM = "cicadafield-fakes";
-const VERSION = "0.1.0";
-const EXIT_FAILED = 1;
-const EXIT_USAGE = 2;
 
 async function main(): Promise<void> {
   const [kind, ...argv] = process.argv.slice(2);
@@ -40,7 +39,7 @@
   const known = FAKE_KINDS[kind];
   if (known === undefined) {
     console.error(`${PROGRAM}: ${kind} is no kind of stand-in\n${usage()}`);
-    return process.exit(EXIT_USAGE);
+    return process.exit(EXIT_CODES.usage);
   }
   if (argv.includes("--help")) {
     return console.log(settingsHelp(kind, known.settings));
@@ -77,7 +76,7 @@
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     console.error(`${PROGRAM}: can't listen: ${reason}`);
-    return process.exit(EXIT_FAILED);
+    return process.exit(EXIT_CODES.failure);
   }
   const stop = async (): Promise<void> => {
     await server.stop();
@@ -100,7 +99,7 @@
   console.log(JSON.stringify(report));
   const faults = report.doubled + report.unasked + report.untrue +
     report.overBound;
-  process.exit(faults > 0 ? EXIT_FAILED : 0);
+  process.exit(faults > 0 ? EXIT_CODES.failure : 0);
 }
 
 async function runTrainer(trainer: FakeTrainer): Promise<TrainerReport> {
@@ -109,7 +108,7 @@
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     console.error(`${PROGRAM}: ${reason}`);
-    return process.exit(EXIT_FAILED);
+    return process.exit(EXIT_CODES.failure);
   }
 }
 
@@ -126,7 +125,7 @@
     const value = fault.value === undefined ? "" : ` (${fault.value})`;
     console.error(`${PROGRAM}: ${fault.setting}${value} ${fault.message}`);
   }
-  return process.exit(EXIT_USAGE);
+  return process.exit(EXIT_CODES.usage);
 }
 
 function usage(): string {
--- a/programs/run_daemon.ts
+++ b/programs/run_daemon.ts
@@ -5,7 +5,12 @@
  * @module
  */
 import process from "node:process";
+import type { SettingDefinitions, SettingValues } from "#core";
 import { EXIT_CODES } from "./exit_codes.ts";
+import {
+  type ProgramDescription,
+  readProgramSettings,
+} from "./program_settings.ts";
 import { startFaultText } from "./start_fault.ts";
 
 /** What the programs run. */
@@ -16,11 +21,36 @@
   drain(): Promise<void>;
 }
 
-/** Starts a daemon and ends the process when it has drained. */
-export async function runDaemon(
-  program: string,
-  daemon: Daemon,
+/**
+ * Reads a program's settings from this process and runs its daemon with them; prints and ends for
+ * `--help`, `--version` and faults.
+ *
+ * @example
+ * ```ts
+ * await runProgram(ENTRY_PROGRAM, (settings) => new EntryVm(settings));
+ * ```
+ */
+export async function runProgram<Definitions extends SettingDefinitions>(
+  program: ProgramDescription<Definitions>,
+  build: (settings: SettingValues<Definitions>) => Daemon,
 ): Promise<void> {
+  const outcome = readProgramSettings(program, {
+    argv: process.argv.slice(2),
+    environment: process.env,
+  });
+  if (outcome.kind === "run") {
+    await runDaemon(program.name, build(outcome.values));
+    return;
+  }
+  const stream = outcome.exitCode === EXIT_CODES.success
+    ? process.stdout
+    : process.stderr;
+  stream.write(outcome.text);
+  process.exitCode = outcome.exitCode;
+}
+
+/** Starts a daemon and ends the process when it has drained. */
+async function runDaemon(program: string, daemon: Daemon): Promise<void> {
   let stopping = false;
   const stop = async (): Promise<void> => {
     if (stopping) return;
--- /dev/null
+++ b/requests/admission_rules.ts
@@ -0,0 +1,194 @@
+/**
+ * Who may wait, and who is refused or given up at once with the time to come back. Pure.
+ *
+ * @module
+ */
+import {
+  fail,
+  type Failure,
+  type Milliseconds,
+  type RandomSource,
+} from "#core";
+import type { BundlePolicy } from "./policy.ts";
+import type { TargetQueue } from "./target_queue.ts";
+import type { PolicyTuning } from "./tuning.ts";
+import type { UpstreamTable } from "./upstream_table.ts";
+import type { WorkItem } from "./work_item.ts";
+
+/** When to come back if no upstream serves a target. */
+export const NO_UPSTREAM_RETRY_MS: Milliseconds = 1_000;
+/** Shortest and longest time after which a refused caller is asked to come back. */
+export const RETRY_RANGE_MS: readonly [Milliseconds, Milliseconds] = [
+  100,
+  60_000,
+];
+
+const RETRY_JITTER = 0.25;
+
+/** What the rules are built from. */
+export interface AdmissionRulesOptions {
+  readonly policy: BundlePolicy;
+  readonly table: UpstreamTable;
+  readonly tuning: PolicyTuning;
+  readonly random: RandomSource;
+}
+
+/** The queue that the work belongs to, and the time. */
+export interface AdmissionState {
+  readonly queue: TargetQueue;
+  readonly nowMs: Milliseconds;
+}
+
+/** Decides by queue lengths, drain rates and deadlines. */
+export class AdmissionRules {
+  readonly #options: AdmissionRulesOptions;
+
+  constructor(options: AdmissionRulesOptions) {
+    this.#options = options;
+  }
+
+  /** Why arriving work is refused, or undefined if it may wait. */
+  refusal(
+    item: WorkItem,
+    options: AdmissionState & {
+      /** Requests of the tenant that wait or run here. */
+      readonly held: number;
+    },
+  ): Failure | undefined {
+    const { queue: { queue, drain } } = options;
+    const entry = this.#options.policy.class(item.class);
+    const tenant = this.#options.policy.tenant(item.tenant);
+    const waitMs = this.#waitMs(item, options);
+    const most = entry?.maximumQueued ?? 0;
+    if (queue.sizeOf(item.class) >= most) {
+      return fail("too_many_requests", `the queue of ${item.class} is full`, {
+        retryAfterMs: this.#retryAfter(waitMs),
+      });
+    }
+    const { held } = options;
+    if (held >= (tenant?.maximumOutstanding ?? 0)) {
+      return fail(
+        "too_many_requests",
+        `${item.tenant} has ${held} requests outstanding`,
+        { retryAfterMs: this.#retryAfter(drain.serviceMs(item.class)) },
+      );
+    }
+    return this.#unreachable(item, { ...options, waitMs });
+  }
+
+  #unreachable(
+    item: WorkItem,
+    options: {
+      readonly queue: TargetQueue;
+      readonly nowMs: Milliseconds;
+      readonly waitMs: Milliseconds;
+    },
+  ): Failure | undefined {
+    const { waitMs, nowMs, queue: { drain } } = options;
+    const leftMs = item.deadlineMs - nowMs;
+    const neededMs = waitMs + drain.serviceMs(item.class);
+    const isStanding = this.#isStanding(item, options);
+    const allowedMs = isStanding
+      ? Math.min(leftMs, this.#options.tuning.standingWaitMs)
+      : leftMs * this.#options.tuning.maximumWaitShare;
+    const isTooSlow = waitMs > allowedMs;
+    if (leftMs > 0 && neededMs <= leftMs && !isTooSlow) return undefined;
+    return fail(
+      "deadline_unreachable",
+      `about ${Math.ceil(neededMs)} ms are needed, ${
+        Math.max(0, Math.floor(leftMs))
+      } ms are left`,
+      { retryAfterMs: this.#retryAfter(waitMs) },
+    );
+  }
+
+  /** Why waiting work is given up, or undefined if it can still be done in time. */
+  tooLate(
+    item: WorkItem,
+    options: AdmissionState,
+  ): Failure | undefined {
+    const { nowMs, queue } = options;
+    const budgetMs = item.deadlineMs - item.arrivedMs;
+    const serviceMs = queue.drain.serviceMs(item.class);
+    const expectedMs = this.#forecastMs(item, options);
+    const hasWaitedLong = nowMs + expectedMs - item.arrivedMs >
+      budgetMs * this.#options.tuning.maximumWaitShare;
+    if (!hasWaitedLong && nowMs + serviceMs <= item.deadlineMs) {
+      return undefined;
+    }
+    return fail("deadline_unreachable", "the queue drains too slowly", {
+      retryAfterMs: this.#retryAfter(this.#waitMs(item, options)),
+    });
+  }
+
+  /** Expected wait of waiting work behind all classes that go first; 0 for the first class. */
+  #forecastMs(
+    item: WorkItem,
+    options: AdmissionState,
+  ): Milliseconds {
+    const isForecast = this.#options.tuning.givesUpByForecast &&
+      !item.admitted &&
+      !this.#options.policy.isFirstClass(item.class);
+    if (!isForecast) return 0;
+    const { queue: { queue, drain, target }, nowMs } = options;
+    const pool = this.#options.table.pool(target);
+    return drain.waitMs({
+      class: item.class,
+      ahead: queue.aheadOf(item.class) - queue.sizeOf(item.class),
+      aheadInClass: 0,
+      slots: pool?.slots(nowMs, false) ?? 0,
+      nowMs,
+    });
+  }
+
+  #waitMs(
+    item: WorkItem,
+    options: AdmissionState,
+  ): Milliseconds {
+    const { queue: { queue, drain, target }, nowMs } = options;
+    const pool = this.#options.table.pool(target);
+    if (pool === undefined) return 0;
+    const isFirstClass = this.#options.policy.isFirstClass(item.class);
+    if (queue.size === 0 && pool.hasRoom(nowMs, isFirstClass)) return 0;
+    return drain.waitMs({
+      class: item.class,
+      ahead: queue.aheadOf(item.class),
+      aheadInClass: queue.sizeOf(item.class),
+      slots: pool.slots(nowMs, isFirstClass),
+      nowMs,
+    });
+  }
+
+  /** Why work can't be served by any upstream, or undefined if one may. */
+  unservable(item: WorkItem, nowMs: Milliseconds): Failure | undefined {
+    const pool = this.#options.table.pool(item.target);
+    if (pool?.canServe(item, nowMs) === true) return undefined;
+    return fail(
+      "no_upstream",
+      `no upstream serves ${item.target.kind} ${item.target.name} now`,
+      { retryAfterMs: this.#retryAfter(NO_UPSTREAM_RETRY_MS) },
+    );
+  }
+
+  /** Within the range, with jitter so that refused callers don't come back together. */
+  #retryAfter(waitMs: Milliseconds): Milliseconds {
+    const [least, most] = RETRY_RANGE_MS;
+    const jittered = waitMs *
+      (1 + RETRY_JITTER * this.#options.random.fraction());
+    return Math.ceil(Math.min(most, Math.max(least, jittered)));
+  }
+
+  /** Whether the class has had waiting work for so long that its queue only adds delay. */
+  #isStanding(
+    item: WorkItem,
+    options: AdmissionState,
+  ): boolean {
+    if (this.#options.policy.isFirstClass(item.class)) return false;
+    const { queue, nowMs } = options;
+    if (queue.queue.sizeOf(item.class) < this.#options.tuning.standingLength) {
+      return false;
+    }
+    const sinceMs = queue.backloggedSinceMs.get(item.class) ?? nowMs;
+    return nowMs - sinceMs > this.#options.tuning.standingAfterMs;
+  }
+}
--- a/requests/scheduler.ts
+++ b/requests/scheduler.ts
@@ -6,33 +6,22 @@
  */
 import {
   type Bundle,
-  fail,
   type Failure,
   type LoadReport,
   type Milliseconds,
   type RandomSource,
   type UpstreamRecord,
 } from "#core";
-import { AdmissionQueue } from "./admission_queue.ts";
+import { AdmissionRules, type AdmissionState } from "./admission_rules.ts";
 import { type DemandNotice, DemandShares } from "./demand_shares.ts";
-import { DrainEstimate } from "./drain_estimate.ts";
 import { BundlePolicy } from "./policy.ts";
+import { emptyTargetQueue, type TargetQueue } from "./target_queue.ts";
 import { DEFAULT_TUNING, type PolicyTuning } from "./tuning.ts";
 import type { Selection } from "./upstream_pool.ts";
 import type { UpstreamState } from "./upstream_state.ts";
 import { UpstreamTable } from "./upstream_table.ts";
 import { type Target, targetKey, type WorkItem } from "./work_item.ts";
 
-/** When to come back if no upstream serves a target. */
-export const NO_UPSTREAM_RETRY_MS: Milliseconds = 1_000;
-/** Shortest and longest time after which a refused caller is asked to come back. */
-export const RETRY_RANGE_MS: readonly [Milliseconds, Milliseconds] = [
-  100,
-  60_000,
-];
-
-const RETRY_JITTER = 0.25;
-
 /** Work that goes to an upstream now. */
 export interface Dispatch {
   readonly item: WorkItem;
@@ -71,15 +60,6 @@
   readonly saturated: boolean;
 }
 
-interface TargetQueue {
-  readonly target: Target;
-  readonly queue: AdmissionQueue;
-  readonly drain: DrainEstimate;
-  /** When each class that has waiting work began to have some. */
-  readonly backloggedSinceMs: Map<string, Milliseconds>;
-  running: number;
-}
-
 /** The scheduler of one entry. */
 export class Scheduler {
   readonly policy = new BundlePolicy();
@@ -87,6 +67,7 @@
   readonly #tuning: PolicyTuning;
   readonly #table: UpstreamTable;
   readonly #shares: DemandShares;
+  readonly #rules: AdmissionRules;
   readonly #queues = new Map<string, TargetQueue>();
   readonly #queueOf = new Map<string, TargetQueue>();
   readonly #running = new Map<string, RunningItem>();
@@ -100,6 +81,12 @@
       tuning: this.#tuning,
     });
     this.#shares = new DemandShares(options.vm);
+    this.#rules = new AdmissionRules({
+      policy: this.policy,
+      table: this.#table,
+      tuning: this.#tuning,
+      random: options.random,
+    });
   }
 
   /** Requests that wait. */
@@ -158,8 +145,8 @@
   /** Queues work, or refuses it at once; admitted work only for want of an upstream. */
   submit(item: WorkItem, nowMs: Milliseconds): Failure | undefined {
     const queue = this.#queueFor(item.target);
-    const refusal = this.#unservable(item, nowMs) ??
-      (item.admitted ? undefined : this.#refusal(item, { queue, nowMs }));
+    const refusal = this.#rules.unservable(item, nowMs) ??
+      this.#refusal(item, { queue, nowMs });
     if (refusal !== undefined) return refusal;
     this.#enqueue(item, { queue, nowMs });
     return undefined;
@@ -213,8 +200,8 @@
     const givenUp: GivenUp[] = [];
     for (const queue of this.#queues.values()) {
       for (const item of [...queue.queue.items()]) {
-        const failure = this.#unservable(item, nowMs) ??
-          this.#tooLate(item, { queue, nowMs });
+        const failure = this.#rules.unservable(item, nowMs) ??
+          this.#rules.tooLate(item, { queue, nowMs });
         if (failure === undefined) continue;
         this.withdraw(item.id);
         givenUp.push({ item, failure });
@@ -228,6 +215,13 @@
     return this.#table.state(id);
   }
 
+  /** Work that was admitted before its first attempt is not judged again. */
+  #refusal(item: WorkItem, state: AdmissionState): Failure | undefined {
+    if (item.admitted) return undefined;
+    const held = this.#outstanding.get(item.tenant) ?? 0;
+    return this.#rules.refusal(item, { ...state, held });
+  }
+
   #takeOne(queue: TargetQueue, nowMs: Milliseconds): Dispatch | undefined {
     const pool = this.#table.pool(queue.target);
     if (pool === undefined || !pool.hasRoom(nowMs, true)) return undefined;
@@ -266,129 +260,6 @@
     this.#running.set(item.id, { item, upstream, saturated });
   }
 
-  #refusal(
-    item: WorkItem,
-    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
-  ): Failure | undefined {
-    const { queue: { queue, drain } } = options;
-    const entry = this.policy.class(item.class);
-    const tenant = this.policy.tenant(item.tenant);
-    const waitMs = this.#waitMs(item, options);
-    const most = entry?.maximumQueued ?? 0;
-    if (queue.sizeOf(item.class) >= most) {
-      return fail("too_many_requests", `the queue of ${item.class} is full`, {
-        retryAfterMs: this.#retryAfter(waitMs),
-      });
-    }
-    const held = this.#outstanding.get(item.tenant) ?? 0;
-    if (held >= (tenant?.maximumOutstanding ?? 0)) {
-      return fail(
-        "too_many_requests",
-        `${item.tenant} has ${held} requests outstanding`,
-        { retryAfterMs: this.#retryAfter(drain.serviceMs(item.class)) },
-      );
-    }
-    return this.#unreachable(item, { ...options, waitMs });
-  }
-
-  #unreachable(
-    item: WorkItem,
-    options: {
-      readonly queue: TargetQueue;
-      readonly nowMs: Milliseconds;
-      readonly waitMs: Milliseconds;
-    },
-  ): Failure | undefined {
-    const { waitMs, nowMs, queue: { drain } } = options;
-    const leftMs = item.deadlineMs - nowMs;
-    const neededMs = waitMs + drain.serviceMs(item.class);
-    const isStanding = this.#isStanding(item, options);
-    const allowedMs = isStanding
-      ? Math.min(leftMs, this.#tuning.standingWaitMs)
-      : leftMs * this.#tuning.maximumWaitShare;
-    const isTooSlow = waitMs > allowedMs;
-    if (leftMs > 0 && neededMs <= leftMs && !isTooSlow) return undefined;
-    return fail(
-      "deadline_unreachable",
-      `about ${Math.ceil(neededMs)} ms are needed, ${
-        Math.max(0, Math.floor(leftMs))
-      } ms are left`,
-      { retryAfterMs: this.#retryAfter(waitMs) },
-    );
-  }
-
-  #tooLate(
-    item: WorkItem,
-    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
-  ): Failure | undefined {
-    const { nowMs, queue } = options;
-    const budgetMs = item.deadlineMs - item.arrivedMs;
-    const serviceMs = queue.drain.serviceMs(item.class);
-    const expectedMs = this.#forecastMs(item, options);
-    const hasWaitedLong = nowMs + expectedMs - item.arrivedMs >
-      budgetMs * this.#tuning.maximumWaitShare;
-    if (!hasWaitedLong && nowMs + serviceMs <= item.deadlineMs) {
-      return undefined;
-    }
-    return fail("deadline_unreachable", "the queue drains too slowly", {
-      retryAfterMs: this.#retryAfter(this.#waitMs(item, options)),
-    });
-  }
-
-  /** Expected wait of waiting work behind all classes that go first; 0 for the first class. */
-  #forecastMs(
-    item: WorkItem,
-    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
-  ): Milliseconds {
-    const isForecast = this.#tuning.givesUpByForecast && !item.admitted &&
-      !this.policy.isFirstClass(item.class);
-    if (!isForecast) return 0;
-    const { queue: { queue, drain, target }, nowMs } = options;
-    const pool = this.#table.pool(target);
-    return drain.waitMs({
-      class: item.class,
-      ahead: queue.aheadOf(item.class) - queue.sizeOf(item.class),
-      aheadInClass: 0,
-      slots: pool?.slots(nowMs, false) ?? 0,
-      nowMs,
-    });
-  }
-
-  #waitMs(
-    item: WorkItem,
-    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
-  ): Milliseconds {
-    const { queue: { queue, drain, target }, nowMs } = options;
-    const pool = this.#table.pool(target);
-    if (pool === undefined) return 0;
-    const isFirstClass = this.policy.isFirstClass(item.class);
-    if (queue.size === 0 && pool.hasRoom(nowMs, isFirstClass)) return 0;
-    return drain.waitMs({
-      class: item.class,
-      ahead: queue.aheadOf(item.class),
-      aheadInClass: queue.sizeOf(item.class),
-      slots: pool.slots(nowMs, isFirstClass),
-      nowMs,
-    });
-  }
-
-  #unservable(item: WorkItem, nowMs: Milliseconds): Failure | undefined {
-    const pool = this.#table.pool(item.target);
-    if (pool?.canServe(item, nowMs) === true) return undefined;
-    return fail(
-      "no_upstream",
-      `no upstream serves ${item.target.kind} ${item.target.name} now`,
-      { retryAfterMs: this.#retryAfter(NO_UPSTREAM_RETRY_MS) },
-    );
-  }
-
-  /** Within the range, with jitter so that refused callers don't come back together. */
-  #retryAfter(waitMs: Milliseconds): Milliseconds {
-    const [least, most] = RETRY_RANGE_MS;
-    const jittered = waitMs * (1 + RETRY_JITTER * this.#random.fraction());
-    return Math.ceil(Math.min(most, Math.max(least, jittered)));
-  }
-
   #enqueue(
     item: WorkItem,
     options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
@@ -409,20 +280,6 @@
     queue.backloggedSinceMs.delete(item.class);
   }
 
-  /** Whether the class has had waiting work for so long that its queue only adds delay. */
-  #isStanding(
-    item: WorkItem,
-    options: { readonly queue: TargetQueue; readonly nowMs: Milliseconds },
-  ): boolean {
-    if (this.policy.isFirstClass(item.class)) return false;
-    const { queue, nowMs } = options;
-    if (queue.queue.sizeOf(item.class) < this.#tuning.standingLength) {
-      return false;
-    }
-    const sinceMs = queue.backloggedSinceMs.get(item.class) ?? nowMs;
-    return nowMs - sinceMs > this.#tuning.standingAfterMs;
-  }
-
   #release(tenant: string): void {
     const held = (this.#outstanding.get(tenant) ?? 0) - 1;
     if (held > 0) this.#outstanding.set(tenant, held);
@@ -433,13 +290,7 @@
     const key = targetKey(target);
     const known = this.#queues.get(key);
     if (known !== undefined) return known;
-    const made: TargetQueue = {
-      target,
-      queue: new AdmissionQueue(this.policy),
-      drain: new DrainEstimate(),
-      backloggedSinceMs: new Map(),
-      running: 0,
-    };
+    const made = emptyTargetQueue(target, this.policy);
     this.#queues.set(key, made);
     return made;
   }
