--- a/agreement/file_folder.ts
+++ b/agreement/file_folder.ts
@@ -20,7 +20,8 @@
 
 /**
  * Files in one folder of a local disk. The lock is an abstract socket named after the folder's device
- * and inode: the kernel lets it go when the process ends, however that happens.
+ * and inode: the kernel lets it go when the process ends, however that happens. Where the machine runs
+ * one process only and has no such sockets, `lock: "none"` goes without.
  *
  * @example
  * ```ts
@@ -29,16 +30,22 @@
  */
 export class FileFolder extends DataFolder {
   readonly #path: string;
+  readonly #locking: "socket" | "none";
   #lock: Server | undefined;
   #appending: { readonly name: string; readonly file: FileHandle } | undefined;
 
-  constructor(path: string) {
+  constructor(
+    path: string,
+    options: { readonly lock: "socket" | "none" } = { lock: "socket" },
+  ) {
     super();
     this.#path = path;
+    this.#locking = options.lock;
   }
 
   override async lock(): Promise<void> {
     await mkdir(this.#path, { recursive: true });
+    if (this.#locking === "none") return;
     const { dev, ino } = await stat(this.#path);
     const server = createServer((socket) => socket.destroy());
     await new Promise<void>((resolve, reject) => {
--- a/agreement/machine_host.ts
+++ b/agreement/machine_host.ts
@@ -69,7 +69,7 @@
   /** Replaces the states of all machines. */
   restore(states: readonly unknown[]): void {
     for (const [at, name] of MACHINE_NAMES.entries()) {
-      if (states[at] === null) continue;
+      if ((states[at] ?? null) === null) continue;
       this.#machines.get(name)?.restore(states[at]);
     }
   }
--- a/core/http.ts
+++ b/core/http.ts
@@ -9,6 +9,10 @@
 export interface HttpCall {
   readonly method: string;
   readonly path: string;
+  /** Path and query exactly as sent. */
+  readonly target: string;
+  /** Names and values by turns, exactly as sent. */
+  readonly rawHeaders: readonly string[];
   /** Values of the `:name` parts of the pattern, decoded. */
   readonly parameters: Readonly<Record<string, string>>;
   readonly query: URLSearchParams;
@@ -23,7 +27,7 @@
 export interface HttpAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
-  readonly body: string | Uint8Array | AsyncIterable<string>;
+  readonly body: string | Uint8Array | AsyncIterable<string | Uint8Array>;
 }
 
 /** One route. */
--- a/core/state_machine.ts
+++ b/core/state_machine.ts
@@ -8,7 +8,15 @@
 import type { Milliseconds } from "./units.ts";
 
 /** The machines that share the log. */
-export type MachineName = "bundles" | "claims" | "ledger" | "orders";
+export type MachineName =
+  | "bundles"
+  | "claims"
+  | "ledger"
+  | "orders"
+  | "configuration"
+  | "placement"
+  | "versions"
+  | "batches";
 
 /** All machine names, in the order in which snapshots hold them. */
 export const MACHINE_NAMES: readonly MachineName[] = [
@@ -16,6 +24,10 @@
   "claims",
   "ledger",
   "orders",
+  "configuration",
+  "placement",
+  "versions",
+  "batches",
 ];
 
 /** A committed command with its place in the log. */
--- a/programs/answer_writer.ts
+++ b/programs/answer_writer.ts
@@ -56,7 +56,9 @@
   return outcome;
 }
 
-function isChunked(body: HttpAnswer["body"]): body is AsyncIterable<string> {
+function isChunked(
+  body: HttpAnswer["body"],
+): body is AsyncIterable<string | Uint8Array> {
   return typeof body !== "string" && !(body instanceof Uint8Array);
 }
 
@@ -86,14 +88,14 @@
 
 async function writeChunks(
   response: ServerResponse,
-  body: AsyncIterable<string>,
+  body: AsyncIterable<string | Uint8Array>,
   options: WriteOptions,
 ): Promise<WriteOutcome> {
   response.flushHeaders();
   try {
     for await (const chunk of body) {
       if (response.destroyed) return { kind: "gone" };
-      if (chunk === "" || response.write(chunk)) continue;
+      if (chunk.length === 0 || response.write(chunk)) continue;
       const drained = await flushed(response, "drain", options);
       if (drained.kind !== "whole") return drained;
     }
--- a/programs/route_finder.ts
+++ b/programs/route_finder.ts
@@ -67,6 +67,8 @@
   return {
     method: request.method ?? "GET",
     path,
+    target: request.url ?? path,
+    rawHeaders: request.rawHeaders,
     parameters,
     query,
     headers,
--- a/requests/entry_requests_test.ts
+++ b/requests/entry_requests_test.ts
@@ -71,6 +71,8 @@
     const call = {
       route: "services",
       path: "/services/cards/save",
+      target: "",
+      rawHeaders: [],
       parameters: { service: "cards", path: "save" },
       headers: { "cicadafield-tenant": "tana", "idempotency-key": "k1" },
       body: Buffer.from("card"),
--- a/requests/service_sessions_test.ts
+++ b/requests/service_sessions_test.ts
@@ -133,6 +133,8 @@
   const answer = await callForResult(entry, {
     route: "services",
     path: "/services/cards/save",
+    target: "",
+    rawHeaders: [],
     parameters: { service: "cards", path: "save" },
     headers: {
       "cicadafield-tenant": "tana",
@@ -224,6 +226,8 @@
     const other = await callForResult(entry, {
       route: "services",
       path: "/services/cards/save",
+      target: "",
+      rawHeaders: [],
       parameters: { service: "cards", path: "save" },
       headers: { "cicadafield-tenant": "tana", "idempotency-key": "key-1" },
       body: Buffer.from("another card"),
@@ -255,6 +259,8 @@
     const answer = await callForResult(entry, {
       route: "services",
       path: "/services/cards/save",
+      target: "",
+      rawHeaders: [],
       parameters: { service: "cards", path: "save" },
       headers,
     });
--- a/requests/test_entry.ts
+++ b/requests/test_entry.ts
@@ -152,6 +152,8 @@
   return await route.handle({
     method: "POST",
     path: "/",
+    target: "",
+    rawHeaders: [],
     parameters: {},
     query: new URLSearchParams(),
     headers: { "cicadafield-tenant": "tana" },
--- a/samples/entry_test_support.ts
+++ b/samples/entry_test_support.ts
@@ -219,6 +219,8 @@
     const call: HttpCall = {
       method,
       path: url.pathname,
+      target,
+      rawHeaders: [],
       parameters,
       query: url.searchParams,
       headers: {},
--- a/wire/events.ts
+++ b/wire/events.ts
@@ -25,4 +25,10 @@
     text: "the handler of a peer message threw an error",
     action: "Report the error with its stack.",
   },
+  connectionSilent: {
+    code: 1104,
+    level: "info",
+    text: "a peer connection was closed because a ping stayed unanswered",
+    action: "None, unless it happens often: then look at the VM and the links.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -16,6 +16,8 @@
   "requests",
   "samples",
   "weights",
+  "fleet",
+  "batches",
 ] as const;
 
 /** Name of a channel. */
@@ -38,6 +40,8 @@
     body: z.unknown(),
   }),
   z.object({ kind: z.literal("reply"), correlation, body: z.unknown() }),
+  z.object({ kind: z.literal("ping") }),
+  z.object({ kind: z.literal("pong") }),
   z.object({ kind: z.literal("refusal"), correlation, failure: z.unknown() }),
 ]);
 
--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -16,6 +16,7 @@
   type Milliseconds,
   Ok,
   type Result,
+  type Timer,
 } from "#core";
 import { WIRE_EVENTS } from "./events.ts";
 import { ChannelHandlers } from "./channel_handlers.ts";
@@ -32,6 +33,7 @@
 } from "./peer_network.ts";
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
+const PING_PERIOD_MS: Milliseconds = 600;
 const RECONNECT_PAUSE_MS: Milliseconds = 200;
 const GREETING_TIMEOUT_MS: Milliseconds = 2_000;
 const MAXIMUM_UNSENT_BYTES = 16 * 1_048_576;
@@ -176,6 +178,7 @@
     const timer = this.#options.clock.after(CONNECT_TIMEOUT_MS, () => {
       if (!link.open) socket.destroy();
     });
+    const pulse = this.#watchSilence(socket, to);
     socket.on("connect", () => {
       link.open = true;
       timer.cancel();
@@ -183,6 +186,7 @@
     socket.on("error", () => socket.destroy());
     socket.on("close", () => {
       timer.cancel();
+      pulse.cancel();
       this.#dropLink(link);
     });
     this.#read(socket, (envelope) => this.#takeAnswer(to, envelope));
@@ -194,6 +198,23 @@
     return link;
   }
 
+  /** A connection can go silent without a reset: it is closed once a ping stays unanswered. */
+  #watchSilence(socket: Socket, to: string): Timer {
+    let seenBytes = 0;
+    let waiting = false;
+    return this.#options.clock.every(PING_PERIOD_MS, () => {
+      const silent = socket.bytesRead === seenBytes;
+      if (silent && waiting) {
+        this.#options.events.emit(WIRE_EVENTS.connectionSilent, { to });
+        socket.destroy();
+        return;
+      }
+      seenBytes = socket.bytesRead;
+      waiting = silent && !socket.connecting;
+      if (waiting) this.#send(socket, to, { kind: "ping" });
+    });
+  }
+
   #dropLink(link: OutgoingLink): void {
     if (this.#links.get(link.to) === link) {
       this.#links.delete(link.to);
@@ -269,6 +290,10 @@
       this.#handlers.notice({ from, channel, body });
       return;
     }
+    if (envelope.kind === "ping") {
+      this.#send(source.socket, from, { kind: "pong" });
+      return;
+    }
     if (envelope.kind !== "request") return;
     this.#answer(source, envelope);
   }
