Follow upstreams, configuration and placement at the control VMs

Cause: the platform has no bundle; it sends configurations, heartbeats of upstreams and orders to empty store VMs, and names three control addresses only.

`FleetTable` orders heartbeats by start and sequence, one upstream for an address. `PlacementMachine`, `nextPlacement` and `PlacementKeeper` decide which VMs keep the logs.

--- a/bundles/mod.ts
+++ b/bundles/mod.ts
@@ -7,4 +7,5 @@
 export { type BundleFault, parseBundle } from "./bundle_schema.ts";
 export * from "./bundle_signature.ts";
 export * from "./bundles_machine.ts";
+export * from "./configuration_machine.ts";
 export * from "./sample_bundle.ts";
--- a/membership/events.ts
+++ b/membership/events.ts
@@ -67,4 +67,35 @@
     text: "no control VM answers; the last bundle stays in force",
     action: "Look at the links to the control VMs.",
   },
+  controlLost: {
+    code: 1411,
+    level: "info",
+    text:
+      "the control VM that this VM followed does not answer; another is asked",
+    action: "None, unless it happens often: then look at the control VMs.",
+  },
+  configurationInForce: {
+    code: 1412,
+    level: "info",
+    text: "a configuration came into force on this VM",
+    action: "None.",
+  },
+  placementChanged: {
+    code: 1413,
+    level: "info",
+    text: "the VMs that keep the replicated logs were changed",
+    action: "None; the fields name the VMs.",
+  },
+  placementFailed: {
+    code: 1414,
+    level: "warn",
+    text: "a change of the VMs that keep the replicated logs was not made",
+    action: "None; it is tried again.",
+  },
+  upstreamChanged: {
+    code: 1415,
+    level: "info",
+    text: "an upstream arrived, changed its state or left",
+    action: "None.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- /dev/null
+++ b/membership/fleet_table.ts
@@ -0,0 +1,134 @@
+/**
+ * The upstreams as their heartbeats tell. Heartbeats can come late, twice and in any order, also after
+ * their sender has ended: what counts is the start of the incarnation and then the sequence number.
+ *
+ * @module
+ */
+import type { FleetUpstream, Milliseconds } from "#core";
+
+/** What became of a heartbeat. */
+export type BeatOutcome = "changed" | "renewed" | "outdated";
+
+interface Held {
+  record: FleetUpstream;
+  heardMs: Milliseconds;
+}
+
+/** A heartbeat with the time that has passed since it was received. */
+export interface AgedUpstream {
+  readonly record: FleetUpstream;
+  readonly ageMs: Milliseconds;
+}
+
+/** Time limits of the table. */
+export interface FleetTableOptions {
+  /** Silence after which an upstream gets no work. */
+  readonly silenceMs: Milliseconds;
+  /** How long it stays known that an incarnation is gone. */
+  readonly memoryMs: Milliseconds;
+}
+
+/**
+ * Keeps the newest heartbeat of each upstream.
+ *
+ * @example
+ * ```ts
+ * const table = new FleetTable({ silenceMs: 4_200, memoryMs: 60_000 });
+ * table.take({ record, ageMs: 0 }, clock.nowMs());
+ * const usable = table.listed(clock.nowMs());
+ * ```
+ */
+export class FleetTable {
+  readonly #options: FleetTableOptions;
+  readonly #held = new Map<string, Held>();
+  #revision = 0;
+
+  constructor(options: FleetTableOptions) {
+    this.#options = options;
+  }
+
+  /** Grows with each change that concerns routing. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Takes a heartbeat unless a newer one is known. */
+  take(beat: AgedUpstream, nowMs: Milliseconds): BeatOutcome {
+    const { record } = beat;
+    const known = this.#held.get(record.id);
+    if (known !== undefined && !isNewer(record, known.record)) {
+      return "outdated";
+    }
+    const wasSilent = known !== undefined && this.#isSilent(known, nowMs);
+    this.#held.set(record.id, { record, heardMs: nowMs - beat.ageMs });
+    const changed = known === undefined || wasSilent ||
+      !sameForRouting(known.record, record);
+    if (!changed) return "renewed";
+    this.#revision += 1;
+    return "changed";
+  }
+
+  /** Marks an incarnation as gone; an unknown one is remembered as gone. */
+  leave(id: string, bornMs: Milliseconds | null, nowMs: Milliseconds): void {
+    const known = this.#held.get(id);
+    if (known === undefined) return;
+    if (bornMs !== null && bornMs < known.record.bornMs) return;
+    known.record = {
+      ...known.record,
+      bornMs: bornMs ?? known.record.bornMs,
+      sequence: Number.MAX_SAFE_INTEGER,
+      phase: "gone",
+    };
+    known.heardMs = nowMs;
+    this.#revision += 1;
+  }
+
+  /** Forgets what is long silent; counts a change when an upstream falls silent. */
+  expire(nowMs: Milliseconds): void {
+    for (const [id, held] of this.#held) {
+      const silentMs = nowMs - held.heardMs;
+      if (silentMs > this.#options.memoryMs) this.#held.delete(id);
+      if (held.record.phase === "gone") continue;
+      if (!this.#isSilent(held, nowMs)) continue;
+      held.record = { ...held.record, phase: "gone" };
+      this.#revision += 1;
+    }
+  }
+
+  /** Upstreams that have not left, one for each address: the one that started last. */
+  listed(): readonly FleetUpstream[] {
+    const byAddress = new Map<string, FleetUpstream>();
+    for (const { record } of this.#held.values()) {
+      const address = `${record.address.host}:${record.address.port}`;
+      const other = byAddress.get(address);
+      if (other !== undefined && other.bornMs >= record.bornMs) continue;
+      byAddress.set(address, record);
+    }
+    return [...byAddress.values()].filter((each) => each.phase !== "gone");
+  }
+
+  /** Everything known with its age, for another control VM. */
+  aged(nowMs: Milliseconds): readonly AgedUpstream[] {
+    const all: AgedUpstream[] = [];
+    for (const { record, heardMs } of this.#held.values()) {
+      all.push({ record, ageMs: nowMs - heardMs });
+    }
+    return all;
+  }
+
+  #isSilent(held: Held, nowMs: Milliseconds): boolean {
+    return nowMs - held.heardMs > this.#options.silenceMs;
+  }
+}
+
+function isNewer(record: FleetUpstream, known: FleetUpstream): boolean {
+  if (record.bornMs !== known.bornMs) return record.bornMs > known.bornMs;
+  return record.sequence > known.sequence;
+}
+
+function sameForRouting(a: FleetUpstream, b: FleetUpstream): boolean {
+  return a.bornMs === b.bornMs && a.phase === b.phase &&
+    a.service === b.service && a.zone === b.zone && a.slots === b.slots &&
+    a.address.host === b.address.host && a.address.port === b.address.port &&
+    JSON.stringify(a.serves) === JSON.stringify(b.serves);
+}
--- /dev/null
+++ b/membership/placement_keeper.ts
@@ -0,0 +1,136 @@
+/**
+ * Keeps the placement of the replicated logs on the leading control VM, and empties store VMs on order.
+ *
+ * @module
+ */
+import type { ReplicatedLog } from "#agreement";
+import {
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type Placement,
+  type Result,
+} from "#core";
+import { MEMBERSHIP_EVENTS } from "./events.ts";
+import type { PlacementMachine } from "./placement_machine.ts";
+import { type HeardNode, isEmptied, nextPlacement } from "./placement_plan.ts";
+
+const CHECK_MS: Milliseconds = 250;
+/** A new leader waits so long before it takes a silent VM for lost. */
+const SETTLE_MS: Milliseconds = 2_500;
+
+/** How far the emptying of a VM is. */
+export type RetireState = "running" | "completed";
+
+/** What a keeper is built from. */
+export interface PlacementKeeperOptions {
+  readonly log: ReplicatedLog;
+  readonly machine: PlacementMachine;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly nodes: () => readonly HeardNode[];
+  /** Replicas that a log needs. */
+  readonly replicas: number;
+  /** Silence after which a VM counts as lost. */
+  readonly lostMs: Milliseconds;
+}
+
+/** Makes one change at a time while this VM leads. */
+export class PlacementKeeper {
+  readonly #options: PlacementKeeperOptions;
+  #leadsSinceMs: Milliseconds | undefined;
+  #busy = false;
+
+  constructor(options: PlacementKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to look for changes. */
+  start(): void {
+    this.#options.clock.every(CHECK_MS, () => this.#check());
+  }
+
+  /** Orders that a store VM be emptied; `not_found` for an unknown one, `conflict` if too few would stay. */
+  async retire(name: string): Promise<Result<null, Failure>> {
+    const vm = this.#storeNamed(name);
+    if (vm === undefined) {
+      return Err(fail("not_found", `there is no store VM ${name}`));
+    }
+    const { placement } = this.#options.machine.current;
+    if (placement.retiring.includes(vm)) return Ok(null);
+    if (this.#staying(vm) < this.#options.replicas) {
+      return Err(fail("conflict", "too few store VMs would stay"));
+    }
+    const retiring = [...placement.retiring, vm];
+    return await this.#propose({ ...placement, retiring });
+  }
+
+  /** How far the emptying of a VM is; `not_found` without an order for it. */
+  retireState(name: string): Result<RetireState, Failure> {
+    const vm = this.#storeNamed(name);
+    const { placement } = this.#options.machine.current;
+    if (vm === undefined || !placement.retiring.includes(vm)) {
+      return Err(fail("not_found", `${name} is not being emptied`));
+    }
+    const nodes = this.#options.nodes();
+    return Ok(isEmptied(vm, { placement, nodes }) ? "completed" : "running");
+  }
+
+  #storeNamed(name: string): string | undefined {
+    for (const { node } of this.#options.nodes()) {
+      if (node.role === "store" && node.name === name) return node.vm;
+    }
+    return undefined;
+  }
+
+  #staying(leaving: string): number {
+    const { retiring } = this.#options.machine.current.placement;
+    let count = 0;
+    for (const { node, ageMs } of this.#options.nodes()) {
+      if (node.role !== "store" || node.vm === leaving) continue;
+      if (retiring.includes(node.vm) || ageMs > this.#options.lostMs) continue;
+      count += 1;
+    }
+    return count;
+  }
+
+  async #check(): Promise<void> {
+    const { log, clock, machine, nodes, replicas, lostMs } = this.#options;
+    const nowMs = clock.nowMs();
+    if (log.leaseUntilMs() <= nowMs) {
+      this.#leadsSinceMs = undefined;
+      return;
+    }
+    this.#leadsSinceMs ??= nowMs;
+    if (this.#busy) return;
+    const settled = nowMs - this.#leadsSinceMs >= SETTLE_MS;
+    const next = nextPlacement({
+      placement: machine.current.placement,
+      nodes: nodes(),
+      controlVoters: log.status().voters,
+      replicas,
+      lostMs: settled ? lostMs : Infinity,
+    });
+    if (next === undefined) return;
+    this.#busy = true;
+    await this.#propose(next);
+    this.#busy = false;
+  }
+
+  async #propose(placement: Placement): Promise<Result<null, Failure>> {
+    const { log, machine, events } = this.#options;
+    const from = machine.current.revision;
+    const command = { from, placement };
+    const result = await log.propose({ machine: "placement", command });
+    if (result.ok) {
+      events.emit(MEMBERSHIP_EVENTS.placementChanged, { ...placement });
+      return Ok(null);
+    }
+    events.emit(MEMBERSHIP_EVENTS.placementFailed, { ...result.val });
+    return Err(result.val);
+  }
+}
