Bring engines to named versions under a fence, model by model

Cause: several models share the engines of a service; loading each version on every engine costs more time than there is between two steps.

Change: `VersionsMachine` holds the named versions and the one holder of orders with its fence. `assignModels` gives each engine one model and keeps it there; `planLoads` lets a quarter of the engines load at once, those that lag most first. `EngineOrders` names the expected number of orders in each order, waits out an earlier holder and releases its hold on a planned stop.

Ruled out: every engine loads every model (8 engines, two models, 0.9 s each, two at a time: 7.2 s, against a step every 4 s).

--- a/weights/events.ts
+++ b/weights/events.ts
@@ -49,4 +49,16 @@
     text: "all engines of a model serve the published version",
     action: "None.",
   },
+  holdTaken: {
+    code: 1708,
+    level: "info",
+    text: "this VM holds the right to give orders to engines",
+    action: "None.",
+  },
+  holdNotReleased: {
+    code: 1709,
+    level: "info",
+    text: "the right to give orders was not handed back before the stop",
+    action: "None; the next holder waits until it has lapsed.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/weights/mod.ts
+++ b/weights/mod.ts
@@ -10,3 +10,6 @@
 export * from "./rollout_plan.ts";
 export * from "./weights_coordinator.ts";
 export { ORDER_LIMIT_MS } from "./leadership.ts";
+export * from "./engine_orders.ts";
+export * from "./load_plan.ts";
+export * from "./versions_machine.ts";
