Forward calls by host and prefix, with a second call to another upstream

Cause: the platform's routes name host, prefix, kind and attempts; an upstream can be dark, slow or send bytes that belong to no call.

An answer counts only if it names its call. A call that may be repeated goes to a second upstream after 45% of its objective; one that may not is sent on a connection of its own.

Ruled out: the queues of `scheduler.ts` (they ask for class and tenant, which the platform does not send).

--- a/requests/events.ts
+++ b/requests/events.ts
@@ -37,4 +37,10 @@
     text: "a stream goes on at another engine",
     action: "None.",
   },
+  callFailed: {
+    code: 1506,
+    level: "info",
+    text: "a call got no answer from an upstream",
+    action: "Read `reason` and `tried`; see docs/OPERATIONS.md.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- /dev/null
+++ b/requests/forwarder.ts
@@ -0,0 +1,320 @@
+/**
+ * Forwards a caller's call to an upstream of its route's service and gives back the whole answer.
+ *
+ * An `idempotent` call that gets no answer in good time is sent to a second upstream as well, and one that
+ * fails is sent again while attempts are left. A `once` call is sent again only if it surely did not run.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type EventLog,
+  fail,
+  type Failure,
+  type FleetUpstream,
+  type HttpAnswer,
+  type HttpCall,
+  type Milliseconds,
+  type RandomSource,
+  type RouteRule,
+} from "#core";
+import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
+import { REQUEST_EVENTS } from "./events.ts";
+import { drawService } from "./route_rules.ts";
+import { StreamForwarding } from "./stream_forwarding.ts";
+import { UpstreamChoice } from "./upstream_choice.ts";
+import type { UpstreamDialect } from "./upstream_dialect.ts";
+import {
+  type UpstreamHead,
+  UpstreamHttp,
+  type WholeAnswer,
+} from "./upstream_http.ts";
+
+/** Part of the objective after which an unanswered call is sent to a second upstream. */
+const SECOND_CALL_PART = 0.45;
+const RETRY_AFTER_MS: Milliseconds = 150;
+const LEAST_SERVER_FAILURE = 500;
+
+/** What a forwarder is built from. */
+export interface ForwarderOptions {
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly dialect: UpstreamDialect;
+  /** Upstreams that are known, draining ones included. */
+  readonly upstreams: () => readonly FleetUpstream[];
+}
+
+/** A call with what its route and caller allow. */
+export interface RoutedCall {
+  readonly call: HttpCall;
+  readonly route: RouteRule;
+  readonly requestId: string;
+  /** When the caller gives up, on this VM's clock. */
+  readonly deadlineMs: Milliseconds;
+}
+
+/** How one sending ended. */
+type Attempt =
+  | { readonly kind: "answer"; readonly answer: WholeAnswer }
+  | { readonly kind: "not_run"; readonly reason: string }
+  | { readonly kind: "unknown"; readonly reason: string };
+
+/** State of one call on its way. */
+interface Passage {
+  readonly routed: RoutedCall;
+  readonly service: string;
+  readonly headers: readonly string[];
+  readonly tried: Set<string>;
+  readonly ended: AbortController;
+  /** Sendings that may have run. */
+  ran: number;
+  lastFailure: string;
+  /** A failure that an upstream gave itself. */
+  upstreamFailure: WholeAnswer | undefined;
+}
+
+/** Forwards calls. */
+export class Forwarder {
+  readonly #options: ForwarderOptions;
+  readonly #http = new UpstreamHttp();
+  readonly #choice: UpstreamChoice;
+  readonly #streams: StreamForwarding;
+
+  constructor(options: ForwarderOptions) {
+    this.#options = options;
+    this.#choice = new UpstreamChoice({ zone: options.zone });
+    this.#streams = new StreamForwarding({
+      ...options,
+      http: this.#http,
+      choose: (service, tried) => this.#choose(service, tried),
+      choice: this.#choice,
+    });
+  }
+
+  /** The upstream's answer, or a failure that tells truly whether the call can have run. */
+  async forward(routed: RoutedCall): Promise<HttpAnswer | Failure> {
+    const { call, route } = routed;
+    const service = drawService(route.split, this.#options.random);
+    if (service === undefined) {
+      return fail("no_upstream", `route ${route.name} has no service`);
+    }
+    const headers = endToEndHeaders(call.rawHeaders);
+    if (route.kind === "stream") {
+      return this.#streams.forward({ routed, service, headers });
+    }
+    const passage: Passage = {
+      routed,
+      service,
+      headers,
+      tried: new Set(),
+      ended: new AbortController(),
+      ran: 0,
+      lastFailure: "no upstream is known",
+      upstreamFailure: undefined,
+    };
+    const leave = (): void => passage.ended.abort();
+    call.signal.addEventListener("abort", leave, { once: true });
+    const answer = await this.#untilDeadline(passage);
+    passage.ended.abort();
+    call.signal.removeEventListener("abort", leave);
+    if ("kind" in answer) this.#report(passage, answer);
+    return answer;
+  }
+
+  /** Closes kept connections. */
+  close(): void {
+    this.#http.close();
+  }
+
+  #untilDeadline(passage: Passage): Promise<HttpAnswer | Failure> {
+    const { clock } = this.#options;
+    const { route, deadlineMs, call } = passage.routed;
+    const untilMs = Math.min(deadlineMs, clock.nowMs() + route.timeoutMs);
+    return new Promise((resolve) => {
+      const timer = clock.after(untilMs - clock.nowMs(), () => {
+        resolve(this.#late(passage));
+      });
+      const gone = (): void => {
+        timer.cancel();
+        resolve(fail("cancelled", "the caller went away"));
+      };
+      call.signal.addEventListener("abort", gone, { once: true });
+      this.#race(passage).then((answer) => {
+        timer.cancel();
+        call.signal.removeEventListener("abort", gone);
+        resolve(answer);
+      });
+    });
+  }
+
+  #late(passage: Passage): Failure {
+    const message = `no answer in time: ${passage.lastFailure}`;
+    if (passage.ran > 0) return fail("deadline_passed", message);
+    return fail("upstream_refused", message, { retryAfterMs: RETRY_AFTER_MS });
+  }
+
+  /** Sends until an answer is there; for calls that may be repeated, to two upstreams at a time. */
+  #race(passage: Passage): Promise<HttpAnswer | Failure> {
+    const { route } = passage.routed;
+    const { clock } = this.#options;
+    return new Promise((resolve) => {
+      let running = 0;
+      const settle = (answer: HttpAnswer | Failure): void => {
+        second.cancel();
+        resolve(answer);
+      };
+      const next = (): boolean => {
+        const upstream = this.#nextUpstream(passage);
+        if (upstream === undefined) return false;
+        running += 1;
+        this.#send(passage, upstream).then((attempt) => {
+          running -= 1;
+          const answer = this.#judge(passage, attempt);
+          if (answer !== undefined) settle(answer);
+          else if (!next() && running === 0) settle(this.#giveUp(passage));
+        });
+        return true;
+      };
+      const delayMs = route.objectiveMs * SECOND_CALL_PART;
+      const second = clock.after(delayMs, () => {
+        if (route.kind === "idempotent" && !passage.ended.signal.aborted) {
+          next();
+        }
+      });
+      if (!next()) settle(this.#giveUp(passage));
+    });
+  }
+
+  #nextUpstream(passage: Passage): FleetUpstream | undefined {
+    if (passage.ended.signal.aborted) return undefined;
+    const { route } = passage.routed;
+    const most = route.kind === "once" ? 1 : Math.max(1, route.maximumAttempts);
+    if (passage.ran >= most) return undefined;
+    return this.#choose(passage.service, passage.tried);
+  }
+
+  #choose(
+    service: string,
+    tried: ReadonlySet<string>,
+  ): FleetUpstream | undefined {
+    const usable: FleetUpstream[] = [];
+    for (const upstream of this.#options.upstreams()) {
+      if (upstream.service !== service || upstream.phase !== "ready") continue;
+      usable.push(upstream);
+    }
+    const nowMs = this.#options.clock.nowMs();
+    return this.#choice.choose(usable, { tried, nowMs });
+  }
+
+  async #send(passage: Passage, upstream: FleetUpstream): Promise<Attempt> {
+    const { clock, dialect } = this.#options;
+    const { call, route, requestId, deadlineMs } = passage.routed;
+    passage.tried.add(upstream.id);
+    passage.ran += 1;
+    this.#choice.sent(upstream.id);
+    const sentMs = clock.nowMs();
+    const result = await this.#http.call({
+      address: upstream.address,
+      method: call.method,
+      target: call.target,
+      headers: dialect.callHeaders(passage.headers, {
+        requestId,
+        upstream,
+        leftMs: Math.max(1, deadlineMs - sentMs),
+        afterEvent: null,
+      }),
+      body: call.body,
+      signal: passage.ended.signal,
+      reuse: route.kind === "idempotent",
+    }, (head) => this.#wrongHead(head, requestId));
+    const nowMs = clock.nowMs();
+    const attempt = result.ok
+      ? this.#readAnswer(result.val)
+      : notAnswered(result.val);
+    const latencyMs = attempt.kind === "answer" ? nowMs - sentMs : null;
+    this.#choice.ended(upstream.id, { nowMs, latencyMs });
+    const cancelled = passage.ended.signal.aborted;
+    if (latencyMs === null && !cancelled) {
+      this.#choice.pause(upstream.id, nowMs);
+    }
+    // A call that is taken back because another upstream answered first shows how slow this one is at least.
+    if (cancelled && latencyMs === null && nowMs - sentMs > route.objectiveMs) {
+      this.#choice.pause(upstream.id, nowMs);
+    }
+    if (attempt.kind === "not_run") passage.ran -= 1;
+    if (attempt.kind !== "answer") passage.lastFailure = attempt.reason;
+    return attempt;
+  }
+
+  #wrongHead(head: UpstreamHead, requestId: string): string | undefined {
+    const marks = this.#options.dialect.answerMarks(head);
+    if (marks.requestId !== requestId) {
+      return `an answer to the call ${marks.requestId}`;
+    }
+    return undefined;
+  }
+
+  #readAnswer(answer: WholeAnswer): Attempt {
+    const marks = this.#options.dialect.answerMarks(answer);
+    if (marks.notRun) {
+      return { kind: "not_run", reason: `refused with ${answer.status}` };
+    }
+    if (!marks.stamped && answer.status < LEAST_SERVER_FAILURE) {
+      return { kind: "unknown", reason: "an answer without its stamp" };
+    }
+    return { kind: "answer", answer };
+  }
+
+  /** The answer that ends the call, or undefined if it goes on. */
+  #judge(passage: Passage, attempt: Attempt): HttpAnswer | undefined {
+    if (attempt.kind !== "answer") return undefined;
+    const { answer } = attempt;
+    const again = passage.routed.route.kind === "idempotent" &&
+      answer.status >= LEAST_SERVER_FAILURE;
+    if (!again) return passOn(answer);
+    passage.upstreamFailure = answer;
+    return undefined;
+  }
+
+  #giveUp(passage: Passage): HttpAnswer | Failure {
+    if (passage.upstreamFailure !== undefined) {
+      return passOn(passage.upstreamFailure);
+    }
+    const message = `no upstream answered: ${passage.lastFailure}`;
+    if (passage.ran > 0) return fail("upstream_failed", message);
+    const kind = passage.tried.size > 0 ? "upstream_refused" : "no_upstream";
+    return fail(kind, message, { retryAfterMs: RETRY_AFTER_MS });
+  }
+
+  #report(passage: Passage, failure: Failure): void {
+    const { route, requestId } = passage.routed;
+    this.#options.events.emit(REQUEST_EVENTS.callFailed, {
+      request: requestId,
+      route: route.name,
+      service: passage.service,
+      tried: [...passage.tried],
+      failure: failure.kind,
+      ran: failure.ran,
+      reason: failure.message,
+    });
+  }
+}
+
+function notAnswered(
+  fault: { readonly mayHaveRun: boolean; readonly reason: string },
+): Attempt {
+  const { reason } = fault;
+  return fault.mayHaveRun
+    ? { kind: "unknown", reason }
+    : { kind: "not_run", reason };
+}
+
+function passOn(answer: WholeAnswer): HttpAnswer {
+  return {
+    status: answer.status,
+    headers: headerRecord(endToEndHeaders(answer.rawHeaders)),
+    body: answer.body,
+  };
+}
--- /dev/null
+++ b/requests/route_rules.ts
@@ -0,0 +1,67 @@
+/**
+ * Finds the route of a call in the routing configuration.
+ *
+ * @module
+ */
+import type {
+  RandomSource,
+  RouteRule,
+  RoutingConfiguration,
+  WeightedService,
+} from "#core";
+
+/** The routes of one configuration by host, those with longer prefixes first. */
+export class RouteRules {
+  readonly #byHost = new Map<string, RouteRule[]>();
+  readonly #byName = new Map<string, RouteRule>();
+
+  constructor(configuration: RoutingConfiguration) {
+    for (const route of configuration.routes) {
+      const routes = this.#byHost.get(route.host) ?? [];
+      routes.push(route);
+      this.#byHost.set(route.host, routes);
+      this.#byName.set(route.name, route);
+    }
+    for (const routes of this.#byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  find(host: string, path: string): RouteRule | undefined {
+    const routes = this.#byHost.get(withoutPort(host)) ?? [];
+    return routes.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** Whether batches are taken under this host. */
+  takesBatches(host: string): boolean {
+    const routes = this.#byHost.get(withoutPort(host)) ?? [];
+    return routes.some((route) => route.kind === "batch");
+  }
+
+  /** The route of a name. */
+  named(name: string): RouteRule | undefined {
+    return this.#byName.get(name);
+  }
+}
+
+/** Draws one of a route's services by their weights. */
+export function drawService(
+  split: readonly WeightedService[],
+  random: RandomSource,
+): string | undefined {
+  let total = 0;
+  for (const { weight } of split) total += weight;
+  let drawn = random.fraction() * total;
+  for (const { service, weight } of split) {
+    if (weight <= 0) continue;
+    drawn -= weight;
+    if (drawn < 0) return service;
+  }
+  return split.findLast((each) => each.weight > 0)?.service;
+}
+
+function withoutPort(host: string): string {
+  const colon = host.indexOf(":");
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+}
--- /dev/null
+++ b/requests/upstream_http.ts
@@ -0,0 +1,198 @@
+/**
+ * HTTP calls to upstreams over kept connections. An answer counts only if it names the call it belongs to;
+ * a connection on which anything else comes is closed.
+ *
+ * @module
+ */
+import { Agent, type IncomingMessage, request as send } from "node:http";
+import {
+  type Address,
+  type Bytes,
+  Err,
+  MEBIBYTE,
+  type Milliseconds,
+  Ok,
+  type Result,
+} from "#core";
+
+const MAXIMUM_ANSWER_BYTES: Bytes = 32 * MEBIBYTE;
+const KEEP_ALIVE_PROBE_MS: Milliseconds = 1_000;
+const MAXIMUM_IDLE_CONNECTIONS = 64;
+
+/** One call to one upstream. */
+export interface SentCall {
+  readonly address: Address;
+  readonly method: string;
+  /** Path and query exactly as they are to be sent. */
+  readonly target: string;
+  /** Names and values by turns. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  readonly signal: AbortSignal;
+  /** Whether a kept connection may be used: one that has died unnoticed loses the call. */
+  readonly reuse: boolean;
+}
+
+/** The head of an answer. */
+export interface UpstreamHead {
+  readonly status: number;
+  /** Lower-case names. */
+  readonly headers: Readonly<Record<string, string>>;
+  readonly rawHeaders: readonly string[];
+}
+
+/** A whole answer. */
+export interface WholeAnswer extends UpstreamHead {
+  readonly body: Uint8Array;
+}
+
+/** Why a call has no answer. */
+export interface CallFault {
+  /** False only if no byte of the call can have reached the upstream. */
+  readonly mayHaveRun: boolean;
+  readonly reason: string;
+  /** Whether a kept connection turned out to be dead: the upstream itself may be well. */
+  readonly stale: boolean;
+}
+
+/** An answer whose body is read as it comes. */
+export interface OpenAnswer {
+  readonly head: UpstreamHead;
+  /** The body in pieces; throws if the answer breaks off before its end. */
+  readonly pieces: AsyncIterable<Uint8Array>;
+  /** Closes the connection. */
+  readonly abandon: () => void;
+}
+
+/** Keeps connections and sends calls. */
+export class UpstreamHttp {
+  readonly #agent = new Agent({
+    keepAlive: true,
+    keepAliveMsecs: KEEP_ALIVE_PROBE_MS,
+    maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS,
+    scheduling: "lifo",
+  });
+
+  /** Sends a call and gives its answer as soon as the head is there. */
+  open(call: SentCall): Promise<Result<OpenAnswer, CallFault>> {
+    const { promise, resolve } = deferred<Result<OpenAnswer, CallFault>>();
+    if (call.signal.aborted) {
+      return Promise.resolve(
+        Err({ mayHaveRun: false, reason: "cancelled", stale: false }),
+      );
+    }
+    let connected = false;
+    const outgoing = send({
+      host: call.address.host,
+      port: call.address.port,
+      method: call.method,
+      path: call.target,
+      headers: withLength(call) as string[],
+      setHost: false,
+      agent: call.reuse ? this.#agent : false,
+    });
+    const cancel = (): void => {
+      outgoing.destroy(new Error("cancelled"));
+    };
+    call.signal.addEventListener("abort", cancel, { once: true });
+    outgoing.on("socket", (socket) => {
+      connected = !socket.connecting;
+      if (connected) return;
+      socket.setNoDelay(true);
+      socket.once("connect", () => {
+        connected = true;
+      });
+    });
+    outgoing.on("error", (error) => {
+      const stale = outgoing.reusedSocket;
+      resolve(Err({ mayHaveRun: connected, reason: error.message, stale }));
+    });
+    outgoing.on("response", (incoming) => {
+      incoming.on("error", () => {});
+      incoming.once("close", () => {
+        call.signal.removeEventListener("abort", cancel);
+      });
+      resolve(Ok({
+        head: headOf(incoming),
+        pieces: piecesOf(incoming),
+        abandon: () => outgoing.destroy(),
+      }));
+    });
+    outgoing.on("close", () => {
+      const reason = "closed unanswered";
+      resolve(Err({ mayHaveRun: connected, reason, stale: false }));
+    });
+    outgoing.end(call.body);
+    return promise;
+  }
+
+  /** Sends a call and reads its whole answer. */
+  async call(
+    call: SentCall,
+    accepts: (head: UpstreamHead) => string | undefined = () => undefined,
+  ): Promise<Result<WholeAnswer, CallFault>> {
+    const opened = await this.open(call);
+    if (opened.err) return opened;
+    const { head, pieces, abandon } = opened.val;
+    const wrong = accepts(head);
+    if (wrong !== undefined) {
+      abandon();
+      return Err({ mayHaveRun: true, reason: wrong, stale: false });
+    }
+    const parts: Uint8Array[] = [];
+    let size = 0;
+    try {
+      for await (const piece of pieces) {
+        parts.push(piece);
+        size += piece.length;
+        if (size > MAXIMUM_ANSWER_BYTES) throw new Error("answer too large");
+      }
+    } catch (error) {
+      abandon();
+      const reason = error instanceof Error ? error.message : String(error);
+      return Err({ mayHaveRun: true, reason, stale: false });
+    }
+    return Ok({ ...head, body: Buffer.concat(parts) });
+  }
+
+  /** Closes the connections that are kept. */
+  close(): void {
+    this.#agent.destroy();
+  }
+}
+
+function deferred<Value>(): {
+  readonly promise: Promise<Value>;
+  readonly resolve: (value: Value) => void;
+} {
+  let resolve: (value: Value) => void = () => {};
+  const promise = new Promise<Value>((settle) => {
+    resolve = settle;
+  });
+  return { promise, resolve };
+}
+
+function withLength(call: SentCall): readonly string[] {
+  if (call.body.length === 0 && call.method !== "POST") return call.headers;
+  return [...call.headers, "Content-Length", String(call.body.length)];
+}
+
+function headOf(incoming: IncomingMessage): UpstreamHead {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of Object.entries(incoming.headers)) {
+    if (value === undefined) continue;
+    headers[name] = typeof value === "string" ? value : value.join(", ");
+  }
+  return {
+    status: incoming.statusCode ?? 0,
+    headers,
+    rawHeaders: incoming.rawHeaders,
+  };
+}
+
+async function* piecesOf(
+  incoming: IncomingMessage,
+): AsyncGenerator<Uint8Array> {
+  for await (const piece of incoming) yield piece as Uint8Array;
+  if (!incoming.complete) throw new Error("the answer broke off");
+}
