Keep and run batches on the store VMs

Cause: trainers submit whole steps as batches of items that must be kept through losses, run once or more, and listed once in one order for ever.

Change: a new domain.

Ruled out for now: items run by the entry VMs (each event would cross one more VM), groups of batches on several logs (three store VMs are one group).

--- /dev/null
+++ b/batches/batch_client.ts
@@ -0,0 +1,93 @@
+/**
+ * The entry VMs' side of batches: reaches the store VM that leads.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type Failure,
+  type FleetNode,
+  type Milliseconds,
+  type Placement,
+  type Result,
+} from "#core";
+import { LeaderRequests, type Patience } from "#membership";
+import type { PeerNetwork } from "#wire";
+import type { Batch, ResultPage } from "./batch_types.ts";
+
+const ATTEMPT_MS: Milliseconds = 1_500;
+const PATIENCE: Patience = { attemptMs: ATTEMPT_MS, totalMs: 3_000 };
+
+/** What a client is built from. */
+export interface BatchClientOptions {
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly nodes: () => readonly FleetNode[];
+  readonly placement: () => Placement;
+}
+
+/** Submits, reads and ends batches. */
+export class BatchClient {
+  readonly #requests: LeaderRequests;
+
+  constructor(options: BatchClientOptions) {
+    this.#requests = new LeaderRequests({
+      network: options.network,
+      clock: options.clock,
+      channel: "batches",
+      candidates: () =>
+        likelyLeaders(options.nodes(), options.placement().stores),
+    });
+  }
+
+  /** Succeeds once the whole batch is kept; submitting it again is harmless. */
+  accept(
+    batch: Batch,
+    keepMs: Milliseconds,
+  ): Promise<Result<unknown, Failure>> {
+    return this.#requests.send({ kind: "accept", batch, keepMs }, PATIENCE);
+  }
+
+  /** Results from a position on; waits for one if there is none yet. */
+  async read(
+    id: string,
+    options: { readonly after: number; readonly waitMs: Milliseconds },
+  ): Promise<Result<ResultPage, Failure>> {
+    const { after, waitMs } = options;
+    const patience = {
+      attemptMs: waitMs + ATTEMPT_MS,
+      totalMs: waitMs + ATTEMPT_MS,
+    };
+    const request = { kind: "read", id, after, waitMs };
+    const answer = await this.#requests.send(request, patience);
+    return answer as Result<ResultPage, Failure>;
+  }
+
+  /** The body of an item. */
+  async body(id: string, item: string): Promise<Result<Uint8Array, Failure>> {
+    const request = { kind: "body", id, item };
+    const answer = await this.#requests.send(request, PATIENCE);
+    return answer as Result<Uint8Array, Failure>;
+  }
+
+  /** Ends a batch; ending it again is harmless. */
+  end(id: string): Promise<Result<unknown, Failure>> {
+    return this.#requests.send({ kind: "end", id }, PATIENCE);
+  }
+}
+
+/** Replicas of the batch log: the leader of the highest term first. */
+function likelyLeaders(
+  nodes: readonly FleetNode[],
+  stores: readonly string[],
+): readonly string[] {
+  const leading = nodes.filter((node) => node.role === "store" && node.leads);
+  leading.sort((a, b) => b.term - a.term);
+  const others = nodes.filter((node) => node.role === "store");
+  const all = [
+    ...leading.map((node) => node.vm),
+    ...stores,
+    ...others.map((node) => node.vm),
+  ];
+  return [...new Set(all)];
+}
--- /dev/null
+++ b/batches/batch_service.ts
@@ -0,0 +1,157 @@
+/**
+ * Answers entry VMs on a store VM. Only the leader answers, and only from a state that holds everything
+ * acknowledged before; the others say who leads.
+ *
+ * @module
+ */
+import type { ReplicatedLog } from "#agreement";
+import {
+  type Bytes,
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type Result,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { match } from "ts-pattern";
+import { type BatchRequest, parseBatchRequest } from "./batch_messages.ts";
+import type { BatchResult, ResultPage } from "./batch_types.ts";
+import type { BatchesMachine, HeldBatch } from "./batches_machine.ts";
+import { BATCHES_EVENTS } from "./events.ts";
+
+const MAXIMUM_PAGE_BYTES: Bytes = 900_000;
+const RESULT_OVERHEAD_BYTES: Bytes = 200;
+
+/** What a service is built from. */
+export interface BatchServiceOptions {
+  readonly log: ReplicatedLog;
+  readonly machine: BatchesMachine;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Takes, shows and ends batches. */
+export class BatchService {
+  readonly #options: BatchServiceOptions;
+  readonly #waiting = new Set<() => void>();
+
+  constructor(options: BatchServiceOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to answer. */
+  start(): void {
+    const { network, log } = this.#options;
+    network.onRequest("batches", (_from, body) => this.#answer(body));
+    log.onApplied(() => this.#wake());
+  }
+
+  #wake(): void {
+    const waiting = [...this.#waiting];
+    this.#waiting.clear();
+    for (const wake of waiting) wake();
+  }
+
+  #answer(body: unknown): Promise<Result<unknown, Failure>> {
+    const request = parseBatchRequest(body);
+    if (request === undefined) {
+      const failure = fail("malformed_request", "a malformed batch request");
+      return Promise.resolve(Err(failure));
+    }
+    return match(request)
+      .with({ kind: "accept" }, (accept) => this.#propose(accept))
+      .with({ kind: "end" }, (end) => this.#propose(end))
+      .with({ kind: "read" }, (read) => this.#read(read))
+      .with({ kind: "body" }, (wanted) => this.#body(wanted))
+      .exhaustive();
+  }
+
+  async #propose(
+    command: Extract<BatchRequest, { kind: "accept" | "end" }>,
+  ): Promise<Result<unknown, Failure>> {
+    const { log, events } = this.#options;
+    const result = await log.propose({ machine: "batches", command });
+    if (result.err && command.kind === "accept") {
+      events.emit(BATCHES_EVENTS.batchRefused, {
+        request: command.batch.id,
+        failure: result.val.kind,
+        reason: result.val.message,
+      });
+    }
+    return result;
+  }
+
+  /** Fails unless this VM leads and has applied everything acknowledged so far. */
+  async #find(id: string): Promise<Result<HeldBatch, Failure>> {
+    const { log, machine } = this.#options;
+    const sure = await log.query({ machine: "batches", question: null });
+    if (sure.err) return Err(sure.val);
+    const held = machine.find(id);
+    if (held === undefined) {
+      return Err(fail("not_found", `there is no batch ${id}`));
+    }
+    return Ok(held);
+  }
+
+  async #read(
+    read: Extract<BatchRequest, { kind: "read" }>,
+  ): Promise<Result<ResultPage, Failure>> {
+    const { clock } = this.#options;
+    const untilMs = clock.nowMs() + read.waitMs;
+    while (true) {
+      const found = await this.#find(read.id);
+      if (found.err) return Err(found.val);
+      const held = found.val;
+      const waits = held.results.length <= read.after && !held.ended &&
+        held.results.length < held.batch.items.length;
+      const leftMs = untilMs - clock.nowMs();
+      if (!waits || leftMs <= 0) return Ok(pageOf(held, read.after));
+      await this.#change(leftMs);
+    }
+  }
+
+  #change(waitMs: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = (): void => {
+        timer.cancel();
+        this.#waiting.delete(wake);
+        resolve();
+      };
+      const timer = this.#options.clock.after(waitMs, wake);
+      this.#waiting.add(wake);
+    });
+  }
+
+  async #body(
+    wanted: Extract<BatchRequest, { kind: "body" }>,
+  ): Promise<Result<Uint8Array, Failure>> {
+    const found = await this.#find(wanted.id);
+    if (found.err) return Err(found.val);
+    const held = found.val.items.get(wanted.item);
+    if (held === undefined) {
+      return Err(fail("not_found", `there is no item ${wanted.item}`));
+    }
+    return Ok(held.item.body);
+  }
+}
+
+/** Results from a position on: at least one if there is one, and no more than fit into a page. */
+export function pageOf(held: HeldBatch, after: number): ResultPage {
+  const results: BatchResult[] = [];
+  let bytes = 0;
+  for (const result of held.results.slice(after)) {
+    bytes += Buffer.byteLength(result.text) + RESULT_OVERHEAD_BYTES;
+    if (results.length > 0 && bytes > MAXIMUM_PAGE_BYTES) break;
+    results.push(result);
+  }
+  return {
+    total: held.batch.items.length,
+    next: after + results.length,
+    results,
+  };
+}
--- /dev/null
+++ b/batches/batches_machine.ts
@@ -0,0 +1,278 @@
+/**
+ * Batches as the replicated log holds them. A batch is accepted whole or not at all; each item is listed
+ * once, at one position for ever. What was made of an item stays known after its batch has ended, so that a
+ * later batch with the same item goes on from it.
+ *
+ * @module
+ */
+import {
+  type Committed,
+  Err,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type Result,
+  StateMachine,
+} from "#core";
+import {
+  type Batch,
+  type BatchItem,
+  type BatchResult,
+  type ItemProgress,
+  type ItemUpdate,
+  joinTexts,
+  NO_PROGRESS,
+} from "./batch_types.ts";
+
+/** A change of the batches. */
+export type BatchesCommand =
+  | {
+    readonly kind: "accept";
+    readonly batch: Batch;
+    /** How long an ended batch stays readable. */
+    readonly keepMs: Milliseconds;
+  }
+  | { readonly kind: "update"; readonly updates: readonly ItemUpdate[] }
+  | { readonly kind: "end"; readonly id: string };
+
+/** One item with its state. */
+export interface HeldItem {
+  readonly item: BatchItem;
+  readonly progress: ItemProgress;
+  readonly failures: number;
+  readonly listed: boolean;
+  /** True once an engine has made its whole text, listed or not. */
+  readonly whole: boolean;
+  /** Whether an earlier batch already had it. */
+  readonly again: boolean;
+}
+
+/** One batch with its state. */
+export interface HeldBatch {
+  readonly batch: Batch;
+  readonly acceptedMs: Milliseconds;
+  readonly keepMs: Milliseconds;
+  readonly ended: boolean;
+  readonly items: ReadonlyMap<string, HeldItem>;
+  readonly results: readonly BatchResult[];
+}
+
+interface MutableBatch extends HeldBatch {
+  ended: boolean;
+  readonly items: Map<string, HeldItem>;
+  readonly results: BatchResult[];
+}
+
+interface PackedBatch {
+  readonly batch: Batch;
+  readonly acceptedMs: Milliseconds;
+  readonly keepMs: Milliseconds;
+  readonly ended: boolean;
+  readonly items: readonly Omit<HeldItem, "item">[];
+  readonly results: readonly BatchResult[];
+}
+
+/** Holds the batches. */
+export class BatchesMachine
+  extends StateMachine<BatchesCommand, number, null, null> {
+  override readonly name = "batches";
+  readonly #batches = new Map<string, MutableBatch>();
+  /** The batch that last had an item. */
+  readonly #lastBatch = new Map<string, string>();
+
+  override apply(
+    entry: Committed<BatchesCommand>,
+  ): Result<number, Failure> {
+    const { command, atMs } = entry;
+    if (command.kind === "accept") return this.#accept(command, atMs);
+    if (command.kind === "update") return this.#update(command.updates);
+    if (command.kind === "end") return this.#end(command.id);
+    return Err(fail("malformed_request", "an unknown command for batches"));
+  }
+
+  override ask(): Result<null, Failure> {
+    return Ok(null);
+  }
+
+  /** A batch by its identifier. */
+  find(id: string): HeldBatch | undefined {
+    return this.#batches.get(id);
+  }
+
+  /** Batches that are not ended, in the order of their acceptance. */
+  open(): readonly HeldBatch[] {
+    return [...this.#batches.values()].filter((each) => !each.ended);
+  }
+
+  override snapshot(): unknown {
+    const packed: PackedBatch[] = [];
+    for (const held of this.#batches.values()) {
+      const { batch, acceptedMs, keepMs, ended, results } = held;
+      const items = [...held.items.values()].map(withoutItem);
+      packed.push({ batch, acceptedMs, keepMs, ended, items, results });
+    }
+    return packed;
+  }
+
+  override restore(state: unknown): void {
+    this.#batches.clear();
+    this.#lastBatch.clear();
+    for (const packed of state as readonly PackedBatch[]) {
+      const items = new Map<string, HeldItem>();
+      for (const [at, item] of packed.batch.items.entries()) {
+        const rest = packed.items[at];
+        if (rest !== undefined) items.set(item.id, { ...rest, item });
+        this.#lastBatch.set(item.id, packed.batch.id);
+      }
+      const results = [...packed.results];
+      this.#batches.set(packed.batch.id, { ...packed, items, results });
+    }
+  }
+
+  #accept(
+    command: Extract<BatchesCommand, { kind: "accept" }>,
+    atMs: Milliseconds,
+  ): Result<number, Failure> {
+    const { batch, keepMs } = command;
+    const known = this.#batches.get(batch.id);
+    if (known !== undefined) {
+      if (sameItems(known.batch, batch)) return Ok(batch.items.length);
+      const message = `batch ${batch.id} is there with other items`;
+      return Err(fail("conflict", message));
+    }
+    this.#forgetOld(atMs);
+    const held: MutableBatch = {
+      batch,
+      acceptedMs: atMs,
+      keepMs,
+      ended: false,
+      items: new Map(),
+      results: [],
+    };
+    for (const item of batch.items) {
+      held.items.set(item.id, this.#begin(batch, item));
+    }
+    this.#batches.set(batch.id, held);
+    for (const item of batch.items) {
+      this.#lastBatch.set(item.id, batch.id);
+      const begun = held.items.get(item.id);
+      if (begun?.whole === true) list(held, begun, "completed");
+    }
+    return Ok(batch.items.length);
+  }
+
+  /** An item's state at the start: what an earlier batch has of it, if that may be used. */
+  #begin(batch: Batch, item: BatchItem): HeldItem {
+    const fresh: HeldItem = {
+      item,
+      progress: NO_PROGRESS,
+      failures: 0,
+      listed: false,
+      whole: false,
+      again: false,
+    };
+    const earlier = this.#batches.get(this.#lastBatch.get(item.id) ?? "");
+    const before = earlier?.items.get(item.id);
+    if (earlier === undefined || before === undefined) return fresh;
+    const fits = earlier.batch.model === batch.model &&
+      versionsFit(batch, before.progress.versions);
+    if (!fits) return { ...fresh, again: true };
+    const { progress, whole } = before;
+    return { ...fresh, progress, whole, again: true };
+  }
+
+  #update(updates: readonly ItemUpdate[]): Result<number, Failure> {
+    let applied = 0;
+    for (const update of updates) {
+      const held = this.#batches.get(update.batch);
+      const known = held?.items.get(update.item);
+      if (held === undefined || known === undefined) continue;
+      if (known.listed || known.whole) continue;
+      if (known.progress.events !== update.fromEvents) continue;
+      applied += 1;
+      const next = advance(known, update);
+      held.items.set(update.item, next);
+      if (update.outcome === null || held.ended) continue;
+      list(held, next, update.outcome);
+    }
+    return Ok(applied);
+  }
+
+  #end(id: string): Result<number, Failure> {
+    const held = this.#batches.get(id);
+    if (held === undefined) {
+      return Err(fail("not_found", `there is no batch ${id}`));
+    }
+    held.ended = true;
+    return Ok(held.results.length);
+  }
+
+  #forgetOld(atMs: Milliseconds): void {
+    for (const [id, held] of this.#batches) {
+      if (!held.ended || atMs < held.acceptedMs + held.keepMs) continue;
+      this.#batches.delete(id);
+      for (const item of held.batch.items) {
+        if (this.#lastBatch.get(item.id) === id) {
+          this.#lastBatch.delete(item.id);
+        }
+      }
+    }
+  }
+}
+
+/** Whether text of these versions may stand in a result of the batch. */
+export function versionsFit(
+  batch: Batch,
+  versions: readonly number[],
+): boolean {
+  if (batch.singleVersion && versions.length > 1) return false;
+  const least = batch.minimumVersion ?? 0;
+  return versions.every((version) => version >= least);
+}
+
+function advance(known: HeldItem, update: ItemUpdate): HeldItem {
+  const before = update.restart ? NO_PROGRESS : known.progress;
+  const progress = update.events === 0 ? before : {
+    events: before.events + update.events,
+    lastEvent: update.lastEvent,
+    text: joinTexts(before, update.text),
+    versions: mergeVersions(before.versions, update.versions),
+  };
+  return {
+    ...known,
+    progress,
+    failures: known.failures + update.failures,
+    whole: update.outcome === "completed",
+  };
+}
+
+function mergeVersions(
+  a: readonly number[],
+  b: readonly number[],
+): readonly number[] {
+  return [...new Set([...a, ...b])].sort((x, y) => x - y);
+}
+
+function list(
+  held: MutableBatch,
+  known: HeldItem,
+  outcome: BatchResult["outcome"],
+): void {
+  const { text, versions } = known.progress;
+  held.items.set(known.item.id, { ...known, listed: true });
+  held.results.push({ id: known.item.id, outcome, text, versions });
+}
+
+function sameItems(a: Batch, b: Batch): boolean {
+  if (a.items.length !== b.items.length) return false;
+  for (const [at, item] of a.items.entries()) {
+    if (item.id !== b.items[at]?.id) return false;
+  }
+  return a.model === b.model && a.route === b.route;
+}
+
+function withoutItem(held: HeldItem): Omit<HeldItem, "item"> {
+  const { progress, failures, listed, whole, again } = held;
+  return { progress, failures, listed, whole, again };
+}
--- /dev/null
+++ b/batches/item_plan.ts
@@ -0,0 +1,240 @@
+/**
+ * Decides which items start on which engines, and which runs are to go on elsewhere. Without input or output.
+ *
+ * The tail of a step decides when it is whole: the item with the least time to spare goes first, on the
+ * engine that makes events fastest; a run that makes no events, or makes them slowly while a faster engine
+ * has a free place, goes on there from its last event.
+ *
+ * @module
+ */
+import type { FleetUpstream, Milliseconds } from "#core";
+
+/** An item that waits for an engine. */
+export interface WaitingItem {
+  readonly key: string;
+  readonly group: string;
+  readonly model: string;
+  readonly service: string;
+  /** Oldest version that may make its tokens. */
+  readonly minimumVersion: number;
+  /** The only version that may go on with its text, or null. */
+  readonly onlyVersion: number | null;
+  /** When its result is wanted, on this VM's clock. */
+  readonly dueMs: Milliseconds;
+  /** Tokens still to be made, by estimate. */
+  readonly tokensLeft: number;
+  /** Tokens that it takes of an engine's memory. */
+  readonly memoryTokens: number;
+  /** Whether an earlier batch had it: the trainer waits for it in any case. */
+  readonly again: boolean;
+}
+
+/** A run at an engine. */
+export interface PlacedRun {
+  readonly item: WaitingItem;
+  readonly engine: string;
+  /** When its last event came, or when it began. */
+  readonly lastEventMs: Milliseconds;
+  readonly begun: boolean;
+  readonly moves: number;
+}
+
+/** An engine as the plan sees it. */
+export interface EngineView {
+  readonly upstream: FleetUpstream;
+  /** Version of each model as far as is known. */
+  readonly versions: ReadonlyMap<string, number>;
+  /** Mean time between two events of one run. */
+  readonly eventGapMs: Milliseconds;
+  /** No new runs before this time. */
+  readonly pausedUntilMs: Milliseconds;
+  /** Tokens that fit into its memory, or Infinity. */
+  readonly memoryTokens: number;
+}
+
+/** What a plan is made from. */
+export interface ItemPlanInput {
+  readonly nowMs: Milliseconds;
+  readonly waiting: readonly WaitingItem[];
+  readonly runs: readonly PlacedRun[];
+  readonly engines: readonly EngineView[];
+}
+
+/** An item and the engine that it is to start at. */
+export interface Placing {
+  readonly item: WaitingItem;
+  readonly engine: FleetUpstream;
+}
+
+/** Silence of a run, in mean gaps between events, after which it goes on elsewhere. */
+const SILENT_GAPS = 6;
+const LEAST_SILENCE_MS: Milliseconds = 350;
+/** A run that has no event yet may have to wait for its prompt. */
+const LEAST_FIRST_SILENCE_MS: Milliseconds = 700;
+/** How many times faster another engine must be for a run to go on there. */
+const FASTER = 1.7;
+const LEAST_GAIN_MS: Milliseconds = 400;
+const MOST_MOVES = 6;
+const AGAIN_HEAD_START_MS: Milliseconds = 3_000;
+const MEMORY_PART = 0.9;
+const GUESSED_TOKEN_MS: Milliseconds = 0.6;
+
+interface Load {
+  running: number;
+  tokens: number;
+  readonly groups: Set<string>;
+}
+
+/** Items to start now. */
+export function planStarts(input: ItemPlanInput): readonly Placing[] {
+  const loads = loadOf(input.runs);
+  const placings: Placing[] = [];
+  const ordered = [...input.waiting].sort((a, b) => urgency(a) - urgency(b));
+  for (const item of ordered) {
+    const engine = bestEngine(item, input, loads);
+    if (engine === undefined) continue;
+    addLoad(loads, engine.upstream.id, item);
+    placings.push({ item, engine: engine.upstream });
+  }
+  return placings;
+}
+
+/** Keys of runs that are to end here and go on elsewhere. */
+export function planMoves(input: ItemPlanInput): readonly string[] {
+  const loads = loadOf(input.runs);
+  const views = new Map(input.engines.map((each) => [each.upstream.id, each]));
+  const moves: string[] = [];
+  const slowest = [...input.runs].sort((a, b) =>
+    urgency(a.item) - urgency(b.item)
+  );
+  for (const run of slowest) {
+    const view = views.get(run.engine);
+    if (view === undefined || view.upstream.phase !== "ready") {
+      moves.push(run.item.key);
+      continue;
+    }
+    if (run.moves >= MOST_MOVES) continue;
+    if (isSilent(run, view, input.nowMs)) {
+      moves.push(run.item.key);
+      continue;
+    }
+    const faster = fasterEngine(run, view, { input, loads });
+    if (faster === undefined) continue;
+    addLoad(loads, faster.upstream.id, run.item);
+    moves.push(run.item.key);
+  }
+  return moves;
+}
+
+/** Whether a run has made no event for too long. */
+export function isSilent(
+  run: PlacedRun,
+  view: EngineView,
+  nowMs: Milliseconds,
+): boolean {
+  const least = run.begun ? LEAST_SILENCE_MS : LEAST_FIRST_SILENCE_MS;
+  const allowedMs = Math.max(least, SILENT_GAPS * view.eventGapMs);
+  return nowMs - run.lastEventMs > allowedMs;
+}
+
+function urgency(item: WaitingItem): number {
+  const headStartMs = item.again ? AGAIN_HEAD_START_MS : 0;
+  return item.dueMs - item.tokensLeft * GUESSED_TOKEN_MS - headStartMs;
+}
+
+function loadOf(runs: readonly PlacedRun[]): Map<string, Load> {
+  const loads = new Map<string, Load>();
+  for (const run of runs) addLoad(loads, run.engine, run.item);
+  return loads;
+}
+
+function addLoad(
+  loads: Map<string, Load>,
+  engine: string,
+  item: WaitingItem,
+): void {
+  const load = loads.get(engine) ??
+    { running: 0, tokens: 0, groups: new Set<string>() };
+  load.running += 1;
+  load.tokens += item.memoryTokens;
+  load.groups.add(item.group);
+  loads.set(engine, load);
+}
+
+function bestEngine(
+  item: WaitingItem,
+  input: ItemPlanInput,
+  loads: ReadonlyMap<string, Load>,
+): EngineView | undefined {
+  let best: EngineView | undefined;
+  let bestScore = Infinity;
+  for (const view of input.engines) {
+    if (!mayRun(item, view, input.nowMs)) continue;
+    if (!fits(item, view, loads)) continue;
+    const score = scoreOf(item, view, loads);
+    if (score >= bestScore) continue;
+    best = view;
+    bestScore = score;
+  }
+  return best;
+}
+
+function mayRun(
+  item: WaitingItem,
+  view: EngineView,
+  nowMs: Milliseconds,
+): boolean {
+  const { upstream } = view;
+  if (upstream.service !== item.service || upstream.phase !== "ready") {
+    return false;
+  }
+  if (nowMs < view.pausedUntilMs) return false;
+  const version = view.versions.get(item.model) ?? 0;
+  if (item.onlyVersion !== null && version !== item.onlyVersion) return false;
+  return version >= item.minimumVersion;
+}
+
+function fits(
+  item: WaitingItem,
+  view: EngineView,
+  loads: ReadonlyMap<string, Load>,
+): boolean {
+  const load = loads.get(view.upstream.id);
+  if (load === undefined) return true;
+  if (load.running >= view.upstream.slots) return false;
+  return load.tokens + item.memoryTokens <= view.memoryTokens * MEMORY_PART;
+}
+
+/** The less the better: speed first, then a prompt that is there, then the emptier engine. */
+function scoreOf(
+  item: WaitingItem,
+  view: EngineView,
+  loads: ReadonlyMap<string, Load>,
+): number {
+  const load = loads.get(view.upstream.id);
+  const fullness = (load?.running ?? 0) / Math.max(1, view.upstream.slots);
+  const promptThere = load?.groups.has(item.group) === true;
+  const crowd = promptThere ? fullness * 0.5 : 0.3 + fullness;
+  return view.eventGapMs * (1 + crowd);
+}
+
+function fasterEngine(
+  run: PlacedRun,
+  view: EngineView,
+  state: {
+    readonly input: ItemPlanInput;
+    readonly loads: ReadonlyMap<string, Load>;
+  },
+): EngineView | undefined {
+  const { input, loads } = state;
+  for (const other of input.engines) {
+    if (other === view || !mayRun(run.item, other, input.nowMs)) continue;
+    if (!fits(run.item, other, loads)) continue;
+    const ratio = view.eventGapMs / other.eventGapMs;
+    if (ratio < FASTER) continue;
+    const leftMs = run.item.tokensLeft * GUESSED_TOKEN_MS;
+    if (leftMs * (ratio - 1) < LEAST_GAIN_MS) continue;
+    return other;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/batches/mod.ts
@@ -0,0 +1,12 @@
+/**
+ * Batches: acceptance, items and their runs, results.
+ *
+ * @module
+ */
+export * from "./batch_client.ts";
+export * from "./batch_runner.ts";
+export * from "./batch_service.ts";
+export * from "./batch_types.ts";
+export * from "./batches_machine.ts";
+export * from "./events.ts";
+export * from "./item_plan.ts";
