--- /dev/null
+++ b/programs/node_base.ts
@@ -0,0 +1,116 @@
+/**
+ * What the programs of a node on the platform have in common.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type EventLog,
+  type FleetNode,
+  type FleetRole,
+  Metrics,
+  type Milliseconds,
+  PinoEventLog,
+  type RandomSource,
+  SuspensionClock,
+  SystemRandom,
+} from "#core";
+import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
+import type { NodeSettings } from "#platform";
+import { TcpNetwork } from "#wire";
+
+const KEEP_ALIVE_MS: Milliseconds = 300_000;
+const BODY_BYTES = 33_554_432;
+const HEADER_BYTES = 65_536;
+
+/** Limits of the servers that the platform's callers use. */
+export const NODE_HTTP_LIMITS: HttpLimits = {
+  ...DEFAULT_HTTP_LIMITS,
+  maximumBodyBytes: BODY_BYTES,
+  maximumHeaderBytes: HEADER_BYTES,
+  keepAliveMs: KEEP_ALIVE_MS,
+};
+
+/** The common parts of a node. */
+export interface NodeBase {
+  readonly settings: NodeSettings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly network: TcpNetwork;
+  readonly startedMs: Milliseconds;
+  /** Addresses of control VMs that the settings name now. */
+  readonly seeds: () => readonly string[];
+}
+
+/** A node that the main program runs. */
+export interface PlatformNode {
+  /** Opens everything; rejects if that can't be done. */
+  start(): Promise<void>;
+  /** Finishes what was begun and closes. */
+  drain(): Promise<void>;
+  /** Takes settings that have changed. */
+  reload(settings: NodeSettings): void;
+}
+
+/** Builds the common parts; opens nothing. */
+export function buildNodeBase(
+  settings: NodeSettings,
+  options: {
+    readonly role: FleetRole;
+    /** The settings as they are now. */
+    readonly current: () => NodeSettings;
+  },
+): NodeBase {
+  const clock = new SuspensionClock();
+  const events = new PinoEventLog({
+    program: `cicadafield-${options.role}`,
+    level: "info",
+  });
+  const network = new TcpNetwork({
+    cluster: "cicadafield",
+    self: settings.ip,
+    listen: { host: settings.ip, port: settings.peerPort },
+    clock,
+    events,
+    resolve: (vm) => ({ host: vm, port: settings.peerPort }),
+  });
+  return {
+    settings,
+    clock,
+    random: new SystemRandom(),
+    events,
+    metrics: new Metrics(),
+    network,
+    startedMs: clock.wallMs(),
+    seeds: () => options.current().seeds.map((seed) => seed.host),
+  };
+}
+
+/** A node as it tells of itself. */
+export function describeNode(
+  base: NodeBase,
+  role: FleetRole,
+  group: {
+    readonly leads: boolean;
+    readonly term: number;
+    readonly voters: readonly string[];
+  },
+): FleetNode {
+  const { settings } = base;
+  return {
+    vm: settings.ip,
+    name: settings.name,
+    role,
+    zone: settings.zone,
+    startedMs: base.startedMs,
+    firstStart: settings.firstStart,
+    ...group,
+  };
+}
+
+/** Replicas of which a majority stays when the tolerated losses happen at once. */
+export function replicasFor(toleratedLosses: number): number {
+  return 2 * toleratedLosses + 1;
+}
