Copy frames once and bound the entries on the way to a replica

A frame that came in small pieces was copied whole for each piece: 358 MB for a frame of 1 MB in pieces of 1,400 bytes. And a leader sent a replica that was slow to answer the same megabyte of entries at each heartbeat, on top of each new entry: 9.9 MB in a second.

Ruled out: leaks by the number of batches (memory fell again after the repairs).

Change: the decoder joins its pieces once a frame is whole. A leader keeps one window of 1 MiB on the way to a replica and takes it for lost after a second without progress.

--- a/agreement/leadership.ts
+++ b/agreement/leadership.ts
@@ -5,13 +5,17 @@
  * @module
  */
 import { type Bytes, MEBIBYTE, type Milliseconds } from "#core";
-import type { EntryKind, EntryPosition, Seat } from "./entries.ts";
+import type { EntryKind, EntryPosition, LogEntry, Seat } from "./entries.ts";
 import { type MessageOf, packEntry } from "./messages.ts";
 import type { ReplicaState } from "./replica_state.ts";
 import { SnapshotSending } from "./snapshot_sending.ts";
 
 const MAXIMUM_APPEND_BYTES: Bytes = MEBIBYTE;
 const MAXIMUM_UNACKNOWLEDGED_ENTRIES = 8_192;
+/** Bytes of entries on the way to one replica. */
+const WINDOW_BYTES: Bytes = MEBIBYTE;
+/** Time without progress after which entries on the way count as lost. */
+const LOST_MS: Milliseconds = 1_000;
 
 /** Both clocks of the leader. */
 export interface Instant {
@@ -32,8 +36,16 @@
   contactMs: Milliseconds;
   /** When entries were last sent again; refusals of older messages are out of date. */
   retriedMs: Milliseconds;
-  /** Last entry that it had at the last heartbeat, to find lost messages. */
-  matchAtHeartbeat: number;
+  /** Entries on the way, oldest first. */
+  sent: readonly SentEntries[];
+  /** When its last entry on the disk last changed, or entries were last sent with none on the way. */
+  movedMs: Milliseconds;
+}
+
+/** Entries that were sent together. */
+interface SentEntries {
+  readonly lastIndex: number;
+  readonly bytes: Bytes;
 }
 
 /** Leads one term. */
@@ -119,10 +131,7 @@
     this.#heartbeatDueMs = nowMs + timing.heartbeatMs;
     this.#followSeats();
     for (const progress of this.#progress.values()) {
-      if (progress.match === progress.matchAtHeartbeat) {
-        progress.next = progress.match + 1;
-      }
-      progress.matchAtHeartbeat = progress.match;
+      if (nowMs >= progress.movedMs + LOST_MS) resend(progress);
       this.#send(progress, nowMs);
     }
     return true;
@@ -132,6 +141,7 @@
   replicate(nowMs: Milliseconds): void {
     this.#followSeats();
     for (const progress of this.#progress.values()) {
+      if (isWindowFull(progress)) continue;
       if (progress.next <= this.#state.log.lastIndex) {
         this.#send(progress, nowMs);
       }
@@ -145,15 +155,21 @@
     heard(progress, message.sentMs);
     progress.committedIndex = message.committedIndex;
     if (message.matched) {
+      if (message.index > progress.match) progress.movedMs = nowMs;
       progress.match = Math.max(progress.match, message.index);
+      progress.sent = progress.sent.filter((each) =>
+        each.lastIndex > progress.match
+      );
       progress.next = Math.max(progress.next, progress.match + 1);
       this.advance();
     } else {
       if (message.sentMs < progress.retriedMs) return;
       progress.retriedMs = nowMs;
+      progress.sent = [];
       progress.next = Math.max(progress.match, message.index) + 1;
     }
     if (progress.next > this.#state.log.lastIndex) return;
+    if (isWindowFull(progress)) return;
     this.#send(progress, nowMs);
   }
 
@@ -189,7 +205,8 @@
       committedIndex: 0,
       contactMs: -Infinity,
       retriedMs: -Infinity,
-      matchAtHeartbeat: 0,
+      sent: [],
+      movedMs: -Infinity,
     };
     this.#progress.set(seat.replica, progress);
     return progress;
@@ -234,7 +251,8 @@
   ): void {
     const state = this.#state;
     const waiting = from.index - progress.match;
-    const entries = waiting > MAXIMUM_UNACKNOWLEDGED_ENTRIES
+    const entries = waiting > MAXIMUM_UNACKNOWLEDGED_ENTRIES ||
+        isWindowFull(progress)
       ? []
       : state.log.from(from.index, MAXIMUM_APPEND_BYTES);
     const previousIndex = from.index - 1;
@@ -248,6 +266,7 @@
     });
     if (from.index === progress.next) {
       progress.next = from.index + entries.length;
+      noteSent(progress, entries, from.nowMs);
     }
     state.send(progress.seat.vm, message);
   }
@@ -257,3 +276,27 @@
 function heard(progress: Progress, sentMs: Milliseconds): void {
   progress.contactMs = Math.max(progress.contactMs, sentMs);
 }
+
+function isWindowFull(progress: Progress): boolean {
+  let bytes = 0;
+  for (const each of progress.sent) bytes += each.bytes;
+  return bytes >= WINDOW_BYTES;
+}
+
+function noteSent(
+  progress: Progress,
+  entries: readonly LogEntry[],
+  nowMs: Milliseconds,
+): void {
+  const last = entries.at(-1);
+  if (last === undefined) return;
+  if (progress.sent.length === 0) progress.movedMs = nowMs;
+  let bytes = 0;
+  for (const entry of entries) bytes += entry.body.length;
+  progress.sent = [...progress.sent, { lastIndex: last.index, bytes }];
+}
+
+function resend(progress: Progress): void {
+  progress.next = progress.match + 1;
+  progress.sent = [];
+}
--- a/agreement/replica_test.ts
+++ b/agreement/replica_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SeededRandom } from "#core";
+import { MEBIBYTE, SeededRandom } from "#core";
 import { encodeSeats, type LogEntry, type Seat } from "./entries.ts";
 import type { Message, MessageOf } from "./messages.ts";
 import { Replica } from "./replica.ts";
@@ -185,3 +185,39 @@
   replica.tick({ nowMs: silent.nowMs + 3_000, wallMs: 0 });
   assert.equal(only(replica.takeReady(), "hello").length, 2);
 });
+
+test("a leader sends a replica that does not answer no more than one window of entries a second", () => {
+  const replica = leading();
+  const entryBytes = 100_000;
+  let sentBytes = 0;
+  let nowMs = LATER.nowMs;
+  for (let step = 0; step < 39; step += 1) {
+    nowMs += 25;
+    const instant = { nowMs, wallMs: 0 };
+    replica.add("command", new Uint8Array(entryBytes), instant);
+    const taken = replica.takeBatch(nowMs);
+    if (taken !== undefined) replica.synced(taken);
+    replica.tick(instant);
+    for (const { vm, message } of replica.takeReady()) {
+      if (message.kind !== "append") continue;
+      if (vm === "b") {
+        for (const entry of message.entries) sentBytes += entry[4].length;
+        continue;
+      }
+      const reply: MessageOf<"appendReply"> = {
+        kind: "appendReply",
+        group: GROUP,
+        from: "replica-c",
+        to: "replica-a",
+        term: 2,
+        matched: true,
+        index: message.previousIndex + message.entries.length,
+        committedIndex: 0,
+        sentMs: message.sentMs,
+      };
+      replica.receive("c", reply, instant);
+    }
+  }
+  assert.equal(replica.state.role, "leader");
+  assert.ok(sentBytes <= MEBIBYTE + entryBytes, `${sentBytes} bytes were sent`);
+});
--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -56,8 +56,12 @@
 
 /** Cuts a stream of bytes into frames. After a failure the stream can't be read on. */
 export class FrameDecoder {
-  #pending: Buffer = Buffer.alloc(0);
   readonly #maximumBytes: Bytes;
+  /** Bytes of a frame that is not whole yet; joined once it is. */
+  #pieces: Uint8Array[] = [];
+  #held: Bytes = 0;
+  /** Bytes needed before it is worth to join the pieces. */
+  #wanted: Bytes = LENGTH_BYTES + VERSION_BYTES;
 
   constructor(maximumBytes: Bytes = MAXIMUM_FRAME_BYTES) {
     this.#maximumBytes = maximumBytes;
@@ -65,31 +69,46 @@
 
   /** Takes the next bytes and gives the bodies that are now whole. */
   push(bytes: Uint8Array): Result<readonly unknown[], Failure> {
-    this.#pending = this.#pending.length === 0
-      ? Buffer.from(bytes)
-      : Buffer.concat([this.#pending, bytes]);
+    this.#pieces.push(bytes);
+    this.#held += bytes.length;
+    if (this.#held < this.#wanted) return Ok([]);
+    let pending = this.#join();
     const bodies: unknown[] = [];
-    while (this.#pending.length >= LENGTH_BYTES + VERSION_BYTES) {
-      const length = this.#pending.readUInt32BE(0);
+    this.#wanted = LENGTH_BYTES + VERSION_BYTES;
+    while (pending.length >= LENGTH_BYTES + VERSION_BYTES) {
+      const length = pending.readUInt32BE(0);
       if (length < VERSION_BYTES || length > this.#maximumBytes) {
         return refuse(`a frame of ${length} bytes is over the limit`);
       }
-      const version = this.#pending.readUInt8(LENGTH_BYTES);
+      const version = pending.readUInt8(LENGTH_BYTES);
       if (version !== WIRE_VERSION) {
         return refuse(`frame format ${version} is not ${WIRE_VERSION}`);
       }
       const end = LENGTH_BYTES + length;
-      if (this.#pending.length < end) break;
-      const body = this.#pending.subarray(LENGTH_BYTES + VERSION_BYTES, end);
+      if (pending.length < end) {
+        this.#wanted = end;
+        break;
+      }
+      const body = pending.subarray(LENGTH_BYTES + VERSION_BYTES, end);
       try {
         bodies.push(codec.decode(body));
       } catch {
         return refuse("a frame holds malformed CBOR");
       }
-      this.#pending = this.#pending.subarray(end);
+      pending = pending.subarray(end);
     }
+    this.#pieces = pending.length === 0 ? [] : [pending];
+    this.#held = pending.length;
     return Ok(bodies);
   }
+
+  #join(): Buffer {
+    const [first] = this.#pieces;
+    if (first !== undefined && this.#pieces.length === 1) {
+      return Buffer.from(first.buffer, first.byteOffset, first.length);
+    }
+    return Buffer.concat(this.#pieces);
+  }
 }
 
 function refuse(message: string): Result<never, Failure> {
--- a/wire/frame_test.ts
+++ b/wire/frame_test.ts
@@ -40,3 +40,22 @@
   const large = encodeFrame({ a: "x".repeat(100) });
   assert.equal(new FrameDecoder(50).push(large).ok, false);
 });
+
+test("a large frame that comes in small pieces is copied once", (context) => {
+  const size = 1_000_000;
+  const piece = 1_400;
+  const bytes = encodeFrame({ text: "x".repeat(size) });
+  let copied = 0;
+  const concat = Buffer.concat;
+  context.mock.method(Buffer, "concat", (parts: Uint8Array[]) => {
+    for (const part of parts) copied += part.length;
+    return concat(parts);
+  });
+  const decoder = new FrameDecoder();
+  let received = 0;
+  for (let at = 0; at < bytes.length; at += piece) {
+    received += decoder.push(bytes.subarray(at, at + piece)).unwrap().length;
+  }
+  assert.equal(received, 1);
+  assert.ok(copied <= 2 * bytes.length, `${copied} bytes were copied`);
+});
