Encode entries of the log into memory of their own

Ruled out: JavaScript heap (26 MB on the leader and on its followers), texts that stand twice (they are strings), sockets (their buffers come and go).

Change: `encodeValue` gives bytes that own their memory.

--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -25,9 +25,9 @@
 
 const codec = new Encoder({ useRecords: true, mapsAsObjects: true });
 
-/** Encodes a plain value as CBOR. */
+/** Encodes a plain value as CBOR, in memory of its own: the library's bytes lie in a larger buffer that they would keep. */
 export function encodeValue(value: unknown): Uint8Array {
-  return codec.encode(value);
+  return new Uint8Array(codec.encode(value));
 }
 
 /** Decodes CBOR; throws on malformed input. */
--- a/wire/frame_test.ts
+++ b/wire/frame_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { encodeFrame, FrameDecoder } from "./frame.ts";
+import { encodeFrame, encodeValue, FrameDecoder } from "./frame.ts";
 
 test("frames come out whole and in order however the bytes are cut", () => {
   fc.assert(
@@ -59,3 +59,8 @@
   assert.equal(received, 1);
   assert.ok(copied <= 2 * bytes.length, `${copied} bytes were copied`);
 });
+
+test("an encoded value keeps no more memory than its bytes", () => {
+  const value = encodeValue({ text: "x".repeat(300_000) });
+  assert.equal(value.buffer.byteLength, value.length);
+});
