Load versions by turns where work may be some versions behind

Ruled out: places taken by the other model (both steps come together), memory of engines (no run was preempted), the store VM's processor (0.09 of a core).

Change: the leading store VM tells which version the newest work of a model asks for at least. Where that is one behind the named one, every engine serves both models, and half of them load each version while the other half takes work. With no lag it is as before: an engine serves one model and loads each version.

--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -13,6 +13,7 @@
   type Milliseconds,
   Ok,
   type Result,
+  type ServedVersion,
   StateMachine,
 } from "#core";
 import {
@@ -100,6 +101,16 @@
     return this.#batches.get(id);
   }
 
+  /** The oldest version that the batch accepted last for each model may use. */
+  asked(): readonly ServedVersion[] {
+    const asked = new Map<string, number>();
+    for (const { batch } of this.#batches.values()) {
+      const { model, minimumVersion } = batch;
+      if (minimumVersion !== null) asked.set(model, minimumVersion);
+    }
+    return [...asked].map(([model, version]) => ({ model, version }));
+  }
+
   /** Batches that are not ended, in the order of their acceptance. */
   open(): readonly HeldBatch[] {
     return [...this.#batches.values()].filter((each) => !each.ended);
--- a/core/fleet.ts
+++ b/core/fleet.ts
@@ -46,6 +46,8 @@
   readonly term: number;
   /** VMs that vote in its group as it knows them. */
   readonly voters: readonly string[];
+  /** On the leading store VM: the oldest version that the newest batch of each model may use. */
+  readonly asked: readonly ServedVersion[];
 }
 
 /** Which VMs keep the replicated logs. */
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -17,6 +17,7 @@
 } from "#core";
 import {
   FleetServer,
+  leaderOf,
   LeaderRequests,
   type Patience,
   PlacementKeeper,
@@ -94,6 +95,7 @@
       port: new WorkerOrders(base.clock),
       engines: () => this.#fleet.upstreams(),
       configuration: () => this.#configuration.current?.rules ?? null,
+      asked: () => leaderOf(this.#fleet.nodes(), "store")?.asked ?? [],
       holdMs: settings.holdMs,
     });
     this.#server = this.#buildServer();
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -12,6 +12,7 @@
   type Milliseconds,
   PinoEventLog,
   type RandomSource,
+  type ServedVersion,
   SuspensionClock,
   SystemRandom,
 } from "#core";
@@ -96,6 +97,7 @@
     readonly leads: boolean;
     readonly term: number;
     readonly voters: readonly string[];
+    readonly asked?: readonly ServedVersion[];
   },
 ): FleetNode {
   const { settings } = base;
@@ -106,6 +108,7 @@
     zone: settings.zone,
     startedMs: base.startedMs,
     firstStart: settings.firstStart,
+    asked: [],
     ...group,
   };
 }
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -5,7 +5,7 @@
  */
 import { FileFolder, QuorumLog } from "#agreement";
 import { BatchesMachine, BatchRunner, BatchService } from "#batches";
-import type { AnyStateMachine, Failure } from "#core";
+import type { AnyStateMachine, Failure, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
 import { type NodeSettings, WorkerDialect } from "#platform";
 import {
@@ -63,12 +63,14 @@
     readonly leads: boolean;
     readonly term: number;
     readonly voters: readonly string[];
+    readonly asked?: readonly ServedVersion[];
   } {
     const log = this.#log;
     if (log === undefined) return { leads: false, term: 0, voters: [] };
     const { term, voters } = log.status();
     const leads = log.leaseUntilMs() > this.#base.clock.nowMs();
-    return { leads, term, voters };
+    const asked = leads ? this.#machine.asked() : [];
+    return { leads, term, voters, asked };
   }
 
   #follow(): void {
--- a/weights/engine_orders.ts
+++ b/weights/engine_orders.ts
@@ -21,6 +21,7 @@
   planLoads,
   type PlannedLoad,
 } from "./load_plan.ts";
+import { VersionLag } from "./version_lag.ts";
 import type { HoldReply, VersionsMachine } from "./versions_machine.ts";
 
 const CHECK_MS: Milliseconds = 100;
@@ -73,6 +74,8 @@
   readonly port: OrderPort;
   readonly engines: () => readonly FleetUpstream[];
   readonly configuration: () => RoutingConfiguration | null;
+  /** The oldest version that the newest work of each model may use. */
+  readonly asked: () => readonly ServedVersion[];
   /** How long a holder may act after it was last known to be the only one. */
   readonly holdMs: Milliseconds;
 }
@@ -85,6 +88,7 @@
 /** Brings engines to the named versions while this VM leads. */
 export class EngineOrders {
   readonly #options: EngineOrdersOptions;
+  readonly #lag = new VersionLag();
   readonly #busy = new Set<string>();
   readonly #loaded = new Map<string, Map<string, number>>();
   readonly #orders = new Map<string, number>();
@@ -159,7 +163,8 @@
   }
 
   #plan(): readonly PlannedLoad[] {
-    const { configuration, engines, machine } = this.#options;
+    const { configuration, engines, machine, asked } = this.#options;
+    this.#lag.observe(machine.current.versions, asked());
     const loads: PlannedLoad[] = [];
     for (const service of configuration()?.services ?? []) {
       if (service.engine === null) continue;
@@ -171,6 +176,7 @@
         engines: own,
         models,
         named: machine.current.versions,
+        lags: this.#lags(models),
         loaded: this.#loaded,
         busy: this.#busy,
       };
@@ -182,6 +188,10 @@
     return loads;
   }
 
+  #lags(models: readonly string[]): ReadonlyMap<string, number> {
+    return new Map(models.map((model) => [model, this.#lag.of(model)]));
+  }
+
   async #carryOut(load: PlannedLoad): Promise<void> {
     const key = load.engine.id;
     this.#busy.add(key);
--- a/weights/load_plan.ts
+++ b/weights/load_plan.ts
@@ -1,6 +1,6 @@
 /**
- * Decides which engine is to load which version next. Models share the engines of their service: each has
- * its own part of them, so that no engine need load every version of every model.
+ * Decides which engine is to load which version next. Models share the engines of their service so that no
+ * engine need load every version of every model.
  *
  * @module
  */
@@ -17,6 +17,8 @@
   readonly models: readonly string[];
   /** Newest version of each model. */
   readonly named: readonly ServedVersion[];
+  /** Versions that new work of a model may be behind; 0 where it isn't known. */
+  readonly lags: ReadonlyMap<string, number>;
   /** Versions that engines have by a newer account than their heartbeats. */
   readonly loaded: ReadonlyMap<string, ReadonlyMap<string, number>>;
   /** Engines that carry out an order, or whose last order is not accounted for. */
@@ -105,24 +107,77 @@
   }
 }
 
-/** Loads to begin now, the model that lags most first. */
+/** The models that an engine serves: its own, and as many more as it has versions of time to load. */
+export function modelsOf(
+  engine: FleetUpstream,
+  input: Pick<LoadPlanInput, "models" | "lags"> & {
+    readonly assigned: ReadonlyMap<string, string>;
+  },
+): readonly string[] {
+  const { models, assigned, lags } = input;
+  const own = models.indexOf(assigned.get(engine.id) ?? "");
+  if (own < 0) return [];
+  const turns = models.map((model) => (lags.get(model) ?? 0) + 1);
+  const held = Math.min(models.length, ...turns);
+  return Array.from(
+    { length: held },
+    (_, at) => models[(own + at) % models.length] ?? "",
+  );
+}
+
+/**
+ * Loads to begin now. Where work may be some versions behind, only a part of a model's engines load each
+ * version, so that the others take work meanwhile; an engine that is too far behind for new work always
+ * loads. The model with the fewest engines for new work goes first.
+ */
 export function planLoads(
   input: LoadPlanInput & { readonly assigned: ReadonlyMap<string, string> },
 ): readonly PlannedLoad[] {
+  const wanted: { load: PlannedLoad; usable: number }[] = [];
+  for (const named of input.named) {
+    if (!input.models.includes(named.model)) continue;
+    const plan = loadsOfModel(named, input);
+    for (const load of plan.loads) wanted.push({ load, usable: plan.usable });
+  }
+  wanted.sort((a, b) => a.usable - b.usable);
   const most = Math.max(1, Math.ceil(input.engines.length * LOADING_SHARE));
-  const loading = input.engines.filter((each) => input.busy.has(each.id));
-  const wanted: { load: PlannedLoad; behind: number }[] = [];
-  for (const engine of input.engines) {
-    if (input.busy.has(engine.id)) continue;
-    const model = input.assigned.get(engine.id);
-    const named = input.named.find((each) => each.model === model);
-    if (named === undefined) continue;
+  const taken = new Set(
+    input.engines.map((each) => each.id).filter((id) => input.busy.has(id)),
+  );
+  const loads: PlannedLoad[] = [];
+  for (const { load } of wanted) {
+    if (taken.size >= most) break;
+    if (taken.has(load.engine.id)) continue;
+    taken.add(load.engine.id);
+    loads.push(load);
+  }
+  return loads;
+}
+
+/** Loads that one model needs, and the part of its engines that take new work. */
+function loadsOfModel(
+  named: ServedVersion,
+  input: LoadPlanInput & { readonly assigned: ReadonlyMap<string, string> },
+): { readonly loads: readonly PlannedLoad[]; readonly usable: number } {
+  const lag = input.lags.get(named.model) ?? 0;
+  const engines = input.engines.filter((engine) =>
+    modelsOf(engine, input).includes(named.model)
+  );
+  const behind: { engine: FleetUpstream; has: number }[] = [];
+  for (const engine of engines) {
     const has = versionOn(engine, named.model, input.loaded);
-    if (has >= named.version) continue;
-    const load = { engine, model: named.model, version: named.version };
-    wanted.push({ load, behind: named.version - has });
+    if (has < named.version) behind.push({ engine, has });
+  }
+  behind.sort((a, b) => a.has - b.has);
+  const current = engines.length - behind.length;
+  const share = Math.ceil(engines.length / (lag + 1)) - current;
+  const loads: PlannedLoad[] = [];
+  let usable = engines.length;
+  for (const { engine, has } of behind) {
+    const tooOld = has < named.version - lag;
+    if (tooOld) usable -= 1;
+    if (!tooOld && loads.length >= share) continue;
+    loads.push({ engine, model: named.model, version: named.version });
   }
-  wanted.sort((a, b) => b.behind - a.behind);
-  const free = Math.max(0, most - loading.length);
-  return wanted.slice(0, free).map((each) => each.load);
+  return { loads, usable: usable / Math.max(1, engines.length) };
 }
--- /dev/null
+++ b/weights/load_plan_test.ts
@@ -0,0 +1,94 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { FleetUpstream } from "#core";
+import {
+  assignModels,
+  incarnationOf,
+  planLoads,
+  versionOn,
+} from "./load_plan.ts";
+import { VersionLag } from "./version_lag.ts";
+
+const MODELS = ["m0", "m1"];
+
+function engine(at: number): FleetUpstream {
+  return {
+    id: `engine-${at}`,
+    bornMs: 1,
+    sequence: 1,
+    service: "models",
+    zone: `zone-${at % 3}`,
+    address: { host: `10.0.0.${at}`, port: 80 },
+    slots: 12,
+    phase: "ready",
+    serves: MODELS.map((model) => ({ model, version: 1 })),
+  };
+}
+
+/** Plays versions that are named one after the other, with one batch of work for each. */
+function play(count: number, lag: number): {
+  readonly loads: number;
+  readonly fewestUsable: number;
+} {
+  const engines = Array.from({ length: count }, (_, at) => engine(at));
+  const assigned = assignModels(engines, MODELS, new Map());
+  const loaded = new Map<string, Map<string, number>>();
+  let loads = 0;
+  let fewestUsable = Infinity;
+  for (let version = 2; version < 12; version += 1) {
+    const named = MODELS.map((model) => ({ model, version }));
+    const lags = new Map(MODELS.map((model) => [model, lag]));
+    for (const model of MODELS) {
+      const usable = engines.filter((each) =>
+        versionOn(each, model, loaded) >= version - lag
+      );
+      if (version > 3) fewestUsable = Math.min(fewestUsable, usable.length);
+    }
+    const input = { engines, models: MODELS, named, lags, assigned, loaded };
+    let next = planLoads({ ...input, busy: new Set() });
+    while (next.length > 0) {
+      assert.ok(next.length <= Math.ceil(count / 4));
+      for (const load of next) {
+        const key = incarnationOf(load.engine);
+        const versions = loaded.get(key) ?? new Map<string, number>();
+        versions.set(load.model, load.version);
+        loaded.set(key, versions);
+        loads += 1;
+      }
+      next = planLoads({ ...input, busy: new Set() });
+    }
+  }
+  return { loads, fewestUsable };
+}
+
+test("where work may be one version behind, half of all engines take each model's work at once", () => {
+  for (const count of [6, 8, 9]) {
+    const { loads, fewestUsable } = play(count, 1);
+    assert.ok(fewestUsable >= Math.floor(count / 2), `${fewestUsable} usable`);
+    const free = 10 * MODELS.length * Math.ceil(count / MODELS.length);
+    assert.ok(loads <= free, `${loads} loads, ${free} free`);
+  }
+});
+
+test("where work must use the newest version, each model has its own engines and all of them load it", () => {
+  const { loads, fewestUsable } = play(8, 0);
+  assert.equal(loads, 10 * 8);
+  assert.equal(fewestUsable, 0);
+});
+
+test("engines keep their model when another one leaves", () => {
+  const engines = Array.from({ length: 8 }, (_, at) => engine(at));
+  const before = assignModels(engines, MODELS, new Map());
+  const after = assignModels(engines.slice(1), MODELS, before);
+  for (const [id, model] of after) assert.equal(before.get(id), model);
+});
+
+test("the lag is the smallest of the last requests, and 0 while nothing is known", () => {
+  const lag = new VersionLag();
+  assert.equal(lag.of("m0"), 0);
+  lag.observe([{ model: "m0", version: 4 }], [{ model: "m0", version: 2 }]);
+  assert.equal(lag.of("m0"), 2);
+  lag.observe([{ model: "m0", version: 4 }], [{ model: "m0", version: 3 }]);
+  lag.observe([{ model: "m0", version: 5 }], [{ model: "m0", version: 3 }]);
+  assert.equal(lag.of("m0"), 1);
+});
--- a/weights/mod.ts
+++ b/weights/mod.ts
@@ -12,4 +12,5 @@
 export { ORDER_LIMIT_MS } from "./leadership.ts";
 export * from "./engine_orders.ts";
 export * from "./load_plan.ts";
+export * from "./version_lag.ts";
 export * from "./versions_machine.ts";
