--- a/agreement/timing.ts
+++ b/agreement/timing.ts
@@ -27,3 +27,12 @@
   electionSpreadMs: 1_000,
   proposalTimeoutMs: 5_000,
 };
+
+/** Time limits where VMs are close to each other and a log without a leader is felt at once. */
+export const SHORT_TIMING: LogTiming = {
+  heartbeatMs: 150,
+  leaseMs: 500,
+  electionMinimumMs: 600,
+  electionSpreadMs: 500,
+  proposalTimeoutMs: 3_000,
+};
--- /dev/null
+++ b/batches/batches_machine_test.ts
@@ -0,0 +1,221 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { BatchesMachine } from "./batches_machine.ts";
+import { type Batch, type BatchItem, type ItemUpdate } from "./batch_types.ts";
+
+let index = 0;
+
+function item(id: string): BatchItem {
+  return {
+    id,
+    target: "/a/b",
+    headers: [],
+    body: new Uint8Array([1, 2]),
+    group: "g",
+    promptTokens: 10,
+    expectedTokens: 100,
+  };
+}
+
+function batch(
+  id: string,
+  items: readonly string[],
+  change: Partial<Batch> = {},
+): Batch {
+  return {
+    id,
+    route: "r",
+    host: "h",
+    model: "m",
+    minimumVersion: 1,
+    singleVersion: false,
+    maximumFailures: 3,
+    maximumQueueMs: null,
+    dueMs: 7_000,
+    items: items.map(item),
+    ...change,
+  };
+}
+
+function update(
+  batchId: string,
+  itemId: string,
+  change: Partial<ItemUpdate> = {},
+): ItemUpdate {
+  return {
+    batch: batchId,
+    item: itemId,
+    fromEvents: 0,
+    events: 0,
+    lastEvent: null,
+    text: "",
+    versions: [],
+    failures: 0,
+    restart: false,
+    outcome: null,
+    ...change,
+  };
+}
+
+function accept(machine: BatchesMachine, taken: Batch, atMs = 0): boolean {
+  const command = { kind: "accept", batch: taken, keepMs: 1_000 } as const;
+  return machine.apply({ index: ++index, atMs, command }).ok;
+}
+
+function apply(
+  machine: BatchesMachine,
+  updates: readonly ItemUpdate[],
+): void {
+  machine.apply({
+    index: ++index,
+    atMs: 0,
+    command: { kind: "update", updates },
+  });
+}
+
+test("a batch is accepted once; other items under its identifier are a conflict", () => {
+  const machine = new BatchesMachine();
+  assert.ok(accept(machine, batch("b", ["x", "y"])));
+  assert.ok(accept(machine, batch("b", ["x", "y"])));
+  assert.equal(accept(machine, batch("b", ["x"])), false);
+  assert.equal(machine.find("b")?.items.size, 2);
+});
+
+test("an update that does not fit what is held changes nothing", () => {
+  const machine = new BatchesMachine();
+  accept(machine, batch("b", ["x"]));
+  const first = update("b", "x", {
+    events: 2,
+    lastEvent: 1,
+    text: "a\nb",
+    versions: [3],
+  });
+  apply(machine, [first]);
+  apply(machine, [first]);
+  assert.equal(machine.find("b")?.items.get("x")?.progress.text, "a\nb");
+  apply(machine, [
+    update("b", "x", {
+      fromEvents: 2,
+      events: 1,
+      lastEvent: 2,
+      text: "c",
+      versions: [4],
+      outcome: "completed",
+    }),
+  ]);
+  assert.deepEqual(machine.find("b")?.results, [
+    { id: "x", outcome: "completed", text: "a\nb\nc", versions: [3, 4] },
+  ]);
+});
+
+test("an item that comes again goes on from what is stored if its versions fit", () => {
+  const machine = new BatchesMachine();
+  accept(machine, batch("b1", ["x", "y", "z"]));
+  apply(machine, [
+    update("b1", "x", { events: 1, lastEvent: 0, text: "a", versions: [1] }),
+    update("b1", "y", { events: 1, lastEvent: 0, text: "a", versions: [2] }),
+  ]);
+  machine.apply({
+    index: ++index,
+    atMs: 0,
+    command: { kind: "end", id: "b1" },
+  });
+  apply(machine, [
+    update("b1", "z", {
+      events: 1,
+      lastEvent: 0,
+      text: "whole",
+      versions: [2],
+      outcome: "completed",
+    }),
+  ]);
+  assert.equal(machine.find("b1")?.results.length, 0);
+  accept(machine, batch("b2", ["x", "y", "z"], { minimumVersion: 2 }));
+  const held = machine.find("b2");
+  assert.equal(held?.items.get("x")?.progress.events, 0);
+  assert.equal(held?.items.get("y")?.progress.text, "a");
+  assert.equal(held?.items.get("y")?.again, true);
+  assert.deepEqual(held?.results.map((each) => each.text), ["whole"]);
+});
+
+test("an ended batch is forgotten only after its time", () => {
+  const machine = new BatchesMachine();
+  accept(machine, batch("old", ["x"]), 0);
+  machine.apply({
+    index: ++index,
+    atMs: 10,
+    command: { kind: "end", id: "old" },
+  });
+  accept(machine, batch("next", ["y"]), 999);
+  assert.notEqual(machine.find("old"), undefined);
+  accept(machine, batch("later", ["z"]), 1_000);
+  assert.equal(machine.find("old"), undefined);
+  assert.notEqual(machine.find("next"), undefined);
+});
+
+/** What a model of one batch does. */
+type Step =
+  | { readonly kind: "events"; readonly item: number; readonly stale: boolean }
+  | { readonly kind: "finish"; readonly item: number }
+  | { readonly kind: "give up"; readonly item: number }
+  | { readonly kind: "restore" };
+
+test("one position holds one result for ever, through doubled, late and lost updates and snapshots", () => {
+  const names = ["x", "y", "z"];
+  const at = fc.integer({ min: 0, max: 2 });
+  const step: fc.Arbitrary<Step> = fc.oneof(
+    fc.record({
+      kind: fc.constant("events" as const),
+      item: at,
+      stale: fc.boolean(),
+    }),
+    fc.record({ kind: fc.constant("finish" as const), item: at }),
+    fc.record({ kind: fc.constant("give up" as const), item: at }),
+    fc.record({ kind: fc.constant("restore" as const) }),
+  );
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
+      let machine = new BatchesMachine();
+      accept(machine, batch("b", names));
+      const texts = names.map(() => [] as string[]);
+      const listed: string[] = [];
+      for (const each of steps) {
+        if (each.kind === "restore") {
+          const copy = new BatchesMachine();
+          copy.restore(structuredClone(machine.snapshot()));
+          machine = copy;
+          continue;
+        }
+        const name = names[each.item] ?? "";
+        const made = texts[each.item] ?? [];
+        const open = !listed.some((line) => line.startsWith(`${name}:`));
+        if (each.kind === "events") {
+          const fromEvents = each.stale ? made.length + 1 : made.length;
+          const text = `e${made.length}`;
+          apply(machine, [
+            update("b", name, {
+              fromEvents,
+              events: 1,
+              lastEvent: made.length,
+              text,
+              versions: [1],
+            }),
+          ]);
+          if (!each.stale && open) made.push(text);
+          continue;
+        }
+        const outcome = each.kind === "finish" ? "completed" : "given_up";
+        const last = update("b", name, { fromEvents: made.length, outcome });
+        apply(machine, [last, last]);
+        if (open) listed.push(`${name}:${outcome}:${made.join("\n")}`);
+      }
+      const results = machine.find("b")?.results ?? [];
+      assert.deepEqual(
+        results.map((each) => `${each.id}:${each.outcome}:${each.text}`),
+        listed,
+      );
+    }),
+    { seed: 17, numRuns: 300 },
+  );
+});
--- a/core/events.ts
+++ b/core/events.ts
@@ -2,11 +2,16 @@
  * Numbered log events. Each folder defines its own events in `events.ts`; `docs/EVENTS.md` lists all.
  *
  * Ranges: core 1000, wire 1100, agreement 1200, bundles 1300, membership 1400, requests 1500,
- * samples 1600, weights 1700, programs 1800, fakes 1900, batches 2000.
+ * samples 1600, weights 1700, programs 1800, fakes 1900, batches 2000, platform 2100.
  *
  * @module
  */
+import process from "node:process";
 import { type Logger, pino } from "pino";
+import { type Bytes, MEBIBYTE } from "./units.ts";
+
+/** Lines that wait to be written; more are dropped. */
+const MAXIMUM_QUEUED_BYTES: Bytes = 4 * MEBIBYTE;
 
 /** How urgent an event is. */
 export type EventLevel = "debug" | "info" | "warn" | "error";
@@ -35,11 +40,23 @@
 export class PinoEventLog extends EventLog {
   readonly #logger: Logger;
 
-  constructor(options: { readonly program: string; readonly level: string }) {
+  constructor(options: {
+    readonly program: string;
+    readonly level: string;
+    /** `queued`: no write waits for whoever reads; what is queued is written at the end of the process. */
+    readonly writes?: "direct" | "queued";
+  }) {
     super();
+    const direct = options.writes !== "queued";
+    const destination = pino.destination({
+      dest: 2,
+      sync: direct,
+      maxLength: MAXIMUM_QUEUED_BYTES,
+    });
+    if (!direct) process.on("exit", () => destination.flushSync());
     this.#logger = pino(
       { name: options.program, level: options.level },
-      pino.destination({ dest: 2, sync: true }),
+      destination,
     );
   }
 
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./blackboard.ts";
 export * from "./board_sections.ts";
+export * from "./bounded_event_log.ts";
 export * from "./bundle.ts";
 export * from "./clock.ts";
 export * from "./configuration.ts";
--- /dev/null
+++ b/membership/fleet_table_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { FleetUpstream } from "#core";
+import { FleetTable } from "./fleet_table.ts";
+
+const OPTIONS = { silenceMs: 4_000, memoryMs: 60_000 };
+
+function beat(
+  id: string,
+  change: Partial<FleetUpstream> = {},
+): FleetUpstream {
+  return {
+    id,
+    bornMs: 100,
+    sequence: 1,
+    service: "models",
+    zone: "a",
+    address: { host: "10.0.0.1", port: 80 },
+    slots: 4,
+    phase: "ready",
+    serves: [],
+    ...change,
+  };
+}
+
+test("the newest heartbeat counts, in whatever order and how often they arrive", () => {
+  const beats = fc.array(
+    fc.record({
+      bornMs: fc.integer({ min: 1, max: 3 }),
+      sequence: fc.integer({ min: 1, max: 5 }),
+    }),
+    { minLength: 1, maxLength: 20 },
+  );
+  fc.assert(
+    fc.property(beats, (told) => {
+      const table = new FleetTable(OPTIONS);
+      for (const each of told) {
+        table.take({ record: beat("u", each), ageMs: 0 }, 0);
+      }
+      const newest = [...told].sort((a, b) =>
+        a.bornMs === b.bornMs ? b.sequence - a.sequence : b.bornMs - a.bornMs
+      )[0];
+      const [held] = table.listed();
+      assert.equal(held?.bornMs, newest?.bornMs);
+      assert.equal(held?.sequence, newest?.sequence);
+    }),
+    { seed: 5, numRuns: 200 },
+  );
+});
+
+test("a heartbeat of an earlier life does not bring an upstream back that has left", () => {
+  const table = new FleetTable(OPTIONS);
+  table.take({ record: beat("u"), ageMs: 0 }, 0);
+  table.leave("u", 100, 10);
+  assert.equal(
+    table.take({ record: beat("u", { sequence: 9 }), ageMs: 0 }, 20),
+    "outdated",
+  );
+  assert.deepEqual(table.listed(), []);
+  table.take({ record: beat("u", { bornMs: 200 }), ageMs: 0 }, 30);
+  assert.equal(table.listed().length, 1);
+});
+
+test("of two upstreams at one address the one that started last counts", () => {
+  const table = new FleetTable(OPTIONS);
+  table.take({ record: beat("new", { bornMs: 200 }), ageMs: 0 }, 0);
+  table.take({ record: beat("old", { sequence: 50 }), ageMs: 0 }, 1);
+  assert.deepEqual(table.listed().map((each) => each.id), ["new"]);
+});
+
+test("an upstream that falls silent is gone until it is heard again", () => {
+  const table = new FleetTable(OPTIONS);
+  table.take({ record: beat("u"), ageMs: 0 }, 0);
+  const revision = table.revision;
+  table.expire(4_001);
+  assert.deepEqual(table.listed(), []);
+  assert.ok(table.revision > revision);
+  table.take({ record: beat("u", { sequence: 2 }), ageMs: 0 }, 4_100);
+  assert.equal(table.listed().length, 1);
+});
--- a/programs/cicadafield_node.ts
+++ b/programs/cicadafield_node.ts
@@ -22,8 +22,6 @@
 const ROLES: readonly FleetRole[] = ["entry", "control", "store"];
 const SETTINGS_CHECK_MS: Milliseconds = 2_000;
 
-await main();
-
 async function main(): Promise<void> {
   const role = ROLES.find((each) => each === process.argv[2]);
   if (role === undefined) {
@@ -35,12 +33,13 @@
     stopWith(`${PROGRAM}: ${SETTINGS_VARIABLE} names no settings file`);
     return;
   }
-  const settings = readFile(path);
+  const file = new SettingsFile(path);
+  const settings = file.read();
   if (settings === undefined) {
     process.exitCode = EXIT_CODES.failure;
     return;
   }
-  await run(build(role, settings), path);
+  await run(build(role, settings), file);
 }
 
 function build(role: FleetRole, settings: NodeSettings): PlatformNode {
@@ -50,7 +49,7 @@
   return new StoreNode(settings, options);
 }
 
-async function run(node: PlatformNode, path: string): Promise<void> {
+async function run(node: PlatformNode, file: SettingsFile): Promise<void> {
   let stopping = false;
   const stop = async (): Promise<void> => {
     if (stopping) return;
@@ -58,10 +57,14 @@
     await node.drain();
     process.exit(EXIT_CODES.success);
   };
+  const reload = (): void => {
+    const settings = file.read();
+    if (settings !== undefined) node.reload(settings);
+  };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
-  process.on("SIGHUP", () => reload(node, path));
-  setInterval(() => reload(node, path), SETTINGS_CHECK_MS).unref();
+  process.on("SIGHUP", reload);
+  setInterval(reload, SETTINGS_CHECK_MS).unref();
   try {
     await node.start();
   } catch (error) {
@@ -70,26 +73,37 @@
   }
 }
 
-/** A file that can't be read or is malformed leaves the settings as they are. */
-function reload(node: PlatformNode, path: string): void {
-  const settings = readFile(path);
-  if (settings !== undefined) node.reload(settings);
-}
+/** The settings file; one that can't be read or is malformed leaves the settings as they are. */
+class SettingsFile {
+  readonly #path: string;
+  #text: string | undefined;
 
-function readFile(path: string): NodeSettings | undefined {
-  let text: string;
-  try {
-    text = readFileSync(path, "utf8");
-  } catch (error) {
-    console.error(`${PROGRAM}: ${path} can't be read: ${String(error)}`);
+  constructor(path: string) {
+    this.#path = path;
+  }
+
+  /** The settings if they have changed since the last call and are right. */
+  read(): NodeSettings | undefined {
+    const text = this.#load();
+    if (text === undefined || text === this.#text) return undefined;
+    this.#text = text;
+    const settings = readNodeSettings(text);
+    if (settings.ok) return settings.val;
+    for (const { setting, value, message } of settings.val) {
+      console.error(`${PROGRAM}: ${setting}=${value ?? ""}: ${message}`);
+    }
     return undefined;
   }
-  const settings = readNodeSettings(text);
-  if (settings.ok) return settings.val;
-  for (const { setting, value, message } of settings.val) {
-    console.error(`${PROGRAM}: ${setting}=${value ?? ""}: ${message}`);
+
+  #load(): string | undefined {
+    try {
+      return readFileSync(this.#path, "utf8");
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      console.error(`${PROGRAM}: the settings can't be read: ${reason}`);
+      return undefined;
+    }
   }
-  return undefined;
 }
 
 function stopWith(text: string): void {
@@ -101,3 +115,5 @@
   console.error(`${PROGRAM}: ${failure.message}`);
   process.exit(EXIT_CODES.failure);
 }
+
+await main();
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { FileFolder, QuorumLog } from "#agreement";
+import { FileFolder, QuorumLog, SHORT_TIMING } from "#agreement";
 import { ConfigurationMachine } from "#bundles";
 import {
   type AnyStateMachine,
@@ -28,6 +28,7 @@
 import { controlRoutes, type NodeSettings, WorkerOrders } from "#platform";
 import { EngineOrders, VersionsMachine } from "#weights";
 import { HttpServer } from "./http_server.ts";
+import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
   describeNode,
@@ -35,6 +36,8 @@
   type NodeBase,
   type PlatformNode,
   replicasFor,
+  reportReload,
+  reportStart,
 } from "./node_base.ts";
 import { probeRoutes } from "./probe_routes.ts";
 
@@ -102,6 +105,7 @@
   }
 
   async start(): Promise<void> {
+    reportStart(this.#base);
     const { network } = this.#base;
     await network.listen();
     await this.#server.listen();
@@ -119,6 +123,7 @@
   }
 
   async drain(): Promise<void> {
+    this.#base.events.emit(HTTP_EVENTS.nodeStopping);
     await this.#orders.stop();
     const served = this.#server.drain(NOTICE_MS);
     await this.#log.stop();
@@ -127,6 +132,7 @@
   }
 
   reload(settings: NodeSettings): void {
+    reportReload(this.#base, settings);
     this.#settings = settings;
   }
 
@@ -145,6 +151,7 @@
       machines,
       peers: () => this.#peers(),
       ...(settings.firstStart ? { firstStart: { voters: base.seeds() } } : {}),
+      timing: SHORT_TIMING,
       onFatal,
     });
   }
@@ -154,6 +161,7 @@
     const { settings } = base;
     const routes = [
       ...controlRoutes({
+        events: base.events,
         control: new NearestLeader(this.#log, {
           requests: new LeaderRequests({
             ...base,
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -9,12 +9,15 @@
 import { callerRoutes, type NodeSettings, WorkerDialect } from "#platform";
 import { Forwarder, RouteRules } from "#requests";
 import { HttpServer } from "./http_server.ts";
+import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
   describeNode,
   NODE_HTTP_LIMITS,
   type NodeBase,
   type PlatformNode,
+  reportReload,
+  reportStart,
 } from "./node_base.ts";
 import { probeRoutes } from "./probe_routes.ts";
 
@@ -80,12 +83,14 @@
   }
 
   async start(): Promise<void> {
+    reportStart(this.#base);
     await this.#probes.listen();
     await this.#callers.listen();
     this.#follower.run();
   }
 
   async drain(): Promise<void> {
+    this.#base.events.emit(HTTP_EVENTS.nodeStopping);
     const { clock } = this.#base;
     const mostMs = this.#settings.graceMs - EXIT_MARGIN_MS;
     await Promise.race([
@@ -98,6 +103,7 @@
   }
 
   reload(settings: NodeSettings): void {
+    reportReload(this.#base, settings);
     this.#settings = settings;
   }
 
--- a/programs/events.ts
+++ b/programs/events.ts
@@ -56,4 +56,22 @@
     text: "the HTTP server has finished every request",
     action: "None.",
   },
+  nodeStarted: {
+    code: 1809,
+    level: "info",
+    text: "this VM has started",
+    action: "None.",
+  },
+  nodeStopping: {
+    code: 1810,
+    level: "info",
+    text: "this VM was told to stop",
+    action: "None.",
+  },
+  nodeReloaded: {
+    code: 1811,
+    level: "info",
+    text: "the settings of this VM have changed",
+    action: "None.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {
+  BoundedEventLog,
   type Clock,
   type EventLog,
   type FleetNode,
@@ -16,6 +17,7 @@
   SuspensionClock,
   SystemRandom,
 } from "#core";
+import { HTTP_EVENTS } from "./events.ts";
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
 import type { NodeSettings } from "#platform";
 import { TcpNetwork } from "#wire";
@@ -45,6 +47,23 @@
   readonly seeds: () => readonly string[];
 }
 
+/** Says that a node has started, with what it was told. */
+export function reportStart(base: NodeBase): void {
+  const { name, zone, seeds, firstStart } = base.settings;
+  base.events.emit(HTTP_EVENTS.nodeStarted, {
+    vm: name,
+    zone,
+    seeds: seeds.map((seed) => seed.host),
+    firstStart,
+  });
+}
+
+/** Says that the settings have changed. */
+export function reportReload(base: NodeBase, settings: NodeSettings): void {
+  const seeds = settings.seeds.map((seed) => seed.host);
+  base.events.emit(HTTP_EVENTS.nodeReloaded, { seeds });
+}
+
 /** A node that the main program runs. */
 export interface PlatformNode {
   /** Opens everything; rejects if that can't be done. */
@@ -65,10 +84,12 @@
   },
 ): NodeBase {
   const clock = new SuspensionClock();
-  const events = new PinoEventLog({
+  const lines = new PinoEventLog({
     program: `cicadafield-${options.role}`,
     level: "info",
+    writes: "queued",
   });
+  const events = new BoundedEventLog(lines, clock);
   const network = new TcpNetwork({
     cluster: "cicadafield",
     self: settings.ip,
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -3,16 +3,19 @@
  *
  * @module
  */
-import { FileFolder, QuorumLog } from "#agreement";
+import { FileFolder, QuorumLog, SHORT_TIMING } from "#agreement";
 import { BatchesMachine, BatchRunner, BatchService } from "#batches";
 import type { AnyStateMachine, Failure, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
 import { type NodeSettings, WorkerDialect } from "#platform";
+import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
   describeNode,
   type NodeBase,
   type PlatformNode,
+  reportReload,
+  reportStart,
 } from "./node_base.ts";
 
 /** A running store VM. */
@@ -44,11 +47,13 @@
   }
 
   async start(): Promise<void> {
+    reportStart(this.#base);
     await this.#base.network.listen();
     this.#follower.run();
   }
 
   async drain(): Promise<void> {
+    this.#base.events.emit(HTTP_EVENTS.nodeStopping);
     await this.#runner?.stop();
     await this.#log?.stop();
     this.#follower.stop();
@@ -56,6 +61,7 @@
   }
 
   reload(settings: NodeSettings): void {
+    reportReload(this.#base, settings);
     this.#settings = settings;
   }
 
@@ -91,6 +97,7 @@
       machines: [this.#machine as AnyStateMachine],
       peers: () => this.#follower.placement.stores,
       ...(founds ? { firstStart: { voters: stores } } : {}),
+      timing: SHORT_TIMING,
       onFatal: this.#onFatal,
     });
     this.#log = log;
