--- a/proof/managed_process.ts
+++ b/proof/managed_process.ts
@@ -25,6 +25,8 @@
   /** Path of the built program. */
   readonly program: string;
   readonly arguments: readonly string[];
+  /** Variables beside those of this process. */
+  readonly environment?: Readonly<Record<string, string>>;
   /** File that takes standard output and standard error. */
   readonly logFile: string;
   /** URL that answers 200 once it is ready. */
@@ -163,7 +165,10 @@
   const child = spawn(
     process.execPath,
     [options.program, ...options.arguments],
-    { stdio: ["ignore", log, log] },
+    {
+      stdio: ["ignore", log, log],
+      env: { ...process.env, ...options.environment },
+    },
   );
   closeSync(log);
   RUNNING.add(child);
--- /dev/null
+++ b/proof/node_cluster.ts
@@ -0,0 +1,137 @@
+/**
+ * The roles of the platform's program as processes on loopback addresses.
+ *
+ * @module
+ */
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import type { Address, FleetRole } from "#core";
+import { ManagedProcess } from "./managed_process.ts";
+import { lockNetwork, type NetworkLock } from "./network_lock.ts";
+
+const BUILD = join(dirname(fileURLToPath(import.meta.url)), "..");
+const PROGRAM = join(BUILD, "programs", "cicadafield_node.js");
+const ZONES = ["z1", "z2", "z3"];
+const PORTS = { callers: 8161, ready: 8167, control: 8166, peer: 7720 };
+const ROWS: Readonly<Record<FleetRole, number>> = {
+  entry: 1,
+  control: 2,
+  store: 3,
+};
+
+/** Where a cluster lives. */
+export interface NodeClusterOptions {
+  readonly block: string;
+  readonly network: number;
+}
+
+/** One VM of each role in each of three zones. */
+export class NodeCluster {
+  readonly #options: NodeClusterOptions;
+  readonly #folder = mkdtempSync(join(tmpdir(), "cicadafield-"));
+  readonly #processes = new Map<string, ManagedProcess>();
+  #lock: NetworkLock | undefined;
+
+  constructor(options: NodeClusterOptions) {
+    this.#options = options;
+  }
+
+  /** Starts all VMs for the first time. */
+  async start(): Promise<void> {
+    this.#lock = await lockNetwork(this.#options);
+    for (const role of ["control", "store", "entry"] as const) {
+      for (const zone of ZONES.keys()) this.#startOne(role, zone);
+    }
+  }
+
+  /** Ends all processes and removes their folders. */
+  async close(): Promise<void> {
+    for (const each of this.#processes.values()) await each.cleanUp();
+    rmSync(this.#folder, { recursive: true, force: true });
+    await this.#lock?.release();
+  }
+
+  /** The process of a role in a zone, counted from 0. */
+  vm(role: FleetRole, zone: number): ManagedProcess {
+    const found = this.#processes.get(nameOf(role, zone));
+    if (found === undefined) throw new Error(`no ${role} in zone ${zone}`);
+    return found;
+  }
+
+  /** Where callers reach the entry VM of a zone. */
+  callers(zone: number): Address {
+    return { host: this.#host("entry", zone), port: PORTS.callers };
+  }
+
+  /** Where upstreams and operators reach the control VM of a zone. */
+  control(zone: number): Address {
+    return { host: this.#host("control", zone), port: PORTS.control };
+  }
+
+  /** An address of the cluster for stand-ins. */
+  spareAddress(number: number): Address {
+    const { block, network } = this.#options;
+    return { host: `${block}.${network}.${100 + number}`, port: 8080 };
+  }
+
+  #host(role: FleetRole, zone: number): string {
+    const { block, network } = this.#options;
+    return `${block}.${network}.${ROWS[role] * 10 + zone}`;
+  }
+
+  #startOne(role: FleetRole, zone: number): void {
+    const name = nameOf(role, zone);
+    const folder = join(this.#folder, name);
+    mkdirSync(folder);
+    const settings = join(folder, "node.conf");
+    writeFileSync(settings, this.#settings(role, zone));
+    const host = this.#host(role, zone);
+    const port = role === "control" ? PORTS.control : PORTS.ready;
+    const path = role === "control" ? "healthz" : "readyz";
+    const started = new ManagedProcess({
+      name,
+      program: PROGRAM,
+      arguments: [role],
+      environment: { CICADAFIELD_NODE_FILE: settings },
+      logFile: join(folder, "log"),
+      readyUrl: `http://${host}:${port}/${path}`,
+    });
+    this.#processes.set(name, started);
+  }
+
+  #settings(role: FleetRole, zone: number): string {
+    const host = this.#host(role, zone);
+    const seeds = [...ZONES.keys()].map((each) =>
+      `${this.#host("control", each)}:${PORTS.control}`
+    );
+    const lines = [
+      `node_name=${nameOf(role, zone)}`,
+      `ip=${host}`,
+      `zone=${ZONES[zone]}`,
+      `internal_ports=${PORTS.peer},${PORTS.peer + 9}`,
+      `seeds=${seeds.join(",")}`,
+      "bootstrap=true",
+      "heartbeat_ms=300",
+      "fault_tolerance.machines=1",
+      "bounds.grace_s=8",
+      "bounds.lease_ms=500",
+    ];
+    if (role === "entry") {
+      lines.push(`listen.front=${host}:${PORTS.callers}`);
+      lines.push(`listen.ready=${host}:${PORTS.ready}`);
+    }
+    if (role === "control") {
+      lines.push(`listen.control=${host}:${PORTS.control}`);
+    }
+    if (role !== "entry") {
+      lines.push(`data_dir=${join(this.#folder, nameOf(role, zone), "data")}`);
+    }
+    return lines.join("\n");
+  }
+}
+
+function nameOf(role: FleetRole, zone: number): string {
+  return `${role}-${zone}`;
+}
--- /dev/null
+++ b/proof/node_process_test.ts
@@ -0,0 +1,301 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Address } from "#core";
+import { StandInWorker } from "#platform";
+import { pause, waitUntil } from "./managed_process.ts";
+import { NodeCluster } from "./node_cluster.ts";
+
+const SITE = { block: "127.8", network: 1 };
+const LIMIT_MS = 60_000;
+const HOST = "site.example";
+const ZONES = [0, 1, 2];
+const CONFIGURATION = {
+  version: 3,
+  routes: [
+    {
+      name: "cards",
+      hostname: HOST,
+      path_prefix: "/cards/",
+      kind: "idempotent",
+      timeout_ms: 5_000,
+      target_latency_ms: 2_000,
+      service: "cards",
+      max_attempts: 2,
+    },
+    {
+      name: "tuning",
+      hostname: HOST,
+      path_prefix: "/tuning/",
+      kind: "rollout",
+      timeout_ms: 10_000,
+      target_latency_ms: 400,
+      service: "models",
+      max_attempts: 3,
+      max_queue_s: 60,
+      due_ms: 7_500,
+    },
+  ],
+  services: [
+    { name: "cards", max_conns: 50 },
+    {
+      name: "models",
+      max_conns: 50,
+      engine: { slots: 8, kv_capacity_tokens: 50_000, models: [{ name: "m" }] },
+    },
+  ],
+};
+
+interface Reply {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** Sends a call; a VM that does not answer counts as status 0. */
+async function send(
+  to: Address,
+  path: string,
+  options: {
+    readonly method?: string;
+    readonly headers?: Record<string, string>;
+    readonly body?: unknown;
+  } = {},
+): Promise<Reply> {
+  const { method = "GET", headers = {}, body } = options;
+  try {
+    const { request } = await import("node:http");
+    return await new Promise((resolve, reject) => {
+      const sent = request({
+        host: to.host,
+        port: to.port,
+        path,
+        method,
+        agent: false,
+        headers: { Host: HOST, ...headers },
+      }, (answer) => {
+        let text = "";
+        answer.on("data", (part) => text += String(part));
+        answer.on(
+          "end",
+          () => resolve({ status: answer.statusCode ?? 0, text }),
+        );
+        answer.on("error", reject);
+      });
+      sent.setTimeout(5_000, () => sent.destroy(new Error("late")));
+      sent.on("error", reject);
+      sent.end(typeof body === "string" ? body : JSON.stringify(body));
+    });
+  } catch {
+    // The VM is down; the caller of this asks again.
+    return { status: 0, text: "" };
+  }
+}
+
+function job(id: string, texts: readonly number[], minimum: number): unknown {
+  return {
+    step: 1,
+    model: "m",
+    min_version: minimum,
+    desired: 1,
+    items: texts.map((events, at) => ({
+      id: `${id}-${at}`,
+      path: "/tuning/x",
+      headers: { Model: "m", "Token-Counts": `10,${events}` },
+      body: Buffer.from(`body ${id} ${at}`).toString("base64"),
+      tokens: 10 + events,
+      group: `g${at % 2}`,
+    })),
+  };
+}
+
+interface Page {
+  readonly total: number;
+  readonly next: number;
+  readonly results: readonly {
+    readonly id: string;
+    readonly state: string;
+    readonly text: string;
+    readonly versions: readonly number[];
+  }[];
+}
+
+async function read(to: Address, id: string): Promise<Page | undefined> {
+  const reply = await send(to, `/lots/${id}?after=0`, {
+    headers: { "Wait-Ms": "200" },
+  });
+  return reply.status === 200 ? JSON.parse(reply.text) : undefined;
+}
+
+test("the roles serve calls and batches as processes through the loss of a leader and a planned stop", async () => {
+  const cluster = new NodeCluster(SITE);
+  const workers = ["m1", "m2", "c1", "c2"].map((id, at) =>
+    new StandInWorker({
+      id,
+      service: id.startsWith("m") ? "models" : "cards",
+      zone: `z${at + 1}`,
+      address: cluster.spareAddress(at),
+      models: id.startsWith("m") ? ["m"] : [],
+      eventMs: 40,
+    })
+  );
+  let turn = 0;
+  const beats = setInterval(() => {
+    for (const worker of workers) {
+      turn += 1;
+      worker.beat(cluster.control(turn % ZONES.length));
+    }
+  }, 300);
+  try {
+    await cluster.start();
+    for (const worker of workers) await worker.listen();
+
+    await waitUntil("the configuration is acknowledged", LIMIT_MS, async () => {
+      const reply = await send(cluster.control(1), "/config/replace", {
+        method: "POST",
+        body: CONFIGURATION,
+      });
+      return reply.status === 200;
+    });
+    const invalid = await send(cluster.control(0), "/config/replace", {
+      method: "POST",
+      body: { ...CONFIGURATION, version: 9, services: [] },
+    });
+    assert.equal(invalid.status, 400);
+    for (const zone of ZONES) await cluster.vm("entry", zone).ready(LIMIT_MS);
+
+    await waitUntil("a call is answered", LIMIT_MS, async () => {
+      const reply = await send(cluster.callers(0), "/cards/save?x=1", {
+        method: "POST",
+        headers: { "Request-Id": "call-1", "Deadline-Ms": "2000" },
+        body: "card",
+      });
+      return reply.status === 200 && reply.text === "done card";
+    });
+    const missing = await send(cluster.callers(0), "/nowhere/x", {
+      headers: { "Request-Id": "call-2" },
+    });
+    assert.equal(missing.status, 404);
+
+    const path = "/tuning/submit";
+    const body = job("job-1", [5, 60, 60, 10], 1);
+    const headers = { "Request-Id": "job-1" };
+    await waitUntil("a batch is accepted", LIMIT_MS, async () => {
+      const reply = await send(cluster.callers(1), path, {
+        method: "POST",
+        headers,
+        body,
+      });
+      return reply.status === 202;
+    });
+    const again = await send(cluster.callers(2), path, {
+      method: "POST",
+      headers,
+      body,
+    });
+    assert.equal(again.status, 202);
+    const doubled = await send(cluster.callers(0), path, {
+      method: "POST",
+      headers: { "Request-Id": "job-x" },
+      body: { items: [{ id: "a" }, { id: "a" }] },
+    });
+    assert.equal(doubled.status, 400);
+    assert.equal(await read(cluster.callers(0), "job-x"), undefined);
+    const stored = await send(cluster.callers(0), "/items/job-1?id=job-1-1");
+    assert.equal(stored.text, "body job-1 1");
+
+    let first: Page | undefined;
+    await waitUntil("the short texts are listed", LIMIT_MS, async () => {
+      first = await read(cluster.callers(0), "job-1");
+      return (first?.results.length ?? 0) >= 2;
+    });
+    const leader = await leadingStore(cluster);
+    await cluster.vm("store", leader).kill();
+    let whole: Page | undefined;
+    await waitUntil("all texts are listed", LIMIT_MS, async () => {
+      whole = await read(cluster.callers(2), "job-1");
+      return whole?.results.length === 4;
+    });
+    assert.deepEqual(
+      whole?.results.slice(0, first?.results.length),
+      first?.results,
+    );
+    for (const result of whole?.results ?? []) {
+      const lines = result.text.split("\n");
+      const expected = lines.map((_, at) => `${result.id}-${at}`);
+      assert.deepEqual(lines, expected);
+      assert.deepEqual(result.versions, [1]);
+      assert.equal(result.state, "completed");
+    }
+    const resumed = workers.flatMap((worker) => worker.seen)
+      .filter((seen) => seen.afterEvent !== null);
+    assert.notEqual(resumed.length, 0, "no text went on from its last event");
+    cluster.vm("store", leader).restart();
+
+    await waitUntil("a version is named", LIMIT_MS, async () => {
+      const reply = await send(cluster.control(2), "/version-put", {
+        method: "POST",
+        body: { model: "m", version: 2 },
+      });
+      return reply.status === 200;
+    });
+    const newer = job("job-2", [4, 4], 2);
+    await waitUntil("a second batch is accepted", LIMIT_MS, async () => {
+      const reply = await send(cluster.callers(0), path, {
+        method: "POST",
+        headers: { "Request-Id": "job-2" },
+        body: newer,
+      });
+      return reply.status === 202;
+    });
+    let second: Page | undefined;
+    await waitUntil("the second batch is whole", LIMIT_MS, async () => {
+      second = await read(cluster.callers(1), "job-2");
+      return second?.results.length === 2;
+    });
+    for (const result of second?.results ?? []) {
+      assert.deepEqual(result.versions, [2]);
+    }
+    const orders = workers.flatMap((worker) => worker.orders);
+    assert.equal(new Set(orders.map((order) => order.holder)).size, 1);
+
+    for (let times = 0; times < 2; times += 1) {
+      const ended = await send(cluster.callers(times), "/lots/job-2", {
+        method: "DELETE",
+      });
+      assert.equal(ended.status, 200);
+    }
+    const unknown = await send(cluster.callers(0), "/lots/nothing");
+    assert.equal(unknown.status, 404);
+
+    const stopped = cluster.vm("entry", 0).stop();
+    const during: number[] = [];
+    for (let call = 0; call < 10; call += 1) {
+      const reply = await send(cluster.callers(0), "/cards/save", {
+        method: "POST",
+        headers: { "Request-Id": `stop-${call}`, "Deadline-Ms": "2000" },
+        body: "card",
+      });
+      during.push(reply.status);
+      await pause(50);
+    }
+    assert.deepEqual(during, Array.from({ length: 10 }, () => 200));
+    assert.equal((await stopped).code, 0);
+  } finally {
+    clearInterval(beats);
+    for (const worker of workers) worker.close();
+    await cluster.close();
+  }
+});
+
+/** The zone of the store VM whose log says last that it runs the items. */
+async function leadingStore(cluster: NodeCluster): Promise<number> {
+  let found = -1;
+  await waitUntil("a store VM leads", LIMIT_MS, () => {
+    for (const zone of ZONES) {
+      if (cluster.vm("store", zone).logTail().includes('"event":2001')) {
+        found = zone;
+      }
+    }
+    return found >= 0;
+  });
+  return found;
+}
