Start a store VM's log before the placement is known; say when to come back

Cause: after all VMs lost power, a store VM began its log only when it had heard the placement from a control VM, so that the two elections came one after the other; and callers that were refused by starting entry VMs came back after 0.3 s, before there was a leader, and used up their one retry.

Ruled out: slow starts of the processes (0.2 s from power to listening).

Change: a store VM with a replica starts its log at once. A starting entry VM names 0.8 s while the control VMs have no leader, and 0.1 s otherwise. Tests of the forwarder against bad upstreams.

--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -19,6 +19,8 @@
 
 const WAIT_MS: Milliseconds = 1_500;
 const ANSWER_MARGIN_MS: Milliseconds = 700;
+/** Time that the control VMs usually need to have a leader again. */
+const ELECTION_MS: Milliseconds = 800;
 const PAUSE_MS: Milliseconds = 100;
 /** After so long without a quorum a starting VM serves with what its zone's control VM has. */
 const UNCONFIRMED_MS: Milliseconds = 3_000;
@@ -49,6 +51,7 @@
   #nodes: readonly FleetNode[] = [];
   #server: string | undefined;
   #turn = 0;
+  #quorumMissing = false;
   #stopped = false;
 
   constructor(options: FleetFollowerOptions) {
@@ -72,6 +75,11 @@
     return this.#options.clock.nowMs() - this.#startedMs >= UNCONFIRMED_MS;
   }
 
+  /** When a caller that is refused here may find this VM ready. */
+  readyInMs(): Milliseconds {
+    return this.#quorumMissing ? ELECTION_MS : PAUSE_MS;
+  }
+
   /** Upstreams that have not left. */
   get upstreams(): readonly FleetUpstream[] {
     return [...this.#upstreams.values()];
@@ -131,9 +139,12 @@
       },
     );
     if (answer.ok) {
+      this.#quorumMissing = false;
       this.#take(answer.val as FollowAnswer);
       return true;
     }
+    this.#quorumMissing = answer.val.kind !== "not_leader" ||
+      answer.val.detail === undefined;
     this.#lose(server, answer.val.message);
     return false;
   }
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -65,6 +65,7 @@
       forwarder: this.#forwarder,
       batches,
       rules: () => this.#routeRules(),
+      readyInMs: () => this.#follower.readyInMs(),
       keepBatchesMs: settings.keepBatchesMs,
     });
     const probes = probeRoutes({ ...base, notReady: () => this.#notReady() });
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { existsSync, readdirSync } from "node:fs";
 import { FileFolder, QuorumLog, SHORT_TIMING } from "#agreement";
 import { BatchesMachine, BatchRunner, BatchService } from "#batches";
 import type { AnyStateMachine, Failure, ServedVersion } from "#core";
@@ -18,6 +19,8 @@
   reportStart,
 } from "./node_base.ts";
 
+const DEFAULT_FOLDER = "data";
+
 /** A running store VM. */
 export class StoreNode implements PlatformNode {
   #settings: NodeSettings;
@@ -49,6 +52,7 @@
   async start(): Promise<void> {
     reportStart(this.#base);
     await this.#base.network.listen();
+    if (this.#hasReplica()) this.#startLog([]);
     this.#follower.run();
   }
 
@@ -79,6 +83,12 @@
     return { leads, term, voters, asked };
   }
 
+  /** A VM that has a replica knows its group from the log and need not hear of it first. */
+  #hasReplica(): boolean {
+    const folder = this.#base.settings.dataFolder ?? DEFAULT_FOLDER;
+    return existsSync(folder) && readdirSync(folder).length > 0;
+  }
+
   #follow(): void {
     const { stores } = this.#follower.placement;
     if (this.#log === undefined && stores.length > 0) this.#startLog(stores);
@@ -93,7 +103,9 @@
     const log = new QuorumLog({
       ...base,
       vm: settings.ip,
-      folder: new FileFolder(settings.dataFolder ?? "data", { lock: "none" }),
+      folder: new FileFolder(settings.dataFolder ?? DEFAULT_FOLDER, {
+        lock: "none",
+      }),
       machines: [this.#machine as AnyStateMachine],
       peers: () => this.#follower.placement.stores,
       ...(founds ? { firstStart: { voters: stores } } : {}),
--- /dev/null
+++ b/requests/forwarder_test.ts
@@ -0,0 +1,356 @@
+import assert from "node:assert/strict";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import {
+  type Failure,
+  type FleetUpstream,
+  type HttpAnswer,
+  type HttpCall,
+  MemoryEventLog,
+  type RouteRule,
+  SeededRandom,
+  VirtualClock,
+} from "#core";
+import { Forwarder } from "./forwarder.ts";
+import {
+  type AnswerMarks,
+  type CallMarks,
+  UpstreamDialect,
+} from "./upstream_dialect.ts";
+import type { UpstreamHead } from "./upstream_http.ts";
+
+const ROUTE: RouteRule = {
+  name: "route",
+  host: "h",
+  pathPrefix: "/a/",
+  kind: "idempotent",
+  timeoutMs: 5_000,
+  objectiveMs: 200,
+  priority: 1,
+  split: [{ service: "cards", weight: 1 }],
+  maximumAttempts: 2,
+  resumable: false,
+  singleVersion: false,
+  maximumQueueMs: null,
+  dueMs: null,
+};
+
+/** Headers of these tests. */
+class TestDialect extends UpstreamDialect {
+  override callHeaders(
+    base: readonly string[],
+    marks: CallMarks,
+  ): readonly string[] {
+    const headers = [...base, "X-Id", marks.requestId];
+    if (marks.afterEvent === null) return headers;
+    return [...headers, "X-After", String(marks.afterEvent)];
+  }
+
+  override answerMarks(head: UpstreamHead): AnswerMarks {
+    return {
+      requestId: head.headers["x-id"] ?? null,
+      notRun: head.headers["x-not-run"] !== undefined,
+      stamped: head.headers["x-stamp"] !== undefined,
+      version: null,
+    };
+  }
+
+  override eventVersion(): number | null {
+    return null;
+  }
+}
+
+type Behaviour = (request: IncomingMessage, response: ServerResponse) => void;
+
+const ANSWERS: Behaviour = (request, response) => {
+  response.setHeader("X-Id", String(request.headers["x-id"]));
+  response.setHeader("X-Stamp", "s");
+  response.end("whole");
+};
+const REFUSES: Behaviour = (request, response) => {
+  response.setHeader("X-Id", String(request.headers["x-id"]));
+  response.setHeader("X-Not-Run", "1");
+  response.writeHead(503).end();
+};
+const FAILS: Behaviour = (request, response) => {
+  response.setHeader("X-Id", String(request.headers["x-id"]));
+  response.setHeader("X-Stamp", "s");
+  response.writeHead(500).end("sorry");
+};
+const IS_DARK: Behaviour = () => {};
+const RESETS: Behaviour = (request) => {
+  request.socket.destroy();
+};
+const IS_SHORT: Behaviour = (request, response) => {
+  response.setHeader("X-Id", String(request.headers["x-id"]));
+  response.setHeader("X-Stamp", "s");
+  response.setHeader("Content-Length", "100");
+  response.write("whole", () => request.socket.destroy());
+};
+const IS_STRAY: Behaviour = (_request, response) => {
+  response.setHeader("X-Id", "another");
+  response.setHeader("X-Stamp", "s");
+  response.end("of another call");
+};
+
+interface World {
+  readonly forwarder: Forwarder;
+  readonly clock: VirtualClock;
+  readonly events: MemoryEventLog;
+  /** Calls that reached each upstream. */
+  readonly reached: readonly number[];
+}
+
+async function withUpstreams(
+  behaviours: readonly Behaviour[],
+  play: (world: World) => Promise<void>,
+): Promise<void> {
+  const reached = behaviours.map(() => 0);
+  const servers: Server[] = [];
+  const upstreams: FleetUpstream[] = [];
+  for (const [at, behaviour] of behaviours.entries()) {
+    const server = createServer((request, response) => {
+      request.resume();
+      reached[at] = (reached[at] ?? 0) + 1;
+      behaviour(request, response);
+    });
+    await new Promise<void>((resolve) =>
+      server.listen({ host: "127.0.0.1", port: 0 }, resolve)
+    );
+    servers.push(server);
+    upstreams.push({
+      id: `u${at}`,
+      bornMs: 1,
+      sequence: 1,
+      service: "cards",
+      // The first upstream is in the zone of the VM, so that it is tried first.
+      zone: at === 0 ? "here" : "there",
+      address: {
+        host: "127.0.0.1",
+        port: (server.address() as AddressInfo).port,
+      },
+      slots: 4,
+      phase: "ready",
+      serves: [],
+    });
+  }
+  const clock = new VirtualClock();
+  const events = new MemoryEventLog();
+  const forwarder = new Forwarder({
+    zone: "here",
+    clock,
+    random: new SeededRandom(1),
+    events,
+    dialect: new TestDialect(),
+    upstreams: () => upstreams,
+  });
+  try {
+    await play({ forwarder, clock, events, reached });
+  } finally {
+    forwarder.close();
+    for (const server of servers) {
+      server.closeAllConnections();
+      server.close();
+    }
+  }
+}
+
+function callOf(signal = new AbortController().signal): HttpCall {
+  return {
+    method: "POST",
+    path: "/a/b",
+    target: "/a/b?c=d",
+    rawHeaders: ["Host", "h", "Connection", "keep-alive"],
+    parameters: {},
+    query: new URLSearchParams(),
+    headers: {},
+    body: Buffer.from("card"),
+    signal,
+  };
+}
+
+function send(
+  world: World,
+  route: Partial<RouteRule> = {},
+  signal?: AbortSignal,
+): Promise<HttpAnswer | Failure> {
+  return world.forwarder.forward({
+    call: callOf(signal),
+    route: { ...ROUTE, ...route },
+    requestId: "r1",
+    deadlineMs: world.clock.nowMs() + 2_000,
+  });
+}
+
+/** Waits until a call has reached an upstream. */
+async function untilReached(world: World, at: number): Promise<void> {
+  while ((world.reached[at] ?? 0) === 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+test("the whole answer of the upstream is passed on without the headers of its connection", async () => {
+  await withUpstreams([ANSWERS], async (world) => {
+    const answer = await send(world);
+    assert.ok("status" in answer);
+    assert.equal(answer.status, 200);
+    assert.equal(String(answer.body), "whole");
+    assert.equal(answer.headers["X-Stamp"], "s");
+    assert.equal(answer.headers["Connection"], undefined);
+  });
+});
+
+test("a call that may be repeated is answered by another upstream when one refuses, resets, cuts or mixes its answer", async () => {
+  for (const bad of [REFUSES, RESETS, IS_SHORT, IS_STRAY, FAILS]) {
+    await withUpstreams([bad, ANSWERS], async (world) => {
+      const answer = await send(world);
+      assert.ok("status" in answer, bad.toString());
+      assert.equal(String(answer.body), "whole");
+      assert.deepEqual(world.reached, [1, 1]);
+    });
+  }
+});
+
+test("a call that gets no answer goes to a second upstream, and the first is taken back", async () => {
+  await withUpstreams([IS_DARK, ANSWERS], async (world) => {
+    const answer = send(world);
+    await untilReached(world, 0);
+    assert.deepEqual(world.reached, [1, 0]);
+    world.clock.advance(90);
+    const settled = await answer;
+    assert.ok("status" in settled);
+    assert.deepEqual(world.reached, [1, 1]);
+  });
+});
+
+test("a call goes to no more upstreams than its route allows", async () => {
+  await withUpstreams([RESETS, RESETS, ANSWERS], async (world) => {
+    const answer = await send(world);
+    assert.ok("kind" in answer);
+    assert.equal(answer.kind, "upstream_failed");
+    assert.equal(answer.ran, "unknown");
+    assert.equal(world.reached.reduce((sum, each) => sum + each), 2);
+  });
+});
+
+test("a call that may run once is sent again only after a refusal", async () => {
+  await withUpstreams([REFUSES, ANSWERS], async (world) => {
+    const answer = await send(world, { kind: "once" });
+    assert.ok("status" in answer);
+    assert.deepEqual(world.reached, [1, 1]);
+  });
+  for (const bad of [RESETS, IS_SHORT, IS_STRAY]) {
+    await withUpstreams([bad, ANSWERS], async (world) => {
+      const answer = await send(world, { kind: "once" });
+      assert.ok("kind" in answer, bad.toString());
+      assert.equal(answer.ran, "unknown");
+      assert.deepEqual(world.reached, [1, 0]);
+    });
+  }
+});
+
+test("a refusal by all upstreams says truly that the call did not run, and when to come back", async () => {
+  await withUpstreams([REFUSES, REFUSES], async (world) => {
+    const answer = await send(world);
+    assert.ok("kind" in answer);
+    assert.equal(answer.kind, "upstream_refused");
+    assert.equal(answer.ran, "no");
+    assert.ok((answer.retryAfterMs ?? 0) > 0);
+    const [event] = world.events.records();
+    assert.deepEqual(event?.fields["tried"], ["u0", "u1"]);
+  });
+});
+
+test("an upstream's own failure is passed on unchanged when no other answer comes", async () => {
+  await withUpstreams([FAILS], async (world) => {
+    const answer = await send(world);
+    assert.ok("status" in answer);
+    assert.equal(answer.status, 500);
+    assert.equal(String(answer.body), "sorry");
+  });
+});
+
+test("a call is given up at the route's timeout, and the upstream is told", async () => {
+  let closed: Promise<void> | undefined;
+  const dark: Behaviour = (request) => {
+    closed = new Promise((resolve) => request.socket.once("close", resolve));
+  };
+  await withUpstreams([dark], async (world) => {
+    const answer = send(world, { timeoutMs: 1_000 });
+    await untilReached(world, 0);
+    world.clock.advance(1_000);
+    const settled = await answer;
+    assert.ok("kind" in settled);
+    assert.equal(settled.kind, "deadline_passed");
+    await closed;
+  });
+});
+
+test("a caller that leaves cancels its call at the upstream at once", async () => {
+  let closed: Promise<void> | undefined;
+  const dark: Behaviour = (request) => {
+    closed = new Promise((resolve) => request.socket.once("close", resolve));
+  };
+  await withUpstreams([dark, ANSWERS], async (world) => {
+    const gone = new AbortController();
+    const answer = send(world, {}, gone.signal);
+    await untilReached(world, 0);
+    gone.abort();
+    await closed;
+    const settled = await answer;
+    assert.ok("kind" in settled);
+    assert.equal(settled.kind, "cancelled");
+    world.clock.advance(500);
+    assert.deepEqual(world.reached, [1, 0]);
+  });
+});
+
+/** Makes events from the one after that which the sender has; breaks off before `breakAt`. */
+function streams(breakAt: number): Behaviour {
+  return (request, response) => {
+    response.setHeader("X-Id", String(request.headers["x-id"]));
+    response.setHeader("X-Stamp", "s");
+    const after = request.headers["x-after"];
+    const first = after === undefined ? 0 : Number(after) + 1;
+    response.flushHeaders();
+    for (let id = first; id < 4; id += 1) {
+      if (id === breakAt) {
+        response.write(`id: ${id}\nda`, () => request.socket.destroy());
+        return;
+      }
+      response.write(`id: ${id}\ndata: ${id}\n\n`);
+    }
+    response.end();
+  };
+}
+
+async function readAll(answer: HttpAnswer): Promise<string> {
+  let text = "";
+  for await (const part of answer.body as AsyncIterable<string>) text += part;
+  return text;
+}
+
+test("a resumable stream goes on at another upstream after its last whole event", async () => {
+  await withUpstreams([streams(2), streams(-1)], async (world) => {
+    const answer = await send(world, { kind: "stream", resumable: true });
+    assert.ok("status" in answer);
+    const text = await readAll(answer);
+    const ids = [...text.matchAll(/id: (\d)/g)].map((found) => found[1]);
+    assert.deepEqual(ids, ["0", "1", "2", "3"]);
+  });
+});
+
+test("a stream that can't be resumed breaks off instead of passing for whole", async () => {
+  await withUpstreams([streams(2), streams(-1)], async (world) => {
+    const answer = await send(world, { kind: "stream", resumable: false });
+    assert.ok("status" in answer);
+    await assert.rejects(readAll(answer));
+    assert.deepEqual(world.reached, [1, 0]);
+  });
+});
