Give an upstream no more time than the route, and wait for its last word

Ruled out: idle connections that upstreams close (88 calls on kept ones ended well), connections of runs of items (33 were closed by moves).

Change: the time passed on is what is left of the nearer of the two; the answer of the upstream at that time is awaited for 60 ms more and passed on.

--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -34,6 +34,8 @@
 const SECOND_CALL_PART = 0.45;
 const RETRY_AFTER_MS: Milliseconds = 150;
 const LEAST_SERVER_FAILURE = 500;
+/** An upstream that stops at the time it was given says so; its connection can be used again then. */
+const LAST_ANSWER_MS: Milliseconds = 60;
 
 /** What a forwarder is built from. */
 export interface ForwarderOptions {
@@ -67,6 +69,8 @@
   readonly service: string;
   readonly headers: readonly string[];
   readonly tried: Set<string>;
+  /** When the caller or the route gives the call up. */
+  readonly untilMs: Milliseconds;
   readonly ended: AbortController;
   /** Sendings that may have run. */
   ran: number;
@@ -109,6 +113,10 @@
       service,
       headers,
       tried: new Set(),
+      untilMs: Math.min(
+        routed.deadlineMs,
+        this.#options.clock.nowMs() + route.timeoutMs,
+      ),
       ended: new AbortController(),
       ran: 0,
       lastFailure: "no upstream is known",
@@ -130,10 +138,10 @@
 
   #untilDeadline(passage: Passage): Promise<HttpAnswer | Failure> {
     const { clock } = this.#options;
-    const { route, deadlineMs, call } = passage.routed;
-    const untilMs = Math.min(deadlineMs, clock.nowMs() + route.timeoutMs);
+    const { call } = passage.routed;
+    const lateMs = passage.untilMs + LAST_ANSWER_MS - clock.nowMs();
     return new Promise((resolve) => {
-      const timer = clock.after(untilMs - clock.nowMs(), () => {
+      const timer = clock.after(lateMs, () => {
         resolve(this.#late(passage));
       });
       const gone = (): void => {
@@ -189,6 +197,7 @@
 
   #nextUpstream(passage: Passage): FleetUpstream | undefined {
     if (passage.ended.signal.aborted) return undefined;
+    if (this.#options.clock.nowMs() >= passage.untilMs) return undefined;
     const { route } = passage.routed;
     const most = route.kind === "once" ? 1 : Math.max(1, route.maximumAttempts);
     if (passage.ran >= most) return undefined;
@@ -210,7 +219,7 @@
 
   async #send(passage: Passage, upstream: FleetUpstream): Promise<Attempt> {
     const { clock, dialect } = this.#options;
-    const { call, route, requestId, deadlineMs } = passage.routed;
+    const { call, route, requestId } = passage.routed;
     passage.tried.add(upstream.id);
     passage.ran += 1;
     this.#choice.sent(upstream.id);
@@ -222,7 +231,7 @@
       headers: dialect.callHeaders(passage.headers, {
         requestId,
         upstream,
-        leftMs: Math.max(1, deadlineMs - sentMs),
+        leftMs: Math.max(1, passage.untilMs - sentMs),
         afterEvent: null,
       }),
       body: call.body,
