--- a/batches/item_work.ts
+++ b/batches/item_work.ts
@@ -164,3 +164,10 @@
     return this.#restart ? NO_PROGRESS : this.#held.progress;
   }
 }
+
+/** Ends the run of an item, if there is one. */
+export function endRun(work: ItemWork): void {
+  const { run } = work;
+  work.run = undefined;
+  run?.abort.abort();
+}
--- a/core/fleet.ts
+++ b/core/fleet.ts
@@ -58,3 +58,8 @@
   /** Store VMs that are being emptied. */
   readonly retiring: readonly string[];
 }
+
+/** Names one life of an upstream. */
+export function incarnationOf(upstream: FleetUpstream): string {
+  return `${upstream.id}:${upstream.bornMs}`;
+}
--- a/weights/engine_orders.ts
+++ b/weights/engine_orders.ts
@@ -6,21 +6,17 @@
  * @module
  */
 import type { ReplicatedLog } from "#agreement";
-import type {
-  Clock,
-  EventLog,
-  FleetUpstream,
-  Milliseconds,
-  RoutingConfiguration,
-  ServedVersion,
-} from "#core";
-import { WEIGHTS_EVENTS } from "./events.ts";
 import {
-  assignModels,
+  type Clock,
+  type EventLog,
+  type FleetUpstream,
   incarnationOf,
-  planLoads,
-  type PlannedLoad,
-} from "./load_plan.ts";
+  type Milliseconds,
+  type RoutingConfiguration,
+  type ServedVersion,
+} from "#core";
+import { WEIGHTS_EVENTS } from "./events.ts";
+import { assignModels, planLoads, type PlannedLoad } from "./load_plan.ts";
 import { VersionLag } from "./version_lag.ts";
 import type { HoldReply, VersionsMachine } from "./versions_machine.ts";
 
--- a/weights/load_plan.ts
+++ b/weights/load_plan.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { FleetUpstream, ServedVersion } from "#core";
+import { type FleetUpstream, incarnationOf, type ServedVersion } from "#core";
 
 /** Part of a service's engines that may load at once. */
 const LOADING_SHARE = 0.25;
@@ -32,11 +32,6 @@
   readonly version: number;
 }
 
-/** Names one life of an engine. */
-export function incarnationOf(engine: FleetUpstream): string {
-  return `${engine.id}:${engine.bornMs}`;
-}
-
 /** The version of a model that an engine has, as far as is known; 0 if it has none. */
 export function versionOn(
   engine: FleetUpstream,
