Leave a control VM that hears no quorum

Ruled out: late elections (configurations were acknowledged 1.1 s after the cut), lost answers (the cut VM answered each request).

Change: an answer says whether its control VM leads under a lease or hears a leader; a follower goes on to the next one if not. Such a VM neither acknowledges heartbeats nor leaves: the worker calls another, and what it said is used in its own zone all the same. The new test fails when answers always claim to be current.

--- a/agreement/file_folder.ts
+++ b/agreement/file_folder.ts
@@ -31,16 +31,22 @@
 export class FileFolder extends DataFolder {
   readonly #path: string;
   readonly #locking: "socket" | "none";
+  readonly #prefix: string;
   #lock: Server | undefined;
   #appending: { readonly name: string; readonly file: FileHandle } | undefined;
 
   constructor(
     path: string,
-    options: { readonly lock: "socket" | "none" } = { lock: "socket" },
+    options: {
+      readonly lock: "socket" | "none";
+      /** Begins the names of all files, so that two replicas can share a folder. */
+      readonly prefix?: string;
+    } = { lock: "socket" },
   ) {
     super();
     this.#path = path;
     this.#locking = options.lock;
+    this.#prefix = options.prefix ?? "";
   }
 
   override async lock(): Promise<void> {
@@ -68,17 +74,20 @@
   }
 
   override async list(): Promise<readonly string[]> {
-    const names = await readdir(this.#path);
+    await mkdir(this.#path, { recursive: true });
+    const all = await readdir(this.#path);
+    const names = all.filter((each) => each.startsWith(this.#prefix))
+      .map((each) => each.slice(this.#prefix.length));
     for (
       const name of names.filter((each) => each.endsWith(TEMPORARY_SUFFIX))
     ) {
-      await rm(join(this.#path, name), { force: true });
+      await rm(this.#file(name), { force: true });
     }
     return names.filter((each) => !each.endsWith(TEMPORARY_SUFFIX));
   }
 
   override async read(name: string): Promise<Uint8Array> {
-    const { size } = await stat(join(this.#path, name));
+    const { size } = await stat(this.#file(name));
     return this.readPart(name, { offset: 0, length: size });
   }
 
@@ -86,7 +95,7 @@
     name: string,
     part: { readonly offset: Bytes; readonly length: Bytes },
   ): Promise<Uint8Array> {
-    const file = await open(join(this.#path, name), "r");
+    const file = await open(this.#file(name), "r");
     try {
       const buffer = new Uint8Array(part.length);
       const { bytesRead } = await file.read(
@@ -103,7 +112,7 @@
 
   override async replace(name: string, bytes: Uint8Array): Promise<void> {
     await this.#closeAppending();
-    const target = join(this.#path, name);
+    const target = this.#file(name);
     const file = await open(target + TEMPORARY_SUFFIX, "w");
     try {
       await file.writeFile(bytes);
@@ -123,7 +132,7 @@
 
   override async truncate(name: string, length: Bytes): Promise<void> {
     await this.#closeAppending();
-    const file = await open(join(this.#path, name), "r+");
+    const file = await open(this.#file(name), "r+");
     try {
       await file.truncate(length);
       await file.sync();
@@ -134,14 +143,18 @@
 
   override async remove(name: string): Promise<void> {
     await this.#closeAppending();
-    await rm(join(this.#path, name), { force: true });
+    await rm(this.#file(name), { force: true });
     await this.#syncFolder();
   }
 
+  #file(name: string): string {
+    return join(this.#path, this.#prefix + name);
+  }
+
   async #open(name: string): Promise<FileHandle> {
     if (this.#appending?.name === name) return this.#appending.file;
     await this.#closeAppending();
-    const file = await open(join(this.#path, name), "a");
+    const file = await open(this.#file(name), "a");
     this.#appending = { name, file };
     await this.#syncFolder();
     return file;
--- a/core/fleet.ts
+++ b/core/fleet.ts
@@ -31,7 +31,7 @@
 
 /** A VM as it tells of itself. */
 export interface FleetNode {
-  /** IP address; names the VM among its peers. */
+  /** Peer address, `IP:PORT`; names the process among its peers. */
   readonly vm: string;
   /** Name that operators use. */
   readonly name: string;
@@ -63,3 +63,8 @@
 export function incarnationOf(upstream: FleetUpstream): string {
   return `${upstream.id}:${upstream.bornMs}`;
 }
+
+/** The IP address in a peer address: processes of one machine have it in common. */
+export function hostOf(vm: string): string {
+  return vm.slice(0, vm.lastIndexOf(":"));
+}
--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -140,8 +140,10 @@
     );
     if (answer.ok) {
       this.#quorumMissing = false;
-      this.#take(answer.val as FollowAnswer);
-      return true;
+      const followed = answer.val as FollowAnswer;
+      this.#take(followed);
+      if (!followed.current) this.#lose(server, "it hears no quorum");
+      return followed.current;
     }
     this.#quorumMissing = answer.val.kind !== "not_leader" ||
       answer.val.detail === undefined;
@@ -201,7 +203,7 @@
       changed = true;
     }
     if (fleet !== null) {
-      this.#takeFleet(fleet);
+      this.#takeFleet(fleet, answer.current);
       changed = true;
     }
     return changed;
@@ -216,9 +218,12 @@
     return configuration.version > (this.#configuration?.version ?? -1);
   }
 
-  /** A control VM that has just started does not know all yet: what is known stays then. */
-  #takeFleet(fleet: NonNullable<FollowAnswer["fleet"]>): void {
-    if (fleet.complete) this.#upstreams = new Map();
+  /** What is known stays if the control VM has just started or is cut off: it does not know all then. */
+  #takeFleet(
+    fleet: NonNullable<FollowAnswer["fleet"]>,
+    current: boolean,
+  ): void {
+    if (fleet.complete && current) this.#upstreams = new Map();
     for (const upstream of fleet.upstreams) {
       const known = this.#upstreams.get(upstream.id);
       if (known !== undefined && known.bornMs > upstream.bornMs) continue;
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -37,6 +37,8 @@
 
 /** What is in force. */
 export interface FollowAnswer {
+  /** False from a control VM that hears no quorum: others may know newer things. */
+  readonly current: boolean;
   /** Whether no newer configuration can have been acknowledged before the request. */
   readonly confirmed: boolean;
   /** Given if newer than the sender's. */
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -49,6 +49,8 @@
   readonly peers: () => readonly string[];
   readonly configuration: () => StoredConfiguration | null;
   readonly placement: () => PlacedState;
+  /** Whether this VM leads under a lease or hears a leader. */
+  readonly hearsQuorum: () => boolean;
   /** Version of the newest configuration, sure to be the newest; fails where that can't be told. */
   readonly confirm: () => Promise<Result<unknown, Failure>>;
 }
@@ -80,20 +82,21 @@
     this.#gossip();
   }
 
-  /** Takes an upstream's heartbeat and passes it on. */
-  beat(record: FleetUpstream): void {
+  /** Takes an upstream's heartbeat and passes it on; whether that may be acknowledged. */
+  beat(record: FleetUpstream): boolean {
     const beat = { record, ageMs: 0 };
     const outcome = this.#table.take(beat, this.#options.clock.nowMs());
-    if (outcome === "outdated") return;
-    this.#tell({ kind: "beats", beats: [beat] });
+    if (outcome !== "outdated") this.#tell({ kind: "beats", beats: [beat] });
     if (outcome === "changed") this.changed();
+    return this.#options.hearsQuorum();
   }
 
-  /** Takes an upstream's word that it leaves, and passes it on. */
-  leave(id: string, bornMs: Milliseconds | null): void {
+  /** Takes an upstream's word that it leaves, and passes it on; whether that may be acknowledged. */
+  leave(id: string, bornMs: Milliseconds | null): boolean {
     this.#table.leave(id, bornMs, this.#options.clock.nowMs());
     this.#tell({ kind: "leave", id, bornMs });
     this.changed();
+    return this.#options.hearsQuorum();
   }
 
   /** Upstreams that take or finish work. */
@@ -129,7 +132,8 @@
     const nowMs = this.#options.clock.nowMs();
     const before = this.#table.revision;
     this.#table.expire(nowMs);
-    if (this.#table.revision !== before) this.changed();
+    const cutOff = !this.#options.hearsQuorum();
+    if (this.#table.revision !== before || cutOff) this.changed();
     this.#forgetNodes(nowMs);
     this.#tell({
       kind: "nodes",
@@ -203,7 +207,7 @@
     const answer = this.#answer(request, confirmed !== undefined);
     const settled = confirmed !== undefined &&
       this.#options.configuration() !== null;
-    if (settled || hasNews(answer)) return Ok(answer);
+    if (settled || hasNews(answer) || !answer.current) return Ok(answer);
     await this.#wait(request.waitMs);
     return Ok(this.#answer(request, false));
   }
@@ -229,6 +233,7 @@
     const sameFleet = request.fleet?.epoch === epoch &&
       request.fleet.revision === revision.revision;
     return {
+      current: this.#options.hearsQuorum(),
       confirmed,
       configuration:
         rules !== null && rules.version > request.configurationVersion
--- /dev/null
+++ b/membership/fleet_spread_test.ts
@@ -0,0 +1,163 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type FleetNode,
+  type FleetRole,
+  type FleetUpstream,
+  MemoryEventLog,
+  Ok,
+  type RoutingConfiguration,
+  SeededRandom,
+  VirtualClock,
+} from "#core";
+import { MemoryNetwork } from "#wire";
+import { FleetFollower } from "./fleet_follower.ts";
+import { FleetServer } from "./fleet_server.ts";
+
+const CONTROLS = ["c1:1", "c2:1", "c3:1"];
+
+function nodeOf(vm: string, role: FleetRole, zone: string): FleetNode {
+  return {
+    vm,
+    name: vm,
+    role,
+    zone,
+    startedMs: 0,
+    firstStart: true,
+    leads: false,
+    term: 0,
+    voters: [],
+    asked: [],
+  };
+}
+
+function configuration(version: number): RoutingConfiguration {
+  return {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  };
+}
+
+function upstream(change: Partial<FleetUpstream> = {}): FleetUpstream {
+  return {
+    id: "u",
+    bornMs: 1,
+    sequence: 1,
+    service: "s",
+    zone: "z1",
+    address: { host: "10.0.0.1", port: 1 },
+    slots: 1,
+    phase: "ready",
+    serves: [],
+    ...change,
+  };
+}
+
+interface Control {
+  readonly server: FleetServer;
+  version: number;
+  hearsQuorum: boolean;
+}
+
+class World {
+  readonly clock = new VirtualClock();
+  readonly network = new MemoryNetwork({
+    clock: this.clock,
+    random: new SeededRandom(3),
+  });
+  readonly controls: readonly Control[];
+  readonly follower: FleetFollower;
+
+  constructor() {
+    this.controls = CONTROLS.map((vm, at) => this.#control(vm, at));
+    this.follower = new FleetFollower({
+      network: this.network.join("e1:3"),
+      clock: this.clock,
+      random: new SeededRandom(4),
+      events: new MemoryEventLog(),
+      self: () => nodeOf("e1:3", "entry", "z1"),
+      seeds: () => CONTROLS,
+      onChange: () => {},
+    });
+  }
+
+  async start(): Promise<void> {
+    for (const { server } of this.controls) server.start();
+    this.follower.run();
+    await this.clock.advanceAsync(5_000);
+  }
+
+  /** The control VM of a number. */
+  control(at: number): Control {
+    const found = this.controls[at];
+    if (found === undefined) throw new Error(`no control VM ${at}`);
+    return found;
+  }
+
+  #control(vm: string, at: number): Control {
+    const made: { -readonly [Key in keyof Control]?: Control[Key] } = {
+      version: 1,
+      hearsQuorum: true,
+    };
+    made.server = new FleetServer({
+      network: this.network.join(vm),
+      clock: this.clock,
+      self: () => nodeOf(vm, "control", `z${at + 1}`),
+      epoch: vm,
+      silenceMs: 4_000,
+      peers: () => CONTROLS,
+      configuration: () => ({
+        document: "",
+        rules: configuration(made.version ?? 0),
+      }),
+      placement: () => ({
+        revision: 1,
+        placement: { controls: CONTROLS, stores: [], retiring: [] },
+      }),
+      hearsQuorum: () => made.hearsQuorum === true,
+      confirm: () => Promise.resolve(Ok(null)),
+    });
+    return made as Control;
+  }
+}
+
+test("a VM leaves a control VM that hears no quorum, though that one still answers", async () => {
+  const world = new World();
+  await world.start();
+  assert.equal(world.follower.configuration?.version, 1);
+  world.control(0).hearsQuorum = false;
+  world.control(1).version = 2;
+  world.control(2).version = 2;
+  for (const { server } of world.controls) server.changed();
+  await world.clock.advanceAsync(1_000);
+  assert.equal(world.follower.configuration?.version, 2);
+});
+
+test("a heartbeat is acknowledged only by a control VM that hears a quorum, and is used all the same", async () => {
+  const world = new World();
+  await world.start();
+  assert.equal(world.control(1).server.beat(upstream()), true);
+  await world.clock.advanceAsync(500);
+  assert.equal(world.follower.upstreams[0]?.sequence, 1);
+  for (const control of world.controls) control.hearsQuorum = false;
+  const draining = upstream({ sequence: 2, phase: "draining" });
+  assert.equal(world.control(0).server.beat(draining), false);
+  await world.clock.advanceAsync(3_000);
+  assert.equal(world.follower.upstreams[0]?.phase, "draining");
+});
+
+test("a control VM that has just started does not take upstreams away that others know", async () => {
+  const world = new World();
+  await world.start();
+  world.control(1).server.beat(upstream());
+  await world.clock.advanceAsync(500);
+  assert.equal(world.follower.upstreams.length, 1);
+  assert.equal(world.control(2).server.upstreams().length, 1);
+});
--- a/membership/placement_keeper.ts
+++ b/membership/placement_keeper.ts
@@ -76,8 +76,12 @@
     if (vm === undefined || !placement.retiring.includes(vm)) {
       return Err(fail("not_found", `${name} is not being emptied`));
     }
-    const nodes = this.#options.nodes();
-    return Ok(isEmptied(vm, { placement, nodes }) ? "completed" : "running");
+    const emptied = isEmptied(vm, {
+      placement,
+      nodes: this.#options.nodes(),
+      controlVoters: this.#options.log.status().voters,
+    });
+    return Ok(emptied ? "completed" : "running");
   }
 
   #storeNamed(name: string): string | undefined {
--- a/membership/placement_plan.ts
+++ b/membership/placement_plan.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import type { FleetNode, Milliseconds, Placement } from "#core";
+import {
+  type FleetNode,
+  hostOf,
+  type Milliseconds,
+  type Placement,
+} from "#core";
 
 /** A VM with the time since it was last heard of. */
 export interface HeardNode {
@@ -30,9 +35,12 @@
   if (placement.controls.length === 0) {
     return { ...placement, controls: [...input.controlVoters].sort() };
   }
+  const leaving = new Set(placement.retiring.map(hostOf));
   const controls = nextMembers(input, {
     members: placement.controls,
-    candidates: live(input, "control"),
+    candidates: live(input, "control").filter((node) =>
+      !leaving.has(hostOf(node.vm))
+    ),
   });
   if (controls !== undefined) return { ...placement, controls };
   if (placement.stores.length === 0) return formStores(input);
@@ -51,10 +59,16 @@
   input: {
     readonly placement: Placement;
     readonly nodes: readonly HeardNode[];
+    /** VMs that vote in the control log. */
+    readonly controlVoters: readonly string[];
   },
 ): boolean {
-  const { stores, retiring } = input.placement;
+  const { stores, controls, retiring } = input.placement;
   if (!retiring.includes(vm) || stores.includes(vm)) return false;
+  const keepsControl = [...controls, ...input.controlVoters].some((each) =>
+    hostOf(each) === hostOf(vm)
+  );
+  if (keepsControl) return false;
   const leader = leaderOf(input.nodes, "store");
   if (leader === undefined) return false;
   const voters = new Set(leader.voters);
--- a/membership/placement_plan_test.ts
+++ b/membership/placement_plan_test.ts
@@ -3,7 +3,7 @@
 import type { FleetNode, Placement } from "#core";
 import { type HeardNode, isEmptied, nextPlacement } from "./placement_plan.ts";
 
-const CONTROLS = ["c1", "c2", "c3"];
+const CONTROLS = ["c1:1", "c2:1", "c3:1"];
 
 function node(
   vm: string,
@@ -45,57 +45,72 @@
 }
 
 test("the batch log is formed once enough store VMs of the first start are there, one in each zone", () => {
-  const two = [node("s1", "z1"), node("s2", "z2")];
+  const two = [node("s1:1", "z1"), node("s2:1", "z2")];
   assert.equal(plan({}, two), undefined);
-  const late = node("s3", "z3", { firstStart: false });
+  const late = node("s3:1", "z3", { firstStart: false });
   assert.equal(plan({}, [...two, late]), undefined);
-  const all = [...two, node("s1b", "z1"), node("s3", "z3")];
-  assert.deepEqual(plan({}, all)?.stores, ["s1", "s2", "s3"]);
+  const all = [...two, node("s1b:1", "z1"), node("s3:1", "z3")];
+  assert.deepEqual(plan({}, all)?.stores, ["s1:1", "s2:1", "s3:1"]);
 });
 
 test("a lost replica is replaced by a VM that lives, and only then", () => {
-  const stores = ["s1", "s2", "s3"];
+  const stores = ["s1:1", "s2:1", "s3:1"];
   const nodes = [
-    node("s1", "z1"),
-    node("s2", "z2"),
-    node("s3", "z3", { ageMs: 3_000 }),
+    node("s1:1", "z1"),
+    node("s2:1", "z2"),
+    node("s3:1", "z3", { ageMs: 3_000 }),
   ];
   assert.equal(plan({ stores }, nodes), undefined);
-  const spare = node("s4", "z3", { firstStart: false });
+  const spare = node("s4:1", "z3", { firstStart: false });
   assert.deepEqual(plan({ stores }, [...nodes, spare])?.stores, [
-    "s1",
-    "s2",
-    "s4",
+    "s1:1",
+    "s2:1",
+    "s4:1",
   ]);
 });
 
 test("a VM that is to be emptied is replaced, and is empty once the group has settled without it", () => {
   const before: Placement = {
     controls: CONTROLS,
-    stores: ["s1", "s2", "s3"],
-    retiring: ["s2"],
+    stores: ["s1:1", "s2:1", "s3:1"],
+    retiring: ["s2:1"],
   };
-  const nodes = ["s1", "s2", "s3", "s4"].map((vm, at) => node(vm, `z${at}`));
+  const nodes = ["s1:1", "s2:1", "s3:1", "s4:1"].map((vm, at) =>
+    node(vm, `z${at}`)
+  );
   const after = plan(before, nodes);
-  assert.deepEqual(after?.stores, ["s1", "s3", "s4"]);
+  assert.deepEqual(after?.stores, ["s1:1", "s3:1", "s4:1"]);
   const placement = { ...before, stores: after?.stores ?? [] };
   const leader = (voters: readonly string[]) => [
     ...nodes,
-    node("s1", "z0", { leads: true, term: 2, voters }),
+    node("s1:1", "z0", { leads: true, term: 2, voters }),
   ];
-  const during = leader(["s1", "s2", "s3", "s4"]);
-  assert.equal(isEmptied("s2", { placement, nodes: during }), false);
-  const settled = leader(["s1", "s3", "s4"]);
-  assert.equal(isEmptied("s2", { placement, nodes: settled }), true);
-  assert.equal(isEmptied("s2", { placement: before, nodes: settled }), false);
+  const during = leader(["s1:1", "s2:1", "s3:1", "s4:1"]);
+  assert.equal(
+    isEmptied("s2:1", { placement, nodes: during, controlVoters: CONTROLS }),
+    false,
+  );
+  const settled = leader(["s1:1", "s3:1", "s4:1"]);
+  assert.equal(
+    isEmptied("s2:1", { placement, nodes: settled, controlVoters: CONTROLS }),
+    true,
+  );
+  assert.equal(
+    isEmptied("s2:1", {
+      placement: before,
+      nodes: settled,
+      controlVoters: CONTROLS,
+    }),
+    false,
+  );
 });
 
 test("a control VM at a new address takes the seat of one that is lost", () => {
   const nodes = [
-    node("c1", "z0", { ageMs: 9_000 }),
-    node("c2", "z1"),
-    node("c3", "z2"),
-    node("c4", "z0", { firstStart: false }),
+    node("c1:1", "z0", { ageMs: 9_000 }),
+    node("c2:1", "z1"),
+    node("c3:1", "z2"),
+    node("c4:1", "z0", { firstStart: false }),
   ];
   const next = nextPlacement({
     placement: { controls: CONTROLS, stores: [], retiring: [] },
@@ -104,5 +119,44 @@
     replicas: 3,
     lostMs: 2_500,
   });
-  assert.deepEqual(next?.controls, ["c2", "c3", "c4"]);
+  assert.deepEqual(next?.controls, ["c2:1", "c3:1", "c4:1"]);
+});
+
+test("a machine that is to be emptied loses its control replica too, and is not empty before", () => {
+  const controls = ["m1:1", "m2:1", "m3:1"];
+  const stores = ["m1:2", "m2:2", "m3:2"];
+  const machines = ["m1", "m2", "m3", "m4"];
+  const nodes = machines.flatMap((machine, at) => [
+    node(`${machine}:1`, `z${at}`, { role: "control" }),
+    node(`${machine}:2`, `z${at}`, { role: "store" }),
+  ]);
+  const input = {
+    nodes,
+    controlVoters: controls,
+    replicas: 3,
+    lostMs: 2_500,
+  };
+  const retiring = ["m2:2"];
+  const first = nextPlacement({
+    ...input,
+    placement: { controls, stores, retiring },
+  });
+  assert.deepEqual(first?.controls, ["m1:1", "m3:1", "m4:1"]);
+  assert.ok(first);
+  const second = nextPlacement({ ...input, placement: first });
+  assert.deepEqual(second?.stores, ["m1:2", "m3:2", "m4:2"]);
+  assert.ok(second);
+  const heard = [
+    ...nodes,
+    node("m1:2", "z0", {
+      role: "store",
+      leads: true,
+      term: 3,
+      voters: second.stores,
+    }),
+  ];
+  const emptied = (controlVoters: readonly string[]): boolean =>
+    isEmptied("m2:2", { placement: second, nodes: heard, controlVoters });
+  assert.equal(emptied(controls), false);
+  assert.equal(emptied(second.controls), true);
 });
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { FileFolder, QuorumLog, SHORT_TIMING } from "#agreement";
+import { QuorumLog, SHORT_TIMING } from "#agreement";
 import { ConfigurationMachine } from "#bundles";
 import {
   type AnyStateMachine,
@@ -11,6 +11,7 @@
   Err,
   fail,
   type Failure,
+  hostOf,
   type MachineCommand,
   type MachineQuestion,
   type Result,
@@ -31,6 +32,7 @@
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
+  dataFolder,
   describeNode,
   NODE_HTTP_LIMITS,
   type NodeBase,
@@ -80,6 +82,7 @@
       peers: () => this.#peers(),
       configuration: () => this.#configuration.current,
       placement: () => this.#placement.current,
+      hearsQuorum: () => this.#hearsQuorum(),
       confirm: () => log.query({ machine: "configuration", question: null }),
     });
     this.#keeper = new PlacementKeeper({
@@ -92,7 +95,6 @@
     });
     this.#orders = new EngineOrders({
       ...base,
-      vm: settings.ip,
       log,
       machine: this.#versions,
       port: new WorkerOrders(base.clock),
@@ -146,8 +148,7 @@
     ] as readonly AnyStateMachine[];
     return new QuorumLog({
       ...base,
-      vm: settings.ip,
-      folder: new FileFolder(settings.dataFolder ?? "data", { lock: "none" }),
+      folder: dataFolder(settings, "control"),
       machines,
       peers: () => this.#peers(),
       ...(settings.firstStart ? { firstStart: { voters: base.seeds() } } : {}),
@@ -178,7 +179,7 @@
         leaderAddress: () => {
           const { leader } = this.#log.status();
           const port = settings.control?.port ?? 0;
-          return leader === null ? null : `${leader}:${port}`;
+          return leader === null ? null : `${hostOf(leader)}:${port}`;
         },
       }),
       ...probeRoutes({ ...base, notReady: () => undefined }),
@@ -213,6 +214,12 @@
     return { leads, term, voters };
   }
 
+  #hearsQuorum(): boolean {
+    const { role, leader } = this.#log.status();
+    if (role !== "leader") return leader !== null;
+    return this.#log.leaseUntilMs() > this.#base.clock.nowMs();
+  }
+
   /** Nothing is acknowledged before the log has so many replicas that the tolerated losses leave a majority. */
   #gate(): Failure | undefined {
     const wanted = replicasFor(this.#settings.toleratedLosses);
@@ -226,7 +233,7 @@
     const { settings } = this.#base;
     const status = this.#log.status();
     return {
-      vm: settings.ip,
+      vm: this.#base.vm,
       zone: settings.zone,
       role: "control",
       ready: status.ready,
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -3,12 +3,15 @@
  *
  * @module
  */
+import { FileFolder } from "#agreement";
 import {
+  type Address,
   BoundedEventLog,
   type Clock,
   type EventLog,
   type FleetNode,
   type FleetRole,
+  hostOf,
   Metrics,
   type Milliseconds,
   PinoEventLog,
@@ -22,10 +25,18 @@
 import type { NodeSettings } from "#platform";
 import { TcpNetwork } from "#wire";
 
+const DEFAULT_FOLDER = "data";
 const KEEP_ALIVE_MS: Milliseconds = 300_000;
 const BODY_BYTES = 33_554_432;
 const HEADER_BYTES = 65_536;
 
+/** Peer ports of the roles, so that a control and a store process can share a machine. */
+const PORT_OFFSETS: Readonly<Record<FleetRole, number>> = {
+  control: 0,
+  store: 1,
+  entry: 2,
+};
+
 /** Limits of the servers that the platform's callers use. */
 export const NODE_HTTP_LIMITS: HttpLimits = {
   ...DEFAULT_HTTP_LIMITS,
@@ -37,6 +48,8 @@
 /** The common parts of a node. */
 export interface NodeBase {
   readonly settings: NodeSettings;
+  /** Peer address of this process. */
+  readonly vm: string;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events: EventLog;
@@ -90,23 +103,28 @@
     writes: "queued",
   });
   const events = new BoundedEventLog(lines, clock);
+  const port = settings.firstPeerPort + PORT_OFFSETS[options.role];
+  const vm = `${settings.ip}:${port}`;
   const network = new TcpNetwork({
     cluster: "cicadafield",
-    self: settings.ip,
-    listen: { host: settings.ip, port: settings.peerPort },
+    self: vm,
+    listen: { host: settings.ip, port },
     clock,
     events,
-    resolve: (vm) => ({ host: vm, port: settings.peerPort }),
+    resolve: peerAddress,
   });
+  const controlPort = settings.firstPeerPort + PORT_OFFSETS.control;
   return {
     settings,
+    vm,
     clock,
     random: new SystemRandom(),
     events,
     metrics: new Metrics(),
     network,
     startedMs: clock.wallMs(),
-    seeds: () => options.current().seeds.map((seed) => seed.host),
+    seeds: () =>
+      options.current().seeds.map((seed) => `${seed.host}:${controlPort}`),
   };
 }
 
@@ -123,7 +141,7 @@
 ): FleetNode {
   const { settings } = base;
   return {
-    vm: settings.ip,
+    vm: base.vm,
     name: settings.name,
     role,
     zone: settings.zone,
@@ -138,3 +156,19 @@
 export function replicasFor(toleratedLosses: number): number {
   return 2 * toleratedLosses + 1;
 }
+
+function peerAddress(vm: string): Address {
+  const host = hostOf(vm);
+  return { host, port: Number(vm.slice(host.length + 1)) };
+}
+
+/** The files of a role in the data folder of its machine. */
+export function dataFolder(
+  settings: NodeSettings,
+  role: FleetRole,
+): FileFolder {
+  return new FileFolder(settings.dataFolder ?? DEFAULT_FOLDER, {
+    lock: "none",
+    prefix: `${role}-`,
+  });
+}
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -3,8 +3,7 @@
  *
  * @module
  */
-import { existsSync, readdirSync } from "node:fs";
-import { FileFolder, QuorumLog, SHORT_TIMING } from "#agreement";
+import { QuorumLog, SHORT_TIMING } from "#agreement";
 import { BatchesMachine, BatchRunner, BatchService } from "#batches";
 import type { AnyStateMachine, Failure, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
@@ -12,6 +11,7 @@
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
+  dataFolder,
   describeNode,
   type NodeBase,
   type PlatformNode,
@@ -19,8 +19,6 @@
   reportStart,
 } from "./node_base.ts";
 
-const DEFAULT_FOLDER = "data";
-
 /** A running store VM. */
 export class StoreNode implements PlatformNode {
   #settings: NodeSettings;
@@ -52,7 +50,9 @@
   async start(): Promise<void> {
     reportStart(this.#base);
     await this.#base.network.listen();
-    if (this.#hasReplica()) this.#startLog([]);
+    const files = await dataFolder(this.#base.settings, "store").list();
+    // A VM that has a replica knows its group from the log and need not hear of it first.
+    if (files.length > 0) this.#startLog([]);
     this.#follower.run();
   }
 
@@ -83,12 +83,6 @@
     return { leads, term, voters, asked };
   }
 
-  /** A VM that has a replica knows its group from the log and need not hear of it first. */
-  #hasReplica(): boolean {
-    const folder = this.#base.settings.dataFolder ?? DEFAULT_FOLDER;
-    return existsSync(folder) && readdirSync(folder).length > 0;
-  }
-
   #follow(): void {
     const { stores } = this.#follower.placement;
     if (this.#log === undefined && stores.length > 0) this.#startLog(stores);
@@ -99,13 +93,10 @@
   async #startLog(stores: readonly string[]): Promise<void> {
     const base = this.#base;
     const { settings } = base;
-    const founds = settings.firstStart && stores.includes(settings.ip);
+    const founds = settings.firstStart && stores.includes(base.vm);
     const log = new QuorumLog({
       ...base,
-      vm: settings.ip,
-      folder: new FileFolder(settings.dataFolder ?? DEFAULT_FOLDER, {
-        lock: "none",
-      }),
+      folder: dataFolder(settings, "store"),
       machines: [this.#machine as AnyStateMachine],
       peers: () => this.#follower.placement.stores,
       ...(founds ? { firstStart: { voters: stores } } : {}),
