Tell a replica that hears its leader from one that only remembers it

Change: `LogStatus.hearsLeader` is true only under a lease or when the leader was heard within the time of an election. The new test fails with the old rule.

--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -195,6 +195,8 @@
       leader: state?.leader?.vm ?? null,
       committedIndex: state?.committedIndex ?? 0,
       appliedIndex: this.#applier.appliedIndex,
+      hearsLeader: this.#replica?.hearsLeader(this.#options.clock.nowMs()) ??
+        false,
       voters: (state?.rules().seats() ?? []).map((seat) => seat.vm),
       ready: this.#ready,
     };
--- /dev/null
+++ b/agreement/removed_replica_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SimulatedGroup } from "./simulated_group.ts";
+
+test("a replica whose seat was taken and that the next leader does not know says that it hears none", async () => {
+  const group = new SimulatedGroup({
+    seed: 7,
+    vms: ["a", "b", "c"],
+    spares: ["d"],
+  });
+  await group.startAll();
+  for (const vm of group.vms.slice(0, 3)) {
+    assert.equal(vm.process?.log.status().hearsLeader, true, vm.name);
+  }
+  group.peers = ["a", "b", "d"];
+  const spare = group.vms[3];
+  assert.ok(spare);
+  group.start(spare, false);
+  await group.run(20_000);
+  const status = (at: number) => group.vms[at]?.process?.log.status();
+  assert.deepEqual([...status(0)?.voters ?? []].sort(), ["a", "b", "d"]);
+  const leading = [0, 1, 3].find((at) => status(at)?.role === "leader") ?? 0;
+  group.crash(group.vm(leading));
+  await group.run(10_000);
+  assert.equal(status(2)?.hearsLeader, false);
+  for (const at of [0, 1, 3].filter((each) => each !== leading)) {
+    assert.equal(status(at)?.hearsLeader, true, `vm ${at}`);
+  }
+});
--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -82,6 +82,14 @@
     return Math.min(electionDueMs, this.#helloDueMs);
   }
 
+  /** Whether it leads under a lease, or has heard a leader within the time of an election. */
+  hearsLeader(nowMs: Milliseconds): boolean {
+    if (this.leadership !== undefined) return this.leaseUntilMs(nowMs) > nowMs;
+    const { leader, leaderHeardMs, timing } = this.state;
+    const electionMs = timing.electionMinimumMs + timing.electionSpreadMs;
+    return leader !== null && nowMs < leaderHeardMs + electionMs;
+  }
+
   /** Does what is due. */
   tick(instant: Instant): void {
     const leadership = this.leadership;
--- a/agreement/replicated_log.ts
+++ b/agreement/replicated_log.ts
@@ -15,6 +15,8 @@
   readonly leader: string | null;
   readonly committedIndex: number;
   readonly appliedIndex: number;
+  /** Whether this replica leads under a lease, or has heard the leader lately: one whose seat was taken hears none. */
+  readonly hearsLeader: boolean;
   /** VM names of the replicas that vote. */
   readonly voters: readonly string[];
   /** Whether this replica has caught up since its start and has a seat. */
--- a/agreement/single_replica_log.ts
+++ b/agreement/single_replica_log.ts
@@ -64,6 +64,7 @@
       leader: this.#options.vm,
       committedIndex: this.#index,
       appliedIndex: this.#index,
+      hearsLeader: true,
       voters: [this.#options.vm],
       ready: true,
     };
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -82,7 +82,7 @@
       peers: () => this.#peers(),
       configuration: () => this.#configuration.current,
       placement: () => this.#placement.current,
-      hearsQuorum: () => this.#hearsQuorum(),
+      hearsQuorum: () => log.status().hearsLeader,
       confirm: () => log.query({ machine: "configuration", question: null }),
     });
     this.#keeper = new PlacementKeeper({
@@ -214,12 +214,6 @@
     return { leads, term, voters };
   }
 
-  #hearsQuorum(): boolean {
-    const { role, leader } = this.#log.status();
-    if (role !== "leader") return leader !== null;
-    return this.#log.leaseUntilMs() > this.#base.clock.nowMs();
-  }
-
   /** Nothing is acknowledged before the log has so many replicas that the tolerated losses leave a majority. */
   #gate(): Failure | undefined {
     const wanted = replicasFor(this.#settings.toleratedLosses);
