Tell control VMs without a seat of upstreams; have them say that they are none

Ruled out: the service (its three upstreams answered other entry VMs).

Change: control VMs tell every control VM that they hear of; one that the placement does not name is not current. The new test fails without the first.

--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -150,10 +150,19 @@
 
   #tell(notice: FleetNotice): void {
     const { network, peers } = this.#options;
-    for (const to of peers()) {
-      if (to === network.self) continue;
-      network.notify({ to, channel: "fleet" }, notice);
+    const others = new Set([...peers(), ...this.#heardControls()]);
+    others.delete(network.self);
+    for (const to of others) network.notify({ to, channel: "fleet" }, notice);
+  }
+
+  /** Control VMs without a seat are told too: they may get one. */
+  #heardControls(): readonly string[] {
+    const controls: string[] = [];
+    for (const { node, ageMs } of this.nodes()) {
+      if (node.role !== "control" || ageMs > LISTED_NODE_MS) continue;
+      controls.push(node.vm);
     }
+    return controls;
   }
 
   #takeNotice(body: unknown): void {
--- a/membership/fleet_spread_test.ts
+++ b/membership/fleet_spread_test.ts
@@ -101,6 +101,11 @@
     return found;
   }
 
+  /** A further control VM that the placement does not name. */
+  addControl(vm: string): Control {
+    return this.#control(vm, 0);
+  }
+
   #control(vm: string, at: number): Control {
     const made: { -readonly [Key in keyof Control]?: Control[Key] } = {
       version: 1,
@@ -161,3 +166,14 @@
   assert.equal(world.follower.upstreams.length, 1);
   assert.equal(world.control(2).server.upstreams().length, 1);
 });
+
+test("a control VM without a seat hears of upstreams as soon as it is known", async () => {
+  const world = new World();
+  await world.start();
+  const spare = world.addControl("c4:1");
+  spare.server.start();
+  await world.clock.advanceAsync(1_200);
+  world.control(0).server.beat(upstream());
+  await world.clock.advanceAsync(100);
+  assert.equal(spare.server.upstreams().length, 1);
+});
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -82,7 +82,7 @@
       peers: () => this.#peers(),
       configuration: () => this.#configuration.current,
       placement: () => this.#placement.current,
-      hearsQuorum: () => log.status().hearsLeader,
+      hearsQuorum: () => this.#isMember() && log.status().hearsLeader,
       confirm: () => log.query({ machine: "configuration", question: null }),
     });
     this.#keeper = new PlacementKeeper({
@@ -214,6 +214,12 @@
     return { leads, term, voters };
   }
 
+  /** A VM whose seat was taken can still get entries for a while, but takes no part. */
+  #isMember(): boolean {
+    const { controls } = this.#placement.current.placement;
+    return controls.length === 0 || controls.includes(this.#base.vm);
+  }
+
   /** Nothing is acknowledged before the log has so many replicas that the tolerated losses leave a majority. */
   #gate(): Failure | undefined {
     const wanted = replicasFor(this.#settings.toleratedLosses);
