--- /dev/null
+++ b/programs/node_start_faults_test.ts
@@ -0,0 +1,113 @@
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+import { SETTINGS_VARIABLE } from "#platform";
+
+const HOST = "127.3.0.5";
+const CONTROL_PORT = 18_166;
+
+interface Ended {
+  readonly exitCode: number | null;
+  readonly stderr: string;
+}
+
+function run(
+  argv: readonly string[],
+  environment: Readonly<Record<string, string>> = {},
+): Promise<Ended> {
+  const url = new URL("./cicadafield_node.js", import.meta.url);
+  const child = spawn(process.execPath, [fileURLToPath(url), ...argv], {
+    env: { PATH: process.env["PATH"], ...environment },
+  });
+  let stderr = "";
+  child.stderr.on("data", (bytes) => stderr += bytes);
+  return new Promise((resolve) => {
+    child.on("close", (exitCode) => resolve({ exitCode, stderr }));
+  });
+}
+
+async function withSettings(
+  change: (lines: readonly string[]) => readonly string[],
+  use: (environment: Readonly<Record<string, string>>) => Promise<void>,
+): Promise<void> {
+  const folder = await mkdtemp(join(tmpdir(), "cicadafield-node-"));
+  const path = join(folder, "node.conf");
+  const lines = [
+    "node_name=control-1",
+    `ip=${HOST}`,
+    "zone=z1",
+    `listen.control=${HOST}:${CONTROL_PORT}`,
+    "internal_ports=17720,17729",
+    `seeds=${HOST}:${CONTROL_PORT}`,
+    "bootstrap=true",
+    `data_dir=${join(folder, "data")}`,
+  ];
+  await writeFile(path, change(lines).join("\n"));
+  try {
+    await use({ [SETTINGS_VARIABLE]: path });
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+}
+
+test("a program without a role or without settings says what it wants", async () => {
+  const roleless = await run([]);
+  assert.notEqual(roleless.exitCode, 0);
+  assert.match(roleless.stderr, /usage: cicadafield entry \| control \| store/);
+  const unset = await run(["entry"]);
+  assert.notEqual(unset.exitCode, 0);
+  assert.match(unset.stderr, new RegExp(SETTINGS_VARIABLE));
+});
+
+test("a settings file that can't be read or is malformed is refused with each fault", async () => {
+  const missing = await run(["entry"], { [SETTINGS_VARIABLE]: "/nowhere/x" });
+  assert.notEqual(missing.exitCode, 0);
+  assert.match(missing.stderr, /settings can't be read/);
+  const odd = (lines: readonly string[]): readonly string[] => [
+    ...lines.slice(1),
+    "bootstrap=perhaps",
+  ];
+  await withSettings(odd, async (environment) => {
+    const ended = await run(["control"], environment);
+    assert.notEqual(ended.exitCode, 0);
+    assert.match(ended.stderr, /node_name/);
+    assert.match(ended.stderr, /bootstrap=perhaps/);
+  });
+});
+
+test("an address in use is named", async () => {
+  const other = createServer();
+  await new Promise<void>((resolve) =>
+    other.listen({ host: HOST, port: CONTROL_PORT }, resolve)
+  );
+  try {
+    await withSettings((lines) => lines, async (environment) => {
+      const ended = await run(["control"], environment);
+      assert.notEqual(ended.exitCode, 0);
+      assert.match(
+        ended.stderr,
+        new RegExp(`${HOST}:${CONTROL_PORT} is in use`),
+      );
+    });
+  } finally {
+    other.close();
+  }
+});
+
+test("a data folder that is a file is named, and the process ends", async () => {
+  const blocked = (lines: readonly string[]): readonly string[] => [
+    ...lines.filter((line) => !line.startsWith("data_dir")),
+    `data_dir=${fileURLToPath(import.meta.url)}`,
+  ];
+  await withSettings(blocked, async (environment) => {
+    const ended = await run(["control"], environment);
+    assert.notEqual(ended.exitCode, 0);
+    assert.match(ended.stderr, /is no folder/);
+  });
+});
