--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -16,7 +16,6 @@
   type Milliseconds,
   Ok,
   type Result,
-  type Timer,
 } from "#core";
 import { WIRE_EVENTS } from "./events.ts";
 import { ChannelHandlers } from "./channel_handlers.ts";
@@ -24,6 +23,7 @@
 import { encodeFrame } from "./frame.ts";
 import type { Channel, Envelope } from "./messages.ts";
 import { PendingRequests } from "./pending_requests.ts";
+import { watchSilence } from "./silence_watch.ts";
 import {
   type NoticeHandler,
   type NoticeOptions,
@@ -33,7 +33,6 @@
 } from "./peer_network.ts";
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
-const PING_PERIOD_MS: Milliseconds = 600;
 const RECONNECT_PAUSE_MS: Milliseconds = 200;
 const GREETING_TIMEOUT_MS: Milliseconds = 2_000;
 const MAXIMUM_UNSENT_BYTES = 16 * 1_048_576;
@@ -178,7 +177,14 @@
     const timer = this.#options.clock.after(CONNECT_TIMEOUT_MS, () => {
       if (!link.open) socket.destroy();
     });
-    const pulse = this.#watchSilence(socket, to);
+    const pulse = watchSilence(socket, {
+      clock: this.#options.clock,
+      ping: () => this.#send(socket, to, { kind: "ping" }),
+      onSilent: () => {
+        this.#options.events.emit(WIRE_EVENTS.connectionSilent, { to });
+        socket.destroy();
+      },
+    });
     socket.on("connect", () => {
       link.open = true;
       timer.cancel();
@@ -198,23 +204,6 @@
     return link;
   }
 
-  /** A connection can go silent without a reset: it is closed once a ping stays unanswered. */
-  #watchSilence(socket: Socket, to: string): Timer {
-    let seenBytes = 0;
-    let waiting = false;
-    return this.#options.clock.every(PING_PERIOD_MS, () => {
-      const silent = socket.bytesRead === seenBytes;
-      if (silent && waiting) {
-        this.#options.events.emit(WIRE_EVENTS.connectionSilent, { to });
-        socket.destroy();
-        return;
-      }
-      seenBytes = socket.bytesRead;
-      waiting = silent && !socket.connecting;
-      if (waiting) this.#send(socket, to, { kind: "ping" });
-    });
-  }
-
   #dropLink(link: OutgoingLink): void {
     if (this.#links.get(link.to) === link) {
       this.#links.delete(link.to);
