Put the gate of the log's requests into a module of its own

Whether a replica may take a request, and whether its state holds all that was acknowledged, are two functions now. No change of behaviour; the tests of the log pass.

--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -30,6 +30,7 @@
 import { packMessage, unpackMessage } from "./messages.ts";
 import { notLeader, Proposals } from "./proposals.ts";
 import { Replica } from "./replica.ts";
+import { notEstablished, refusalOf } from "./request_gate.ts";
 import type { Outgoing } from "./replica_state.ts";
 import { type LogStatus, ReplicatedLog } from "./replicated_log.ts";
 import type { SeatingReport } from "./seating.ts";
@@ -45,8 +46,6 @@
 const MINIMUM_TIMER_MS: Milliseconds = 1;
 const HANDOVER_WAIT_MS: Milliseconds = 1_000;
 const HANDOVER_POLL_MS: Milliseconds = 10;
-const NO_QUORUM_RETRY_MS: Milliseconds = 1_000;
-const NOT_READY_RETRY_MS: Milliseconds = 100;
 
 /** What a replica is built from. */
 export interface QuorumLogOptions {
@@ -211,19 +210,8 @@
     return this.#applier.onApplied(listener);
   }
 
-  /** Why this replica can't take a request; such a request is never run. */
   #refusal(): Failure | undefined {
-    const replica = this.#replica;
-    if (replica === undefined) {
-      return fail("not_ready", "the replica isn't started");
-    }
-    if (replica.leadership === undefined) {
-      return notLeader(replica.state.leader?.vm ?? null);
-    }
-    if (replica.leaseUntilMs(this.#options.clock.nowMs()) > 0) return undefined;
-    return fail("no_quorum", "the leader can't reach a majority of replicas", {
-      retryAfterMs: NO_QUORUM_RETRY_MS,
-    });
+    return refusalOf(this.#replica, this.#options.clock.nowMs());
   }
 
   #isCaughtUp(): boolean {
@@ -234,13 +222,7 @@
   }
 
   #notEstablished(): Failure | undefined {
-    const leadership = this.#replica?.leadership;
-    if (leadership === undefined) return notLeader(null);
-    const caughtUp = this.#applier.appliedIndex >= leadership.barrierIndex;
-    if (leadership.established && caughtUp) return undefined;
-    return fail("not_ready", "the leader is still catching up", {
-      retryAfterMs: NOT_READY_RETRY_MS,
-    });
+    return notEstablished(this.#replica, this.#applier.appliedIndex);
   }
 
   #instant(): Instant {
--- /dev/null
+++ b/agreement/request_gate.ts
@@ -0,0 +1,42 @@
+/**
+ * Whether a replica may take requests.
+ *
+ * @module
+ */
+import { fail, type Failure, type Milliseconds } from "#core";
+import { notLeader } from "./proposals.ts";
+import type { Replica } from "./replica.ts";
+
+const NO_QUORUM_RETRY_MS: Milliseconds = 1_000;
+const NOT_READY_RETRY_MS: Milliseconds = 100;
+
+/** Why a replica can't take a request, or undefined if it can; a refused request is never run. */
+export function refusalOf(
+  replica: Replica | undefined,
+  nowMs: Milliseconds,
+): Failure | undefined {
+  if (replica === undefined) {
+    return fail("not_ready", "the replica isn't started");
+  }
+  if (replica.leadership === undefined) {
+    return notLeader(replica.state.leader?.vm ?? null);
+  }
+  if (replica.leaseUntilMs(nowMs) > 0) return undefined;
+  return fail("no_quorum", "the leader can't reach a majority of replicas", {
+    retryAfterMs: NO_QUORUM_RETRY_MS,
+  });
+}
+
+/** Why a replica's state may lack something that was acknowledged, or undefined if it holds all. */
+export function notEstablished(
+  replica: Replica | undefined,
+  appliedIndex: number,
+): Failure | undefined {
+  const leadership = replica?.leadership;
+  if (leadership === undefined) return notLeader(null);
+  const caughtUp = appliedIndex >= leadership.barrierIndex;
+  if (leadership.established && caughtUp) return undefined;
+  return fail("not_ready", "the leader is still catching up", {
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
