--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -197,9 +197,9 @@
   }
 
   #place(): void {
-    for (const key of planMoves(this.#planInput())) {
+    for (const { key, reason } of planMoves(this.#planInput())) {
       const work = this.#works.get(key);
-      if (work !== undefined) this.#runs.move(work);
+      if (work !== undefined) this.#runs.move(work, reason);
     }
     for (const { item, engine } of planStarts(this.#planInput())) {
       const work = this.#works.get(item.key);
@@ -221,7 +221,7 @@
       const item = describe(work, service);
       const { run, moves } = work;
       if (run === undefined) waiting.push(item);
-      else runs.push({ item, moves, ...run });
+      else runs.push({ ...run, item, moves });
     }
     return { nowMs, waiting, runs, engines: this.#engines(nowMs) };
   }
--- a/batches/engine_memory.ts
+++ b/batches/engine_memory.ts
@@ -38,6 +38,18 @@
     memory.brokenPauseMs = FIRST_BROKEN_PAUSE_MS;
   }
 
+  /** Notes that a run stood still for so long: the engine counts as that slow, and rests. */
+  silent(
+    engine: string,
+    silentMs: Milliseconds,
+    nowMs: Milliseconds,
+  ): void {
+    const memory = this.#of(engine);
+    memory.gapMs = Math.max(fadedGap(memory, nowMs), silentMs);
+    memory.gapAtMs = nowMs;
+    this.broke(engine, nowMs);
+  }
+
   /** Notes a version that the engine has shown. */
   noteVersion(engine: string, model: string, version: number): void {
     this.#of(engine).versions.set(model, version);
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -74,6 +74,7 @@
 /** How many times faster another engine must be for a run to go on there. */
 const FASTER = 1.7;
 const LEAST_GAIN_MS: Milliseconds = 150;
+/** Moves of one item to faster engines; there is no bound on leaving silent ones. */
 const MOST_MOVES = 6;
 const AGAIN_HEAD_START_MS: Milliseconds = 3_000;
 const MEMORY_PART = 0.9;
@@ -99,29 +100,38 @@
   return placings;
 }
 
-/** Keys of runs that are to end here and go on elsewhere. */
-export function planMoves(input: ItemPlanInput): readonly string[] {
+/** Why a run goes on elsewhere. */
+export type MoveReason = "engine_leaves" | "silent" | "faster_elsewhere";
+
+/** A run that is to end here and go on elsewhere. */
+export interface PlannedMove {
+  readonly key: string;
+  readonly reason: MoveReason;
+}
+
+/** Runs that are to end here and go on elsewhere. */
+export function planMoves(input: ItemPlanInput): readonly PlannedMove[] {
   const loads = loadOf(input.runs);
   const views = new Map(input.engines.map((each) => [each.upstream.id, each]));
-  const moves: string[] = [];
+  const moves: PlannedMove[] = [];
   const slowest = [...input.runs].sort((a, b) =>
     urgency(a.item) - urgency(b.item)
   );
   for (const run of slowest) {
     const view = views.get(run.engine);
     if (view === undefined || view.upstream.phase !== "ready") {
-      moves.push(run.item.key);
+      moves.push({ key: run.item.key, reason: "engine_leaves" });
       continue;
     }
-    if (run.moves >= MOST_MOVES) continue;
     if (isSilent(run, view, input.nowMs)) {
-      moves.push(run.item.key);
+      moves.push({ key: run.item.key, reason: "silent" });
       continue;
     }
+    if (run.moves >= MOST_MOVES) continue;
     const faster = fasterEngine(run, view, { input, loads });
     if (faster === undefined) continue;
     addLoad(loads, faster.upstream.id, run.item);
-    moves.push(run.item.key);
+    moves.push({ key: run.item.key, reason: "faster_elsewhere" });
   }
   return moves;
 }
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { FleetUpstream } from "#core";
+import { EngineMemory } from "./engine_memory.ts";
 import {
   type EngineView,
   type PlacedRun,
@@ -142,7 +143,12 @@
       engine("leaving", {}, { phase: "draining" }),
     ],
   });
-  assert.deepEqual([...moves].sort(), ["leaving", "silent", "slow"]);
+  const reasons = moves.map((move) => `${move.key}: ${move.reason}`);
+  assert.deepEqual(reasons.sort(), [
+    "leaving: engine_leaves",
+    "silent: silent",
+    "slow: faster_elsewhere",
+  ]);
 });
 
 test("a run stays where it is when all faster engines are full", () => {
@@ -154,3 +160,30 @@
   });
   assert.deepEqual(moves, []);
 });
+
+test("a run leaves a silent engine however often it has moved", () => {
+  const moves = planMoves({
+    nowMs: NOW_MS,
+    waiting: [],
+    runs: [
+      run("silent", "dark", { lastEventMs: NOW_MS - 2_000, moves: 50 }),
+      run("slow", "slow", { moves: 50 }),
+    ],
+    engines: [
+      engine("fast"),
+      engine("dark"),
+      engine("slow", { eventGapMs: 140 }),
+    ],
+  });
+  assert.deepEqual(moves.map((move) => move.key), ["silent"]);
+});
+
+test("an engine on which a run stood still counts as that slow, and less so as time passes", () => {
+  const memory = new EngineMemory();
+  const usual = memory.gapMs("other", 0);
+  memory.silent("dark", 600, 0);
+  assert.ok(memory.gapMs("dark", 0) >= 600);
+  assert.ok(memory.pausedUntilMs("dark") > 0);
+  assert.ok(memory.gapMs("dark", 3_000) > 5 * usual);
+  assert.ok(memory.gapMs("dark", 30_000) < 2 * usual);
+});
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -15,6 +15,7 @@
 import { EngineMemory } from "./engine_memory.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import { type RunEnd, runItem } from "./item_run.ts";
+import type { MoveReason } from "./item_plan.ts";
 import { endRun, type ItemWork, type OngoingRun } from "./item_work.ts";
 
 /** What the runs are made with. */
@@ -51,12 +52,13 @@
     const { clock, dialect } = this.#options;
     const run: OngoingRun = {
       engine: upstream.id,
+      key: incarnationOf(upstream),
       abort: new AbortController(),
       lastEventMs: clock.nowMs(),
       begun: false,
     };
     work.run = run;
-    const key = incarnationOf(upstream);
+    const { key } = run;
     const end = await runItem({
       http: this.#http,
       dialect,
@@ -71,7 +73,7 @@
       signal: run.abort.signal,
       onEvent: (event) => {
         if (work.run !== run) return;
-        this.#noteEvent(run, key);
+        this.#noteEvent(run);
         work.add(event);
         this.#options.onProgress();
       },
@@ -82,7 +84,7 @@
   }
 
   /** Ends a run here, so that it goes on at another engine. */
-  move(work: ItemWork): void {
+  move(work: ItemWork, reason: MoveReason): void {
     const { run } = work;
     if (run === undefined) return;
     const nowMs = this.#options.clock.nowMs();
@@ -90,17 +92,12 @@
     this.#options.events.emit(BATCHES_EVENTS.runMoved, {
       request: work.item.id,
       engine: run.engine,
+      reason,
       lastEvent: work.lastEvent,
       silentMs: Math.round(silentMs),
     });
     work.moves += 1;
-    const upstream = this.#options.upstreams().find((each) =>
-      each.id === run.engine
-    );
-    if (upstream !== undefined) {
-      this.memory.noteGap(incarnationOf(upstream), silentMs, nowMs);
-      this.memory.broke(incarnationOf(upstream), nowMs);
-    }
+    if (reason === "silent") this.memory.silent(run.key, silentMs, nowMs);
     endRun(work);
   }
 
@@ -116,10 +113,10 @@
     this.#options.onDone();
   }
 
-  #noteEvent(run: OngoingRun, key: string): void {
+  #noteEvent(run: OngoingRun): void {
     const nowMs = this.#options.clock.nowMs();
     const gapMs: Milliseconds = nowMs - run.lastEventMs;
-    if (run.begun) this.memory.noteGap(key, gapMs, nowMs);
+    if (run.begun) this.memory.noteGap(run.key, gapMs, nowMs);
     run.begun = true;
     run.lastEventMs = nowMs;
   }
--- a/batches/item_work.ts
+++ b/batches/item_work.ts
@@ -20,6 +20,8 @@
 /** A run that goes on. */
 export interface OngoingRun {
   readonly engine: string;
+  /** The life of the engine. */
+  readonly key: string;
   readonly abort: AbortController;
   lastEventMs: Milliseconds;
   begun: boolean;
