--- a/agreement/simulated_group.ts
+++ b/agreement/simulated_group.ts
@@ -204,11 +204,11 @@
     return left.length > seats.length / 2;
   }
 
-  /** Stops a process for a while; others see it as silent. */
+  /** Stops a process or suspends its VM for a while; others see it as silent. */
   freeze(vm: SimulatedVm): void {
     if (vm.process === undefined) return;
     vm.process.frozen = true;
-    vm.process.clock.freeze();
+    vm.process.clock.freeze(this.random.below(2) === 0 ? "vm" : "process");
     this.network.freeze(vm.name);
   }
 
--- a/agreement/simulated_process.ts
+++ b/agreement/simulated_process.ts
@@ -5,9 +5,11 @@
  */
 import {
   Clock,
+  type ClockReading,
   type Failure,
   type Milliseconds,
   type Result,
+  SuspensionMeter,
   type Timer,
 } from "#core";
 import {
@@ -30,10 +32,16 @@
   readonly wallOffsetMs: Milliseconds;
 }
 
+/** How a process stands still: its VM is suspended, so that the steady clock does too, or only the process. */
+export type Standstill = "process" | "vm";
+
 /** A clock with its own rate and origin; while it is frozen, nothing that is due runs. */
 export class ProcessClock extends Clock {
   readonly #base: Clock;
   readonly #error: ClockError;
+  readonly #meter: SuspensionMeter;
+  #suspendedAtMs: Milliseconds | undefined;
+  #suspendedMs: Milliseconds = 0;
   #state: "running" | "frozen" | "dead" = "running";
   #held: (() => void)[] = [];
   #lastSetMs: Milliseconds = 0;
@@ -43,6 +51,7 @@
     super();
     this.#base = base;
     this.#error = error;
+    this.#meter = new SuspensionMeter(this.#reading());
   }
 
   override wallMs(): Milliseconds {
@@ -50,8 +59,16 @@
   }
 
   override nowMs(): Milliseconds {
+    return this.#meter.read(this.#reading());
+  }
+
+  #reading(): ClockReading {
     const { rate, monotonicOffsetMs } = this.#error;
-    return monotonicOffsetMs + this.#base.nowMs() * rate;
+    const baseMs = this.#base.nowMs();
+    const standingMs = baseMs - (this.#suspendedAtMs ?? baseMs);
+    const runMs = baseMs - this.#suspendedMs - standingMs;
+    const steadyMs = monotonicOffsetMs + runMs * rate;
+    return { steadyMs, wallMs: this.wallMs() };
   }
 
   override after(delayMs: Milliseconds, action: () => void): Timer {
@@ -82,14 +99,19 @@
   }
 
   /** Stops everything until `thaw`. */
-  freeze(): void {
-    if (this.#state === "running") this.#state = "frozen";
+  freeze(how: Standstill): void {
+    if (this.#state !== "running") return;
+    this.#state = "frozen";
+    if (how === "vm") this.#suspendedAtMs = this.#base.nowMs();
   }
 
   /** Runs what became due meanwhile. */
   thaw(): void {
     if (this.#state !== "frozen") return;
     this.#state = "running";
+    const nowMs = this.#base.nowMs();
+    this.#suspendedMs += nowMs - (this.#suspendedAtMs ?? nowMs);
+    this.#suspendedAtMs = undefined;
     const held = this.#held;
     this.#held = [];
     for (const action of held) action();
