Begin an item anew where the log holds something else than was built on

It took the items up again as the log held them then; the progress was applied after that, and where it had as many events as the new runs had made, it passed for theirs. The text then went on with a run that had not been asked to go on there.

Change: each update has an identifier, and the log holds that of the last one that was applied. A work whose item holds something else than it was built on is ended and begun anew from there.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -11,6 +11,7 @@
   type FleetUpstream,
   incarnationOf,
   type Milliseconds,
+  type RandomSource,
   type RoutingConfiguration,
   type WeightedService,
 } from "#core";
@@ -41,6 +42,7 @@
   readonly machine: BatchesMachine;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly random: RandomSource;
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
   readonly configuration: () => RoutingConfiguration | null;
@@ -106,6 +108,7 @@
     }
     this.#lead();
     this.#follow();
+    this.#rebuild();
     if (this.#works.size === 0) return;
     this.#giveUpOld();
     this.#place();
@@ -142,6 +145,20 @@
     }
   }
 
+  /** Begins anew where the log holds something else than a work was built on. */
+  #rebuild(): void {
+    for (const work of this.#works.values()) {
+      const batch = this.#options.machine.find(work.batch.id);
+      const held = batch?.items.get(work.item.id);
+      if (held === undefined || work.buildsOn(held)) continue;
+      endRun(work);
+      this.#works.delete(work.key);
+      if (held.listed) continue;
+      const { dueMs } = work;
+      this.#works.set(work.key, new ItemWork(work.batch, { held, dueMs }));
+    }
+  }
+
   #take(held: HeldBatch): void {
     const { clock } = this.#options;
     const { batch, acceptedMs } = held;
--- a/batches/batch_types.ts
+++ b/batches/batch_types.ts
@@ -70,6 +70,8 @@
 
 /** What is added to an item. */
 export interface ItemUpdate {
+  /** Names this update alone, so that its sender can tell whether it was applied. */
+  readonly id: string;
   readonly batch: string;
   readonly item: string;
   /** Events that the item must have for this to apply; else it is passed over. */
--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -47,6 +47,8 @@
   readonly whole: boolean;
   /** Whether an earlier batch already had it. */
   readonly again: boolean;
+  /** The last update that was applied, or null. */
+  readonly lastUpdate: string | null;
 }
 
 /** One batch with its state. */
@@ -182,6 +184,7 @@
       listed: false,
       whole: false,
       again: false,
+      lastUpdate: null,
     };
     const earlier = this.#batches.get(this.#lastBatch.get(item.id) ?? "");
     const before = earlier?.items.get(item.id);
@@ -255,6 +258,7 @@
     progress,
     failures: known.failures + update.failures,
     whole: update.outcome === "completed",
+    lastUpdate: update.id,
   };
 }
 
@@ -284,6 +288,6 @@
 }
 
 function withoutItem(held: HeldItem): Omit<HeldItem, "item"> {
-  const { progress, failures, listed, whole, again } = held;
-  return { progress, failures, listed, whole, again };
+  const { item: _item, ...rest } = held;
+  return rest;
 }
--- a/batches/batches_machine_test.ts
+++ b/batches/batches_machine_test.ts
@@ -44,6 +44,7 @@
   change: Partial<ItemUpdate> = {},
 ): ItemUpdate {
   return {
+    id: `update-${++index}`,
     batch: batchId,
     item: itemId,
     fromEvents: 0,
--- a/batches/item_work.ts
+++ b/batches/item_work.ts
@@ -129,8 +129,9 @@
   }
 
   /** What the log is to take now. */
-  takeUpdate(): ItemUpdate {
+  takeUpdate(id: string): ItemUpdate {
     const update: ItemUpdate = {
+      id,
       batch: this.batch.id,
       item: this.item.id,
       fromEvents: this.#held.progress.events,
@@ -151,10 +152,7 @@
     const sent = this.#sent;
     this.#sent = undefined;
     if (sent === undefined) return false;
-    const base = sent.restart ? 0 : sent.fromEvents;
-    const applied = held.progress.events === base + sent.events &&
-      held.failures === this.#held.failures + sent.failures;
-    if (!applied) return false;
+    if (held.lastUpdate !== sent.id) return false;
     this.#tail = this.#tail.slice(sent.events);
     this.#failures -= sent.failures;
     if (sent.restart) this.#restart = false;
@@ -162,6 +160,11 @@
     return true;
   }
 
+  /** Whether this work still builds on what the log holds: an update of an earlier lead can come late. */
+  buildsOn(held: HeldItem): boolean {
+    return this.#sent !== undefined || this.#held === held;
+  }
+
   #base(): ItemProgress {
     return this.#restart ? NO_PROGRESS : this.#held.progress;
   }
--- a/batches/progress_keeper.ts
+++ b/batches/progress_keeper.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ReplicatedLog } from "#agreement";
-import type { Clock, EventLog, Milliseconds } from "#core";
+import type { Clock, EventLog, Milliseconds, RandomSource } from "#core";
 import type { BatchesMachine, HeldItem } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import type { ItemWork } from "./item_work.ts";
@@ -18,6 +18,7 @@
   readonly machine: BatchesMachine;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly random: RandomSource;
   /** Items that are worked on. */
   readonly works: () => Iterable<ItemWork>;
   /** Called with each item that is listed now. */
@@ -63,7 +64,9 @@
   /** Keeps the progress of these items. */
   async commit(works: readonly ItemWork[]): Promise<void> {
     const { log, events } = this.#options;
-    const updates = works.map((work) => work.takeUpdate());
+    const updates = works.map((work) =>
+      work.takeUpdate(this.#options.random.identifier())
+    );
     const command = { kind: "update", updates };
     const result = await log.propose({ machine: "batches", command });
     if (result.err) {
