Hold a replica up while its disk is full instead of ending the process

Cause: the write of a batch that met ENOSPC was taken for a broken disk; the replica halted and the process ended, was started again, replayed its log and met the same error some hundred writes later.

Change: a folder cuts off again what was written of a change that found no room and says StorageFull; the writer logs 1210, tries again every 250 ms and logs 1211. Nothing unsynced is acknowledged meanwhile, the other replicas go on. Other errors of the disk end the replica as before.

Tests: two of the new ones in recovery_test fail without the change to the writer (run); the third (a disk that reports an error) passes before and after.

--- a/agreement/data_folder.ts
+++ b/agreement/data_folder.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Bytes, Failure } from "#core";
+import { type Bytes, fail, type Failure } from "#core";
 
 /** A fault of the disk or of the data on it; the replica can't go on. */
 export class StorageFault extends Error {
@@ -16,7 +16,18 @@
   }
 }
 
-/** A flat folder of files; every change is durable once its promise resolves. */
+/** There is no room for a change; nothing of it is left, and it can be tried again. */
+export class StorageFull extends StorageFault {
+  constructor(message: string) {
+    super(fail("storage_failed", message));
+    this.name = "StorageFull";
+  }
+}
+
+/**
+ * A flat folder of files; every change is durable once its promise resolves. A change that finds no room
+ * rejects with `StorageFull`.
+ */
 export abstract class DataFolder {
   /** Keeps other processes out; rejects with a `StorageFault` if one holds the folder. */
   abstract lock(): Promise<void>;
--- a/agreement/events.ts
+++ b/agreement/events.ts
@@ -62,4 +62,17 @@
     text: "a snapshot of the leader was installed",
     action: "None.",
   },
+  diskFull: {
+    code: 1210,
+    level: "warn",
+    text:
+      "the disk is full; this replica takes nothing new until there is room",
+    action: "Make room on the disk; the replica goes on by itself.",
+  },
+  diskHasRoom: {
+    code: 1211,
+    level: "info",
+    text: "the disk has room again",
+    action: "None.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/agreement/file_folder.ts
+++ b/agreement/file_folder.ts
@@ -14,9 +14,18 @@
 import { createServer, type Server } from "node:net";
 import { join } from "node:path";
 import { type Bytes, fail } from "#core";
-import { DataFolder, StorageFault } from "./data_folder.ts";
+import { DataFolder, StorageFault, StorageFull } from "./data_folder.ts";
 
 const TEMPORARY_SUFFIX = ".new";
+/** Codes of the system for a disk or a share of it that is full. */
+const NO_ROOM_CODES: ReadonlySet<string> = new Set(["ENOSPC", "EDQUOT"]);
+
+interface AppendedFile {
+  readonly name: string;
+  readonly file: FileHandle;
+  /** What is durable of it. */
+  length: Bytes;
+}
 
 /**
  * Files in one folder of a local disk. The lock is an abstract socket named after the folder's device
@@ -33,7 +42,7 @@
   readonly #locking: "socket" | "none";
   readonly #prefix: string;
   #lock: Server | undefined;
-  #appending: { readonly name: string; readonly file: FileHandle } | undefined;
+  #appending: AppendedFile | undefined;
 
   constructor(
     path: string,
@@ -113,21 +122,42 @@
   override async replace(name: string, bytes: Uint8Array): Promise<void> {
     await this.#closeAppending();
     const target = this.#file(name);
-    const file = await open(target + TEMPORARY_SUFFIX, "w");
+    const temporary = target + TEMPORARY_SUFFIX;
     try {
-      await file.writeFile(bytes);
-      await file.sync();
-    } finally {
-      await file.close();
+      await writeWhole(temporary, bytes);
+    } catch (error) {
+      if (!isNoRoom(error)) throw error;
+      await rm(temporary, { force: true });
+      throw new StorageFull(`there is no room for ${name}`);
     }
-    await rename(target + TEMPORARY_SUFFIX, target);
+    await rename(temporary, target);
     await this.#syncFolder();
   }
 
   override async append(name: string, bytes: Uint8Array): Promise<void> {
-    const file = await this.#open(name);
-    await file.writeFile(bytes);
-    await file.datasync();
+    try {
+      const appending = await this.#open(name);
+      await this.#write(appending, bytes);
+      appending.length += bytes.length;
+    } catch (error) {
+      if (!isNoRoom(error)) throw error;
+      throw new StorageFull(`there is no room for more of ${name}`);
+    }
+  }
+
+  /** Where there is no room, what was written of the bytes is cut off again. */
+  async #write(appending: AppendedFile, bytes: Uint8Array): Promise<void> {
+    const { file, length } = appending;
+    try {
+      await file.writeFile(bytes);
+      await file.datasync();
+    } catch (error) {
+      if (isNoRoom(error)) {
+        await file.truncate(length);
+        await file.datasync();
+      }
+      throw error;
+    }
   }
 
   override async truncate(name: string, length: Bytes): Promise<void> {
@@ -151,13 +181,15 @@
     return join(this.#path, this.#prefix + name);
   }
 
-  async #open(name: string): Promise<FileHandle> {
-    if (this.#appending?.name === name) return this.#appending.file;
+  async #open(name: string): Promise<AppendedFile> {
+    if (this.#appending?.name === name) return this.#appending;
     await this.#closeAppending();
     const file = await open(this.#file(name), "a");
-    this.#appending = { name, file };
+    const { size } = await file.stat();
+    const appending = { name, file, length: size };
+    this.#appending = appending;
     await this.#syncFolder();
-    return file;
+    return appending;
   }
 
   async #closeAppending(): Promise<void> {
@@ -175,3 +207,18 @@
     }
   }
 }
+
+async function writeWhole(path: string, bytes: Uint8Array): Promise<void> {
+  const file = await open(path, "w");
+  try {
+    await file.writeFile(bytes);
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+}
+
+function isNoRoom(error: unknown): boolean {
+  const code = (error as { readonly code?: unknown }).code;
+  return typeof code === "string" && NO_ROOM_CODES.has(code);
+}
--- a/agreement/log_storage.ts
+++ b/agreement/log_storage.ts
@@ -162,7 +162,14 @@
       snapshotName(index),
       encodeRecord(snapshot.payload),
     );
-    await this.#startLog(index, log);
+    try {
+      await this.#startLog(index, log);
+    } catch (error) {
+      // No log names it, so that it would only take room.
+      const unused = index !== this.#snapshotIndex;
+      if (unused) await this.#folder.remove(snapshotName(index));
+      throw error;
+    }
   }
 
   /** Keeps a chunk of a snapshot that the leader sends. Gives what is held, and the whole at the end. */
--- a/agreement/log_storage_test.ts
+++ b/agreement/log_storage_test.ts
@@ -1,9 +1,16 @@
 import assert from "node:assert/strict";
-import { mkdtemp, readdir, readFile, rm, writeFile } from "node:fs/promises";
+import {
+  mkdtemp,
+  readdir,
+  readFile,
+  rm,
+  symlink,
+  writeFile,
+} from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
-import { StorageFault } from "./data_folder.ts";
+import { StorageFault, StorageFull } from "./data_folder.ts";
 import type { LogEntry } from "./entries.ts";
 import { FileFolder } from "./file_folder.ts";
 import {
@@ -155,3 +162,18 @@
     assert.deepEqual(whole.whole?.snapshot.meta, meta);
     await after.close();
   }));
+
+test("a snapshot that finds no room leaves the old one and nothing half written", () =>
+  inFolder(async (path) => {
+    const folder = new FileFolder(path);
+    await folder.replace("snapshot", Uint8Array.of(1));
+    await symlink("/dev/full", join(path, "snapshot.new"));
+    await assert.rejects(
+      folder.replace("snapshot", Uint8Array.of(2)),
+      StorageFull,
+    );
+    assert.deepEqual(await readdir(path), ["snapshot"]);
+    assert.deepEqual([...await folder.read("snapshot")], [1]);
+    await folder.replace("snapshot", Uint8Array.of(3));
+    assert.deepEqual([...await folder.read("snapshot")], [3]);
+  }));
--- a/agreement/memory_folder.ts
+++ b/agreement/memory_folder.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
   type RandomSource,
 } from "#core";
-import { DataFolder, StorageFault } from "./data_folder.ts";
+import { DataFolder, StorageFault, StorageFull } from "./data_folder.ts";
 
 /** What a memory disk is built from. */
 export interface MemoryDiskOptions {
@@ -21,7 +21,10 @@
   readonly syncMs: () => Milliseconds;
 }
 
-interface PendingChange {
+interface DiskChange {
+  /** Whether the change needs room. */
+  readonly adds: boolean;
+  readonly apply: () => void;
   /** What of the change is there after a crash. */
   readonly tear: () => void;
 }
@@ -32,9 +35,15 @@
   readonly files = new Map<string, Buffer>();
   /** Changes made durable so far. */
   syncs = 0;
+  /** Whether there is no room for more bytes. */
+  full = false;
+  /** Whether the next change fails with an error of the disk, after which any part of it may be there. */
+  broken = false;
+  /** Whether the process that has the disk was told of such an error. */
+  hadError = false;
   /** Called before each change becomes durable; may call `crash`. */
   beforeSync: () => void = () => {};
-  #pending: PendingChange | undefined;
+  #pending: DiskChange | undefined;
   #session = 0;
 
   constructor(options: MemoryDiskOptions) {
@@ -44,6 +53,7 @@
   /** Opens the disk for a new process; what an earlier one still writes is lost. */
   open(): MemoryFolder {
     this.crash();
+    this.hadError = false;
     return new MemoryFolder(this);
   }
 
@@ -66,20 +76,31 @@
   }
 
   /** Makes a change durable after the sync time, unless the process ends before. */
-  async change(
-    session: number,
-    change: { readonly apply: () => void; readonly tear: () => void },
-  ): Promise<void> {
+  async change(session: number, change: DiskChange): Promise<void> {
     if (session !== this.#session) return forever();
     this.#pending = change;
     await this.options.clock.sleep(this.options.syncMs());
     if (session !== this.#session) return forever();
+    this.#refuse(change);
     this.beforeSync();
     if (session !== this.#session) return forever();
     this.#pending = undefined;
     this.syncs += 1;
     change.apply();
   }
+
+  #refuse(change: DiskChange): void {
+    if (this.full && change.adds) {
+      this.#pending = undefined;
+      throw new StorageFull("there is no room");
+    }
+    if (!this.broken) return;
+    this.broken = false;
+    this.hadError = true;
+    this.#pending = undefined;
+    change.tear();
+    throw new StorageFault(fail("storage_failed", "the disk has an error"));
+  }
 }
 
 /** One process's view of a memory disk. */
@@ -125,6 +146,7 @@
   override replace(name: string, bytes: Uint8Array): Promise<void> {
     const copy = Buffer.from(bytes);
     return this.#disk.change(this.#session, {
+      adds: true,
       apply: () => this.#disk.files.set(name, copy),
       tear: () => {},
     });
@@ -135,6 +157,7 @@
     const old = files.get(name) ?? Buffer.alloc(0);
     const random = this.#disk.options.random;
     return this.#disk.change(this.#session, {
+      adds: true,
       apply: () => files.set(name, Buffer.concat([old, bytes])),
       tear: () => {
         const length = random.below(bytes.length + 1);
@@ -146,6 +169,7 @@
   override truncate(name: string, length: Bytes): Promise<void> {
     const files = this.#disk.files;
     return this.#disk.change(this.#session, {
+      adds: false,
       apply: () => {
         files.set(
           name,
@@ -158,6 +182,7 @@
 
   override remove(name: string): Promise<void> {
     return this.#disk.change(this.#session, {
+      adds: false,
       apply: () => this.#disk.files.delete(name),
       tear: () => {},
     });
--- a/agreement/recovery_test.ts
+++ b/agreement/recovery_test.ts
@@ -129,3 +129,43 @@
   assert.equal(answer.ok, false);
   assert.equal(log.leaseUntilMs(), 0);
 });
+
+test("a replica whose disk is full for a while goes on by itself once there is room", async () => {
+  const group = await groupOf();
+  const full = vmOf(group, "c");
+  const process = full.process;
+  full.disk.full = true;
+  assert.equal(await commit(group, 30), 30);
+  assert.equal(full.process, process);
+  const other = group.vms.find((vm) =>
+    vm !== full && vm.process !== group.leader()
+  );
+  assert.ok(other !== undefined);
+  group.crash(other);
+  assert.equal(await commit(group, 1), 0);
+  full.disk.full = false;
+  await group.run(1_000);
+  assert.equal(await commit(group, 5), 5);
+  assert.equal(full.process, process);
+});
+
+test("a replica stops in good order while its disk is full", async () => {
+  const group = await groupOf();
+  const full = vmOf(group, "c");
+  full.disk.full = true;
+  await commit(group, 10);
+  group.stop(full);
+  await group.run(2_000);
+  assert.equal(full.process, undefined);
+});
+
+test("a replica with a disk error starts again with what it had promised", async () => {
+  const group = await groupOf();
+  const faulty = vmOf(group, "c");
+  faulty.disk.broken = true;
+  assert.equal(await commit(group, 30), 30);
+  assert.equal(vmOf(group, "c").process, undefined);
+  group.start(faulty);
+  await group.run(REPAIR_MS);
+  assert.equal(faulty.process?.machine.items.length, 30);
+});
--- a/agreement/simulated_group.ts
+++ b/agreement/simulated_group.ts
@@ -13,6 +13,7 @@
   VirtualClock,
 } from "#core";
 import { MemoryNetwork } from "#wire";
+import { StorageFull } from "./data_folder.ts";
 import type { Seat } from "./entries.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
 import { type ListItem, ListMachine, LogOracle } from "./log_oracle.ts";
@@ -137,7 +138,8 @@
       snapshots: SMALL_SNAPSHOTS,
       ...(first ? { firstStart: { voters: this.#firstVoters } } : {}),
       onFatal: (failure) => {
-        this.#failure ??= new Error(`${vm.name}: ${failure.message}`);
+        if (vm.disk.hadError) this.crash(vm);
+        else this.#failure ??= new Error(`${vm.name}: ${failure.message}`);
       },
     });
     vm.process = {
@@ -151,6 +153,9 @@
     this.#guard(
       log.start().then(() => {
         if (vm.process?.log === log) vm.replica = log.status().replica;
+      }).catch((error: unknown) => {
+        if (!(error instanceof StorageFull) && !vm.disk.hadError) throw error;
+        if (vm.process?.log === log) this.crash(vm);
       }),
     );
   }
@@ -265,6 +270,8 @@
     };
     for (const vm of this.vms) {
       vm.disk.beforeSync = () => {};
+      vm.disk.full = false;
+      vm.disk.broken = false;
       this.thaw(vm);
       if (vm.process?.stopping === true) this.crash(vm);
       this.start(vm);
--- a/agreement/sync_loop.ts
+++ b/agreement/sync_loop.ts
@@ -4,8 +4,15 @@
  *
  * @module
  */
-import { type Bytes, type Clock, type EventLog, MEBIBYTE } from "#core";
+import {
+  type Bytes,
+  type Clock,
+  type EventLog,
+  MEBIBYTE,
+  type Milliseconds,
+} from "#core";
 import type { Applier } from "./applier.ts";
+import { StorageFull } from "./data_folder.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
 import type { ReceivedChunk } from "./following.ts";
 import {
@@ -35,6 +42,8 @@
 };
 
 const POSTPONED_FACTOR = 4;
+/** Pause before a change that found no room is tried again. */
+const FULL_DISK_PAUSE_MS: Milliseconds = 250;
 
 /** What the loop is built from. */
 export interface SyncLoopOptions {
@@ -77,8 +86,10 @@
     try {
       while (!this.#stopped && await this.#writeNext());
     } catch (error) {
+      // What found no room before a stop was told to nobody.
+      const givenUp = this.#stopped && error instanceof StorageFull;
       this.#stopped = true;
-      this.#options.onFault(error);
+      if (!givenUp) this.#options.onFault(error);
     } finally {
       this.#running = false;
     }
@@ -91,7 +102,7 @@
     const taken = replica.takeBatch(clock.nowMs());
     send(replica.takeReady());
     if (taken !== undefined) {
-      await this.#options.storage.append(taken.batch);
+      await this.#withRoom(() => this.#options.storage.append(taken.batch));
       this.#finish(taken);
       return true;
     }
@@ -103,6 +114,24 @@
     return this.#saveSnapshot();
   }
 
+  /** Does a change, again and again while the disk is full. */
+  async #withRoom<Value>(change: () => Promise<Value>): Promise<Value> {
+    const { clock, events } = this.#options;
+    let full = false;
+    while (true) {
+      try {
+        const value = await change();
+        if (full) events.emit(AGREEMENT_EVENTS.diskHasRoom);
+        return value;
+      } catch (error) {
+        if (!(error instanceof StorageFull) || this.#stopped) throw error;
+        if (!full) events.emit(AGREEMENT_EVENTS.diskFull, { ...error.failure });
+        full = true;
+      }
+      await clock.sleep(FULL_DISK_PAUSE_MS);
+    }
+  }
+
   #finish(taken: TakenBatch): void {
     if (this.#stopped) return;
     this.#options.replica.synced(taken);
@@ -112,7 +141,9 @@
 
   async #receive(received: ReceivedChunk): Promise<void> {
     const { replica, storage, afterSync } = this.#options;
-    const { heldBytes, whole } = await storage.receiveChunk(received.chunk);
+    const { heldBytes, whole } = await this.#withRoom(() =>
+      storage.receiveChunk(received.chunk)
+    );
     if (this.#stopped) return;
     if (whole !== null) await this.#install(whole);
     if (this.#stopped) return;
@@ -127,13 +158,14 @@
     if (index <= state.committedIndex) return;
     const taken = state.install(whole.encoded);
     applier.restore(whole.snapshot);
-    await storage.saveSnapshot(whole, this.#logBase(state.log.base.index));
+    const base = this.#logBase(state.log.base.index);
+    await this.#withRoom(() => storage.saveSnapshot(whole, base));
     this.#finish(taken);
     events.emit(AGREEMENT_EVENTS.snapshotInstalled, { index });
   }
 
   async #saveSnapshot(): Promise<boolean> {
-    const { replica, storage, applier, events, policy } = this.#options;
+    const { replica, applier, events, policy } = this.#options;
     if (!this.#snapshotDue()) return false;
     const snapshot = applier.snapshot(replica);
     if (snapshot === undefined) return false;
@@ -141,7 +173,7 @@
     const { index } = snapshot.meta;
     const base = Math.max(state.log.base.index, index - policy.retainedEntries);
     const packed = packSnapshot(snapshot);
-    await storage.saveSnapshot(packed, this.#logBase(base));
+    if (!await this.#save(packed, base)) return false;
     state.snapshot = packed.encoded;
     state.log.compact(base);
     const { bytes } = packed.encoded;
@@ -149,6 +181,19 @@
     return true;
   }
 
+  /** Whether there was room; if not, the next snapshot is taken after as many entries as usual. */
+  async #save(packed: PackedSnapshot, base: number): Promise<boolean> {
+    const { storage, events } = this.#options;
+    try {
+      await storage.saveSnapshot(packed, this.#logBase(base));
+      return true;
+    } catch (error) {
+      if (!(error instanceof StorageFull)) throw error;
+      events.emit(AGREEMENT_EVENTS.diskFull, { ...error.failure });
+      return false;
+    }
+  }
+
   #snapshotDue(): boolean {
     const { replica, applier, policy, clock } = this.#options;
     const sending = replica.leadership?.sending.busy(clock.nowMs()) ?? false;
