--- a/agreement/fuzz_model.ts
+++ b/agreement/fuzz_model.ts
@@ -49,6 +49,8 @@
   | { readonly kind: "stop"; readonly vm: number }
   | { readonly kind: "start"; readonly vm: number; readonly first: boolean }
   | { readonly kind: "loseDisk"; readonly vm: number }
+  | { readonly kind: "fillDisk"; readonly vm: number; readonly full: boolean }
+  | { readonly kind: "breakDisk"; readonly vm: number }
   | { readonly kind: "move"; readonly peers: readonly string[] };
 
 type Way = "in" | "out" | "both";
@@ -110,6 +112,8 @@
   { weight: 1, arbitrary: step("stop", { vm }) },
   { weight: 5, arbitrary: step("start", { vm, first: fc.boolean() }) },
   { weight: 2, arbitrary: step("loseDisk", { vm }) },
+  { weight: 2, arbitrary: step("fillDisk", { vm, full: fc.boolean() }) },
+  { weight: 1, arbitrary: step("breakDisk", { vm }) },
 );
 
 const moveArbitrary: fc.Arbitrary<FuzzStep> = step("move", {
@@ -194,6 +198,12 @@
       group.loseDisk(lost);
       group.start(lost);
     })
+    .with({ kind: "fillDisk" }, (each) => {
+      group.vm(each.vm).disk.full = each.full;
+    })
+    .with({ kind: "breakDisk" }, (each) => {
+      group.vm(each.vm).disk.broken = true;
+    })
     .with({ kind: "move" }, ({ peers }) => {
       group.peers = peers;
     })
--- a/agreement/leadership.ts
+++ b/agreement/leadership.ts
@@ -170,6 +170,7 @@
     }
     if (progress.next > this.#state.log.lastIndex) return;
     if (isWindowFull(progress)) return;
+    if (this.#needsSnapshot(progress, nowMs)) return;
     this.#send(progress, nowMs);
   }
 
@@ -233,16 +234,18 @@
   }
 
   #send(progress: Progress, nowMs: Milliseconds): void {
-    const { log } = this.#state;
-    if (progress.next <= log.base.index) {
-      const { snapshot } = this.#state;
-      if (snapshot !== null) {
-        this.#sending.needed(progress, { snapshot, nowMs });
-      }
-      this.#append(progress, { index: log.lastIndex + 1, nowMs });
-      return;
-    }
-    this.#append(progress, { index: progress.next, nowMs });
+    const index = this.#needsSnapshot(progress, nowMs)
+      ? this.#state.log.lastIndex + 1
+      : progress.next;
+    this.#append(progress, { index, nowMs });
+  }
+
+  /** Whether the next entry is in the snapshot only; starts to send that then. */
+  #needsSnapshot(progress: Progress, nowMs: Milliseconds): boolean {
+    const { log, snapshot } = this.#state;
+    if (progress.next > log.base.index) return false;
+    if (snapshot !== null) this.#sending.needed(progress, { snapshot, nowMs });
+    return true;
   }
 
   #append(
--- a/agreement/recovery_test.ts
+++ b/agreement/recovery_test.ts
@@ -169,3 +169,20 @@
   await group.run(REPAIR_MS);
   assert.equal(faulty.process?.machine.items.length, 30);
 });
+
+test("a leader sends a replica that needs a snapshot no more than heartbeats besides", async () => {
+  const group = await groupOf();
+  const full = vmOf(group, "c");
+  full.disk.full = true;
+  await commit(group, 40);
+  const leader = group.leader();
+  assert.ok(leader !== undefined);
+  let sent = 0;
+  const notify = leader.network.notify.bind(leader.network);
+  leader.network.notify = (options, body) => {
+    if (options.to === full.name) sent += 1;
+    notify(options, body);
+  };
+  await group.run(5_000);
+  assert.ok(sent <= 100, `${sent} messages`);
+});
