Plan an engine's memory by the peak of its runs, not the sum of their lengths

The plan took prompt and expected text of each run as held from its start; but a run grows, and short ones have ended when long ones are large.

Change: EngineLoad forecasts the most tokens that are held at one moment; an item starts where that stays under the engine's memory. Runs count what they have made, not the first estimate.

Test: three long and nine short texts start together on an engine of 36,000 tokens; failed before.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -277,7 +277,7 @@
     onlyVersion: work.onlyVersion,
     dueMs: work.dueMs,
     tokensLeft: work.tokensLeft(GUESSED_TOKENS_PER_EVENT),
-    memoryTokens: item.promptTokens + item.expectedTokens,
+    heldTokens: item.promptTokens + work.tokensMade(GUESSED_TOKENS_PER_EVENT),
     again: work.again,
   };
 }
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
+import { EngineLoad } from "./engine_load.ts";
 
 /** An item that waits for an engine. */
 export interface WaitingItem {
@@ -23,8 +24,8 @@
   readonly dueMs: Milliseconds;
   /** Tokens still to be made, by estimate. */
   readonly tokensLeft: number;
-  /** Tokens that it takes of an engine's memory. */
-  readonly memoryTokens: number;
+  /** Tokens of its prompt and of what it has made: they go into an engine's memory. */
+  readonly heldTokens: number;
   /** Whether an earlier batch had it: the trainer waits for it in any case. */
   readonly again: boolean;
 }
@@ -80,12 +81,6 @@
 const MEMORY_PART = 0.9;
 const GUESSED_TOKEN_MS: Milliseconds = 0.6;
 
-interface Load {
-  running: number;
-  tokens: number;
-  readonly groups: Set<string>;
-}
-
 /** Items to start now. */
 export function planStarts(input: ItemPlanInput): readonly Placing[] {
   const loads = loadOf(input.runs);
@@ -152,29 +147,26 @@
   return item.dueMs - item.tokensLeft * GUESSED_TOKEN_MS - headStartMs;
 }
 
-function loadOf(runs: readonly PlacedRun[]): Map<string, Load> {
-  const loads = new Map<string, Load>();
+function loadOf(runs: readonly PlacedRun[]): Map<string, EngineLoad> {
+  const loads = new Map<string, EngineLoad>();
   for (const run of runs) addLoad(loads, run.engine, run.item);
   return loads;
 }
 
 function addLoad(
-  loads: Map<string, Load>,
+  loads: Map<string, EngineLoad>,
   engine: string,
   item: WaitingItem,
 ): void {
-  const load = loads.get(engine) ??
-    { running: 0, tokens: 0, groups: new Set<string>() };
-  load.running += 1;
-  load.tokens += item.memoryTokens;
-  load.groups.add(item.group);
+  const load = loads.get(engine) ?? new EngineLoad();
+  load.add(item);
   loads.set(engine, load);
 }
 
 function bestEngine(
   item: WaitingItem,
   input: ItemPlanInput,
-  loads: ReadonlyMap<string, Load>,
+  loads: ReadonlyMap<string, EngineLoad>,
 ): EngineView | undefined {
   let best: EngineView | undefined;
   let bestScore = Infinity;
@@ -207,23 +199,23 @@
 function fits(
   item: WaitingItem,
   view: EngineView,
-  loads: ReadonlyMap<string, Load>,
+  loads: ReadonlyMap<string, EngineLoad>,
 ): boolean {
   const load = loads.get(view.upstream.id);
   if (load === undefined) return true;
   if (load.running >= view.upstream.slots) return false;
-  return load.tokens + item.memoryTokens <= view.memoryTokens * MEMORY_PART;
+  return load.peakWith(item) <= view.memoryTokens * MEMORY_PART;
 }
 
 /** The less the better: speed first, then a prompt that is there, then the emptier engine. */
 function scoreOf(
   item: WaitingItem,
   view: EngineView,
-  loads: ReadonlyMap<string, Load>,
+  loads: ReadonlyMap<string, EngineLoad>,
 ): number {
   const load = loads.get(view.upstream.id);
   const fullness = (load?.running ?? 0) / Math.max(1, view.upstream.slots);
-  const promptThere = load?.groups.has(item.group) === true;
+  const promptThere = load?.hasGroup(item.group) === true;
   const crowd = promptThere ? fullness * 0.5 : 0.3 + fullness;
   return view.eventGapMs * (1 + crowd);
 }
@@ -233,7 +225,7 @@
   view: EngineView,
   state: {
     readonly input: ItemPlanInput;
-    readonly loads: ReadonlyMap<string, Load>;
+    readonly loads: ReadonlyMap<string, EngineLoad>;
   },
 ): EngineView | undefined {
   const { input, loads } = state;
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -22,7 +22,7 @@
     onlyVersion: null,
     dueMs: NOW_MS + 7_000,
     tokensLeft: 1_000,
-    memoryTokens: 1_500,
+    heldTokens: 500,
     again: false,
     ...change,
   };
@@ -116,6 +116,20 @@
   assert.deepEqual(placings, []);
 });
 
+test("long and short texts start together, as the short ones give their memory back in time", () => {
+  const long = ["l1", "l2", "l3"].map((key) =>
+    item(key, { tokensLeft: 9_000 })
+  );
+  const short = Array.from({ length: 9 }, (_, at) => item(`s${at}`));
+  const placings = planStarts({
+    nowMs: NOW_MS,
+    waiting: [...long, ...short],
+    runs: [],
+    engines: [engine("one", { memoryTokens: 36_000 }, { slots: 12 })],
+  });
+  assert.equal(placings.length, 12);
+});
+
 test("a text that one version must make goes on only at an engine with that version", () => {
   const input = {
     nowMs: NOW_MS,
--- a/batches/item_work.ts
+++ b/batches/item_work.ts
@@ -90,12 +90,16 @@
 
   /** Estimate of the tokens that are left, by the number of events so far; a long text tends to go on. */
   tokensLeft(tokensPerEvent: number): number {
-    const events = this.#base().events + this.#tail.length;
     const { expectedTokens } = this.item;
-    const made = events * tokensPerEvent;
+    const made = this.tokensMade(tokensPerEvent);
     return Math.max(expectedTokens - made, made * LEFT_PART_OF_MADE);
   }
 
+  /** Estimate of the tokens that are made. */
+  tokensMade(tokensPerEvent: number): number {
+    return (this.#base().events + this.#tail.length) * tokensPerEvent;
+  }
+
   /** Whether a version may make the next event. */
   mayMake(version: number): boolean {
     const versions = [...new Set([...this.versions, version])];
