Tell an engine's pace by the middle gap, and move runs to a named engine

The moving mean went up to 53 to 182 ms for a moment whenever prompts were read, and was forgotten within seconds, so that slow engines counted as fast again. A long text stayed on an engine 1.28 times slower, since moves began at 1.7: 1.6 s of the tail of its step.

Ruled out: the number of runs at an engine (the middle gap is 40 ms from idle to full), loads of weights (gaps over 150 ms are under one in 200).

Change: PaceWindow takes the middle gap by waiting time over the last 1.5 s of runs; only the slowness beyond 1.5 times the usual fades. A move names its engine, the fastest one. From 1.2 times the pace for runs that may be late where they are, from 1.7 for others.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -214,9 +214,11 @@
   }
 
   #place(): void {
-    for (const { key, reason } of planMoves(this.#planInput())) {
+    for (const { key, reason, to } of planMoves(this.#planInput())) {
       const work = this.#works.get(key);
-      if (work !== undefined) this.#runs.move(work, reason);
+      if (work === undefined) continue;
+      this.#runs.move(work, reason);
+      if (to !== null) this.#runs.begin(work, to);
     }
     for (const { item, engine } of planStarts(this.#planInput())) {
       const work = this.#works.get(item.key);
--- a/batches/engine_memory.ts
+++ b/batches/engine_memory.ts
@@ -5,17 +5,20 @@
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
+import { PaceWindow } from "./pace_window.ts";
 
+/** Time for an event before any engine has shown one. */
 const FIRST_GAP_MS: Milliseconds = 40;
-const GAP_SHARE = 0.15;
+/** An engine that makes no events counts as slower than usual by no more than this in the long run. */
+const LONG_SLOWNESS = 1.5;
+/** Time in which the slowness beyond that is forgotten by half. */
 const FADE_MS: Milliseconds = 3_000;
 const REFUSED_PAUSE_MS: Milliseconds = 120;
 const FIRST_BROKEN_PAUSE_MS: Milliseconds = 250;
 const LONGEST_PAUSE_MS: Milliseconds = 2_000;
 
 interface Memory {
-  gapMs: Milliseconds;
-  gapAtMs: Milliseconds;
+  readonly pace: PaceWindow;
   pausedUntilMs: Milliseconds;
   brokenPauseMs: Milliseconds;
   readonly versions: Map<string, number>;
@@ -32,9 +35,7 @@
     nowMs: Milliseconds,
   ): void {
     const memory = this.#of(engine);
-    const before = fadedGap(memory, nowMs);
-    memory.gapMs = before + GAP_SHARE * (gapMs - before);
-    memory.gapAtMs = nowMs;
+    memory.pace.note(gapMs, nowMs);
     memory.brokenPauseMs = FIRST_BROKEN_PAUSE_MS;
   }
 
@@ -44,9 +45,8 @@
     silentMs: Milliseconds,
     nowMs: Milliseconds,
   ): void {
-    const memory = this.#of(engine);
-    memory.gapMs = Math.max(fadedGap(memory, nowMs), silentMs);
-    memory.gapAtMs = nowMs;
+    const { pace } = this.#of(engine);
+    pace.replace(Math.max(pace.middleMs() ?? 0, silentMs), nowMs);
     this.broke(engine, nowMs);
   }
 
@@ -73,9 +73,17 @@
     );
   }
 
-  /** Mean time between two events of one run. */
+  /**
+   * Time between two events of one run. An engine that has shown none counts as usual; the slowness of one
+   * that makes none is forgotten in part, so that it gets another trial.
+   */
   gapMs(engine: string, nowMs: Milliseconds): Milliseconds {
-    return fadedGap(this.#of(engine), nowMs);
+    const { pace } = this.#of(engine);
+    const usualMs = this.#usualGapMs();
+    const gapMs = pace.middleMs() ?? usualMs;
+    const longMs = Math.min(gapMs, usualMs * LONG_SLOWNESS);
+    const left = 0.5 ** ((nowMs - pace.lastMs) / FADE_MS);
+    return longMs + (gapMs - longMs) * left;
   }
 
   /** Until when no run may start. */
@@ -102,12 +110,23 @@
     }
   }
 
+  /** The middle one of what the engines have shown and of what is expected of the first. */
+  #usualGapMs(): Milliseconds {
+    const shown: Milliseconds[] = [FIRST_GAP_MS];
+    for (const { pace } of this.#memory.values()) {
+      const gapMs = pace.middleMs();
+      if (gapMs !== undefined) shown.push(gapMs);
+    }
+    shown.sort((a, b) => a - b);
+    return shown[Math.floor((shown.length - 1) / 2)] ??
+      FIRST_GAP_MS;
+  }
+
   #of(engine: string): Memory {
     const known = this.#memory.get(engine);
     if (known !== undefined) return known;
     const fresh: Memory = {
-      gapMs: FIRST_GAP_MS,
-      gapAtMs: 0,
+      pace: new PaceWindow(),
       pausedUntilMs: 0,
       brokenPauseMs: FIRST_BROKEN_PAUSE_MS,
       versions: new Map(),
@@ -116,8 +135,3 @@
     return fresh;
   }
 }
-
-function fadedGap(memory: Memory, nowMs: Milliseconds): Milliseconds {
-  const left = 0.5 ** ((nowMs - memory.gapAtMs) / FADE_MS);
-  return FIRST_GAP_MS + (memory.gapMs - FIRST_GAP_MS) * left;
-}
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -73,7 +73,11 @@
 /** A run that has no event yet may have to wait for its prompt. */
 const LEAST_FIRST_SILENCE_MS: Milliseconds = 700;
 /** How many times faster another engine must be for a run to go on there. */
-const FASTER = 1.7;
+const MUCH_FASTER = 1.7;
+/** The same for a run that may be late where it is. */
+const FASTER = 1.2;
+/** Texts get longer than estimated, often by as much again. */
+const LENGTH_RISK = 2;
 const LEAST_GAIN_MS: Milliseconds = 150;
 /** Moves of one item to faster engines; there is no bound on leaving silent ones. */
 const MOST_MOVES = 6;
@@ -102,6 +106,8 @@
 export interface PlannedMove {
   readonly key: string;
   readonly reason: MoveReason;
+  /** Where it goes on at once, or null if that is still to be found. */
+  readonly to: FleetUpstream | null;
 }
 
 /** Runs that are to end here and go on elsewhere. */
@@ -115,18 +121,18 @@
   for (const run of slowest) {
     const view = views.get(run.engine);
     if (view === undefined || view.upstream.phase !== "ready") {
-      moves.push({ key: run.item.key, reason: "engine_leaves" });
+      moves.push({ key: run.item.key, reason: "engine_leaves", to: null });
       continue;
     }
     if (isSilent(run, view, input.nowMs)) {
-      moves.push({ key: run.item.key, reason: "silent" });
+      moves.push({ key: run.item.key, reason: "silent", to: null });
       continue;
     }
     if (run.moves >= MOST_MOVES) continue;
-    const faster = fasterEngine(run, view, { input, loads });
-    if (faster === undefined) continue;
-    addLoad(loads, faster.upstream.id, run.item);
-    moves.push({ key: run.item.key, reason: "faster_elsewhere" });
+    const to = fasterEngine(run, view, { input, loads })?.upstream;
+    if (to === undefined) continue;
+    addLoad(loads, to.id, run.item);
+    moves.push({ key: run.item.key, reason: "faster_elsewhere", to });
   }
   return moves;
 }
@@ -229,14 +235,28 @@
   },
 ): EngineView | undefined {
   const { input, loads } = state;
+  let best: EngineView | undefined;
   for (const other of input.engines) {
     if (other === view || !mayRun(run.item, other, input.nowMs)) continue;
     if (!fits(run.item, other, loads)) continue;
-    const ratio = view.eventGapMs / other.eventGapMs;
-    if (ratio < FASTER) continue;
-    const leftMs = run.item.tokensLeft * GUESSED_TOKEN_MS;
-    if (leftMs * (ratio - 1) < LEAST_GAIN_MS) continue;
-    return other;
+    if (other.eventGapMs >= (best?.eventGapMs ?? Infinity)) continue;
+    const gain = { from: view, to: other, nowMs: input.nowMs };
+    if (isWorthMoving(run.item, gain)) best = other;
   }
-  return undefined;
+  return best;
+}
+
+function isWorthMoving(
+  item: WaitingItem,
+  gain: {
+    readonly from: EngineView;
+    readonly to: EngineView;
+    readonly nowMs: Milliseconds;
+  },
+): boolean {
+  const ratio = gain.from.eventGapMs / gain.to.eventGapMs;
+  const leftMs = item.tokensLeft * GUESSED_TOKEN_MS;
+  if (leftMs * (ratio - 1) < LEAST_GAIN_MS) return false;
+  const atRisk = gain.nowMs + leftMs * LENGTH_RISK * ratio > item.dueMs;
+  return ratio >= (atRisk ? FASTER : MUCH_FASTER);
 }
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -165,6 +165,50 @@
   ]);
 });
 
+test("a run on an engine that is a little slower goes on at the fastest one, told by name", () => {
+  const moves = planMoves({
+    nowMs: NOW_MS,
+    waiting: [],
+    runs: [run("long", "slow", { item: item("long", { tokensLeft: 9_000 }) })],
+    engines: [
+      engine("slow", { eventGapMs: 52 }),
+      engine("middle", { eventGapMs: 42 }),
+      engine("fast", { eventGapMs: 40 }),
+    ],
+  });
+  assert.deepEqual(moves.map((move) => move.to?.id), ["fast"]);
+});
+
+test("a run that has much time to spare goes on at a much faster engine only", () => {
+  const runs = [
+    run("spare", "slow", {
+      item: item("spare", { tokensLeft: 2_000, dueMs: NOW_MS + 6_000 }),
+    }),
+  ];
+  const to = (eventGapMs: number) =>
+    planMoves({
+      nowMs: NOW_MS,
+      waiting: [],
+      runs,
+      engines: [
+        engine("slow", { eventGapMs: 52 }),
+        engine("fast", { eventGapMs }),
+      ],
+    });
+  assert.equal(to(40).length, 0);
+  assert.equal(to(25).length, 1);
+});
+
+test("a run stays where the time gained is less than what a move costs", () => {
+  const moves = planMoves({
+    nowMs: NOW_MS,
+    waiting: [],
+    runs: [run("short", "slow", { item: item("short", { tokensLeft: 500 }) })],
+    engines: [engine("slow", { eventGapMs: 52 }), engine("fast")],
+  });
+  assert.deepEqual(moves, []);
+});
+
 test("a run stays where it is when all faster engines are full", () => {
   const moves = planMoves({
     nowMs: NOW_MS,
