Let a run stay a second where it came to, and move runs one after the other

Cause: after a change of leader, and when one engine seemed slower, all long runs moved to the fastest engine at once.

Change: a run stays a second at an engine unless that is silent or leaves. An engine at which a run has made no event yet takes no moved runs.

Tests: a run that has just come stays; of three runs one moves, and none while the engine reads.

--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -34,6 +34,7 @@
 export interface PlacedRun {
   readonly item: WaitingItem;
   readonly engine: string;
+  readonly startedMs: Milliseconds;
   /** When its last event came, or when it began. */
   readonly lastEventMs: Milliseconds;
   readonly begun: boolean;
@@ -81,6 +82,8 @@
 const LEAST_GAIN_MS: Milliseconds = 150;
 /** Moves of one item to faster engines; there is no bound on leaving silent ones. */
 const MOST_MOVES = 6;
+/** How long a run stays at least: an engine that reads the prompts of new runs seems slow meanwhile. */
+const LEAST_STAY_MS: Milliseconds = 1_000;
 const AGAIN_HEAD_START_MS: Milliseconds = 3_000;
 const MEMORY_PART = 0.9;
 const GUESSED_TOKEN_MS: Milliseconds = 0.6;
@@ -113,6 +116,7 @@
 /** Runs that are to end here and go on elsewhere. */
 export function planMoves(input: ItemPlanInput): readonly PlannedMove[] {
   const loads = loadOf(input.runs);
+  const reading = enginesThatRead(input.runs);
   const views = new Map(input.engines.map((each) => [each.upstream.id, each]));
   const moves: PlannedMove[] = [];
   const slowest = [...input.runs].sort((a, b) =>
@@ -129,9 +133,11 @@
       continue;
     }
     if (run.moves >= MOST_MOVES) continue;
-    const to = fasterEngine(run, view, { input, loads })?.upstream;
+    if (input.nowMs < run.startedMs + LEAST_STAY_MS) continue;
+    const to = fasterEngine(run, view, { input, loads, reading })?.upstream;
     if (to === undefined) continue;
     addLoad(loads, to.id, run.item);
+    reading.add(to.id);
     moves.push({ key: run.item.key, reason: "faster_elsewhere", to });
   }
   return moves;
@@ -159,6 +165,15 @@
   return loads;
 }
 
+/** Engines that read a prompt now. Runs that came to one all at once would slow each other down. */
+function enginesThatRead(runs: readonly PlacedRun[]): Set<string> {
+  const reading = new Set<string>();
+  for (const run of runs) {
+    if (!run.begun) reading.add(run.engine);
+  }
+  return reading;
+}
+
 function addLoad(
   loads: Map<string, EngineLoad>,
   engine: string,
@@ -232,12 +247,14 @@
   state: {
     readonly input: ItemPlanInput;
     readonly loads: ReadonlyMap<string, EngineLoad>;
+    readonly reading: ReadonlySet<string>;
   },
 ): EngineView | undefined {
-  const { input, loads } = state;
+  const { input, loads, reading } = state;
   let best: EngineView | undefined;
   for (const other of input.engines) {
     if (other === view || !mayRun(run.item, other, input.nowMs)) continue;
+    if (reading.has(other.upstream.id)) continue;
     if (!fits(run.item, other, loads)) continue;
     if (other.eventGapMs >= (best?.eventGapMs ?? Infinity)) continue;
     const gain = { from: view, to: other, nowMs: input.nowMs };
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -62,6 +62,7 @@
   return {
     item: item(key),
     engine: at,
+    startedMs: NOW_MS - 2_000,
     lastEventMs: NOW_MS - 40,
     begun: true,
     moves: 0,
@@ -199,6 +200,35 @@
   assert.equal(to(25).length, 1);
 });
 
+test("a run that has just come to an engine stays there for a while", () => {
+  const engines = [engine("slow", { eventGapMs: 140 }), engine("fast")];
+  const movesAfter = (ageMs: number) =>
+    planMoves({
+      nowMs: NOW_MS,
+      waiting: [],
+      runs: [run("new", "slow", { startedMs: NOW_MS - ageMs })],
+      engines,
+    });
+  assert.equal(movesAfter(300).length, 0);
+  assert.equal(movesAfter(1_100).length, 1);
+});
+
+test("runs go to a faster engine one after the other, not as a herd", () => {
+  const slow = ["a", "b", "c"].map((key) => run(key, "slow"));
+  const plan = (runs: readonly PlacedRun[]) =>
+    planMoves({
+      nowMs: NOW_MS,
+      waiting: [],
+      runs,
+      engines: [
+        engine("slow", { eventGapMs: 140 }),
+        engine("fast", {}, { slots: 8 }),
+      ],
+    });
+  assert.equal(plan(slow).length, 1);
+  assert.equal(plan([...slow, run("d", "fast", { begun: false })]).length, 0);
+});
+
 test("a run stays where the time gained is less than what a move costs", () => {
   const moves = planMoves({
     nowMs: NOW_MS,
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -50,11 +50,13 @@
   /** Begins an item at an engine, or goes on with it there. */
   async begin(work: ItemWork, upstream: FleetUpstream): Promise<void> {
     const { clock, dialect } = this.#options;
+    const nowMs = clock.nowMs();
     const run: OngoingRun = {
       engine: upstream.id,
       key: incarnationOf(upstream),
       abort: new AbortController(),
-      lastEventMs: clock.nowMs(),
+      startedMs: nowMs,
+      lastEventMs: nowMs,
       begun: false,
     };
     work.run = run;
--- a/batches/item_work.ts
+++ b/batches/item_work.ts
@@ -23,6 +23,7 @@
   /** The life of the engine. */
   readonly key: string;
   readonly abort: AbortController;
+  readonly startedMs: Milliseconds;
   lastEventMs: Milliseconds;
   begun: boolean;
 }
