--- a/membership/events.ts
+++ b/membership/events.ts
@@ -71,8 +71,15 @@
     code: 1411,
     level: "info",
     text:
-      "the control VM that this VM followed does not answer; another is asked",
-    action: "None, unless it happens often: then look at the control VMs.",
+      "the control VM that this VM followed is of no use now; others are asked in turn",
+    action:
+      "None, unless no 1416 follows soon: then look at the control VMs and the links to them.",
+  },
+  controlFound: {
+    code: 1416,
+    level: "info",
+    text: "this VM follows a control VM again",
+    action: "None.",
   },
   configurationInForce: {
     code: 1412,
--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -52,6 +52,8 @@
   #server: string | undefined;
   #turn = 0;
   #quorumMissing = false;
+  /** Whether the last answer was one to rely on. */
+  #following = true;
   #stopped = false;
 
   constructor(options: FleetFollowerOptions) {
@@ -142,7 +144,8 @@
       this.#quorumMissing = false;
       const followed = answer.val as FollowAnswer;
       this.#take(followed);
-      if (!followed.current) this.#lose(server, "it hears no quorum");
+      if (followed.current) this.#find(server);
+      else this.#lose(server, "it hears no quorum");
       return followed.current;
     }
     this.#quorumMissing = answer.val.kind !== "not_leader" ||
@@ -169,12 +172,20 @@
     this.#turn += 1;
     if (this.#server !== server) return;
     this.#server = undefined;
+    if (!this.#following) return;
+    this.#following = false;
     this.#options.events.emit(MEMBERSHIP_EVENTS.controlLost, {
       server,
       reason,
     });
   }
 
+  #find(server: string): void {
+    if (this.#following) return;
+    this.#following = true;
+    this.#options.events.emit(MEMBERSHIP_EVENTS.controlFound, { server });
+  }
+
   #take(answer: FollowAnswer): void {
     const nodesChanged = leadersOf(answer.nodes) !== leadersOf(this.#nodes);
     this.#nodes = answer.nodes;
--- a/membership/fleet_spread_test.ts
+++ b/membership/fleet_spread_test.ts
@@ -74,6 +74,8 @@
   });
   readonly controls: readonly Control[];
   readonly follower: FleetFollower;
+  /** Log events of the follower. */
+  readonly events = new MemoryEventLog();
 
   constructor() {
     this.controls = CONTROLS.map((vm, at) => this.#control(vm, at));
@@ -81,7 +83,7 @@
       network: this.network.join("e1:3"),
       clock: this.clock,
       random: new SeededRandom(4),
-      events: new MemoryEventLog(),
+      events: this.events,
       self: () => nodeOf("e1:3", "entry", "z1"),
       seeds: () => CONTROLS,
       onChange: () => {},
@@ -177,3 +179,17 @@
   await world.clock.advanceAsync(100);
   assert.equal(spare.server.upstreams().length, 1);
 });
+
+test("a VM that is cut off logs once that it follows none, and once that it does again", async () => {
+  const world = new World();
+  await world.start();
+  const before = world.events.records().length;
+  for (const vm of CONTROLS) world.network.cut("e1:3", vm);
+  await world.clock.advanceAsync(20_000);
+  world.network.heal();
+  await world.clock.advanceAsync(5_000);
+  const codes = world.events.records().slice(before).map((each) =>
+    each.event.code
+  );
+  assert.deepEqual(codes, [1411, 1416]);
+});
