--- a/proof/bench_overload.ts
+++ b/proof/bench_overload.ts
@@ -7,11 +7,8 @@
 import type { Milliseconds } from "#core";
 import { DEFAULT_TUNING, type PolicyTuning, PREVIOUS_TUNING } from "#requests";
 import type { BenchFigures, BenchOptions } from "./bench.ts";
-import {
-  OverloadSite,
-  type SiteFigures,
-  type SitePolicy,
-} from "./overload_site.ts";
+import type { SiteFigures, SitePolicy } from "./overload_parts.ts";
+import { OverloadSite } from "./overload_site.ts";
 
 const LOADS = [0.5, 1, 2, 4] as const;
 const SEEDS = [1, 2, 3] as const;
--- /dev/null
+++ b/proof/fuzz_requests_faults.ts
@@ -0,0 +1,222 @@
+/**
+ * Upstreams and a control port with faults that are given as lists, and a count of what was executed: for the
+ * fuzz of service calls.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  ControlPort,
+  Err,
+  fail,
+  type Failure,
+  type LocalControl,
+  type MachineCommand,
+  type MachineQuestion,
+  type Milliseconds,
+  Ok,
+  type Result,
+} from "#core";
+import {
+  type Reach,
+  type UpstreamAnswer,
+  UpstreamCaller,
+  type UpstreamFailure,
+  type UpstreamRequest,
+} from "#requests";
+
+const LATE_MS: Milliseconds = 700;
+const FROZEN_MS: Milliseconds = 6_000;
+
+/** What goes wrong with one call to an upstream. */
+export const UPSTREAM_FAULTS = [
+  "none",
+  "refused",
+  "reset_before_execution",
+  "reset_after_execution",
+  "short_answer",
+  "frozen",
+  "frozen_then_executed",
+  "late_answer",
+] as const;
+
+/** What goes wrong with one command to the control VMs. */
+export const CONTROL_FAULTS = [
+  "none",
+  "no_quorum",
+  "lost_before_commit",
+  "lost_after_commit",
+  "committed_late",
+  "committed_twice",
+  "frozen",
+] as const;
+
+/** A fault of an upstream. */
+export type UpstreamFault = typeof UPSTREAM_FAULTS[number];
+/** A fault of the control port. */
+export type ControlFault = typeof CONTROL_FAULTS[number];
+
+/** Counts executions by operation. */
+export class ExecutionOracle {
+  readonly #executions = new Map<string, number>();
+  readonly #byRequest = new Map<string, number>();
+
+  /** Notes an execution. */
+  execute(operation: string, requestId: string): void {
+    this.#executions.set(operation, this.count(operation) + 1);
+    const before = this.#byRequest.get(requestId) ?? 0;
+    this.#byRequest.set(requestId, before + 1);
+  }
+
+  /** How often an operation was executed. */
+  count(operation: string): number {
+    return this.#executions.get(operation) ?? 0;
+  }
+
+  /** How often one arrival was executed. */
+  countOfRequest(requestId: string): number {
+    return this.#byRequest.get(requestId) ?? 0;
+  }
+}
+
+/** Upstreams in memory. A killed entry's calls still run but nobody hears the answer. */
+export class FaultyUpstreams extends UpstreamCaller {
+  readonly #clock: Clock;
+  readonly #oracle: ExecutionOracle;
+  readonly #faults: UpstreamFault[];
+  isKilled = false;
+
+  constructor(
+    parts: { readonly clock: Clock; readonly oracle: ExecutionOracle },
+    faults: UpstreamFault[],
+  ) {
+    super();
+    this.#clock = parts.clock;
+    this.#oracle = parts.oracle;
+    this.#faults = faults;
+  }
+
+  override call(
+    request: UpstreamRequest,
+  ): Promise<Result<UpstreamAnswer, UpstreamFailure>> {
+    if (this.isKilled) return new Promise(() => {});
+    const fault = this.#faults.shift() ?? "none";
+    return new Promise((resolve) => {
+      const settle = (
+        result: Result<UpstreamAnswer, UpstreamFailure>,
+      ): void => {
+        if (!this.isKilled) resolve(result);
+      };
+      this.#run(fault, { request, settle });
+    });
+  }
+
+  override close(): void {}
+
+  #run(
+    fault: UpstreamFault,
+    call: {
+      readonly request: UpstreamRequest;
+      readonly settle: (
+        result: Result<UpstreamAnswer, UpstreamFailure>,
+      ) => void;
+    },
+  ): void {
+    const { request, settle } = call;
+    let reach: Reach = "not_connected";
+    const advance = (next: Reach): void => {
+      reach = next;
+      if (!this.isKilled) request.onReach?.(next);
+    };
+    const breakOff = (cause: UpstreamFailure["cause"]): void =>
+      settle(Err({ reach, cause, message: fault }));
+    const execute = (): void =>
+      this.#oracle.execute(operationOf(request), requestOf(request));
+    this.#clock.after(request.deadlineMs - this.#clock.nowMs(), () => {
+      breakOff("deadline");
+    });
+    this.#clock.after(1, () => {
+      if (fault === "refused") return breakOff("not_connected");
+      advance("sent");
+      if (fault === "frozen") return;
+      if (fault === "frozen_then_executed") {
+        this.#clock.after(LATE_MS, execute);
+        return;
+      }
+      if (fault === "reset_before_execution") {
+        return breakOff("connection_lost");
+      }
+      this.#clock.after(fault === "late_answer" ? LATE_MS : 2, () => {
+        execute();
+        if (fault === "reset_after_execution") {
+          return breakOff("connection_lost");
+        }
+        advance("first_byte");
+        if (fault === "short_answer") return breakOff("short_answer");
+        advance("whole");
+        settle(Ok({ status: 201, headers: {}, body: answerTo(request) }));
+      });
+    });
+  }
+}
+
+/** A control port in front of a machine, with faults. */
+export class FaultyControl extends ControlPort {
+  readonly #inner: LocalControl;
+  readonly #clock: Clock;
+  readonly #faults: ControlFault[];
+  isKilled = false;
+
+  constructor(
+    parts: { readonly inner: LocalControl; readonly clock: Clock },
+    faults: ControlFault[],
+  ) {
+    super();
+    this.#inner = parts.inner;
+    this.#clock = parts.clock;
+    this.#faults = faults;
+  }
+
+  override async propose(
+    request: MachineCommand,
+  ): Promise<Result<unknown, Failure>> {
+    if (this.isKilled) return await new Promise(() => {});
+    const fault = this.#faults.shift() ?? "none";
+    await this.#clock.sleep(fault === "frozen" ? FROZEN_MS : 1);
+    if (fault === "no_quorum") return Err(fail("no_quorum", "no quorum"));
+    if (fault === "committed_late") {
+      this.#clock.after(LATE_MS, () => this.#inner.propose(request));
+    }
+    const isLost = fault !== "none" && fault !== "lost_after_commit" &&
+      fault !== "committed_twice";
+    if (isLost) return Err(fail("outcome_unknown", fault));
+    if (fault === "committed_twice") await this.#inner.propose(request);
+    const reply = await this.#inner.propose(request);
+    if (fault === "lost_after_commit") {
+      return Err(fail("outcome_unknown", fault));
+    }
+    await this.#clock.sleep(1);
+    return reply;
+  }
+
+  override query(request: MachineQuestion): Promise<Result<unknown, Failure>> {
+    return this.#inner.query(request);
+  }
+}
+
+/** The one right answer to an operation. */
+export function expectedAnswer(operation: string): string {
+  return `saved ${operation}`;
+}
+
+function operationOf(request: UpstreamRequest): string {
+  return new TextDecoder().decode(request.body as Uint8Array);
+}
+
+function requestOf(request: UpstreamRequest): string {
+  return request.headers?.["cicadafield-request"] ?? "";
+}
+
+function answerTo(request: UpstreamRequest): Uint8Array {
+  return new TextEncoder().encode(expectedAnswer(operationOf(request)));
+}
--- a/proof/fuzz_requests_once.ts
+++ b/proof/fuzz_requests_once.ts
@@ -16,12 +16,14 @@
 import { MemoryNetwork } from "#wire";
 import type { FuzzOptions } from "./fuzz.ts";
 import {
-  claimsControl,
   CONTROL_FAULTS,
   ExecutionOracle,
   expectedAnswer,
-  startEntry,
   UPSTREAM_FAULTS,
+} from "./fuzz_requests_faults.ts";
+import {
+  claimsControl,
+  startEntry,
   WORLD_UPSTREAMS,
   type WorldEntry,
   type WorldParts,
--- a/proof/node_cluster.ts
+++ b/proof/node_cluster.ts
@@ -8,6 +8,7 @@
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import type { Address, FleetRole } from "#core";
+import { SETTINGS_VARIABLE } from "#platform";
 import { ManagedProcess } from "./managed_process.ts";
 import { lockNetwork, type NetworkLock } from "./network_lock.ts";
 
@@ -94,7 +95,7 @@
       name,
       program: PROGRAM,
       arguments: [role],
-      environment: { CICADAFIELD_NODE_FILE: settings },
+      environment: { [SETTINGS_VARIABLE]: settings },
       logFile: join(folder, "log"),
       readyUrl: `http://${host}:${port}/${path}`,
     });
--- a/proof/node_process_test.ts
+++ b/proof/node_process_test.ts
@@ -135,6 +135,7 @@
       address: cluster.spareAddress(at),
       models: id.startsWith("m") ? ["m"] : [],
       eventMs: 40,
+      bornMs: Date.now(),
     })
   );
   let turn = 0;
--- a/proof/overload_engine.ts
+++ b/proof/overload_engine.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { Milliseconds } from "#core";
+import type { Milliseconds, UpstreamRecord } from "#core";
 
 /** Sequences that decode without slowing each other down. */
 export const ENGINE_CAPACITY = 16;
@@ -132,3 +132,22 @@
     return isCached;
   }
 }
+
+/** What an engine announces of itself. */
+export function recordOf(engine: EngineModel): UpstreamRecord {
+  return {
+    id: engine.id,
+    incarnation: 1,
+    sequence: 1,
+    zone: engine.zone,
+    address: { host: "127.0.0.1", port: 1 },
+    role: "engine",
+    serves: [{ model: "topo", version: 1 }],
+    services: [],
+    capacity: ENGINE_CAPACITY,
+    enforcesFences: true,
+    reportsVersions: true,
+    leaving: false,
+    expiresAtMs: Number.POSITIVE_INFINITY,
+  };
+}
--- a/proof/overload_site.ts
+++ b/proof/overload_site.ts
@@ -9,24 +9,30 @@
   type LoadReport,
   type Milliseconds,
   SeededRandom,
-  type UpstreamRecord,
 } from "#core";
-import { type PolicyTuning, Scheduler, type WorkItem } from "#requests";
-import {
-  ENGINE_CAPACITY,
-  EngineModel,
-  TOKENS_PER_SECOND,
-} from "./overload_engine.ts";
+import { Scheduler, type WorkItem } from "#requests";
 import { OVERLOAD_BUNDLE } from "./overload_bundle.ts";
+import { EngineModel, recordOf } from "./overload_engine.ts";
+import {
+  DRAFTING_TOKENS_PER_SECOND,
+  newTrainer,
+  PER_ZONE,
+  sampleTokens,
+  SITE_TOKENS_PER_SECOND,
+  type SiteFigures,
+  type SiteOptions,
+  SiteTimers,
+  type TrainerState,
+  type Work,
+  workItem,
+  ZONES,
+} from "./overload_parts.ts";
 
-const ZONES = ["ngor", "plateau", "ouakam"] as const;
-const PER_ZONE = 2;
 const STEP_MS: Milliseconds = 10;
 const REPORT_PERIOD_MS: Milliseconds = 1_000;
 const REPORT_LAG_MS: Milliseconds = 500;
 const DEMAND_PERIOD_MS: Milliseconds = 200;
 const SWEEP_PERIOD_MS: Milliseconds = 50;
-const LOOKUP_DEADLINE_MS: Milliseconds = 5_000;
 const SAMPLE_DEADLINE_MS: Milliseconds = 540_000;
 const LOOKUP_TOKENS = 40;
 const LOOKUP_PROMPT = 300;
@@ -38,61 +44,6 @@
 const TRAIN_MS: Milliseconds = 24_000;
 const TRAINERS = ["grades", "routes"] as const;
 
-/** Tokens a second of all engines. */
-export const SITE_TOKENS_PER_SECOND = ZONES.length * PER_ZONE *
-  ENGINE_CAPACITY * TOKENS_PER_SECOND;
-/** Tokens a second that the trainers ask for when they never wait. */
-export const DRAFTING_TOKENS_PER_SECOND = 2_080;
-
-/** How requests are routed. */
-export type SitePolicy =
-  | { readonly kind: "round_robin" }
-  | { readonly kind: "scheduler"; readonly tuning: PolicyTuning };
-
-/** What a site is run with. */
-export interface SiteOptions {
-  readonly policy: SitePolicy;
-  /** Offered load over capacity; null for drafting alone. */
-  readonly load: number | null;
-  readonly seed: number;
-  readonly durationMs: Milliseconds;
-}
-
-/** What came out. */
-export interface SiteFigures {
-  readonly draftingTokens: number;
-  readonly lookupTokens: number;
-  readonly steps: number;
-  readonly stepTimesMs: readonly Milliseconds[];
-  readonly idlePart: number;
-  readonly lookupTimesMs: readonly Milliseconds[];
-  readonly lookupsOffered: number;
-  readonly lookupsRefused: number;
-  readonly refusalTimesMs: readonly Milliseconds[];
-  readonly lookupsExpired: number;
-  readonly wastedTokens: number;
-}
-
-interface Work {
-  readonly item: WorkItem;
-  readonly tokens: number;
-  readonly promptTokens: number;
-  readonly entry: number;
-  readonly onRefused: (failure: Failure) => void;
-  readonly onWhole: () => void;
-  engine: EngineModel | undefined;
-  startedMs: Milliseconds;
-  isDone: boolean;
-}
-
-interface TrainerState {
-  readonly name: string;
-  left: number;
-  startedMs: Milliseconds;
-  trainingUntilMs: Milliseconds;
-  isWhole: boolean;
-}
-
 /** Runs one site from start to end. */
 export class OverloadSite {
   readonly #options: SiteOptions;
@@ -100,7 +51,7 @@
   readonly #engines: EngineModel[] = [];
   readonly #entries: Scheduler[] = [];
   readonly #works = new Map<string, Work>();
-  readonly #timers: { readonly atMs: number; readonly run: () => void }[] = [];
+  readonly #timers = new SiteTimers();
   readonly #trainers: TrainerState[];
   #nowMs: Milliseconds = 0;
   #made = 0;
@@ -128,13 +79,7 @@
         }
       }
     }
-    this.#trainers = TRAINERS.map((name) => ({
-      name,
-      left: 0,
-      startedMs: 0,
-      trainingUntilMs: 0,
-      isWhole: false,
-    }));
+    this.#trainers = TRAINERS.map(newTrainer);
   }
 
   /** Plays the whole time. */
@@ -173,7 +118,7 @@
   #step(): void {
     this.#nowMs += STEP_MS;
     if (this.#nowMs === STEP_MS) this.#announce();
-    this.#runTimers();
+    this.#timers.run(this.#nowMs);
     this.#arrivals();
     if (this.#nowMs % REPORT_PERIOD_MS === 0) this.#report();
     if (this.#nowMs % DEMAND_PERIOD_MS === 0) this.#tellDemand();
@@ -275,21 +220,10 @@
   ): void {
     const index = this.#turn % this.#engines.length;
     this.#turn += 1;
-    const item: WorkItem = {
-      tenant: "agency",
-      class: "lookup",
-      trainer: null,
-      target: { kind: "model", name: "topo" },
-      prefixKey: "",
-      minimumVersion: null,
-      urgent: false,
-      avoid: [],
-      admitted: false,
-      arrivedMs: this.#nowMs,
-      deadlineMs: this.#nowMs + LOOKUP_DEADLINE_MS,
-      cost: work.tokens,
-      ...fields,
-    };
+    const item = workItem(fields, {
+      nowMs: this.#nowMs,
+      tokens: work.tokens,
+    });
     const made: Work = {
       ...work,
       item,
@@ -354,7 +288,10 @@
     for (let group = 0; group < GROUPS; group += 1) {
       const prefixKey = this.#name("prompt");
       for (let index = 0; index < GROUP_SIZE; index += 1) {
-        this.#askSample(trainer, { prefixKey, tokens: this.#sampleTokens() });
+        this.#askSample(trainer, {
+          prefixKey,
+          tokens: sampleTokens(this.#random),
+        });
       }
     }
   }
@@ -383,11 +320,6 @@
     });
   }
 
-  #sampleTokens(): number {
-    if (this.#random.fraction() < 0.05) return 800;
-    return 100 + this.#random.below(300);
-  }
-
   /** A trainer trains on a step while the next one is generated, and is idle while that isn't whole. */
   #train(trainer: TrainerState): void {
     if (trainer.left === 0 && !trainer.isWhole) {
@@ -409,32 +341,6 @@
   }
 
   #after(delayMs: Milliseconds, run: () => void): void {
-    this.#timers.push({ atMs: this.#nowMs + delayMs, run });
-  }
-
-  #runTimers(): void {
-    const due = this.#timers.filter((timer) => timer.atMs <= this.#nowMs);
-    if (due.length === 0) return;
-    const left = this.#timers.filter((timer) => timer.atMs > this.#nowMs);
-    this.#timers.splice(0, this.#timers.length, ...left);
-    for (const timer of due) timer.run();
+    this.#timers.add(this.#nowMs + delayMs, run);
   }
 }
-
-function recordOf(engine: EngineModel): UpstreamRecord {
-  return {
-    id: engine.id,
-    incarnation: 1,
-    sequence: 1,
-    zone: engine.zone,
-    address: { host: "127.0.0.1", port: 1 },
-    role: "engine",
-    serves: [{ model: "topo", version: 1 }],
-    services: [],
-    capacity: ENGINE_CAPACITY,
-    enforcesFences: true,
-    reportsVersions: true,
-    leaving: false,
-    expiresAtMs: Number.POSITIVE_INFINITY,
-  };
-}
