--- a/membership/upstream_registry.ts
+++ b/membership/upstream_registry.ts
@@ -9,10 +9,8 @@
  *
  * @module
  */
-import { isDeepStrictEqual } from "node:util";
 import {
   Err,
-  fail,
   type Failure,
   type LoadReport,
   type Milliseconds,
@@ -21,6 +19,12 @@
   type UpstreamAnnouncement,
   type UpstreamRecord,
 } from "#core";
+import {
+  hasLeft,
+  isOlder,
+  newerIncarnation,
+  sameContent,
+} from "./held_records.ts";
 import { HomeSet, isNewer, type Lease } from "./home_set.ts";
 import { ZONE_LOAD_PREFIX } from "./registry_notices.ts";
 import { mergeSets } from "./merged_view.ts";
@@ -328,31 +332,3 @@
     return nowMs + DEPARTURE_LEASES * this.#options.leaseMs();
   }
 }
-
-function newerIncarnation(known: UpstreamRecord): Failure {
-  return fail(
-    "conflict",
-    `${known.id} runs as incarnation ${known.incarnation}`,
-    { field: "incarnation" },
-  );
-}
-
-function hasLeft(record: HeldRecord): Failure {
-  return fail(
-    "conflict",
-    `${record.id} has left; announce it with a higher incarnation`,
-    { field: "incarnation" },
-  );
-}
-
-function isOlder(
-  header: SetHeader,
-  held: { readonly epoch: number; readonly version: number },
-): boolean {
-  if (header.epoch !== held.epoch) return header.epoch < held.epoch;
-  return header.version < held.version;
-}
-
-function sameContent(a: HeldRecord, b: HeldRecord): boolean {
-  return isDeepStrictEqual({ ...a, sequence: 0 }, { ...b, sequence: 0 });
-}
--- a/samples/sample_work.ts
+++ b/samples/sample_work.ts
@@ -23,6 +23,7 @@
 import type { EngineWitness } from "./engine_witness.ts";
 import { SAMPLES_EVENTS } from "./events.ts";
 import { type LeasedGroup, oldestVersion } from "./ledger_types.ts";
+import { extend, namesVersions, NOTHING, oldestOf } from "./partial_answers.ts";
 import { retryDelayMs } from "./retry_delay.ts";
 import type { RunningSample, StragglerPolicy } from "./straggler_policy.ts";
 
@@ -53,8 +54,6 @@
   readonly trainer: TrainerEntry;
 }
 
-const NOTHING: PartialAnswer = { text: "", tokens: 0, runs: [] };
-
 interface Attempt {
   readonly controller: AbortController;
   readonly startedAtMs: Milliseconds;
@@ -319,41 +318,6 @@
   }
 }
 
-/** Whether the runs name a version for each token. */
-export function namesVersions(answer: CompletionAnswer): boolean {
-  if (answer.runs === null || answer.runs.length === 0) return false;
-  let tokens = 0;
-  for (const run of answer.runs) tokens += run.tokens;
-  return tokens === answer.tokens;
-}
-
 function seedOf(key: string): number {
   return createHash("sha256").update(key).digest().readUInt32BE(0);
 }
-
-function oldestOf(partial: PartialAnswer): number {
-  return partial.runs.length === 0
-    ? Number.MAX_SAFE_INTEGER
-    : oldestVersion(partial.runs);
-}
-
-/** Adds a chunk to a beginning; null if the version of any token is not named. */
-function extend(
-  made: PartialAnswer | null,
-  chunk: CompletionChunk,
-): PartialAnswer | null {
-  if (made === null || chunk.version === null) return null;
-  const last = made.runs.at(-1);
-  const run = { version: chunk.version, tokens: chunk.tokens };
-  const runs = last?.version === chunk.version
-    ? [
-      ...made.runs.slice(0, -1),
-      { ...run, tokens: last.tokens + chunk.tokens },
-    ]
-    : [...made.runs, run];
-  return {
-    text: made.text + chunk.text,
-    tokens: made.tokens + chunk.tokens,
-    runs,
-  };
-}
