Write an entry at once that is proposed while the sync loop ends

Callers saw commits that took up to a heartbeat interval longer than their write (100 ms on the users' platform) when one command followed another at once, with no other traffic on the log: accepting a batch, ending one, and progress.

Cause: `SyncLoop.run` returns while the loop runs, and the loop ends some turns of the event loop after it last looked for something to write. An entry proposed in between was written only when the next heartbeat ran the loop.

`run` notes that it was called, and a running loop looks once more before it ends; between that look and the end there is no turn of the event loop.

--- a/agreement/sync_loop.ts
+++ b/agreement/sync_loop.ts
@@ -66,6 +66,8 @@
 export class SyncLoop {
   readonly #options: SyncLoopOptions;
   #running = false;
+  /** Whether `run` was called since the loop last looked for something to write. */
+  #requested = false;
   #stopped = false;
   #stopWaiters: (() => void)[] = [];
 
@@ -80,12 +82,16 @@
     return new Promise((resolve) => this.#stopWaiters.push(resolve));
   }
 
-  /** Starts the loop unless it is running. */
+  /** Starts the loop; a running loop looks once more for something to write before it ends. */
   async run(): Promise<void> {
+    this.#requested = true;
     if (this.#running) return;
     this.#running = true;
     try {
-      while (!this.#stopped && await this.#writeNext());
+      while (this.#requested && !this.#stopped) {
+        this.#requested = false;
+        await this.#writeAll();
+      }
     } catch (error) {
       // A write that `stop` abandoned because the disk was full has not been acknowledged to anyone.
       const abandoned = this.#stopped && error instanceof DiskFullError;
@@ -98,6 +104,10 @@
     this.#stopWaiters = [];
   }
 
+  async #writeAll(): Promise<void> {
+    while (!this.#stopped && await this.#writeNext());
+  }
+
   async #writeNext(): Promise<boolean> {
     const { replica, clock, send } = this.#options;
     const syncBatch = replica.nextSyncBatch(clock.nowMs());
