--- a/core/state_machine.ts
+++ b/core/state_machine.ts
@@ -39,6 +39,14 @@
   readonly command: Command;
 }
 
+/** Collects the parts of a snapshot that is to replace the state of a state machine. */
+export interface StateRestoration {
+  /** Adds the next part, in the order of `snapshotParts`. */
+  add(part: unknown): void;
+  /** Replaces the state by the parts added. */
+  finish(): void;
+}
+
 /**
  * A deterministic state machine: equal logs produce equal states and equal replies. Commands and queries come
  * from other VMs, so a state machine validates them itself and returns a failure for an invalid one. All values
@@ -54,6 +62,25 @@
   abstract snapshot(): unknown;
   /** Replaces the state with one that `snapshot` returned. */
   abstract restore(state: unknown): void;
+
+  /**
+   * Returns the state at the time of the call in parts that are encoded one by one, so that no copy of the whole
+   * state is needed. Commands applied while the parts are read do not change them.
+   */
+  snapshotParts(): Iterable<unknown> {
+    return [this.snapshot()];
+  }
+
+  /** Starts to replace the state with the parts that `snapshotParts` returned. */
+  startRestoration(): StateRestoration {
+    let state: unknown;
+    return {
+      add: (part) => {
+        state = part;
+      },
+      finish: () => this.restore(state),
+    };
+  }
 }
 
 /** A state machine of any type, as registered with the log. */
