List the events of core, batches and platform on the events page

The generator knew only the folders from wire to fakes, so the page never contained events 1001, 2001 to 2009 and 2101 to 2108, which operators search for first. The generator now has all folders, and a test reads the folders of the build, so that a new one can't be forgotten.

--- a/programs/reference_pages.ts
+++ b/programs/reference_pages.ts
@@ -8,6 +8,7 @@
 import { pathToFileURL } from "node:url";
 import {
   type EventDefinition,
+  EVENTS_SUPPRESSED,
   type SettingDefinitions,
   settingVariable,
 } from "#core";
@@ -34,15 +35,22 @@
   weights: 1700,
   programs: 1800,
   fakes: 1900,
+  batches: 2000,
+  platform: 2100,
 };
 
 const EVENTS_MODULE = "events.js";
 
+/** Events that are defined beside the code that emits them, in a folder whose `events.ts` defines none. */
+const OTHER_EVENTS: readonly CataloguedEvent[] = [
+  { folder: "core", name: "suppressed", definition: EVENTS_SUPPRESSED },
+];
+
 /** Collects the events of all folders of a build, sorted by code. */
 export async function collectEvents(
   build: string,
 ): Promise<readonly CataloguedEvent[]> {
-  const events: CataloguedEvent[] = [];
+  const events: CataloguedEvent[] = [...OTHER_EVENTS];
   for (const folder of Object.keys(EVENT_RANGES)) {
     const files = await readdir(join(build, folder));
     if (!files.includes(EVENTS_MODULE)) continue;
--- a/programs/reference_pages_test.ts
+++ b/programs/reference_pages_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { readFile } from "node:fs/promises";
+import { readdir, readFile } from "node:fs/promises";
 import { dirname, join } from "node:path";
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
@@ -55,6 +55,23 @@
   assert.ok(codes.size > 0);
 });
 
+test("the events page has the events of every folder that defines any", async () => {
+  const folders: string[] = [];
+  for (const entry of await readdir(BUILD, { withFileTypes: true })) {
+    if (!entry.isDirectory()) continue;
+    const files = await readdir(join(BUILD, entry.name));
+    if (files.includes("events.js")) folders.push(entry.name);
+  }
+  assert.ok(folders.includes("platform"));
+  const page = eventsPage(await collectEvents(BUILD));
+  for (const folder of folders) {
+    assert.match(page, new RegExp(`^## ${folder}, from `, "m"));
+  }
+  for (const code of [1001, 2003, 2101]) {
+    assert.ok(page.includes(`**${code}**`), String(code));
+  }
+});
+
 test("the first example bundle of the documentation is valid", async () => {
   const file = join(DOCS, "examples/bundle-1.json");
   const bundle = parseBundle(JSON.parse(await readFile(file, "utf8")));
