--- a/agreement/events.ts
+++ b/agreement/events.ts
@@ -10,7 +10,8 @@
   started: {
     code: 1201,
     level: "info",
-    text: "the log replica has started",
+    text:
+      "the log replica has started (entries, logBytes, snapshotBytes: what it read; recoveryMs: how long that took)",
     action: "None.",
   },
   leaderChanged: {
@@ -55,8 +56,9 @@
   },
   snapshotSaved: {
     code: 1208,
-    level: "debug",
-    text: "saved a snapshot of the log",
+    level: "info",
+    text:
+      "saved a snapshot of the log (bytes: its size; durationMs: from 1212 to here)",
     action: "None.",
   },
   snapshotInstalled: {
@@ -78,4 +80,12 @@
     text: "the disk has free space again; the replica has resumed writing",
     action: "None.",
   },
+  snapshotStarted: {
+    code: 1212,
+    level: "info",
+    text:
+      "started to save a snapshot of the log (entries, logBytes: what was applied since the last one)",
+    action:
+      "None. If no 1208 follows and the process starts again (1809), compare 1832 and the memory limit.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/agreement/machine_host.ts
+++ b/agreement/machine_host.ts
@@ -5,6 +5,7 @@
  */
 import {
   type AnyStateMachine,
+  type Bytes,
   Err,
   type EventLog,
   fail,
@@ -66,6 +67,15 @@
     );
   }
 
+  /** Returns roughly the size of the states of all state machines. */
+  stateBytes(): Bytes {
+    let bytes = 0;
+    for (const machine of this.#machines.values()) {
+      bytes += machine.stateBytes();
+    }
+    return bytes;
+  }
+
   /** Replaces the states of the state machines; null leaves a state unchanged. */
   restore(states: readonly unknown[]): void {
     for (const [index, name] of MACHINE_NAMES.entries()) {
--- a/agreement/mod.ts
+++ b/agreement/mod.ts
@@ -9,5 +9,6 @@
 export * from "./events.ts";
 export * from "./file_folder.ts";
 export * from "./memory_folder.ts";
+export type { LogSizes } from "./log_sizes.ts";
 export * from "./quorum_log.ts";
 export * from "./timing.ts";
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -39,6 +39,7 @@
   type SnapshotPolicy,
   SyncLoop,
 } from "./sync_loop.ts";
+import { bodyBytes, type LogSizes, logSizes } from "./log_sizes.ts";
 import { DEFAULT_TIMING, type LogTiming } from "./timing.ts";
 
 const IDENTITY_LENGTH = 16;
@@ -117,6 +118,7 @@
 
   override async start(): Promise<void> {
     const { clock, events, network, random } = this.#options;
+    const startedMs = clock.nowMs();
     const recovered = await this.#openStorage();
     if (recovered.snapshot !== null) this.#applier.restore(recovered.snapshot);
     const replica = new Replica({
@@ -140,6 +142,10 @@
       replica: recovered.identity,
       fresh: recovered.isNew,
       lastIndex: replica.state.log.lastIndex,
+      entries: recovered.entries.length,
+      logBytes: bodyBytes(recovered.entries),
+      snapshotBytes: recovered.descriptor?.bytes ?? 0,
+      recoveryMs: Math.round(clock.nowMs() - startedMs),
     });
     network.onNotice("agreement", (from, body) => this.#receive(from, body));
     this.#processOutputs();
@@ -212,6 +218,11 @@
     return this.#replica?.leaseUntilMs(this.#options.clock.nowMs()) ?? 0;
   }
 
+  /** Returns the sizes of what this replica holds in memory; all 0 before `start`. */
+  sizes(): LogSizes {
+    return logSizes(this.#replica, this.#host);
+  }
+
   override onApplied(listener: (index: number) => void): () => void {
     return this.#applier.onApplied(listener);
   }
--- a/agreement/sync_loop.ts
+++ b/agreement/sync_loop.ts
@@ -174,12 +174,21 @@
     const log = this.#logContents(state.log.base.index);
     await this.#retryWhileFull(() => storage.saveSnapshot(received, log));
     this.#completeBatch(syncBatch);
-    events.emit(AGREEMENT_EVENTS.snapshotInstalled, { index });
+    events.emit(AGREEMENT_EVENTS.snapshotInstalled, {
+      index,
+      bytes: received.descriptor.bytes,
+    });
   }
 
   async #saveSnapshot(): Promise<boolean> {
     const { replica, applier, events, policy } = this.#options;
     if (!this.#snapshotDue()) return false;
+    const startedMs = this.#options.clock.nowMs();
+    events.emit(AGREEMENT_EVENTS.snapshotStarted, {
+      index: applier.appliedIndex,
+      entries: applier.entriesSinceSnapshot,
+      logBytes: applier.bytesSinceSnapshot,
+    });
     const snapshot = applier.snapshot(replica);
     if (snapshot === undefined) return false;
     const { state } = replica;
@@ -193,7 +202,8 @@
     state.snapshot = serialized.descriptor;
     state.log.compact(baseIndex);
     const { bytes } = serialized.descriptor;
-    events.emit(AGREEMENT_EVENTS.snapshotSaved, { index, bytes });
+    const durationMs = Math.round(this.#options.clock.nowMs() - startedMs);
+    events.emit(AGREEMENT_EVENTS.snapshotSaved, { index, bytes, durationMs });
     return true;
   }
 
--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  type Bytes,
   type Committed,
   Err,
   fail,
@@ -26,6 +27,9 @@
   NO_PROGRESS,
 } from "./batch_types.ts";
 
+/** Estimated size of the fields of an item and its result other than body and texts. */
+const ITEM_FIELDS_BYTES: Bytes = 400;
+
 /** A command of the batch log. */
 export type BatchesCommand =
   | {
@@ -119,6 +123,18 @@
     return [...this.#batches.values()].filter((each) => !each.ended);
   }
 
+  /** Counts bodies and texts (a listed text as progress and as result), and an estimate for the other fields. */
+  override stateBytes(): Bytes {
+    let bytes = 0;
+    for (const { items, results } of this.#batches.values()) {
+      for (const { item, progress } of items.values()) {
+        bytes += item.body.length + progress.text.length + ITEM_FIELDS_BYTES;
+      }
+      for (const { text } of results) bytes += text.length;
+    }
+    return bytes;
+  }
+
   override snapshot(): unknown {
     const packed: BatchSnapshot[] = [];
     for (const state of this.#batches.values()) {
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -10,6 +10,7 @@
 export * from "./clock.ts";
 export * from "./configuration.ts";
 export * from "./error_kinds.ts";
+export * from "./estimated_size.ts";
 export * from "./events.ts";
 export * from "./http.ts";
 export * from "./fleet.ts";
--- a/core/state_machine.ts
+++ b/core/state_machine.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { Failure } from "./error_kinds.ts";
+import { estimatedSize } from "./estimated_size.ts";
 import type { Result } from "./result.ts";
-import type { Milliseconds } from "./units.ts";
+import type { Bytes, Milliseconds } from "./units.ts";
 
 /** Name of a state machine of the replicated log. */
 export type MachineName =
@@ -63,6 +64,13 @@
   /** Replaces the state with one that `snapshot` returned. */
   abstract restore(state: unknown): void;
 
+  /** Returns roughly the size of the state; one with many objects overrides this to count faster. */
+  stateBytes(): Bytes {
+    let bytes = 0;
+    for (const part of this.snapshotParts()) bytes += estimatedSize(part);
+    return bytes;
+  }
+
   /**
    * Returns the state at the time of the call in parts that are encoded one by one, so that no copy of the whole
    * state is needed. Commands applied while the parts are read do not change them.
