Report the memory of each process and what it holds

Nothing measured the memory of a process, the log, the state or the buffers, so logs and metrics could not tell why a store reached its limit, and store processes served no metrics at all.

MemoryReporter samples every 2 s, counts what the process holds every 10 s and for each event, and sets the gauges cicadafield_memory_bytes, cicadafield_held_bytes and cicadafield_held_count. Events 1830 (changed), 1831 (fallen) and 1832 (warn, near the limit). Each role states what it holds (MemoryHolder).

With CICADAFIELD_METRICS_PORT a process of any role serves /metrics on that port of its own address, besides the existing routes. A port that the settings file assigns to something else is ignored; one that is in use is logged (1812).

Tests: memory_watch_test (10), memory_reporter_test (6), node_monitoring_test (3), node_metrics_test (3, one for each role as a process), node_settings_test (3 new), tcp_network_test (1 new) pass.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -75,6 +75,11 @@
     });
   }
 
+  /** Number of items that this VM runs or will run; 0 unless it leads the log. */
+  get itemsInProgress(): number {
+    return this.#tasks.size;
+  }
+
   /** Starts to schedule items periodically and whenever the log applies an entry. */
   start(): void {
     this.#options.clock.every(TICK_INTERVAL_MS, () => this.#tick());
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -15,6 +15,8 @@
 export * from "./http.ts";
 export * from "./fleet.ts";
 export * from "./local_control.ts";
+export * from "./memory_holder.ts";
+export * from "./memory_watch.ts";
 export * from "./metrics.ts";
 export * from "./ports.ts";
 export * from "./random.ts";
--- a/programs/cicadafield_node.ts
+++ b/programs/cicadafield_node.ts
@@ -7,9 +7,11 @@
 import process from "node:process";
 import type { Failure, FleetRole, Milliseconds } from "#core";
 import {
+  METRICS_PORT_VARIABLE,
   type NodeSettings,
   parseNodeSettings,
   SETTINGS_VARIABLE,
+  withMetricsPort,
 } from "#platform";
 import { ControlNode } from "./control_node.ts";
 import { EntryNode } from "./entry_node.ts";
@@ -41,7 +43,9 @@
     process.exitCode = EXIT_CODES.failure;
     return;
   }
-  await run(buildNode(role, settings), file);
+  const metricsPort = process.env[METRICS_PORT_VARIABLE];
+  const node = buildNode(role, withMetricsPort(settings, metricsPort));
+  await run(node, file);
 }
 
 function buildNode(role: FleetRole, settings: NodeSettings): PlatformNode {
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -11,6 +11,7 @@
   Err,
   fail,
   type Failure,
+  type HeldSizes,
   hostOf,
   type MachineCommand,
   type MachineQuery,
@@ -33,6 +34,7 @@
 import {
   buildNodeBase,
   describeNode,
+  logBytes,
   logReload,
   logStart,
   NODE_HTTP_LIMITS,
@@ -41,6 +43,7 @@
   type PlatformNode,
   replicaCountFor,
 } from "./node_base.ts";
+import { NodeMonitoring } from "./node_monitoring.ts";
 import { probeRoutes } from "./probe_routes.ts";
 
 const LEADER_REQUEST_PATIENCE: RequestTimeouts = {
@@ -64,6 +67,7 @@
   readonly #placementKeeper: PlacementManager;
   readonly #engineOrders: EngineOrders;
   readonly #server: HttpServer;
+  readonly #monitoring: NodeMonitoring;
 
   constructor(
     settings: NodeSettings,
@@ -108,10 +112,14 @@
       holdMs: settings.orderLeaseMs,
     });
     this.#server = this.#buildServer();
+    this.#monitoring = new NodeMonitoring(base, {
+      heldSizes: () => this.#heldSizes(),
+    });
   }
 
   async start(): Promise<void> {
     logStart(this.#base);
+    await this.#monitoring.start();
     const { network } = this.#base;
     await network.listen();
     await this.#server.listen();
@@ -134,6 +142,7 @@
     const drained = this.#server.drain(DRAIN_NOTICE_MS);
     await this.#log.stop();
     await Promise.race([drained, this.#base.clock.sleep(1_000)]);
+    await this.#monitoring.stop();
     this.#base.network.close();
   }
 
@@ -208,6 +217,21 @@
     return [...new Set([...first, ...this.#peers(), ...this.#base.seeds()])];
   }
 
+  #heldSizes(): HeldSizes {
+    const unsent = this.#base.network.unsent();
+    const log = this.#log.sizes();
+    return {
+      bytes: { ...logBytes(log), unsent_to_peers: unsent.bytes },
+      counts: {
+        log_entries: log.entries,
+        peer_connections: unsent.connections,
+        caller_connections: this.#server.connectionCount,
+        upstreams: this.#fleet.upstreams().length,
+        vms: this.#fleet.nodes().length,
+      },
+    };
+  }
+
   #groupStatus(): {
     readonly leads: boolean;
     readonly term: number;
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { BatchClient } from "#batches";
-import type { Milliseconds, RoutingConfiguration } from "#core";
+import type { HeldSizes, Milliseconds, RoutingConfiguration } from "#core";
 import { FleetFollower } from "#membership";
 import { callerRoutes, type NodeSettings, WorkerDialect } from "#platform";
 import { Forwarder, RouteRules } from "#requests";
@@ -19,6 +19,7 @@
   type NodeBase,
   type PlatformNode,
 } from "./node_base.ts";
+import { NodeMonitoring } from "./node_monitoring.ts";
 import { probeRoutes } from "./probe_routes.ts";
 
 /** Time that the load balancer needs to notice that this VM is not ready. */
@@ -35,6 +36,7 @@
   readonly #forwarder: Forwarder;
   readonly #callerServer: HttpServer;
   readonly #probeServer: HttpServer;
+  readonly #monitoring: NodeMonitoring;
   #cachedRules:
     | { configuration: RoutingConfiguration; rules: RouteRules }
     | null = null;
@@ -86,10 +88,14 @@
       routes: () => probes,
       limits: NODE_HTTP_LIMITS,
     });
+    this.#monitoring = new NodeMonitoring(base, {
+      heldSizes: () => this.#heldSizes(),
+    });
   }
 
   async start(): Promise<void> {
     logStart(this.#base);
+    await this.#monitoring.start();
     await this.#probeServer.listen();
     await this.#callerServer.listen();
     this.#fleetFollower.run();
@@ -105,6 +111,7 @@
     ]);
     this.#fleetFollower.stop();
     this.#forwarder.close();
+    await this.#monitoring.stop();
     this.#base.network.close();
   }
 
@@ -113,6 +120,19 @@
     this.#settings = settings;
   }
 
+  #heldSizes(): HeldSizes {
+    const unsent = this.#base.network.unsent();
+    return {
+      bytes: { unsent_to_peers: unsent.bytes },
+      counts: {
+        peer_connections: unsent.connections,
+        caller_connections: this.#callerServer.connectionCount,
+        upstreams: this.#fleetFollower.upstreams.length,
+        vms: this.#fleetFollower.nodes.length,
+      },
+    };
+  }
+
   #activeRules(): RouteRules | null {
     const { configuration, confirmed } = this.#fleetFollower;
     if (configuration === null) return null;
--- a/programs/events.ts
+++ b/programs/events.ts
@@ -76,4 +76,37 @@
     text: "this VM has reloaded its settings file",
     action: "None.",
   },
+  metricsUnavailable: {
+    code: 1812,
+    level: "warn",
+    text:
+      "the metrics address can't be bound; this process serves no metrics there",
+    action: "Set another port in the deploy file.",
+  },
+} as const satisfies Readonly<Record<string, EventDefinition>>;
+
+/** Events 1830 to 1839: the memory of the process. All have the same fields. */
+export const MEMORY_EVENTS = {
+  changed: {
+    code: 1830,
+    level: "info",
+    text:
+      "the resident memory of this process has crossed half or three quarters of its limit, or grown by a quarter of it",
+    action:
+      "None. If it continues, compare the sizes in the event with those of the last one.",
+  },
+  fallen: {
+    code: 1831,
+    level: "info",
+    text: "the resident memory of this process has fallen again",
+    action: "None.",
+  },
+  nearLimit: {
+    code: 1832,
+    level: "warn",
+    text:
+      "the resident memory of this process has reached nine tenths of its limit, at which the process is ended",
+    action:
+      "Find the largest of the sizes in the event (docs/OPERATIONS.md, Memory). Raise the limit, or reduce the load, before the process ends.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -109,6 +109,11 @@
     return this.#draining;
   }
 
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.#connections.size;
+  }
+
   /** Returns the listening address, with the port that the system assigned if port 0 was requested. */
   address(): Address {
     const bound = this.#server.address();
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { FileFolder } from "#agreement";
+import { FileFolder, type LogSizes } from "#agreement";
 import {
   type Address,
   BoundedEventLog,
@@ -11,6 +11,7 @@
   type EventLog,
   type FleetNode,
   type FleetRole,
+  type HeldSizes,
   hostOf,
   Metrics,
   type Milliseconds,
@@ -153,6 +154,15 @@
   };
 }
 
+/** Returns what a replica of a log holds, under the names of memory events and metrics. */
+export function logBytes(log: LogSizes | undefined): HeldSizes["bytes"] {
+  return {
+    log: log?.logBytes ?? 0,
+    snapshot: log?.snapshotBytes ?? 0,
+    state: log?.stateBytes ?? 0,
+  };
+}
+
 /** Returns the number of replicas of which a majority survives the tolerated losses at the same time. */
 export function replicaCountFor(toleratedLosses: number): number {
   return 2 * toleratedLosses + 1;
--- a/programs/probe_routes.ts
+++ b/programs/probe_routes.ts
@@ -42,15 +42,20 @@
         );
       },
     },
-    {
-      method: "GET",
-      pattern: "/metrics",
-      name: "metrics",
-      handle: async () => ({
-        status: 200,
-        headers: { "content-type": "text/plain; version=0.0.4" },
-        body: await options.metrics.render(),
-      }),
-    },
+    metricsRoute(options.metrics),
   ];
 }
+
+/** Returns the metrics route. */
+export function metricsRoute(metrics: Metrics): HttpRoute {
+  return {
+    method: "GET",
+    pattern: "/metrics",
+    name: "metrics",
+    handle: async () => ({
+      status: 200,
+      headers: { "content-type": "text/plain; version=0.0.4" },
+      body: await metrics.render(),
+    }),
+  };
+}
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -5,19 +5,21 @@
  */
 import { QuorumLog, SHORT_TIMING } from "#agreement";
 import { BatchesMachine, BatchRunner, BatchService } from "#batches";
-import type { AnyStateMachine, Failure, ServedVersion } from "#core";
+import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
 import { type NodeSettings, WorkerDialect } from "#platform";
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
   describeNode,
+  logBytes,
   logReload,
   logStart,
   type NodeBase,
   openDataFolder,
   type PlatformNode,
 } from "./node_base.ts";
+import { NodeMonitoring } from "./node_monitoring.ts";
 
 /** A store VM on the users' platform. */
 export class StoreNode implements PlatformNode {
@@ -26,6 +28,7 @@
   readonly #batchesMachine = new BatchesMachine();
   readonly #fleetFollower: FleetFollower;
   readonly #onFatal: (failure: Failure) => void;
+  readonly #monitoring: NodeMonitoring;
   #log: QuorumLog | undefined;
   #runner: BatchRunner | undefined;
 
@@ -45,10 +48,14 @@
       self: () => describeNode(base, "store", this.#groupStatus()),
       onChange: () => this.#handleFleetChange(),
     });
+    this.#monitoring = new NodeMonitoring(base, {
+      heldSizes: () => this.#heldSizes(),
+    });
   }
 
   async start(): Promise<void> {
     logStart(this.#base);
+    await this.#monitoring.start();
     await this.#base.network.listen();
     const files = await openDataFolder(this.#base.settings, "store").list();
     // A VM with a replica reads its group from the log, so it starts without waiting for a placement.
@@ -61,6 +68,7 @@
     await this.#runner?.stop();
     await this.#log?.stop();
     this.#fleetFollower.stop();
+    await this.#monitoring.stop();
     this.#base.network.close();
   }
 
@@ -69,6 +77,22 @@
     this.#settings = settings;
   }
 
+  #heldSizes(): HeldSizes {
+    const unsent = this.#base.network.unsent();
+    const log = this.#log?.sizes();
+    return {
+      bytes: { ...logBytes(log), unsent_to_peers: unsent.bytes },
+      counts: {
+        log_entries: log?.entries ?? 0,
+        open_batches: this.#batchesMachine.openBatches().length,
+        items_in_progress: this.#runner?.itemsInProgress ?? 0,
+        peer_connections: unsent.connections,
+        upstreams: this.#fleetFollower.upstreams.length,
+        vms: this.#fleetFollower.nodes.length,
+      },
+    };
+  }
+
   #groupStatus(): {
     readonly leads: boolean;
     readonly term: number;
--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -7,6 +7,7 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import {
   type Address,
+  type Bytes,
   type Clock,
   Err,
   type EventLog,
@@ -64,6 +65,12 @@
   readonly receivedBytes: number;
 }
 
+/** Peer connections and the data that they have not sent yet. */
+export interface UnsentData {
+  readonly connections: number;
+  readonly bytes: Bytes;
+}
+
 /** Implements the peer network over TCP connections. */
 export class TcpNetwork extends PeerNetwork {
   override readonly self: string;
@@ -112,6 +119,17 @@
     return { sentBytes: this.#sentBytes, receivedBytes: this.#receivedBytes };
   }
 
+  /** Returns the number of open peer connections and the bytes that wait to be sent on them. */
+  unsent(): UnsentData {
+    let bytes = 0;
+    for (const { socket } of this.#links.values()) {
+      bytes += socket.writableLength;
+    }
+    for (const socket of this.#incomingSockets) bytes += socket.writableLength;
+    const connections = this.#links.size + this.#incomingSockets.size;
+    return { connections, bytes };
+  }
+
   override onNotice(channel: Channel, handler: NoticeHandler): void {
     this.#handlers.setNoticeHandler(channel, handler);
   }
--- a/wire/tcp_network_test.ts
+++ b/wire/tcp_network_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { createServer } from "node:net";
 import { test } from "node:test";
 import { type Address, MemoryEventLog, Ok, SystemClock } from "#core";
 import { TcpNetwork } from "./tcp_network.ts";
@@ -38,3 +39,26 @@
     for (const each of [a, b, c]) each.close();
   }
 });
+
+test("data that a peer does not read counts as unsent", async () => {
+  const silent = createServer((socket) => socket.pause());
+  await new Promise<void>((resolve) =>
+    silent.listen({ host: "127.8.0.4", port: 17_101 }, resolve)
+  );
+  const addresses = new Map([
+    ["d", { host: "127.8.0.5", port: 17_101 }],
+    ["silent", { host: "127.8.0.4", port: 17_101 }],
+  ]);
+  const d = network("d", { cluster: "one", addresses });
+  try {
+    assert.deepEqual(d.unsent(), { connections: 0, bytes: 0 });
+    const body = Buffer.alloc(12_000_000);
+    d.notify({ to: "silent", channel: "control" }, body);
+    const { connections, bytes } = d.unsent();
+    assert.equal(connections, 1);
+    assert.ok(bytes >= body.length);
+  } finally {
+    d.close();
+    silent.close();
+  }
+});
