--- a/proof/store_memory_process.ts
+++ b/proof/store_memory_process.ts
@@ -1,11 +1,12 @@
 /**
  * A program that holds one replica of the batch log and, with `load`, writes a minute of a busy day to it. It
- * prints its peak memory as JSON. Arguments: the data folder, then `load` or `recover`.
+ * prints its peak memory as JSON. Arguments: the data folder, then `load` or `recover`; with a third argument,
+ * `samples`, it also prints where its memory went.
  *
  * @module
  */
 import process from "node:process";
-import { FileFolder, QuorumLog, SHORT_TIMING } from "#agreement";
+import { QuorumLog, SHORT_TIMING } from "#agreement";
 import {
   type Batch,
   type BatchesCommand,
@@ -25,6 +26,11 @@
   VirtualClock,
 } from "#core";
 import { MemoryNetwork } from "#wire";
+import {
+  type MemorySample,
+  MemorySamples,
+  openFolder,
+} from "./memory_samples.ts";
 
 const VM = "store-1";
 const SEED = 1;
@@ -52,6 +58,8 @@
   readonly peakBytes: Bytes;
   /** Number of results that the replica holds. */
   readonly results: number;
+  /** Where the memory went; empty unless asked for. */
+  readonly samples: readonly MemorySample[];
 }
 
 /** Number of results that the load produces. */
@@ -119,10 +127,13 @@
 /** One replica that is the whole group. */
 class StoreReplica {
   readonly machine = new BatchesMachine();
+  readonly samples = new MemorySamples(() => this.#log.sizes());
+  readonly #measured: boolean;
   readonly #clock = new SystemClock();
   readonly #log: QuorumLog;
 
-  constructor(folder: string) {
+  constructor(folder: string, measured: boolean) {
+    this.#measured = measured;
     const network = new MemoryNetwork({
       clock: new VirtualClock(0),
       random: new SeededRandom(SEED),
@@ -130,7 +141,10 @@
     this.#log = new QuorumLog({
       vm: VM,
       network: network.join(VM),
-      folder: new FileFolder(folder, { lock: "none" }),
+      folder: openFolder(
+        folder,
+        measured ? (at) => this.sample(at) : undefined,
+      ),
       machines: [this.machine as AnyStateMachine],
       clock: this.#clock,
       random: new SystemRandom(),
@@ -149,6 +163,11 @@
     }
   }
 
+  /** Records the memory if asked for. */
+  sample(at: string): void {
+    if (this.#measured) this.samples.add(at);
+  }
+
   async commit(command: BatchesCommand): Promise<void> {
     const result = await this.#log.propose({ machine: "batches", command });
     if (result.err) throw new Error(result.val.message);
@@ -191,19 +210,31 @@
   return count;
 }
 
-async function main(folder: string, mode: string): Promise<void> {
-  const replica = new StoreReplica(folder);
+async function main(
+  folder: string,
+  mode: string,
+  measured: boolean,
+): Promise<void> {
+  const replica = new StoreReplica(folder, measured);
+  replica.sample("before the start");
   await replica.start();
+  replica.sample("at rest after the start");
   if (mode === "load") {
-    for (let step = 0; step < STEPS; step += 1) await writeStep(replica, step);
+    for (let step = 0; step < STEPS; step += 1) {
+      await writeStep(replica, step);
+      replica.sample(`after step ${step + 1}`);
+    }
   }
   const report: StoreMemoryReport = {
     peakBytes: process.resourceUsage().maxRSS * 1_024,
     results: countResults(replica.machine),
+    samples: replica.samples.list,
   };
   console.log(JSON.stringify(report));
   process.exit(0);
 }
 
-const [folder, mode] = process.argv.slice(2);
-if (folder !== undefined && mode !== undefined) await main(folder, mode);
+const [folder, mode, samples] = process.argv.slice(2);
+if (folder !== undefined && mode !== undefined) {
+  await main(folder, mode, samples === "samples");
+}
