Hold the text of a listed item once, as bytes, and only what is still needed

Cause: the state of the batches held each listed text as a string on the JavaScript heap, whose limit is far below the memory of a VM, twice after a restore (progress and result), with the body, headers and target of every item until its batch expired. Bodies were views that retained the log entry. Expired batches were removed only when another batch was accepted.

Change: a final text is one array of UTF-8 bytes, shared by progress and result. The request of an item is dropped once it is listed or its batch has ended; GET /items then answers 404. Bodies and restored texts are copies. Batches are removed by the time of any applied command. The machine counts the bytes of its state from the commands, with the expected growth of open batches.

While builds are mixed, an earlier build still knows a batch whose retention has ended until it accepts another one. A submission that is repeated that late may be answered from the old batch by one build and run again by the other.

batches_machine_test.ts and batch_group_test.ts read texts through `readResult` and `textOf`; what they require is unchanged.

--- a/batches/batch_group_test.ts
+++ b/batches/batch_group_test.ts
@@ -17,7 +17,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
-import type { Batch } from "./batch_types.ts";
+import { type Batch, readResult } from "./batch_types.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 import { ItemTask } from "./item_task.ts";
 import { ProgressWriter } from "./progress_writer.ts";
@@ -200,7 +200,7 @@
     );
     for (let number = 1; number <= this.#batches; number += 1) {
       const id = `b${number}`;
-      const results = this.machine.find(id)?.results ?? [];
+      const results = this.machine.find(id)?.results.map(readResult) ?? [];
       const before = this.#earlierResults.get(id) ?? [];
       assert.deepEqual(results.slice(0, before.length), before);
       this.#earlierResults.set(id, structuredClone(results));
--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -16,7 +16,8 @@
   type WeightedService,
 } from "#core";
 import { RouteRules, type UpstreamDialect } from "#requests";
-import type { BatchesMachine, BatchState } from "./batches_machine.ts";
+import type { BatchState } from "./batch_state.ts";
+import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import {
   type EngineSnapshot,
@@ -176,7 +177,7 @@
     }
     this.#options.events.emit(BATCHES_EVENTS.batchTaken, {
       batch: batch.id,
-      items: batch.items.length,
+      items: state.items.size,
       listed: state.results.length,
       model: batch.model,
       minimumVersion: batch.minimumVersion,
--- a/batches/batch_service.ts
+++ b/batches/batch_service.ts
@@ -19,8 +19,13 @@
 import type { PeerNetwork } from "#wire";
 import { match } from "ts-pattern";
 import { type BatchRequest, parseBatchRequest } from "./batch_messages.ts";
-import type { BatchResult, ResultPage } from "./batch_types.ts";
-import type { BatchesMachine, BatchState } from "./batches_machine.ts";
+import {
+  type BatchResult,
+  readResult,
+  type ResultPage,
+} from "./batch_types.ts";
+import type { BatchState } from "./batch_state.ts";
+import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 
 const MAXIMUM_PAGE_BYTES: Bytes = 900_000;
@@ -108,7 +113,7 @@
       if (found.err) return Err(found.val);
       const state = found.val;
       const waits = state.results.length <= read.after && !state.ended &&
-        state.results.length < state.batch.items.length;
+        state.results.length < state.items.size;
       const leftMs = untilMs - clock.nowMs();
       if (!waits || leftMs <= 0) return Ok(resultPage(state, read.after));
       await this.#waitForLogEntry(leftMs);
@@ -133,8 +138,9 @@
     const found = await this.#findCommitted(request.id);
     if (found.err) return Err(found.val);
     const state = found.val.items.get(request.item);
-    if (state === undefined) {
-      return Err(fail("not_found", `item ${request.item} does not exist`));
+    // A listed item or an item of an ended batch has no request any more.
+    if (state === undefined || state.listed || found.val.ended) {
+      return Err(fail("not_found", `item ${request.item} is not open`));
     }
     return Ok(state.item.body);
   }
@@ -145,12 +151,12 @@
   const results: BatchResult[] = [];
   let bytes = 0;
   for (const result of state.results.slice(after)) {
-    bytes += Buffer.byteLength(result.text) + RESULT_OVERHEAD_BYTES;
+    bytes += result.text.length + RESULT_OVERHEAD_BYTES;
     if (results.length > 0 && bytes > MAXIMUM_PAGE_BYTES) break;
-    results.push(result);
+    results.push(readResult(result));
   }
   return {
-    total: state.batch.items.length,
+    total: state.items.size,
     next: after + results.length,
     results,
   };
--- a/batches/batch_types.ts
+++ b/batches/batch_types.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { Milliseconds } from "#core";
+import type { Bytes, Milliseconds } from "#core";
+import { type HeldText, textLength, textOf } from "./held_text.ts";
 
 /** One item of a batch: a generation request for an engine. */
 export interface BatchItem {
@@ -39,6 +40,9 @@
   readonly items: readonly BatchItem[];
 }
 
+/** A batch without its items. */
+export type BatchHeader = Omit<Batch, "items">;
+
 /** Final outcome of an item. */
 export type ItemOutcome = "completed" | "given_up";
 
@@ -50,13 +54,24 @@
   readonly versions: readonly number[];
 }
 
+/** A result as the state of the batches holds it. */
+export interface ListedResult {
+  readonly id: string;
+  readonly outcome: ItemOutcome;
+  /** The text in UTF-8. */
+  readonly text: Uint8Array;
+  readonly versions: readonly number[];
+}
+
 /** The text generated for an item so far. */
 export interface ItemProgress {
   /** Number of events so far; the text contains their data, separated by line feeds. */
   readonly events: number;
   /** Identifier of the last event, or null before the first event. */
   readonly lastEvent: number | null;
-  readonly text: string;
+  readonly text: HeldText;
+  /** Length of the text in UTF-8. */
+  readonly textBytes: Bytes;
   /** Weight versions that generated events, ascending. */
   readonly versions: readonly number[];
 }
@@ -66,6 +81,7 @@
   events: 0,
   lastEvent: null,
   text: "",
+  textBytes: 0,
   versions: [],
 };
 
@@ -97,7 +113,30 @@
   readonly results: readonly BatchResult[];
 }
 
-/** Returns the text of `before` followed by the data of further events. */
-export function appendEventText(before: ItemProgress, more: string): string {
-  return before.events === 0 ? more : `${before.text}\n${more}`;
+/** Returns the progress after further events. */
+export function addProgress(
+  before: ItemProgress,
+  update: ItemUpdate,
+): ItemProgress {
+  if (update.events === 0) return before;
+  const separator = before.events === 0 ? "" : "\n";
+  return {
+    events: before.events + update.events,
+    lastEvent: update.lastEvent,
+    text: textOf(before.text) + separator + update.text,
+    textBytes: before.textBytes + separator.length + textLength(update.text),
+    versions: mergeVersions(before.versions, update.versions),
+  };
+}
+
+/** Returns a result with its text as a string. */
+export function readResult(result: ListedResult): BatchResult {
+  return { ...result, text: textOf(result.text) };
+}
+
+function mergeVersions(
+  a: readonly number[],
+  b: readonly number[],
+): readonly number[] {
+  return [...new Set([...a, ...b])].sort((x, y) => x - y);
 }
--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -6,6 +6,7 @@
  * @module
  */
 import {
+  type Bytes,
   type Committed,
   Err,
   fail,
@@ -15,16 +16,25 @@
   type Result,
   type ServedVersion,
   StateMachine,
+  type StateRestoration,
 } from "#core";
 import {
-  appendEventText,
+  addProgress,
   type Batch,
+  type BatchHeader,
   type BatchItem,
-  type BatchResult,
-  type ItemProgress,
   type ItemUpdate,
   NO_PROGRESS,
 } from "./batch_types.ts";
+import { PartReader, toParts, toWholeValue } from "./batch_snapshot.ts";
+import {
+  type BatchState,
+  freshItemState,
+  type ItemState,
+  MutableBatchState,
+  ownItem,
+} from "./batch_state.ts";
+import { textOf } from "./held_text.ts";
 
 /** A command of the batch log. */
 export type BatchesCommand =
@@ -37,46 +47,6 @@
   | { readonly kind: "update"; readonly updates: readonly ItemUpdate[] }
   | { readonly kind: "end"; readonly id: string };
 
-/** An item with its replicated state. */
-export interface ItemState {
-  readonly item: BatchItem;
-  readonly progress: ItemProgress;
-  readonly failures: number;
-  /** Whether the item has its final position in the results. */
-  readonly listed: boolean;
-  /** Whether an engine has generated the complete text, listed or not. */
-  readonly whole: boolean;
-  /** Whether an earlier batch already contained this item. */
-  readonly again: boolean;
-  /** Identifier of the last applied update, or null. */
-  readonly lastUpdate: string | null;
-}
-
-/** A batch with its replicated state. */
-export interface BatchState {
-  readonly batch: Batch;
-  readonly acceptedMs: Milliseconds;
-  readonly keepMs: Milliseconds;
-  readonly ended: boolean;
-  readonly items: ReadonlyMap<string, ItemState>;
-  readonly results: readonly BatchResult[];
-}
-
-interface MutableBatchState extends BatchState {
-  ended: boolean;
-  readonly items: Map<string, ItemState>;
-  readonly results: BatchResult[];
-}
-
-interface BatchSnapshot {
-  readonly batch: Batch;
-  readonly acceptedMs: Milliseconds;
-  readonly keepMs: Milliseconds;
-  readonly ended: boolean;
-  readonly items: readonly Omit<ItemState, "item">[];
-  readonly results: readonly BatchResult[];
-}
-
 /** Stores the batches, their items and results. */
 export class BatchesMachine
   extends StateMachine<BatchesCommand, number, null, null> {
@@ -84,11 +54,14 @@
   readonly #batches = new Map<string, MutableBatchState>();
   /** Identifier of the latest batch that contains an item, by item identifier. */
   readonly #latestBatchIdByItem = new Map<string, string>();
+  /** Time before which no batch is to be removed. */
+  #nextExpiryMs: Milliseconds = Infinity;
 
   override apply(
     entry: Committed<BatchesCommand>,
   ): Result<number, Failure> {
     const { command, atMs } = entry;
+    this.#removeExpired(atMs);
     if (command.kind === "accept") return this.#accept(command, atMs);
     if (command.kind === "update") return this.#applyUpdates(command.updates);
     if (command.kind === "end") return this.#end(command.id);
@@ -119,28 +92,50 @@
     return [...this.#batches.values()].filter((each) => !each.ended);
   }
 
-  override snapshot(): unknown {
-    const packed: BatchSnapshot[] = [];
+  /**
+   * Returns the memory that the batches need at a time, in bytes, with the expected growth of the open ones.
+   * Batches whose retention has ended by then do not count.
+   */
+  bytesAt(wallMs: Milliseconds): Bytes {
+    let bytes = 0;
     for (const state of this.#batches.values()) {
-      const { batch, acceptedMs, keepMs, ended, results } = state;
-      const items = [...state.items.values()].map(withoutItem);
-      packed.push({ batch, acceptedMs, keepMs, ended, items, results });
+      if (wallMs < state.expiryMs) bytes += state.bytes;
     }
-    return packed;
+    return bytes;
+  }
+
+  override snapshot(): unknown {
+    return toWholeValue(this.#batches.values());
   }
 
   override restore(state: unknown): void {
+    const restoration = this.startRestoration();
+    restoration.add(state);
+    restoration.finish();
+  }
+
+  override snapshotParts(): Iterable<unknown> {
+    return toParts(this.#batches.values());
+  }
+
+  override startRestoration(): StateRestoration {
+    const reader = new PartReader(this.#batches);
+    return {
+      add: (part) => reader.add(part),
+      finish: () => this.#replace(reader.batches),
+    };
+  }
+
+  #replace(batches: ReadonlyMap<string, MutableBatchState>): void {
     this.#batches.clear();
     this.#latestBatchIdByItem.clear();
-    for (const packed of state as readonly BatchSnapshot[]) {
-      const items = new Map<string, ItemState>();
-      for (const [at, item] of packed.batch.items.entries()) {
-        const rest = packed.items[at];
-        if (rest !== undefined) items.set(item.id, { ...rest, item });
-        this.#latestBatchIdByItem.set(item.id, packed.batch.id);
+    this.#nextExpiryMs = Infinity;
+    for (const [id, state] of batches) {
+      this.#batches.set(id, state);
+      this.#expectExpiry(state);
+      for (const item of state.items.keys()) {
+        this.#latestBatchIdByItem.set(item, id);
       }
-      const results = [...packed.results];
-      this.#batches.set(packed.batch.id, { ...packed, items, results });
     }
   }
 
@@ -151,42 +146,31 @@
     const { batch, keepMs } = command;
     const known = this.#batches.get(batch.id);
     if (known !== undefined) {
-      if (sameItems(known.batch, batch)) return Ok(batch.items.length);
+      if (sameItems(known, batch)) return Ok(batch.items.length);
       const message = `batch ${batch.id} already exists with different items`;
       return Err(fail("conflict", message));
     }
-    this.#removeExpired(atMs);
-    const state: MutableBatchState = {
-      batch,
+    const { items, ...header } = batch;
+    const state = new MutableBatchState({
+      batch: header,
       acceptedMs: atMs,
       keepMs,
       ended: false,
-      items: new Map(),
-      results: [],
-    };
-    for (const item of batch.items) {
-      state.items.set(item.id, this.#initialState(batch, item));
+    });
+    for (const item of items) {
+      state.setItem(this.#initialState(batch, ownItem(item)));
     }
     this.#batches.set(batch.id, state);
-    for (const item of batch.items) {
-      this.#latestBatchIdByItem.set(item.id, batch.id);
-      const itemState = state.items.get(item.id);
-      if (itemState?.whole === true) listResult(state, itemState, "completed");
+    for (const [id, itemState] of state.items) {
+      this.#latestBatchIdByItem.set(id, batch.id);
+      if (itemState.whole) state.list(itemState, "completed");
     }
-    return Ok(batch.items.length);
+    return Ok(items.length);
   }
 
   /** Returns the initial state of an item, with its progress in an earlier batch if the new one allows it. */
-  #initialState(batch: Batch, item: BatchItem): ItemState {
-    const fresh: ItemState = {
-      item,
-      progress: NO_PROGRESS,
-      failures: 0,
-      listed: false,
-      whole: false,
-      again: false,
-      lastUpdate: null,
-    };
+  #initialState(batch: BatchHeader, item: BatchItem): ItemState {
+    const fresh = freshItemState(item);
     const earlier = this.#batches.get(
       this.#latestBatchIdByItem.get(item.id) ?? "",
     );
@@ -195,7 +179,11 @@
     const fits = earlier.batch.model === batch.model &&
       versionsAllowed(batch, before.progress.versions);
     if (!fits) return { ...fresh, again: true };
-    const { progress, whole } = before;
+    const { whole } = before;
+    const { text } = before.progress;
+    // A complete text is listed at once; any other grows.
+    const held = whole ? text : textOf(text);
+    const progress = { ...before.progress, text: held };
     return { ...fresh, progress, whole, again: true };
   }
 
@@ -209,9 +197,8 @@
       if (known.progress.events !== update.fromEvents) continue;
       applied += 1;
       const next = applyUpdate(known, update);
-      state.items.set(update.item, next);
-      if (update.outcome === null || state.ended) continue;
-      listResult(state, next, update.outcome);
+      if (update.outcome === null || state.ended) state.setItem(next);
+      else state.list(next, update.outcome);
     }
     return Ok(applied);
   }
@@ -221,26 +208,36 @@
     if (state === undefined) {
       return Err(fail("not_found", `batch ${id} does not exist`));
     }
-    state.ended = true;
+    state.end();
+    this.#expectExpiry(state);
     return Ok(state.results.length);
   }
 
+  #expectExpiry(state: MutableBatchState): void {
+    this.#nextExpiryMs = Math.min(this.#nextExpiryMs, state.expiryMs);
+  }
+
   #removeExpired(atMs: Milliseconds): void {
+    if (atMs < this.#nextExpiryMs) return;
+    this.#nextExpiryMs = Infinity;
     for (const [id, state] of this.#batches) {
-      if (!state.ended || atMs < state.acceptedMs + state.keepMs) continue;
-      this.#batches.delete(id);
-      for (const item of state.batch.items) {
-        if (this.#latestBatchIdByItem.get(item.id) === id) {
-          this.#latestBatchIdByItem.delete(item.id);
-        }
-      }
+      if (atMs >= state.expiryMs) this.#remove(id, state);
+      else this.#expectExpiry(state);
+    }
+  }
+
+  #remove(id: string, state: BatchState): void {
+    this.#batches.delete(id);
+    for (const item of state.items.keys()) {
+      if (this.#latestBatchIdByItem.get(item) !== id) continue;
+      this.#latestBatchIdByItem.delete(item);
     }
   }
 }
 
 /** Returns whether a result of the batch may contain text generated by these versions. */
 export function versionsAllowed(
-  batch: Batch,
+  batch: BatchHeader,
   versions: readonly number[],
 ): boolean {
   if (batch.singleVersion && versions.length > 1) return false;
@@ -250,12 +247,7 @@
 
 function applyUpdate(known: ItemState, update: ItemUpdate): ItemState {
   const before = update.restart ? NO_PROGRESS : known.progress;
-  const progress = update.events === 0 ? before : {
-    events: before.events + update.events,
-    lastEvent: update.lastEvent,
-    text: appendEventText(before, update.text),
-    versions: mergeVersions(before.versions, update.versions),
-  };
+  const progress = addProgress(before, update);
   return {
     ...known,
     progress,
@@ -265,32 +257,14 @@
   };
 }
 
-function mergeVersions(
-  a: readonly number[],
-  b: readonly number[],
-): readonly number[] {
-  return [...new Set([...a, ...b])].sort((x, y) => x - y);
-}
-
-function listResult(
-  state: MutableBatchState,
-  known: ItemState,
-  outcome: BatchResult["outcome"],
-): void {
-  const { text, versions } = known.progress;
-  state.items.set(known.item.id, { ...known, listed: true });
-  state.results.push({ id: known.item.id, outcome, text, versions });
-}
-
-function sameItems(a: Batch, b: Batch): boolean {
-  if (a.items.length !== b.items.length) return false;
-  for (const [at, item] of a.items.entries()) {
-    if (item.id !== b.items[at]?.id) return false;
+function sameItems(known: BatchState, batch: Batch): boolean {
+  const { model, route } = known.batch;
+  if (model !== batch.model || route !== batch.route) return false;
+  if (known.items.size !== batch.items.length) return false;
+  let at = 0;
+  for (const id of known.items.keys()) {
+    if (id !== batch.items[at]?.id) return false;
+    at += 1;
   }
-  return a.model === b.model && a.route === b.route;
-}
-
-function withoutItem(state: ItemState): Omit<ItemState, "item"> {
-  const { item: _item, ...rest } = state;
-  return rest;
+  return true;
 }
--- a/batches/batches_machine_test.ts
+++ b/batches/batches_machine_test.ts
@@ -2,7 +2,14 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { BatchesMachine } from "./batches_machine.ts";
-import { type Batch, type BatchItem, type ItemUpdate } from "./batch_types.ts";
+import {
+  type Batch,
+  type BatchItem,
+  type BatchResult,
+  type ItemUpdate,
+  readResult,
+} from "./batch_types.ts";
+import { textOf } from "./held_text.ts";
 
 let index = 0;
 
@@ -59,6 +66,13 @@
   };
 }
 
+function resultsOf(
+  machine: BatchesMachine,
+  id: string,
+): readonly BatchResult[] | undefined {
+  return machine.find(id)?.results.map(readResult);
+}
+
 function accept(machine: BatchesMachine, accepted: Batch, atMs = 0): boolean {
   const command = { kind: "accept", batch: accepted, keepMs: 1_000 } as const;
   return machine.apply({ index: ++index, atMs, command }).ok;
@@ -105,7 +119,7 @@
       outcome: "completed",
     }),
   ]);
-  assert.deepEqual(machine.find("b")?.results, [
+  assert.deepEqual(resultsOf(machine, "b"), [
     { id: "x", outcome: "completed", text: "a\nb\nc", versions: [3, 4] },
   ]);
 });
@@ -135,9 +149,11 @@
   accept(machine, batch("b2", ["x", "y", "z"], { minimumVersion: 2 }));
   const state = machine.find("b2");
   assert.equal(state?.items.get("x")?.progress.events, 0);
-  assert.equal(state?.items.get("y")?.progress.text, "a");
+  assert.equal(textOf(state?.items.get("y")?.progress.text ?? ""), "a");
   assert.equal(state?.items.get("y")?.again, true);
-  assert.deepEqual(state?.results.map((each) => each.text), ["whole"]);
+  assert.deepEqual(resultsOf(machine, "b2")?.map((each) => each.text), [
+    "whole",
+  ]);
 });
 
 test("an ended batch is removed only after its retention time", () => {
@@ -155,6 +171,88 @@
   assert.notEqual(machine.find("next"), undefined);
 });
 
+test("an ended batch is removed by whatever is applied after its retention time", () => {
+  const machine = new BatchesMachine();
+  accept(machine, batch("old", ["x"]), 0);
+  accept(machine, batch("open", ["y"]), 0);
+  const end = { kind: "end", id: "old" } as const;
+  machine.apply({ index: ++index, atMs: 10, command: end });
+  const command = { kind: "update", updates: [] } as const;
+  machine.apply({ index: ++index, atMs: 999, command });
+  assert.notEqual(machine.find("old"), undefined);
+  machine.apply({ index: ++index, atMs: 1_000, command });
+  assert.equal(machine.find("old"), undefined);
+  assert.notEqual(machine.find("open"), undefined);
+});
+
+test("a batch that ends after its retention time is removed by the next command", () => {
+  const machine = new BatchesMachine();
+  accept(machine, batch("old", ["x"]), 0);
+  const end = { kind: "end", id: "old" } as const;
+  machine.apply({ index: ++index, atMs: 5_000, command: end });
+  assert.notEqual(machine.find("old"), undefined);
+  const command = { kind: "update", updates: [] } as const;
+  machine.apply({ index: ++index, atMs: 5_000, command });
+  assert.equal(machine.find("old"), undefined);
+});
+
+test("the size of the state counts texts and bodies, and neither bodies of listed items nor expired batches", () => {
+  const machine = new BatchesMachine();
+  const items = [{ ...item("x"), body: new Uint8Array(50_000) }];
+  accept(machine, batch("b", [], { items }));
+  const accepted = machine.bytesAt(0);
+  assert.ok(accepted > 50_000);
+  const text = "é".repeat(10_000);
+  const outcome = "completed";
+  apply(machine, [
+    update("b", "x", { events: 1, lastEvent: 0, text, outcome }),
+  ]);
+  const listed = machine.bytesAt(0);
+  assert.ok(listed > 20_000 && listed < 25_000, `${listed} bytes`);
+  assert.equal(machine.find("b")?.items.get("x")?.item.body.length, 0);
+  machine.apply({ index: ++index, atMs: 0, command: { kind: "end", id: "b" } });
+  assert.ok(machine.bytesAt(999) > 20_000);
+  assert.equal(machine.bytesAt(1_000), 0);
+});
+
+test("an open batch counts with the expected growth of its texts, an ended one without", () => {
+  const machine = new BatchesMachine();
+  const items = [{ ...item("x"), expectedTokens: 2_000 }];
+  accept(machine, batch("b", [], { items }));
+  const open = machine.bytesAt(0);
+  machine.apply({ index: ++index, atMs: 0, command: { kind: "end", id: "b" } });
+  assert.ok(open - machine.bytesAt(0) > 8_000, `${open} bytes`);
+});
+
+test("an item of an ended batch retains its progress without its request, and a late update still applies", () => {
+  const machine = new BatchesMachine();
+  accept(machine, batch("b1", ["x"]));
+  apply(machine, [
+    update("b1", "x", { events: 1, lastEvent: 0, text: "a", versions: [1] }),
+  ]);
+  machine.apply({
+    index: ++index,
+    atMs: 0,
+    command: { kind: "end", id: "b1" },
+  });
+  assert.equal(machine.find("b1")?.items.get("x")?.item.body.length, 0);
+  const late = { fromEvents: 1, events: 1, lastEvent: 1, versions: [1] };
+  apply(machine, [update("b1", "x", { ...late, text: "b" })]);
+  accept(machine, batch("b2", ["x"]));
+  const resumed = machine.find("b2")?.items.get("x");
+  assert.equal(textOf(resumed?.progress.text ?? ""), "a\nb");
+  assert.deepEqual(resumed?.item.body, new Uint8Array([1, 2]));
+  apply(machine, [
+    update("b2", "x", {
+      ...late,
+      fromEvents: 2,
+      text: "c",
+      outcome: "completed",
+    }),
+  ]);
+  assert.equal(resultsOf(machine, "b2")?.[0]?.text, "a\nb\nc");
+});
+
 /** A step of the simulation of one batch. */
 type Step =
   | { readonly kind: "events"; readonly item: number; readonly stale: boolean }
@@ -211,7 +309,7 @@
         apply(machine, [last, last]);
         if (open) listed.push(`${name}:${outcome}:${events.join("\n")}`);
       }
-      const results = machine.find("b")?.results ?? [];
+      const results = resultsOf(machine, "b") ?? [];
       assert.deepEqual(
         results.map((each) => `${each.id}:${each.outcome}:${each.text}`),
         listed,
--- a/batches/item_run.ts
+++ b/batches/item_run.ts
@@ -12,7 +12,7 @@
   type UpstreamDialect,
   type UpstreamHttp,
 } from "#requests";
-import type { Batch, BatchItem } from "./batch_types.ts";
+import type { BatchHeader, BatchItem } from "./batch_types.ts";
 
 const OK_STATUS = 200;
 const UNPROCESSABLE_STATUS = 422;
@@ -46,7 +46,7 @@
   readonly http: UpstreamHttp;
   readonly dialect: UpstreamDialect;
   readonly upstream: FleetUpstream;
-  readonly batch: Batch;
+  readonly batch: BatchHeader;
   readonly item: BatchItem;
   /** Identifier of the last known event, or null to start from the beginning. */
   readonly afterEvent: number | null;
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -6,13 +6,14 @@
  */
 import type { Milliseconds } from "#core";
 import {
-  type Batch,
+  type BatchHeader,
   type ItemOutcome,
   type ItemProgress,
   type ItemUpdate,
   NO_PROGRESS,
 } from "./batch_types.ts";
-import { type ItemState, versionsAllowed } from "./batches_machine.ts";
+import type { ItemState } from "./batch_state.ts";
+import { versionsAllowed } from "./batches_machine.ts";
 import type { GeneratedEvent } from "./item_run.ts";
 
 /** Fraction of the generated tokens that is expected to follow at least, since estimates are often too low. */
@@ -32,7 +33,7 @@
 
 /** The task to complete one item. */
 export class ItemTask {
-  readonly batch: Batch;
+  readonly batch: BatchHeader;
   readonly dueMs: Milliseconds;
   run: ActiveRun | undefined;
   moves = 0;
@@ -44,7 +45,7 @@
   #proposedUpdate: ItemUpdate | undefined;
 
   constructor(
-    batch: Batch,
+    batch: BatchHeader,
     options: { readonly logged: ItemState; readonly dueMs: Milliseconds },
   ) {
     this.batch = batch;
--- a/batches/item_task_test.ts
+++ b/batches/item_task_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Batch } from "./batch_types.ts";
-import { BatchesMachine, type ItemState } from "./batches_machine.ts";
+import type { ItemState } from "./batch_state.ts";
+import { BatchesMachine } from "./batches_machine.ts";
 import { ItemTask } from "./item_task.ts";
 
 const BATCH: Batch = {
--- a/batches/progress_writer.ts
+++ b/batches/progress_writer.ts
@@ -5,7 +5,8 @@
  */
 import type { ReplicatedLog } from "#agreement";
 import type { Clock, EventLog, Milliseconds, RandomSource } from "#core";
-import type { BatchesMachine, ItemState } from "./batches_machine.ts";
+import type { ItemState } from "./batch_state.ts";
+import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import type { ItemTask } from "./item_task.ts";
 
