Lose no events of a text that restarts while an update is in flight

Cause: when an update was confirmed, its events were removed from the front of the events that were not logged. After a restart in between, these were the first events of the new text. A restart was also forgotten if the log had no events before the update in flight.

Change: a task remembers that it restarted since the proposal. Confirming such an update removes no events, and the text is discarded if the update added to it.

The new test in item_task_test.ts fails on the code before ("b" instead of "a b").

--- a/batches/batch_group_test.ts
+++ b/batches/batch_group_test.ts
@@ -1,6 +1,7 @@
 /**
  * Simulates the VMs that run a batch: leaders that change, updates that are applied late or never, replicas
- * that start from a snapshot, and batches that end and are resubmitted. The checks know the text of each item.
+ * that start from a snapshot taken earlier, and batches that end, expire and are resubmitted. The checks know the
+ * text of each item, and which requests and batches are still stored.
  */
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -8,6 +9,7 @@
 import { match } from "ts-pattern";
 import type { ReplicatedLog } from "#agreement";
 import {
+  type Committed,
   Err,
   fail,
   type Failure,
@@ -17,6 +19,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
+import { decodeValue, encodeValue } from "#wire";
 import { type Batch, readResult } from "./batch_types.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 import { ItemTask } from "./item_task.ts";
@@ -25,6 +28,8 @@
 const ITEMS = ["x", "y"];
 const EVENTS = 4;
 const RETENTION_MS = 60_000;
+const WAIT_MS = 25_000;
+const BODY_BYTES = 3;
 
 type Step =
   | { readonly kind: "make"; readonly item: number }
@@ -35,6 +40,10 @@
   | { readonly kind: "lose" }
   | { readonly kind: "leadAgain" }
   | { readonly kind: "restore" }
+  | { readonly kind: "restoreWhole" }
+  | { readonly kind: "startSnapshot" }
+  | { readonly kind: "joinFromSnapshot" }
+  | { readonly kind: "wait" }
   | { readonly kind: "comeAgain" };
 
 interface Proposal {
@@ -57,7 +66,7 @@
       id: item,
       target: "/a/b",
       headers: [],
-      body: new Uint8Array(0),
+      body: new Uint8Array(BODY_BYTES),
       group: "g",
       promptTokens: 1,
       expectedTokens: 10,
@@ -72,7 +81,14 @@
   readonly #queue: Proposal[] = [];
   readonly #earlierResults = new Map<string, readonly unknown[]>();
   readonly #replacementEnabled: boolean;
+  readonly #acceptedMs = new Map<string, number>();
+  /** Parts whose reading has not begun, with what was committed since. */
+  #snapshot: {
+    readonly parts: Iterable<unknown>;
+    readonly entries: Committed<never>[];
+  } | undefined;
   #index = 0;
+  #atMs = 0;
   #batches = 0;
 
   constructor(options: { readonly rebuilds: boolean }) {
@@ -99,11 +115,13 @@
 
   #commit(command: unknown): Result<unknown, Failure> {
     this.#index += 1;
-    const result = this.machine.apply({
+    const entry = {
       index: this.#index,
-      atMs: 0,
+      atMs: this.#atMs,
       command: command as never,
-    });
+    };
+    const result = this.machine.apply(entry);
+    this.#snapshot?.entries.push(entry);
     this.#check();
     return result;
   }
@@ -122,8 +140,19 @@
       })
       .with({ kind: "leadAgain" }, () => this.#startLeading())
       .with({ kind: "restore" }, () => {
+        restoreParts(this.machine, this.machine.snapshotParts());
+      })
+      .with({ kind: "restoreWhole" }, () => {
         this.machine.restore(structuredClone(this.machine.snapshot()));
       })
+      .with({ kind: "startSnapshot" }, () => {
+        const parts = this.machine.snapshotParts();
+        this.#snapshot = { parts, entries: [] };
+      })
+      .with({ kind: "joinFromSnapshot" }, () => this.#checkSnapshot())
+      .with({ kind: "wait" }, () => {
+        this.#atMs += WAIT_MS;
+      })
       .with({ kind: "comeAgain" }, () => this.resubmit())
       .exhaustive();
     await settle();
@@ -136,6 +165,7 @@
     }
     this.#batches += 1;
     const batch = batchOf(`b${this.#batches}`);
+    this.#acceptedMs.set(batch.id, this.#atMs);
     this.#commit({ kind: "accept", batch, keepMs: RETENTION_MS });
     this.#startLeading();
   }
@@ -194,13 +224,46 @@
     proposal.resolve(this.#commit(proposal.command));
   }
 
+  /** Reads the snapshot now; a replica that starts from it and applies the entries since has the same state. */
+  #checkSnapshot(): void {
+    const snapshot = this.#snapshot;
+    this.#snapshot = undefined;
+    if (snapshot === undefined) return;
+    const replica = new BatchesMachine();
+    restoreParts(replica, snapshot.parts);
+    for (const entry of snapshot.entries) replica.apply(entry);
+    assert.deepEqual(contentOf(replica), contentOf(this.machine));
+    assert.equal(replica.bytesAt(this.#atMs), this.machine.bytesAt(this.#atMs));
+  }
+
+  #checkStored(): void {
+    for (const [id, acceptedMs] of this.#acceptedMs) {
+      const state = this.machine.find(id);
+      const isOpen = id === `b${this.#batches}`;
+      const expired = this.#atMs >= acceptedMs + RETENTION_MS;
+      // The batch before the newest one may have ended with this very command.
+      const mayRemain = isOpen || !expired ||
+        id === `b${this.#batches - 1}`;
+      if (isOpen || !expired) assert.ok(state, `${id} is stored`);
+      if (!mayRemain) assert.equal(state, undefined, `${id} is removed`);
+      for (const { item, listed } of state?.items.values() ?? []) {
+        const isNeeded = !listed && state?.ended === false;
+        assert.equal(item.body.length, isNeeded ? BODY_BYTES : 0);
+        assert.equal(item.target === "", !isNeeded);
+      }
+    }
+  }
+
   #check(): void {
+    this.#checkStored();
     const completeText = Array.from({ length: EVENTS }, (_, id) => id).join(
       "\n",
     );
     for (let number = 1; number <= this.#batches; number += 1) {
       const id = `b${number}`;
-      const results = this.machine.find(id)?.results.map(readResult) ?? [];
+      const state = this.machine.find(id);
+      if (state === undefined) continue;
+      const results = state.results.map(readResult);
       const before = this.#earlierResults.get(id) ?? [];
       assert.deepEqual(results.slice(0, before.length), before);
       this.#earlierResults.set(id, structuredClone(results));
@@ -215,6 +278,20 @@
   }
 }
 
+function restoreParts(
+  machine: BatchesMachine,
+  parts: Iterable<unknown>,
+): void {
+  const restoration = machine.startRestoration();
+  for (const part of parts) restoration.add(decodeValue(encodeValue(part)));
+  restoration.finish();
+}
+
+function contentOf(machine: BatchesMachine): unknown {
+  const parts = [...machine.snapshotParts()];
+  return parts.map((part) => decodeValue(encodeValue(part)));
+}
+
 function settle(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
@@ -236,6 +313,10 @@
   { weight: 1, arbitrary: fc.constant<Step>({ kind: "lose" }) },
   { weight: 2, arbitrary: fc.constant<Step>({ kind: "leadAgain" }) },
   { weight: 1, arbitrary: fc.constant<Step>({ kind: "restore" }) },
+  { weight: 1, arbitrary: fc.constant<Step>({ kind: "restoreWhole" }) },
+  { weight: 1, arbitrary: fc.constant<Step>({ kind: "startSnapshot" }) },
+  { weight: 1, arbitrary: fc.constant<Step>({ kind: "joinFromSnapshot" }) },
+  { weight: 1, arbitrary: fc.constant<Step>({ kind: "wait" }) },
   { weight: 1, arbitrary: fc.constant<Step>({ kind: "comeAgain" }) },
 );
 
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -43,6 +43,8 @@
   #newFailures = 0;
   #outcome: ItemOutcome | null = null;
   #proposedUpdate: ItemUpdate | undefined;
+  /** Whether the text was discarded while the proposed update was in flight. */
+  #restartedSinceProposal = false;
 
   constructor(
     batch: BatchHeader,
@@ -128,8 +130,10 @@
 
   /** Discards the text, because no engine can continue it. */
   restart(): void {
+    const proposedEvents = this.#proposedUpdate?.events ?? 0;
     this.#newEvents = [];
-    this.#restartPending = this.#logged.progress.events > 0;
+    this.#restartPending = this.#logged.progress.events + proposedEvents > 0;
+    this.#restartedSinceProposal = this.#proposedUpdate !== undefined;
   }
 
   /** Counts an engine failure. */
@@ -158,6 +162,7 @@
       outcome: this.#outcome,
     };
     this.#proposedUpdate = update;
+    this.#restartedSinceProposal = false;
     return update;
   }
 
@@ -167,10 +172,14 @@
     this.#proposedUpdate = undefined;
     if (proposed === undefined) return false;
     if (state.lastUpdate !== proposed.id) return false;
-    this.#newEvents = this.#newEvents.slice(proposed.events);
     this.#newFailures -= proposed.failures;
-    if (proposed.restart) this.#restartPending = false;
     this.#logged = state;
+    if (this.#restartedSinceProposal) {
+      this.#restartPending = state.progress.events > 0;
+      return true;
+    }
+    this.#newEvents = this.#newEvents.slice(proposed.events);
+    if (proposed.restart) this.#restartPending = false;
     return true;
   }
 
--- a/batches/item_task_test.ts
+++ b/batches/item_task_test.ts
@@ -72,3 +72,45 @@
   assert.equal(task.isBasedOn(stateIn(machine)), true);
   assert.equal(task.lastEvent, 0);
 });
+
+test("a text that restarts while an update is in flight loses none of its new events", () => {
+  const machine = new BatchesMachine();
+  const command = { kind: "accept", batch: BATCH, keepMs: 1 } as const;
+  machine.apply({ index: 1, atMs: 0, command });
+  const task = new ItemTask(BATCH, { logged: stateIn(machine), dueMs: 0 });
+  task.addEvent({ id: 0, data: "old", version: 1 });
+  const update = task.prepareUpdate("own");
+  task.restart();
+  task.addEvent({ id: 0, data: "a", version: 2 });
+  machine.apply({
+    index: 2,
+    atMs: 0,
+    command: { kind: "update", updates: [update] },
+  });
+  assert.equal(task.confirmUpdate(stateIn(machine)), true);
+  task.addEvent({ id: 1, data: "b", version: 2 });
+  const next = task.prepareUpdate("next");
+  assert.equal(next.text, "a\nb");
+  assert.equal(next.restart, true);
+  assert.deepEqual(next.versions, [2]);
+});
+
+test("a text that restarts again while its restart is in flight is discarded again", () => {
+  const machine = new BatchesMachine();
+  const command = { kind: "accept", batch: BATCH, keepMs: 1 } as const;
+  machine.apply({ index: 1, atMs: 0, command });
+  const task = new ItemTask(BATCH, { logged: stateIn(machine), dueMs: 0 });
+  for (const id of ["first", "second"]) {
+    task.addEvent({ id: 0, data: id, version: 1 });
+    const updates = [task.prepareUpdate(id)];
+    task.restart();
+    machine.apply({
+      index: 2,
+      atMs: 0,
+      command: { kind: "update", updates },
+    });
+    assert.equal(task.confirmUpdate(stateIn(machine)), true);
+  }
+  assert.equal(task.lastEvent, null);
+  assert.equal(task.prepareUpdate("third").restart, true);
+});
