Reject a new batch at once when the store has no memory for it

Cause: nothing bounded the state of the batches. A store accepted batches until its process ended at the memory limit, and with it the others of the group.

Change: the leader compares the bytes of the state, of the batches that are being proposed and of the new batch, each with the expected growth of its texts, with a limit that follows from limits.memory_mb. A batch that doesn't fit is rejected with too_many_requests (429, Retry-After 1 s) and event 2009 before anything is proposed. 429 promises that no part of a batch runs, so a batch that is known, in flight, or whose outcome is unknown is never rejected for this reason, and the leader reads its own state only after it has applied every earlier change. Expired batches do not count, so that a full and idle store accepts batches again.

Evidence: batch_service_test.ts (7 tests).

--- a/batches/batch_service.ts
+++ b/batches/batch_service.ts
@@ -18,8 +18,10 @@
 } from "#core";
 import type { PeerNetwork } from "#wire";
 import { match } from "ts-pattern";
+import { BatchAdmission } from "./batch_admission.ts";
 import { type BatchRequest, parseBatchRequest } from "./batch_messages.ts";
 import {
+  type Batch,
   type BatchResult,
   readResult,
   type ResultPage,
@@ -30,6 +32,8 @@
 
 const MAXIMUM_PAGE_BYTES: Bytes = 900_000;
 const RESULT_OVERHEAD_BYTES: Bytes = 200;
+/** Time after which a batch that did not fit into memory may be sent again; batches end every few seconds. */
+const FULL_RETRY_AFTER_MS: Milliseconds = 1_000;
 
 /** Options of `BatchService`. */
 export interface BatchServiceOptions {
@@ -38,15 +42,21 @@
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly events: EventLog;
+  /** Returns the memory that the state of the batches may occupy. */
+  readonly limitBytes: () => Bytes;
 }
 
+type AcceptRequest = Extract<BatchRequest, { kind: "accept" }>;
+
 /** Accepts, reads and ends batches on behalf of entry VMs. */
 export class BatchService {
   readonly #options: BatchServiceOptions;
+  readonly #admission: BatchAdmission;
   readonly #waitingReaders = new Set<() => void>();
 
   constructor(options: BatchServiceOptions) {
     this.#options = options;
+    this.#admission = new BatchAdmission(options);
   }
 
   /** Starts to serve requests. */
@@ -69,28 +79,60 @@
       return Promise.resolve(Err(failure));
     }
     return match(request)
-      .with({ kind: "accept" }, (accept) => this.#propose(accept))
+      .with({ kind: "accept" }, (accept) => this.#accept(accept))
       .with({ kind: "end" }, (end) => this.#propose(end))
       .with({ kind: "read" }, (read) => this.#readResults(read))
       .with({ kind: "body" }, (request) => this.#readItemBody(request))
       .exhaustive();
   }
 
-  async #propose(
+  #propose(
     command: Extract<BatchRequest, { kind: "accept" | "end" }>,
   ): Promise<Result<unknown, Failure>> {
-    const { log, events } = this.#options;
-    const result = await log.propose({ machine: "batches", command });
-    if (result.err && command.kind === "accept") {
-      events.emit(BATCHES_EVENTS.batchRefused, {
-        request: command.batch.id,
-        failure: result.val.kind,
-        reason: result.val.message,
-      });
-    }
+    return this.#options.log.propose({ machine: "batches", command });
+  }
+
+  async #accept(request: AcceptRequest): Promise<Result<unknown, Failure>> {
+    const { batch } = request;
+    const rejection = await this.#rejection(batch);
+    const result = rejection === undefined
+      ? await this.#proposeBatch(request)
+      : Err(rejection);
+    if (result.err) this.#reportRejection(batch.id, result.val);
     return result;
   }
 
+  /** Admits the batch, or returns a failure if it is new and the state has no room for it. */
+  async #rejection(batch: Batch): Promise<Failure | undefined> {
+    if (this.#admission.admit(batch)) return undefined;
+    // Only a state with every earlier change shows whether the batch is accepted already.
+    const { log } = this.#options;
+    const barrier = await log.query({ machine: "batches", question: null });
+    if (barrier.err) return barrier.val;
+    if (this.#admission.admit(batch)) return undefined;
+    return fail("too_many_requests", "the store has no memory for the batch", {
+      retryAfterMs: FULL_RETRY_AFTER_MS,
+    });
+  }
+
+  async #proposeBatch(
+    request: AcceptRequest,
+  ): Promise<Result<unknown, Failure>> {
+    const result = await this.#propose(request);
+    const isUnknown = result.err && result.val.ran !== "no";
+    const outcome = isUnknown ? "unknown" : "known";
+    this.#admission.settle(request.batch.id, outcome);
+    return result;
+  }
+
+  #reportRejection(batch: string, failure: Failure): void {
+    this.#options.events.emit(BATCHES_EVENTS.batchRefused, {
+      request: batch,
+      failure: failure.kind,
+      reason: failure.message,
+    });
+  }
+
   /** Returns a batch; fails unless this VM leads and has applied every change acknowledged so far. */
   async #findCommitted(id: string): Promise<Result<BatchState, Failure>> {
     const { log, machine } = this.#options;
--- /dev/null
+++ b/batches/batch_service_test.ts
@@ -0,0 +1,249 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ReplicatedLog } from "#agreement";
+import {
+  type Bytes,
+  Err,
+  fail,
+  type Failure,
+  type MachineCommand,
+  MemoryEventLog,
+  Ok,
+  type Result,
+  VirtualClock,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { BatchService } from "./batch_service.ts";
+import { expectedBatchBytes } from "./batch_state.ts";
+import type { Batch, BatchItem } from "./batch_types.ts";
+import { type BatchesCommand, BatchesMachine } from "./batches_machine.ts";
+
+const KEEP_MS = 10_000;
+const BODY_BYTES = 10_000;
+
+function itemOf(id: string): BatchItem {
+  return {
+    id,
+    target: "/a/b",
+    headers: [],
+    body: new Uint8Array(BODY_BYTES),
+    group: "g",
+    promptTokens: 1,
+    expectedTokens: 10,
+  };
+}
+
+function batchOf(id: string): Batch {
+  return {
+    id,
+    route: "r",
+    host: "h",
+    model: "m",
+    minimumVersion: null,
+    singleVersion: false,
+    maximumFailures: 3,
+    maximumQueueMs: null,
+    dueMs: 7_000,
+    items: [itemOf(`${id}-x`), itemOf(`${id}-y`)],
+  };
+}
+
+/** Size of one batch of `batchOf` with an identifier of one character. */
+const BATCH_BYTES = expectedBatchBytes(batchOf("a").items);
+
+/** A service on a leader whose log commits at once, or when the test says so. */
+class Leader {
+  readonly machine = new BatchesMachine();
+  readonly events = new MemoryEventLog();
+  readonly clock = new VirtualClock();
+  proposals = 0;
+  /** What happens to a proposal: applied, applied later with an unknown outcome, or applied by `release`. */
+  mode: "apply" | "hold" | "timeOut" = "apply";
+  leads = true;
+  #held: (() => void)[] = [];
+  #index = 0;
+  #handle: ((from: string, body: unknown) => Promise<unknown>) | undefined;
+
+  constructor(limitBytes: Bytes) {
+    const log = {
+      propose: (request: MachineCommand) => this.#propose(request),
+      query: () =>
+        Promise.resolve(
+          this.leads ? Ok(null) : Err(fail("not_leader", "another leads")),
+        ),
+      onApplied: () => () => {},
+    };
+    const network = {
+      onRequest: (
+        _channel: string,
+        handle: (from: string, body: unknown) => Promise<unknown>,
+      ) => {
+        this.#handle = handle;
+      },
+    };
+    const service = new BatchService({
+      log: log as unknown as ReplicatedLog,
+      network: network as unknown as PeerNetwork,
+      machine: this.machine,
+      clock: this.clock,
+      events: this.events,
+      limitBytes: () => limitBytes,
+    });
+    service.start();
+  }
+
+  async request(body: unknown): Promise<Result<unknown, Failure>> {
+    const reply = await this.#handle?.("entry-1", body);
+    return reply as Result<unknown, Failure>;
+  }
+
+  accept(id: string): Promise<Result<unknown, Failure>> {
+    return this.request({
+      kind: "accept",
+      batch: batchOf(id),
+      keepMs: KEEP_MS,
+    });
+  }
+
+  /** Applies the proposals that are held. */
+  release(): void {
+    const held = this.#held;
+    this.#held = [];
+    for (const apply of held) apply();
+  }
+
+  #propose(request: MachineCommand): Promise<Result<unknown, Failure>> {
+    this.proposals += 1;
+    if (!this.leads) {
+      return Promise.resolve(Err(fail("not_leader", "another leads")));
+    }
+    const command = request.command as BatchesCommand;
+    if (this.mode === "apply") return Promise.resolve(this.#apply(command));
+    if (this.mode === "timeOut") {
+      this.#held.push(() => this.#apply(command));
+      return Promise.resolve(Err(fail("outcome_unknown", "timed out")));
+    }
+    return new Promise((resolve) => {
+      this.#held.push(() => resolve(this.#apply(command)));
+    });
+  }
+
+  #apply(command: BatchesCommand): Result<number, Failure> {
+    this.#index += 1;
+    const atMs = this.clock.wallMs();
+    return this.machine.apply({ index: this.#index, atMs, command });
+  }
+}
+
+function kindOf(result: Result<unknown, Failure>): string {
+  return result.err ? result.val.kind : "accepted";
+}
+
+test("a batch beyond the memory of the store is rejected at once with a time to retry, and nothing is proposed", async () => {
+  const leader = new Leader(2 * BATCH_BYTES);
+  assert.equal(kindOf(await leader.accept("a")), "accepted");
+  assert.equal(kindOf(await leader.accept("b")), "accepted");
+  const rejected = await leader.accept("c");
+  assert.ok(rejected.err);
+  assert.equal(rejected.val.kind, "too_many_requests");
+  assert.equal(rejected.val.ran, "no");
+  assert.ok((rejected.val.retryAfterMs ?? 0) > 0);
+  assert.equal(leader.proposals, 2);
+  assert.equal(leader.machine.find("c"), undefined);
+  const events = leader.events.records().filter((each) =>
+    each.event.code === 2009
+  );
+  assert.equal(events.length, 1);
+});
+
+test("a store without memory for new batches accepts a repeated submission and ends, and lists what it accepted", async () => {
+  const leader = new Leader(BATCH_BYTES);
+  await leader.accept("a");
+  assert.equal(kindOf(await leader.accept("b")), "too_many_requests");
+  assert.equal(kindOf(await leader.accept("a")), "accepted");
+  const body = await leader.request({ kind: "body", id: "a", item: "a-x" });
+  assert.ok(body.ok);
+  const read = { kind: "read", id: "a", after: 0, waitMs: 0 };
+  assert.ok((await leader.request(read)).ok);
+  assert.ok((await leader.request({ kind: "end", id: "a" })).ok);
+});
+
+test("a store accepts batches again once earlier ones expire, even if nothing else is applied", async () => {
+  const leader = new Leader(BATCH_BYTES);
+  await leader.accept("a");
+  await leader.request({ kind: "end", id: "a" });
+  leader.clock.advance(KEEP_MS - 1);
+  assert.equal(leader.machine.find("a")?.ended, true);
+  const small = leader.machine.bytesAt(leader.clock.wallMs());
+  assert.ok(small > 0);
+  assert.equal(kindOf(await leader.accept("b")), "too_many_requests");
+  leader.clock.advance(1);
+  assert.equal(kindOf(await leader.accept("b")), "accepted");
+  assert.equal(leader.machine.find("a"), undefined);
+});
+
+test("batches that are being proposed count, so that many at once do not exceed the memory", async () => {
+  const leader = new Leader(2 * BATCH_BYTES);
+  leader.mode = "hold";
+  const accepted = ["a", "b"].map((id) => leader.accept(id));
+  assert.equal(kindOf(await leader.accept("c")), "too_many_requests");
+  const repeated = leader.accept("a");
+  await settle();
+  leader.release();
+  await settle();
+  leader.release();
+  for (const result of [...accepted, repeated]) {
+    assert.equal(kindOf(await result), "accepted");
+  }
+});
+
+test("a batch that may have been accepted is never rejected for lack of memory when it is sent again", async () => {
+  const leader = new Leader(2 * BATCH_BYTES);
+  await leader.accept("a");
+  leader.mode = "timeOut";
+  assert.equal(kindOf(await leader.accept("b")), "outcome_unknown");
+  leader.mode = "apply";
+  assert.equal(kindOf(await leader.accept("c")), "too_many_requests");
+  assert.equal(kindOf(await leader.accept("b")), "accepted");
+  leader.release();
+  assert.equal(kindOf(await leader.accept("b")), "accepted");
+});
+
+test("only a leader rejects batches for lack of memory; another VM names the leader", async () => {
+  const leader = new Leader(BATCH_BYTES);
+  await leader.accept("a");
+  leader.leads = false;
+  assert.equal(kindOf(await leader.accept("b")), "not_leader");
+  assert.equal(leader.proposals, 1);
+});
+
+test("the body of an item is returned until the item is listed or its batch has ended", async () => {
+  const leader = new Leader(Infinity);
+  await leader.accept("a");
+  const body = (item: string) =>
+    leader.request({ kind: "body", id: "a", item });
+  assert.deepEqual((await body("a-x")).val, new Uint8Array(BODY_BYTES));
+  const updates = [{
+    id: "u",
+    batch: "a",
+    item: "a-x",
+    fromEvents: 0,
+    events: 1,
+    lastEvent: 0,
+    text: "t",
+    versions: [1],
+    failures: 0,
+    restart: false,
+    outcome: "completed" as const,
+  }];
+  const command = { kind: "update", updates } as const;
+  leader.machine.apply({ index: 100, atMs: 0, command });
+  assert.equal(kindOf(await body("a-x")), "not_found");
+  assert.equal(kindOf(await body("a-y")), "accepted");
+  await leader.request({ kind: "end", id: "a" });
+  assert.equal(kindOf(await body("a-y")), "not_found");
+});
+
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- a/batches/mod.ts
+++ b/batches/mod.ts
@@ -7,6 +7,7 @@
 export * from "./batch_runner.ts";
 export * from "./batch_service.ts";
 export * from "./batch_state.ts";
+export * from "./batch_state_limit.ts";
 export * from "./batch_types.ts";
 export * from "./batches_machine.ts";
 export * from "./events.ts";
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -4,7 +4,12 @@
  * @module
  */
 import { QuorumLog, SHORT_TIMING } from "#agreement";
-import { BatchesMachine, BatchRunner, BatchService } from "#batches";
+import {
+  BatchesMachine,
+  BatchRunner,
+  BatchService,
+  batchStateLimit,
+} from "#batches";
 import type { AnyStateMachine, Failure, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
 import { type NodeSettings, WorkerDialect } from "#platform";
@@ -108,6 +113,7 @@
       ...base,
       log,
       machine: this.#batchesMachine,
+      limitBytes: () => batchStateLimit(this.#settings.memoryBytes),
     });
     this.#runner = new BatchRunner({
       ...base,
