Make the result pages of readers that wake together one after the other

Cause: every applied entry wakes all waiting readers, and each makes a page of up to 900 kB at once. What is held depends on the number of readers alone.

Change: at most 2 MB of pages (and the page that exceeds them) are made in a turn of the event loop; the other readers check the state again in the next turn.

Evidence: the new test has ten readers of 800 kB each; without the budget ten pages are made in the first turn, with it at most three.

--- a/batches/batch_service.ts
+++ b/batches/batch_service.ts
@@ -29,6 +29,7 @@
 import type { BatchState } from "./batch_state.ts";
 import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
+import { PageBudget } from "./page_budget.ts";
 
 const MAXIMUM_PAGE_BYTES: Bytes = 900_000;
 const RESULT_OVERHEAD_BYTES: Bytes = 200;
@@ -52,11 +53,13 @@
 export class BatchService {
   readonly #options: BatchServiceOptions;
   readonly #admission: BatchAdmission;
+  readonly #pages: PageBudget;
   readonly #waitingReaders = new Set<() => void>();
 
   constructor(options: BatchServiceOptions) {
     this.#options = options;
     this.#admission = new BatchAdmission(options);
+    this.#pages = new PageBudget(options.clock);
   }
 
   /** Starts to serve requests. */
@@ -157,11 +160,20 @@
       const waits = state.results.length <= read.after && !state.ended &&
         state.results.length < state.items.size;
       const leftMs = untilMs - clock.nowMs();
-      if (!waits || leftMs <= 0) return Ok(resultPage(state, read.after));
-      await this.#waitForLogEntry(leftMs);
+      if (waits && leftMs > 0) await this.#waitForLogEntry(leftMs);
+      else if (this.#pages.isSpent) await this.#pages.nextTurn();
+      else return Ok(this.#makePage(state, read.after));
     }
   }
 
+  #makePage(state: BatchState, after: number): ResultPage {
+    const page = resultPage(state, after);
+    let bytes = 0;
+    for (const { text } of page.results) bytes += text.length;
+    this.#pages.spend(bytes);
+    return page;
+  }
+
   #waitForLogEntry(waitMs: Milliseconds): Promise<void> {
     return new Promise((resolve) => {
       const wake = (): void => {
--- a/batches/batch_service_test.ts
+++ b/batches/batch_service_test.ts
@@ -15,11 +15,17 @@
 import type { PeerNetwork } from "#wire";
 import { BatchService } from "./batch_service.ts";
 import { expectedBatchBytes } from "./batch_state.ts";
-import type { Batch, BatchItem } from "./batch_types.ts";
+import type {
+  Batch,
+  BatchItem,
+  ItemUpdate,
+  ResultPage,
+} from "./batch_types.ts";
 import { type BatchesCommand, BatchesMachine } from "./batches_machine.ts";
 
 const KEEP_MS = 10_000;
 const BODY_BYTES = 10_000;
+const PAGE_BYTES = 800_000;
 
 function itemOf(id: string): BatchItem {
   return {
@@ -61,6 +67,7 @@
   mode: "apply" | "hold" | "timeOut" = "apply";
   leads = true;
   #held: (() => void)[] = [];
+  #onApplied = (_index: number): void => {};
   #index = 0;
   #handle: ((from: string, body: unknown) => Promise<unknown>) | undefined;
 
@@ -71,7 +78,10 @@
         Promise.resolve(
           this.leads ? Ok(null) : Err(fail("not_leader", "another leads")),
         ),
-      onApplied: () => () => {},
+      onApplied: (listener: (index: number) => void) => {
+        this.#onApplied = listener;
+        return () => {};
+      },
     };
     const network = {
       onRequest: (
@@ -105,6 +115,24 @@
     });
   }
 
+  /** Lists the first item of a batch with a text. */
+  list(batch: string, text: string): void {
+    const update: ItemUpdate = {
+      id: "u",
+      batch,
+      item: `${batch}-x`,
+      fromEvents: 0,
+      events: 1,
+      lastEvent: 0,
+      text,
+      versions: [1],
+      failures: 0,
+      restart: false,
+      outcome: "completed",
+    };
+    this.#apply({ kind: "update", updates: [update] });
+  }
+
   /** Applies the proposals that are held. */
   release(): void {
     const held = this.#held;
@@ -131,7 +159,9 @@
   #apply(command: BatchesCommand): Result<number, Failure> {
     this.#index += 1;
     const atMs = this.clock.wallMs();
-    return this.machine.apply({ index: this.#index, atMs, command });
+    const result = this.machine.apply({ index: this.#index, atMs, command });
+    this.#onApplied(this.#index);
+    return result;
   }
 }
 
@@ -223,27 +253,36 @@
   const body = (item: string) =>
     leader.request({ kind: "body", id: "a", item });
   assert.deepEqual((await body("a-x")).val, new Uint8Array(BODY_BYTES));
-  const updates = [{
-    id: "u",
-    batch: "a",
-    item: "a-x",
-    fromEvents: 0,
-    events: 1,
-    lastEvent: 0,
-    text: "t",
-    versions: [1],
-    failures: 0,
-    restart: false,
-    outcome: "completed" as const,
-  }];
-  const command = { kind: "update", updates } as const;
-  leader.machine.apply({ index: 100, atMs: 0, command });
+  leader.list("a", "t");
   assert.equal(kindOf(await body("a-x")), "not_found");
   assert.equal(kindOf(await body("a-y")), "accepted");
   await leader.request({ kind: "end", id: "a" });
   assert.equal(kindOf(await body("a-y")), "not_found");
 });
 
+test("readers that wake at the same time make their pages one after the other, not all at once", async () => {
+  const readers = 10;
+  const leader = new Leader(Infinity);
+  await leader.accept("a");
+  const text = "0".repeat(PAGE_BYTES);
+  let made = 0;
+  const reads = Array.from({ length: readers }, async () => {
+    const read = { kind: "read", id: "a", after: 0, waitMs: 1_000 };
+    const page = (await leader.request(read)).val as ResultPage;
+    made += 1;
+    assert.equal(page.results[0]?.text.length, PAGE_BYTES);
+  });
+  await settle();
+  leader.list("a", text);
+  for (let turn = 1; made < readers; turn += 1) {
+    await settle();
+    assert.ok(made <= 3 * turn, `${made} pages in turn ${turn}`);
+    assert.ok(turn <= readers, "every reader gets its page");
+    leader.clock.advance(0);
+  }
+  await Promise.all(reads);
+});
+
 function settle(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
