--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -6,13 +6,14 @@
  */
 import type { Milliseconds } from "#core";
 import {
-  type Batch,
+  type BatchHeader,
   type ItemOutcome,
   type ItemProgress,
   type ItemUpdate,
   NO_PROGRESS,
 } from "./batch_types.ts";
-import { type ItemState, versionsAllowed } from "./batches_machine.ts";
+import type { ItemState } from "./batch_state.ts";
+import { versionsAllowed } from "./batches_machine.ts";
 import type { GeneratedEvent } from "./item_run.ts";
 
 /** Fraction of the generated tokens that is expected to follow at least, since estimates are often too low. */
@@ -32,7 +33,7 @@
 
 /** The task to complete one item. */
 export class ItemTask {
-  readonly batch: Batch;
+  readonly batch: BatchHeader;
   readonly dueMs: Milliseconds;
   run: ActiveRun | undefined;
   moves = 0;
@@ -42,9 +43,11 @@
   #newFailures = 0;
   #outcome: ItemOutcome | null = null;
   #proposedUpdate: ItemUpdate | undefined;
+  /** Whether the text was discarded while the proposed update was in flight. */
+  #restartedSinceProposal = false;
 
   constructor(
-    batch: Batch,
+    batch: BatchHeader,
     options: { readonly logged: ItemState; readonly dueMs: Milliseconds },
   ) {
     this.batch = batch;
@@ -127,8 +130,10 @@
 
   /** Discards the text, because no engine can continue it. */
   restart(): void {
+    const proposedEvents = this.#proposedUpdate?.events ?? 0;
     this.#newEvents = [];
-    this.#restartPending = this.#logged.progress.events > 0;
+    this.#restartPending = this.#logged.progress.events + proposedEvents > 0;
+    this.#restartedSinceProposal = this.#proposedUpdate !== undefined;
   }
 
   /** Counts an engine failure. */
@@ -157,6 +162,7 @@
       outcome: this.#outcome,
     };
     this.#proposedUpdate = update;
+    this.#restartedSinceProposal = false;
     return update;
   }
 
@@ -166,10 +172,14 @@
     this.#proposedUpdate = undefined;
     if (proposed === undefined) return false;
     if (state.lastUpdate !== proposed.id) return false;
-    this.#newEvents = this.#newEvents.slice(proposed.events);
     this.#newFailures -= proposed.failures;
-    if (proposed.restart) this.#restartPending = false;
     this.#logged = state;
+    if (this.#restartedSinceProposal) {
+      this.#restartPending = state.progress.events > 0;
+      return true;
+    }
+    this.#newEvents = this.#newEvents.slice(proposed.events);
+    if (proposed.restart) this.#restartPending = false;
     return true;
   }
 
