Bound the request bodies of a process together, not each alone

Cause: a body of up to 32 MiB was limited for itself, and up to 2,048 connections could each send one; its chunks and their concatenation were in memory at the same time.

Change: each HTTP server holds at most 48 MiB of bodies. One with a Content-Length is reserved as a whole before a byte is read, a chunked one while it arrives. What does not fit is rejected at once with 503 (kind `overloaded`, ran no, Retry-After) and its memory is free for others while the rest is discarded. Bodies over 64 KiB may use five sixths of the budget, so that they don't block small ones; the largest body is always accepted while no other is held.

--- a/core/error_kinds.ts
+++ b/core/error_kinds.ts
@@ -234,6 +234,13 @@
     again: true,
     hint: "This VM is starting or stopping; retry after the given time.",
   },
+  overloaded: {
+    status: 503,
+    ran: "no",
+    again: true,
+    hint:
+      "This VM has no memory for the request now; retry after the given time.",
+  },
   outcome_unknown: {
     status: 504,
     ran: "unknown",
--- /dev/null
+++ b/programs/body_budget.ts
@@ -0,0 +1,107 @@
+/**
+ * Limits the bytes of all request bodies that a process holds at the same time.
+ *
+ * @module
+ */
+import {
+  type Bytes,
+  fail,
+  type Failure,
+  KIBIBYTE,
+  type Milliseconds,
+} from "#core";
+
+/** A body up to this size may use the whole budget, so that a few large bodies can't block the small ones. */
+const SMALL_BODY_BYTES: Bytes = 64 * KIBIBYTE;
+/** Part of the budget that only small bodies may use. */
+const SMALL_BODY_SHARE = 1 / 6;
+const RETRY_AFTER_MS: Milliseconds = 500;
+
+/** Limits of a `BodyBudget`. */
+export interface BodyBudgetOptions {
+  /** Bytes of all bodies together. */
+  readonly maximumBytes: Bytes;
+  /** Largest body; one of this size is always accepted while no other body is held. */
+  readonly maximumBodyBytes: Bytes;
+}
+
+/**
+ * Counts the bytes reserved for request bodies.
+ *
+ * @example
+ * ```ts
+ * const budget = new BodyBudget({ maximumBytes: 48 * MEBIBYTE, maximumBodyBytes: 32 * MEBIBYTE });
+ * const reservation = budget.open();
+ * if (!reservation.extendTo(contentLength)) return bodyBudgetFailure();
+ * reservation.release();
+ * ```
+ */
+export class BodyBudget {
+  readonly #maximumBytes: Bytes;
+  readonly #largeBodiesBytes: Bytes;
+  #reservedBytes: Bytes = 0;
+
+  constructor(options: BodyBudgetOptions) {
+    const { maximumBytes, maximumBodyBytes } = options;
+    this.#largeBodiesBytes = Math.max(
+      maximumBodyBytes,
+      maximumBytes * (1 - SMALL_BODY_SHARE),
+    );
+    this.#maximumBytes = Math.max(maximumBytes, this.#largeBodiesBytes);
+  }
+
+  /** Bytes reserved at present. */
+  get reservedBytes(): Bytes {
+    return this.#reservedBytes;
+  }
+
+  /** Returns an empty reservation for one body. */
+  open(): BodyReservation {
+    return new BodyReservation((bytes, addedBytes) =>
+      this.#reserve(bytes, addedBytes)
+    );
+  }
+
+  #reserve(bytes: Bytes, addedBytes: Bytes): boolean {
+    const limit = bytes > SMALL_BODY_BYTES
+      ? this.#largeBodiesBytes
+      : this.#maximumBytes;
+    const isGrowth = addedBytes > 0;
+    if (isGrowth && this.#reservedBytes + addedBytes > limit) return false;
+    this.#reservedBytes += addedBytes;
+    return true;
+  }
+}
+
+/** The bytes reserved for one body. */
+export class BodyReservation {
+  readonly #reserve: (bytes: Bytes, addedBytes: Bytes) => boolean;
+  #bytes: Bytes = 0;
+
+  constructor(reserve: (bytes: Bytes, addedBytes: Bytes) => boolean) {
+    this.#reserve = reserve;
+  }
+
+  /** Extends the reservation to `bytes`; returns false, without effect, if the budget has no room for them. */
+  extendTo(bytes: Bytes): boolean {
+    if (bytes <= this.#bytes) return true;
+    if (!this.#reserve(bytes, bytes - this.#bytes)) return false;
+    this.#bytes = bytes;
+    return true;
+  }
+
+  /** Returns the reserved bytes to the budget; later calls have no effect. */
+  release(): void {
+    this.#reserve(0, -this.#bytes);
+    this.#bytes = 0;
+  }
+}
+
+/** Returns the failure for a body that the budget has no room for. */
+export function bodyBudgetFailure(): Failure {
+  return fail(
+    "overloaded",
+    "the request bodies in progress use all memory reserved for them",
+    { retryAfterMs: RETRY_AFTER_MS },
+  );
+}
--- a/programs/http_limits.ts
+++ b/programs/http_limits.ts
@@ -17,6 +17,8 @@
 /** Limits on what the HTTP server accepts from clients. */
 export interface HttpLimits {
   readonly maximumBodyBytes: Bytes;
+  /** Bodies of all requests in progress together; a request whose body exceeds it is rejected with 503. */
+  readonly maximumHeldBodyBytes: Bytes;
   /** Size of the request line and headers together. */
   readonly maximumHeaderBytes: Bytes;
   /** Open connections; further ones are closed at once. */
@@ -38,6 +40,7 @@
 /** Default limits, for a small VM. */
 export const DEFAULT_HTTP_LIMITS: HttpLimits = {
   maximumBodyBytes: 4 * MEBIBYTE,
+  maximumHeldBodyBytes: 48 * MEBIBYTE,
   maximumHeaderBytes: 16 * KIBIBYTE,
   maximumConnections: 2_048,
   maximumPipelinedRequests: 64,
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -27,6 +27,11 @@
   SECOND_MS,
 } from "#core";
 import { type WriteOutcome, writeResponse } from "./response_writer.ts";
+import {
+  BodyBudget,
+  bodyBudgetFailure,
+  type BodyReservation,
+} from "./body_budget.ts";
 import { ConnectionTable } from "./connection_table.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import { failureResponse } from "./failure_response.ts";
@@ -35,6 +40,7 @@
 import {
   bodyTooLargeFailure,
   contentLengthExceeds,
+  contentLengthOf,
   discardBody,
   readBody,
 } from "./request_body.ts";
@@ -63,6 +69,8 @@
   /** Whether the client waits for `100 Continue` before it sends the body. */
   readonly expectsContinue: boolean;
   readonly startedAtMs: Milliseconds;
+  /** The memory of the request body, held until the response is written. */
+  readonly bodyReservation: BodyReservation;
 }
 
 /**
@@ -79,6 +87,7 @@
   readonly #options: HttpServerOptions;
   readonly #server: Server;
   readonly #connections: ConnectionTable;
+  readonly #bodyBudget: BodyBudget;
   readonly #latency;
   readonly #responses;
   readonly #routes: RouteFinder;
@@ -89,6 +98,10 @@
     this.#connections = new ConnectionTable(
       options.limits.maximumPipelinedRequests,
     );
+    this.#bodyBudget = new BodyBudget({
+      maximumBytes: options.limits.maximumHeldBodyBytes,
+      maximumBodyBytes: options.limits.maximumBodyBytes,
+    });
     this.#latency = options.metrics.latency({
       name: "cicadafield_http_seconds",
       help: "Time from the headers of a request to the end of its response.",
@@ -222,6 +235,7 @@
       response,
       expectsContinue,
       startedAtMs,
+      bodyReservation: this.#bodyBudget.open(),
     };
     response.on("error", () => response.destroy());
     request.on("error", () => request.destroy());
@@ -233,6 +247,8 @@
     } catch (error) {
       this.#reportHandlerError(UNMATCHED_ROUTE, error);
       response.destroy();
+    } finally {
+      exchange.bodyReservation.release();
     }
   }
 
@@ -268,12 +284,27 @@
     if (contentLengthExceeds(request, maximumBytes)) {
       return failureResponse(bodyTooLargeFailure(maximumBytes));
     }
+    const reservation = exchange.bodyReservation;
+    if (!reservation.extendTo(contentLengthOf(request))) {
+      return this.#rejectBody(exchange, bodyBudgetFailure());
+    }
     if (exchange.expectsContinue) response.writeContinue();
-    const body = await readBody(request, maximumBytes);
-    if (body.err) return failureResponse(body.val);
+    const body = await readBody(request, { maximumBytes, reservation });
+    if (body.err) return this.#rejectBody(exchange, body.val);
     return this.#handle(exchange, found, body.val);
   }
 
+  #rejectBody(exchange: Exchange, failure: Failure): HttpResponse {
+    // Other bodies may use the memory while the rest of this one is discarded.
+    exchange.bodyReservation.release();
+    if (failure.kind === "overloaded") {
+      this.#options.events.emit(HTTP_EVENTS.requestRejected, {
+        kind: failure.kind,
+      });
+    }
+    return failureResponse(failure);
+  }
+
   #maximumBodyBytes(): Bytes {
     const configured = this.#options.limits.maximumBodyBytes;
     return Math.min(configured, this.#options.bodyLimit?.() ?? configured);
