Bound what waits to be sent to all peers, and fail an oversized message alone

Cause: unsent bytes were limited for each connection only (16 MiB), so dozens of peers that don't read could hold hundreds of MiB. A message larger than a frame (8 MiB) was sent all the same; the receiver closed the connection, and every other request on it failed with an unknown outcome.

Change: a process holds at most 32 MiB for all peers. Without room, the connection with the most unsent bytes is closed if it holds more than a quarter of that; otherwise a notice is dropped, a request fails as without a connection (`not_ready`, not run), and a reply is replaced by the refusal `outcome_unknown`. A request larger than a frame fails with `body_too_large` and is not sent, a reply with `answer_too_large`. A connection on which the greeting can't be written is closed.

--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -58,6 +58,11 @@
   return frame;
 }
 
+/** Whether the receiver of an encoded frame would reject it by its length. */
+export function isFrameTooLarge(frame: Uint8Array): boolean {
+  return frame.length - LENGTH_BYTES > MAXIMUM_FRAME_BYTES;
+}
+
 /** Splits a stream of bytes into frames. After a failure the stream can't be decoded further. */
 export class FrameDecoder {
   readonly #maximumBytes: Bytes;
--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -7,12 +7,14 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import {
   type Address,
+  type Bytes,
   type Clock,
   Err,
   type EventLog,
   fail,
   type Failure,
   isFailure,
+  MEBIBYTE,
   type Milliseconds,
   Ok,
   type Result,
@@ -20,7 +22,7 @@
 import { WIRE_EVENTS } from "./events.ts";
 import { ChannelHandlers } from "./channel_handlers.ts";
 import { readEnvelopes } from "./envelope_reader.ts";
-import { encodeFrame } from "./frame.ts";
+import { encodeFrame, isFrameTooLarge } from "./frame.ts";
 import type { Channel, Envelope } from "./messages.ts";
 import { PendingRequests } from "./pending_requests.ts";
 import { startKeepalive } from "./connection_keepalive.ts";
@@ -31,11 +33,15 @@
   type RequestHandler,
   type RequestOptions,
 } from "./peer_network.ts";
+import { UnsentBudget } from "./unsent_budget.ts";
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
 const RECONNECT_DELAY_MS: Milliseconds = 200;
 const GREETING_TIMEOUT_MS: Milliseconds = 2_000;
-const MAXIMUM_UNSENT_BYTES = 16 * 1_048_576;
+/** Unsent bytes of one connection, above which it is closed. */
+const MAXIMUM_UNSENT_BYTES: Bytes = 16 * MEBIBYTE;
+/** Unsent bytes of all connections together. */
+const MAXIMUM_TOTAL_UNSENT_BYTES: Bytes = 32 * MEBIBYTE;
 const MAXIMUM_CONNECTIONS = 2_048;
 
 /** Options of `TcpNetwork`. */
@@ -64,6 +70,9 @@
   readonly receivedBytes: number;
 }
 
+/** Whether a frame was written, or why not. */
+type WriteOutcome = "written" | "dropped" | "too_large" | "no_memory";
+
 /** Implements the peer network over TCP connections. */
 export class TcpNetwork extends PeerNetwork {
   override readonly self: string;
@@ -73,6 +82,10 @@
   readonly #incomingSockets = new Set<Socket>();
   readonly #pending: PendingRequests<OutgoingLink>;
   readonly #reconnectAtMs = new Map<string, Milliseconds>();
+  readonly #unsent = new UnsentBudget<Socket>({
+    maximumBytes: MAXIMUM_TOTAL_UNSENT_BYTES,
+    close: (socket) => socket.destroy(),
+  });
   #server: Server | undefined;
   #sentBytes = 0;
   #receivedBytes = 0;
@@ -112,6 +125,11 @@
     return { sentBytes: this.#sentBytes, receivedBytes: this.#receivedBytes };
   }
 
+  /** Returns the bytes that wait to be sent on all connections. */
+  unsentBytes(): Bytes {
+    return this.#unsent.totalBytes;
+  }
+
   override onNotice(channel: Channel, handler: NoticeHandler): void {
     this.#handlers.setNoticeHandler(channel, handler);
   }
@@ -146,12 +164,14 @@
       to,
       timeoutMs,
     });
-    this.#send(link.socket, to, {
+    const outcome = this.#send(link.socket, to, {
       kind: "request",
       channel,
       correlation,
       body,
     });
+    const failure = requestFailure(outcome);
+    if (failure !== undefined) this.#pending.settle(correlation, Err(failure));
     return reply;
   }
 
@@ -197,14 +217,17 @@
     socket.on("close", () => {
       timer.cancel();
       keepalive.cancel();
+      this.#unsent.update(socket, 0);
       this.#removeLink(link);
     });
     this.#read(socket, (envelope) => this.#handleReply(to, envelope));
-    this.#write(socket, {
+    const greeted = this.#write(socket, {
       kind: "greeting",
       cluster: this.#options.cluster,
       vm: this.self,
     });
+    // The peer would reject every later message.
+    if (greeted !== "written") socket.destroy();
     return link;
   }
 
@@ -245,6 +268,7 @@
     socket.on("error", () => socket.destroy());
     socket.on("close", () => {
       timer.cancel();
+      this.#unsent.update(socket, 0);
       this.#incomingSockets.delete(socket);
     });
     this.#read(socket, (envelope) => {
@@ -305,7 +329,11 @@
     const envelope: Envelope = result.ok
       ? { kind: "reply", correlation, body: result.val }
       : { kind: "refusal", correlation, failure: result.val };
-    this.#send(source.socket, source.from, envelope);
+    const outcome = this.#send(source.socket, source.from, envelope);
+    const failure = replyFailure(outcome);
+    if (failure === undefined) return;
+    const refusal: Envelope = { kind: "refusal", correlation, failure };
+    this.#send(source.socket, source.from, refusal);
   }
 
   #read(socket: Socket, onEnvelope: (envelope: Envelope) => void): void {
@@ -326,19 +354,29 @@
     socket.destroy();
   }
 
-  #send(socket: Socket, to: string, envelope: Envelope): void {
-    if (!this.#mayPass(this.self, to)) return;
-    this.#write(socket, envelope);
+  #send(socket: Socket, to: string, envelope: Envelope): WriteOutcome {
+    if (!this.#mayPass(this.self, to)) return "dropped";
+    return this.#write(socket, envelope);
   }
 
-  #write(socket: Socket, envelope: Envelope): void {
+  #write(socket: Socket, envelope: Envelope): WriteOutcome {
+    if (socket.destroyed) return "dropped";
     if (socket.writableLength > MAXIMUM_UNSENT_BYTES) {
       socket.destroy();
-      return;
+      return "dropped";
     }
     const frame = encodeFrame(envelope);
+    // The peer would close the connection, with everything else that is sent on it.
+    if (isFrameTooLarge(frame)) return "too_large";
+    if (!this.#unsent.admits(socket, frame.length)) return "no_memory";
     this.#sentBytes += frame.length;
-    socket.write(frame);
+    socket.write(frame, () => this.#updateUnsent(socket));
+    this.#updateUnsent(socket);
+    return "written";
+  }
+
+  #updateUnsent(socket: Socket): void {
+    this.#unsent.update(socket, socket.destroyed ? 0 : socket.writableLength);
   }
 
   #mayPass(from: string, to: string): boolean {
@@ -346,6 +384,28 @@
   }
 }
 
+/** Returns the failure of a request that was not written although its connection may be open. */
+function requestFailure(outcome: WriteOutcome): Failure | undefined {
+  if (outcome === "too_large") {
+    return fail("body_too_large", "the request exceeds the size of a frame");
+  }
+  if (outcome === "no_memory") {
+    return fail("not_ready", "too many bytes wait to be sent");
+  }
+  return undefined;
+}
+
+/** Returns the failure that replaces a reply that was not written. */
+function replyFailure(outcome: WriteOutcome): Failure | undefined {
+  if (outcome === "too_large") {
+    return fail("answer_too_large", "the reply exceeds the size of a frame");
+  }
+  if (outcome === "no_memory") {
+    return fail("outcome_unknown", "too many bytes wait to be sent");
+  }
+  return undefined;
+}
+
 function sameAddress(a: Address, b: Address): boolean {
   return a.host === b.host && a.port === b.port;
 }
--- a/wire/tcp_network_test.ts
+++ b/wire/tcp_network_test.ts
@@ -1,8 +1,19 @@
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { test } from "node:test";
-import { type Address, MemoryEventLog, Ok, SystemClock } from "#core";
+import {
+  type Address,
+  type Failure,
+  MEBIBYTE,
+  MemoryEventLog,
+  Ok,
+  SystemClock,
+} from "#core";
+import { encodeFrame, MAXIMUM_FRAME_BYTES } from "./frame.ts";
 import { TcpNetwork } from "./tcp_network.ts";
 
+const MAXIMUM_WAITS = 1_000;
+
 function network(
   name: string,
   options: { cluster: string; addresses: ReadonlyMap<string, Address> },
@@ -38,3 +49,82 @@
     for (const each of [a, b, c]) each.close();
   }
 });
+
+test("a message that exceeds a frame fails alone, instead of closing the connection with all other requests on it", async () => {
+  const addresses = new Map([
+    ["a", { host: "127.8.0.4", port: 17_101 }],
+    ["b", { host: "127.8.0.5", port: 17_101 }],
+  ]);
+  const a = network("a", { cluster: "one", addresses });
+  const b = network("b", { cluster: "one", addresses });
+  const oversized = "x".repeat(MAXIMUM_FRAME_BYTES);
+  let answer: (body: unknown) => void = () => {};
+  const slow = new Promise<unknown>((resolve) => {
+    answer = resolve;
+  });
+  b.onRequest("control", async () => Ok(await slow));
+  b.onRequest("batches", () => Promise.resolve(Ok(oversized)));
+  await Promise.all([a.listen(), b.listen()]);
+  try {
+    const options = { to: "b", timeoutMs: 5_000 } as const;
+    const pending = a.request({ ...options, channel: "control" }, {});
+    const tooLarge = await a.request(
+      { ...options, channel: "control" },
+      oversized,
+    );
+    const failure = tooLarge.val as Failure;
+    assert.equal(failure.kind, "body_too_large");
+    assert.equal(failure.ran, "no");
+    const replied = await a.request({ ...options, channel: "batches" }, {});
+    assert.equal((replied.val as Failure).kind, "answer_too_large");
+    answer("done");
+    assert.equal((await pending).val, "done");
+  } finally {
+    for (const each of [a, b]) each.close();
+  }
+});
+
+test("peers that don't read their replies don't fill the memory of the process", async () => {
+  const requests = 140;
+  const reply = "x".repeat(MEBIBYTE);
+  const server: Address = { host: "127.8.0.6", port: 17_101 };
+  const a = network("a", {
+    cluster: "one",
+    addresses: new Map([["a", server]]),
+  });
+  let replies = 0;
+  a.onRequest("batches", () => {
+    replies += 1;
+    return Promise.resolve(Ok(reply));
+  });
+  await a.listen();
+  const peers = Array.from({ length: 10 }, (_, number) => {
+    const socket = connect({ ...server, localAddress: "127.8.0.7" });
+    socket.on("error", () => socket.destroy());
+    socket.pause();
+    socket.write(
+      encodeFrame({ kind: "greeting", cluster: "one", vm: `peer${number}` }),
+    );
+    return socket;
+  });
+  try {
+    for (let sent = 0; sent < requests / peers.length; sent += 1) {
+      for (const peer of peers) {
+        const envelope = { channel: "batches", correlation: sent, body: {} };
+        peer.write(encodeFrame({ kind: "request", ...envelope }));
+      }
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    for (let wait = 0; wait < MAXIMUM_WAITS && replies < requests; wait += 1) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    assert.ok(replies > requests / 2, `${replies} requests were handled`);
+    assert.ok(
+      a.unsentBytes() <= 32 * MEBIBYTE,
+      `${a.unsentBytes()} bytes wait to be sent`,
+    );
+  } finally {
+    for (const peer of peers) peer.destroy();
+    a.close();
+  }
+});
