Bound the responses that a process reads together

Cause: a response of up to 32 MiB was limited for itself; the chunks of any number of responses were held, each a second time when they were joined. A faulty worker can send that much.

Change: a client of upstreams holds at most 48 MiB of the responses that it reads. One with a Content-Length is reserved as a whole; what does not fit fails like a lost connection (may have run) and its connection is closed. Responses up to 64 KiB have a sixth of the budget to themselves.

Not covered: a response that is complete and is being written to a slow caller.

--- a/programs/body_budget.ts
+++ b/core/byte_budget.ts
@@ -1,24 +1,17 @@
 /**
- * Limits the bytes of all request bodies that a process holds at the same time.
+ * Limits the bytes of all message bodies of one kind that a process holds at the same time.
  *
  * @module
  */
-import {
-  type Bytes,
-  fail,
-  type Failure,
-  KIBIBYTE,
-  type Milliseconds,
-} from "#core";
+import { type Bytes, KIBIBYTE } from "./units.ts";
 
 /** A body up to this size may use the whole budget, so that a few large bodies can't block the small ones. */
 const SMALL_BODY_BYTES: Bytes = 64 * KIBIBYTE;
 /** Part of the budget that only small bodies may use. */
 const SMALL_BODY_SHARE = 1 / 6;
-const RETRY_AFTER_MS: Milliseconds = 500;
 
-/** Limits of a `BodyBudget`. */
-export interface BodyBudgetOptions {
+/** Limits of a `ByteBudget`. */
+export interface ByteBudgetOptions {
   /** Bytes of all bodies together. */
   readonly maximumBytes: Bytes;
   /** Largest body; one of this size is always accepted while no other body is held. */
@@ -26,22 +19,22 @@
 }
 
 /**
- * Counts the bytes reserved for request bodies.
+ * Counts the bytes reserved for bodies.
  *
  * @example
  * ```ts
- * const budget = new BodyBudget({ maximumBytes: 48 * MEBIBYTE, maximumBodyBytes: 32 * MEBIBYTE });
+ * const budget = new ByteBudget({ maximumBytes: 48 * MEBIBYTE, maximumBodyBytes: 32 * MEBIBYTE });
  * const reservation = budget.open();
- * if (!reservation.extendTo(contentLength)) return bodyBudgetFailure();
+ * if (!reservation.extendTo(contentLength)) return rejectRequest();
  * reservation.release();
  * ```
  */
-export class BodyBudget {
+export class ByteBudget {
   readonly #maximumBytes: Bytes;
   readonly #largeBodiesBytes: Bytes;
   #reservedBytes: Bytes = 0;
 
-  constructor(options: BodyBudgetOptions) {
+  constructor(options: ByteBudgetOptions) {
     const { maximumBytes, maximumBodyBytes } = options;
     this.#largeBodiesBytes = Math.max(
       maximumBodyBytes,
@@ -56,8 +49,8 @@
   }
 
   /** Returns an empty reservation for one body. */
-  open(): BodyReservation {
-    return new BodyReservation((bytes, addedBytes) =>
+  open(): ByteReservation {
+    return new ByteReservation((bytes, addedBytes) =>
       this.#reserve(bytes, addedBytes)
     );
   }
@@ -74,7 +67,7 @@
 }
 
 /** The bytes reserved for one body. */
-export class BodyReservation {
+export class ByteReservation {
   readonly #reserve: (bytes: Bytes, addedBytes: Bytes) => boolean;
   #bytes: Bytes = 0;
 
@@ -96,12 +89,3 @@
     this.#bytes = 0;
   }
 }
-
-/** Returns the failure for a body that the budget has no room for. */
-export function bodyBudgetFailure(): Failure {
-  return fail(
-    "overloaded",
-    "the request bodies in progress use all memory reserved for them",
-    { retryAfterMs: RETRY_AFTER_MS },
-  );
-}
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export * from "./blackboard.ts";
+export * from "./body_buffer.ts";
+export * from "./byte_budget.ts";
 export * from "./board_sections.ts";
 export * from "./bounded_event_log.ts";
 export * from "./bundle.ts";
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -14,6 +14,8 @@
 import type { Duplex } from "node:stream";
 import {
   type Address,
+  ByteBudget,
+  type ByteReservation,
   type Bytes,
   type Clock,
   type EventLog,
@@ -27,11 +29,6 @@
   SECOND_MS,
 } from "#core";
 import { type WriteOutcome, writeResponse } from "./response_writer.ts";
-import {
-  BodyBudget,
-  bodyBudgetFailure,
-  type BodyReservation,
-} from "./body_budget.ts";
 import { ConnectionTable } from "./connection_table.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import { failureResponse } from "./failure_response.ts";
@@ -42,6 +39,7 @@
   contentLengthExceeds,
   contentLengthOf,
   discardBody,
+  noMemoryFailure,
   readBody,
 } from "./request_body.ts";
 import { buildCall, type FoundRoute, RouteFinder } from "./route_finder.ts";
@@ -70,7 +68,7 @@
   readonly expectsContinue: boolean;
   readonly startedAtMs: Milliseconds;
   /** The memory of the request body, held until the response is written. */
-  readonly bodyReservation: BodyReservation;
+  readonly bodyReservation: ByteReservation;
 }
 
 /**
@@ -87,7 +85,7 @@
   readonly #options: HttpServerOptions;
   readonly #server: Server;
   readonly #connections: ConnectionTable;
-  readonly #bodyBudget: BodyBudget;
+  readonly #bodyBudget: ByteBudget;
   readonly #latency;
   readonly #responses;
   readonly #routes: RouteFinder;
@@ -98,7 +96,7 @@
     this.#connections = new ConnectionTable(
       options.limits.maximumPipelinedRequests,
     );
-    this.#bodyBudget = new BodyBudget({
+    this.#bodyBudget = new ByteBudget({
       maximumBytes: options.limits.maximumHeldBodyBytes,
       maximumBodyBytes: options.limits.maximumBodyBytes,
     });
@@ -286,7 +284,7 @@
     }
     const reservation = exchange.bodyReservation;
     if (!reservation.extendTo(contentLengthOf(request))) {
-      return this.#rejectBody(exchange, bodyBudgetFailure());
+      return this.#rejectBody(exchange, noMemoryFailure());
     }
     if (exchange.expectsContinue) response.writeContinue();
     const body = await readBody(request, { maximumBytes, reservation });
--- a/programs/request_body.ts
+++ b/programs/request_body.ts
@@ -5,6 +5,8 @@
  */
 import type { IncomingMessage } from "node:http";
 import {
+  BodyBuffer,
+  type BodyBufferOptions,
   type Bytes,
   type Clock,
   Err,
@@ -14,10 +16,8 @@
   Ok,
   type Result,
 } from "#core";
-import { bodyBudgetFailure, type BodyReservation } from "./body_budget.ts";
 
-/** Large, so that few bytes are copied and left to the garbage collector while a body grows. */
-const GROWTH_FACTOR = 8;
+const MEMORY_RETRY_MS: Milliseconds = 500;
 
 /** Returns whether `Content-Length` exceeds the limit, before any byte of the body is read. */
 export function contentLengthExceeds(
@@ -41,11 +41,13 @@
   );
 }
 
-/** Limits of `readBody`. */
-export interface ReadBodyOptions {
-  readonly maximumBytes: Bytes;
-  /** Extended to the bytes of the body that have arrived, or to its announced size. */
-  readonly reservation: BodyReservation;
+/** Returns the failure for a body that does not fit into the memory reserved for all bodies. */
+export function noMemoryFailure(): Failure {
+  return fail(
+    "overloaded",
+    "the request bodies in progress use all memory reserved for them",
+    { retryAfterMs: MEMORY_RETRY_MS },
+  );
 }
 
 /**
@@ -60,20 +62,25 @@
  */
 export function readBody(
   request: IncomingMessage,
-  options: ReadBodyOptions,
+  options: BodyBufferOptions,
 ): Promise<Result<Uint8Array, Failure>> {
+  const { maximumBytes } = options;
   const buffer = new BodyBuffer(options);
-  const announced = buffer.announce(contentLengthOf(request));
-  if (announced !== undefined) return Promise.resolve(Err(announced));
+  if (!buffer.announce(contentLengthOf(request))) {
+    return Promise.resolve(Err(noMemoryFailure()));
+  }
   return new Promise((resolve) => {
     const finish = (result: Result<Uint8Array, Failure>): void => {
       request.removeAllListeners("data");
       resolve(result);
     };
     request.on("data", (chunk: Uint8Array) => {
-      const failure = buffer.append(chunk);
-      if (failure === undefined) return;
+      const outcome = buffer.append(chunk);
+      if (outcome === "appended") return;
       buffer.clear();
+      const failure = outcome === "too_large"
+        ? bodyTooLargeFailure(maximumBytes)
+        : noMemoryFailure();
       finish(Err(failure));
     });
     request.once("end", () => finish(Ok(buffer.bytes())));
@@ -82,64 +89,6 @@
   });
 }
 
-/** A buffer that grows within the limits. Chunks are copied at once, so that the body is in memory only once. */
-class BodyBuffer {
-  readonly #options: ReadBodyOptions;
-  #buffer = Buffer.alloc(0);
-  #length: Bytes = 0;
-
-  constructor(options: ReadBodyOptions) {
-    this.#options = options;
-  }
-
-  /** Reserves the announced size; returns why that is not possible, or undefined. */
-  announce(bytes: Bytes): Failure | undefined {
-    const { reservation } = this.#options;
-    if (bytes === 0) return undefined;
-    if (!reservation.extendTo(bytes)) return bodyBudgetFailure();
-    this.#buffer = Buffer.allocUnsafe(bytes);
-    return undefined;
-  }
-
-  /** Appends a chunk; returns why that is not possible, or undefined. */
-  append(chunk: Uint8Array): Failure | undefined {
-    const { maximumBytes } = this.#options;
-    const length = this.#length + chunk.length;
-    if (length > maximumBytes) return bodyTooLargeFailure(maximumBytes);
-    const failure = this.#growTo(length);
-    if (failure !== undefined) return failure;
-    this.#buffer.set(chunk, this.#length);
-    this.#length = length;
-    return undefined;
-  }
-
-  /** Returns the bytes appended so far. */
-  bytes(): Uint8Array {
-    return this.#buffer.subarray(0, this.#length);
-  }
-
-  /** Drops the bytes appended so far, which the listeners of the request would otherwise retain. */
-  clear(): void {
-    this.#buffer = Buffer.alloc(0);
-    this.#length = 0;
-  }
-
-  /** Pages of the capacity that no byte is written to use no memory, so only the length is reserved. */
-  #growTo(length: Bytes): Failure | undefined {
-    const { maximumBytes, reservation } = this.#options;
-    if (!reservation.extendTo(length)) return bodyBudgetFailure();
-    if (length <= this.#buffer.length) return undefined;
-    const enlarged = Math.max(
-      length,
-      this.#buffer.length * GROWTH_FACTOR,
-    );
-    const grown = Buffer.allocUnsafe(Math.min(maximumBytes, enlarged));
-    grown.set(this.bytes());
-    this.#buffer = grown;
-    return undefined;
-  }
-}
-
 /** Reads and discards the rest of a rejected body for at most `lingerMs`, so that the client sees the rejection. */
 export function discardBody(
   request: IncomingMessage,
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -7,6 +7,9 @@
 import { Agent, type IncomingMessage, request as send } from "node:http";
 import {
   type Address,
+  BodyBuffer,
+  ByteBudget,
+  type ByteReservation,
   type Bytes,
   Err,
   MEBIBYTE,
@@ -16,6 +19,8 @@
 } from "#core";
 
 const MAXIMUM_RESPONSE_BYTES: Bytes = 32 * MEBIBYTE;
+/** Responses that are being read, together. */
+const MAXIMUM_HELD_RESPONSE_BYTES: Bytes = 48 * MEBIBYTE;
 const KEEP_ALIVE_PROBE_DELAY_MS: Milliseconds = 1_000;
 const MAXIMUM_IDLE_CONNECTIONS = 64;
 
@@ -73,6 +78,11 @@
     scheduling: "lifo",
   });
 
+  readonly #bodyBudget = new ByteBudget({
+    maximumBytes: MAXIMUM_HELD_RESPONSE_BYTES,
+    maximumBodyBytes: MAXIMUM_RESPONSE_BYTES,
+  });
+
   /** Sends a call and returns its response once the head has been received. */
   open(call: OutgoingCall): Promise<Result<StreamingResponse, CallError>> {
     const { promise, resolve } = deferred<
@@ -144,22 +154,19 @@
       closeConnection();
       return Err({ mayHaveRun: true, reason: rejectionReason, stale: false });
     }
-    const chunks: Uint8Array[] = [];
-    let size = 0;
+    const reservation = this.#bodyBudget.open();
     try {
-      for await (const chunk of bodyChunks) {
-        chunks.push(chunk);
-        size += chunk.length;
-        if (size > MAXIMUM_RESPONSE_BYTES) {
-          throw new Error("response too large");
-        }
-      }
+      const announcedBytes = call.method === "HEAD" ? 0 : contentLength(head);
+      const buffer = openBuffer(reservation, announcedBytes);
+      for await (const chunk of bodyChunks) appendChunk(buffer, chunk);
+      return Ok({ ...head, body: buffer.bytes() });
     } catch (error) {
       closeConnection();
       const reason = error instanceof Error ? error.message : String(error);
       return Err({ mayHaveRun: true, reason, stale: false });
+    } finally {
+      reservation.release();
     }
-    return Ok({ ...head, body: Buffer.concat(chunks) });
   }
 
   /** Closes all pooled connections. */
@@ -168,6 +175,34 @@
   }
 }
 
+function contentLength(head: ResponseHead): Bytes {
+  const bytes = Number(head.headers["content-length"] ?? 0);
+  return Number.isSafeInteger(bytes) ? bytes : 0;
+}
+
+/** Returns a buffer for a response; throws if its announced size exceeds a limit. */
+function openBuffer(
+  reservation: ByteReservation,
+  announcedBytes: Bytes,
+): BodyBuffer {
+  const maximumBytes = MAXIMUM_RESPONSE_BYTES;
+  if (announcedBytes > maximumBytes) throw new Error("response too large");
+  const buffer = new BodyBuffer({ maximumBytes, reservation });
+  if (!buffer.announce(announcedBytes)) throw noMemoryError();
+  return buffer;
+}
+
+/** Appends a chunk; throws if the response exceeds a limit. */
+function appendChunk(buffer: BodyBuffer, chunk: Uint8Array): void {
+  const outcome = buffer.append(chunk);
+  if (outcome === "too_large") throw new Error("response too large");
+  if (outcome === "no_memory") throw noMemoryError();
+}
+
+function noMemoryError(): Error {
+  return new Error("no memory for the response");
+}
+
 function deferred<Value>(): {
   readonly promise: Promise<Value>;
   readonly resolve: (value: Value) => void;
