Bound the retained bundles by their size

Change: at most 32 bundles and 4 MiB of their JSON text are retained, and always the newest. A VM that has an older one receives the complete newest bundle instead of a delta, as it did after 32 versions.

--- a/bundles/bundles_machine.ts
+++ b/bundles/bundles_machine.ts
@@ -17,11 +17,11 @@
 } from "#core";
 import { match, P } from "ts-pattern";
 import { type BundleDelta, diffBundles } from "./bundle_delta.ts";
+import { retainNewest } from "./bundle_history.ts";
 import { parseBundle } from "./bundle_schema.ts";
 import { bundleDigest, verifySignedBundle } from "./bundle_signature.ts";
 
 const MAXIMUM_HISTORY_ENTRIES = 4_096;
-const MAXIMUM_RETAINED_BUNDLES = 32;
 
 /** Submits a bundle, which is accepted if it is the successor of the active one. */
 export interface AcceptBundle {
@@ -136,7 +136,7 @@
       history: [...this.#state.history, receipt].slice(
         -MAXIMUM_HISTORY_ENTRIES,
       ),
-      kept: [...this.#state.kept, accepted].slice(-MAXIMUM_RETAINED_BUNDLES),
+      kept: retainNewest(this.#state.kept, accepted),
     };
     return receipt;
   }
--- a/bundles/bundles_machine_test.ts
+++ b/bundles/bundles_machine_test.ts
@@ -2,7 +2,13 @@
 import { generateKeyPairSync } from "node:crypto";
 import { test } from "node:test";
 import fc from "fast-check";
-import type { AcceptedBundle, Bundle, Failure, SignedBundle } from "#core";
+import {
+  type AcceptedBundle,
+  type Bundle,
+  type Failure,
+  MEBIBYTE,
+  type SignedBundle,
+} from "#core";
 import { applyDelta } from "./bundle_delta.ts";
 import { parseBundle } from "./bundle_schema.ts";
 import {
@@ -183,3 +189,32 @@
   }
   assert.equal(driver.machine.updateSince("unknown").kind, "whole");
 });
+
+test("the retained bundles are bounded by their size, so that large ones don't fill the memory of a control VM", () => {
+  const driver = new MachineDriver();
+  driver.accept(sign(firstBundle()));
+  const digests: string[] = [];
+  const base = driver.current().signed.bundle.tenants;
+  const added = Array.from({ length: 4_000 }, (_, number) => ({
+    name: `t${number}`.padEnd(64, "x"),
+    weight: 1,
+    maximumOutstanding: 4_096,
+  }));
+  for (let weight = 2; weight < 12; weight += 1) {
+    const next = nextBundle(driver.current(), weight);
+    const tenants = [...base, ...added].map((each) => ({ ...each, weight }));
+    const bundle = parseBundle({ ...next, tenants }).unwrap();
+    const receipt = driver.accept(sign(bundle)) as BundleReceipt;
+    digests.push(receipt.digest);
+  }
+  const snapshot = JSON.stringify(driver.machine.snapshot());
+  assert.ok(
+    snapshot.length < 5 * MEBIBYTE,
+    `the state has ${snapshot.length} bytes`,
+  );
+  const kindOf = (digest: string | undefined): string =>
+    driver.machine.updateSince(digest ?? null).kind;
+  assert.equal(kindOf(digests.at(-1)), "none");
+  assert.equal(kindOf(digests.at(-2)), "delta");
+  assert.equal(kindOf(digests[0]), "whole");
+});
--- a/bundles/mod.ts
+++ b/bundles/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./bundle_delta.ts";
+export { retainNewest } from "./bundle_history.ts";
 export { type BundleError, parseBundle } from "./bundle_schema.ts";
 export * from "./bundle_signature.ts";
 export * from "./bundles_machine.ts";
--- a/membership/bundle_server.ts
+++ b/membership/bundle_server.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type BundleUpdate, updateSince } from "#bundles";
+import { type BundleUpdate, retainNewest, updateSince } from "#bundles";
 import {
   type AcceptedBundle,
   type Clock,
@@ -17,7 +17,6 @@
 import { type WatchReply, watchRequestSchema } from "./bundle_messages.ts";
 
 const MAXIMUM_WATCHERS = 1_024;
-const MAXIMUM_RETAINED_BUNDLES = 32;
 
 /** Options of `BundleServer`. */
 export interface BundleServerOptions {
@@ -53,9 +52,7 @@
   /** Provides a bundle that has become active on this VM to the waiting watch requests. */
   publish(accepted: AcceptedBundle): void {
     if (this.#retained.at(-1)?.digest === accepted.digest) return;
-    this.#retained = [...this.#retained, accepted].slice(
-      -MAXIMUM_RETAINED_BUNDLES,
-    );
+    this.#retained = retainNewest(this.#retained, accepted);
     const wakers = [...this.#wakers];
     this.#wakers.clear();
     for (const wake of wakers) wake();
