Bound the stored responses of idempotency keys by their size

Change: all stored responses together have at most 32 MiB, headers included. Of a further response only the fact that the request ran is stored, as of one that is too long; a stored response stays until its retention ends, and no key runs twice.

--- a/requests/claims.ts
+++ b/requests/claims.ts
@@ -12,6 +12,7 @@
   fail,
   type Failure,
   KIBIBYTE,
+  MEBIBYTE,
   type Milliseconds,
   Ok,
   type Result,
@@ -20,12 +21,15 @@
 
 /** Maximum body size of a stored response; of a longer one only the fact that it ran is stored. */
 export const MAXIMUM_STORED_ANSWER_BYTES: Bytes = 64 * KIBIBYTE;
+/** Maximum size of all stored responses; of a further one only the fact that it ran is stored. */
+export const MAXIMUM_STORED_ANSWERS_BYTES: Bytes = 32 * MEBIBYTE;
 /** How long a withdrawn token is stored, so that a delayed claim with it has no effect. */
 export const WITHDRAWN_TOKEN_RETENTION_MS: Milliseconds = 60_000;
 /** Maximum number of withdrawn tokens stored; dropping one can leave a key open but never run it twice. */
 export const MAXIMUM_WITHDRAWN_TOKENS = 10_000;
 
 const MAXIMUM_KEY_LENGTH = 1_024;
+const ANSWER_OVERHEAD_BYTES: Bytes = 512;
 
 const answerSchema = z.object({
   status: z.number().int().min(100).max(599),
@@ -105,6 +109,7 @@
   override readonly name = "claims";
   #claims = new Map<string, Claim>();
   #withdrawn = new Map<string, Milliseconds>();
+  #storedBytes: Bytes = 0;
 
   override apply(entry: Committed<unknown>): Result<ClaimReply, Failure> {
     const parsed = commandSchema.safeParse(entry.command);
@@ -138,6 +143,10 @@
     const snapshot = state as ClaimsSnapshot;
     this.#claims = new Map(snapshot.claims);
     this.#withdrawn = new Map(snapshot.withdrawn);
+    this.#storedBytes = 0;
+    for (const claim of this.#claims.values()) {
+      this.#storedBytes += answerBytes(claim.answer);
+    }
   }
 
   #claim(
@@ -170,16 +179,23 @@
       return Ok({ state: "done" });
     }
     const answer = command.answer;
-    const isStorable = answer !== null &&
-      answer.body.length <= MAXIMUM_STORED_ANSWER_BYTES;
+    const stored = this.#isStorable(answer) ? answer : null;
+    this.#storedBytes += answerBytes(stored);
     this.#claims.set(command.key, {
       ...existing,
-      state: isStorable ? "answered" : "answer_not_kept",
-      answer: isStorable ? answer : null,
+      state: stored === null ? "answer_not_kept" : "answered",
+      answer: stored,
     });
     return Ok({ state: "done" });
   }
 
+  #isStorable(answer: StoredResponse | null): boolean {
+    if (answer === null) return false;
+    if (answer.body.length > MAXIMUM_STORED_ANSWER_BYTES) return false;
+    const bytes = this.#storedBytes + answerBytes(answer);
+    return bytes <= MAXIMUM_STORED_ANSWERS_BYTES;
+  }
+
   #withdraw(
     command: Extract<ClaimCommand, { operation: "withdraw" }>,
     atMs: Milliseconds,
@@ -211,6 +227,7 @@
   #dropExpired(atMs: Milliseconds): void {
     for (const [key, claim] of this.#claims) {
       if (claim.expiresAtMs > atMs) break;
+      this.#storedBytes -= answerBytes(claim.answer);
       this.#claims.delete(key);
     }
     for (const [token, untilMs] of this.#withdrawn) {
@@ -220,6 +237,15 @@
   }
 }
 
+function answerBytes(answer: StoredResponse | null): Bytes {
+  if (answer === null) return 0;
+  let bytes = ANSWER_OVERHEAD_BYTES + answer.body.length;
+  for (const [name, value] of Object.entries(answer.headers)) {
+    bytes += name.length + value.length;
+  }
+  return bytes;
+}
+
 function replyToExistingClaim(
   claim: Claim,
   command: Extract<ClaimCommand, { operation: "claim" }>,
--- a/requests/claims_test.ts
+++ b/requests/claims_test.ts
@@ -2,7 +2,11 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { decodeValue, encodeValue } from "#wire";
-import { ClaimsMachine, MAXIMUM_STORED_ANSWER_BYTES } from "./claims.ts";
+import {
+  ClaimsMachine,
+  MAXIMUM_STORED_ANSWER_BYTES,
+  MAXIMUM_STORED_ANSWERS_BYTES,
+} from "./claims.ts";
 
 const RETENTION_MS = 1_000;
 const MAXIMUM = 3;
@@ -151,6 +155,46 @@
   );
 });
 
+test("all stored responses together are bounded, so that they don't fill the memory of a control VM", () => {
+  let machine = new ClaimsMachine();
+  let atMs = 0;
+  const body = "x".repeat(MAXIMUM_STORED_ANSWER_BYTES);
+  const claim = (key: string): string | undefined => {
+    const command = {
+      operation: "claim",
+      key,
+      token: key,
+      fingerprint: "f",
+      retentionMs: RETENTION_MS,
+      maximumStored: 10_000,
+    };
+    const result = machine.apply({ index: 1, atMs, command });
+    return result.ok ? result.val.state : undefined;
+  };
+  const store = (key: string): void => {
+    const operation = "store";
+    const command = { operation, key, token: key, answer: answer(body) };
+    machine.apply({ index: 1, atMs, command });
+  };
+  const count = MAXIMUM_STORED_ANSWERS_BYTES / MAXIMUM_STORED_ANSWER_BYTES;
+  for (let number = 0; number < count; number += 1) {
+    assert.equal(claim(`k${number}`), "granted");
+    store(`k${number}`);
+  }
+  assert.equal(claim("k0"), "answered");
+  assert.equal(claim(`k${count - 1}`), "answer_not_kept");
+  const restored = new ClaimsMachine();
+  restored.restore(decodeValue(encodeValue(machine.snapshot())));
+  machine = restored;
+  claim("after");
+  store("after");
+  assert.equal(claim("after"), "answer_not_kept");
+  atMs = RETENTION_MS;
+  assert.equal(claim("later"), "granted");
+  store("later");
+  assert.equal(claim("later"), "answered");
+});
+
 test("malformed commands are rejected and change nothing", () => {
   const machine = new ClaimsMachine();
   for (const command of [null, 7, {}, { operation: "claim", key: "" }]) {
