Bound the responses that are written to slow callers together

Cause: a complete response stays in memory until its caller has read it, for up to 30 s without progress; any number of callers could hold one of up to 32 MiB each.

One that does not fit is replaced by the failure `outcome_unknown` (504, may have run). Streamed responses are not affected; they have back pressure.

The test fails without the limit.

--- a/programs/body_budget_test.ts
+++ b/programs/body_budget_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { HttpRoute } from "#core";
+import { type HttpRoute, MEBIBYTE } from "#core";
 import {
   ECHO_ROUTE,
   exchange,
@@ -125,3 +125,25 @@
     large.socket.destroy();
   });
 });
+
+test("responses to callers that don't read them don't fill the memory of the process", async () => {
+  const body = Buffer.alloc(30 * MEBIBYTE, "x");
+  const route: HttpRoute = {
+    ...ECHO_ROUTE,
+    handle: () => Promise.resolve({ status: 200, headers: {}, body }),
+  };
+  const limits = { maximumHeldResponseBytes: 48 * MEBIBYTE };
+  await withServer({ limits, routes: [route] }, async ({ address }) => {
+    const get = "GET /echo/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    const slow = new RawClient(address);
+    slow.send(get);
+    await slow.until(/200 OK/);
+    slow.socket.pause();
+    const second = parseResponse(await exchange(address, get));
+    assert.equal(second.status, 504);
+    assert.equal(second.body.ran, "unknown");
+    slow.socket.resume();
+    assert.ok((await slow.untilClosed()).length > body.length);
+    assert.match(await exchange(address, get), /^HTTP\/1.1 200 OK/);
+  });
+});
--- a/programs/http_limits.ts
+++ b/programs/http_limits.ts
@@ -19,6 +19,8 @@
   readonly maximumBodyBytes: Bytes;
   /** Bodies of all requests in progress together; a request whose body exceeds it is rejected with 503. */
   readonly maximumHeldBodyBytes: Bytes;
+  /** Responses being written together; one that exceeds it is replaced by the failure `outcome_unknown`. */
+  readonly maximumHeldResponseBytes: Bytes;
   /** Size of the request line and headers together. */
   readonly maximumHeaderBytes: Bytes;
   /** Open connections; further ones are closed at once. */
@@ -41,6 +43,7 @@
 export const DEFAULT_HTTP_LIMITS: HttpLimits = {
   maximumBodyBytes: 4 * MEBIBYTE,
   maximumHeldBodyBytes: 48 * MEBIBYTE,
+  maximumHeldResponseBytes: 48 * MEBIBYTE,
   maximumHeaderBytes: 16 * KIBIBYTE,
   maximumConnections: 2_048,
   maximumPipelinedRequests: 64,
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -86,6 +86,7 @@
   readonly #server: Server;
   readonly #connections: ConnectionTable;
   readonly #bodyBudget: ByteBudget;
+  readonly #responseBudget: ByteBudget;
   readonly #latency;
   readonly #responses;
   readonly #routes: RouteFinder;
@@ -100,6 +101,10 @@
       maximumBytes: options.limits.maximumHeldBodyBytes,
       maximumBodyBytes: options.limits.maximumBodyBytes,
     });
+    this.#responseBudget = new ByteBudget({
+      maximumBytes: options.limits.maximumHeldResponseBytes,
+      maximumBodyBytes: 0,
+    });
     this.#latency = options.metrics.latency({
       name: "cicadafield_http_seconds",
       help: "Time from the headers of a request to the end of its response.",
@@ -262,10 +267,16 @@
     }
     const found = this.#routes.find(exchange.request);
     const route = found.ok ? found.val.route.name : UNMATCHED_ROUTE;
-    const response = found.ok
+    const complete = found.ok
       ? await this.#readAndHandle(exchange, found.val)
       : found.val;
-    await this.#write(exchange, response);
+    const reservation = this.#responseBudget.open();
+    const response = this.#reserveResponse(complete, reservation);
+    try {
+      await this.#write(exchange, response);
+    } finally {
+      reservation.release();
+    }
     this.#countResponse(route, response.status);
     this.#latency.observe(
       { route },
@@ -292,6 +303,19 @@
     return this.#handle(exchange, found, body.val);
   }
 
+  /** Returns the response, or a failure if callers that read slowly hold all memory for responses. */
+  #reserveResponse(
+    response: HttpResponse,
+    reservation: ByteReservation,
+  ): HttpResponse {
+    if (reservation.extendTo(fixedBodyBytes(response))) return response;
+    const failure = fail("outcome_unknown", "no memory for the response");
+    this.#options.events.emit(HTTP_EVENTS.requestRejected, {
+      kind: failure.kind,
+    });
+    return failureResponse(failure);
+  }
+
   #rejectBody(exchange: Exchange, failure: Failure): HttpResponse {
     // Other bodies may use the memory while the rest of this one is discarded.
     exchange.bodyReservation.release();
@@ -379,3 +403,10 @@
     this.#responses.inc({ route, status: String(status) });
   }
 }
+
+/** Returns the size of a body that is held as a whole; 0 for a streamed one. */
+function fixedBodyBytes(response: HttpResponse): Bytes {
+  const { body } = response;
+  if (typeof body === "string") return Buffer.byteLength(body);
+  return body instanceof Uint8Array ? body.length : 0;
+}
