Share one budget between responses that are read and responses that are written

Cause: the limits of the steps of one response added up: 48 MiB each for request bodies, responses being read and responses being written, and 32 MiB for peers, beside some 67 MB of a started process. An entry VM of the users has 178 MB.

Change: the servers and the forwarder of a process on the users' platform share one budget for responses, and the two budgets (requests, responses) are 40 MiB each. The largest body of 32 MiB is still accepted while no other large one is held.

The new test of the shared budget passes. All of them at their limit at once, with the bytes for peers, would still exceed 178 MB: 40 + 40 + 32 MiB beside 67 MB, before garbage is collected.

--- a/programs/http_limits.ts
+++ b/programs/http_limits.ts
@@ -42,8 +42,8 @@
 /** Default limits, for a small VM. */
 export const DEFAULT_HTTP_LIMITS: HttpLimits = {
   maximumBodyBytes: 4 * MEBIBYTE,
-  maximumHeldBodyBytes: 48 * MEBIBYTE,
-  maximumHeldResponseBytes: 48 * MEBIBYTE,
+  maximumHeldBodyBytes: 40 * MEBIBYTE,
+  maximumHeldResponseBytes: 40 * MEBIBYTE,
   maximumHeaderBytes: 16 * KIBIBYTE,
   maximumConnections: 2_048,
   maximumPipelinedRequests: 64,
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -54,6 +54,8 @@
   readonly limits: HttpLimits;
   /** Returns an additional body size limit, such as that of the active bundle, or undefined if there is none. */
   readonly bodyLimit?: () => Bytes | undefined;
+  /** Memory of the responses that the process reads and writes; absent if only this server writes any. */
+  readonly responseBudget?: ByteBudget;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events: EventLog;
@@ -101,7 +103,7 @@
       maximumBytes: options.limits.maximumHeldBodyBytes,
       maximumBodyBytes: options.limits.maximumBodyBytes,
     });
-    this.#responseBudget = new ByteBudget({
+    this.#responseBudget = options.responseBudget ?? new ByteBudget({
       maximumBytes: options.limits.maximumHeldResponseBytes,
       maximumBodyBytes: 0,
     });
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -7,6 +7,7 @@
 import {
   type Address,
   BoundedEventLog,
+  ByteBudget,
   type Clock,
   type EventLog,
   type FleetNode,
@@ -55,6 +56,8 @@
   readonly events: EventLog;
   readonly metrics: Metrics;
   readonly network: TcpNetwork;
+  /** Memory of all responses that the process reads from upstreams and writes to callers. */
+  readonly responseBudget: ByteBudget;
   /** Start of this process, in Unix milliseconds. */
   readonly startedMs: Milliseconds;
   /** Returns the peer addresses of the control VMs in the current settings. */
@@ -123,6 +126,10 @@
     events,
     metrics: new Metrics(),
     network,
+    responseBudget: new ByteBudget({
+      maximumBytes: NODE_HTTP_LIMITS.maximumHeldResponseBytes,
+      maximumBodyBytes: BODY_BYTES,
+    }),
     startedMs: clock.wallMs(),
     seeds: () =>
       options.current().seeds.map((seed) => `${seed.host}:${controlPort}`),
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import {
+  type ByteBudget,
   type Clock,
   type EventLog,
   fail,
@@ -48,6 +49,8 @@
   readonly dialect: UpstreamDialect;
   /** Returns the known upstreams, including draining ones. */
   readonly upstreams: () => readonly FleetUpstream[];
+  /** Memory of the responses that the process reads and writes; absent if only the forwarder reads any. */
+  readonly responseBudget?: ByteBudget;
 }
 
 /** A call with its route and deadline. */
@@ -84,12 +87,13 @@
 /** Forwards calls to upstreams. */
 export class Forwarder {
   readonly #options: ForwarderOptions;
-  readonly #http = new UpstreamHttp();
+  readonly #http: UpstreamHttp;
   readonly #choice: UpstreamSelector;
   readonly #streams: StreamForwarding;
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
+    this.#http = new UpstreamHttp(options);
     this.#choice = new UpstreamSelector({ zone: options.zone });
     this.#streams = new StreamForwarding({
       ...options,
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -19,8 +19,8 @@
 } from "#core";
 
 const MAXIMUM_RESPONSE_BYTES: Bytes = 32 * MEBIBYTE;
-/** Responses that are being read, together. */
-const MAXIMUM_HELD_RESPONSE_BYTES: Bytes = 48 * MEBIBYTE;
+/** Responses that are being read, together, if the caller passes no budget. */
+const MAXIMUM_HELD_RESPONSE_BYTES: Bytes = 40 * MEBIBYTE;
 const KEEP_ALIVE_PROBE_DELAY_MS: Milliseconds = 1_000;
 const MAXIMUM_IDLE_CONNECTIONS = 64;
 
@@ -69,6 +69,12 @@
   readonly closeConnection: () => void;
 }
 
+/** Options of `UpstreamHttp`. */
+export interface UpstreamHttpOptions {
+  /** Memory of the responses that the process reads and writes; absent if only this client reads any. */
+  readonly responseBudget?: ByteBudget;
+}
+
 /** Sends calls over a pool of keep-alive connections. */
 export class UpstreamHttp {
   readonly #agent = new Agent({
@@ -78,10 +84,14 @@
     scheduling: "lifo",
   });
 
-  readonly #bodyBudget = new ByteBudget({
-    maximumBytes: MAXIMUM_HELD_RESPONSE_BYTES,
-    maximumBodyBytes: MAXIMUM_RESPONSE_BYTES,
-  });
+  readonly #bodyBudget: ByteBudget;
+
+  constructor(options: UpstreamHttpOptions = {}) {
+    this.#bodyBudget = options.responseBudget ?? new ByteBudget({
+      maximumBytes: MAXIMUM_HELD_RESPONSE_BYTES,
+      maximumBodyBytes: MAXIMUM_RESPONSE_BYTES,
+    });
+  }
 
   /** Sends a call and returns its response once the head has been received. */
   open(call: OutgoingCall): Promise<Result<StreamingResponse, CallError>> {
--- a/requests/upstream_http_test.ts
+++ b/requests/upstream_http_test.ts
@@ -2,7 +2,7 @@
 import { createServer, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
-import { type Address, MEBIBYTE } from "#core";
+import { type Address, ByteBudget, MEBIBYTE } from "#core";
 import { type OutgoingCall, UpstreamHttp } from "./upstream_http.ts";
 
 const HOST = "127.3.0.7";
@@ -79,6 +79,29 @@
   });
 });
 
+test("responses that are read and responses that are written share one budget", async () => {
+  await withUpstream(async (address, nextResponse) => {
+    const responseBudget = new ByteBudget({
+      maximumBytes: 40 * MEBIBYTE,
+      maximumBodyBytes: 32 * MEBIBYTE,
+    });
+    const http = new UpstreamHttp({ responseBudget });
+    const written = responseBudget.open();
+    assert.equal(written.extendTo(LARGE_BYTES), true);
+    const rejected = http.call(callTo(address));
+    const response = await nextResponse();
+    response.on("error", () => {});
+    response.end(Buffer.alloc(LARGE_BYTES));
+    assert.equal((await rejected).err, true);
+    written.release();
+    const accepted = http.call(callTo(address));
+    (await nextResponse()).end(Buffer.alloc(LARGE_BYTES));
+    assert.equal((await accepted).ok, true);
+    assert.equal(responseBudget.reservedBytes, 0);
+    http.close();
+  });
+});
+
 test("a response without a length is complete, and a response that is too large fails", async () => {
   await withUpstream(async (address, nextResponse) => {
     const http = new UpstreamHttp();
