Reject an event of a stream that never ends

Cause: the parser of event streams buffered an incomplete event without a limit, and searched all of it again with each chunk. A worker that sends bytes that are no events fills the memory of the entry or store VM that reads them.

Change: an incomplete event of more than 1 MiB ends the stream like a broken one; both readers already close the connection and resume elsewhere where the route allows it.

--- a/requests/event_parser.ts
+++ b/requests/event_parser.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { MEBIBYTE } from "#core";
+
 /** One event of a stream. */
 export interface StreamEvent {
   readonly id: number;
@@ -16,6 +18,8 @@
 }
 
 const END_OF_EVENT = "\n\n";
+/** Longest incomplete event, in UTF-16 units; an upstream that never ends an event must not fill the memory. */
+const MAXIMUM_PARTIAL_EVENT_LENGTH = MEBIBYTE;
 
 /**
  * Incremental parser of server-sent events.
@@ -35,7 +39,7 @@
     return this.#pending.trim() !== "";
   }
 
-  /** Adds data and returns the events that it completes. */
+  /** Adds data and returns the events that it completes; throws if an incomplete event exceeds 1 MiB. */
   push(bytes: Uint8Array | string): readonly StreamEvent[] {
     const text = typeof bytes === "string"
       ? bytes
@@ -50,6 +54,9 @@
       if (event !== undefined) events.push(event);
       end = this.#pending.indexOf(END_OF_EVENT);
     }
+    if (this.#pending.length > MAXIMUM_PARTIAL_EVENT_LENGTH) {
+      throw new Error("an event of the stream is too long");
+    }
     return events;
   }
 }
