--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -14,6 +14,8 @@
 import type { Duplex } from "node:stream";
 import {
   type Address,
+  ByteBudget,
+  type ByteReservation,
   type Bytes,
   type Clock,
   type EventLog,
@@ -35,7 +37,9 @@
 import {
   bodyTooLargeFailure,
   contentLengthExceeds,
+  contentLengthOf,
   discardBody,
+  noMemoryFailure,
   readBody,
 } from "./request_body.ts";
 import { buildCall, type FoundRoute, RouteFinder } from "./route_finder.ts";
@@ -50,6 +54,8 @@
   readonly limits: HttpLimits;
   /** Returns an additional body size limit, such as that of the active bundle, or undefined if there is none. */
   readonly bodyLimit?: () => Bytes | undefined;
+  /** Memory of the responses that the process reads and writes; absent if only this server writes any. */
+  readonly responseBudget?: ByteBudget;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events: EventLog;
@@ -63,6 +69,8 @@
   /** Whether the client waits for `100 Continue` before it sends the body. */
   readonly expectsContinue: boolean;
   readonly startedAtMs: Milliseconds;
+  /** The memory of the request body, held until the response is written. */
+  readonly bodyReservation: ByteReservation;
 }
 
 /**
@@ -79,6 +87,8 @@
   readonly #options: HttpServerOptions;
   readonly #server: Server;
   readonly #connections: ConnectionTable;
+  readonly #bodyBudget: ByteBudget;
+  readonly #responseBudget: ByteBudget;
   readonly #latency;
   readonly #responses;
   readonly #routes: RouteFinder;
@@ -89,6 +99,14 @@
     this.#connections = new ConnectionTable(
       options.limits.maximumPipelinedRequests,
     );
+    this.#bodyBudget = new ByteBudget({
+      maximumBytes: options.limits.maximumHeldBodyBytes,
+      maximumBodyBytes: options.limits.maximumBodyBytes,
+    });
+    this.#responseBudget = options.responseBudget ?? new ByteBudget({
+      maximumBytes: options.limits.maximumHeldResponseBytes,
+      maximumBodyBytes: 0,
+    });
     this.#latency = options.metrics.latency({
       name: "cicadafield_http_seconds",
       help: "Time from the headers of a request to the end of its response.",
@@ -227,6 +245,7 @@
       response,
       expectsContinue,
       startedAtMs,
+      bodyReservation: this.#bodyBudget.open(),
     };
     response.on("error", () => response.destroy());
     request.on("error", () => request.destroy());
@@ -238,6 +257,8 @@
     } catch (error) {
       this.#reportHandlerError(UNMATCHED_ROUTE, error);
       response.destroy();
+    } finally {
+      exchange.bodyReservation.release();
     }
   }
 
@@ -253,10 +274,16 @@
     }
     const found = this.#routes.find(exchange.request);
     const route = found.ok ? found.val.route.name : UNMATCHED_ROUTE;
-    const response = found.ok
+    const complete = found.ok
       ? await this.#readAndHandle(exchange, found.val)
       : found.val;
-    await this.#write(exchange, response);
+    const reservation = this.#responseBudget.open();
+    const response = this.#reserveResponse(complete, reservation);
+    try {
+      await this.#write(exchange, response);
+    } finally {
+      reservation.release();
+    }
     this.#countResponse(route, response.status);
     this.#latency.observe(
       { route },
@@ -273,12 +300,40 @@
     if (contentLengthExceeds(request, maximumBytes)) {
       return failureResponse(bodyTooLargeFailure(maximumBytes));
     }
+    const reservation = exchange.bodyReservation;
+    if (!reservation.extendTo(contentLengthOf(request))) {
+      return this.#rejectBody(exchange, noMemoryFailure());
+    }
     if (exchange.expectsContinue) response.writeContinue();
-    const body = await readBody(request, maximumBytes);
-    if (body.err) return failureResponse(body.val);
+    const body = await readBody(request, { maximumBytes, reservation });
+    if (body.err) return this.#rejectBody(exchange, body.val);
     return this.#handle(exchange, found, body.val);
   }
 
+  /** Returns the response, or a failure if callers that read slowly hold all memory for responses. */
+  #reserveResponse(
+    response: HttpResponse,
+    reservation: ByteReservation,
+  ): HttpResponse {
+    if (reservation.extendTo(fixedBodyBytes(response))) return response;
+    const failure = fail("outcome_unknown", "no memory for the response");
+    this.#options.events.emit(HTTP_EVENTS.requestRejected, {
+      kind: failure.kind,
+    });
+    return failureResponse(failure);
+  }
+
+  #rejectBody(exchange: Exchange, failure: Failure): HttpResponse {
+    // Other bodies may use the memory while the rest of this one is discarded.
+    exchange.bodyReservation.release();
+    if (failure.kind === "overloaded") {
+      this.#options.events.emit(HTTP_EVENTS.requestRejected, {
+        kind: failure.kind,
+      });
+    }
+    return failureResponse(failure);
+  }
+
   #maximumBodyBytes(): Bytes {
     const configured = this.#options.limits.maximumBodyBytes;
     return Math.min(configured, this.#options.bodyLimit?.() ?? configured);
@@ -355,3 +410,10 @@
     this.#responses.inc({ route, status: String(status) });
   }
 }
+
+/** Returns the size of a body that is held as a whole; 0 for a streamed one. */
+function fixedBodyBytes(response: HttpResponse): Bytes {
+  const { body } = response;
+  if (typeof body === "string") return Buffer.byteLength(body);
+  return body instanceof Uint8Array ? body.length : 0;
+}
--- a/programs/request_body.ts
+++ b/programs/request_body.ts
@@ -5,6 +5,8 @@
  */
 import type { IncomingMessage } from "node:http";
 import {
+  BodyBuffer,
+  type BodyBufferOptions,
   type Bytes,
   type Clock,
   Err,
@@ -15,13 +17,19 @@
   type Result,
 } from "#core";
 
+const MEMORY_RETRY_MS: Milliseconds = 500;
+
 /** Returns whether `Content-Length` exceeds the limit, before any byte of the body is read. */
 export function contentLengthExceeds(
   request: IncomingMessage,
   maximumBytes: Bytes,
 ): boolean {
-  const contentLength = Number(request.headers["content-length"] ?? 0);
-  return contentLength > maximumBytes;
+  return contentLengthOf(request) > maximumBytes;
+}
+
+/** Returns the announced size of the body; 0 if the request announces none. */
+export function contentLengthOf(request: IncomingMessage): Bytes {
+  return Number(request.headers["content-length"] ?? 0);
 }
 
 /** Returns the failure for a body that exceeds the limit. */
@@ -33,35 +41,49 @@
   );
 }
 
+/** Returns the failure for a body that does not fit into the memory reserved for all bodies. */
+export function noMemoryFailure(): Failure {
+  return fail(
+    "overloaded",
+    "the request bodies in progress use all memory reserved for them",
+    { retryAfterMs: MEMORY_RETRY_MS },
+  );
+}
+
 /**
- * Reads a body. Fails with `body_too_large` as soon as the limit is exceeded, and with `cancelled` if
- * the client disconnects first.
+ * Reads a body. Fails with `body_too_large` as soon as the limit is exceeded, with `overloaded` as soon as the
+ * reservation can't be extended, and with `cancelled` if the client disconnects first. A body with a
+ * `Content-Length` is reserved as a whole before any byte of it is read.
  *
  * @example
  * ```ts
- * const body = await readBody(request, 1_048_576);
+ * const body = await readBody(request, { maximumBytes: 1_048_576, reservation: budget.open() });
  * ```
  */
 export function readBody(
   request: IncomingMessage,
-  maximumBytes: Bytes,
+  options: BodyBufferOptions,
 ): Promise<Result<Uint8Array, Failure>> {
+  const { maximumBytes } = options;
+  const buffer = new BodyBuffer(options);
+  if (!buffer.announce(contentLengthOf(request))) {
+    return Promise.resolve(Err(noMemoryFailure()));
+  }
   return new Promise((resolve) => {
-    const chunks: Uint8Array[] = [];
-    let received = 0;
     const finish = (result: Result<Uint8Array, Failure>): void => {
       request.removeAllListeners("data");
       resolve(result);
     };
     request.on("data", (chunk: Uint8Array) => {
-      received += chunk.length;
-      if (received > maximumBytes) {
-        finish(Err(bodyTooLargeFailure(maximumBytes)));
-        return;
-      }
-      chunks.push(chunk);
+      const outcome = buffer.append(chunk);
+      if (outcome === "appended") return;
+      buffer.clear();
+      const failure = outcome === "too_large"
+        ? bodyTooLargeFailure(maximumBytes)
+        : noMemoryFailure();
+      finish(Err(failure));
     });
-    request.once("end", () => finish(Ok(Buffer.concat(chunks))));
+    request.once("end", () => finish(Ok(buffer.bytes())));
     request.once("error", () => finish(Err(clientDisconnected())));
     request.once("close", () => finish(Err(clientDisconnected())));
   });
