Let a candidate find a leader whose VM is no longer a control VM

Cause: a replica that was sent a voter change which was then replaced by another leader's entry is a candidate. It sent hellos to the control VMs only; the replies named the leader, but only a learner sent that leader a hello. If the leader's VM is no longer listed, the replica stayed behind for ever.

Change: a candidate sends the named leader a hello too.

The new test of replica_test.ts failed before and passes with the change.

--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -314,7 +314,8 @@
   #sendHelloToLeader(vm: string, message: MessageOf<"hello">): void {
     const { leader } = message;
     if (leader === null || leader === vm || leader === this.state.vm) return;
-    if (this.state.role === "learner") this.#sendHello(leader);
+    const { role } = this.state;
+    if (role === "learner" || role === "candidate") this.#sendHello(leader);
   }
 
   #tryForm(instant: Instant): void {
--- a/agreement/replica_test.ts
+++ b/agreement/replica_test.ts
@@ -204,6 +204,27 @@
   assert.equal(messagesOfKind(replica.drainReadyMessages(), "hello").length, 2);
 });
 
+test("a candidate sends a hello to a leader on a VM that is no longer a control VM", () => {
+  const replica = createReplica("a");
+  replica.tick(AFTER_ELECTION_TIMEOUT);
+  assert.equal(replica.state.role, "candidate");
+  replica.drainReadyMessages();
+  const reply: MessageOf<"hello"> = {
+    kind: "hello",
+    group: GROUP,
+    from: "replica-b",
+    to: "replica-a",
+    term: 1,
+    formed: true,
+    leader: "former",
+  };
+  replica.receive("b", reply, AFTER_ELECTION_TIMEOUT);
+  const hellos = replica.drainReadyMessages()
+    .filter((each) => each.message.kind === "hello")
+    .map((each) => each.vm);
+  assert.deepEqual(hellos, ["former"]);
+});
+
 test("a leader sends at most one window of entries a second to a replica that does not reply", () => {
   const replica = createLeader();
   const entryBytes = 100_000;
