--- a/agreement/applier.ts
+++ b/agreement/applier.ts
@@ -6,10 +6,10 @@
  */
 import { type Bytes, Err } from "#core";
 import type { LogEntry } from "./entries.ts";
-import type { Snapshot } from "./log_storage.ts";
-import type { MachineHost } from "./machine_host.ts";
+import type { HostRestoration, MachineHost } from "./machine_host.ts";
 import { notLeader, type Proposals } from "./proposals.ts";
 import type { Replica } from "./replica.ts";
+import type { SnapshotCapture } from "./snapshot_file.ts";
 
 /** Options of `Applier`. */
 export interface ApplierOptions {
@@ -61,24 +61,34 @@
     }
   }
 
-  /** Takes a snapshot of the state machines; returns undefined if no entry was applied since the last one. */
-  snapshot(replica: Replica): Snapshot | undefined {
+  /** Captures the state of the state machines; returns undefined if no entry was applied since the last snapshot. */
+  capture(replica: Replica): SnapshotCapture | undefined {
     const entry = replica.state.log.get(this.#appliedIndex);
     if (entry === undefined || this.entriesSinceSnapshot === 0) {
       return undefined;
     }
     const { index, term, atMs } = entry;
     const seats = replica.state.voterHistory.changeAt(index);
+    const meta = { index, term, atMs, seats };
+    return { meta, ...this.#options.host.snapshotParts() };
+  }
+
+  /** Records that the state after an entry is stored as a snapshot. */
+  recordSnapshot(replica: Replica, index: number): void {
+    const { log } = replica.state;
     this.#snapshotIndex = index;
-    this.#bytesSinceSnapshot = 0;
-    const states = this.#options.host.snapshot();
-    return { meta: { index, term, atMs, seats }, states };
+    this.#bytesSinceSnapshot = log.bytesThrough(this.#appliedIndex) -
+      log.bytesThrough(index);
+  }
+
+  /** Starts to replace the state of the state machines by a snapshot. */
+  startRestoration(): HostRestoration {
+    return this.#options.host.startRestoration();
   }
 
-  /** Replaces the state of the state machines by a snapshot. */
-  restore(snapshot: Snapshot): void {
-    const { index } = snapshot.meta;
-    this.#options.host.restore(snapshot.states);
+  /** Replaces the state of the state machines by that after the entry at an index. */
+  finishRestoration(restoration: HostRestoration, index: number): void {
+    restoration.finish();
     this.#appliedIndex = index;
     this.#snapshotIndex = index;
     this.#bytesSinceSnapshot = 0;
--- a/agreement/chunk_sender.ts
+++ b/agreement/chunk_sender.ts
@@ -3,13 +3,14 @@
  *
  * @module
  */
-import type { LogStorage, SnapshotDescriptor } from "./log_storage.ts";
+import type { LogStorage } from "./log_storage.ts";
 import type { Replica } from "./replica.ts";
 import type { OutgoingMessage } from "./replica_state.ts";
 import {
   type ChunkRequest,
   MAXIMUM_CHUNK_BYTES,
 } from "./snapshot_transfers.ts";
+import type { SnapshotDescriptor } from "./stored_state.ts";
 
 /** Options of `ChunkSender`. */
 export interface ChunkSenderOptions {
--- a/agreement/data_folder.ts
+++ b/agreement/data_folder.ts
@@ -42,10 +42,14 @@
     name: string,
     range: { readonly offset: Bytes; readonly length: Bytes },
   ): Promise<Uint8Array>;
+  /** Returns the length of a file. */
+  abstract size(name: string): Promise<Bytes>;
   /** Creates or replaces a file atomically: after a crash it contains either the old or the new bytes. */
   abstract replace(name: string, bytes: Uint8Array): Promise<void>;
   /** Appends bytes to a file. After a crash the file may contain any portion of them. */
   abstract append(name: string, bytes: Uint8Array): Promise<void>;
+  /** Renames a file atomically, replacing the file with the new name if there is one. */
+  abstract rename(from: string, to: string): Promise<void>;
   /** Truncates a file to a length. */
   abstract truncate(name: string, length: Bytes): Promise<void>;
   /** Removes a file if it exists. */
--- a/agreement/entry_log.ts
+++ b/agreement/entry_log.ts
@@ -11,6 +11,9 @@
 export class EntryLog {
   #base: EntryPosition;
   #entries: LogEntry[] = [];
+  /** For each entry, the size of all entries up to it since `#baseTotal` was 0. */
+  #totals: Bytes[] = [];
+  #baseTotal: Bytes = 0;
 
   constructor(base: EntryPosition, entries: readonly LogEntry[]) {
     this.#base = base;
@@ -32,6 +35,37 @@
     return this.#entries.at(-1)?.term ?? this.#base.term;
   }
 
+  /** Size of the bodies of all entries in memory. */
+  get bytes(): Bytes {
+    return this.bytesThrough(this.lastIndex);
+  }
+
+  /** Returns the size of the bodies of the entries in memory up to and including an index. */
+  bytesThrough(index: number): Bytes {
+    const offset = Math.min(index, this.lastIndex) - this.#base.index - 1;
+    const total = this.#totals[offset] ?? this.#baseTotal;
+    return total - this.#baseTotal;
+  }
+
+  /**
+   * Returns the lowest index after which at most this number of entries and of bytes follow up to `index`; the base
+   * if all of them are within the limits.
+   */
+  retentionStart(
+    index: number,
+    limits: { readonly entries: number; readonly bytes: Bytes },
+  ): number {
+    const lowest = Math.max(this.#base.index, index - limits.entries);
+    const end = this.bytesThrough(index);
+    let start = index;
+    while (
+      start > lowest && end - this.bytesThrough(start - 1) <= limits.bytes
+    ) {
+      start -= 1;
+    }
+    return start;
+  }
+
   /** Returns the term of the entry at an index, or undefined if the entry is not in memory. */
   termAt(index: number): number | undefined {
     if (index === this.#base.index) return this.#base.term;
@@ -69,14 +103,23 @@
       throw new Error(`entry ${first.index} is not contiguous with the log`);
     }
     this.#entries.length = keptCount;
-    for (const entry of entries) this.#entries.push(entry);
+    this.#totals.length = keptCount;
+    let total = this.#totals.at(-1) ?? this.#baseTotal;
+    for (const entry of entries) {
+      total += entry.body.length;
+      this.#entries.push(entry);
+      this.#totals.push(total);
+    }
   }
 
   /** Discards entries up to and including an index. */
   compact(index: number): void {
     const term = this.termAt(index);
     if (term === undefined) return;
-    this.#entries = this.#entries.slice(index - this.#base.index);
+    const count = index - this.#base.index;
+    this.#baseTotal = this.#totals[count - 1] ?? this.#baseTotal;
+    this.#entries = this.#entries.slice(count);
+    this.#totals = this.#totals.slice(count);
     this.#base = { index, term };
   }
 
@@ -84,5 +127,7 @@
   reset(base: EntryPosition): void {
     this.#base = base;
     this.#entries = [];
+    this.#totals = [];
+    this.#baseTotal = 0;
   }
 }
--- a/agreement/events.ts
+++ b/agreement/events.ts
@@ -72,6 +72,13 @@
       "the disk is full; this replica stores nothing new until there is space",
     action: "Free disk space; the replica resumes by itself.",
   },
+  snapshotUnreadable: {
+    code: 1215,
+    level: "warn",
+    text:
+      "a replica needs a snapshot but runs an earlier build that can't read it; it stays behind until it is updated",
+    action: "Update the VM that the field `seats` names.",
+  },
   diskHasRoom: {
     code: 1211,
     level: "info",
--- a/agreement/file_folder.ts
+++ b/agreement/file_folder.ts
@@ -21,7 +21,6 @@
 const DISK_FULL_CODES: ReadonlySet<string> = new Set(["ENOSPC", "EDQUOT"]);
 
 interface AppendFile {
-  readonly name: string;
   readonly file: FileHandle;
   /** Length of the file that is durable. */
   durableBytes: Bytes;
@@ -42,7 +41,8 @@
   readonly #lockMode: "socket" | "none";
   readonly #prefix: string;
   #lockServer: Server | undefined;
-  #appendFile: AppendFile | undefined;
+  /** Files open for appending: the log, and the files that are being written beside it. */
+  readonly #appendFiles = new Map<string, AppendFile>();
 
   constructor(
     path: string,
@@ -75,7 +75,9 @@
   }
 
   override async close(): Promise<void> {
-    await this.#closeAppendFile();
+    for (const name of [...this.#appendFiles.keys()]) {
+      await this.#closeAppendFile(name);
+    }
     const lockServer = this.#lockServer;
     this.#lockServer = undefined;
     if (lockServer === undefined) return;
@@ -119,8 +121,12 @@
     }
   }
 
+  override async size(name: string): Promise<Bytes> {
+    return (await stat(this.#pathOf(name))).size;
+  }
+
   override async replace(name: string, bytes: Uint8Array): Promise<void> {
-    await this.#closeAppendFile();
+    await this.#closeAppendFile(name);
     const target = this.#pathOf(name);
     const temporary = target + TEMPORARY_SUFFIX;
     try {
@@ -163,8 +169,15 @@
     }
   }
 
+  override async rename(from: string, to: string): Promise<void> {
+    await this.#closeAppendFile(from);
+    await this.#closeAppendFile(to);
+    await rename(this.#pathOf(from), this.#pathOf(to));
+    await this.#syncFolder();
+  }
+
   override async truncate(name: string, length: Bytes): Promise<void> {
-    await this.#closeAppendFile();
+    await this.#closeAppendFile(name);
     const file = await open(this.#pathOf(name), "r+");
     try {
       await file.truncate(length);
@@ -175,7 +188,7 @@
   }
 
   override async remove(name: string): Promise<void> {
-    await this.#closeAppendFile();
+    await this.#closeAppendFile(name);
     await rm(this.#pathOf(name), { force: true });
     await this.#syncFolder();
   }
@@ -185,19 +198,19 @@
   }
 
   async #openForAppend(name: string): Promise<AppendFile> {
-    if (this.#appendFile?.name === name) return this.#appendFile;
-    await this.#closeAppendFile();
+    const known = this.#appendFiles.get(name);
+    if (known !== undefined) return known;
     const file = await open(this.#pathOf(name), "a");
     const { size } = await file.stat();
-    const appendFile = { name, file, durableBytes: size };
-    this.#appendFile = appendFile;
+    const appendFile = { file, durableBytes: size };
+    this.#appendFiles.set(name, appendFile);
     await this.#syncFolder();
     return appendFile;
   }
 
-  async #closeAppendFile(): Promise<void> {
-    const appendFile = this.#appendFile;
-    this.#appendFile = undefined;
+  async #closeAppendFile(name: string): Promise<void> {
+    const appendFile = this.#appendFiles.get(name);
+    this.#appendFiles.delete(name);
     await appendFile?.file.close();
   }
 
--- a/agreement/follower_role.ts
+++ b/agreement/follower_role.ts
@@ -7,6 +7,7 @@
 import type { LogEntry } from "./entries.ts";
 import { type MessageOf, unpackEntry } from "./messages.ts";
 import type { ReplicaState } from "./replica_state.ts";
+import { PARTS_FORMAT } from "./stored_state.ts";
 
 /** Received snapshot chunk that has yet to be written to the disk. */
 export interface ReceivedChunk {
@@ -24,7 +25,8 @@
   #lastAppendSentMs: Milliseconds = 0;
   /** Commit index in the first append received since the start; null until then. */
   #catchUpIndex: number | null = null;
-  #chunks: ReceivedChunk[] = [];
+  /** Only the newest chunk waits for the disk: the leader sends a dropped one again. */
+  #chunk: ReceivedChunk | undefined;
 
   constructor(state: ReplicaState) {
     this.#state = state;
@@ -56,16 +58,17 @@
       this.#reply({ vm, message }, { matched: false, index });
       return;
     }
-    const entries = this.#missingEntries(message.entries.map(unpackEntry));
+    const received = state.isCommittedLogFull ? [] : message.entries;
+    const entries = this.#missingEntries(received.map(unpackEntry));
     state.append(entries);
-    const verified = previousIndex + message.entries.length;
+    const verified = previousIndex + received.length;
     this.#verifiedIndex = Math.max(this.#verifiedIndex, verified);
     state.commit(Math.min(message.committedIndex, this.#verifiedIndex));
     this.#lastAppendSentMs = message.sentMs;
     if (entries.length === 0) this.#acknowledge(vm, message.from);
   }
 
-  /** Queues a snapshot chunk to be written. */
+  /** Stores a snapshot chunk until it is written. */
   handleChunk(
     vm: string,
     chunk: MessageOf<"chunk">,
@@ -73,12 +76,14 @@
   ): void {
     if (chunk.term < this.#state.term) return;
     this.#recordLeader(vm, chunk, nowMs);
-    this.#chunks.push({ vm, chunk });
+    this.#chunk = { vm, chunk };
   }
 
   /** Removes and returns the next snapshot chunk to write. */
   nextChunk(): ReceivedChunk | undefined {
-    return this.#chunks.shift();
+    const chunk = this.#chunk;
+    this.#chunk = undefined;
+    return chunk;
   }
 
   /** Reports to the leader how much of a snapshot is on the disk. */
@@ -135,6 +140,7 @@
       index,
       committedIndex: state.committedIndex,
       sentMs: this.#lastAppendSentMs,
+      snapshotFormat: PARTS_FORMAT,
     });
     state.sendAfterSync(vm, reply);
   }
@@ -149,6 +155,7 @@
       ...result,
       committedIndex: state.committedIndex,
       sentMs: source.message.sentMs,
+      snapshotFormat: PARTS_FORMAT,
     });
     state.sendAfterSync(source.vm, reply);
   }
--- a/agreement/leader_role.ts
+++ b/agreement/leader_role.ts
@@ -5,18 +5,24 @@
  * @module
  */
 import { type Bytes, MEBIBYTE, type Milliseconds } from "#core";
-import type { EntryKind, EntryPosition, LogEntry, Voter } from "./entries.ts";
+import type { EntryKind, EntryPosition, Voter } from "./entries.ts";
 import { type MessageOf, packEntry } from "./messages.ts";
+import {
+  isInFlightLost,
+  isWindowFull,
+  newProgress,
+  recordContact,
+  recordInFlight,
+  type ReplicaProgress,
+  rewindToMatch,
+} from "./replica_progress.ts";
 import type { ReplicaState } from "./replica_state.ts";
 import { SnapshotTransfers } from "./snapshot_transfers.ts";
+import { SINGLE_VALUE_FORMAT } from "./stored_state.ts";
 
 const MAXIMUM_APPEND_BYTES: Bytes = MEBIBYTE;
 /** Limit of unacknowledged entries to one replica; above it only heartbeats are sent. */
 const MAXIMUM_UNACKNOWLEDGED_ENTRIES = 8_192;
-/** Limit of unacknowledged bytes to one replica; no further entries are sent once it is reached. */
-const IN_FLIGHT_WINDOW_BYTES: Bytes = MEBIBYTE;
-/** Time without progress after which unacknowledged entries count as lost and are sent again. */
-const IN_FLIGHT_TIMEOUT_MS: Milliseconds = 1_000;
 
 /** Current time on the monotonic clock and on the wall clock. */
 export interface Instant {
@@ -24,37 +30,14 @@
   readonly wallMs: Milliseconds;
 }
 
-/** Replication progress of another replica, as known to the leader. */
-export interface ReplicaProgress {
-  /** Identity and VM of the replica, which is a voter or a learner. */
-  readonly member: Voter;
-  /** Index of the next entry to send. */
-  nextIndex: number;
-  /** Highest index that the replica has acknowledged as synced. */
-  matchIndex: number;
-  /** Commit index that the replica last reported. */
-  committedIndex: number;
-  /** Send time of the newest message that the replica has replied to. */
-  lastContactMs: Milliseconds;
-  /** When `nextIndex` last moved back after a rejection; rejections of messages sent earlier are stale. */
-  lastRewindMs: Milliseconds;
-  /** Batches sent but not acknowledged, oldest first. */
-  inFlight: readonly InFlightBatch[];
-  /** When `matchIndex` last advanced, or a batch was last sent while none was in flight. */
-  lastAdvanceMs: Milliseconds;
-}
-
-/** Entries that were sent in one message. */
-interface InFlightBatch {
-  readonly lastIndex: number;
-  readonly bytes: Bytes;
-}
-
 /** Leader of one term. */
 export class LeaderRole {
   readonly #state: ReplicaState;
   readonly #snapshotTransfers: SnapshotTransfers;
   readonly #progress = new Map<string, ReplicaProgress>();
+  /** Replicas reported as unable to read the snapshot. */
+  readonly #unreadable = new Set<string>();
+  readonly #onUnreadable: (member: Voter) => void;
   readonly #barrierIndex: number;
   #heartbeatDueMs: Milliseconds;
   #latestQuorumContactMs: Milliseconds;
@@ -66,9 +49,12 @@
       readonly instant: Instant;
       /** `atMs` of the last log entry; later entries must not have a lower one. */
       readonly lastEntryAtMs: Milliseconds;
+      /** Called once for each replica that needs the snapshot but runs a build that can't read it. */
+      readonly onUnreadable: (member: Voter) => void;
     },
   ) {
     this.#state = state;
+    this.#onUnreadable = options.onUnreadable;
     this.#snapshotTransfers = new SnapshotTransfers(state.timing.heartbeatMs);
     this.#lastEntryAtMs = options.lastEntryAtMs;
     this.#latestQuorumContactMs = options.instant.nowMs;
@@ -173,6 +159,7 @@
     if (progress === undefined) return;
     recordContact(progress, message.sentMs);
     progress.committedIndex = message.committedIndex;
+    progress.snapshotFormat = message.snapshotFormat ?? SINGLE_VALUE_FORMAT;
     if (message.matched) {
       if (message.index > progress.matchIndex) progress.lastAdvanceMs = nowMs;
       progress.matchIndex = Math.max(progress.matchIndex, message.index);
@@ -204,7 +191,9 @@
     const progress = this.#progress.get(message.from);
     if (progress === undefined) return;
     recordContact(progress, message.sentMs);
-    this.#snapshotTransfers.handleChunkReply(progress, message, nowMs);
+    const { lastIndex } = this.#state.log;
+    const now = { nowMs, lastIndex };
+    this.#snapshotTransfers.handleChunkReply(progress, message, now);
   }
 
   /** Commits the entries that a quorum has on disk, provided that the last of them is from this term. */
@@ -224,16 +213,8 @@
   addFollower(member: Voter): ReplicaProgress {
     const known = this.#progress.get(member.replica);
     if (known !== undefined) return known;
-    const progress: ReplicaProgress = {
-      member: member,
-      nextIndex: this.#state.log.lastIndex + 1,
-      matchIndex: 0,
-      committedIndex: 0,
-      lastContactMs: -Infinity,
-      lastRewindMs: -Infinity,
-      inFlight: [],
-      lastAdvanceMs: -Infinity,
-    };
+    const nextIndex = this.#state.log.lastIndex + 1;
+    const progress = newProgress(member, nextIndex);
     this.#progress.set(member.replica, progress);
     return progress;
   }
@@ -270,12 +251,19 @@
   #needsSnapshot(progress: ReplicaProgress, nowMs: Milliseconds): boolean {
     const { log, snapshot } = this.#state;
     if (progress.nextIndex > log.base.index) return false;
-    if (snapshot !== null) {
-      this.#snapshotTransfers.ensureTransfer(progress, { snapshot, nowMs });
-    }
+    const { snapshotFormat } = progress;
+    if (snapshot === null || snapshotFormat === null) return true;
+    if (snapshotFormat < snapshot.format) this.#reportUnreadable(progress);
+    else this.#snapshotTransfers.ensureTransfer(progress, { snapshot, nowMs });
     return true;
   }
 
+  #reportUnreadable({ member }: ReplicaProgress): void {
+    if (this.#unreadable.has(member.replica)) return;
+    this.#unreadable.add(member.replica);
+    this.#onUnreadable(member);
+  }
+
   #sendAppend(
     progress: ReplicaProgress,
     start: { readonly index: number; readonly nowMs: Milliseconds },
@@ -302,40 +290,3 @@
     state.send(progress.member.vm, message);
   }
 }
-
-/** Records a reply to a message that was sent at `sentMs`. */
-function recordContact(progress: ReplicaProgress, sentMs: Milliseconds): void {
-  progress.lastContactMs = Math.max(progress.lastContactMs, sentMs);
-}
-
-function isWindowFull(progress: ReplicaProgress): boolean {
-  let bytes = 0;
-  for (const each of progress.inFlight) bytes += each.bytes;
-  return bytes >= IN_FLIGHT_WINDOW_BYTES;
-}
-
-function recordInFlight(
-  progress: ReplicaProgress,
-  entries: readonly LogEntry[],
-  nowMs: Milliseconds,
-): void {
-  const last = entries.at(-1);
-  if (last === undefined) return;
-  if (progress.inFlight.length === 0) progress.lastAdvanceMs = nowMs;
-  let bytes = 0;
-  for (const entry of entries) bytes += entry.body.length;
-  progress.inFlight = [...progress.inFlight, { lastIndex: last.index, bytes }];
-}
-
-function isInFlightLost(
-  progress: ReplicaProgress,
-  nowMs: Milliseconds,
-): boolean {
-  if (progress.inFlight.length === 0) return false;
-  return nowMs >= progress.lastAdvanceMs + IN_FLIGHT_TIMEOUT_MS;
-}
-
-function rewindToMatch(progress: ReplicaProgress): void {
-  progress.nextIndex = progress.matchIndex + 1;
-  progress.inFlight = [];
-}
--- a/agreement/log_oracle.ts
+++ b/agreement/log_oracle.ts
@@ -12,8 +12,11 @@
   Ok,
   type Result,
   StateMachine,
+  type StateRestoration,
 } from "#core";
 
+const ITEMS_PER_PART = 16;
+
 /** An entry as applied by a state machine. */
 export interface ListItem {
   readonly index: number;
@@ -145,4 +148,28 @@
   override restore(state: unknown): void {
     this.#items = [...state as ListItem[]];
   }
+
+  override snapshotParts(): Iterable<readonly ListItem[]> {
+    return partsOf([...this.#items]);
+  }
+
+  override startRestoration(): StateRestoration {
+    const items: ListItem[] = [];
+    return {
+      add: (part) => {
+        items.push(...part as ListItem[]);
+      },
+      finish: () => {
+        this.#items = items;
+      },
+    };
+  }
+}
+
+function* partsOf(
+  items: readonly ListItem[],
+): Iterable<readonly ListItem[]> {
+  for (let start = 0; start < items.length; start += ITEMS_PER_PART) {
+    yield items.slice(start, start + ITEMS_PER_PART);
+  }
 }
--- a/agreement/log_storage.ts
+++ b/agreement/log_storage.ts
@@ -2,134 +2,64 @@
  * Durable storage of a replica: its identity, term, vote, log entries and snapshot.
  *
  * Files: `log-N` contains a base record followed by one record per batch; the log with the highest N
- * is current. `snapshot-I` is a single record with the state after entry I. `incoming-H` is a partially
- * received snapshot with hash H; it is kept across restarts so that the transfer can resume.
+ * is current. `snapshot-I` contains the state after entry I. `partial-*` files are being written and obsolete after a
+ * restart. `incoming-H` is a partially received snapshot with hash H; it is kept across restarts so that the transfer
+ * can resume.
  *
  * @module
  */
-import { type Bytes, fail, type Milliseconds } from "#core";
-import { decodeValue, encodeValue } from "#wire";
-import { type DataFolder, StorageError } from "./data_folder.ts";
-import type { EntryPosition, LogEntry } from "./entries.ts";
-import { packEntry, unpackEntry, type WireEntry } from "./messages.ts";
-import { encodeRecord, RECORD_HEADER_BYTES, scanRecords } from "./record.ts";
-import { hashHex } from "./record.ts";
-import type { IndexedVoterChange } from "./voters.ts";
+import { type Bytes, KIBIBYTE } from "#core";
+import type { DataFolder } from "./data_folder.ts";
+import {
+  INCOMING_PREFIX,
+  IncomingSnapshot,
+  type ReceivedSnapshot,
+  type SnapshotChunk,
+  type SnapshotProgress,
+} from "./incoming_snapshot.ts";
+import { encodeBase, encodeBatch, LogRewrite, recoverLog } from "./log_file.ts";
+import {
+  describeSnapshot,
+  readSnapshotFile,
+  type SnapshotCapture,
+  type SnapshotReceiver,
+  SnapshotWriter,
+  transferOffset,
+} from "./snapshot_file.ts";
+import {
+  corruptionError,
+  type DurableBatch,
+  INITIAL_HARD_STATE,
+  type LogContents,
+  type RecoveredState,
+  SINGLE_VALUE_FORMAT,
+  type SnapshotDescriptor,
+} from "./stored_state.ts";
 
-const FORMAT_VERSION = 1;
 const LOG_PREFIX = "log-";
 const SNAPSHOT_PREFIX = "snapshot-";
-const INCOMING_PREFIX = "incoming-";
+const PARTIAL_PREFIX = "partial-";
+const PARTIAL_LOG = `${PARTIAL_PREFIX}log`;
+const PARTIAL_SNAPSHOT = `${PARTIAL_PREFIX}snapshot`;
+const PARTIAL_CONVERSION = `${PARTIAL_PREFIX}conversion`;
 
-/** Raft hard state of a replica: term, vote, group and committed voter change. */
-export interface HardState {
-  readonly term: number;
-  /** Replica that this one voted for in the term, or null if it has not voted. */
-  readonly votedFor: string | null;
-  /** Group that this replica belongs to, or null before it joins one. */
-  readonly group: string | null;
-  /** Index of the latest voter change known to be committed. */
-  readonly committedSeatsIndex: number;
-}
-
-const INITIAL_HARD_STATE: HardState = {
-  term: 0,
-  votedFor: null,
-  group: null,
-  committedSeatsIndex: 0,
-};
-
-/** Position, time and voters at the last entry that a snapshot includes. */
-export interface SnapshotMeta extends EntryPosition {
-  readonly atMs: Milliseconds;
-  readonly seats: IndexedVoterChange;
-}
-
-/** The state of all state machines after an entry is applied. */
-export interface Snapshot {
-  readonly meta: SnapshotMeta;
-  /** States of the state machines, in the order of `MACHINE_NAMES`. */
-  readonly states: readonly unknown[];
-}
-
-/** Describes a serialized snapshot: its metadata and the size and hash of its CBOR encoding. */
-export interface SnapshotDescriptor {
-  readonly meta: SnapshotMeta;
-  readonly bytes: Bytes;
-  readonly hash: string;
-}
-
-/** A snapshot together with its descriptor and CBOR encoding. */
-export interface SerializedSnapshot {
-  readonly snapshot: Snapshot;
-  readonly descriptor: SnapshotDescriptor;
-  readonly payload: Uint8Array;
-}
-
-/** A chunk of a snapshot sent by the leader. */
-export interface SnapshotChunk {
-  readonly hash: string;
-  readonly offset: Bytes;
-  readonly total: Bytes;
-  readonly bytes: Uint8Array;
-}
-
-/** Progress of a snapshot transfer. */
-export interface SnapshotProgress {
-  /** Number of bytes received and stored so far. */
-  readonly bytes: Bytes;
-  /** The snapshot, once all of its bytes have been received and match the hash. */
-  readonly complete: SerializedSnapshot | null;
-}
-
-/** Changes that become durable together with one sync. */
-export interface DurableBatch {
-  readonly hard: HardState | null;
-  readonly entries: readonly LogEntry[];
-}
-
-/** Hard state and entries of a log, with the position that precedes the entries. */
-export interface LogContents {
-  readonly hard: HardState;
-  /** Position immediately before the first entry. */
-  readonly base: EntryPosition;
-  readonly entries: readonly LogEntry[];
-}
-
-/** State read from the data folder at startup. */
-export interface RecoveredState extends LogContents {
-  readonly identity: string;
-  /** Whether the folder contained no log, so that the identity was newly generated. */
-  readonly isNew: boolean;
-  readonly snapshot: Snapshot | null;
-  readonly descriptor: SnapshotDescriptor | null;
-}
-
-interface BaseRecord {
-  readonly format: number;
-  readonly identity: string;
-  readonly hard: HardState;
-  readonly base: EntryPosition;
-  readonly snapshotIndex: number;
-  readonly entries: readonly WireEntry[];
-}
-
-interface BatchRecord {
-  readonly hard: HardState | null;
-  readonly entries: readonly WireEntry[];
-}
+/** Default approximate size of each write of a snapshot and of a rewritten log. */
+export const DEFAULT_WRITE_BYTES: Bytes = 512 * KIBIBYTE;
 
 /** Stores the state of one replica in a data folder. Call `open` before any other method. */
 export class LogStorage {
   readonly #folder: DataFolder;
+  readonly #writeBytes: Bytes;
+  readonly #incoming: IncomingSnapshot;
   #identity = "";
   #sequence = 0;
   #snapshotIndex = 0;
-  #incomingName: string | null = null;
-  #incomingBytes: Bytes = 0;
+  #rewrite: LogRewrite | undefined;
 
-  constructor(folder: DataFolder) {
+  constructor(folder: DataFolder, writeBytes: Bytes = DEFAULT_WRITE_BYTES) {
     this.#folder = folder;
+    this.#writeBytes = writeBytes;
+    this.#incoming = new IncomingSnapshot(folder, PARTIAL_CONVERSION);
   }
 
   /** Locks the folder and recovers its state; rejects with a `StorageError` if it is locked or corrupt. */
@@ -148,78 +78,104 @@
   }
 
   /** Appends a batch to the log and makes it durable with one sync. */
-  append(batch: DurableBatch): Promise<void> {
-    const record: BatchRecord = {
-      hard: batch.hard,
-      entries: batch.entries.map(packEntry),
+  async append(batch: DurableBatch): Promise<void> {
+    await this.#folder.append(this.#logFileName(), encodeBatch(batch));
+    this.#rewrite?.addBatch(batch);
+  }
+
+  /** Starts to write a snapshot; `storeSnapshot` or `abandonSnapshot` follows. */
+  startSnapshot(capture: Omit<SnapshotCapture, "parts">): SnapshotWriter {
+    const file = { folder: this.#folder, name: PARTIAL_SNAPSHOT };
+    return new SnapshotWriter(file, { capture, writeBytes: this.#writeBytes });
+  }
+
+  /** Stores a snapshot that is written completely. It counts only once a log file refers to it. */
+  async storeSnapshot(writer: SnapshotWriter): Promise<SnapshotDescriptor> {
+    const descriptor = await writer.finish();
+    const name = snapshotFileName(descriptor.meta.index);
+    await this.#folder.rename(PARTIAL_SNAPSHOT, name);
+    return descriptor;
+  }
+
+  /** Stores a received snapshot. It counts only once a log file refers to it. */
+  storeReceived(received: ReceivedSnapshot): Promise<void> {
+    const name = snapshotFileName(received.descriptor.meta.index);
+    return this.#folder.rename(received.name, name);
+  }
+
+  /** Removes a received snapshot that is not needed. */
+  discardReceived(received: ReceivedSnapshot): Promise<void> {
+    return this.#folder.remove(received.name);
+  }
+
+  /**
+   * Starts to write a log file that refers to a stored snapshot. Batches appended meanwhile go to both files.
+   * `writeLog` must follow until it returns false, then `finishLog`.
+   */
+  startLog(snapshot: SnapshotDescriptor, log: LogContents): void {
+    const file = { folder: this.#folder, name: PARTIAL_LOG };
+    const owner = {
+      identity: this.#identity,
+      snapshotIndex: snapshot.meta.index,
+      format: snapshot.format,
     };
-    const bytes = encodeRecord(encodeValue(record));
-    return this.#folder.append(this.#logFileName(), bytes);
+    const writeBytes = this.#writeBytes;
+    this.#rewrite = new LogRewrite(file, { owner, log, writeBytes });
   }
 
-  /** Stores a snapshot and replaces the log file by a new one that refers to it. */
-  async saveSnapshot(
-    snapshot: SerializedSnapshot,
-    log: LogContents,
-  ): Promise<void> {
-    const { index } = snapshot.descriptor.meta;
-    await this.#folder.replace(
-      snapshotFileName(index),
-      encodeRecord(snapshot.payload),
-    );
-    try {
-      await this.#startLogFile(index, log);
-    } catch (error) {
-      // No log file refers to the new snapshot, so it would only use disk space.
-      const unused = index !== this.#snapshotIndex;
-      if (unused) await this.#folder.remove(snapshotFileName(index));
-      throw error;
-    }
+  /** Writes the next piece of the new log file; returns false if nothing remains. */
+  writeLog(): Promise<boolean> {
+    return this.#rewrite?.writeNext() ?? Promise.resolve(false);
+  }
+
+  /** Replaces the log file and the snapshot by the new ones. */
+  async finishLog(): Promise<void> {
+    const rewrite = this.#rewrite;
+    if (rewrite === undefined) return;
+    const oldLog = this.#logFileName();
+    const oldSnapshot = snapshotFileName(this.#snapshotIndex);
+    await this.#folder.rename(PARTIAL_LOG, logFileName(this.#sequence + 1));
+    this.#rewrite = undefined;
+    this.#sequence += 1;
+    this.#snapshotIndex = rewrite.snapshotIndex;
+    await this.#folder.remove(oldLog);
+    if (oldSnapshot === snapshotFileName(this.#snapshotIndex)) return;
+    await this.#folder.remove(oldSnapshot);
+  }
+
+  /** Removes a snapshot that no log file refers to, and the unfinished files of it and its log. */
+  async abandonSnapshot(index: number): Promise<void> {
+    this.#rewrite = undefined;
+    await this.#folder.remove(PARTIAL_SNAPSHOT);
+    await this.#folder.remove(PARTIAL_LOG);
+    if (index === this.#snapshotIndex) return;
+    await this.#folder.remove(snapshotFileName(index));
   }
 
   /**
    * Stores a chunk of a snapshot sent by the leader and returns the progress of the transfer. If the
    * completed snapshot does not match its hash, it is discarded and the transfer restarts at 0 bytes.
    */
-  async receiveChunk(chunk: SnapshotChunk): Promise<SnapshotProgress> {
-    const name = INCOMING_PREFIX + chunk.hash;
-    await this.#openIncoming(name);
-    if (chunk.offset === this.#incomingBytes && chunk.bytes.length > 0) {
-      await this.#folder.append(name, chunk.bytes);
-      this.#incomingBytes += chunk.bytes.length;
-    }
-    if (this.#incomingBytes < chunk.total) {
-      return { bytes: this.#incomingBytes, complete: null };
-    }
-    const payload = await this.#folder.read(name);
-    await this.#folder.remove(name);
-    this.#incomingName = null;
-    if (hashHex(payload) !== chunk.hash) return { bytes: 0, complete: null };
-    return {
-      bytes: chunk.total,
-      complete: deserializeSnapshot(payload),
-    };
+  receiveChunk(chunk: SnapshotChunk): Promise<SnapshotProgress> {
+    return this.#incoming.receive(chunk);
   }
 
-  async #openIncoming(name: string): Promise<void> {
-    if (this.#incomingName === name) return;
-    const names = await this.#folder.list();
-    for (const other of names) {
-      if (!other.startsWith(INCOMING_PREFIX) || other === name) continue;
-      await this.#folder.remove(other);
-    }
-    const stored = names.includes(name) ? await this.#folder.read(name) : null;
-    this.#incomingBytes = stored?.length ?? 0;
-    this.#incomingName = name;
+  /** Reads the contents of a stored snapshot, part by part. */
+  readContents(
+    snapshot: SnapshotDescriptor,
+    receiver: SnapshotReceiver,
+  ): Promise<void> {
+    const name = snapshotFileName(snapshot.meta.index);
+    return readSnapshotFile({ folder: this.#folder, name }, receiver);
   }
 
-  /** Reads a range of bytes of the stored snapshot. */
+  /** Reads a range of bytes of what a transfer sends of the stored snapshot. */
   readSnapshot(
     snapshot: SnapshotDescriptor,
     range: { readonly offset: Bytes; readonly length: Bytes },
   ): Promise<Uint8Array> {
     return this.#folder.readRange(snapshotFileName(snapshot.meta.index), {
-      offset: range.offset + RECORD_HEADER_BYTES,
+      offset: range.offset + transferOffset(snapshot),
       length: range.length,
     });
   }
@@ -244,69 +200,30 @@
       base: { index: 0, term: 0 },
       entries: [],
     };
-    await this.#startLogFile(0, log);
-    return { ...log, identity, isNew: true, snapshot: null, descriptor: null };
+    const owner = { identity, snapshotIndex: 0, format: SINGLE_VALUE_FORMAT };
+    const name = logFileName(this.#sequence + 1);
+    await this.#folder.replace(name, encodeBase(owner, log));
+    this.#sequence += 1;
+    return { ...log, identity, isNew: true, snapshot: null };
   }
 
   async #recover(name: string): Promise<RecoveredState> {
-    const scan = scanRecords(await this.#folder.read(name));
-    const [first, ...rest] = scan.payloads;
-    if (scan.fault === "corrupt" || first === undefined) {
-      throw corruptionError(
-        `${name} has an invalid record at byte ${scan.validBytes}`,
-      );
-    }
-    if (scan.fault === "torn") {
-      await this.#folder.truncate(name, scan.validBytes);
-    }
-    const base = decodeValue(first) as BaseRecord;
-    if (base.format !== FORMAT_VERSION) {
-      throw corruptionError(
-        `${name} has format version ${base.format}, expected ${FORMAT_VERSION}`,
-      );
-    }
-    this.#identity = base.identity;
-    this.#snapshotIndex = base.snapshotIndex;
-    const replayed = replayBatches(base, rest);
-    const snapshot = await this.#readStoredSnapshot();
-    return { ...replayed, ...snapshot, identity: base.identity, isNew: false };
+    const log = await recoverLog({ folder: this.#folder, name });
+    const { owner, ...contents } = log;
+    this.#identity = owner.identity;
+    this.#snapshotIndex = owner.snapshotIndex;
+    const snapshot = await this.#describeStoredSnapshot();
+    const { identity } = owner;
+    return { ...contents, snapshot, identity, isNew: false };
   }
 
-  async #readStoredSnapshot(): Promise<
-    Pick<RecoveredState, "snapshot" | "descriptor">
-  > {
-    if (this.#snapshotIndex === 0) return { snapshot: null, descriptor: null };
+  async #describeStoredSnapshot(): Promise<SnapshotDescriptor | null> {
+    if (this.#snapshotIndex === 0) return null;
     const name = snapshotFileName(this.#snapshotIndex);
     if (!(await this.#folder.list()).includes(name)) {
       throw corruptionError(`${name} is missing`);
     }
-    const scan = scanRecords(await this.#folder.read(name));
-    const payload = scan.payloads[0];
-    if (scan.fault !== "none" || payload === undefined) {
-      throw corruptionError(`${name} is damaged`);
-    }
-    const { snapshot, descriptor } = deserializeSnapshot(payload);
-    return { snapshot, descriptor };
-  }
-
-  async #startLogFile(snapshotIndex: number, log: LogContents): Promise<void> {
-    const record: BaseRecord = {
-      format: FORMAT_VERSION,
-      identity: this.#identity,
-      hard: log.hard,
-      base: log.base,
-      snapshotIndex,
-      entries: log.entries.map(packEntry),
-    };
-    const oldLog = this.#logFileName();
-    const oldSnapshot = snapshotFileName(this.#snapshotIndex);
-    const bytes = encodeRecord(encodeValue(record));
-    await this.#folder.replace(logFileName(this.#sequence + 1), bytes);
-    this.#sequence += 1;
-    this.#snapshotIndex = snapshotIndex;
-    await this.#folder.remove(oldLog);
-    if (oldSnapshot === snapshotFileName(snapshotIndex)) return;
-    await this.#folder.remove(oldSnapshot);
+    return describeSnapshot({ folder: this.#folder, name });
   }
 
   #logFileName(): string {
@@ -314,6 +231,7 @@
   }
 
   #isObsolete(name: string): boolean {
+    if (name.startsWith(PARTIAL_PREFIX)) return true;
     if (name.startsWith(INCOMING_PREFIX)) return false;
     if (name.startsWith(LOG_PREFIX)) return name !== this.#logFileName();
     if (!name.startsWith(SNAPSHOT_PREFIX)) return false;
@@ -321,43 +239,6 @@
   }
 }
 
-function replayBatches(
-  base: BaseRecord,
-  batches: readonly Uint8Array[],
-): LogContents {
-  let hard = base.hard;
-  const entries: LogEntry[] = base.entries.map(unpackEntry);
-  for (const payload of batches) {
-    const batch = decodeValue(payload) as BatchRecord;
-    hard = batch.hard ?? hard;
-    const first = batch.entries[0];
-    if (first !== undefined) entries.length = first[0] - base.base.index - 1;
-    for (const packed of batch.entries) entries.push(unpackEntry(packed));
-  }
-  return { hard, base: base.base, entries };
-}
-
-/** Encodes a snapshot as CBOR and computes its descriptor. */
-export function serializeSnapshot(snapshot: Snapshot): SerializedSnapshot {
-  return withDescriptor(snapshot, encodeValue(snapshot));
-}
-
-function deserializeSnapshot(payload: Uint8Array): SerializedSnapshot {
-  return withDescriptor(decodeValue(payload) as Snapshot, payload);
-}
-
-function withDescriptor(
-  snapshot: Snapshot,
-  payload: Uint8Array,
-): SerializedSnapshot {
-  const descriptor = {
-    meta: snapshot.meta,
-    bytes: payload.length,
-    hash: hashHex(payload),
-  };
-  return { snapshot, descriptor, payload };
-}
-
 function logFileName(sequence: number): string {
   return LOG_PREFIX + String(sequence).padStart(12, "0");
 }
@@ -365,7 +246,3 @@
 function snapshotFileName(index: number): string {
   return SNAPSHOT_PREFIX + String(index).padStart(16, "0");
 }
-
-function corruptionError(message: string): StorageError {
-  return new StorageError(fail("storage_corrupt", message));
-}
--- a/agreement/log_storage_test.ts
+++ b/agreement/log_storage_test.ts
@@ -13,11 +13,12 @@
 import { DiskFullError, StorageError } from "./data_folder.ts";
 import type { LogEntry } from "./entries.ts";
 import { FileFolder } from "./file_folder.ts";
-import {
-  LogStorage,
-  type RecoveredState,
-  serializeSnapshot,
-} from "./log_storage.ts";
+import { LogStorage } from "./log_storage.ts";
+import type {
+  LogContents,
+  RecoveredState,
+  SnapshotDescriptor,
+} from "./stored_state.ts";
 
 function entry(index: number): LogEntry {
   const body = new TextEncoder().encode(`entry ${index}`);
@@ -65,6 +66,62 @@
   return "none";
 }
 
+/** Stores a snapshot with one part per string, and a log that refers to it. */
+async function storeSnapshot(
+  storage: LogStorage,
+  options: {
+    readonly index: number;
+    readonly parts: readonly string[];
+    readonly log: LogContents;
+  },
+): Promise<SnapshotDescriptor> {
+  const { index, parts, log } = options;
+  const seats = { index: 0, change: { before: [], after: [] } };
+  const meta = { index, term: 1, atMs: index, seats };
+  const writer = storage.startSnapshot({ meta, machines: ["bundles"] });
+  for (const part of parts) await writer.add({ machine: "bundles", part });
+  const descriptor = await storage.storeSnapshot(writer);
+  storage.startLog(descriptor, log);
+  while (await storage.writeLog());
+  await storage.finishLog();
+  return descriptor;
+}
+
+/** Returns the parts of the stored snapshot. */
+async function storedParts(path: string): Promise<unknown[]> {
+  const storage = new LogStorage(new FileFolder(path));
+  const { snapshot } = await storage.open(() => "other");
+  const parts: unknown[] = [];
+  if (snapshot !== null) {
+    await storage.readContents(snapshot, {
+      begin: (machines) => assert.deepEqual(machines, ["bundles"]),
+      add: ({ part }) => parts.push(part),
+      addStates: () => assert.fail("the snapshot is a single value"),
+    });
+  }
+  await storage.close();
+  return parts;
+}
+
+/** Returns what a transfer sends of a snapshot with these parts. */
+async function transferOf(
+  parts: readonly string[],
+): Promise<{ payload: Uint8Array; descriptor: SnapshotDescriptor }> {
+  const path = await mkdtemp(join(tmpdir(), "storage-"));
+  try {
+    const storage = new LogStorage(new FileFolder(path));
+    const { hard } = await storage.open(() => "leader");
+    const log = { hard, base: { index: 9, term: 1 }, entries: [] };
+    const descriptor = await storeSnapshot(storage, { index: 9, parts, log });
+    const range = { offset: 0, length: descriptor.bytes };
+    const payload = await storage.readSnapshot(descriptor, range);
+    await storage.close();
+    return { payload, descriptor };
+  } finally {
+    await rm(path, { recursive: true });
+  }
+}
+
 test("synced entries and the replica's identity survive a restart", () =>
   withTemporaryFolder(async (path) => {
     await writeBatches(path, 3);
@@ -111,15 +168,12 @@
   withTemporaryFolder(async (path) => {
     const storage = new LogStorage(new FileFolder(path));
     const { hard } = await storage.open(() => "first");
-    const seats = { index: 0, change: { before: [], after: [] } };
-    const meta = { index: 2, term: 1, atMs: 2, seats };
-    const serialized = serializeSnapshot({ meta, states: ["state"] });
     const base = { index: 2, term: 1 };
-    await storage.saveSnapshot(serialized, { hard, base, entries: [entry(3)] });
+    const log = { hard, base, entries: [entry(3)] };
+    await storeSnapshot(storage, { index: 2, parts: ["state"], log });
     await storage.close();
-    const recovered = await reopen(path);
-    assert.deepEqual(recovered.snapshot?.states, ["state"]);
-    assert.deepEqual(recovered.entries, [entry(3)]);
+    assert.deepEqual(await storedParts(path), ["state"]);
+    assert.deepEqual((await reopen(path)).entries, [entry(3)]);
     const names = await readdir(path);
     const name = names.find((each) => each.startsWith("snapshot-")) as string;
     await writeFile(join(path, name), "damaged");
@@ -139,12 +193,8 @@
 
 test("a snapshot transfer resumes after a restart, and starts over if the data is damaged", () =>
   withTemporaryFolder(async (path) => {
-    const seats = { index: 0, change: { before: [], after: [] } };
-    const meta = { index: 9, term: 1, atMs: 9, seats };
-    const { payload, descriptor } = serializeSnapshot({
-      meta,
-      states: ["x".repeat(99)],
-    });
+    const { payload, descriptor } = await transferOf(["x".repeat(99), "y"]);
+    const { meta } = descriptor;
     const total = payload.length;
     const half = Math.floor(total / 2);
     const chunk = { hash: descriptor.hash, total };
@@ -167,7 +217,7 @@
     await storageAfterRestart.receiveChunk(first);
     const rest = { ...chunk, offset: half, bytes: payload.subarray(half) };
     const received = await storageAfterRestart.receiveChunk(rest);
-    assert.deepEqual(received.complete?.snapshot.meta, meta);
+    assert.deepEqual(received.complete?.descriptor.meta, meta);
     await storageAfterRestart.close();
   }));
 
--- a/agreement/machine_host.ts
+++ b/agreement/machine_host.ts
@@ -13,10 +13,16 @@
   type MachineCommand,
   type MachineQuery,
   type Result,
+  type StateRestoration,
 } from "#core";
 import { decodeValue } from "#wire";
 import type { LogEntry } from "./entries.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
+import type {
+  SnapshotCapture,
+  SnapshotPart,
+  SnapshotReceiver,
+} from "./snapshot_file.ts";
 
 /** Applies entries to the state machines. */
 export class MachineHost {
@@ -59,18 +65,65 @@
     return machine.query(request.question);
   }
 
-  /** Returns the states of all state machines in the order of `MACHINE_NAMES`; null for those not installed. */
-  snapshot(): readonly unknown[] {
-    return MACHINE_NAMES.map((name) =>
-      this.#machines.get(name)?.snapshot() ?? null
-    );
+  /** Returns the current states of all state machines in parts. */
+  snapshotParts(): Pick<SnapshotCapture, "machines" | "parts"> {
+    const sources: PartSource[] = [];
+    for (const name of MACHINE_NAMES) {
+      const parts = this.#machines.get(name)?.snapshotParts();
+      if (parts !== undefined) sources.push({ name, parts });
+    }
+    const machines = sources.map((source) => source.name);
+    return { machines, parts: joinParts(sources) };
+  }
+
+  /** Starts to replace the states of the state machines by those of a snapshot. */
+  startRestoration(): HostRestoration {
+    return new HostRestoration(this.#machines);
+  }
+}
+
+interface PartSource {
+  readonly name: string;
+  readonly parts: Iterable<unknown>;
+}
+
+function* joinParts(sources: readonly PartSource[]): Iterable<SnapshotPart> {
+  for (const { name, parts } of sources) {
+    for (const part of parts) yield { machine: name, part };
+  }
+}
+
+/** Collects the contents of a snapshot; the state machines keep their states until `finish`. */
+export class HostRestoration implements SnapshotReceiver {
+  readonly #machines: ReadonlyMap<string, AnyStateMachine>;
+  readonly #restorations = new Map<string, StateRestoration>();
+  #states: readonly unknown[] = [];
+
+  constructor(machines: ReadonlyMap<string, AnyStateMachine>) {
+    this.#machines = machines;
+  }
+
+  begin(machines: readonly string[]): void {
+    for (const name of machines) {
+      const restoration = this.#machines.get(name)?.startRestoration();
+      if (restoration !== undefined) this.#restorations.set(name, restoration);
+    }
+  }
+
+  add({ machine, part }: SnapshotPart): void {
+    this.#restorations.get(machine)?.add(part);
+  }
+
+  addStates(states: readonly unknown[]): void {
+    this.#states = states;
   }
 
-  /** Replaces the states of the state machines; null leaves a state unchanged. */
-  restore(states: readonly unknown[]): void {
+  /** Replaces the states of the state machines that the snapshot contains. */
+  finish(): void {
+    for (const restoration of this.#restorations.values()) restoration.finish();
     for (const [index, name] of MACHINE_NAMES.entries()) {
-      if ((states[index] ?? null) === null) continue;
-      this.#machines.get(name)?.restore(states[index]);
+      if ((this.#states[index] ?? null) === null) continue;
+      this.#machines.get(name)?.restore(this.#states[index]);
     }
   }
 }
--- a/agreement/memory_folder.ts
+++ b/agreement/memory_folder.ts
@@ -22,6 +22,7 @@
 }
 
 interface DiskChange {
+  readonly name: string;
   /** Whether the change needs disk space. */
   readonly needsSpace: boolean;
   readonly apply: () => void;
@@ -37,6 +38,8 @@
   syncCount = 0;
   /** Whether the disk is full. */
   full = false;
+  /** Whether there is space for a change of a file. */
+  hasSpace: (name: string) => boolean = () => true;
   /** Whether the next change fails with a disk error, after which any portion of it may be stored. */
   failsNextChange = false;
   /** Whether a simulated disk error was reported to the process that has the disk open. */
@@ -90,7 +93,8 @@
   }
 
   #throwIfFaulty(change: DiskChange): void {
-    if (this.full && change.needsSpace) {
+    const isFull = this.full || !this.hasSpace(change.name);
+    if (isFull && change.needsSpace) {
       this.#pending = undefined;
       throw new DiskFullError("the disk is full");
     }
@@ -114,6 +118,11 @@
     this.#session = disk.session;
   }
 
+  /** Whether the process of this folder was killed; its operations have no effect and never end. */
+  get #isEnded(): boolean {
+    return this.#session !== this.#disk.session;
+  }
+
   override lock(): Promise<void> {
     return Promise.resolve();
   }
@@ -123,29 +132,39 @@
   }
 
   override list(): Promise<readonly string[]> {
+    if (this.#isEnded) return neverSettles();
     return Promise.resolve([...this.#disk.files.keys()]);
   }
 
   override read(name: string): Promise<Uint8Array> {
+    if (this.#isEnded) return neverSettles();
     const bytes = this.#disk.files.get(name);
-    if (bytes === undefined) {
-      const failure = fail("storage_failed", `file ${name} does not exist`);
-      return Promise.reject(new StorageError(failure));
-    }
+    if (bytes === undefined) return Promise.reject(missingFile(name));
     return Promise.resolve(bytes);
   }
 
-  override async readRange(
+  override readRange(
     name: string,
     range: { readonly offset: Bytes; readonly length: Bytes },
   ): Promise<Uint8Array> {
-    const bytes = await this.read(name);
-    return bytes.subarray(range.offset, range.offset + range.length);
+    if (this.#isEnded) return neverSettles();
+    const bytes = this.#disk.files.get(name);
+    if (bytes === undefined) return Promise.reject(missingFile(name));
+    const end = range.offset + range.length;
+    return Promise.resolve(bytes.subarray(range.offset, end));
+  }
+
+  override size(name: string): Promise<Bytes> {
+    if (this.#isEnded) return neverSettles();
+    const bytes = this.#disk.files.get(name);
+    if (bytes === undefined) return Promise.reject(missingFile(name));
+    return Promise.resolve(bytes.length);
   }
 
   override replace(name: string, bytes: Uint8Array): Promise<void> {
     const copy = Buffer.from(bytes);
     return this.#disk.change(this.#session, {
+      name,
       needsSpace: true,
       apply: () => this.#disk.files.set(name, copy),
       applyPartially: () => {},
@@ -157,6 +176,7 @@
     const old = files.get(name) ?? Buffer.alloc(0);
     const random = this.#disk.options.random;
     return this.#disk.change(this.#session, {
+      name,
       needsSpace: true,
       apply: () => files.set(name, Buffer.concat([old, bytes])),
       applyPartially: () => {
@@ -166,9 +186,27 @@
     });
   }
 
+  override rename(from: string, to: string): Promise<void> {
+    const name = to;
+    const files = this.#disk.files;
+    if (this.#isEnded) return neverSettles();
+    const bytes = files.get(from);
+    if (bytes === undefined) return Promise.reject(missingFile(from));
+    return this.#disk.change(this.#session, {
+      name,
+      needsSpace: false,
+      apply: () => {
+        files.delete(from);
+        files.set(to, bytes);
+      },
+      applyPartially: () => {},
+    });
+  }
+
   override truncate(name: string, length: Bytes): Promise<void> {
     const files = this.#disk.files;
     return this.#disk.change(this.#session, {
+      name,
       needsSpace: false,
       apply: () => {
         files.set(
@@ -182,6 +220,7 @@
 
   override remove(name: string): Promise<void> {
     return this.#disk.change(this.#session, {
+      name,
       needsSpace: false,
       apply: () => this.#disk.files.delete(name),
       applyPartially: () => {},
@@ -189,6 +228,12 @@
   }
 }
 
+function missingFile(name: string): StorageError {
+  return new StorageError(
+    fail("storage_failed", `file ${name} does not exist`),
+  );
+}
+
 function neverSettles(): Promise<never> {
   return new Promise(() => {});
 }
--- a/agreement/messages.ts
+++ b/agreement/messages.ts
@@ -84,6 +84,8 @@
     committedIndex: counterSchema,
     /** `sentMs` of the append that this message replies to. */
     sentMs: z.number(),
+    /** Newest snapshot format that the follower can read; builds that only read the first don't send it. */
+    snapshotFormat: counterSchema.optional(),
   }),
   /** Transfers a chunk of a snapshot. */
   chunk: z.object({
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -25,20 +25,25 @@
 import { type DataFolder, StorageError } from "./data_folder.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
 import type { Instant } from "./leader_role.ts";
-import { LogStorage, type RecoveredState } from "./log_storage.ts";
+import { LogStorage } from "./log_storage.ts";
 import { MachineHost, unknownMachine } from "./machine_host.ts";
 import { packMessage, unpackMessage } from "./messages.ts";
 import { notLeader, Proposals } from "./proposals.ts";
+import { recoverReplica } from "./recovery.ts";
 import { Replica } from "./replica.ts";
-import { catchUpFailure, requestRejection } from "./request_gate.ts";
+import {
+  catchUpFailure,
+  proposalRejection,
+  requestRejection,
+} from "./request_gate.ts";
 import type { OutgoingMessage } from "./replica_state.ts";
 import { type LogStatus, ReplicatedLog } from "./replicated_log.ts";
-import type { VoterReport } from "./voter_manager.ts";
 import {
   DEFAULT_SNAPSHOT_POLICY,
   type SnapshotPolicy,
-  SyncLoop,
-} from "./sync_loop.ts";
+} from "./snapshot_policy.ts";
+import { REPORT_EVENTS, type VoterReport } from "./voter_manager.ts";
+import { SyncLoop } from "./sync_loop.ts";
 import { DEFAULT_TIMING, type LogTiming } from "./timing.ts";
 
 const IDENTITY_LENGTH = 16;
@@ -91,6 +96,7 @@
  */
 export class QuorumLog extends ReplicatedLog {
   readonly #options: QuorumLogOptions;
+  readonly #snapshotPolicy: SnapshotPolicy;
   readonly #storage: LogStorage;
   readonly #host: MachineHost;
   readonly #proposals: Proposals;
@@ -105,7 +111,9 @@
   constructor(options: QuorumLogOptions) {
     super();
     this.#options = options;
-    this.#storage = new LogStorage(options.folder);
+    this.#snapshotPolicy = options.snapshots ?? DEFAULT_SNAPSHOT_POLICY;
+    const { writeBytes } = this.#snapshotPolicy;
+    this.#storage = new LogStorage(options.folder, writeBytes);
     this.#host = new MachineHost(options.machines, options.events);
     const { proposalTimeoutMs } = options.timing ?? DEFAULT_TIMING;
     this.#proposals = new Proposals(options.clock, proposalTimeoutMs);
@@ -117,14 +125,18 @@
 
   override async start(): Promise<void> {
     const { clock, events, network, random } = this.#options;
-    const recovered = await this.#openStorage();
-    if (recovered.snapshot !== null) this.#applier.restore(recovered.snapshot);
+    const recovered = await recoverReplica(
+      this.#storage,
+      this.#applier,
+      () => random.identifier().slice(0, IDENTITY_LENGTH),
+    );
     const replica = new Replica({
       vm: this.#options.vm,
       recovered,
       random,
       timing: this.#options.timing ?? DEFAULT_TIMING,
       nowMs: clock.nowMs(),
+      maximumLogBytes: this.#snapshotPolicy.maximumBytes,
       initialVoters: this.#options.firstStart?.voters,
       peers: this.#options.peers,
       report: (report) => this.#reportVoters(report),
@@ -158,7 +170,8 @@
   }
 
   override propose(request: MachineCommand): Promise<Result<unknown, Failure>> {
-    const rejection = this.#requestRejection();
+    const nowMs = this.#options.clock.nowMs();
+    const rejection = proposalRejection(this.#replica, nowMs);
     if (rejection !== undefined) return Promise.resolve(Err(rejection));
     if (!this.#host.has(request.machine)) {
       return Promise.resolve(unknownMachine(request.machine));
@@ -184,7 +197,9 @@
   }
 
   override query(request: MachineQuery): Promise<Result<unknown, Failure>> {
-    const rejection = this.#requestRejection() ?? this.#catchUpFailure();
+    const nowMs = this.#options.clock.nowMs();
+    const rejection = requestRejection(this.#replica, nowMs) ??
+      this.#catchUpFailure();
     if (rejection !== undefined) return Promise.resolve(Err(rejection));
     return Promise.resolve(this.#host.query(request));
   }
@@ -216,10 +231,6 @@
     return this.#applier.onApplied(listener);
   }
 
-  #requestRejection(): Failure | undefined {
-    return requestRejection(this.#replica, this.#options.clock.nowMs());
-  }
-
   #isCaughtUp(): boolean {
     const replica = this.#replica;
     if (replica === undefined || !replica.isCommittedVoter) return false;
@@ -283,17 +294,6 @@
     }
   }
 
-  async #openStorage(): Promise<RecoveredState> {
-    try {
-      return await this.#storage.open(() =>
-        this.#options.random.identifier().slice(0, IDENTITY_LENGTH)
-      );
-    } catch (error) {
-      await this.#storage.close();
-      throw error;
-    }
-  }
-
   #createSyncLoop(replica: Replica): SyncLoop {
     return new SyncLoop({
       replica,
@@ -301,7 +301,7 @@
       applier: this.#applier,
       clock: this.#options.clock,
       events: this.#options.events,
-      policy: this.#options.snapshots ?? DEFAULT_SNAPSHOT_POLICY,
+      policy: this.#snapshotPolicy,
       send: (messages) => this.#send(messages),
       afterSync: () => this.#processOutputs(),
       onStorageError: (error) => this.#stopOnStorageError(error),
@@ -318,11 +318,8 @@
   }
 
   #reportVoters(report: VoterReport): void {
-    const event = report.kind === "settled"
-      ? AGREEMENT_EVENTS.seatsChanged
-      : AGREEMENT_EVENTS.seatRefused;
-    const { seats, index } = report;
-    this.#options.events.emit(event, { seats, index });
+    const { kind, seats, index } = report;
+    this.#options.events.emit(REPORT_EVENTS[kind], { seats, index });
   }
 
   #reportLeader(replica: Replica): void {
--- a/agreement/record.ts
+++ b/agreement/record.ts
@@ -9,7 +9,8 @@
 import xxhash from "xxhash-wasm";
 import type { Bytes } from "#core";
 
-const MAGIC = Buffer.from([0xc1, 0xca, 0xda, 0x01]);
+/** Bytes that every record starts with. */
+export const MAGIC = Buffer.from([0xc1, 0xca, 0xda, 0x01]);
 const LENGTH_OFFSET = 4;
 const HASH_OFFSET = 8;
 
@@ -20,7 +21,7 @@
 
 /** Returns the xxHash64 of bytes in hexadecimal. */
 export function hashHex(bytes: Uint8Array): string {
-  return hasher.h64Raw(bytes).toString(16).padStart(16, "0");
+  return formatHash(hasher.h64Raw(bytes));
 }
 
 /** Encodes a payload as a record. */
@@ -33,52 +34,58 @@
   return record;
 }
 
-/** Result of scanning a file of records. */
-export interface RecordScan {
-  readonly payloads: readonly Uint8Array[];
-  /** Length of the file up to the end of the last valid record. */
-  readonly validBytes: Bytes;
-  /** `torn`: the last write is incomplete. `corrupt`: a valid record follows an invalid one. */
-  readonly fault: "none" | "torn" | "corrupt";
+/** Length and checksum in the header of a record. */
+export interface RecordHeader {
+  readonly length: Bytes;
+  readonly checksum: bigint;
 }
 
-/** Reads records up to the end of the bytes or the first invalid record. */
-export function scanRecords(bytes: Uint8Array): RecordScan {
-  const file = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
-  const payloads: Uint8Array[] = [];
-  let offset = 0;
-  while (offset < file.length) {
-    const payload = readPayloadAt(file, offset);
-    if (payload === undefined) {
-      const fault = hasValidRecordAfter(file, offset) ? "corrupt" : "torn";
-      return { payloads, validBytes: offset, fault };
-    }
-    payloads.push(payload);
-    offset += RECORD_HEADER_BYTES + payload.length;
-  }
-  return { payloads, validBytes: offset, fault: "none" };
+/** Decodes the header of a record; returns undefined if the bytes are not a header. */
+export function decodeHeader(bytes: Uint8Array): RecordHeader | undefined {
+  if (bytes.length < RECORD_HEADER_BYTES) return undefined;
+  const header = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+  if (!isRecord(header)) return undefined;
+  return {
+    length: header.readUInt32BE(LENGTH_OFFSET),
+    checksum: header.readBigUInt64BE(HASH_OFFSET),
+  };
+}
+
+/** Whether bytes start like a record. */
+export function isRecord(bytes: Uint8Array): boolean {
+  return MAGIC.equals(bytes.subarray(0, MAGIC.length));
 }
 
-function readPayloadAt(file: Buffer, start: number): Uint8Array | undefined {
-  const payloadStart = start + RECORD_HEADER_BYTES;
-  if (payloadStart > file.length) return undefined;
-  if (MAGIC.compare(file, start, start + MAGIC.length) !== 0) return undefined;
-  const end = payloadStart + file.readUInt32BE(start + LENGTH_OFFSET);
-  if (end > file.length) return undefined;
-  const payload = file.subarray(payloadStart, end);
-  const storedChecksum = file.readBigUInt64BE(start + HASH_OFFSET);
-  return storedChecksum === checksum(payload) ? payload : undefined;
+/** Returns the checksum of the payload of a record. */
+export function checksum(payload: Uint8Array): bigint {
+  return hasher.h64Raw(payload, BigInt(payload.length));
 }
 
-function hasValidRecordAfter(file: Buffer, invalidOffset: number): boolean {
-  let offset = file.indexOf(MAGIC, invalidOffset + 1);
-  while (offset !== -1) {
-    if (readPayloadAt(file, offset) !== undefined) return true;
-    offset = file.indexOf(MAGIC, offset + 1);
+/** Computes a hash of bytes that arrive in several pieces. */
+export class StreamingHash {
+  readonly #hash: ReturnType<typeof hasher.create64>;
+
+  /** A seed of the length of a payload results in its `checksum`, no seed in the value of `hashHex`. */
+  constructor(seed = 0n) {
+    this.#hash = hasher.create64(seed);
+  }
+
+  /** Adds the next piece. */
+  update(bytes: Uint8Array): void {
+    this.#hash.update(bytes);
+  }
+
+  /** Returns the hash of all pieces. */
+  digest(): bigint {
+    return this.#hash.digest();
+  }
+
+  /** Returns the hash of all pieces in hexadecimal. */
+  digestHex(): string {
+    return formatHash(this.digest());
   }
-  return false;
 }
 
-function checksum(payload: Uint8Array): bigint {
-  return hasher.h64Raw(payload, BigInt(payload.length));
+function formatHash(hash: bigint): string {
+  return hash.toString(16).padStart(16, "0");
 }
--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -10,12 +10,9 @@
 import type { EntryKind, EntryPosition, LogEntry } from "./entries.ts";
 import { FollowerRole, type ReceivedChunk } from "./follower_role.ts";
 import { Formation } from "./formation.ts";
-import {
-  type Instant,
-  LeaderRole,
-  type ReplicaProgress,
-} from "./leader_role.ts";
+import { type Instant, LeaderRole } from "./leader_role.ts";
 import type { Message, MessageOf } from "./messages.ts";
+import type { ReplicaProgress } from "./replica_progress.ts";
 import {
   type OutgoingMessage,
   ReplicaState,
@@ -223,6 +220,8 @@
     this.#leaderRole = new LeaderRole(state, {
       instant,
       lastEntryAtMs: last?.atMs ?? state.snapshot?.meta.atMs ?? 0,
+      onUnreadable: (member) =>
+        this.#options.report({ kind: "unreadable", seats: [member], index: 0 }),
     });
     this.#voterManager = new VoterManager(state, {
       leaderRole: this.#leaderRole,
--- /dev/null
+++ b/agreement/replica_progress.ts
@@ -0,0 +1,99 @@
+/**
+ * Replication progress of another replica, as known to the leader.
+ *
+ * @module
+ */
+import { type Bytes, MEBIBYTE, type Milliseconds } from "#core";
+import type { LogEntry, Voter } from "./entries.ts";
+
+/** Limit of unacknowledged bytes to one replica; no further entries are sent once it is reached. */
+const IN_FLIGHT_WINDOW_BYTES: Bytes = MEBIBYTE;
+/** Time without progress after which unacknowledged entries count as lost and are sent again. */
+const IN_FLIGHT_TIMEOUT_MS: Milliseconds = 1_000;
+
+/** Replication progress of another replica, as known to the leader. */
+export interface ReplicaProgress {
+  /** Identity and VM of the replica, which is a voter or a learner. */
+  readonly member: Voter;
+  /** Index of the next entry to send. */
+  nextIndex: number;
+  /** Highest index that the replica has acknowledged as synced. */
+  matchIndex: number;
+  /** Commit index that the replica last reported. */
+  committedIndex: number;
+  /** Send time of the newest message that the replica has replied to. */
+  lastContactMs: Milliseconds;
+  /** When `nextIndex` last moved back after a rejection; rejections of messages sent earlier are stale. */
+  lastRewindMs: Milliseconds;
+  /** Batches sent but not acknowledged, oldest first. */
+  inFlight: readonly InFlightBatch[];
+  /** Newest snapshot format that the replica can read; null until it has replied. */
+  snapshotFormat: number | null;
+  /** When `matchIndex` last advanced, or a batch was last sent while none was in flight. */
+  lastAdvanceMs: Milliseconds;
+}
+
+/** Entries that were sent in one message. */
+export interface InFlightBatch {
+  readonly lastIndex: number;
+  readonly bytes: Bytes;
+}
+
+/** Returns the progress of a replica of which nothing is known. */
+export function newProgress(member: Voter, nextIndex: number): ReplicaProgress {
+  return {
+    member,
+    nextIndex,
+    matchIndex: 0,
+    committedIndex: 0,
+    lastContactMs: -Infinity,
+    lastRewindMs: -Infinity,
+    inFlight: [],
+    snapshotFormat: null,
+    lastAdvanceMs: -Infinity,
+  };
+}
+
+/** Records a reply to a message that was sent at `sentMs`. */
+export function recordContact(
+  progress: ReplicaProgress,
+  sentMs: Milliseconds,
+): void {
+  progress.lastContactMs = Math.max(progress.lastContactMs, sentMs);
+}
+
+/** Whether no further entries may be sent before some are acknowledged. */
+export function isWindowFull(progress: ReplicaProgress): boolean {
+  let bytes = 0;
+  for (const each of progress.inFlight) bytes += each.bytes;
+  return bytes >= IN_FLIGHT_WINDOW_BYTES;
+}
+
+/** Records that entries were sent. */
+export function recordInFlight(
+  progress: ReplicaProgress,
+  entries: readonly LogEntry[],
+  nowMs: Milliseconds,
+): void {
+  const last = entries.at(-1);
+  if (last === undefined) return;
+  if (progress.inFlight.length === 0) progress.lastAdvanceMs = nowMs;
+  let bytes = 0;
+  for (const entry of entries) bytes += entry.body.length;
+  progress.inFlight = [...progress.inFlight, { lastIndex: last.index, bytes }];
+}
+
+/** Whether the unacknowledged entries count as lost. */
+export function isInFlightLost(
+  progress: ReplicaProgress,
+  nowMs: Milliseconds,
+): boolean {
+  if (progress.inFlight.length === 0) return false;
+  return nowMs >= progress.lastAdvanceMs + IN_FLIGHT_TIMEOUT_MS;
+}
+
+/** Makes the entries after the last acknowledged one be sent again. */
+export function rewindToMatch(progress: ReplicaProgress): void {
+  progress.nextIndex = progress.matchIndex + 1;
+  progress.inFlight = [];
+}
--- a/agreement/replica_state.ts
+++ b/agreement/replica_state.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import type { Milliseconds, RandomSource } from "#core";
+import {
+  type Bytes,
+  MEBIBYTE,
+  type Milliseconds,
+  type RandomSource,
+} from "#core";
 import type { EntryPosition, LogEntry, Voter } from "./entries.ts";
 import { EntryLog } from "./entry_log.ts";
 import type {
@@ -12,11 +17,16 @@
   HardState,
   RecoveredState,
   SnapshotDescriptor,
-} from "./log_storage.ts";
+} from "./stored_state.ts";
 import type { Message, MessageKind, MessageOf } from "./messages.ts";
 import { NO_VOTERS, VoterHistory, VoterQuorum } from "./voters.ts";
 import type { LogTiming } from "./timing.ts";
 
+/** Limit of the entries in one write to the log. */
+const MAXIMUM_BATCH_BYTES: Bytes = MEBIBYTE;
+/** Limit of the messages that wait for a sync, which a full disk can delay for long; the oldest are dropped. */
+const MAXIMUM_WAITING_MESSAGES = 1_024;
+
 /** Role of a replica; a learner receives the log but doesn't vote. */
 export type Role = "leader" | "follower" | "candidate" | "learner";
 
@@ -49,6 +59,8 @@
   readonly timing: LogTiming;
   readonly random: RandomSource;
   readonly nowMs: Milliseconds;
+  /** Size of the log in memory above which no further commands are accepted; unlimited by default. */
+  readonly maximumLogBytes?: Bytes;
 }
 
 /** State shared by the roles of a replica. */
@@ -66,6 +78,7 @@
   /** When this replica last received a leader's message; a voter rejects other candidates for a while after. */
   lastLeaderContactMs: Milliseconds;
   electionDueMs: Milliseconds;
+  readonly #maximumLogBytes: Bytes;
   #hardState: HardState;
   #hardStateVersion = 0;
   #batchedHardStateVersion = 0;
@@ -89,7 +102,8 @@
       voters,
       recovered.entries.filter((entry) => entry.index > snapshotIndex),
     );
-    this.snapshot = recovered.descriptor;
+    this.snapshot = recovered.snapshot;
+    this.#maximumLogBytes = options.maximumLogBytes ?? Infinity;
     this.#committedIndex = Math.max(
       snapshotIndex,
       recovered.hard.committedSeatsIndex,
@@ -130,6 +144,22 @@
     return this.#durableIndex;
   }
 
+  /** Whether the log in memory exceeds its limit, since no snapshot can be written. */
+  get isLogFull(): boolean {
+    return this.log.bytes > this.#maximumLogBytes;
+  }
+
+  /**
+   * Whether the committed entries after the snapshot exceed the limit of the log. Entries that are not committed
+   * don't count: they must be accepted until they are.
+   */
+  get isCommittedLogFull(): boolean {
+    const { log, snapshot } = this;
+    const bytes = log.bytesThrough(this.committedIndex) -
+      log.bytesThrough(snapshot?.meta.index ?? 0);
+    return bytes > this.#maximumLogBytes;
+  }
+
   /** Returns the quorum that is active at the current commit index. */
   quorum(): VoterQuorum {
     return this.voterHistory.quorum(this.committedIndex);
@@ -201,7 +231,7 @@
     this.snapshot = snapshot;
     this.commit(index);
     this.#durableIndex = 0;
-    return this.nextSyncBatch();
+    return this.nextSyncBatch(Infinity);
   }
 
   /** Creates a message with this replica as the sender. */
@@ -234,6 +264,8 @@
       vm,
       message,
     });
+    const tooMany = this.#messagesAfterSync.length > MAXIMUM_WAITING_MESSAGES;
+    if (tooMany) this.#messagesAfterSync.shift();
   }
 
   /** Removes and returns the messages that may be sent now. */
@@ -249,20 +281,26 @@
     return this.#firstUnsyncedIndex <= this.log.lastIndex;
   }
 
-  /** Returns everything to sync next; a rewritten log file contains it as well. */
-  nextSyncBatch(): SyncBatch {
-    const entries = this.log.entriesFrom(this.#firstUnsyncedIndex, Infinity);
+  /** Returns what to sync next: the hard state, and entries of at most `maximumBytes` but at least one. */
+  nextSyncBatch(maximumBytes: Bytes = MAXIMUM_BATCH_BYTES): SyncBatch {
+    const entries = this.log.entriesFrom(
+      this.#firstUnsyncedIndex,
+      maximumBytes,
+    );
     const batch: DurableBatch = {
       hard: this.#hardStateVersion > this.#batchedHardStateVersion
         ? this.#hardState
         : null,
       entries: this.#firstUnsyncedIndex <= this.log.lastIndex ? entries : [],
     };
+    const lastEntry = batch.entries.at(-1);
     const messagesAfterSync = this.#messagesAfterSync;
     this.#messagesAfterSync = [];
     this.#batchedHardStateVersion = this.#hardStateVersion;
-    this.#firstUnsyncedIndex = this.log.lastIndex + 1;
-    const last = { index: this.log.lastIndex, term: this.log.lastTerm };
+    const { index, term } = lastEntry ??
+      { index: this.log.lastIndex, term: this.log.lastTerm };
+    this.#firstUnsyncedIndex = index + 1;
+    const last = { index, term };
     return {
       batch,
       messagesAfterSync: messagesAfterSync,
--- a/agreement/replica_test.ts
+++ b/agreement/replica_test.ts
@@ -30,7 +30,6 @@
       base: { index: 0, term: 0 },
       entries: [voterChangeEntry()],
       snapshot: null,
-      descriptor: null,
     },
     timing: DEFAULT_TIMING,
     random: new SeededRandom(1),
--- a/agreement/request_gate.ts
+++ b/agreement/request_gate.ts
@@ -9,6 +9,7 @@
 
 const NO_QUORUM_RETRY_MS: Milliseconds = 1_000;
 const NOT_READY_RETRY_MS: Milliseconds = 100;
+const FULL_LOG_RETRY_MS: Milliseconds = 1_000;
 
 /** Returns why a replica rejects a request, or undefined if it accepts it; a rejected request is never run. */
 export function requestRejection(
@@ -27,6 +28,19 @@
   });
 }
 
+/** Returns why a replica rejects a command, or undefined if it accepts it; a rejected command is never run. */
+export function proposalRejection(
+  replica: Replica | undefined,
+  nowMs: Milliseconds,
+): Failure | undefined {
+  const rejection = requestRejection(replica, nowMs);
+  if (rejection !== undefined || replica?.state.isLogFull !== true) {
+    return rejection;
+  }
+  const message = "the log is full, since its snapshot can't be written";
+  return fail("not_ready", message, { retryAfterMs: FULL_LOG_RETRY_MS });
+}
+
 /** Returns why a replica's state may lack acknowledged commands, or undefined if it contains all of them. */
 export function catchUpFailure(
   replica: Replica | undefined,
--- a/agreement/simulated_group.ts
+++ b/agreement/simulated_group.ts
@@ -20,7 +20,11 @@
 import { type ListItem, ListMachine, LogOracle } from "./log_oracle.ts";
 import { MemoryDisk } from "./memory_folder.ts";
 import { QuorumLog } from "./quorum_log.ts";
-import { ProcessClock, ProcessNetwork } from "./simulated_process.ts";
+import {
+  ProcessClock,
+  ProcessNetwork,
+  SNAPSHOT_POLICY,
+} from "./simulated_process.ts";
 import { DEFAULT_TIMING, type LogTiming } from "./timing.ts";
 
 const MAXIMUM_SYNC_MS: Milliseconds = 2;
@@ -28,7 +32,6 @@
 const SLOW_SYNC_CHANCE = 0.1;
 const MAXIMUM_CLOCK_RATE_ERROR = 0.02;
 const MAXIMUM_CLOCK_OFFSET_MS: Milliseconds = 100_000;
-const SNAPSHOT_POLICY = { entries: 8, bytes: 1_000_000, retainedEntries: 3 };
 
 /** Options of `SimulatedGroup`. */
 export interface SimulatedGroupOptions {
--- a/agreement/simulated_process.ts
+++ b/agreement/simulated_process.ts
@@ -1,5 +1,5 @@
 /**
- * Clock and network of a simulated process that can be paused and killed, for tests.
+ * Clock, network and snapshot policy of a simulated process that can be paused and killed, for tests.
  *
  * @module
  */
@@ -20,6 +20,17 @@
   type RequestHandler,
   type RequestOptions,
 } from "#wire";
+import type { SnapshotPolicy } from "./snapshot_policy.ts";
+
+/** Snapshots are due after a few entries; they and the rewritten logs consist of several writes. */
+export const SNAPSHOT_POLICY: SnapshotPolicy = {
+  entries: 8,
+  bytes: 1_000_000,
+  retainedEntries: 3,
+  retainedBytes: 1_000_000,
+  maximumBytes: 1_000_000,
+  writeBytes: 60,
+};
 
 /** Setting more timers than this without time advancing indicates an endless loop. */
 const MAXIMUM_TIMERS_AT_ONCE = 10_000;
--- a/agreement/snapshot_transfers.ts
+++ b/agreement/snapshot_transfers.ts
@@ -5,13 +5,16 @@
  * @module
  */
 import { type Bytes, KIBIBYTE, type Milliseconds } from "#core";
-import type { ReplicaProgress } from "./leader_role.ts";
-import type { SnapshotDescriptor } from "./log_storage.ts";
 import type { MessageOf } from "./messages.ts";
+import type { ReplicaProgress } from "./replica_progress.ts";
+import type { SnapshotDescriptor } from "./stored_state.ts";
 
 /** Maximum size of a snapshot chunk. */
 export const MAXIMUM_CHUNK_BYTES: Bytes = 256 * KIBIBYTE;
 
+/** Time without progress after which a replica that installed a snapshot counts as unreachable. */
+const CATCH_UP_STALL_MS: Milliseconds = 2_000;
+
 /** Request to read a chunk from the disk and send it. */
 export interface ChunkRequest {
   readonly progress: ReplicaProgress;
@@ -26,21 +29,37 @@
   requestedMs: Milliseconds;
 }
 
+/** A replica that installed a snapshot and needs the log from there on. */
+interface CatchUp {
+  readonly progress: ReplicaProgress;
+  /** Last index of the log when the transfer ended. */
+  readonly lastIndex: number;
+  readonly startedMs: Milliseconds;
+}
+
 /** Snapshot transfers of one leader. */
 export class SnapshotTransfers {
   readonly #retryIntervalMs: Milliseconds;
   readonly #transfers = new Map<string, Transfer>();
+  readonly #catchUps = new Map<string, CatchUp>();
   #requests: ChunkRequest[] = [];
 
   constructor(retryIntervalMs: Milliseconds) {
     this.#retryIntervalMs = retryIntervalMs;
   }
 
-  /** Whether a chunk was requested within the last 4 retry intervals: the snapshot should not be replaced yet. */
+  /**
+   * Whether the snapshot should not be replaced yet: a chunk was requested within the last 4 retry intervals, or a
+   * replica that received the snapshot still needs entries that were in the log when the transfer ended.
+   */
   isActive(nowMs: Milliseconds): boolean {
     for (const transfer of this.#transfers.values()) {
       if (nowMs < transfer.requestedMs + 4 * this.#retryIntervalMs) return true;
     }
+    for (const [replica, catchUp] of this.#catchUps) {
+      if (isCatchingUp(catchUp, nowMs)) return true;
+      this.#catchUps.delete(replica);
+    }
     return false;
   }
 
@@ -68,8 +87,9 @@
   handleChunkReply(
     progress: ReplicaProgress,
     message: MessageOf<"chunkReply">,
-    nowMs: Milliseconds,
+    now: { readonly nowMs: Milliseconds; readonly lastIndex: number },
   ): void {
+    const { nowMs, lastIndex } = now;
     const transfer = this.#transfers.get(message.from);
     if (transfer?.snapshot.hash !== message.hash) return;
     if (message.offset >= transfer.snapshot.bytes) {
@@ -82,6 +102,8 @@
         progress.nextIndex,
         progress.matchIndex + 1,
       );
+      const catchUp = { progress, lastIndex, startedMs: nowMs };
+      this.#catchUps.set(message.from, catchUp);
       return;
     }
     if (message.offset === transfer.offset) return;
@@ -106,3 +128,10 @@
     this.#requests.push({ progress, snapshot, offset, sentMs: nowMs });
   }
 }
+
+function isCatchingUp(catchUp: CatchUp, nowMs: Milliseconds): boolean {
+  const { progress, lastIndex, startedMs } = catchUp;
+  if (progress.matchIndex >= lastIndex) return false;
+  const advancedMs = Math.max(startedMs, progress.lastAdvanceMs);
+  return nowMs < advancedMs + CATCH_UP_STALL_MS;
+}
--- a/agreement/sync_loop.ts
+++ b/agreement/sync_loop.ts
@@ -1,48 +1,21 @@
 /**
  * The only writer to a replica's disk. Writes batches of entries, received snapshot chunks and the
- * replica's own snapshots, one after the other.
+ * replica's own snapshots, one after the other; batches are also written between the parts of a snapshot.
  *
  * @module
  */
-import {
-  type Bytes,
-  type Clock,
-  type EventLog,
-  MEBIBYTE,
-  type Milliseconds,
-} from "#core";
+import type { Clock, EventLog, Milliseconds } from "#core";
 import type { Applier } from "./applier.ts";
 import { DiskFullError } from "./data_folder.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
 import type { ReceivedChunk } from "./follower_role.ts";
-import {
-  type LogContents,
-  type LogStorage,
-  type SerializedSnapshot,
-  serializeSnapshot,
-} from "./log_storage.ts";
+import type { ReceivedSnapshot } from "./incoming_snapshot.ts";
+import type { LogStorage } from "./log_storage.ts";
 import type { Replica } from "./replica.ts";
 import type { OutgoingMessage, SyncBatch } from "./replica_state.ts";
+import type { SnapshotPolicy } from "./snapshot_policy.ts";
+import { logContents, SnapshotSaver } from "./snapshot_saver.ts";
 
-/** When snapshots are taken, and how much of the log is retained before them. */
-export interface SnapshotPolicy {
-  /** Number of entries after which a snapshot is taken. */
-  readonly entries: number;
-  /** Size of the entries after which a snapshot is taken. */
-  readonly bytes: Bytes;
-  /** Number of entries retained before the snapshot, so that replicas that lag slightly need no snapshot. */
-  readonly retainedEntries: number;
-}
-
-/** Default policy. */
-export const DEFAULT_SNAPSHOT_POLICY: SnapshotPolicy = {
-  entries: 8_192,
-  bytes: 32 * MEBIBYTE,
-  retainedEntries: 1_024,
-};
-
-/** Factor on the limits of the policy while the current snapshot is being transferred. */
-const TRANSFER_SNAPSHOT_FACTOR = 4;
 /** Delay before a write that failed on a full disk is retried. */
 const FULL_DISK_RETRY_MS: Milliseconds = 250;
 
@@ -65,6 +38,7 @@
 /** Writes to the disk as long as there is something to write. */
 export class SyncLoop {
   readonly #options: SyncLoopOptions;
+  readonly #saver: SnapshotSaver;
   #running = false;
   /** Whether `run` was called since the loop last looked for something to write. */
   #requested = false;
@@ -73,6 +47,13 @@
 
   constructor(options: SyncLoopOptions) {
     this.#options = options;
+    this.#saver = new SnapshotSaver({
+      ...options,
+      writePending: async () => {
+        await this.#writeBatch();
+        return !this.#stopped;
+      },
+    });
   }
 
   /** Stops the loop; resolves once the write in progress has finished. */
@@ -109,22 +90,24 @@
   }
 
   async #writeNext(): Promise<boolean> {
-    const { replica, clock, send } = this.#options;
-    const syncBatch = replica.nextSyncBatch(clock.nowMs());
-    send(replica.drainReadyMessages());
-    if (syncBatch !== undefined) {
-      await this.#retryWhileFull(() =>
-        this.#options.storage.append(syncBatch.batch)
-      );
-      this.#completeBatch(syncBatch);
-      return true;
-    }
-    const chunk = replica.nextChunk();
+    if (await this.#writeBatch()) return true;
+    const chunk = this.#options.replica.nextChunk();
     if (chunk !== undefined) {
       await this.#storeChunk(chunk);
       return true;
     }
-    return this.#saveSnapshot();
+    return this.#saver.saveIfDue();
+  }
+
+  /** Writes the next batch of entries; returns false if there is none. */
+  async #writeBatch(): Promise<boolean> {
+    const { replica, storage, clock, send } = this.#options;
+    const syncBatch = replica.nextSyncBatch(clock.nowMs());
+    send(replica.drainReadyMessages());
+    if (syncBatch === undefined) return false;
+    await this.#retryWhileFull(() => storage.append(syncBatch.batch));
+    this.#completeBatch(syncBatch);
+    return true;
   }
 
   /** Runs a write, and retries it while the disk is full. */
@@ -164,70 +147,30 @@
     afterSync();
   }
 
-  async #install(received: SerializedSnapshot): Promise<void> {
+  async #install(received: ReceivedSnapshot): Promise<void> {
     const { replica, storage, applier, events } = this.#options;
     const { state } = replica;
-    const { index } = received.descriptor.meta;
-    if (index <= state.committedIndex) return;
-    const syncBatch = state.installSnapshot(received.descriptor);
-    applier.restore(received.snapshot);
-    const log = this.#logContents(state.log.base.index);
-    await this.#retryWhileFull(() => storage.saveSnapshot(received, log));
+    const { descriptor } = received;
+    const { index } = descriptor.meta;
+    if (index <= state.committedIndex) {
+      await storage.discardReceived(received);
+      return;
+    }
+    await storage.storeReceived(received);
+    const restoration = applier.startRestoration();
+    await storage.readContents(descriptor, restoration);
+    if (this.#stopped) return;
+    // Entries that arrived meanwhile may have been committed.
+    if (index <= state.committedIndex) {
+      await storage.abandonSnapshot(index);
+      return;
+    }
+    const syncBatch = state.installSnapshot(descriptor);
+    applier.finishRestoration(restoration, index);
+    storage.startLog(descriptor, logContents(replica, state.log.base.index));
+    while (await this.#retryWhileFull(() => storage.writeLog()));
+    await storage.finishLog();
     this.#completeBatch(syncBatch);
     events.emit(AGREEMENT_EVENTS.snapshotInstalled, { index });
   }
-
-  async #saveSnapshot(): Promise<boolean> {
-    const { replica, applier, events, policy } = this.#options;
-    if (!this.#snapshotDue()) return false;
-    const snapshot = applier.snapshot(replica);
-    if (snapshot === undefined) return false;
-    const { state } = replica;
-    const { index } = snapshot.meta;
-    const baseIndex = Math.max(
-      state.log.base.index,
-      index - policy.retainedEntries,
-    );
-    const serialized = serializeSnapshot(snapshot);
-    if (!await this.#save(serialized, baseIndex)) return false;
-    state.snapshot = serialized.descriptor;
-    state.log.compact(baseIndex);
-    const { bytes } = serialized.descriptor;
-    events.emit(AGREEMENT_EVENTS.snapshotSaved, { index, bytes });
-    return true;
-  }
-
-  /** Returns whether the disk had space; if not, the next snapshot is due after the usual number of entries. */
-  async #save(
-    serialized: SerializedSnapshot,
-    baseIndex: number,
-  ): Promise<boolean> {
-    const { storage, events } = this.#options;
-    try {
-      await storage.saveSnapshot(serialized, this.#logContents(baseIndex));
-      return true;
-    } catch (error) {
-      if (!(error instanceof DiskFullError)) throw error;
-      events.emit(AGREEMENT_EVENTS.diskFull, { ...error.failure });
-      return false;
-    }
-  }
-
-  #snapshotDue(): boolean {
-    const { replica, applier, policy, clock } = this.#options;
-    const isTransferring =
-      replica.leaderRole?.snapshotTransfers.isActive(clock.nowMs()) ?? false;
-    const factor = isTransferring ? TRANSFER_SNAPSHOT_FACTOR : 1;
-    if (applier.entriesSinceSnapshot >= policy.entries * factor) return true;
-    return applier.bytesSinceSnapshot >= policy.bytes * factor;
-  }
-
-  #logContents(baseIndex: number): LogContents {
-    const { state } = this.#options.replica;
-    return {
-      hard: state.hardState,
-      base: { index: baseIndex, term: state.log.termAt(baseIndex) ?? 0 },
-      entries: state.log.entriesFrom(baseIndex + 1, Infinity),
-    };
-  }
 }
--- a/agreement/voter_manager.ts
+++ b/agreement/voter_manager.ts
@@ -8,7 +8,9 @@
 import { match, P } from "ts-pattern";
 import type { Milliseconds } from "#core";
 import { encodeVoterChange, type Voter } from "./entries.ts";
-import type { Instant, LeaderRole, ReplicaProgress } from "./leader_role.ts";
+import { AGREEMENT_EVENTS } from "./events.ts";
+import type { Instant, LeaderRole } from "./leader_role.ts";
+import type { ReplicaProgress } from "./replica_progress.ts";
 import type { MessageOf } from "./messages.ts";
 import type { ReplicaState } from "./replica_state.ts";
 
@@ -17,15 +19,25 @@
 /** A learner that sends no hello for this long is dropped. */
 const LEARNER_EXPIRY_MS: Milliseconds = 10_000;
 
-/** Report of the leader on voter changes. */
+/** Report of the leader on voter changes and on the replicas that it sends to. */
 export interface VoterReport {
-  /** `settled`: all voters know that the change is committed. `refused`: a replica was rejected as a voter. */
-  readonly kind: "settled" | "refused";
+  /**
+   * `settled`: all voters know that the change is committed. `refused`: a replica was rejected as a voter.
+   * `unreadable`: a replica needs a snapshot but runs a build that can't read it.
+   */
+  readonly kind: "settled" | "refused" | "unreadable";
   readonly seats: readonly Voter[];
-  /** Index of the voter change entry, or 0 for `refused`. */
+  /** Index of the voter change entry; 0 unless `settled`. */
   readonly index: number;
 }
 
+/** Events for the reports of a leader, by their kind. */
+export const REPORT_EVENTS = {
+  settled: AGREEMENT_EVENTS.seatsChanged,
+  refused: AGREEMENT_EVENTS.seatRefused,
+  unreadable: AGREEMENT_EVENTS.snapshotUnreadable,
+} as const;
+
 /** Decides on voter changes during one term. */
 export class VoterManager {
   readonly #state: ReplicaState;
