--- a/agreement/log_file.ts
+++ b/agreement/log_file.ts
@@ -8,6 +8,7 @@
 import type { EntryPosition, LogEntry } from "./entries.ts";
 import { packEntry, unpackEntry, type WireEntry } from "./messages.ts";
 import { encodeRecord } from "./record.ts";
+import type { RecordBuffer } from "./record_buffer.ts";
 import { type FolderFile, RecordReader } from "./record_reader.ts";
 import {
   corruptionError,
@@ -54,13 +55,27 @@
   return encodeRecord(encodeValue(record));
 }
 
-/** Encodes the record of a batch. */
-export function encodeBatch(batch: DurableBatch): Uint8Array {
+/** Encodes the payload of the record of a batch. */
+function encodeBatch(batch: DurableBatch): Uint8Array {
   const record: BatchRecord = {
     hard: batch.hard,
     entries: batch.entries.map(packEntry),
   };
-  return encodeRecord(encodeValue(record));
+  return encodeValue(record);
+}
+
+/** Appends the record of a batch to a log file; `buffer` must be unused, and is when the promise settles. */
+export async function appendBatch(
+  file: FolderFile,
+  batch: DurableBatch,
+  buffer: RecordBuffer,
+): Promise<void> {
+  buffer.add(encodeBatch(batch));
+  try {
+    await file.folder.append(file.name, buffer.bytes());
+  } finally {
+    buffer.clear();
+  }
 }
 
 /** Reads a log file and truncates an incomplete last record; rejects with a `StorageError` if it is corrupt. */
@@ -121,6 +136,7 @@
   readonly #owner: LogOwner;
   readonly #log: LogContents;
   readonly #writeBytes: Bytes;
+  readonly #buffer: RecordBuffer;
   /** Batches appended to the old file since the rewrite began. */
   readonly #batches: DurableBatch[] = [];
   #hasBase = false;
@@ -133,12 +149,14 @@
       readonly log: LogContents;
       /** Approximate size of each write. */
       readonly writeBytes: Bytes;
+      readonly buffer: RecordBuffer;
     },
   ) {
     this.#file = file;
     this.#owner = options.owner;
     this.#log = options.log;
     this.#writeBytes = options.writeBytes;
+    this.#buffer = options.buffer;
   }
 
   /** Index of the snapshot that the new file names. */
@@ -161,13 +179,13 @@
     }
     const entries = this.#nextEntries();
     if (entries.length > 0) {
-      await folder.append(name, encodeBatch({ hard: null, entries }));
+      await appendBatch(this.#file, { hard: null, entries }, this.#buffer);
       this.#writtenEntries += entries.length;
       return true;
     }
     const batch = this.#batches[0];
     if (batch === undefined) return false;
-    await folder.append(name, encodeBatch(batch));
+    await appendBatch(this.#file, batch, this.#buffer);
     this.#batches.shift();
     return true;
   }
--- a/agreement/log_storage.ts
+++ b/agreement/log_storage.ts
@@ -17,7 +17,8 @@
   type SnapshotChunk,
   type SnapshotProgress,
 } from "./incoming_snapshot.ts";
-import { encodeBase, encodeBatch, LogRewrite, recoverLog } from "./log_file.ts";
+import { appendBatch, encodeBase, LogRewrite, recoverLog } from "./log_file.ts";
+import { RecordBuffer } from "./record_buffer.ts";
 import {
   describeSnapshot,
   readSnapshotFile,
@@ -44,13 +45,15 @@
 const PARTIAL_CONVERSION = `${PARTIAL_PREFIX}conversion`;
 
 /** Default approximate size of each write of a snapshot and of a rewritten log. */
-export const DEFAULT_WRITE_BYTES: Bytes = 512 * KIBIBYTE;
+export const DEFAULT_WRITE_BYTES: Bytes = 256 * KIBIBYTE;
 
 /** Stores the state of one replica in a data folder. Call `open` before any other method. */
 export class LogStorage {
   readonly #folder: DataFolder;
   readonly #writeBytes: Bytes;
   readonly #incoming: IncomingSnapshot;
+  readonly #logBuffer = new RecordBuffer();
+  readonly #snapshotBuffer = new RecordBuffer();
   #identity = "";
   #sequence = 0;
   #snapshotIndex = 0;
@@ -79,14 +82,19 @@
 
   /** Appends a batch to the log and makes it durable with one sync. */
   async append(batch: DurableBatch): Promise<void> {
-    await this.#folder.append(this.#logFileName(), encodeBatch(batch));
+    const file = { folder: this.#folder, name: this.#logFileName() };
+    await appendBatch(file, batch, this.#logBuffer);
     this.#rewrite?.addBatch(batch);
   }
 
   /** Starts to write a snapshot; `storeSnapshot` or `abandonSnapshot` follows. */
   startSnapshot(capture: Omit<SnapshotCapture, "parts">): SnapshotWriter {
     const file = { folder: this.#folder, name: PARTIAL_SNAPSHOT };
-    return new SnapshotWriter(file, { capture, writeBytes: this.#writeBytes });
+    return new SnapshotWriter(file, {
+      capture,
+      writeBytes: this.#writeBytes,
+      buffer: this.#snapshotBuffer,
+    });
   }
 
   /** Stores a snapshot that is written completely. It counts only once a log file refers to it. */
@@ -119,8 +127,12 @@
       snapshotIndex: snapshot.meta.index,
       format: snapshot.format,
     };
-    const writeBytes = this.#writeBytes;
-    this.#rewrite = new LogRewrite(file, { owner, log, writeBytes });
+    this.#rewrite = new LogRewrite(file, {
+      owner,
+      log,
+      writeBytes: this.#writeBytes,
+      buffer: this.#logBuffer,
+    });
   }
 
   /** Writes the next piece of the new log file; returns false if nothing remains. */
--- a/agreement/record.ts
+++ b/agreement/record.ts
@@ -27,13 +27,18 @@
 /** Encodes a payload as a record. */
 export function encodeRecord(payload: Uint8Array): Uint8Array {
   const record = Buffer.allocUnsafe(RECORD_HEADER_BYTES + payload.length);
-  record.set(MAGIC, 0);
-  record.writeUInt32BE(payload.length, LENGTH_OFFSET);
-  record.writeBigUInt64BE(checksum(payload), HASH_OFFSET);
+  writeHeader(record, payload);
   record.set(payload, RECORD_HEADER_BYTES);
   return record;
 }
 
+/** Writes the header of a record with this payload to the start of `target`. */
+export function writeHeader(target: Buffer, payload: Uint8Array): void {
+  target.set(MAGIC, 0);
+  target.writeUInt32BE(payload.length, LENGTH_OFFSET);
+  target.writeBigUInt64BE(checksum(payload), HASH_OFFSET);
+}
+
 /** Length and checksum in the header of a record. */
 export interface RecordHeader {
   readonly length: Bytes;
--- a/agreement/snapshot_file.ts
+++ b/agreement/snapshot_file.ts
@@ -5,15 +5,10 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import type { Bytes } from "#core";
 import { decodeValue, encodeValue } from "#wire";
-import {
-  encodeRecord,
-  hashHex,
-  RECORD_HEADER_BYTES,
-  StreamingHash,
-} from "./record.ts";
+import { hashHex, RECORD_HEADER_BYTES, StreamingHash } from "./record.ts";
+import type { RecordBuffer } from "./record_buffer.ts";
 import { type FolderFile, hashFile, RecordReader } from "./record_reader.ts";
 import {
   corruptionError,
@@ -70,8 +65,7 @@
   readonly #writeBytes: Bytes;
   readonly #meta: SnapshotMeta;
   readonly #hash = new StreamingHash();
-  #pending: Uint8Array[] = [];
-  #pendingBytes: Bytes = 0;
+  readonly #buffer: RecordBuffer;
   #bytes: Bytes = 0;
   #parts = 0;
 
@@ -81,10 +75,14 @@
       readonly capture: Omit<SnapshotCapture, "parts">;
       /** Records are collected until they have this size and then written at once. */
       readonly writeBytes: Bytes;
+      /** Buffer that nothing else uses until the snapshot is finished or abandoned. */
+      readonly buffer: RecordBuffer;
     },
   ) {
     this.#file = file;
     this.#writeBytes = options.writeBytes;
+    this.#buffer = options.buffer;
+    this.#buffer.clear();
     const { meta, machines } = options.capture;
     this.#meta = meta;
     const header: HeaderRecord = { format: PARTS_FORMAT, meta, machines };
@@ -96,7 +94,7 @@
     const record: PartRecord = [machine, part];
     this.#addRecord(record);
     this.#parts += 1;
-    if (this.#pendingBytes >= this.#writeBytes) await this.#flush();
+    if (this.#buffer.length >= this.#writeBytes) await this.#flush();
   }
 
   /** Writes the rest of the file and returns its descriptor. */
@@ -113,18 +111,15 @@
   }
 
   #addRecord(value: unknown): void {
-    const record = encodeRecord(encodeValue(value));
-    this.#pending.push(record);
-    this.#pendingBytes += record.length;
+    this.#buffer.add(encodeValue(value));
   }
 
   async #flush(): Promise<void> {
-    const bytes = Buffer.concat(this.#pending);
+    const bytes = this.#buffer.bytes();
     await this.#file.folder.append(this.#file.name, bytes);
     this.#hash.update(bytes);
     this.#bytes += bytes.length;
-    this.#pending = [];
-    this.#pendingBytes = 0;
+    this.#buffer.clear();
   }
 }
 
