Encode every value in one buffer

Peak memory of a store depends on when that is freed.

Change: encodeValue and encodeFrame, which copy the result at once, let the library begin each value at the start of one buffer of 1 MiB; a larger value still gets a buffer of its own. Nothing else uses the library.

--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -24,14 +24,30 @@
 const LENGTH_BYTES = 4;
 const VERSION_BYTES = 1;
 
+/** Larger values are encoded in a buffer of their own. */
+const SHARED_BUFFER_BYTES: Bytes = MEBIBYTE;
+
 const codec = new Encoder({ useRecords: true, mapsAsObjects: true });
+/** Used for every value: the library would allocate several times the size of a large value each time. */
+const sharedBuffer = Buffer.allocUnsafeSlow(SHARED_BUFFER_BYTES);
+
+/** Method of the library that its types lack: makes it encode the next value at the start of a buffer. */
+interface BufferUser {
+  useBuffer(buffer: Buffer): void;
+}
+
+/** Encodes a value; the result is valid until the next call. */
+function encodeShared(value: unknown): Uint8Array {
+  (codec as unknown as BufferUser).useBuffer(sharedBuffer);
+  return codec.encode(value);
+}
 
 /**
  * Encodes a plain value as CBOR and returns a copy: the bytes that the library returns are a view of a larger
  * buffer, which a stored value would otherwise retain.
  */
 export function encodeValue(value: unknown): Uint8Array {
-  return new Uint8Array(codec.encode(value));
+  return new Uint8Array(encodeShared(value));
 }
 
 /** Decodes CBOR; throws on malformed input. */
@@ -48,7 +64,7 @@
  * ```
  */
 export function encodeFrame(body: unknown): Uint8Array {
-  const payload = codec.encode(body);
+  const payload = encodeShared(body);
   const frame = Buffer.allocUnsafe(
     LENGTH_BYTES + VERSION_BYTES + payload.length,
   );
--- a/wire/frame_test.ts
+++ b/wire/frame_test.ts
@@ -2,7 +2,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { encodeFrame, encodeValue, FrameDecoder } from "./frame.ts";
+import {
+  decodeValue,
+  encodeFrame,
+  encodeValue,
+  FrameDecoder,
+} from "./frame.ts";
 
 test("frames are decoded complete and in order however the bytes are split", () => {
   fc.assert(
@@ -64,3 +69,16 @@
   const value = encodeValue({ text: "x".repeat(300_000) });
   assert.equal(value.buffer.byteLength, value.length);
 });
+
+test("encoded values stay intact when further values of any size are encoded", () => {
+  const texts = [10, 3_000_000, 0, 1_048_576, 500].map((length, index) =>
+    String(index).repeat(length)
+  );
+  const encoded = texts.map((text) => encodeValue({ text }));
+  const frames = texts.map((text) => encodeFrame({ text }));
+  for (const [index, text] of texts.entries()) {
+    assert.deepEqual(decodeValue(encoded[index] as Uint8Array), { text });
+    const body = (frames[index] as Uint8Array).subarray(5);
+    assert.deepEqual(decodeValue(body), { text });
+  }
+});
