Let a leader that is no voter step down

Cause: a replica can win an election while the change that removes it is not committed yet, since the majority of the old list still counts. Once the change was committed the replica went on leading. If its VM was listed again, nothing ended that: it is not a voter to remove, and a leader sends no hello that would make it a learner.

Change: a leader that is not one of the committed voters hands over.

The new test of voter_manager_test.ts failed before and passes.

--- a/agreement/voter_manager.ts
+++ b/agreement/voter_manager.ts
@@ -86,6 +86,9 @@
     if (newest.index > this.#state.committedIndex) return "none";
     this.#reportSettled();
     const voters = newest.change.after;
+    // A replica can win an election while the change that removes it is not committed yet.
+    const { identity } = this.#state;
+    if (!voters.some((voter) => voter.replica === identity)) return "handover";
     const promotedVoters = this.#votersAfterPromotion(voters, instant.nowMs);
     if (promotedVoters !== undefined) {
       this.#appendChange({ before: voters, after: promotedVoters }, instant);
