Split the writer of frames and the memory of bodies from their servers

The limits of what is written to peers are in FrameWriter, those of bodies in HttpMemory; nothing else changes.

--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -33,6 +33,7 @@
 import { HTTP_EVENTS } from "./events.ts";
 import { failureResponse } from "./failure_response.ts";
 import { type HttpLimits, nodeServerOptions } from "./http_limits.ts";
+import { HttpMemory } from "./http_memory.ts";
 import { type ClientError, clientFailure, rejectRaw } from "./raw_rejection.ts";
 import {
   bodyTooLargeFailure,
@@ -87,8 +88,7 @@
   readonly #options: HttpServerOptions;
   readonly #server: Server;
   readonly #connections: ConnectionTable;
-  readonly #bodyBudget: ByteBudget;
-  readonly #responseBudget: ByteBudget;
+  readonly #memory: HttpMemory;
   readonly #latency;
   readonly #responses;
   readonly #routes: RouteFinder;
@@ -99,14 +99,7 @@
     this.#connections = new ConnectionTable(
       options.limits.maximumPipelinedRequests,
     );
-    this.#bodyBudget = new ByteBudget({
-      maximumBytes: options.limits.maximumHeldBodyBytes,
-      maximumBodyBytes: options.limits.maximumBodyBytes,
-    });
-    this.#responseBudget = options.responseBudget ?? new ByteBudget({
-      maximumBytes: options.limits.maximumHeldResponseBytes,
-      maximumBodyBytes: 0,
-    });
+    this.#memory = new HttpMemory(options.limits, options.responseBudget);
     this.#latency = options.metrics.latency({
       name: "cicadafield_http_seconds",
       help: "Time from the headers of a request to the end of its response.",
@@ -225,9 +218,7 @@
   }
 
   #rejectConnection(socket: Socket, failure: Failure): void {
-    this.#options.events.emit(HTTP_EVENTS.requestRejected, {
-      kind: failure.kind,
-    });
+    this.#reportRejection(failure);
     // A client would take a rejection written before earlier responses for the response to its first request.
     if (!this.#connections.failInput(socket, failure)) return;
     this.#countResponse(UNMATCHED_ROUTE, failureResponse(failure).status);
@@ -245,7 +236,7 @@
       response,
       expectsContinue,
       startedAtMs,
-      bodyReservation: this.#bodyBudget.open(),
+      bodyReservation: this.#memory.openBody(),
     };
     response.on("error", () => response.destroy());
     request.on("error", () => request.destroy());
@@ -277,12 +268,13 @@
     const complete = found.ok
       ? await this.#readAndHandle(exchange, found.val)
       : found.val;
-    const reservation = this.#responseBudget.open();
-    const response = this.#reserveResponse(complete, reservation);
+    const held = this.#memory.holdResponse(complete);
+    if (held.failure !== undefined) this.#reportRejection(held.failure);
+    const { response } = held;
     try {
       await this.#write(exchange, response);
     } finally {
-      reservation.release();
+      held.release();
     }
     this.#countResponse(route, response.status);
     this.#latency.observe(
@@ -310,30 +302,18 @@
     return this.#handle(exchange, found, body.val);
   }
 
-  /** Returns the response, or a failure if callers that read slowly hold all memory for responses. */
-  #reserveResponse(
-    response: HttpResponse,
-    reservation: ByteReservation,
-  ): HttpResponse {
-    if (reservation.extendTo(fixedBodyBytes(response))) return response;
-    const failure = fail("outcome_unknown", "no memory for the response");
-    this.#options.events.emit(HTTP_EVENTS.requestRejected, {
-      kind: failure.kind,
-    });
-    return failureResponse(failure);
-  }
-
   #rejectBody(exchange: Exchange, failure: Failure): HttpResponse {
     // Other bodies may use the memory while the rest of this one is discarded.
     exchange.bodyReservation.release();
-    if (failure.kind === "overloaded") {
-      this.#options.events.emit(HTTP_EVENTS.requestRejected, {
-        kind: failure.kind,
-      });
-    }
+    if (failure.kind === "overloaded") this.#reportRejection(failure);
     return failureResponse(failure);
   }
 
+  #reportRejection(failure: Failure): void {
+    const { kind } = failure;
+    this.#options.events.emit(HTTP_EVENTS.requestRejected, { kind });
+  }
+
   #maximumBodyBytes(): Bytes {
     const configured = this.#options.limits.maximumBodyBytes;
     return Math.min(configured, this.#options.bodyLimit?.() ?? configured);
@@ -410,10 +390,3 @@
     this.#responses.inc({ route, status: String(status) });
   }
 }
-
-/** Returns the size of a body that is held as a whole; 0 for a streamed one. */
-function fixedBodyBytes(response: HttpResponse): Bytes {
-  const { body } = response;
-  if (typeof body === "string") return Buffer.byteLength(body);
-  return body instanceof Uint8Array ? body.length : 0;
-}
--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -14,7 +14,6 @@
   fail,
   type Failure,
   isFailure,
-  MEBIBYTE,
   type Milliseconds,
   Ok,
   type Result,
@@ -22,7 +21,12 @@
 import { WIRE_EVENTS } from "./events.ts";
 import { ChannelHandlers } from "./channel_handlers.ts";
 import { readEnvelopes } from "./envelope_reader.ts";
-import { encodeFrame, isFrameTooLarge } from "./frame.ts";
+import {
+  FrameWriter,
+  replyFailure,
+  requestFailure,
+  type WriteOutcome,
+} from "./frame_writer.ts";
 import type { Channel, Envelope } from "./messages.ts";
 import { PendingRequests } from "./pending_requests.ts";
 import { startKeepalive } from "./connection_keepalive.ts";
@@ -33,15 +37,10 @@
   type RequestHandler,
   type RequestOptions,
 } from "./peer_network.ts";
-import { UnsentBudget } from "./unsent_budget.ts";
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
 const RECONNECT_DELAY_MS: Milliseconds = 200;
 const GREETING_TIMEOUT_MS: Milliseconds = 2_000;
-/** Unsent bytes of one connection, above which it is closed. */
-const MAXIMUM_UNSENT_BYTES: Bytes = 16 * MEBIBYTE;
-/** Unsent bytes of all connections together. */
-const MAXIMUM_TOTAL_UNSENT_BYTES: Bytes = 32 * MEBIBYTE;
 const MAXIMUM_CONNECTIONS = 2_048;
 
 /** Options of `TcpNetwork`. */
@@ -76,9 +75,6 @@
   readonly bytes: Bytes;
 }
 
-/** Whether a frame was written, or why not. */
-type WriteOutcome = "written" | "dropped" | "too_large" | "no_memory";
-
 /** Implements the peer network over TCP connections. */
 export class TcpNetwork extends PeerNetwork {
   override readonly self: string;
@@ -88,12 +84,8 @@
   readonly #incomingSockets = new Set<Socket>();
   readonly #pending: PendingRequests<OutgoingLink>;
   readonly #reconnectAtMs = new Map<string, Milliseconds>();
-  readonly #unsent = new UnsentBudget<Socket>({
-    maximumBytes: MAXIMUM_TOTAL_UNSENT_BYTES,
-    close: (socket) => socket.destroy(),
-  });
+  readonly #writer = new FrameWriter();
   #server: Server | undefined;
-  #sentBytes = 0;
   #receivedBytes = 0;
 
   constructor(options: TcpNetworkOptions) {
@@ -128,13 +120,14 @@
 
   /** Returns the bytes sent and received since the network was created. */
   traffic(): TrafficCounts {
-    return { sentBytes: this.#sentBytes, receivedBytes: this.#receivedBytes };
+    const { sentBytes } = this.#writer;
+    return { sentBytes, receivedBytes: this.#receivedBytes };
   }
 
   /** Returns the number of open peer connections and the bytes that wait to be sent on them. */
   unsent(): UnsentData {
     const connections = this.#links.size + this.#incomingSockets.size;
-    return { connections, bytes: this.#unsent.totalBytes };
+    return { connections, bytes: this.#writer.unsentBytes };
   }
 
   override onNotice(channel: Channel, handler: NoticeHandler): void {
@@ -224,11 +217,11 @@
     socket.on("close", () => {
       timer.cancel();
       keepalive.cancel();
-      this.#unsent.update(socket, 0);
+      this.#writer.forget(socket);
       this.#removeLink(link);
     });
     this.#read(socket, (envelope) => this.#handleReply(to, envelope));
-    const greeted = this.#write(socket, {
+    const greeted = this.#writer.write(socket, {
       kind: "greeting",
       cluster: this.#options.cluster,
       vm: this.self,
@@ -275,7 +268,7 @@
     socket.on("error", () => socket.destroy());
     socket.on("close", () => {
       timer.cancel();
-      this.#unsent.update(socket, 0);
+      this.#writer.forget(socket);
       this.#incomingSockets.delete(socket);
     });
     this.#read(socket, (envelope) => {
@@ -363,27 +356,7 @@
 
   #send(socket: Socket, to: string, envelope: Envelope): WriteOutcome {
     if (!this.#mayPass(this.self, to)) return "dropped";
-    return this.#write(socket, envelope);
-  }
-
-  #write(socket: Socket, envelope: Envelope): WriteOutcome {
-    if (socket.destroyed) return "dropped";
-    if (socket.writableLength > MAXIMUM_UNSENT_BYTES) {
-      socket.destroy();
-      return "dropped";
-    }
-    const frame = encodeFrame(envelope);
-    // The peer would close the connection, with everything else that is sent on it.
-    if (isFrameTooLarge(frame)) return "too_large";
-    if (!this.#unsent.admits(socket, frame.length)) return "no_memory";
-    this.#sentBytes += frame.length;
-    socket.write(frame, () => this.#updateUnsent(socket));
-    this.#updateUnsent(socket);
-    return "written";
-  }
-
-  #updateUnsent(socket: Socket): void {
-    this.#unsent.update(socket, socket.destroyed ? 0 : socket.writableLength);
+    return this.#writer.write(socket, envelope);
   }
 
   #mayPass(from: string, to: string): boolean {
@@ -391,28 +364,6 @@
   }
 }
 
-/** Returns the failure of a request that was not written although its connection may be open. */
-function requestFailure(outcome: WriteOutcome): Failure | undefined {
-  if (outcome === "too_large") {
-    return fail("body_too_large", "the request exceeds the size of a frame");
-  }
-  if (outcome === "no_memory") {
-    return fail("not_ready", "too many bytes wait to be sent");
-  }
-  return undefined;
-}
-
-/** Returns the failure that replaces a reply that was not written. */
-function replyFailure(outcome: WriteOutcome): Failure | undefined {
-  if (outcome === "too_large") {
-    return fail("answer_too_large", "the reply exceeds the size of a frame");
-  }
-  if (outcome === "no_memory") {
-    return fail("outcome_unknown", "too many bytes wait to be sent");
-  }
-  return undefined;
-}
-
 function sameAddress(a: Address, b: Address): boolean {
   return a.host === b.host && a.port === b.port;
 }
