--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -237,7 +237,15 @@
     this.#batches.delete(id);
     for (const item of state.items.keys()) {
       if (this.#latestBatchIdByItem.get(item) !== id) continue;
-      this.#latestBatchIdByItem.delete(item);
+      this.#setLatestBatch(item);
+    }
+  }
+
+  /** Finds the latest batch with an item as a restored replica does, so that replicas stay equal. */
+  #setLatestBatch(item: string): void {
+    this.#latestBatchIdByItem.delete(item);
+    for (const [id, { items }] of this.#batches) {
+      if (items.has(item)) this.#latestBatchIdByItem.set(item, id);
     }
   }
 }
