Split the progress of items into commands that fit into the log

All unlogged progress was one command. While proposals failed for some seconds and engines went on, it exceeded the 4 MiB of a command, and every later flush was rejected with body_too_large, each larger than the last: no result was listed until the leader changed. Updates are now proposed in commands of about 1 MB.

--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -85,6 +85,13 @@
       this.#outcome !== null;
   }
 
+  /** Length of the texts that the log does not contain yet. */
+  get unloggedTextLength(): number {
+    let length = 0;
+    for (const { data } of this.#newEvents) length += data.length;
+    return length;
+  }
+
   /** Identifier of the last known event, or null before the first event. */
   get lastEvent(): number | null {
     return this.#newEvents.at(-1)?.id ?? this.#baseProgress().lastEvent;
--- a/batches/progress_writer.ts
+++ b/batches/progress_writer.ts
@@ -13,6 +13,11 @@
 /** Time within which new progress is proposed to the log. */
 export const PROGRESS_DELAY_MS: Milliseconds = 250;
 
+/** Characters of text in one command; a command of the log holds 4 MiB, a character up to 3 bytes. */
+const MAXIMUM_COMMAND_LENGTH = 1_000_000;
+/** Length of an update besides its text, roughly. */
+const UPDATE_OVERHEAD = 300;
+
 /** Options of `ProgressWriter`. */
 export interface ProgressWriterOptions {
   readonly log: ReplicatedLog;
@@ -26,7 +31,7 @@
   readonly onListed: (task: ItemTask) => void;
 }
 
-/** Writes progress to the log; at most one flush, with one proposal for all items, is in flight. */
+/** Writes progress to the log; at most one flush is in flight. */
 export class ProgressWriter {
   readonly #options: ProgressWriterOptions;
   #flushing = false;
@@ -62,8 +67,14 @@
     if (this.#changedTasks().length > 0) this.scheduleFlush(PROGRESS_DELAY_MS);
   }
 
-  /** Proposes the changes of these tasks to the log in one command. */
+  /** Proposes the changes of these tasks to the log, in commands of limited size. */
   async proposeUpdates(tasks: readonly ItemTask[]): Promise<void> {
+    await Promise.all(
+      splitBySize(tasks).map((group) => this.#proposeGroup(group)),
+    );
+  }
+
+  async #proposeGroup(tasks: readonly ItemTask[]): Promise<void> {
     const { log, events } = this.#options;
     const updates = tasks.map((task) =>
       task.prepareUpdate(this.#options.random.identifier())
@@ -92,3 +103,22 @@
     return batch?.items.get(task.item.id);
   }
 }
+
+/** Groups tasks so that the update of each group fits into a command, however long the log accepted none. */
+function splitBySize(tasks: readonly ItemTask[]): readonly ItemTask[][] {
+  const groups: ItemTask[][] = [];
+  let group: ItemTask[] = [];
+  let length = 0;
+  for (const task of tasks) {
+    const taskLength = task.unloggedTextLength + UPDATE_OVERHEAD;
+    if (group.length > 0 && length + taskLength > MAXIMUM_COMMAND_LENGTH) {
+      groups.push(group);
+      group = [];
+      length = 0;
+    }
+    group.push(task);
+    length += taskLength;
+  }
+  if (group.length > 0) groups.push(group);
+  return groups;
+}
