Apply committed entries in steps of 1 MiB

A restarted replica applied all of its log in one turn of the event loop: 183 to 234 ms for 19 MB, 306 ms for 36 MB on a full core (measured in review), with a lease of 300 ms. It now continues in a later turn after 1 MiB, so that heartbeats and votes pass between.

--- a/agreement/applier.ts
+++ b/agreement/applier.ts
@@ -4,13 +4,16 @@
  *
  * @module
  */
-import { type Bytes, Err } from "#core";
+import { type Bytes, Err, MEBIBYTE } from "#core";
 import type { LogEntry } from "./entries.ts";
 import type { HostRestoration, MachineHost } from "./machine_host.ts";
 import { notLeader, type Proposals } from "./proposals.ts";
 import type { Replica } from "./replica.ts";
 import type { SnapshotCapture } from "./snapshot_file.ts";
 
+/** Entries of this size are applied without a pause, so that heartbeats pass while a replica catches up. */
+const MAXIMUM_APPLIED_BYTES: Bytes = MEBIBYTE;
+
 /** Options of `Applier`. */
 export interface ApplierOptions {
   readonly host: MachineHost;
@@ -50,15 +53,18 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** Applies all committed entries that are not applied yet. */
-  advance(replica: Replica): void {
+  /** Applies committed entries that are not applied yet, up to a size; returns whether more of them wait. */
+  advance(replica: Replica): boolean {
+    let bytes = 0;
     let entry = replica.committedEntry(this.#appliedIndex + 1);
-    while (entry !== undefined) {
+    while (entry !== undefined && bytes < MAXIMUM_APPLIED_BYTES) {
       this.#appliedIndex = entry.index;
       this.#bytesSinceSnapshot += entry.body.length;
+      bytes += entry.body.length;
       this.#apply(entry, replica.state.leader?.vm ?? null);
       entry = replica.committedEntry(this.#appliedIndex + 1);
     }
+    return entry !== undefined;
   }
 
   /** Captures the state of the state machines; returns undefined if no entry was applied since the last snapshot. */
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -108,6 +108,8 @@
   #timer: { readonly dueMs: Milliseconds; readonly timer: Timer } | undefined;
   #reportedLeader: string | null = null;
   #ready = false;
+  /** Whether more entries are applied in a later turn of the event loop. */
+  #continues = false;
 
   constructor(options: QuorumLogOptions) {
     super();
@@ -274,7 +276,7 @@
   #processOutputs(): void {
     const replica = this.#replica;
     if (replica === undefined) return;
-    this.#applier.advance(replica);
+    if (this.#applier.advance(replica)) this.#continueSoon();
     this.#send(replica.drainReadyMessages());
     this.#chunkSender?.send();
     this.#reportLeader(replica);
@@ -282,6 +284,16 @@
     this.#scheduleTick(replica);
   }
 
+  /** Applies further entries in a later turn of the event loop. */
+  #continueSoon(): void {
+    if (this.#continues) return;
+    this.#continues = true;
+    this.#options.clock.after(0, () => {
+      this.#continues = false;
+      this.#processOutputs();
+    });
+  }
+
   #scheduleTick(replica: Replica): void {
     const dueMs = replica.nextTickMs();
     if (this.#timer !== undefined && this.#timer.dueMs <= dueMs) return;
