--- a/agreement/replica_progress.ts
+++ b/agreement/replica_progress.ts
@@ -29,8 +29,10 @@
   inFlight: readonly InFlightBatch[];
   /** Newest snapshot format that the replica can read; null until it has replied. */
   snapshotFormat: number | null;
-  /** When `matchIndex` last advanced, or a batch was last sent while none was in flight. */
+  /** When a reply last advanced `matchIndex`. */
   lastAdvanceMs: Milliseconds;
+  /** When a batch was last sent while none was in flight. */
+  inFlightSinceMs: Milliseconds;
 }
 
 /** Entries that were sent in one message. */
@@ -51,6 +53,7 @@
     inFlight: [],
     snapshotFormat: null,
     lastAdvanceMs: -Infinity,
+    inFlightSinceMs: -Infinity,
   };
 }
 
@@ -77,7 +80,7 @@
 ): void {
   const last = entries.at(-1);
   if (last === undefined) return;
-  if (progress.inFlight.length === 0) progress.lastAdvanceMs = nowMs;
+  if (progress.inFlight.length === 0) progress.inFlightSinceMs = nowMs;
   let bytes = 0;
   for (const entry of entries) bytes += entry.body.length;
   progress.inFlight = [...progress.inFlight, { lastIndex: last.index, bytes }];
@@ -89,7 +92,9 @@
   nowMs: Milliseconds,
 ): boolean {
   if (progress.inFlight.length === 0) return false;
-  return nowMs >= progress.lastAdvanceMs + IN_FLIGHT_TIMEOUT_MS;
+  const { lastAdvanceMs, inFlightSinceMs } = progress;
+  const advancedMs = Math.max(lastAdvanceMs, inFlightSinceMs);
+  return nowMs >= advancedMs + IN_FLIGHT_TIMEOUT_MS;
 }
 
 /** Makes the entries after the last acknowledged one be sent again. */
--- a/agreement/snapshot_transfer_test.ts
+++ b/agreement/snapshot_transfer_test.ts
@@ -25,7 +25,7 @@
   SINGLE_VALUE_FORMAT,
   type SnapshotDescriptor,
 } from "./stored_state.ts";
-import { DEFAULT_TIMING } from "./timing.ts";
+import { DEFAULT_TIMING, SHORT_TIMING } from "./timing.ts";
 
 const GROUP = "group";
 const NOW_MS = 10_000;
@@ -278,3 +278,96 @@
   assert.ok(from.folder.largestBytes <= MAXIMUM_TRANSFER_BYTES);
   assert.ok(to.folder.largestBytes <= MAXIMUM_TRANSFER_BYTES);
 });
+
+/** Returns the leader of a group with 15 entries after its snapshot, after its first heartbeat. */
+function createLeaderWithEntries(): LeaderRole {
+  const entries: LogEntry[] = [];
+  for (let index = 6; index <= 20; index += 1) entries.push(entry(index));
+  const state = new ReplicaState({
+    vm: "a",
+    recovered: {
+      identity: "replica-a",
+      isNew: false,
+      hard: { term: 1, votedFor: null, group: GROUP, committedSeatsIndex: 1 },
+      base: { index: 5, term: 1 },
+      entries,
+      snapshot: SNAPSHOT,
+    },
+    timing: SHORT_TIMING,
+    random: new SeededRandom(1),
+    nowMs: NOW_MS,
+  });
+  const leader = new LeaderRole(state, {
+    instant: { nowMs: NOW_MS, wallMs: 0 },
+    lastEntryAtMs: 0,
+    onUnreadable: () => {},
+  });
+  leader.tick(NOW_MS);
+  return leader;
+}
+
+/** Lets the leader run while only the third voter answers; returns the number of requested chunks. */
+function runWithSilentFollower(leader: LeaderRole, untilMs: number): number {
+  let chunks = 0;
+  for (let nowMs = NOW_MS + 100; nowMs <= untilMs; nowMs += 100) {
+    const reply = {
+      ...emptyReply(PARTS_FORMAT),
+      from: "replica-c",
+      matched: true,
+      index: 21,
+      sentMs: nowMs - 1,
+    };
+    leader.handleAppendReply(reply, nowMs);
+    assert.equal(leader.tick(nowMs), true);
+    chunks += leader.snapshotTransfers.drainRequests().length;
+  }
+  return chunks;
+}
+
+test("a replica that answered once and is then silent does not hold back the next snapshot for ever", () => {
+  const leader = createLeaderWithEntries();
+  leader.handleAppendReply(emptyReply(PARTS_FORMAT), NOW_MS + 1);
+  const untilMs = NOW_MS + 600_000;
+  assert.ok(runWithSilentFollower(leader, untilMs) > 1);
+  assert.equal(leader.snapshotTransfers.isActive(untilMs), false);
+});
+
+test("a replica that falls silent after it installed the snapshot does not hold back the next one for ever", () => {
+  const leader = createLeaderWithEntries();
+  leader.handleAppendReply(emptyReply(PARTS_FORMAT), NOW_MS + 1);
+  leader.handleChunkReply(chunkReply(SNAPSHOT.bytes, NOW_MS), NOW_MS + 2);
+  assert.equal(leader.snapshotTransfers.isActive(NOW_MS + 3), true);
+  const untilMs = NOW_MS + 600_000;
+  runWithSilentFollower(leader, untilMs);
+  assert.equal(leader.snapshotTransfers.isActive(untilMs), false);
+});
+
+test("a slow transfer holds back the next snapshot as long as its receiver advances", () => {
+  const transfers = new SnapshotTransfers(RETRY_MS);
+  const progress = newProgress(FOLLOWER, 1);
+  const stepMs = 10 * RETRY_MS;
+  let nowMs = NOW_MS;
+  transfers.ensureTransfer(progress, { snapshot: SNAPSHOT, nowMs });
+  for (let offset = 1_000; offset < 20_000; offset += 1_000) {
+    nowMs += stepMs;
+    transfers.ensureTransfer(progress, { snapshot: SNAPSHOT, nowMs });
+    assert.equal(transfers.isActive(nowMs), true);
+    const reply = chunkReply(offset, nowMs);
+    transfers.handleChunkReply(progress, reply, { nowMs, lastIndex: 9 });
+  }
+  assert.equal(transfers.isActive(nowMs + stepMs), true);
+});
+
+function chunkReply(offset: Bytes, sentMs: number): MessageOf<"chunkReply"> {
+  return {
+    kind: "chunkReply",
+    group: GROUP,
+    from: FOLLOWER.replica,
+    to: "replica-a",
+    term: 1,
+    index: SNAPSHOT.meta.index,
+    hash: SNAPSHOT.hash,
+    offset,
+    sentMs,
+  };
+}
--- a/agreement/snapshot_transfers.ts
+++ b/agreement/snapshot_transfers.ts
@@ -12,6 +12,12 @@
 /** Maximum size of a snapshot chunk. */
 export const MAXIMUM_CHUNK_BYTES: Bytes = 256 * KIBIBYTE;
 
+/**
+ * Number of retry intervals without progress after which the receiver of a transfer counts as unreachable. A slow
+ * disk may take several of them for one chunk, and a snapshot that is replaced too early is sent from its start.
+ */
+const TRANSFER_STALL_RETRIES = 20;
+
 /** Time without progress after which a replica that installed a snapshot counts as unreachable. */
 const CATCH_UP_STALL_MS: Milliseconds = 2_000;
 
@@ -27,6 +33,8 @@
   readonly snapshot: SnapshotDescriptor;
   offset: Bytes;
   requestedMs: Milliseconds;
+  /** When the receiver last reported another offset, or the transfer started; retries don't change it. */
+  advancedMs: Milliseconds;
 }
 
 /** A replica that installed a snapshot and needs the log from there on. */
@@ -49,12 +57,14 @@
   }
 
   /**
-   * Whether the snapshot should not be replaced yet: a chunk was requested within the last 4 retry intervals, or a
-   * replica that received the snapshot still needs entries that were in the log when the transfer ended.
+   * Whether the snapshot should not be replaced yet: a transfer advanced within the last 20 retry intervals, or a
+   * replica that received the snapshot still needs entries that were in the log when the transfer ended, and
+   * advanced within the last 2 s. A replica that no longer answers doesn't count.
    */
   isActive(nowMs: Milliseconds): boolean {
+    const stallMs = TRANSFER_STALL_RETRIES * this.#retryIntervalMs;
     for (const transfer of this.#transfers.values()) {
-      if (nowMs < transfer.requestedMs + 4 * this.#retryIntervalMs) return true;
+      if (nowMs < transfer.advancedMs + stallMs) return true;
     }
     for (const [replica, catchUp] of this.#catchUps) {
       if (isCatchingUp(catchUp, nowMs)) return true;
@@ -78,7 +88,12 @@
       this.#request(progress, known, nowMs);
       return;
     }
-    const transfer = { snapshot, offset: 0, requestedMs: nowMs };
+    const transfer = {
+      snapshot,
+      offset: 0,
+      requestedMs: nowMs,
+      advancedMs: nowMs,
+    };
     this.#transfers.set(progress.member.replica, transfer);
     this.#request(progress, transfer, nowMs);
   }
@@ -108,6 +123,7 @@
     }
     if (message.offset === transfer.offset) return;
     transfer.offset = message.offset;
+    transfer.advancedMs = nowMs;
     this.#request(progress, transfer, nowMs);
   }
 
