--- a/agreement/leader_role.ts
+++ b/agreement/leader_role.ts
@@ -14,7 +14,7 @@
   recordContact,
   recordInFlight,
   type ReplicaProgress,
-  rewindToMatch,
+  rewindToNamed,
 } from "./replica_progress.ts";
 import type { ReplicaState } from "./replica_state.ts";
 import { SnapshotTransfers } from "./snapshot_transfers.ts";
@@ -133,7 +133,7 @@
     this.#heartbeatDueMs = nowMs + timing.heartbeatMs;
     this.#addVoterFollowers();
     for (const progress of this.#progress.values()) {
-      if (isInFlightLost(progress, nowMs)) rewindToMatch(progress);
+      if (isInFlightLost(progress, nowMs)) rewindToNamed(progress);
       this.#send(progress, nowMs);
     }
     return true;
@@ -174,8 +174,8 @@
     } else {
       if (message.sentMs < progress.lastRewindMs) return;
       progress.lastRewindMs = nowMs;
-      progress.inFlight = [];
-      progress.nextIndex = Math.max(progress.matchIndex, message.index) + 1;
+      progress.hintIndex = message.index;
+      rewindToNamed(progress);
     }
     if (progress.nextIndex > this.#state.log.lastIndex) return;
     if (isWindowFull(progress)) return;
--- a/agreement/replica_progress.ts
+++ b/agreement/replica_progress.ts
@@ -19,6 +19,8 @@
   nextIndex: number;
   /** Highest index that the replica has acknowledged as synced. */
   matchIndex: number;
+  /** Index at which the replica, when it last rejected entries, told the leader to look for a match; 0 if never. */
+  hintIndex: number;
   /** Commit index that the replica last reported. */
   committedIndex: number;
   /** Send time of the newest message that the replica has replied to. */
@@ -47,6 +49,7 @@
     member,
     nextIndex,
     matchIndex: 0,
+    hintIndex: 0,
     committedIndex: 0,
     lastContactMs: -Infinity,
     lastRewindMs: -Infinity,
@@ -97,8 +100,12 @@
   return nowMs >= advancedMs + IN_FLIGHT_TIMEOUT_MS;
 }
 
-/** Makes the entries after the last acknowledged one be sent again. */
-export function rewindToMatch(progress: ReplicaProgress): void {
-  progress.nextIndex = progress.matchIndex + 1;
+/**
+ * Makes the entries after the last one that the replica has named be sent again. Entries before its hint may be
+ * missing from the log, and would lead to a snapshot that the replica doesn't need. If the hint is wrong, the
+ * replica rejects the entries and names a lower one.
+ */
+export function rewindToNamed(progress: ReplicaProgress): void {
+  progress.nextIndex = Math.max(progress.matchIndex, progress.hintIndex) + 1;
   progress.inFlight = [];
 }
--- a/agreement/snapshot_transfer_test.ts
+++ b/agreement/snapshot_transfer_test.ts
@@ -371,3 +371,11 @@
     sentMs,
   };
 }
+
+test("a replica whose next entries are in the log but not acknowledged within 1 s gets no snapshot", () => {
+  const leader = createLeaderWithEntries();
+  const reply = { ...emptyReply(PARTS_FORMAT), index: 10 };
+  leader.handleAppendReply(reply, NOW_MS + 1);
+  assert.equal(leader.progressOf(FOLLOWER.replica)?.nextIndex, 22);
+  assert.equal(runWithSilentFollower(leader, NOW_MS + 1_500), 0);
+});
