--- a/agreement/replica_progress.ts
+++ b/agreement/replica_progress.ts
@@ -19,6 +19,8 @@
   nextIndex: number;
   /** Highest index that the replica has acknowledged as synced. */
   matchIndex: number;
+  /** Index at which the replica, when it last rejected entries, told the leader to look for a match; 0 if never. */
+  hintIndex: number;
   /** Commit index that the replica last reported. */
   committedIndex: number;
   /** Send time of the newest message that the replica has replied to. */
@@ -29,8 +31,10 @@
   inFlight: readonly InFlightBatch[];
   /** Newest snapshot format that the replica can read; null until it has replied. */
   snapshotFormat: number | null;
-  /** When `matchIndex` last advanced, or a batch was last sent while none was in flight. */
+  /** When a reply last advanced `matchIndex`. */
   lastAdvanceMs: Milliseconds;
+  /** When a batch was last sent while none was in flight. */
+  inFlightSinceMs: Milliseconds;
 }
 
 /** Entries that were sent in one message. */
@@ -45,12 +49,14 @@
     member,
     nextIndex,
     matchIndex: 0,
+    hintIndex: 0,
     committedIndex: 0,
     lastContactMs: -Infinity,
     lastRewindMs: -Infinity,
     inFlight: [],
     snapshotFormat: null,
     lastAdvanceMs: -Infinity,
+    inFlightSinceMs: -Infinity,
   };
 }
 
@@ -77,7 +83,7 @@
 ): void {
   const last = entries.at(-1);
   if (last === undefined) return;
-  if (progress.inFlight.length === 0) progress.lastAdvanceMs = nowMs;
+  if (progress.inFlight.length === 0) progress.inFlightSinceMs = nowMs;
   let bytes = 0;
   for (const entry of entries) bytes += entry.body.length;
   progress.inFlight = [...progress.inFlight, { lastIndex: last.index, bytes }];
@@ -89,11 +95,17 @@
   nowMs: Milliseconds,
 ): boolean {
   if (progress.inFlight.length === 0) return false;
-  return nowMs >= progress.lastAdvanceMs + IN_FLIGHT_TIMEOUT_MS;
+  const { lastAdvanceMs, inFlightSinceMs } = progress;
+  const advancedMs = Math.max(lastAdvanceMs, inFlightSinceMs);
+  return nowMs >= advancedMs + IN_FLIGHT_TIMEOUT_MS;
 }
 
-/** Makes the entries after the last acknowledged one be sent again. */
-export function rewindToMatch(progress: ReplicaProgress): void {
-  progress.nextIndex = progress.matchIndex + 1;
+/**
+ * Makes the entries after the last one that the replica has named be sent again. Entries before its hint may be
+ * missing from the log, and would lead to a snapshot that the replica doesn't need. If the hint is wrong, the
+ * replica rejects the entries and names a lower one.
+ */
+export function rewindToNamed(progress: ReplicaProgress): void {
+  progress.nextIndex = Math.max(progress.matchIndex, progress.hintIndex) + 1;
   progress.inFlight = [];
 }
