--- a/agreement/applier.ts
+++ b/agreement/applier.ts
@@ -27,6 +27,7 @@
   #appliedIndex = 0;
   #snapshotIndex = 0;
   #bytesSinceSnapshot: Bytes = 0;
+  #restoring = false;
 
   constructor(options: ApplierOptions) {
     this.#options = options;
@@ -53,8 +54,12 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** Applies committed entries that are not applied yet, up to a size; returns whether more of them wait. */
+  /**
+   * Applies committed entries that are not applied yet, up to a size; returns whether more of them wait. Applies none
+   * during a restoration: the state machines may already have dropped the state that the entries build on.
+   */
   advance(replica: Replica): boolean {
+    if (this.#restoring) return false;
     let bytes = 0;
     let entry = replica.committedEntry(this.#appliedIndex + 1);
     while (entry !== undefined && bytes < MAXIMUM_APPLIED_BYTES) {
@@ -87,14 +92,16 @@
       log.bytesThrough(index);
   }
 
-  /** Starts to replace the state of the state machines by a snapshot. */
+  /** Starts to replace the state of the state machines by a snapshot; `finishRestoration` must follow. */
   startRestoration(): HostRestoration {
+    this.#restoring = true;
     return this.#options.host.startRestoration();
   }
 
   /** Replaces the state of the state machines by that after the entry at an index. */
   finishRestoration(restoration: HostRestoration, index: number): void {
     restoration.finish();
+    this.#restoring = false;
     this.#appliedIndex = index;
     this.#snapshotIndex = index;
     this.#bytesSinceSnapshot = 0;
--- a/agreement/applier_test.ts
+++ b/agreement/applier_test.ts
@@ -30,3 +30,17 @@
   }
   assert.deepEqual(steps, [3, 6, 7]);
 });
+
+test("a replica applies nothing while it restores a snapshot, and then what was committed meanwhile", () => {
+  const replica = { committedEntry, state: { leader: null } };
+  const applier = new Applier({
+    host: new MachineHost([], new MemoryEventLog()),
+    proposals: new Proposals(new VirtualClock(0), 1_000),
+  });
+  const restoration = applier.startRestoration();
+  assert.equal(applier.advance(replica as unknown as Replica), false);
+  assert.equal(applier.appliedIndex, 0);
+  applier.finishRestoration(restoration, 5);
+  applier.advance(replica as unknown as Replica);
+  assert.equal(applier.appliedIndex, ENTRIES);
+});
--- a/agreement/machine_host.ts
+++ b/agreement/machine_host.ts
@@ -103,7 +103,7 @@
   }
 }
 
-/** Collects the contents of a snapshot; the state machines keep their states until `finish`. */
+/** Collects the contents of a snapshot; the state machines are not to be used until `finish`. */
 export class HostRestoration implements SnapshotReceiver {
   readonly #machines: ReadonlyMap<string, AnyStateMachine>;
   readonly #restorations = new Map<string, StateRestoration>();
--- a/agreement/sync_loop.ts
+++ b/agreement/sync_loop.ts
@@ -165,11 +165,7 @@
     const restoration = applier.startRestoration();
     await storage.readContents(descriptor, restoration);
     if (this.#stopped) return;
-    // Entries that arrived meanwhile may have been committed.
-    if (index <= state.committedIndex) {
-      await storage.abandonSnapshot(index);
-      return;
-    }
+    // Entries that were committed meanwhile are applied to the state of the snapshot.
     const syncBatch = state.installSnapshot(descriptor);
     applier.finishRestoration(restoration, index);
     storage.startLog(descriptor, logContents(replica, state.log.base.index));
--- a/batches/batch_snapshot.ts
+++ b/batches/batch_snapshot.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
 import { type Bytes, MEBIBYTE, type Milliseconds } from "#core";
 import {
   type BatchStart,
@@ -120,14 +119,8 @@
 /** Collects the parts of a snapshot. */
 export class PartReader {
   readonly batches: BatchMap = new Map();
-  readonly #before: ReadonlyMap<string, BatchState>;
   #current: MutableBatchState | undefined;
 
-  /** Creates a reader that shares texts with the state that is replaced, where they are equal. */
-  constructor(before: ReadonlyMap<string, BatchState>) {
-    this.#before = before;
-  }
-
   /** Adds a part, or the single value of an earlier build. */
   add(part: unknown): void {
     if (Array.isArray(part)) this.#addWhole(part);
@@ -142,7 +135,7 @@
     const batch = this.#current;
     if (batch === undefined) return;
     if (record.kind === "item") {
-      batch.setItem(this.#own(batch, record.state));
+      batch.setItem(ownState(record.state));
       return;
     }
     const state = batch.items.get(record.id);
@@ -166,30 +159,27 @@
         const { progress } = known;
         const textBytes = textLength(progress.text);
         const measured = { ...progress, textBytes };
-        state.setItem(this.#own(state, { ...known, item, progress: measured }));
+        state.setItem(ownState({ ...known, item, progress: measured }));
       }
       for (const { id, outcome } of rest.results) {
         this.#add({ kind: "result", id, outcome });
       }
     }
   }
+}
 
-  /** Returns the state with bytes that do not retain the part; of a listed item without its request. */
-  #own(batch: MutableBatchState, state: ItemState): ItemState {
-    const { progress } = state;
-    const item = ownItem(state.item);
-    const known = this.#before.get(batch.batch.id)?.items.get(item.id);
-    const text = ownText(progress.text, known?.progress.text);
-    const owned = { ...state, item, progress: { ...progress, text } };
-    return owned.listed ? withoutRequest(owned) : owned;
-  }
+/** Returns the state with bytes that do not retain the part; of a listed item without its request. */
+function ownState(state: ItemState): ItemState {
+  const { progress } = state;
+  const item = ownItem(state.item);
+  const text = ownText(progress.text);
+  const owned = { ...state, item, progress: { ...progress, text } };
+  return owned.listed ? withoutRequest(owned) : owned;
 }
 
-/** Returns the text without retaining the part; the text `known` if it is the same. */
-function ownText(text: HeldText, known: HeldText | undefined): HeldText {
-  if (typeof text === "string") return text;
-  const same = known instanceof Uint8Array && Buffer.compare(text, known) === 0;
-  return same ? known : copyBytes(text);
+/** Returns the text without retaining the part. */
+function ownText(text: HeldText): HeldText {
+  return typeof text === "string" ? text : copyBytes(text);
 }
 
 /**
--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -7,10 +7,12 @@
  */
 import {
   type Bytes,
+  collectGarbage,
   type Committed,
   Err,
   fail,
   type Failure,
+  MEBIBYTE,
   type Milliseconds,
   Ok,
   type Result,
@@ -36,6 +38,9 @@
 } from "./batch_state.ts";
 import { textOf } from "./held_text.ts";
 
+/** State from which on its memory is reclaimed at once when it is dropped. */
+const LARGE_STATE_BYTES: Bytes = 8 * MEBIBYTE;
+
 /** A command of the batch log. */
 export type BatchesCommand =
   | {
@@ -126,17 +131,28 @@
   }
 
   override startRestoration(): StateRestoration {
-    const reader = new PartReader(this.#batches);
+    this.#dropState();
+    const reader = new PartReader();
     return {
       add: (part) => reader.add(part),
-      finish: () => this.#replace(reader.batches),
+      finish: () => {
+        this.#adopt(reader.batches);
+        // The caller may keep the restoration longer than the machine keeps the state.
+        reader.batches.clear();
+      },
     };
   }
 
-  #replace(batches: ReadonlyMap<string, MutableBatchState>): void {
+  /** Releases all texts at once, since those of two states could exceed the memory of the VM. */
+  #dropState(): void {
+    const isLarge = this.stateBytes() > LARGE_STATE_BYTES;
     this.#batches.clear();
     this.#latestBatchIdByItem.clear();
     this.#nextExpiryMs = Infinity;
+    if (isLarge) collectGarbage();
+  }
+
+  #adopt(batches: ReadonlyMap<string, MutableBatchState>): void {
     for (const [id, state] of batches) {
       this.#batches.set(id, state);
       this.#expectExpiry(state);
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -16,6 +16,7 @@
 export * from "./events.ts";
 export * from "./http.ts";
 export * from "./fleet.ts";
+export * from "./garbage_collection.ts";
 export * from "./local_control.ts";
 export * from "./memory_holder.ts";
 export * from "./memory_watch.ts";
--- a/core/state_machine.ts
+++ b/core/state_machine.ts
@@ -79,7 +79,10 @@
     return [this.snapshot()];
   }
 
-  /** Starts to replace the state with the parts that `snapshotParts` returned. */
+  /**
+   * Starts to replace the state with the parts that `snapshotParts` returned. A machine with a large state may drop
+   * it at once, so that it never holds two: no command is applied and no query answered until `finish`.
+   */
   startRestoration(): StateRestoration {
     let state: unknown;
     return {
