Score the texts of items by a call to a plain service

Change: the leader of the batch log sends the call once the text is complete, through the route of its host and path, with the retries and hedging of any idempotent call. Text, score and failures are in the log; an item is listed as completed only with its score. A text made by a later run makes an earlier score void, since the update that brings it does not follow the stored progress.

--- a/batches/batch_group_test.ts
+++ b/batches/batch_group_test.ts
@@ -70,6 +70,7 @@
       group: "g",
       promptTokens: 1,
       expectedTokens: 10,
+      scoring: null,
     })),
   };
 }
--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -13,9 +13,8 @@
   type Milliseconds,
   type RandomSource,
   type RoutingConfiguration,
-  type WeightedService,
 } from "#core";
-import { RouteRules, type UpstreamDialect } from "#requests";
+import { heaviestService, RouteRules, type UpstreamDialect } from "#requests";
 import type { BatchState } from "./batch_state.ts";
 import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
@@ -28,6 +27,7 @@
   planStarts,
 } from "./item_plan.ts";
 import { ItemRuns } from "./item_runs.ts";
+import { ItemScoring, type ScoringPort } from "./item_scoring.ts";
 import { abortRun, ItemTask } from "./item_task.ts";
 import { PROGRESS_DELAY_MS, ProgressWriter } from "./progress_writer.ts";
 
@@ -47,16 +47,22 @@
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
   readonly configuration: () => RoutingConfiguration | null;
+  readonly scoringPort: ScoringPort;
 }
 
 /** Schedules and supervises the runs of items while this VM leads the batch log. */
 export class BatchRunner {
   readonly #options: BatchRunnerOptions;
   readonly #runs: ItemRuns;
+  readonly #scoring: ItemScoring;
   readonly #progress: ProgressWriter;
   readonly #tasks = new Map<string, ItemTask>();
   /** When this VM started to run each open batch, by batch identifier. */
   readonly #startedMsByBatch = new Map<string, Milliseconds>();
+  #cachedRules: {
+    readonly configuration: RoutingConfiguration;
+    readonly rules: RouteRules;
+  } | undefined;
   #leading = false;
   #stopped = false;
   #wakePending = false;
@@ -74,6 +80,16 @@
       onItemDone: () => this.#progress.scheduleFlush(RESULT_FLUSH_DELAY_MS),
       onRunEnded: () => this.wake(),
     });
+    this.#scoring = new ItemScoring({
+      ...options,
+      port: options.scoringPort,
+      onScored: () => {
+        this.#progress.scheduleFlush(RESULT_FLUSH_DELAY_MS);
+        this.wake();
+      },
+      onFailed: () => this.#progress.scheduleFlush(PROGRESS_DELAY_MS),
+      abandon: (task, reason) => this.#runs.abandonItem(task, reason),
+    });
   }
 
   /** Number of items that this VM runs or will run; 0 unless it leads the log. */
@@ -118,6 +134,8 @@
     if (this.#tasks.size === 0) return;
     this.#abandonExpiredItems();
     this.#placeRuns();
+    const rules = this.#rules();
+    if (rules !== null) this.#scoring.startCalls(this.#tasks, rules);
     this.#progress.flushIfDue();
   }
 
@@ -237,13 +255,13 @@
 
   #planInput(): ItemPlanInput {
     const nowMs = this.#options.clock.nowMs();
-    const rules = this.#options.configuration();
-    const routes = rules === null ? null : new RouteRules(rules);
+    const routes = this.#rules();
     const waiting: PlannedItem[] = [];
     const runs: PlacedRun[] = [];
     for (const task of this.#tasks.values()) {
-      if (task.done) continue;
+      if (task.done || task.textComplete) continue;
       const route = routes?.findByName(task.batch.route);
+      // All items of a route with a traffic split go to one service.
       const service = heaviestService(route?.split ?? []);
       if (service === undefined) continue;
       const item = toPlannedItem(task, service);
@@ -254,6 +272,16 @@
     return { nowMs, waiting, runs, engines: this.#engineSnapshots(nowMs) };
   }
 
+  #rules(): RouteRules | null {
+    const configuration = this.#options.configuration();
+    if (configuration === null) return null;
+    if (this.#cachedRules?.configuration !== configuration) {
+      const rules = new RouteRules(configuration);
+      this.#cachedRules = { configuration, rules };
+    }
+    return this.#cachedRules.rules;
+  }
+
   #engineSnapshots(nowMs: Milliseconds): readonly EngineSnapshot[] {
     const { observations } = this.#runs;
     const services = this.#options.configuration()?.services ?? [];
@@ -293,14 +321,3 @@
     resubmitted: task.resubmitted,
   };
 }
-
-/** Returns the service with the greatest weight; all items of a route with a traffic split go to it. */
-function heaviestService(
-  split: readonly WeightedService[],
-): string | undefined {
-  let best: WeightedService | undefined;
-  for (const each of split) {
-    if (each.weight > (best?.weight ?? 0)) best = each;
-  }
-  return best?.service;
-}
--- a/batches/batch_service_test.ts
+++ b/batches/batch_service_test.ts
@@ -36,6 +36,7 @@
     group: "g",
     promptTokens: 1,
     expectedTokens: 10,
+    scoring: null,
   };
 }
 
--- a/batches/batch_snapshot.ts
+++ b/batches/batch_snapshot.ts
@@ -111,7 +111,7 @@
   if (record.kind === "batch") return RECORD_OVERHEAD_BYTES;
   const { item, progress } = record.state;
   let bytes = RECORD_OVERHEAD_BYTES + item.body.length + progress.textBytes;
-  bytes += item.target.length;
+  bytes += item.target.length + (item.scoring?.body.length ?? 0);
   for (const header of item.headers) bytes += header.length;
   return bytes;
 }
@@ -173,7 +173,15 @@
   const { progress } = state;
   const item = ownItem(state.item);
   const text = ownText(progress.text);
-  const owned = { ...state, item, progress: { ...progress, text } };
+  // Snapshots of earlier builds know no scores.
+  const { score = null, scoringFailures = 0 } = state as Partial<ItemState>;
+  const owned = {
+    ...state,
+    item,
+    progress: { ...progress, text },
+    score,
+    scoringFailures,
+  };
   return owned.listed ? withoutRequest(owned) : owned;
 }
 
--- a/batches/batch_snapshot_test.ts
+++ b/batches/batch_snapshot_test.ts
@@ -20,6 +20,7 @@
     group: "g",
     promptTokens: 1,
     expectedTokens: 10,
+    scoring: null,
   }));
   return {
     id,
@@ -138,7 +139,13 @@
       { ...state, progress: openText, listed: false },
     ],
     results: [
-      { id: "b-0", outcome: "completed", text: "né", versions: [2] },
+      {
+        id: "b-0",
+        outcome: "completed",
+        text: "né",
+        versions: [2],
+        score: null,
+      },
     ],
   }];
 }
@@ -147,7 +154,13 @@
   const machine = restoreFrom([encodeValue(wholeValue())]);
   const state = machine.find("b");
   assert.deepEqual(state?.results.map(readResult), [
-    { id: "b-0", outcome: "completed", text: "né", versions: [2] },
+    {
+      id: "b-0",
+      outcome: "completed",
+      text: "né",
+      versions: [2],
+      score: null,
+    },
   ]);
   const open = state?.items.get("b-1");
   assert.equal(open?.progress.text, "ab");
@@ -177,7 +190,13 @@
   ]);
   assert.deepEqual(value[0]?.items.map((item) => item.listed), [true, false]);
   assert.deepEqual(value[0]?.results, [
-    { id: "b-0", outcome: "completed", text: "né", versions: [2] },
+    {
+      id: "b-0",
+      outcome: "completed",
+      text: "né",
+      versions: [2],
+      score: null,
+    },
   ]);
 });
 
--- a/batches/batch_state.ts
+++ b/batches/batch_state.ts
@@ -11,6 +11,7 @@
   type ItemProgress,
   type ListedResult,
   NO_PROGRESS,
+  type ScoringCall,
 } from "./batch_types.ts";
 import { copyBytes, packText } from "./held_text.ts";
 
@@ -37,6 +38,10 @@
   readonly item: BatchItem;
   readonly progress: ItemProgress;
   readonly failures: number;
+  /** Score of the complete text, or null. */
+  readonly score: string | null;
+  /** Number of failed scoring calls. */
+  readonly scoringFailures: number;
   /** Whether the item has its final position in the results. */
   readonly listed: boolean;
   /** Whether an engine has generated the complete text, listed or not. */
@@ -125,10 +130,10 @@
 
   /** Appends the result of an item that is marked as listed. */
   addResult(state: ItemState, outcome: ItemOutcome): void {
-    const { item, progress } = state;
+    const { item, progress, score } = state;
     const { versions } = progress;
     const text = packText(progress.text);
-    this.#results.push({ id: item.id, outcome, text, versions });
+    this.#results.push({ id: item.id, outcome, text, versions, score });
   }
 
   /** Ends the batch; its unlisted items retain their progress only. */
@@ -153,6 +158,8 @@
     item,
     progress: NO_PROGRESS,
     failures: 0,
+    score: null,
+    scoringFailures: 0,
     listed: false,
     whole: false,
     again: false,
@@ -160,10 +167,25 @@
   };
 }
 
-/** Returns the item with a body that retains no larger buffer. */
+/** Whether an item may be listed as completed: its text is complete, and scored if the item demands a score. */
+export function isCompleted(state: ItemState): boolean {
+  return state.whole && (state.item.scoring === null || state.score !== null);
+}
+
+/** Returns the item with bodies that retain no larger buffer; one of an earlier build names no scoring call. */
 export function ownItem(item: BatchItem): BatchItem {
-  const body = item.body.length === 0 ? NO_BYTES : copyBytes(item.body);
-  return { ...item, body };
+  const { scoring = null } = item as Partial<BatchItem>;
+  return {
+    ...item,
+    body: ownBody(item.body),
+    scoring: scoring === null
+      ? null
+      : { ...scoring, body: ownBody(scoring.body) },
+  };
+}
+
+function ownBody(body: Uint8Array): Uint8Array {
+  return body.length === 0 ? NO_BYTES : copyBytes(body);
 }
 
 /** Returns the state of an item that will not run again: without its request, its text as bytes. */
@@ -179,11 +201,18 @@
       headers: NO_HEADERS,
       body: NO_BYTES,
       group: "",
+      scoring: withoutBody(item.scoring),
     },
     progress: { ...progress, text: packText(progress.text) },
   };
 }
 
+/** Returns a scoring call of which only its identity is known, by which a later batch recognises its score. */
+function withoutBody(scoring: ScoringCall | null): ScoringCall | null {
+  if (scoring === null) return null;
+  return { id: scoring.id, host: "", target: "", body: NO_BYTES };
+}
+
 /** Returns the memory that an item occupies. */
 function itemBytes(state: ItemState): Bytes {
   const { item, progress } = state;
@@ -193,9 +222,16 @@
   bytes += 2 * stringBytes(item.id);
   bytes += stringBytes(item.target) + stringBytes(item.group);
   for (const header of item.headers) bytes += stringBytes(header);
+  if (item.scoring !== null) bytes += scoringBytes(item.scoring);
+  if (state.score !== null) bytes += stringBytes(state.score);
   return bytes;
 }
 
+function scoringBytes(scoring: ScoringCall): Bytes {
+  return stringBytes(scoring.id) + stringBytes(scoring.host) +
+    stringBytes(scoring.target) + scoring.body.length;
+}
+
 /** Returns the expected growth of an item's text. */
 function growthBytes(state: ItemState): Bytes {
   const { textBytes } = state.progress;
--- a/batches/batch_types.ts
+++ b/batches/batch_types.ts
@@ -6,6 +6,17 @@
 import type { Bytes, Milliseconds } from "#core";
 import { type HeldText, textLength, textOf } from "./held_text.ts";
 
+/** A call that scores the complete text of an item, answered by a plain service. */
+export interface ScoringCall {
+  /** Identifier of the call. */
+  readonly id: string;
+  /** Host by which the call is routed. */
+  readonly host: string;
+  /** Path and query of the HTTP request. */
+  readonly target: string;
+  readonly body: Uint8Array;
+}
+
 /** One item of a batch: a generation request for an engine. */
 export interface BatchItem {
   readonly id: string;
@@ -19,6 +30,8 @@
   readonly promptTokens: number;
   /** Estimated number of tokens in the response. */
   readonly expectedTokens: number;
+  /** The call that scores its text, or null. */
+  readonly scoring: ScoringCall | null;
 }
 
 /** A batch as submitted by a trainer. */
@@ -52,6 +65,8 @@
   readonly outcome: ItemOutcome;
   readonly text: string;
   readonly versions: readonly number[];
+  /** Score of the text, or null for an item that is not scored or that was given up. */
+  readonly score: string | null;
 }
 
 /** A result as the state of the batches holds it. */
@@ -61,6 +76,7 @@
   /** The text in UTF-8. */
   readonly text: Uint8Array;
   readonly versions: readonly number[];
+  readonly score: string | null;
 }
 
 /** The text generated for an item so far. */
@@ -102,6 +118,12 @@
   /** Whether to discard the stored text first, because no engine may resume it. */
   readonly restart: boolean;
   readonly outcome: ItemOutcome | null;
+  /** Whether the text is complete although the item has no outcome yet. Absent in logs of earlier builds. */
+  readonly textComplete?: boolean;
+  /** Score of the complete text, or null. Absent in logs of earlier builds. */
+  readonly score?: string | null;
+  /** Number of failures of the scoring call to add. Absent in logs of earlier builds. */
+  readonly scoringFailures?: number;
 }
 
 /** A page of a batch's results. */
--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -25,6 +25,7 @@
   type Batch,
   type BatchHeader,
   type BatchItem,
+  type ItemOutcome,
   type ItemUpdate,
   NO_PROGRESS,
 } from "./batch_types.ts";
@@ -32,6 +33,7 @@
 import {
   type BatchState,
   freshItemState,
+  isCompleted,
   type ItemState,
   MutableBatchState,
   ownItem,
@@ -186,7 +188,7 @@
     this.#batches.set(batch.id, state);
     for (const [id, itemState] of state.items) {
       this.#latestBatchIdByItem.set(id, batch.id);
-      if (itemState.whole) state.list(itemState, "completed");
+      if (isCompleted(itemState)) state.list(itemState, "completed");
     }
     return Ok(items.length);
   }
@@ -207,7 +209,9 @@
     // A complete text is listed at once; any other grows.
     const held = whole ? text : textOf(text);
     const progress = { ...before.progress, text: held };
-    return { ...fresh, progress, whole, again: true };
+    const sameScoring = before.item.scoring?.id === item.scoring?.id;
+    const score = sameScoring ? before.score : null;
+    return { ...fresh, progress, whole, score, again: true };
   }
 
   #applyUpdates(updates: readonly ItemUpdate[]): Result<number, Failure> {
@@ -216,12 +220,14 @@
       const state = this.#batches.get(update.batch);
       const known = state?.items.get(update.item);
       if (state === undefined || known === undefined) continue;
-      if (known.listed || known.whole) continue;
+      if (known.listed) continue;
+      if (known.whole && !keepsText(update)) continue;
       if (known.progress.events !== update.fromEvents) continue;
       applied += 1;
       const next = applyUpdate(known, update);
-      if (update.outcome === null || state.ended) state.setItem(next);
-      else state.list(next, update.outcome);
+      const outcome = listableOutcome(next, update.outcome);
+      if (outcome === null || state.ended) state.setItem(next);
+      else state.list(next, outcome);
     }
     return Ok(applied);
   }
@@ -276,14 +282,32 @@
   return versions.every((version) => version >= minimum);
 }
 
+/** Whether an update changes neither the text nor that it is complete, but only what follows it. */
+function keepsText(update: ItemUpdate): boolean {
+  return update.events === 0 && !update.restart;
+}
+
+/** Returns the outcome with which an item is to be listed now, or null; one without its score is not completed yet. */
+function listableOutcome(
+  state: ItemState,
+  outcome: ItemOutcome | null,
+): ItemOutcome | null {
+  if (outcome === "given_up") return outcome;
+  return outcome === "completed" && isCompleted(state) ? outcome : null;
+}
+
 function applyUpdate(known: ItemState, update: ItemUpdate): ItemState {
   const before = update.restart ? NO_PROGRESS : known.progress;
   const progress = addProgress(before, update);
+  const whole = known.whole || update.textComplete === true ||
+    update.outcome === "completed";
   return {
     ...known,
     progress,
     failures: known.failures + update.failures,
-    whole: update.outcome === "completed",
+    score: whole ? update.score ?? known.score : null,
+    scoringFailures: known.scoringFailures + (update.scoringFailures ?? 0),
+    whole,
     lastUpdate: update.id,
   };
 }
--- a/batches/batches_machine_test.ts
+++ b/batches/batches_machine_test.ts
@@ -22,6 +22,7 @@
     group: "g",
     promptTokens: 10,
     expectedTokens: 100,
+    scoring: null,
   };
 }
 
@@ -120,7 +121,13 @@
     }),
   ]);
   assert.deepEqual(resultsOf(machine, "b"), [
-    { id: "x", outcome: "completed", text: "a\nb\nc", versions: [3, 4] },
+    {
+      id: "x",
+      outcome: "completed",
+      text: "a\nb\nc",
+      versions: [3, 4],
+      score: null,
+    },
   ]);
 });
 
--- a/batches/batches_size_test.ts
+++ b/batches/batches_size_test.ts
@@ -21,6 +21,7 @@
       group: "g",
       promptTokens: 10,
       expectedTokens: 100,
+      scoring: null,
     });
   }
   return {
--- a/batches/events.ts
+++ b/batches/events.ts
@@ -62,4 +62,11 @@
     text: "a batch could not be accepted",
     action: "Read the failure; the trainer retries the submission.",
   },
+  scoringFailed: {
+    code: 2010,
+    level: "warn",
+    text: "the scoring call of an item failed; it is sent again",
+    action:
+      "Read the reason, then check the plain service that scores, and the route of the call.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -133,7 +133,7 @@
     outcome: RunOutcome,
   ): void {
     if (outcome.kind === "complete") {
-      task.finish("completed");
+      task.completeText();
       this.#options.onItemDone();
       this.#options.onRunEnded();
       return;
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -31,16 +31,27 @@
   hasEvents: boolean;
 }
 
+/** A scoring call in progress. */
+export interface ActiveScoring {
+  /** Service that the call was sent to. */
+  readonly service: string;
+  readonly abort: AbortController;
+}
+
 /** The task to complete one item. */
 export class ItemTask {
   readonly batch: BatchHeader;
   readonly dueMs: Milliseconds;
   run: ActiveRun | undefined;
+  scoring: ActiveScoring | undefined;
   moves = 0;
   #logged: ItemState;
   #newEvents: GeneratedEvent[] = [];
   #restartPending = false;
   #newFailures = 0;
+  #textComplete = false;
+  #newScore: string | null = null;
+  #newScoringFailures = 0;
   #outcome: ItemOutcome | null = null;
   #proposedUpdate: ItemUpdate | undefined;
   /** Whether the text was discarded while the proposed update was in flight. */
@@ -78,11 +89,21 @@
     return this.#logged.failures + this.#newFailures;
   }
 
+  /** Whether the text is complete. */
+  get textComplete(): boolean {
+    return this.#textComplete || this.#logged.whole;
+  }
+
+  /** Number of failures of the scoring call so far. */
+  get scoringFailures(): number {
+    return this.#logged.scoringFailures + this.#newScoringFailures;
+  }
+
   /** Whether there are changes that the log does not contain yet. */
   get hasUnloggedChanges(): boolean {
     return this.#restartPending || this.#newFailures > 0 ||
-      this.#newEvents.length > 0 ||
-      this.#outcome !== null;
+      this.#newScoringFailures > 0 || this.#newEvents.length > 0 ||
+      (this.#textComplete && !this.#logged.whole) || this.#outcome !== null;
   }
 
   /** Length of the texts that the log does not contain yet. */
@@ -148,6 +169,23 @@
     this.#newFailures += 1;
   }
 
+  /** Records that the text is complete, which completes an item that needs no score. */
+  completeText(): void {
+    this.#textComplete = true;
+    if (this.item.scoring === null) this.finish("completed");
+  }
+
+  /** Sets the score of the complete text, which completes the item. */
+  setScore(score: string): void {
+    this.#newScore = score;
+    this.finish("completed");
+  }
+
+  /** Counts failures of the scoring call. */
+  countScoringFailures(count: number): void {
+    this.#newScoringFailures += count;
+  }
+
   /** Sets the final outcome of the item. */
   finish(outcome: ItemOutcome): void {
     this.#outcome = outcome;
@@ -167,6 +205,7 @@
       failures: this.#newFailures,
       restart: this.#restartPending,
       outcome: this.#outcome,
+      ...(this.item.scoring === null ? {} : this.#scoringUpdate()),
     };
     this.#proposedUpdate = update;
     this.#restartedSinceProposal = false;
@@ -180,6 +219,7 @@
     if (proposed === undefined) return false;
     if (state.lastUpdate !== proposed.id) return false;
     this.#newFailures -= proposed.failures;
+    this.#newScoringFailures -= proposed.scoringFailures ?? 0;
     this.#logged = state;
     if (this.#restartedSinceProposal) {
       this.#restartPending = state.progress.events > 0;
@@ -198,14 +238,27 @@
     return this.#proposedUpdate !== undefined || this.#logged === state;
   }
 
+  #scoringUpdate(): Pick<
+    ItemUpdate,
+    "textComplete" | "score" | "scoringFailures"
+  > {
+    return {
+      textComplete: this.#textComplete,
+      score: this.#newScore,
+      scoringFailures: this.#newScoringFailures,
+    };
+  }
+
   #baseProgress(): ItemProgress {
     return this.#restartPending ? NO_PROGRESS : this.#logged.progress;
   }
 }
 
-/** Aborts the run of an item, if there is one. */
+/** Aborts the run and the scoring call of an item, if there are any. */
 export function abortRun(task: ItemTask): void {
-  const { run } = task;
+  const { run, scoring } = task;
   task.run = undefined;
+  task.scoring = undefined;
   run?.abort.abort();
+  scoring?.abort.abort();
 }
--- a/batches/item_task_test.ts
+++ b/batches/item_task_test.ts
@@ -23,6 +23,7 @@
     group: "g",
     promptTokens: 1,
     expectedTokens: 10,
+    scoring: null,
   }],
 };
 
--- a/batches/progress_writer_test.ts
+++ b/batches/progress_writer_test.ts
@@ -38,6 +38,7 @@
       group: "g",
       promptTokens: 1,
       expectedTokens: 1_400,
+      scoring: null,
     })),
   };
 }
--- a/batches/restored_replica_test.ts
+++ b/batches/restored_replica_test.ts
@@ -23,6 +23,7 @@
       group: "g",
       promptTokens: 1,
       expectedTokens,
+      scoring: null,
     })),
   };
 }
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -9,10 +9,12 @@
   BatchRunner,
   BatchService,
   batchStateLimit,
+  ForwardedScoring,
 } from "#batches";
 import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
 import { type NodeSettings, WorkerDialect } from "#platform";
+import { Forwarder } from "#requests";
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
@@ -34,6 +36,8 @@
   readonly #fleetFollower: FleetFollower;
   readonly #onFatal: (failure: Failure) => void;
   readonly #monitoring: NodeMonitoring;
+  /** Sends the scoring calls of items. */
+  readonly #forwarder: Forwarder;
   #log: QuorumLog | undefined;
   #runner: BatchRunner | undefined;
 
@@ -53,6 +57,12 @@
       self: () => describeNode(base, "store", this.#groupStatus()),
       onChange: () => this.#handleFleetChange(),
     });
+    this.#forwarder = new Forwarder({
+      ...base,
+      zone: settings.zone,
+      dialect: new WorkerDialect(),
+      upstreams: () => this.#fleetFollower.upstreams,
+    });
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
     });
@@ -72,6 +82,7 @@
     this.#base.events.emit(HTTP_EVENTS.nodeStopping);
     await this.#runner?.stop();
     await this.#log?.stop();
+    this.#forwarder.close();
     this.#fleetFollower.stop();
     await this.#monitoring.stop();
     this.#base.network.close();
@@ -144,6 +155,11 @@
       log,
       machine: this.#batchesMachine,
       dialect: new WorkerDialect(),
+      scoringPort: new ForwardedScoring({
+        ...base,
+        forwarder: this.#forwarder,
+        dialect: new WorkerDialect(),
+      }),
       upstreams: () => this.#fleetFollower.upstreams,
       configuration: () => this.#fleetFollower.configuration,
     });
--- a/proof/install_memory_process.ts
+++ b/proof/install_memory_process.ts
@@ -39,6 +39,7 @@
     group: `${batch}-group`,
     promptTokens: 1,
     expectedTokens: 1,
+    scoring: null,
   };
 }
 
--- a/proof/store_memory_process.ts
+++ b/proof/store_memory_process.ts
@@ -80,6 +80,7 @@
     group: `${batch}-group-${index >> 3}`,
     promptTokens: 276,
     expectedTokens: 1_400,
+    scoring: null,
   };
 }
 
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -60,6 +60,8 @@
   readonly requestId: string;
   /** The caller's deadline, on this VM's clock. */
   readonly deadlineMs: Milliseconds;
+  /** Called for each upstream that ran the call and responded with a server error. */
+  readonly onServerError?: () => void;
 }
 
 /** Outcome of one attempt. */
@@ -291,7 +293,9 @@
         reason: `rejected with status ${response.status}`,
       };
     }
-    if (!metadata.hasStamp && response.status < MINIMUM_SERVER_ERROR_STATUS) {
+    if (
+      metadata.stamp === null && response.status < MINIMUM_SERVER_ERROR_STATUS
+    ) {
       return { kind: "unknown", reason: "response without its stamp header" };
     }
     return { kind: "answer", response };
@@ -306,6 +310,9 @@
     const { response } = attempt;
     const shouldRetry = forwarded.routed.route.kind === "idempotent" &&
       response.status >= MINIMUM_SERVER_ERROR_STATUS;
+    if (response.status >= MINIMUM_SERVER_ERROR_STATUS) {
+      forwarded.routed.onServerError?.();
+    }
     if (!shouldRetry) return toHttpResponse(response);
     forwarded.serverErrorResponse = response;
     return undefined;
--- a/requests/forwarder_test.ts
+++ b/requests/forwarder_test.ts
@@ -57,7 +57,7 @@
     return {
       requestId: head.headers["x-id"] ?? null,
       notRun: head.headers["x-not-run"] !== undefined,
-      hasStamp: head.headers["x-stamp"] !== undefined,
+      stamp: head.headers["x-stamp"] ?? null,
       version: null,
     };
   }
--- a/requests/route_rules.ts
+++ b/requests/route_rules.ts
@@ -61,6 +61,17 @@
   return split.findLast((each) => each.weight > 0)?.service;
 }
 
+/** Returns the service with the greatest weight, or undefined if all weights are 0. */
+export function heaviestService(
+  split: readonly WeightedService[],
+): string | undefined {
+  let best: WeightedService | undefined;
+  for (const each of split) {
+    if (each.weight > (best?.weight ?? 0)) best = each;
+  }
+  return best?.service;
+}
+
 function withoutPort(host: string): string {
   const colon = host.indexOf(":");
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
--- a/requests/upstream_dialect.ts
+++ b/requests/upstream_dialect.ts
@@ -23,8 +23,8 @@
   readonly requestId: string | null;
   /** Whether the upstream states that it did not run the call. */
   readonly notRun: boolean;
-  /** Whether the response has the upstream's stamp, which vouches for its body. */
-  readonly hasStamp: boolean;
+  /** The upstream's stamp, which vouches for the body, or null. */
+  readonly stamp: string | null;
   /** Version of the weights at the start of the response, or null. */
   readonly version: number | null;
 }
