Stop sending to upstreams that say they leave; end responses without end

Cause: (1) a response with the notice that its upstream leaves was used like any other, so calls went on until a heartbeat said so.

Change: the notice is decoded in platform/, from each response to a call, item, scoring call, report and order. From then on the VM sends nothing to that incarnation, tells its control VM, and repeats that with each follow request until control agrees; control passes it on. Heartbeats of that incarnation no longer make it ready; a later one is. An error of the connection makes a response incomplete.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -46,6 +46,8 @@
   readonly random: RandomSource;
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
+  /** Called with an engine whose response states that it is leaving. */
+  readonly onLeaving: (engine: FleetUpstream) => void;
   readonly configuration: () => RoutingConfiguration | null;
   readonly scoringPort: ScoringPort;
 }
--- a/batches/item_run.ts
+++ b/batches/item_run.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { FleetUpstream } from "#core";
+import { type Bytes, type FleetUpstream, KIBIBYTE } from "#core";
 import {
   EventParser,
   type StreamEvent,
@@ -14,6 +14,8 @@
 } from "#requests";
 import type { BatchHeader, BatchItem } from "./batch_types.ts";
 
+/** Largest body of a rejection that is read to the end. */
+const MAXIMUM_DRAINED_BYTES: Bytes = 64 * KIBIBYTE;
 const OK_STATUS = 200;
 const UNPROCESSABLE_STATUS = 422;
 const MINIMUM_SERVER_ERROR_STATUS = 500;
@@ -53,6 +55,8 @@
   /** Returns whether a version may generate the next event. */
   readonly allowsVersion: (version: number) => boolean;
   readonly signal: AbortSignal;
+  /** Called if the engine states that it is leaving. */
+  readonly onLeaving: () => void;
   readonly onEvent: (event: GeneratedEvent) => void;
 }
 
@@ -92,6 +96,7 @@
 ): RunOutcome | undefined {
   const { status } = response.head;
   const marks = options.dialect.readResponse(response.head);
+  if (marks.leaving) options.onLeaving();
   if (marks.notRun) return { kind: "refused", reason: `status ${status}` };
   if (marks.requestId !== options.item.id) {
     response.closeConnection();
@@ -116,10 +121,16 @@
   return undefined;
 }
 
-/** Reads the rest of a short response, so that its connection can be reused. */
+/** Reads the rest of a short response, so that its connection can be reused; a long one is not worth reading. */
 async function drainBody(response: StreamingResponse): Promise<void> {
+  let bytes = 0;
   try {
-    for await (const _piece of response.bodyChunks);
+    for await (const piece of response.bodyChunks) {
+      bytes += piece.length;
+      if (bytes <= MAXIMUM_DRAINED_BYTES) continue;
+      response.closeConnection();
+      return;
+    }
   } catch {
     // The connection is closed at this point, and the outcome of the run is already known.
     response.closeConnection();
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -24,6 +24,8 @@
   readonly events: EventLog;
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
+  /** Called with an engine whose response states that it is leaving. */
+  readonly onLeaving: (engine: FleetUpstream) => void;
   /** Called when there is new progress to store. */
   readonly onProgress: () => void;
   /** Called when an item is completed or abandoned. */
@@ -73,6 +75,7 @@
         return task.allowsVersion(version);
       },
       signal: run.abort.signal,
+      onLeaving: () => this.#options.onLeaving(upstream),
       onEvent: (event) => {
         if (task.run !== run) return;
         this.#recordEvent(run);
--- a/membership/events.ts
+++ b/membership/events.ts
@@ -106,4 +106,11 @@
     text: "an upstream joined, changed its state or left",
     action: "None.",
   },
+  departureNoticed: {
+    code: 1417,
+    level: "info",
+    text:
+      "an upstream said in a response that it is leaving; this VM sends it nothing more",
+    action: "None; a new incarnation receives calls again.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -16,7 +16,12 @@
 } from "#core";
 import type { PeerNetwork } from "#wire";
 import { MEMBERSHIP_EVENTS } from "./events.ts";
-import type { FleetRevision, FollowReply } from "./fleet_messages.ts";
+import type {
+  FleetNotice,
+  FleetRevision,
+  FollowReply,
+} from "./fleet_messages.ts";
+import { LeavingUpstreams } from "./leaving_upstreams.ts";
 
 const FOLLOW_WAIT_MS: Milliseconds = 1_500;
 const REPLY_MARGIN_MS: Milliseconds = 700;
@@ -44,6 +49,7 @@
 export class FleetFollower {
   readonly #options: FleetFollowerOptions;
   readonly #startedMs: Milliseconds;
+  readonly #leaving: LeavingUpstreams;
   #configuration: RoutingConfiguration | null = null;
   #confirmed = false;
   #upstreams = new Map<string, FleetUpstream>();
@@ -61,6 +67,7 @@
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
     this.#startedMs = options.clock.nowMs();
+    this.#leaving = new LeavingUpstreams(options.events);
     this.#switchCount = options.random.below(1_000);
   }
 
@@ -85,9 +92,25 @@
     return this.#quorumUnavailable ? TYPICAL_ELECTION_MS : RETRY_DELAY_MS;
   }
 
-  /** Upstreams that are not gone. */
+  /** Upstreams that are not gone; those that told this VM that they are leaving are draining. */
   get upstreams(): readonly FleetUpstream[] {
-    return [...this.#upstreams.values()];
+    const upstreams: FleetUpstream[] = [];
+    for (const upstream of this.#upstreams.values()) {
+      upstreams.push(this.#leaving.mark(upstream));
+    }
+    return upstreams;
+  }
+
+  /** Stops sending to an upstream whose response states that it is leaving, and tells the control VM. */
+  reportLeaving(upstream: FleetUpstream): void {
+    if (!this.#leaving.record(upstream)) return;
+    this.#options.onChange();
+    const server = this.#server;
+    if (server === undefined) return;
+    const { id, bornMs } = upstream;
+    const upstreams = [{ id, bornMs }];
+    const notice: FleetNotice = { kind: "draining", upstreams };
+    this.#options.network.notify({ to: server, channel: "fleet" }, notice);
   }
 
   get placement(): Placement {
@@ -146,6 +169,7 @@
         placementRevision: this.#placementRevision,
         confirm: this.#needsConfirmation(),
         waitMs: FOLLOW_WAIT_MS,
+        leaving: this.#leaving.unknownTo(this.#upstreams.values()),
       },
     );
     if (response.ok) {
@@ -254,6 +278,7 @@
       this.#upstreams.set(upstream.id, upstream);
     }
     this.#fleet = fleet.revision;
+    this.#leaving.retainOnly(this.#upstreams.values());
   }
 }
 
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -30,6 +30,14 @@
   /** Whether the reply must contain a configuration that is certain to be the newest. */
   readonly confirm: boolean;
   readonly waitMs: Milliseconds;
+  /** Upstreams that told the sender that they are leaving. Absent in requests of earlier builds. */
+  readonly leaving?: readonly UpstreamIncarnation[];
+}
+
+/** One incarnation of an upstream. */
+export interface UpstreamIncarnation {
+  readonly id: string;
+  readonly bornMs: Milliseconds;
 }
 
 /** The revision of the upstreams within one incarnation of one control VM. */
@@ -69,6 +77,11 @@
     readonly id: string;
     readonly bornMs: Milliseconds | null;
   }
+  /** Upstreams that are leaving and want no further calls. */
+  | {
+    readonly kind: "draining";
+    readonly upstreams: readonly UpstreamIncarnation[];
+  }
   | {
     readonly kind: "nodes";
     readonly nodes: readonly ObservedNode[];
@@ -76,7 +89,9 @@
     readonly askBeats: boolean;
   };
 
-const noticeKind = z.object({ kind: z.enum(["beats", "leave", "nodes"]) });
+const noticeKind = z.object({
+  kind: z.enum(["beats", "leave", "draining", "nodes"]),
+});
 const followKind = z.object({
   kind: z.literal("follow"),
   node: z.object({ vm: z.string(), role: z.string() }),
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -24,6 +24,7 @@
   type FollowRequest,
   parseFleetNotice,
   parseFollowRequest,
+  type UpstreamIncarnation,
 } from "./fleet_messages.ts";
 import { FleetTable } from "./fleet_table.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
@@ -106,6 +107,16 @@
     return this.#options.reachesQuorum();
   }
 
+  /** Records upstreams that are known to leave although their heartbeats do not say so, and notifies the others. */
+  recordLeaving(upstreams: readonly UpstreamIncarnation[]): void {
+    const news = upstreams.filter(({ id, bornMs }) =>
+      this.#table.markDraining(id, bornMs)
+    );
+    if (news.length === 0) return;
+    this.#notifyPeers({ kind: "draining", upstreams: news });
+    this.wakeWaiters();
+  }
+
   /** Returns the upstreams that accept work or finish the work that they have. */
   upstreams(): readonly FleetUpstream[] {
     return this.#table.listed();
@@ -190,6 +201,7 @@
     if (notice.kind === "leave") {
       this.#table.markGone(notice.id, notice.bornMs, nowMs);
     }
+    if (notice.kind === "draining") this.recordLeaving(notice.upstreams);
     if (notice.kind === "nodes") this.#handleNodes(notice, nowMs);
     if (this.#table.revision !== previousRevision) this.wakeWaiters();
   }
@@ -222,6 +234,7 @@
       return Err(fail("malformed_request", "not a well-formed follow request"));
     }
     this.#recordNode(request.node, this.#options.clock.nowMs());
+    this.recordLeaving(request.leaving ?? []);
     const confirmed = request.confirm
       ? await this.#options.confirm()
       : undefined;
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -12,6 +12,8 @@
 interface TableEntry {
   record: FleetUpstream;
   receivedMs: Milliseconds;
+  /** Start time of an incarnation that is known to leave, whatever its heartbeats say; null if none is. */
+  leavingBornMs: Milliseconds | null;
 }
 
 /** A heartbeat with the time that has passed since it was received. */
@@ -54,13 +56,15 @@
 
   /** Stores a heartbeat unless a newer one is known. */
   recordHeartbeat(beat: AgedHeartbeat, nowMs: Milliseconds): HeartbeatOutcome {
-    const { record } = beat;
-    const known = this.#entries.get(record.id);
-    if (known !== undefined && !isNewer(record, known.record)) {
+    const known = this.#entries.get(beat.record.id);
+    if (known !== undefined && !isNewer(beat.record, known.record)) {
       return "outdated";
     }
+    const leavingBornMs = known?.leavingBornMs ?? null;
+    const record = withDeparture(beat.record, leavingBornMs);
     const wasExpired = known !== undefined && this.#isExpired(known, nowMs);
-    this.#entries.set(record.id, { record, receivedMs: nowMs - beat.ageMs });
+    const receivedMs = nowMs - beat.ageMs;
+    this.#entries.set(record.id, { record, receivedMs, leavingBornMs });
     const changed = known === undefined || wasExpired ||
       !sameForRouting(known.record, record);
     if (!changed) return "renewed";
@@ -86,6 +90,21 @@
     this.#revision += 1;
   }
 
+  /**
+   * Marks an incarnation that still sends heartbeats as draining; returns whether that is news. A later incarnation of
+   * the same upstream is not affected.
+   */
+  markDraining(id: string, bornMs: Milliseconds): boolean {
+    const known = this.#entries.get(id);
+    if (known === undefined || known.record.bornMs !== bornMs) return false;
+    if (known.leavingBornMs === bornMs) return false;
+    known.leavingBornMs = bornMs;
+    if (known.record.phase !== "ready") return false;
+    known.record = withDeparture(known.record, bornMs);
+    this.#revision += 1;
+    return true;
+  }
+
   /** Marks upstreams without a heartbeat in time as gone, and removes those without one for the retention time. */
   expire(nowMs: Milliseconds): void {
     for (const [id, entry] of this.#entries) {
@@ -124,6 +143,15 @@
   }
 }
 
+/** Returns the record of an upstream, as draining if this incarnation is known to leave. */
+function withDeparture(
+  record: FleetUpstream,
+  leavingBornMs: Milliseconds | null,
+): FleetUpstream {
+  const leaves = record.bornMs === leavingBornMs && record.phase === "ready";
+  return leaves ? { ...record, phase: "draining" } : record;
+}
+
 function isNewer(record: FleetUpstream, known: FleetUpstream): boolean {
   if (record.bornMs !== known.bornMs) return record.bornMs > known.bornMs;
   return record.sequence > known.sequence;
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -104,7 +104,10 @@
       ...base,
       log,
       machine: this.#versionsMachine,
-      port: new WorkerOrderClient(base.clock),
+      port: new WorkerOrderClient(
+        base.clock,
+        ({ id, bornMs }) => this.#fleet.recordLeaving([{ id, bornMs }]),
+      ),
       engines: () => this.#fleet.upstreams(),
       configuration: () => this.#configurationMachine.current?.rules ?? null,
       minimumVersions: () =>
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -58,6 +58,7 @@
       zone: settings.zone,
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
+      onLeaving: (upstream) => this.#fleetFollower.reportLeaving(upstream),
     });
     const batches = new BatchClient({
       ...base,
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -62,6 +62,7 @@
       zone: settings.zone,
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
+      onLeaving: (upstream) => this.#fleetFollower.reportLeaving(upstream),
     });
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
@@ -161,6 +162,7 @@
         dialect: new WorkerDialect(),
       }),
       upstreams: () => this.#fleetFollower.upstreams,
+      onLeaving: (upstream) => this.#fleetFollower.reportLeaving(upstream),
       configuration: () => this.#fleetFollower.configuration,
     });
     await log.start();
--- a/requests/event_parser.ts
+++ b/requests/event_parser.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { MEBIBYTE } from "#core";
+import { KIBIBYTE } from "#core";
 
 /** One event of a stream. */
 export interface StreamEvent {
@@ -19,7 +19,7 @@
 
 const END_OF_EVENT = "\n\n";
 /** Longest incomplete event, in UTF-16 units; an upstream that never ends an event must not fill the memory. */
-const MAXIMUM_PARTIAL_EVENT_LENGTH = MEBIBYTE;
+const MAXIMUM_PARTIAL_EVENT_LENGTH = 256 * KIBIBYTE;
 
 /**
  * Incremental parser of server-sent events.
@@ -39,7 +39,7 @@
     return this.#pending.trim() !== "";
   }
 
-  /** Adds data and returns the events that it completes; throws if an incomplete event exceeds 1 MiB. */
+  /** Adds data and returns the events that it completes; throws if an incomplete event exceeds 256 KiB. */
   push(bytes: Uint8Array | string): readonly StreamEvent[] {
     const text = typeof bytes === "string"
       ? bytes
--- a/requests/event_parser_test.ts
+++ b/requests/event_parser_test.ts
@@ -8,7 +8,7 @@
   const piece = "x".repeat(64 * KIBIBYTE);
   parser.push("id: 1\ndata: ");
   assert.throws(() => {
-    for (let length = 0; length < 2 * MEBIBYTE; length += piece.length) {
+    for (let length = 0; length < MEBIBYTE / 2; length += piece.length) {
       parser.push(piece);
     }
   }, /too long/);
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -49,6 +49,8 @@
   readonly dialect: UpstreamDialect;
   /** Returns the known upstreams, including draining ones. */
   readonly upstreams: () => readonly FleetUpstream[];
+  /** Called with an upstream whose response states that it is leaving. */
+  readonly onLeaving: (upstream: FleetUpstream) => void;
   /** Memory of the responses that the process reads and writes; absent if only the forwarder reads any. */
   readonly responseBudget?: ByteBudget;
 }
@@ -256,7 +258,7 @@
       body: call.body,
       signal: forwarded.abortController.signal,
       reuseConnection: route.kind === "idempotent",
-    }, (head) => this.#headMismatch(head, requestId));
+    }, (head) => this.#checkHead(head, { requestId, upstream }));
     const nowMs = clock.nowMs();
     const attempt = result.ok
       ? this.#classifyResponse(result.val)
@@ -277,8 +279,17 @@
     return attempt;
   }
 
-  #headMismatch(head: ResponseHead, requestId: string): string | undefined {
+  /** Returns why a response is to be rejected by its head, or undefined. */
+  #checkHead(
+    head: ResponseHead,
+    expected: {
+      readonly requestId: string;
+      readonly upstream: FleetUpstream;
+    },
+  ): string | undefined {
+    const { requestId, upstream } = expected;
     const metadata = this.#options.dialect.readResponse(head);
+    if (metadata.leaving) this.#options.onLeaving(upstream);
     if (metadata.requestId !== requestId) {
       return `response belongs to request ${metadata.requestId}`;
     }
--- a/requests/forwarder_test.ts
+++ b/requests/forwarder_test.ts
@@ -18,12 +18,7 @@
   VirtualClock,
 } from "#core";
 import { Forwarder } from "./forwarder.ts";
-import {
-  type CallMetadata,
-  type ResponseMetadata,
-  UpstreamDialect,
-} from "./upstream_dialect.ts";
-import type { ResponseHead } from "./upstream_http.ts";
+import { TestDialect } from "./test_dialect.ts";
 
 const ROUTE: RouteRule = {
   name: "route",
@@ -41,32 +36,6 @@
   dueMs: null,
 };
 
-/** Dialect with the headers of these tests. */
-class TestDialect extends UpstreamDialect {
-  override callHeaders(
-    base: readonly string[],
-    metadata: CallMetadata,
-  ): readonly string[] {
-    const remaining = String(metadata.remainingMs);
-    const headers = [...base, "X-Id", metadata.requestId, "X-Left", remaining];
-    if (metadata.lastEventId === null) return headers;
-    return [...headers, "X-After", String(metadata.lastEventId)];
-  }
-
-  override readResponse(head: ResponseHead): ResponseMetadata {
-    return {
-      requestId: head.headers["x-id"] ?? null,
-      notRun: head.headers["x-not-run"] !== undefined,
-      stamp: head.headers["x-stamp"] ?? null,
-      version: null,
-    };
-  }
-
-  override readEventVersion(): number | null {
-    return null;
-  }
-}
-
 type Behaviour = (request: IncomingMessage, response: ServerResponse) => void;
 
 const RESPONDS: Behaviour = (request, response) => {
@@ -79,6 +48,14 @@
   response.setHeader("X-Not-Run", "1");
   response.writeHead(503).end();
 };
+const RESPONDS_AND_LEAVES: Behaviour = (request, response) => {
+  response.setHeader("X-Leaving", "1");
+  RESPONDS(request, response);
+};
+const REJECTS_AND_LEAVES: Behaviour = (request, response) => {
+  response.setHeader("X-Leaving", "1");
+  REJECTS(request, response);
+};
 const RETURNS_500: Behaviour = (request, response) => {
   response.setHeader("X-Id", String(request.headers["x-id"]));
   response.setHeader("X-Stamp", "s");
@@ -143,13 +120,18 @@
   }
   const clock = new VirtualClock();
   const events = new MemoryEventLog();
+  const leaving = new Set<string>();
   const forwarder = new Forwarder({
     zone: "here",
     clock,
     random: new SeededRandom(1),
     events,
     dialect: new TestDialect(),
-    upstreams: () => upstreams,
+    upstreams: () =>
+      upstreams.map((each) =>
+        leaving.has(each.id) ? { ...each, phase: "draining" } : each
+      ),
+    onLeaving: ({ id }) => leaving.add(id),
   });
   try {
     await run({ forwarder, clock, events, reached });
@@ -279,6 +261,29 @@
   });
 });
 
+test("an upstream that states in a response or a rejection that it is leaving gets no further calls", async () => {
+  for (const leaves of [RESPONDS_AND_LEAVES, REJECTS_AND_LEAVES]) {
+    await withUpstreams([leaves, RESPONDS], async (setup) => {
+      for (let calls = 0; calls < 3; calls += 1) {
+        const response = await send(setup) as HttpResponse;
+        assert.equal(response.status, 200);
+      }
+      assert.equal(setup.reached[0], 1);
+    });
+  }
+});
+
+test("calls to a service whose only upstream is leaving are rejected as not run, with a time to retry", async () => {
+  await withUpstreams([RESPONDS_AND_LEAVES], async (setup) => {
+    await send(setup);
+    const failure = await send(setup) as Failure;
+    assert.equal(failure.kind, "no_upstream");
+    assert.equal(failure.ran, "no");
+    assert.ok((failure.retryAfterMs ?? 0) > 0);
+    assert.equal(setup.reached[0], 1);
+  });
+});
+
 test("an upstream's error response is forwarded unchanged when there is no other response", async () => {
   await withUpstreams([RETURNS_500], async (setup) => {
     const response = await send(setup);
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -31,6 +31,8 @@
   readonly dialect: UpstreamDialect;
   readonly http: UpstreamHttp;
   readonly choice: UpstreamSelector;
+  /** Called with an upstream whose response states that it is leaving. */
+  readonly onLeaving: (upstream: FleetUpstream) => void;
   readonly choose: (
     service: string,
     tried: ReadonlySet<string>,
@@ -151,6 +153,7 @@
       return undefined;
     }
     const metadata = dialect.readResponse(result.val.head);
+    if (metadata.leaving) this.#options.onLeaving(upstream);
     if (metadata.requestId === requestId && !metadata.notRun) {
       progress.possibleRuns += 1;
       return result.val;
--- a/requests/upstream_dialect.ts
+++ b/requests/upstream_dialect.ts
@@ -25,6 +25,8 @@
   readonly notRun: boolean;
   /** The upstream's stamp, which vouches for the body, or null. */
   readonly stamp: string | null;
+  /** Whether the upstream states that it is leaving and wants no further calls. */
+  readonly leaving: boolean;
   /** Version of the weights at the start of the response, or null. */
   readonly version: number | null;
 }
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -12,6 +12,7 @@
   type ByteReservation,
   type Bytes,
   Err,
+  KIBIBYTE,
   MEBIBYTE,
   type Milliseconds,
   Ok,
@@ -21,6 +22,10 @@
 const MAXIMUM_RESPONSE_BYTES: Bytes = 32 * MEBIBYTE;
 /** Responses that are being read, together, if the caller passes no budget. */
 const MAXIMUM_HELD_RESPONSE_BYTES: Bytes = 40 * MEBIBYTE;
+/** Headers of a response, and the sizes and trailers of its chunks. */
+const MAXIMUM_HEAD_BYTES: Bytes = 16 * KIBIBYTE;
+/** Interim responses (1xx) before a response; an upstream in trouble may send them without end. */
+const MAXIMUM_INTERIM_RESPONSES = 8;
 const KEEP_ALIVE_PROBE_DELAY_MS: Milliseconds = 1_000;
 const MAXIMUM_IDLE_CONNECTIONS = 64;
 
@@ -36,6 +41,8 @@
   readonly signal: AbortSignal;
   /** Whether to use an idle keep-alive connection: the call is lost if that connection has died unnoticed. */
   readonly reuseConnection: boolean;
+  /** Size limit of the response body; 32 MiB if absent. */
+  readonly maximumResponseBytes?: Bytes;
 }
 
 /** Status and headers of a response. */
@@ -111,6 +118,7 @@
       path: call.target,
       headers: withContentLength(call) as string[],
       setHost: false,
+      maxHeaderSize: MAXIMUM_HEAD_BYTES,
       agent: call.reuseConnection ? this.#agent : false,
     });
     const cancel = (): void => {
@@ -125,7 +133,15 @@
         connected = true;
       });
     });
+    let connectionError: Error | undefined;
+    let interimResponses = 0;
+    outgoing.on("information", () => {
+      interimResponses += 1;
+      if (interimResponses <= MAXIMUM_INTERIM_RESPONSES) return;
+      outgoing.destroy(new Error("too many interim responses"));
+    });
     outgoing.on("error", (error) => {
+      connectionError = error;
       const stale = outgoing.reusedSocket;
       resolve(Err({ mayHaveRun: connected, reason: error.message, stale }));
     });
@@ -136,7 +152,7 @@
       });
       resolve(Ok({
         head: responseHead(incoming),
-        bodyChunks: readChunks(incoming),
+        bodyChunks: readChunks(incoming, () => connectionError),
         closeConnection: () => outgoing.destroy(),
       }));
     });
@@ -167,7 +183,10 @@
     const reservation = this.#bodyBudget.open();
     try {
       const announcedBytes = call.method === "HEAD" ? 0 : contentLength(head);
-      const buffer = openBuffer(reservation, announcedBytes);
+      const buffer = openBuffer(reservation, {
+        announcedBytes,
+        maximumBytes: call.maximumResponseBytes ?? MAXIMUM_RESPONSE_BYTES,
+      });
       for await (const chunk of bodyChunks) appendChunk(buffer, chunk);
       return Ok({ ...head, body: buffer.bytes() });
     } catch (error) {
@@ -193,9 +212,9 @@
 /** Returns a buffer for a response; throws if its announced size exceeds a limit. */
 function openBuffer(
   reservation: ByteReservation,
-  announcedBytes: Bytes,
+  size: { readonly announcedBytes: Bytes; readonly maximumBytes: Bytes },
 ): BodyBuffer {
-  const maximumBytes = MAXIMUM_RESPONSE_BYTES;
+  const { announcedBytes, maximumBytes } = size;
   if (announcedBytes > maximumBytes) throw new Error("response too large");
   const buffer = new BodyBuffer({ maximumBytes, reservation });
   if (!buffer.announce(announcedBytes)) throw noMemoryError();
@@ -242,9 +261,13 @@
   };
 }
 
+/** Yields the body; a body without a length seems complete to Node also after an error of its connection. */
 async function* readChunks(
   incoming: IncomingMessage,
+  connectionError: () => Error | undefined,
 ): AsyncGenerator<Uint8Array> {
   for await (const chunk of incoming) yield chunk as Uint8Array;
+  const error = connectionError();
+  if (error !== undefined) throw error;
   if (!incoming.complete) throw new Error("the response ended prematurely");
 }
--- a/requests/upstream_http_test.ts
+++ b/requests/upstream_http_test.ts
@@ -1,6 +1,10 @@
 import assert from "node:assert/strict";
 import { createServer, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import {
+  type AddressInfo,
+  createServer as createRawServer,
+  type Socket,
+} from "node:net";
 import { test } from "node:test";
 import { type Address, ByteBudget, MEBIBYTE } from "#core";
 import { type OutgoingCall, UpstreamHttp } from "./upstream_http.ts";
@@ -121,3 +125,31 @@
     http.close();
   });
 });
+
+test("a response without a length whose connection is reset or cancelled is not complete", async () => {
+  const sockets: Socket[] = [];
+  const server = createRawServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\npart");
+      sockets.push(socket);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  const http = new UpstreamHttp();
+  const abort = new AbortController();
+  const call = { ...callTo({ host: HOST, port }), signal: abort.signal };
+  for (
+    const end of [
+      () => sockets.shift()?.resetAndDestroy(),
+      () => abort.abort(),
+    ]
+  ) {
+    setTimeout(end, 50);
+    const result = await http.call(call);
+    assert.equal(result.ok, false);
+  }
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
