--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -30,8 +30,13 @@
 import { ItemScoring, type ScoringPort } from "./item_scoring.ts";
 import { abortRun, ItemTask } from "./item_task.ts";
 import { PROGRESS_DELAY_MS, ProgressWriter } from "./progress_writer.ts";
+import { StartQueue } from "./start_queue.ts";
 
 const TICK_INTERVAL_MS: Milliseconds = 50;
+/** Least time between two plans; a plan after a short pause finds several ended runs at once. */
+const PLAN_INTERVAL_MS: Milliseconds = 20;
+/** Share of the time that plans may take, so that a busy leader still sends its heartbeats. */
+const MAXIMUM_PLANNING_SHARE = 0.25;
 const RESULT_FLUSH_DELAY_MS: Milliseconds = 30;
 /** Margin for clocks of VMs that differ or jump by seconds, so that no item is abandoned early. */
 const CLOCK_ERROR_MARGIN_MS: Milliseconds = 10_000;
@@ -57,6 +62,7 @@
   readonly #options: BatchRunnerOptions;
   readonly #runs: ItemRuns;
   readonly #scoring: ItemScoring;
+  readonly #starts: StartQueue;
   readonly #progress: ProgressWriter;
   readonly #tasks = new Map<string, ItemTask>();
   /** When this VM started to run each open batch, by batch identifier. */
@@ -65,6 +71,8 @@
     readonly configuration: RoutingConfiguration;
     readonly rules: RouteRules;
   } | undefined;
+  /** Time before which no plan is made. */
+  #nextPlanMs: Milliseconds = 0;
   #leading = false;
   #stopped = false;
   #wakePending = false;
@@ -82,6 +90,15 @@
       onItemDone: () => this.#progress.scheduleFlush(RESULT_FLUSH_DELAY_MS),
       onRunEnded: () => this.wake(),
     });
+    this.#starts = new StartQueue({
+      clock: options.clock,
+      start: ({ item, engine }) => {
+        const task = this.#tasks.get(item.key);
+        if (task === undefined || task.isBusy) return;
+        this.#runs.start(task, engine);
+      },
+      onEmpty: () => this.wake(),
+    });
     this.#scoring = new ItemScoring({
       ...options,
       port: options.scoringPort,
@@ -108,6 +125,7 @@
   /** Aborts all runs, proposes their progress to the log and closes the connections. */
   async stop(): Promise<void> {
     this.#stopped = true;
+    this.#starts.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     await this.#progress.flush();
     this.#runs.close();
@@ -115,9 +133,13 @@
 
   /** Schedules items in the next turn of the event loop. */
   wake(): void {
+    this.#wakeAfter(0);
+  }
+
+  #wakeAfter(delayMs: Milliseconds): void {
     if (this.#wakePending) return;
     this.#wakePending = true;
-    this.#options.clock.after(0, () => {
+    this.#options.clock.after(delayMs, () => {
       this.#wakePending = false;
       this.#tick();
     });
@@ -135,7 +157,7 @@
     this.#replaceOutdatedTasks();
     if (this.#tasks.size === 0) return;
     this.#abandonExpiredItems();
-    this.#placeRuns();
+    this.#planIfDue();
     const rules = this.#rules();
     if (rules !== null) this.#scoring.startCalls(this.#tasks, rules);
     this.#progress.flushIfDue();
@@ -151,6 +173,7 @@
   #stopLeading(): void {
     if (!this.#leading) return;
     this.#leading = false;
+    this.#starts.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     this.#tasks.clear();
     this.#startedMsByBatch.clear();
@@ -242,17 +265,32 @@
     return [...this.#tasks.values()].filter((each) => each.batch.id === batch);
   }
 
+  #planIfDue(): void {
+    if (this.#starts.isBusy) return;
+    const { clock } = this.#options;
+    const startedMs = clock.nowMs();
+    if (startedMs < this.#nextPlanMs) {
+      this.#wakeAfter(this.#nextPlanMs - startedMs);
+      return;
+    }
+    this.#placeRuns();
+    const endedMs = clock.nowMs();
+    const pauseMs = (endedMs - startedMs) *
+      (1 / MAXIMUM_PLANNING_SHARE - 1);
+    this.#nextPlanMs = endedMs + Math.max(PLAN_INTERVAL_MS, pauseMs);
+  }
+
   #placeRuns(): void {
-    for (const { key, reason, to } of planMoves(this.#planInput())) {
+    let input = this.#planInput();
+    const moves = planMoves(input);
+    for (const { key, reason, to } of moves) {
       const task = this.#tasks.get(key);
       if (task === undefined) continue;
       this.#runs.stopForMove(task, reason);
       if (to !== null) this.#runs.start(task, to);
     }
-    for (const { item, engine } of planStarts(this.#planInput())) {
-      const task = this.#tasks.get(item.key);
-      if (task !== undefined) this.#runs.start(task, engine);
-    }
+    if (moves.length > 0) input = this.#planInput();
+    this.#starts.add(planStarts(input));
   }
 
   #planInput(): ItemPlanInput {
--- a/batches/engine_observations.ts
+++ b/batches/engine_observations.ts
@@ -27,6 +27,8 @@
 /** Stores observations of engines by their incarnation. */
 export class EngineObservations {
   readonly #byEngine = new Map<string, Observations>();
+  /** The typical interval, until an observation changes. */
+  #typicalMs: Milliseconds | undefined;
 
   /** Records the time between two events of one run. */
   recordInterval(
@@ -36,6 +38,7 @@
   ): void {
     const observations = this.#observationsOf(engine);
     observations.intervals.record(intervalMs, nowMs);
+    this.#typicalMs = undefined;
     observations.failurePauseMs = INITIAL_FAILURE_PAUSE_MS;
   }
 
@@ -47,6 +50,7 @@
   ): void {
     const { intervals } = this.#observationsOf(engine);
     intervals.reset(Math.max(intervals.medianMs() ?? 0, stalledMs), nowMs);
+    this.#typicalMs = undefined;
     this.recordFailure(engine, nowMs);
   }
 
@@ -79,7 +83,7 @@
    */
   eventIntervalMs(engine: string, nowMs: Milliseconds): Milliseconds {
     const { intervals } = this.#observationsOf(engine);
-    const typicalMs = this.#typicalIntervalMs();
+    const typicalMs = this.#typicalMs ??= this.#typicalIntervalMs();
     const intervalMs = intervals.medianMs() ?? typicalMs;
     const lastingMs = Math.min(intervalMs, typicalMs * LASTING_SLOWNESS_FACTOR);
     const remaining = 0.5 **
@@ -107,7 +111,9 @@
   /** Removes the observations of all engines but these. */
   retainOnly(engines: ReadonlySet<string>): void {
     for (const engine of this.#byEngine.keys()) {
-      if (!engines.has(engine)) this.#byEngine.delete(engine);
+      if (engines.has(engine)) continue;
+      this.#byEngine.delete(engine);
+      this.#typicalMs = undefined;
     }
   }
 
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -93,14 +93,23 @@
 /** Returns the items to start now and their engines. */
 export function planStarts(input: ItemPlanInput): readonly PlannedStart[] {
   const loads = loadByEngine(input.runs);
+  const free = new Set(
+    input.engines.filter((each) => hasFreeSlot(each, loads)),
+  );
   const starts: PlannedStart[] = [];
   const leastSlackFirst = [...input.waiting].sort((a, b) =>
     latestStartMs(a) - latestStartMs(b)
   );
   for (const item of leastSlackFirst) {
-    const engine = bestEngine(item, input, loads);
+    if (free.size === 0) break;
+    const engine = bestEngine(item, {
+      engines: free,
+      nowMs: input.nowMs,
+      loads,
+    });
     if (engine === undefined) continue;
     addLoad(loads, engine.upstream.id, item);
+    if (!hasFreeSlot(engine, loads)) free.delete(engine);
     starts.push({ item, engine: engine.upstream });
   }
   return starts;
@@ -201,13 +210,17 @@
 
 function bestEngine(
   item: PlannedItem,
-  input: ItemPlanInput,
-  loads: ReadonlyMap<string, EngineLoad>,
+  state: {
+    readonly engines: Iterable<EngineSnapshot>;
+    readonly nowMs: Milliseconds;
+    readonly loads: ReadonlyMap<string, EngineLoad>;
+  },
 ): EngineSnapshot | undefined {
+  const { loads } = state;
   let best: EngineSnapshot | undefined;
   let bestScore = Infinity;
-  for (const engine of input.engines) {
-    if (!canRun(item, engine, input.nowMs)) continue;
+  for (const engine of state.engines) {
+    if (!canRun(item, engine, state.nowMs)) continue;
     if (!hasCapacity(item, engine, loads)) continue;
     const score = placementScore(item, engine, loads);
     if (score >= bestScore) continue;
@@ -232,6 +245,14 @@
   return version >= item.minimumVersion;
 }
 
+function hasFreeSlot(
+  engine: EngineSnapshot,
+  loads: ReadonlyMap<string, EngineLoad>,
+): boolean {
+  const running = loads.get(engine.upstream.id)?.running ?? 0;
+  return running < engine.upstream.slots;
+}
+
 function hasCapacity(
   item: PlannedItem,
   engine: EngineSnapshot,
@@ -239,7 +260,7 @@
 ): boolean {
   const load = loads.get(engine.upstream.id);
   if (load === undefined) return true;
-  if (load.running >= engine.upstream.slots) return false;
+  if (!hasFreeSlot(engine, loads)) return false;
   return load.peakTokensWith(item) <=
     engine.cacheTokens * USABLE_CACHE_FRACTION;
 }
@@ -268,7 +289,10 @@
 ): EngineSnapshot | undefined {
   const { input, loads, reading } = state;
   let best: EngineSnapshot | undefined;
+  // The most frequent reason against a move is checked first: a plan looks at each pair of a run and an engine.
+  const maximumIntervalMs = engine.eventIntervalMs / LATE_MOVE_SPEED_RATIO;
   for (const other of input.engines) {
+    if (other.eventIntervalMs > maximumIntervalMs) continue;
     if (other === engine || !canRun(run.item, other, input.nowMs)) continue;
     if (reading.has(other.upstream.id)) continue;
     if (!hasCapacity(run.item, other, loads)) continue;
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -89,6 +89,11 @@
     return this.#logged.failures + this.#newFailures;
   }
 
+  /** Whether the item needs no run now: it has one, or its text is complete, or it is abandoned. */
+  get isBusy(): boolean {
+    return this.run !== undefined || this.textComplete || this.done;
+  }
+
   /** Whether the text is complete. */
   get textComplete(): boolean {
     return this.#textComplete || this.#logged.whole;
