Give tests of one process loopback addresses of their own

Change: loopbackHost derives addresses from the process; the workers begin after the lock is held, also in mixed_builds_platform.

--- a/agreement/quorum_log_test.ts
+++ b/agreement/quorum_log_test.ts
@@ -7,6 +7,7 @@
   type Address,
   type Committed,
   type Failure,
+  loopbackHost,
   MemoryEventLog,
   Ok,
   type Result,
@@ -52,7 +53,7 @@
     names.map((
       name,
       index,
-    ) => [name, { host: `127.4.0.${index + 1}`, port: 17_201 }]),
+    ) => [name, { host: loopbackHost(index + 1), port: 17_201 }]),
   );
   const root = await mkdtemp(join(tmpdir(), "agreement-"));
   const clock = new SystemClock();
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -18,6 +18,7 @@
 export * from "./fleet.ts";
 export * from "./garbage_collection.ts";
 export * from "./local_control.ts";
+export * from "./loopback_host.ts";
 export * from "./memory_holder.ts";
 export * from "./memory_watch.ts";
 export * from "./metrics.ts";
--- a/programs/program_start_test.ts
+++ b/programs/program_start_test.ts
@@ -7,8 +7,9 @@
 import process from "node:process";
 import { test } from "node:test";
 import { fileURLToPath } from "node:url";
+import { loopbackHost } from "#core";
 
-const HOST = "127.3.0.4";
+const HOST = loopbackHost(1);
 const HTTP_PORT = "18100";
 const PEER_PORT = "17100";
 
--- a/proof/mixed_builds_platform.ts
+++ b/proof/mixed_builds_platform.ts
@@ -40,13 +40,15 @@
   const cluster = new NodeCluster({ ...SITE, programs: otherPrograms });
   const workers = createWorkers(cluster);
   let turn = 0;
-  const heartbeats = setInterval(() => {
-    turn += 1;
-    const control = cluster.controlAddress(turn % ZONES.length);
-    for (const worker of workers) worker.sendHeartbeat(control);
-  }, HEARTBEAT_MS);
+  let heartbeats: NodeJS.Timeout | undefined;
   try {
     await cluster.start();
+    // Another checkout may have used the addresses until now.
+    heartbeats = setInterval(() => {
+      turn += 1;
+      const control = cluster.controlAddress(turn % ZONES.length);
+      for (const worker of workers) worker.sendHeartbeat(control);
+    }, HEARTBEAT_MS);
     for (const worker of workers) await worker.listen();
     const check = new PlatformCheck(cluster);
     await check.replaceConfiguration();
--- a/proof/node_process_test.ts
+++ b/proof/node_process_test.ts
@@ -149,14 +149,16 @@
     })
   );
   let turn = 0;
-  const heartbeats = setInterval(() => {
-    for (const worker of workers) {
-      turn += 1;
-      worker.sendHeartbeat(cluster.controlAddress(turn % ZONES.length));
-    }
-  }, 300);
+  let heartbeats: NodeJS.Timeout | undefined;
   try {
     await cluster.start();
+    // Another checkout may have used the addresses until now.
+    heartbeats = setInterval(() => {
+      for (const worker of workers) {
+        turn += 1;
+        worker.sendHeartbeat(cluster.controlAddress(turn % ZONES.length));
+      }
+    }, 300);
     for (const worker of workers) await worker.listen();
 
     await waitUntil(
--- a/wire/tcp_network_test.ts
+++ b/wire/tcp_network_test.ts
@@ -4,6 +4,7 @@
 import {
   type Address,
   type Failure,
+  loopbackHost,
   MEBIBYTE,
   MemoryEventLog,
   Ok,
@@ -30,9 +31,9 @@
 
 test("a request receives its peer's reply, and a peer of another cluster receives none", async () => {
   const addresses = new Map([
-    ["a", { host: "127.8.0.1", port: 17_101 }],
-    ["b", { host: "127.8.0.2", port: 17_101 }],
-    ["c", { host: "127.8.0.3", port: 17_101 }],
+    ["a", { host: loopbackHost(1), port: 17_101 }],
+    ["b", { host: loopbackHost(2), port: 17_101 }],
+    ["c", { host: loopbackHost(3), port: 17_101 }],
   ]);
   const a = network("a", { cluster: "one", addresses });
   const b = network("b", { cluster: "one", addresses });
@@ -53,11 +54,11 @@
 test("data that a peer does not read counts as unsent", async () => {
   const silent = createServer((socket) => socket.pause());
   await new Promise<void>((resolve) =>
-    silent.listen({ host: "127.8.0.4", port: 17_101 }, resolve)
+    silent.listen({ host: loopbackHost(4), port: 17_101 }, resolve)
   );
   const addresses = new Map([
-    ["d", { host: "127.8.0.5", port: 17_101 }],
-    ["silent", { host: "127.8.0.4", port: 17_101 }],
+    ["d", { host: loopbackHost(5), port: 17_101 }],
+    ["silent", { host: loopbackHost(4), port: 17_101 }],
   ]);
   const d = network("d", { cluster: "one", addresses });
   try {
@@ -75,8 +76,8 @@
 
 test("a message that exceeds a frame fails alone, instead of closing the connection with all other requests on it", async () => {
   const addresses = new Map([
-    ["a", { host: "127.8.0.4", port: 17_101 }],
-    ["b", { host: "127.8.0.5", port: 17_101 }],
+    ["a", { host: loopbackHost(4), port: 17_101 }],
+    ["b", { host: loopbackHost(5), port: 17_101 }],
   ]);
   const a = network("a", { cluster: "one", addresses });
   const b = network("b", { cluster: "one", addresses });
@@ -110,7 +111,7 @@
 test("peers that don't read their replies don't fill the memory of the process", async () => {
   const requests = 140;
   const reply = "x".repeat(MEBIBYTE);
-  const server: Address = { host: "127.8.0.6", port: 17_101 };
+  const server: Address = { host: loopbackHost(6), port: 17_101 };
   const a = network("a", {
     cluster: "one",
     addresses: new Map([["a", server]]),
@@ -122,7 +123,7 @@
   });
   await a.listen();
   const peers = Array.from({ length: 10 }, (_, number) => {
-    const socket = connect({ ...server, localAddress: "127.8.0.7" });
+    const socket = connect({ ...server, localAddress: loopbackHost(7) });
     socket.on("error", () => socket.destroy());
     socket.pause();
     socket.write(
