Send the list of VMs only when it changes, and news among control VMs

Cause: each reply to a follow request held all control and store VMs (60 at 200 machines, with their voters), and every control VM sent all VMs that it knew to every other one each 0.5 s: 30 x 29 x 60 records.

Change: a follow request names the digest of the list that its sender has; the reply holds the list only if it differs. A control VM sends the others the VMs that report to it and those that changed within 1.5 s, and all VMs to one of them in turn, so that a report still goes around a cut path. The observations of VMs are a module of their own.

Tests: fleet_spread_test counts both.

--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -57,6 +57,7 @@
   #placement: Placement = { controls: [], stores: [], retiring: [] };
   #placementRevision = 0;
   #nodes: readonly FleetNode[] = [];
+  #nodesDigest: string | undefined;
   #server: string | undefined;
   #switchCount = 0;
   #quorumUnavailable = false;
@@ -169,6 +170,9 @@
         placementRevision: this.#placementRevision,
         confirm: this.#needsConfirmation(),
         waitMs: FOLLOW_WAIT_MS,
+        ...(this.#nodesDigest === undefined
+          ? {}
+          : { nodesDigest: this.#nodesDigest }),
         leaving: this.#leaving.unknownTo(this.#upstreams.values()),
       },
     );
@@ -221,8 +225,10 @@
   }
 
   #applyReply(reply: FollowReply): void {
-    const nodesChanged = leadersOf(reply.nodes) !== leadersOf(this.#nodes);
-    this.#nodes = reply.nodes;
+    const nodes = reply.nodes ?? this.#nodes;
+    const nodesChanged = leadersOf(nodes) !== leadersOf(this.#nodes);
+    this.#nodes = nodes;
+    this.#nodesDigest = reply.nodesDigest;
     const changed = this.#applyState(reply);
     if (changed || nodesChanged) this.#options.onChange();
   }
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -30,6 +30,8 @@
   /** Whether the reply must contain a configuration that is certain to be the newest. */
   readonly confirm: boolean;
   readonly waitMs: Milliseconds;
+  /** Digest of the VMs that the sender has from this control VM, or absent if it has none. */
+  readonly nodesDigest?: string;
   /** Upstreams that told the sender that they are leaving. Absent in requests of earlier builds. */
   readonly leaving?: readonly UpstreamIncarnation[];
 }
@@ -65,8 +67,9 @@
     readonly revision: number;
     readonly placement: Placement;
   } | null;
-  /** Control and store VMs that were observed recently. */
-  readonly nodes: readonly FleetNode[];
+  /** Control and store VMs that were observed recently; null if the digest of the request is theirs. */
+  readonly nodes: readonly FleetNode[] | null;
+  readonly nodesDigest: string;
 }
 
 /** A message between control VMs. */
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -29,10 +29,9 @@
 import { FleetTable } from "./fleet_table.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
 import type { ObservedNode } from "./placement_plan.ts";
+import { digestOf, VmObservations } from "./vm_observations.ts";
 
 const GOSSIP_INTERVAL_MS: Milliseconds = 500;
-const NODE_RETENTION_MS: Milliseconds = 60_000;
-const MAXIMUM_LISTED_NODE_AGE_MS: Milliseconds = 5_000;
 /** Marks the epoch of revisions that were created before the table was complete. */
 const PARTIAL_EPOCH_SUFFIX = "-partial";
 const DEPARTURE_RETENTION_MS: Milliseconds = 60_000;
@@ -61,11 +60,12 @@
 export class FleetServer {
   readonly #options: FleetServerOptions;
   readonly #table: FleetTable;
-  readonly #nodes = new Map<string, { node: FleetNode; observedMs: number }>();
+  readonly #vms: VmObservations;
   readonly #waiters = new Set<() => void>();
   readonly #startedMs: Milliseconds;
   /** Whether another control VM has sent its heartbeats, so that they need not be requested again. */
   #receivedHeartbeats = false;
+  #gossipRound = 0;
 
   constructor(options: FleetServerOptions) {
     this.#options = options;
@@ -73,6 +73,7 @@
       heartbeatTimeoutMs: options.heartbeatTimeoutMs,
       retentionMs: DEPARTURE_RETENTION_MS,
     });
+    this.#vms = new VmObservations(options);
     this.#startedMs = options.clock.nowMs();
   }
 
@@ -124,13 +125,7 @@
 
   /** Returns the control and store VMs, including this one. */
   nodes(): readonly ObservedNode[] {
-    const nowMs = this.#options.clock.nowMs();
-    const observed: ObservedNode[] = [{ node: this.#options.self(), ageMs: 0 }];
-    for (const { node, observedMs } of this.#nodes.values()) {
-      if (node.vm === this.#options.network.self) continue;
-      observed.push({ node, ageMs: nowMs - observedMs });
-    }
-    return observed;
+    return this.#vms.all();
   }
 
   /** Whether this VM has run long enough to have received a heartbeat of every live upstream. */
@@ -154,35 +149,49 @@
     if (this.#table.revision !== previousRevision || isolated) {
       this.wakeWaiters();
     }
-    this.#expireNodes(nowMs);
-    this.#notifyPeers({
-      kind: "nodes",
-      nodes: this.nodes(),
-      askBeats: !this.#receivedHeartbeats && !this.isComplete(),
-    });
+    this.#vms.expire();
+    this.#gossipVms();
   }
 
-  #expireNodes(nowMs: Milliseconds): void {
-    for (const [vm, { observedMs }] of this.#nodes) {
-      if (nowMs - observedMs > NODE_RETENTION_MS) this.#nodes.delete(vm);
+  /**
+   * Sends the VMs that report to this one or changed to every control VM, and all known VMs to one of them in turn, so
+   * that a report also reaches a control VM to which its receiver has no path.
+   */
+  #gossipVms(): void {
+    const { network } = this.#options;
+    const all = this.#vms.all();
+    const news = this.#vms.news();
+    const askBeats = !this.#receivedHeartbeats && !this.isComplete();
+    const peers = this.#peers();
+    this.#gossipRound += 1;
+    const completeFor = peers[this.#gossipRound % Math.max(1, peers.length)];
+    for (const to of peers) {
+      const nodes = to === completeFor ? all : news;
+      const notice: FleetNotice = { kind: "nodes", nodes, askBeats };
+      network.notify({ to, channel: "fleet" }, notice);
     }
   }
 
   #notifyPeers(notice: FleetNotice): void {
+    const { network } = this.#options;
+    for (const to of this.#peers()) {
+      network.notify({ to, channel: "fleet" }, notice);
+    }
+  }
+
+  /** Returns the other control VMs. */
+  #peers(): readonly string[] {
     const { network, peers } = this.#options;
     const others = new Set([...peers(), ...this.#recentControls()]);
     others.delete(network.self);
-    for (const to of others) network.notify({ to, channel: "fleet" }, notice);
+    return [...others];
   }
 
   /** Returns the control VMs observed recently. Those that are not voters are included: they may become voters. */
   #recentControls(): readonly string[] {
     const controls: string[] = [];
-    for (const { node, ageMs } of this.nodes()) {
-      if (node.role !== "control" || ageMs > MAXIMUM_LISTED_NODE_AGE_MS) {
-        continue;
-      }
-      controls.push(node.vm);
+    for (const { role, vm } of this.#vms.listed()) {
+      if (role === "control") controls.push(vm);
     }
     return controls;
   }
@@ -210,8 +219,8 @@
     notice: Extract<FleetNotice, { kind: "nodes" }>,
     nowMs: Milliseconds,
   ): void {
-    for (const { node, ageMs } of notice.nodes) {
-      this.#recordNode(node, nowMs - ageMs);
+    for (const observed of notice.nodes) {
+      if (this.#vms.recordObservation(observed)) this.wakeWaiters();
     }
     const sender = notice.nodes[0]?.node.vm;
     if (!notice.askBeats || sender === undefined) return;
@@ -220,20 +229,12 @@
     this.#options.network.notify({ to: sender, channel: "fleet" }, reply);
   }
 
-  #recordNode(node: FleetNode, observedMs: Milliseconds): void {
-    if (node.role === "entry") return;
-    const known = this.#nodes.get(node.vm);
-    if (known !== undefined && known.observedMs >= observedMs) return;
-    this.#nodes.set(node.vm, { node, observedMs });
-    if (known?.node.leads !== node.leads) this.wakeWaiters();
-  }
-
   async #handleFollow(body: unknown): Promise<Result<unknown, Failure>> {
     const request = parseFollowRequest(body);
     if (request === undefined) {
       return Err(fail("malformed_request", "not a well-formed follow request"));
     }
-    this.#recordNode(request.node, this.#options.clock.nowMs());
+    if (this.#vms.recordReport(request.node)) this.wakeWaiters();
     this.recordLeaving(request.leaving ?? []);
     const confirmed = request.confirm
       ? await this.#options.confirm()
@@ -265,6 +266,8 @@
     const complete = this.isComplete();
     const epoch = this.#options.epoch + (complete ? "" : PARTIAL_EPOCH_SUFFIX);
     const revision = { epoch, revision: this.#table.revision };
+    const nodes = this.#vms.listed();
+    const nodesDigest = digestOf(nodes);
     const sameFleet = request.fleet?.epoch === epoch &&
       request.fleet.revision === revision.revision;
     return {
@@ -282,17 +285,10 @@
       placement: placement.revision > request.placementRevision
         ? placement
         : null,
-      nodes: this.#listedNodes(),
+      nodes: nodesDigest === request.nodesDigest ? null : nodes,
+      nodesDigest,
     };
   }
-
-  #listedNodes(): readonly FleetNode[] {
-    const listed: FleetNode[] = [];
-    for (const { node, ageMs } of this.nodes()) {
-      if (ageMs <= MAXIMUM_LISTED_NODE_AGE_MS) listed.push(node);
-    }
-    return listed;
-  }
 }
 
 function hasUpdates(reply: FollowReply): boolean {
--- a/membership/fleet_spread_test.ts
+++ b/membership/fleet_spread_test.ts
@@ -249,3 +249,73 @@
     [["v", "ready"]],
   );
 });
+
+test("a VM gets the list of VMs once and again when one of them starts to lead, not with each reply", async () => {
+  const cluster = new TestCluster();
+  await cluster.start();
+  const replies: (readonly unknown[] | null)[] = [];
+  const observer = cluster.network.join("s9:2");
+  let digest: string | undefined;
+  const follow = async (leads: boolean): Promise<void> => {
+    const node = { ...createNode("s9:2", "store", "z1"), leads, term: 4 };
+    const reply = await observer.request(
+      { to: "c1:1", channel: "fleet", timeoutMs: 1_000 },
+      {
+        kind: "follow",
+        node,
+        configurationVersion: 0,
+        fleet: null,
+        placementRevision: 0,
+        confirm: false,
+        waitMs: 0,
+        nodesDigest: digest,
+      },
+    );
+    const { nodes, nodesDigest } = reply.unwrap() as {
+      readonly nodes: readonly unknown[] | null;
+      readonly nodesDigest: string;
+    };
+    replies.push(nodes);
+    digest = nodesDigest;
+  };
+  for (const leads of [false, false, true, true]) {
+    const done = follow(leads);
+    await cluster.clock.advanceAsync(100);
+    await done;
+  }
+  assert.deepEqual(replies.map((nodes) => nodes !== null), [
+    true,
+    false,
+    true,
+    false,
+  ]);
+});
+
+test("control VMs send each other the VMs that report to them, and all known ones to one at a time", async () => {
+  const cluster = new TestCluster();
+  const extra = Array.from({ length: 6 }, (_, at) => `c${at + 4}:1`);
+  for (const vm of extra) cluster.addControl(vm).server.start();
+  await cluster.start();
+  const sizes: number[] = [];
+  const observer = cluster.network.join("c99:1");
+  observer.onNotice("fleet", (_from, body) => {
+    const { kind, nodes } = body as { kind: string; nodes: unknown[] };
+    if (kind === "nodes") sizes.push(nodes.length);
+  });
+  const spare = createNode("c99:1", "control", "z1");
+  for (let second = 0; second < 8; second += 1) {
+    observer.notify({ to: "c1:1", channel: "fleet" }, {
+      kind: "nodes",
+      nodes: [{ node: spare, ageMs: 0 }],
+      askBeats: false,
+    });
+    if (second === 4) sizes.length = 0;
+    await cluster.clock.advanceAsync(1_000);
+  }
+  const short = sizes.filter((size) => size === 1).length;
+  assert.ok(sizes.length > 40, `${sizes.length} notices`);
+  assert.ok(short > sizes.length * 0.8, `${short} of ${sizes.length} short`);
+  for (const { server } of cluster.controls) {
+    assert.equal(server.nodes().length, CONTROLS.length + extra.length + 1);
+  }
+});
