Send followers the upstreams that changed instead of all

Cause: each change of an upstream (every load of a version is one) sent the whole table to every VM: upstreams times VMs times changes.

Change: FleetDeltas remembers at which revision an upstream changed or went; a follower whose table is exactly that of its control VM gets the difference, any other the whole table. Requests and replies of earlier builds still work.

--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -54,6 +54,8 @@
   #confirmed = false;
   #upstreams = new Map<string, FleetUpstream>();
   #fleet: FleetRevision | null = null;
+  /** Whether the known upstreams are exactly those of the control VM, so that a change can be applied to them. */
+  #fleetIsExact = false;
   #placement: Placement = { controls: [], stores: [], retiring: [] };
   #placementRevision = 0;
   #nodes: readonly FleetNode[] = [];
@@ -170,6 +172,7 @@
         placementRevision: this.#placementRevision,
         confirm: this.#needsConfirmation(),
         waitMs: FOLLOW_WAIT_MS,
+        acceptsDeltas: this.#fleetIsExact,
         ...(this.#nodesDigest === undefined
           ? {}
           : { nodesDigest: this.#nodesDigest }),
@@ -277,13 +280,17 @@
     fleet: NonNullable<FollowReply["fleet"]>,
     current: boolean,
   ): void {
-    if (fleet.complete && current) this.#upstreams = new Map();
+    const isDelta = fleet.since !== undefined;
+    const replaces = fleet.complete && current;
+    if (replaces && !isDelta) this.#upstreams = new Map();
+    for (const id of fleet.removed ?? []) this.#upstreams.delete(id);
     for (const upstream of fleet.upstreams) {
       const known = this.#upstreams.get(upstream.id);
       if (known !== undefined && known.bornMs > upstream.bornMs) continue;
       this.#upstreams.set(upstream.id, upstream);
     }
     this.#fleet = fleet.revision;
+    this.#fleetIsExact = replaces;
     this.#leaving.retainOnly(this.#upstreams.values());
   }
 }
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -32,6 +32,8 @@
   readonly waitMs: Milliseconds;
   /** Digest of the VMs that the sender has from this control VM, or absent if it has none. */
   readonly nodesDigest?: string;
+  /** Whether the sender can apply a change to the upstreams that it has. Absent in requests of earlier builds. */
+  readonly acceptsDeltas?: boolean;
   /** Upstreams that told the sender that they are leaving. Absent in requests of earlier builds. */
   readonly leaving?: readonly UpstreamIncarnation[];
 }
@@ -61,7 +63,12 @@
     readonly revision: FleetRevision;
     /** False if the control VM has not run long enough to have received a heartbeat of every upstream. */
     readonly complete: boolean;
+    /** All upstreams, or with `since` those that changed. */
     readonly upstreams: readonly FleetUpstream[];
+    /** Revision of the sender to which this is a change; absent if `upstreams` are all. */
+    readonly since?: number;
+    /** With `since`: upstreams that are no longer listed. */
+    readonly removed?: readonly string[];
   } | null;
   readonly placement: {
     readonly revision: number;
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -20,12 +20,14 @@
 import type { PeerNetwork } from "#wire";
 import {
   type FleetNotice,
+  type FleetRevision,
   type FollowReply,
   type FollowRequest,
   parseFleetNotice,
   parseFollowRequest,
   type UpstreamIncarnation,
 } from "./fleet_messages.ts";
+import { FleetDeltas } from "./fleet_deltas.ts";
 import { FleetTable } from "./fleet_table.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
 import type { ObservedNode } from "./placement_plan.ts";
@@ -60,6 +62,7 @@
 export class FleetServer {
   readonly #options: FleetServerOptions;
   readonly #table: FleetTable;
+  readonly #deltas: FleetDeltas;
   readonly #vms: VmObservations;
   readonly #waiters = new Set<() => void>();
   readonly #startedMs: Milliseconds;
@@ -73,6 +76,7 @@
       heartbeatTimeoutMs: options.heartbeatTimeoutMs,
       retentionMs: DEPARTURE_RETENTION_MS,
     });
+    this.#deltas = new FleetDeltas(this.#table);
     this.#vms = new VmObservations(options);
     this.#startedMs = options.clock.nowMs();
   }
@@ -260,6 +264,22 @@
     });
   }
 
+  /** Returns the upstreams that a follower lacks, or all if it can't apply a change to those that it has. */
+  #fleetFor(
+    request: FollowRequest,
+    revision: FleetRevision,
+  ): NonNullable<FollowReply["fleet"]> {
+    const complete = this.isComplete();
+    const known = request.fleet;
+    const mayUseDelta = request.acceptsDeltas === true && complete &&
+      this.#options.reachesQuorum() && known?.epoch === revision.epoch;
+    const delta = mayUseDelta ? this.#deltas.since(known.revision) : undefined;
+    if (delta === undefined) {
+      return { revision, complete, upstreams: this.#table.listed() };
+    }
+    return { revision, complete, ...delta, since: known?.revision ?? 0 };
+  }
+
   #createReply(request: FollowRequest, confirmed: boolean): FollowReply {
     const rules = this.#options.configuration()?.rules ?? null;
     const placement = this.#options.placement();
@@ -277,11 +297,7 @@
         rules !== null && rules.version > request.configurationVersion
           ? rules
           : null,
-      fleet: sameFleet ? null : {
-        revision,
-        complete,
-        upstreams: this.#table.listed(),
-      },
+      fleet: sameFleet ? null : this.#fleetFor(request, revision),
       placement: placement.revision > request.placementRevision
         ? placement
         : null,
--- a/membership/fleet_spread_test.ts
+++ b/membership/fleet_spread_test.ts
@@ -319,3 +319,30 @@
     assert.equal(server.nodes().length, CONTROLS.length + extra.length + 1);
   }
 });
+
+test("a VM that gets changes only has the upstreams of its control VM, also after it follows another one", async () => {
+  const cluster = new TestCluster();
+  await cluster.start();
+  const random = new SeededRandom(9);
+  const known = new Map<string, number>();
+  for (let round = 0; round < 120; round += 1) {
+    const id = `u${random.below(6)}`;
+    const server = cluster.control(random.below(3)).server;
+    const sequence = (known.get(id) ?? 0) + 1;
+    known.set(id, sequence);
+    const address = { host: "10.0.0.1", port: 1 + random.below(4) };
+    const change = { id, sequence, address, bornMs: 1 + (sequence >> 2) };
+    if (random.below(5) === 0) server.deregister(id, null);
+    else server.recordHeartbeat(createUpstream(change));
+    if (round % 40 === 20) cluster.control(0).reachesQuorum = false;
+    if (round % 40 === 30) cluster.control(0).reachesQuorum = true;
+    await cluster.clock.advanceAsync(100);
+  }
+  await cluster.clock.advanceAsync(3_000);
+  const namesOf = (all: readonly FleetUpstream[]): readonly string[] =>
+    all.map((each) => `${each.id} ${each.bornMs} ${each.address.port}`).sort();
+  assert.deepEqual(
+    namesOf(cluster.follower.upstreams),
+    namesOf(cluster.control(0).server.upstreams()),
+  );
+});
