Find a new leader of the batch log at once, among its replicas only

Cause, from the code: an entry VM that lost the leader asked all store VMs in turn, 60 ms apart; of 30 only 5 hold the log, and the others know no leader. The turn went on where an earlier one had stopped. A new leader told its control VM with its next request only (up to 1.5 s), that one the others up to 0.5 s later, and a read that waited at a silent leader went on for up to 2.5 s.

Change: only replicas of the log are asked, the reported leader first; a store VM says at once that it leads and its control VM passes that on at once; entry VMs then give up requests that wait elsewhere and send them to the leader.

--- a/batches/batch_client.ts
+++ b/batches/batch_client.ts
@@ -11,7 +11,7 @@
   type Placement,
   type Result,
 } from "#core";
-import { LeaderClient, type RequestTimeouts } from "#membership";
+import { LeaderClient, leaderOf, type RequestTimeouts } from "#membership";
 import type { PeerNetwork } from "#wire";
 import type { Batch, ResultPage } from "./batch_types.ts";
 
@@ -31,9 +31,13 @@
 
 /** Submits, reads and ends batches through the leading store VM. */
 export class BatchClient {
+  readonly #options: BatchClientOptions;
   readonly #requests: LeaderClient;
+  /** Term of the leader that was last preferred. */
+  #leaderTerm = -1;
 
   constructor(options: BatchClientOptions) {
+    this.#options = options;
     this.#requests = new LeaderClient({
       network: options.network,
       clock: options.clock,
@@ -43,6 +47,14 @@
     });
   }
 
+  /** Takes notice of changed VMs: requests to a store VM that no longer leads are sent to its successor. */
+  handleVmChange(): void {
+    const leader = leaderOf(this.#options.nodes(), "store");
+    if (leader === undefined || leader.term <= this.#leaderTerm) return;
+    this.#leaderTerm = leader.term;
+    this.#requests.preferLeader(leader.vm);
+  }
+
   /** Submits a batch; resolves once the log has stored all of it. Submitting a batch again is idempotent. */
   accept(
     batch: Batch,
@@ -85,18 +97,17 @@
   }
 }
 
-/** Returns the replicas of the batch log, starting with the VM that reports leadership in the highest term. */
-function leaderCandidates(
+/**
+ * Returns the replicas of the batch log, starting with the VM that reports leadership in the highest term. Other store
+ * VMs, which may be many, are asked only while there is no placement.
+ */
+export function leaderCandidates(
   nodes: readonly FleetNode[],
   stores: readonly string[],
 ): readonly string[] {
-  const leading = nodes.filter((node) => node.role === "store" && node.leads);
-  leading.sort((a, b) => b.term - a.term);
+  const leader = leaderOf(nodes, "store");
+  const first = leader === undefined ? [] : [leader.vm];
+  if (stores.length > 0) return [...new Set([...first, ...stores])];
   const others = nodes.filter((node) => node.role === "store");
-  const all = [
-    ...leading.map((node) => node.vm),
-    ...stores,
-    ...others.map((node) => node.vm),
-  ];
-  return [...new Set(all)];
+  return [...new Set([...first, ...others.map((node) => node.vm)])];
 }
--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -55,6 +55,8 @@
   readonly onLeaving: (engine: FleetUpstream) => void;
   readonly configuration: () => RoutingConfiguration | null;
   readonly scoringPort: ScoringPort;
+  /** Called when this VM starts to lead the log. */
+  readonly onLeads: () => void;
 }
 
 /** Schedules and supervises the runs of items while this VM leads the batch log. */
@@ -166,6 +168,7 @@
   #startLeading(): void {
     if (this.#leading) return;
     this.#leading = true;
+    this.#options.onLeads();
     const open = this.#options.machine.openBatches().length;
     this.#options.events.emit(BATCHES_EVENTS.runnerLeads, { open });
   }
--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -144,6 +144,15 @@
     return [...new Set(all)];
   }
 
+  /** Tells the control VM the state of this VM now, as when it starts to lead, instead of with the next request. */
+  reportSelf(): void {
+    const server = this.#server;
+    if (server === undefined) return;
+    const nodes = [{ node: this.#options.self(), ageMs: 0 }];
+    const notice: FleetNotice = { kind: "nodes", nodes, askBeats: false };
+    this.#options.network.notify({ to: server, channel: "fleet" }, notice);
+  }
+
   /** Follows until `stop`. */
   async run(): Promise<void> {
     while (!this.#stopped) {
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -84,7 +84,7 @@
   /** Starts to handle requests and to notify the other control VMs. */
   start(): void {
     const { network, clock } = this.#options;
-    network.onNotice("fleet", (_from, body) => this.#handleNotice(body));
+    network.onNotice("fleet", (from, body) => this.#handleNotice(from, body));
     network.onRequest("fleet", (_from, body) => this.#handleFollow(body));
     clock.every(GOSSIP_INTERVAL_MS, () => this.#gossip());
     this.#gossip();
@@ -200,7 +200,7 @@
     return controls;
   }
 
-  #handleNotice(body: unknown): void {
+  #handleNotice(from: string, body: unknown): void {
     const notice = parseFleetNotice(body);
     if (notice === undefined) return;
     const nowMs = this.#options.clock.nowMs();
@@ -215,19 +215,25 @@
       this.#table.markGone(notice.id, notice.bornMs, nowMs);
     }
     if (notice.kind === "draining") this.recordLeaving(notice.upstreams);
-    if (notice.kind === "nodes") this.#handleNodes(notice, nowMs);
+    if (notice.kind === "nodes") this.#handleNodes(from, notice);
     if (this.#table.revision !== previousRevision) this.wakeWaiters();
   }
 
   #handleNodes(
+    from: string,
     notice: Extract<FleetNotice, { kind: "nodes" }>,
-    nowMs: Milliseconds,
   ): void {
     for (const observed of notice.nodes) {
-      if (this.#vms.recordObservation(observed)) this.wakeWaiters();
+      if (!this.#vms.recordObservation(observed)) continue;
+      this.wakeWaiters();
+      // A store VM says itself that it leads; the other control VMs learn it at once, as steps wait for it.
+      const { node } = observed;
+      if (node.role !== "store" || node.vm !== from) continue;
+      this.#notifyPeers({ kind: "nodes", nodes: [observed], askBeats: false });
     }
     const sender = notice.nodes[0]?.node.vm;
     if (!notice.askBeats || sender === undefined) return;
+    const nowMs = this.#options.clock.nowMs();
     const beats = this.#table.agedHeartbeats(nowMs);
     const reply: FleetNotice = { kind: "beats", beats };
     this.#options.network.notify({ to: sender, channel: "fleet" }, reply);
@@ -309,5 +315,5 @@
 
 function hasUpdates(reply: FollowReply): boolean {
   return reply.configuration !== null || reply.fleet !== null ||
-    reply.placement !== null;
+    reply.placement !== null || reply.nodes !== null;
 }
--- a/membership/fleet_spread_test.ts
+++ b/membership/fleet_spread_test.ts
@@ -346,3 +346,18 @@
     namesOf(cluster.control(0).server.upstreams()),
   );
 });
+
+test("all VMs know within a moment that a store VM has started to lead", async () => {
+  const cluster = new TestCluster();
+  await cluster.start();
+  const store = cluster.network.join("s1:2");
+  const node = { ...createNode("s1:2", "store", "z3"), leads: true, term: 5 };
+  store.notify({ to: "c3:1", channel: "fleet" }, {
+    kind: "nodes",
+    nodes: [{ node, ageMs: 0 }],
+    askBeats: false,
+  });
+  await cluster.clock.advanceAsync(50);
+  const known = cluster.follower.nodes.find((each) => each.vm === "s1:2");
+  assert.equal(known?.leads, true);
+});
--- a/membership/leader_client.ts
+++ b/membership/leader_client.ts
@@ -56,11 +56,23 @@
   readonly #options: LeaderClientOptions;
   #leader: string | undefined;
   #candidateIndex = 0;
+  /** Attempts in flight: the VM that was asked, and how to stop waiting for it. */
+  readonly #attempts = new Map<() => void, string>();
 
   constructor(options: LeaderClientOptions) {
     this.#options = options;
   }
 
+  /** Uses a VM that is known to lead now, and stops waiting for replies of any other. */
+  preferLeader(vm: string): void {
+    if (vm === this.#leader) return;
+    this.#leader = vm;
+    this.#candidateIndex = 0;
+    for (const [abandon, asked] of this.#attempts) {
+      if (asked !== vm) abandon();
+    }
+  }
+
   /**
    * Sends a request to the leader and returns its result. Without one in time, fails with `outcome_unknown`
    * if a VM may have executed the request, else with `no_quorum`.
@@ -69,7 +81,7 @@
     body: unknown,
     timeouts: RequestTimeouts,
   ): Promise<Result<unknown, Failure>> {
-    const { clock, network, channel } = this.#options;
+    const { clock } = this.#options;
     const deadlineMs = clock.nowMs() + timeouts.totalMs;
     let mayHaveRun = false;
     while (true) {
@@ -78,9 +90,9 @@
       if (remainingMs <= 0) break;
       if (to !== undefined) {
         const timeoutMs = Math.min(timeouts.attemptMs, remainingMs);
-        const result = await network.request({ to, channel, timeoutMs }, body);
+        const result = await this.#attempt(to, timeoutMs, body);
         if (result.ok || !RETRYABLE_FAILURES.has(result.val.kind)) {
-          if (result.ok) this.#leader = to;
+          if (result.ok) this.#remember(to);
           return result;
         }
         mayHaveRun ||= result.val.ran !== "no";
@@ -91,6 +103,31 @@
     return Err(noLeaderFailure(mayHaveRun));
   }
 
+  /** Asks one VM; the outcome is unknown if another one turns out to lead meanwhile. */
+  #attempt(
+    to: string,
+    timeoutMs: Milliseconds,
+    body: unknown,
+  ): Promise<Result<unknown, Failure>> {
+    const { network, channel } = this.#options;
+    return new Promise((resolve) => {
+      const settle = (result: Result<unknown, Failure>): void => {
+        this.#attempts.delete(abandon);
+        resolve(result);
+      };
+      const abandon = (): void => {
+        settle(Err(fail("outcome_unknown", `${to} no longer leads`)));
+      };
+      this.#attempts.set(abandon, to);
+      network.request({ to, channel, timeoutMs }, body).then(settle);
+    });
+  }
+
+  #remember(leader: string): void {
+    this.#leader = leader;
+    this.#candidateIndex = 0;
+  }
+
   /** Updates the known leader after a failure; returns whether the failure named another VM to try at once. */
   #redirect(askedVm: string, failure: Failure): boolean {
     const namedLeader = failure.kind === "not_leader"
@@ -103,6 +140,8 @@
       this.#leader = namedLeader;
       return true;
     }
+    // A leader that became known meanwhile is asked next.
+    if (this.#leader !== undefined && this.#leader !== askedVm) return true;
     this.#leader = undefined;
     this.#candidateIndex += 1;
     return false;
--- a/membership/leader_client_test.ts
+++ b/membership/leader_client_test.ts
@@ -69,6 +69,18 @@
   assert.deepEqual(fixture.askedVms, ["a", "c", "c"]);
 });
 
+test("a request that waits for a VM that no longer leads is sent to its successor once that is known", async () => {
+  const fixture = createFixture((vm) => vm === "a" ? undefined : Ok(vm));
+  const results: Result<unknown, Failure>[] = [];
+  fixture.client.send({}, TIMEOUTS).then((result) => results.push(result));
+  await fixture.clock.advanceAsync(100);
+  assert.equal(results.length, 0);
+  fixture.client.preferLeader("c");
+  await fixture.clock.advanceAsync(50);
+  assert.equal(results[0]?.unwrap(), "c");
+  assert.deepEqual(fixture.askedVms, ["a", "c"]);
+});
+
 test("a rejection by the leader is returned at once without trying another VM", async () => {
   const fixture = createFixture(() => Err(fail("conflict", "another content")));
   const result = await sendAndSettle(fixture);
--- a/membership/placement_plan.ts
+++ b/membership/placement_plan.ts
@@ -69,7 +69,7 @@
     hostOf(each) === hostOf(vm)
   );
   if (hasControlReplica) return false;
-  const leader = leaderOf(input.nodes, "store");
+  const leader = leaderOf(input.nodes.map(({ node }) => node), "store");
   if (leader === undefined) return false;
   const voters = new Set(leader.voters);
   if (voters.has(vm) || voters.size !== stores.length) return false;
@@ -78,11 +78,11 @@
 
 /** Returns the leader of a group: of the VMs that report to lead it, the one with the highest term. */
 export function leaderOf(
-  nodes: readonly ObservedNode[],
+  nodes: Iterable<FleetNode>,
   role: FleetNode["role"],
 ): FleetNode | undefined {
   let best: FleetNode | undefined;
-  for (const { node } of nodes) {
+  for (const node of nodes) {
     if (node.role !== role || !node.leads) continue;
     if (best === undefined || node.term > best.term) best = node;
   }
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -111,7 +111,8 @@
       engines: () => this.#fleet.upstreams(),
       configuration: () => this.#configurationMachine.current?.rules ?? null,
       minimumVersions: () =>
-        leaderOf(this.#fleet.nodes(), "store")?.asked ?? [],
+        leaderOf(this.#fleet.nodes().map(({ node }) => node), "store")
+          ?.asked ?? [],
       holdMs: settings.orderLeaseMs,
     });
     this.#server = this.#buildServer();
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -34,6 +34,7 @@
   readonly #base: NodeBase;
   readonly #fleetFollower: FleetFollower;
   readonly #forwarder: Forwarder;
+  readonly #batches: BatchClient;
   readonly #callerServer: HttpServer;
   readonly #probeServer: HttpServer;
   readonly #monitoring: NodeMonitoring;
@@ -51,7 +52,7 @@
     this.#fleetFollower = new FleetFollower({
       ...base,
       self: () => describeNode(base, "entry", NO_GROUP_STATUS),
-      onChange: () => {},
+      onChange: () => this.#batches.handleVmChange(),
     });
     this.#forwarder = new Forwarder({
       ...base,
@@ -60,7 +61,7 @@
       upstreams: () => this.#fleetFollower.upstreams,
       onLeaving: (upstream) => this.#fleetFollower.reportLeaving(upstream),
     });
-    const batches = new BatchClient({
+    this.#batches = new BatchClient({
       ...base,
       nodes: () => this.#fleetFollower.nodes,
       placement: () => this.#fleetFollower.placement,
@@ -68,7 +69,7 @@
     const routes = callerRoutes({
       ...base,
       forwarder: this.#forwarder,
-      batches,
+      batches: this.#batches,
       rules: () => this.#activeRules(),
       notReadyRetryMs: () => this.#fleetFollower.retryDelayMs(),
       batchRetentionMs: settings.batchRetentionMs,
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -156,6 +156,7 @@
       log,
       machine: this.#batchesMachine,
       dialect: new WorkerDialect(),
+      onLeads: () => this.#fleetFollower.reportSelf(),
       scoringPort: new ForwardedScoring({
         ...base,
         forwarder: this.#forwarder,
