Keep the runs of a leader whose lease lapses for a moment

Change: a lapsed lease stops planning and storing, not the runs; they are cancelled once another replica leads or after 1 s. A stopped runner also stops its timer.

Test: batch_runner_test (the runs were cancelled before).

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -13,6 +13,7 @@
   type Milliseconds,
   type RandomSource,
   type RoutingConfiguration,
+  type Timer,
 } from "#core";
 import { heaviestService, RouteRules, type UpstreamDialect } from "#requests";
 import type { BatchState } from "./batch_state.ts";
@@ -37,6 +38,8 @@
 const PLAN_INTERVAL_MS: Milliseconds = 20;
 /** Share of the time that plans may take, so that a busy leader still sends its heartbeats. */
 const MAXIMUM_PLANNING_SHARE = 0.25;
+/** Time without a lease after which a leader counts as replaced although it has not heard of another one. */
+const MAXIMUM_LAPSE_MS: Milliseconds = 1_000;
 const RESULT_FLUSH_DELAY_MS: Milliseconds = 30;
 /** Margin for clocks of VMs that differ or jump by seconds, so that no item is abandoned early. */
 const CLOCK_ERROR_MARGIN_MS: Milliseconds = 10_000;
@@ -75,6 +78,9 @@
   } | undefined;
   /** Time before which no plan is made. */
   #nextPlanMs: Milliseconds = 0;
+  /** When the lease of this leader was first seen to have lapsed, or undefined. */
+  #lapsedMs: Milliseconds | undefined;
+  #ticks: Timer | undefined;
   #leading = false;
   #stopped = false;
   #wakePending = false;
@@ -120,13 +126,17 @@
 
   /** Starts to schedule items periodically and whenever the log applies an entry. */
   start(): void {
-    this.#options.clock.every(TICK_INTERVAL_MS, () => this.#tick());
+    this.#ticks = this.#options.clock.every(
+      TICK_INTERVAL_MS,
+      () => this.#tick(),
+    );
     this.#options.log.onApplied(() => this.wake());
   }
 
   /** Aborts all runs, proposes their progress to the log and closes the connections. */
   async stop(): Promise<void> {
     this.#stopped = true;
+    this.#ticks?.cancel();
     this.#starts.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     await this.#progress.flush();
@@ -149,11 +159,11 @@
 
   #tick(): void {
     if (this.#stopped) return;
-    const { log, clock } = this.#options;
-    if (log.leaseUntilMs() <= clock.nowMs()) {
-      this.#stopLeading();
+    if (!this.#holdsLease()) {
+      if (this.#isReplaced()) this.#stopLeading();
       return;
     }
+    this.#lapsedMs = undefined;
     this.#startLeading();
     this.#syncOpenBatches();
     this.#replaceOutdatedTasks();
@@ -165,6 +175,23 @@
     this.#progress.flushIfDue();
   }
 
+  #holdsLease(): boolean {
+    const { log, clock } = this.#options;
+    return log.leaseUntilMs() > clock.nowMs();
+  }
+
+  /**
+   * Whether runs are to be cancelled after the lease has lapsed. A busy leader loses it for some milliseconds; its runs
+   * go on meanwhile, but nothing is started or stored.
+   */
+  #isReplaced(): boolean {
+    const { log, clock } = this.#options;
+    if (log.status().role !== "leader") return true;
+    const nowMs = clock.nowMs();
+    this.#lapsedMs ??= nowMs;
+    return nowMs - this.#lapsedMs > MAXIMUM_LAPSE_MS;
+  }
+
   #startLeading(): void {
     if (this.#leading) return;
     this.#leading = true;
@@ -176,6 +203,7 @@
   #stopLeading(): void {
     if (!this.#leading) return;
     this.#leading = false;
+    this.#lapsedMs = undefined;
     this.#starts.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     this.#tasks.clear();
--- /dev/null
+++ b/batches/batch_runner_test.ts
@@ -0,0 +1,193 @@
+import assert from "node:assert/strict";
+import { createServer, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import type { ReplicatedLog } from "#agreement";
+import {
+  type FleetUpstream,
+  MemoryEventLog,
+  Ok,
+  type RoutingConfiguration,
+  SeededRandom,
+  SystemClock,
+} from "#core";
+import { type ResponseMetadata, UpstreamDialect } from "#requests";
+import { BatchesMachine } from "./batches_machine.ts";
+import { BatchRunner } from "./batch_runner.ts";
+import { type ScoringOutcome, ScoringPort } from "./item_scoring.ts";
+
+const CONFIGURATION = {
+  version: 1,
+  routes: [{
+    name: "r",
+    host: "h",
+    pathPrefix: "/b/",
+    kind: "batch",
+    split: [{ service: "models", weight: 1 }],
+  }],
+  services: [{
+    name: "models",
+    maximumConnections: 10,
+    engine: { slots: 4, cacheTokens: 10_000, models: ["m"] },
+  }],
+} as unknown as RoutingConfiguration;
+
+class TestDialect extends UpstreamDialect {
+  override callHeaders(base: readonly string[]): readonly string[] {
+    return base;
+  }
+
+  override readResponse(): ResponseMetadata {
+    return {
+      requestId: "x",
+      notRun: false,
+      stamp: "s",
+      leaving: false,
+      version: 1,
+    };
+  }
+
+  override readEventVersion(): number | null {
+    return null;
+  }
+}
+
+class NoScoring extends ScoringPort {
+  override send(): Promise<ScoringOutcome> {
+    throw new Error("no item of this test is scored");
+  }
+}
+
+class FakeLog {
+  leaseMs = Infinity;
+  role = "leader";
+
+  leaseUntilMs(): number {
+    return this.leaseMs;
+  }
+
+  status(): { readonly role: string } {
+    return { role: this.role };
+  }
+
+  onApplied(): () => void {
+    return () => {};
+  }
+
+  propose(): Promise<unknown> {
+    return Promise.resolve(Ok(1));
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Runs a batch of one item on an engine that never ends its text. */
+async function withRun(
+  use: (state: {
+    readonly log: FakeLog;
+    readonly runs: readonly ServerResponse[];
+    readonly cancelled: () => number;
+  }) => Promise<void>,
+): Promise<void> {
+  const runs: ServerResponse[] = [];
+  let cancelled = 0;
+  const server = createServer((request, response) => {
+    request.resume();
+    runs.push(response);
+    response.write("id: 0\ndata: a\n\n");
+    const timer = setInterval(() => response.write(": \n\n"), 50);
+    response.on("close", () => {
+      clearInterval(timer);
+      cancelled += 1;
+    });
+  });
+  await new Promise<void>((resolve) =>
+    server.listen({ host: "127.0.0.1", port: 0 }, resolve)
+  );
+  const { port } = server.address() as AddressInfo;
+  const engine: FleetUpstream = {
+    id: "e",
+    bornMs: 1,
+    sequence: 1,
+    service: "models",
+    zone: "z",
+    address: { host: "127.0.0.1", port },
+    slots: 4,
+    phase: "ready",
+    serves: [{ model: "m", version: 1 }],
+  };
+  const machine = new BatchesMachine();
+  const batch = {
+    id: "b",
+    route: "r",
+    host: "h",
+    model: "m",
+    minimumVersion: 1,
+    singleVersion: false,
+    maximumFailures: 3,
+    maximumQueueMs: null,
+    dueMs: 7_000,
+    items: [{
+      id: "x",
+      target: "/b/1",
+      headers: [],
+      body: new Uint8Array(1),
+      group: "g",
+      promptTokens: 10,
+      expectedTokens: 1_000,
+      scoring: null,
+    }],
+  };
+  const command = { kind: "accept" as const, batch, keepMs: 1_000 };
+  machine.apply({ index: 1, atMs: Date.now(), command });
+  const log = new FakeLog();
+  const runner = new BatchRunner({
+    log: log as unknown as ReplicatedLog,
+    machine,
+    clock: new SystemClock(),
+    events: new MemoryEventLog(),
+    random: new SeededRandom(1),
+    dialect: new TestDialect(),
+    upstreams: () => [engine],
+    onLeaving: () => {},
+    configuration: () => CONFIGURATION,
+    scoringPort: new NoScoring(),
+    onLeads: () => {},
+  });
+  runner.start();
+  try {
+    while (runs.length === 0) await sleep(10);
+    await use({ log, runs, cancelled: () => cancelled });
+  } finally {
+    await runner.stop();
+    server.closeAllConnections();
+    server.close();
+  }
+}
+
+test("a leader whose lease lapses for a moment goes on with its runs", async () => {
+  await withRun(async ({ log, runs, cancelled }) => {
+    log.leaseMs = 0;
+    await sleep(150);
+    log.leaseMs = Infinity;
+    await sleep(100);
+    assert.equal(cancelled(), 0);
+    assert.equal(runs.length, 1);
+  });
+});
+
+test("a leader that is replaced cancels its runs at once, one without a lease after a second", async () => {
+  await withRun(async ({ log, cancelled }) => {
+    log.leaseMs = 0;
+    log.role = "follower";
+    await sleep(150);
+    assert.equal(cancelled(), 1);
+  });
+  await withRun(async ({ log, cancelled }) => {
+    log.leaseMs = 0;
+    await sleep(1_250);
+    assert.equal(cancelled(), 1);
+  });
+});
