Follow the control leader that a VM names, and voters before others

Only the control leader confirms the configuration. The others named it in their refusals (1411, '10.1.0.18:7040 is the leader'), but the VM asked the next one in turn, 100 ms later; 10 of 15 control VMs are no voters and can't be followed at all. At 30 control VMs the walk is twice as long.

Change: a VM asks the named leader at once; voters come before other control VMs, those of the own zone first.

Tests: fleet_spread_test, see the two new ones; the first failed before the change.

--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -7,6 +7,7 @@
 import {
   type Clock,
   type EventLog,
+  type Failure,
   type FleetNode,
   type FleetUpstream,
   type Milliseconds,
@@ -62,6 +63,8 @@
   #nodesDigest: string | undefined;
   #server: string | undefined;
   #switchCount = 0;
+  /** The leader that the control VM asked last has named, so that two VMs that name each other are not asked forever. */
+  #namedLeader: string | undefined;
   #quorumUnavailable = false;
   /** Whether the last reply came from a control VM that reaches a quorum. */
   #following = true;
@@ -125,21 +128,24 @@
     return this.#nodes;
   }
 
-  /** Returns the control VMs that can be followed, those of the own zone first. */
+  /**
+   * Returns the control VMs that can be followed: the voters, those of the own zone first, then all others. A VM that is
+   * no voter can't tell whether its state is the newest, and in a large fleet most of them are none.
+   */
   controlVms(): readonly string[] {
     const { self, seeds } = this.#options;
-    const zone = self().zone;
-    const sameZone: string[] = [];
-    const otherZones: string[] = [];
-    for (const node of this.#nodes) {
-      if (node.role !== "control") continue;
-      (node.zone === zone ? sameZone : otherZones).push(node.vm);
-    }
+    const controls = this.#nodes.filter((node) => node.role === "control");
+    const { zone } = self();
+    const near = controls.filter((node) => node.zone === zone)
+      .map((node) => node.vm);
+    const voters = this.#placement.controls;
+    const nearVoters = near.filter((vm) => voters.includes(vm));
     const all = [
-      ...sameZone,
-      ...otherZones,
-      ...this.#placement.controls,
+      ...nearVoters,
+      ...voters,
       ...seeds(),
+      ...near,
+      ...controls.map((node) => node.vm),
     ];
     return [...new Set(all)];
   }
@@ -199,7 +205,18 @@
     this.#quorumUnavailable = response.val.kind !== "not_leader" ||
       response.val.detail === undefined;
     this.#abandonServer(server, response.val.message);
-    return false;
+    return this.#followNamedLeader(server, response.val);
+  }
+
+  /** Follows the leader that a control VM names, which alone can confirm the configuration; returns whether it does. */
+  #followNamedLeader(asked: string, failure: Failure): boolean {
+    const leader = failure.kind === "not_leader" ? failure.detail : undefined;
+    const isNews = leader !== undefined && leader !== asked &&
+      leader !== this.#namedLeader;
+    this.#namedLeader = isNews ? leader : undefined;
+    if (!isNews) return false;
+    this.#server = leader;
+    return true;
   }
 
   #needsConfirmation(): boolean {
--- a/membership/fleet_spread_test.ts
+++ b/membership/fleet_spread_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
+  Err,
+  fail,
   type FleetNode,
   type FleetRole,
   type FleetUpstream,
@@ -64,6 +66,8 @@
   readonly server: FleetServer;
   version: number;
   reachesQuorum: boolean;
+  /** The control VM that it names as the leader; it leads itself if null. */
+  leader: string | null;
 }
 
 class TestCluster {
@@ -112,6 +116,7 @@
     const control: { -readonly [Key in keyof Control]?: Control[Key] } = {
       version: 1,
       reachesQuorum: true,
+      leader: null,
     };
     control.server = new FleetServer({
       network: this.network.join(vm),
@@ -129,7 +134,12 @@
         placement: { controls: CONTROLS, stores: [], retiring: [] },
       }),
       reachesQuorum: () => control.reachesQuorum === true,
-      confirm: () => Promise.resolve(Ok(null)),
+      confirm: () => {
+        const detail = control.leader ?? null;
+        if (detail === null) return Promise.resolve(Ok(null));
+        const message = `${detail} is the leader`;
+        return Promise.resolve(Err(fail("not_leader", message, { detail })));
+      },
     });
     return control as Control;
   }
@@ -361,3 +371,33 @@
   const known = cluster.follower.nodes.find((each) => each.vm === "s1:2");
   assert.equal(known?.leads, true);
 });
+
+test("a VM that starts among many control VMs is confirmed by the leader that the first one names", async () => {
+  const cluster = new TestCluster();
+  for (const control of cluster.controls) {
+    control.leader = "c3:1";
+    control.server.start();
+  }
+  cluster.control(2).leader = null;
+  cluster.follower.run();
+  await cluster.clock.advanceAsync(100);
+  assert.equal(cluster.follower.confirmed, true);
+});
+
+test("a VM follows voters, not the many other control VMs of its zone", async () => {
+  const cluster = new TestCluster();
+  for (let at = 4; at < 16; at += 1) {
+    const spare = cluster.addControl(`c${at}:1`);
+    spare.reachesQuorum = false;
+    spare.server.start();
+  }
+  await cluster.start();
+  cluster.network.blockLink("e1:3", "c1:1");
+  await cluster.clock.advanceAsync(3_000);
+  cluster.control(1).version = 2;
+  cluster.control(2).version = 2;
+  for (const { server } of cluster.controls) server.wakeWaiters();
+  await cluster.clock.advanceAsync(200);
+  assert.equal(cluster.follower.configuration?.version, 2);
+  assert.deepEqual(cluster.follower.controlVms().slice(0, 3), CONTROLS);
+});
