Report not ready while cut off from all other zones

Change: while no control VM that reaches a quorum can be followed for 0.9 s, an entry VM tries three upstreams of other zones; if none accepts a connection, it is isolated and not ready (event 1418) until it follows again (1419). While control is lost everywhere, other zones are still reached, and it stays ready.

Ruled out: deciding by control alone, which would make every VM unready when all control VMs lose power.

--- a/membership/events.ts
+++ b/membership/events.ts
@@ -113,4 +113,17 @@
       "an upstream said in a response that it is leaving; this VM sends it nothing more",
     action: "None; a new incarnation receives calls again.",
   },
+  isolated: {
+    code: 1418,
+    level: "warn",
+    text:
+      "this VM reaches no other availability zone and reports that it is not ready",
+    action: "Check the network links between the availability zones.",
+  },
+  noLongerIsolated: {
+    code: 1419,
+    level: "info",
+    text: "this VM reaches other availability zones or a control VM again",
+    action: "None.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -68,6 +68,8 @@
   #quorumUnavailable = false;
   /** Whether the last reply came from a control VM that reaches a quorum. */
   #following = true;
+  /** Since when there has been no such reply; null while a control VM is followed. */
+  #silentSinceMs: Milliseconds | null = null;
   #stopped = false;
 
   constructor(options: FleetFollowerOptions) {
@@ -98,6 +100,12 @@
     return this.#quorumUnavailable ? TYPICAL_ELECTION_MS : RETRY_DELAY_MS;
   }
 
+  /** Time since the last control VM that reaches a quorum was lost, 0 while one is followed. */
+  silentMs(): Milliseconds {
+    if (this.#silentSinceMs === null) return 0;
+    return this.#options.clock.nowMs() - this.#silentSinceMs;
+  }
+
   /** Upstreams that are not gone; those that told this VM that they are leaving are draining. */
   get upstreams(): readonly FleetUpstream[] {
     const upstreams: FleetUpstream[] = [];
@@ -239,6 +247,7 @@
     this.#server = undefined;
     if (!this.#following) return;
     this.#following = false;
+    this.#silentSinceMs = this.#options.clock.nowMs();
     this.#options.events.emit(MEMBERSHIP_EVENTS.controlConnectionLost, {
       server,
       reason,
@@ -248,6 +257,7 @@
   #reportRecovery(server: string): void {
     if (this.#following) return;
     this.#following = true;
+    this.#silentSinceMs = null;
     this.#options.events.emit(MEMBERSHIP_EVENTS.controlConnectionRestored, {
       server,
     });
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -14,6 +14,7 @@
 export * from "./fleet_messages.ts";
 export * from "./fleet_server.ts";
 export * from "./fleet_table.ts";
+export * from "./isolation_check.ts";
 export * from "./leader_client.ts";
 export * from "./member_service.ts";
 export * from "./member_table.ts";
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -5,9 +5,9 @@
  */
 import { BatchClient } from "#batches";
 import type { HeldSizes, Milliseconds, RoutingConfiguration } from "#core";
-import { FleetFollower } from "#membership";
+import { FleetFollower, IsolationCheck } from "#membership";
 import { callerRoutes, type NodeSettings, WorkerDialect } from "#platform";
-import { Forwarder, RouteRules } from "#requests";
+import { canConnect, Forwarder, RouteRules } from "#requests";
 import { HttpServer } from "./http_server.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import {
@@ -35,6 +35,8 @@
   readonly #fleetFollower: FleetFollower;
   readonly #forwarder: Forwarder;
   readonly #batches: BatchClient;
+  readonly #isolation: IsolationCheck;
+  #stopIsolationCheck: () => void = () => {};
   readonly #callerServer: HttpServer;
   readonly #probeServer: HttpServer;
   readonly #monitoring: NodeMonitoring;
@@ -66,6 +68,13 @@
       nodes: () => this.#fleetFollower.nodes,
       placement: () => this.#fleetFollower.placement,
     });
+    this.#isolation = new IsolationCheck({
+      ...base,
+      zone: settings.zone,
+      silentMs: () => this.#fleetFollower.silentMs(),
+      upstreams: () => this.#fleetFollower.upstreams,
+      canConnect,
+    });
     const routes = callerRoutes({
       ...base,
       forwarder: this.#forwarder,
@@ -101,6 +110,7 @@
     await this.#probeServer.listen();
     await this.#callerServer.listen();
     this.#fleetFollower.run();
+    this.#stopIsolationCheck = this.#isolation.start();
   }
 
   async drain(): Promise<void> {
@@ -111,6 +121,7 @@
       this.#callerServer.drain(DRAIN_NOTICE_MS),
       clock.sleep(maximumDrainMs),
     ]);
+    this.#stopIsolationCheck();
     this.#fleetFollower.stop();
     this.#forwarder.close();
     await this.#monitoring.stop();
@@ -151,6 +162,7 @@
   #notReadyReason(): string | undefined {
     if (this.#callerServer.draining) return "this VM is stopping";
     if (this.#activeRules() === null) return "no usable configuration";
+    if (this.#isolation.isIsolated) return "no other zone can be reached";
     return undefined;
   }
 }
--- a/requests/mod.ts
+++ b/requests/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./connection_probe.ts";
 export * from "./adaptive_limit.ts";
 export * from "./admission_queue.ts";
 export * from "./attempt.ts";
