Separate the placement of runs from the runner of batches

The index of routes by configuration, kept by both the runner and the entry VM, is CachedRouteRules.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -9,41 +9,27 @@
   type Clock,
   type EventLog,
   type FleetUpstream,
-  incarnationOf,
   type Milliseconds,
   type RandomSource,
   type RoutingConfiguration,
   type Timer,
 } from "#core";
-import { heaviestService, RouteRules, type UpstreamDialect } from "#requests";
+import { CachedRouteRules, type UpstreamDialect } from "#requests";
 import type { BatchState } from "./batch_state.ts";
 import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
-import {
-  type EngineSnapshot,
-  type ItemPlanInput,
-  type PlacedRun,
-  planMoves,
-  type PlannedItem,
-  planStarts,
-} from "./item_plan.ts";
 import { ItemRuns } from "./item_runs.ts";
 import { ItemScoring, type ScoringPort } from "./item_scoring.ts";
 import { abortRun, ItemTask } from "./item_task.ts";
 import { PROGRESS_DELAY_MS, ProgressWriter } from "./progress_writer.ts";
-import { StartQueue } from "./start_queue.ts";
+import { RunPlacement } from "./run_placement.ts";
 
 const TICK_INTERVAL_MS: Milliseconds = 50;
-/** Least time between two plans; a plan after a short pause finds several ended runs at once. */
-const PLAN_INTERVAL_MS: Milliseconds = 20;
-/** Share of the time that plans may take, so that a busy leader still sends its heartbeats. */
-const MAXIMUM_PLANNING_SHARE = 0.25;
 /** Time without a lease after which a leader counts as replaced although it has not heard of another one. */
 const MAXIMUM_LAPSE_MS: Milliseconds = 1_000;
 const RESULT_FLUSH_DELAY_MS: Milliseconds = 30;
 /** Margin for clocks of VMs that differ or jump by seconds, so that no item is abandoned early. */
 const CLOCK_ERROR_MARGIN_MS: Milliseconds = 10_000;
-const ESTIMATED_TOKENS_PER_EVENT = 72;
 
 /** Options of `BatchRunner`. */
 export interface BatchRunnerOptions {
@@ -67,17 +53,12 @@
   readonly #options: BatchRunnerOptions;
   readonly #runs: ItemRuns;
   readonly #scoring: ItemScoring;
-  readonly #starts: StartQueue;
+  readonly #rules = new CachedRouteRules();
+  readonly #placement: RunPlacement;
   readonly #progress: ProgressWriter;
   readonly #tasks = new Map<string, ItemTask>();
   /** When this VM started to run each open batch, by batch identifier. */
   readonly #startedMsByBatch = new Map<string, Milliseconds>();
-  #cachedRules: {
-    readonly configuration: RoutingConfiguration;
-    readonly rules: RouteRules;
-  } | undefined;
-  /** Time before which no plan is made. */
-  #nextPlanMs: Milliseconds = 0;
   /** When the lease of this leader was first seen to have lapsed, or undefined. */
   #lapsedMs: Milliseconds | undefined;
   #ticks: Timer | undefined;
@@ -98,14 +79,12 @@
       onItemDone: () => this.#progress.scheduleFlush(RESULT_FLUSH_DELAY_MS),
       onRunEnded: () => this.wake(),
     });
-    this.#starts = new StartQueue({
-      clock: options.clock,
-      start: ({ item, engine }) => {
-        const task = this.#tasks.get(item.key);
-        if (task === undefined || task.isBusy) return;
-        this.#runs.start(task, engine);
-      },
-      onEmpty: () => this.wake(),
+    this.#placement = new RunPlacement({
+      ...options,
+      runs: this.#runs,
+      tasks: this.#tasks,
+      rules: this.#rules,
+      wakeAfter: (delayMs) => this.#wakeAfter(delayMs),
     });
     this.#scoring = new ItemScoring({
       ...options,
@@ -137,7 +116,7 @@
   async stop(): Promise<void> {
     this.#stopped = true;
     this.#ticks?.cancel();
-    this.#starts.clear();
+    this.#placement.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     await this.#progress.flush();
     this.#runs.close();
@@ -169,8 +148,8 @@
     this.#replaceOutdatedTasks();
     if (this.#tasks.size === 0) return;
     this.#abandonExpiredItems();
-    this.#planIfDue();
-    const rules = this.#rules();
+    this.#placement.planIfDue();
+    const rules = this.#rules.of(this.#options.configuration());
     if (rules !== null) this.#scoring.startCalls(this.#tasks, rules);
     this.#progress.flushIfDue();
   }
@@ -204,7 +183,7 @@
     if (!this.#leading) return;
     this.#leading = false;
     this.#lapsedMs = undefined;
-    this.#starts.clear();
+    this.#placement.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     this.#tasks.clear();
     this.#startedMsByBatch.clear();
@@ -295,100 +274,4 @@
   #tasksOf(batch: string): readonly ItemTask[] {
     return [...this.#tasks.values()].filter((each) => each.batch.id === batch);
   }
-
-  #planIfDue(): void {
-    if (this.#starts.isBusy) return;
-    const { clock } = this.#options;
-    const startedMs = clock.nowMs();
-    if (startedMs < this.#nextPlanMs) {
-      this.#wakeAfter(this.#nextPlanMs - startedMs);
-      return;
-    }
-    this.#placeRuns();
-    const endedMs = clock.nowMs();
-    const pauseMs = (endedMs - startedMs) *
-      (1 / MAXIMUM_PLANNING_SHARE - 1);
-    this.#nextPlanMs = endedMs + Math.max(PLAN_INTERVAL_MS, pauseMs);
-  }
-
-  #placeRuns(): void {
-    let input = this.#planInput();
-    const moves = planMoves(input);
-    for (const { key, reason, to } of moves) {
-      const task = this.#tasks.get(key);
-      if (task === undefined) continue;
-      this.#runs.stopForMove(task, reason);
-      if (to !== null) this.#runs.start(task, to);
-    }
-    if (moves.length > 0) input = this.#planInput();
-    this.#starts.add(planStarts(input));
-  }
-
-  #planInput(): ItemPlanInput {
-    const nowMs = this.#options.clock.nowMs();
-    const routes = this.#rules();
-    const waiting: PlannedItem[] = [];
-    const runs: PlacedRun[] = [];
-    for (const task of this.#tasks.values()) {
-      if (task.done || task.textComplete) continue;
-      const route = routes?.findByName(task.batch.route);
-      // All items of a route with a traffic split go to one service.
-      const service = heaviestService(route?.split ?? []);
-      if (service === undefined) continue;
-      const item = toPlannedItem(task, service);
-      const { run, moves } = task;
-      if (run === undefined) waiting.push(item);
-      else runs.push({ ...run, item, moves });
-    }
-    return { nowMs, waiting, runs, engines: this.#engineSnapshots(nowMs) };
-  }
-
-  #rules(): RouteRules | null {
-    const configuration = this.#options.configuration();
-    if (configuration === null) return null;
-    if (this.#cachedRules?.configuration !== configuration) {
-      const rules = new RouteRules(configuration);
-      this.#cachedRules = { configuration, rules };
-    }
-    return this.#cachedRules.rules;
-  }
-
-  #engineSnapshots(nowMs: Milliseconds): readonly EngineSnapshot[] {
-    const { observations } = this.#runs;
-    const services = this.#options.configuration()?.services ?? [];
-    const snapshots: EngineSnapshot[] = [];
-    const incarnations = new Set<string>();
-    for (const upstream of this.#options.upstreams()) {
-      const service = services.find((each) => each.name === upstream.service);
-      if (service === undefined || service.engine === null) continue;
-      const incarnation = incarnationOf(upstream);
-      incarnations.add(incarnation);
-      snapshots.push({
-        upstream,
-        versions: observations.versions(incarnation, upstream),
-        eventIntervalMs: observations.eventIntervalMs(incarnation, nowMs),
-        pausedUntilMs: observations.pausedUntilMs(incarnation),
-        cacheTokens: service.engine.cacheTokens,
-      });
-    }
-    observations.retainOnly(incarnations);
-    return snapshots;
-  }
-}
-
-function toPlannedItem(task: ItemTask, service: string): PlannedItem {
-  const { item, batch } = task;
-  return {
-    key: task.key,
-    group: item.group,
-    model: batch.model,
-    service,
-    minimumVersion: batch.minimumVersion ?? 0,
-    boundVersion: task.boundVersion,
-    dueMs: task.dueMs,
-    tokensLeft: task.tokensLeft(ESTIMATED_TOKENS_PER_EVENT),
-    usedTokens: item.promptTokens +
-      task.tokensGenerated(ESTIMATED_TOKENS_PER_EVENT),
-    resubmitted: task.resubmitted,
-  };
 }
--- /dev/null
+++ b/batches/run_placement.ts
@@ -0,0 +1,157 @@
+/**
+ * Decides at intervals which items start on which engines and which runs move, and carries that out.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type FleetUpstream,
+  incarnationOf,
+  type Milliseconds,
+  type RoutingConfiguration,
+} from "#core";
+import { type CachedRouteRules, heaviestService } from "#requests";
+import {
+  type EngineSnapshot,
+  type ItemPlanInput,
+  type PlacedRun,
+  planMoves,
+  type PlannedItem,
+  planStarts,
+} from "./item_plan.ts";
+import type { ItemRuns } from "./item_runs.ts";
+import type { ItemTask } from "./item_task.ts";
+import { StartQueue } from "./start_queue.ts";
+
+/** Least time between two plans; a plan after a short pause finds several ended runs at once. */
+const PLAN_INTERVAL_MS: Milliseconds = 20;
+/** Share of the time that plans may take, so that a busy leader still sends its heartbeats. */
+const MAXIMUM_PLANNING_SHARE = 0.25;
+const ESTIMATED_TOKENS_PER_EVENT = 72;
+
+/** Options of `RunPlacement`. */
+export interface RunPlacementOptions {
+  readonly clock: Clock;
+  readonly runs: ItemRuns;
+  /** The tasks of all items in progress by their keys. */
+  readonly tasks: ReadonlyMap<string, ItemTask>;
+  readonly rules: CachedRouteRules;
+  readonly configuration: () => RoutingConfiguration | null;
+  readonly upstreams: () => readonly FleetUpstream[];
+  /** Called when a plan is to be made after a time. */
+  readonly wakeAfter: (delayMs: Milliseconds) => void;
+}
+
+/** Places the items of the leading store VM on engines. */
+export class RunPlacement {
+  readonly #options: RunPlacementOptions;
+  readonly #starts: StartQueue;
+  /** Time before which no plan is made. */
+  #nextPlanMs: Milliseconds = 0;
+
+  constructor(options: RunPlacementOptions) {
+    this.#options = options;
+    this.#starts = new StartQueue({
+      clock: options.clock,
+      start: ({ item, engine }) => {
+        const task = options.tasks.get(item.key);
+        if (task === undefined || task.isBusy) return;
+        options.runs.start(task, engine);
+      },
+      onEmpty: () => options.wakeAfter(0),
+    });
+  }
+
+  /** Drops planned starts that have not begun. */
+  clear(): void {
+    this.#starts.clear();
+  }
+
+  /** Makes a plan and carries it out, unless the last one was made just now or still has runs to start. */
+  planIfDue(): void {
+    if (this.#starts.isBusy) return;
+    const { clock } = this.#options;
+    const startedMs = clock.nowMs();
+    if (startedMs < this.#nextPlanMs) {
+      this.#options.wakeAfter(this.#nextPlanMs - startedMs);
+      return;
+    }
+    this.#placeRuns();
+    const endedMs = clock.nowMs();
+    const pauseMs = (endedMs - startedMs) *
+      (1 / MAXIMUM_PLANNING_SHARE - 1);
+    this.#nextPlanMs = endedMs + Math.max(PLAN_INTERVAL_MS, pauseMs);
+  }
+
+  #placeRuns(): void {
+    let input = this.#planInput();
+    const moves = planMoves(input);
+    for (const { key, reason, to } of moves) {
+      const task = this.#options.tasks.get(key);
+      if (task === undefined) continue;
+      this.#options.runs.stopForMove(task, reason);
+      if (to !== null) this.#options.runs.start(task, to);
+    }
+    if (moves.length > 0) input = this.#planInput();
+    this.#starts.add(planStarts(input));
+  }
+
+  #planInput(): ItemPlanInput {
+    const { clock, configuration, rules, tasks } = this.#options;
+    const nowMs = clock.nowMs();
+    const routes = rules.of(configuration());
+    const waiting: PlannedItem[] = [];
+    const runs: PlacedRun[] = [];
+    for (const task of tasks.values()) {
+      if (task.done || task.textComplete) continue;
+      const route = routes?.findByName(task.batch.route);
+      // All items of a route with a traffic split go to one service.
+      const service = heaviestService(route?.split ?? []);
+      if (service === undefined) continue;
+      const item = toPlannedItem(task, service);
+      const { run, moves } = task;
+      if (run === undefined) waiting.push(item);
+      else runs.push({ ...run, item, moves });
+    }
+    return { nowMs, waiting, runs, engines: this.#engineSnapshots(nowMs) };
+  }
+
+  #engineSnapshots(nowMs: Milliseconds): readonly EngineSnapshot[] {
+    const { observations } = this.#options.runs;
+    const services = this.#options.configuration()?.services ?? [];
+    const snapshots: EngineSnapshot[] = [];
+    const incarnations = new Set<string>();
+    for (const upstream of this.#options.upstreams()) {
+      const service = services.find((each) => each.name === upstream.service);
+      if (service === undefined || service.engine === null) continue;
+      const incarnation = incarnationOf(upstream);
+      incarnations.add(incarnation);
+      snapshots.push({
+        upstream,
+        versions: observations.versions(incarnation, upstream),
+        eventIntervalMs: observations.eventIntervalMs(incarnation, nowMs),
+        pausedUntilMs: observations.pausedUntilMs(incarnation),
+        cacheTokens: service.engine.cacheTokens,
+      });
+    }
+    observations.retainOnly(incarnations);
+    return snapshots;
+  }
+}
+
+function toPlannedItem(task: ItemTask, service: string): PlannedItem {
+  const { item, batch } = task;
+  return {
+    key: task.key,
+    group: item.group,
+    model: batch.model,
+    service,
+    minimumVersion: batch.minimumVersion ?? 0,
+    boundVersion: task.boundVersion,
+    dueMs: task.dueMs,
+    tokensLeft: task.tokensLeft(ESTIMATED_TOKENS_PER_EVENT),
+    usedTokens: item.promptTokens +
+      task.tokensGenerated(ESTIMATED_TOKENS_PER_EVENT),
+    resubmitted: task.resubmitted,
+  };
+}
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -4,10 +4,15 @@
  * @module
  */
 import { BatchClient } from "#batches";
-import type { HeldSizes, Milliseconds, RoutingConfiguration } from "#core";
+import type { HeldSizes, Milliseconds } from "#core";
 import { FleetFollower, IsolationCheck } from "#membership";
 import { callerRoutes, type NodeSettings, WorkerDialect } from "#platform";
-import { canConnect, Forwarder, RouteRules } from "#requests";
+import {
+  CachedRouteRules,
+  canConnect,
+  Forwarder,
+  type RouteRules,
+} from "#requests";
 import { HttpServer } from "./http_server.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import {
@@ -40,9 +45,7 @@
   readonly #callerServer: HttpServer;
   readonly #probeServer: HttpServer;
   readonly #monitoring: NodeMonitoring;
-  #cachedRules:
-    | { configuration: RoutingConfiguration; rules: RouteRules }
-    | null = null;
+  readonly #rules = new CachedRouteRules();
 
   constructor(settings: NodeSettings) {
     this.#settings = settings;
@@ -150,13 +153,7 @@
     const { configuration, confirmed } = this.#fleetFollower;
     if (configuration === null) return null;
     if (!confirmed && !this.#fleetFollower.mayServeUnconfirmed()) return null;
-    if (this.#cachedRules?.configuration !== configuration) {
-      this.#cachedRules = {
-        configuration,
-        rules: new RouteRules(configuration),
-      };
-    }
-    return this.#cachedRules.rules;
+    return this.#rules.of(configuration);
   }
 
   #notReadyReason(): string | undefined {
--- a/requests/route_rules.ts
+++ b/requests/route_rules.ts
@@ -45,6 +45,23 @@
   }
 }
 
+/** Keeps the index of a configuration until there is another one. */
+export class CachedRouteRules {
+  #configuration: RoutingConfiguration | null = null;
+  #rules: RouteRules | null = null;
+
+  /** Returns the index of a configuration, or null without one. */
+  of(configuration: RoutingConfiguration | null): RouteRules | null {
+    if (this.#configuration !== configuration) {
+      this.#configuration = configuration;
+      this.#rules = configuration === null
+        ? null
+        : new RouteRules(configuration);
+    }
+    return this.#rules;
+  }
+}
+
 /** Returns a random service of a route's traffic split, by weight; undefined if all weights are 0. */
 export function pickService(
   split: readonly WeightedService[],
