--- /dev/null
+++ b/requests/forwarded_attempt.ts
@@ -0,0 +1,46 @@
+/**
+ * Outcomes of the attempts of a forwarded call.
+ *
+ * @module
+ */
+import type { UpstreamDialect } from "./upstream_dialect.ts";
+import type { CompleteResponse } from "./upstream_http.ts";
+
+/** Lowest status that means that the upstream ran the call and failed. */
+export const MINIMUM_SERVER_ERROR_STATUS = 500;
+
+/** Outcome of one attempt. */
+export type Attempt =
+  | { readonly kind: "answer"; readonly response: CompleteResponse }
+  | { readonly kind: "not_run"; readonly reason: string }
+  | { readonly kind: "unknown"; readonly reason: string };
+
+/** Classifies a complete response of an upstream. */
+export function classifyResponse(
+  response: CompleteResponse,
+  dialect: UpstreamDialect,
+): Attempt {
+  const metadata = dialect.readResponse(response);
+  if (metadata.notRun) {
+    return {
+      kind: "not_run",
+      reason: `rejected with status ${response.status}`,
+    };
+  }
+  if (
+    metadata.stamp === null && response.status < MINIMUM_SERVER_ERROR_STATUS
+  ) {
+    return { kind: "unknown", reason: "response without its stamp header" };
+  }
+  return { kind: "answer", response };
+}
+
+/** Classifies an attempt without a complete response. */
+export function classifyError(
+  error: { readonly mayHaveRun: boolean; readonly reason: string },
+): Attempt {
+  const { reason } = error;
+  return error.mayHaveRun
+    ? { kind: "unknown", reason }
+    : { kind: "not_run", reason };
+}
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -21,6 +21,12 @@
 } from "#core";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import { REQUEST_EVENTS } from "./events.ts";
+import {
+  type Attempt,
+  classifyError,
+  classifyResponse,
+  MINIMUM_SERVER_ERROR_STATUS,
+} from "./forwarded_attempt.ts";
 import { pickService } from "./route_rules.ts";
 import { StreamForwarding } from "./stream_forwarding.ts";
 import { UpstreamSelector } from "./upstream_selector.ts";
@@ -34,7 +40,6 @@
 /** Share of the route's latency objective after which a call without a response is hedged. */
 const HEDGE_DELAY_OBJECTIVE_RATIO = 0.45;
 const RETRY_AFTER_MS: Milliseconds = 150;
-const MINIMUM_SERVER_ERROR_STATUS = 500;
 /**
  * Time to wait past the cutoff for an upstream that reports its own timeout: its connection can then be reused.
  */
@@ -66,12 +71,6 @@
   readonly onServerError?: () => void;
 }
 
-/** Outcome of one attempt. */
-type Attempt =
-  | { readonly kind: "answer"; readonly response: CompleteResponse }
-  | { readonly kind: "not_run"; readonly reason: string }
-  | { readonly kind: "unknown"; readonly reason: string };
-
 /** State of one call over its attempts. */
 interface ForwardedCall {
   readonly routed: RoutedCall;
@@ -261,7 +260,7 @@
     }, (head) => this.#checkHead(head, { requestId, upstream }));
     const nowMs = clock.nowMs();
     const attempt = result.ok
-      ? this.#classifyResponse(result.val)
+      ? classifyResponse(result.val, dialect)
       : classifyError(result.val);
     const latencyMs = attempt.kind === "answer" ? nowMs - sentMs : null;
     this.#choice.recordEnded(upstream.id, { nowMs, latencyMs });
@@ -296,22 +295,6 @@
     return undefined;
   }
 
-  #classifyResponse(response: CompleteResponse): Attempt {
-    const metadata = this.#options.dialect.readResponse(response);
-    if (metadata.notRun) {
-      return {
-        kind: "not_run",
-        reason: `rejected with status ${response.status}`,
-      };
-    }
-    if (
-      metadata.stamp === null && response.status < MINIMUM_SERVER_ERROR_STATUS
-    ) {
-      return { kind: "unknown", reason: "response without its stamp header" };
-    }
-    return { kind: "answer", response };
-  }
-
   /** Returns the response that ends the call, or undefined if another attempt may follow. */
   #finalResponse(
     forwarded: ForwardedCall,
@@ -355,15 +338,6 @@
   }
 }
 
-function classifyError(
-  error: { readonly mayHaveRun: boolean; readonly reason: string },
-): Attempt {
-  const { reason } = error;
-  return error.mayHaveRun
-    ? { kind: "unknown", reason }
-    : { kind: "not_run", reason };
-}
-
 function toHttpResponse(response: CompleteResponse): HttpResponse {
   return {
     status: response.status,
