Bound the starts of a turn by time as well

Change: a turn ends after 10 ms of starts.

Test: start_queue_test, 'on a VM where a start takes long' (16 starts before).

--- a/batches/start_queue.ts
+++ b/batches/start_queue.ts
@@ -4,11 +4,12 @@
  *
  * @module
  */
-import type { Clock } from "#core";
+import type { Clock, Milliseconds } from "#core";
 import type { PlannedStart } from "./item_plan.ts";
 
-/** Starts in one turn of the event loop; about a tenth of the lease of the log on a slow VM. */
 const MAXIMUM_STARTS_PER_TURN = 16;
+/** Time for the starts of one turn; a process that has just started needs several milliseconds for each. */
+const MAXIMUM_TURN_MS: Milliseconds = 10;
 
 /** Options of `StartQueue`. */
 export interface StartQueueOptions {
@@ -46,10 +47,17 @@
   }
 
   #startSome(): void {
-    const now = this.#waiting.slice(0, MAXIMUM_STARTS_PER_TURN);
-    this.#waiting = this.#waiting.slice(MAXIMUM_STARTS_PER_TURN);
-    for (const planned of now) this.#options.start(planned);
-    if (this.isBusy) this.#options.clock.after(0, () => this.#startSome());
-    else if (now.length > 0) this.#options.onEmpty();
+    const { clock, start, onEmpty } = this.#options;
+    if (!this.isBusy) return;
+    const untilMs = clock.nowMs() + MAXIMUM_TURN_MS;
+    let started = 0;
+    for (const planned of this.#waiting.slice(0, MAXIMUM_STARTS_PER_TURN)) {
+      start(planned);
+      started += 1;
+      if (clock.nowMs() >= untilMs) break;
+    }
+    this.#waiting = this.#waiting.slice(started);
+    if (this.isBusy) clock.after(0, () => this.#startSome());
+    else onEmpty();
   }
 }
--- a/batches/start_queue_test.ts
+++ b/batches/start_queue_test.ts
@@ -18,9 +18,14 @@
   readonly clock = new VirtualClock();
   readonly started: string[] = [];
   ended = 0;
+  /** Time that a start takes. */
+  startMs = 0;
   readonly queue = new StartQueue({
     clock: this.clock,
-    start: ({ item }) => this.started.push(item.key),
+    start: ({ item }) => {
+      this.started.push(item.key);
+      this.clock.advance(this.startMs);
+    },
     onEmpty: () => {
       this.ended += 1;
     },
@@ -50,3 +55,10 @@
   assert.equal(turns.started.length, MAXIMUM_PER_TURN);
   assert.equal(turns.queue.isBusy, false);
 });
+
+test("on a VM where a start takes long, a turn has fewer of them", () => {
+  const turns = new Turns();
+  turns.startMs = 4;
+  turns.queue.add(starts());
+  assert.equal(turns.started.length, 3);
+});
