Deflate frames between VMs that both read that

Change: a greeting says that its sender reads deflated frames; frames of 2 to 256 KiB to such a peer are deflated. Larger ones would delay heartbeats. An earlier build gets plain frames.

Tests: frames of both kinds, a frame too large when inflated, peers with and without the greeting.

--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -5,12 +5,14 @@
  * @module
  */
 import { Buffer } from "node:buffer";
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Encoder } from "cbor-x";
 import {
   type Bytes,
   Err,
   fail,
   type Failure,
+  KIBIBYTE,
   MEBIBYTE,
   Ok,
   type Result,
@@ -18,12 +20,21 @@
 
 /** Version of the frame format; frames with another version are rejected. */
 export const WIRE_VERSION = 1;
+/** Version of a frame whose body is deflated; sent only to a peer whose greeting says that it reads it. */
+const DEFLATED_VERSION = 2;
 /** Maximum length of a frame, without its length field. */
 export const MAXIMUM_FRAME_BYTES: Bytes = 8 * MEBIBYTE;
 
 const LENGTH_BYTES = 4;
 const VERSION_BYTES = 1;
 
+/** Smaller bodies are not worth the processor time. */
+const MINIMUM_DEFLATED_BYTES: Bytes = 2 * KIBIBYTE;
+/** Larger bodies, such as parts of snapshots, would delay heartbeats while they are deflated. */
+const MAXIMUM_DEFLATED_BYTES: Bytes = 256 * KIBIBYTE;
+/** Fastest level; texts shrink by a third, and higher levels gain little. */
+const DEFLATE_LEVEL = 1;
+
 /** Larger values are encoded in a buffer of their own. */
 const SHARED_BUFFER_BYTES: Bytes = MEBIBYTE;
 
@@ -63,13 +74,25 @@
  * socket.write(encodeFrame({ kind: "notice", channel: "members", body: {} }));
  * ```
  */
-export function encodeFrame(body: unknown): Uint8Array {
+export function encodeFrame(
+  body: unknown,
+  options: { readonly deflate?: boolean } = {},
+): Uint8Array {
   const payload = encodeShared(body);
+  const mayDeflate = options.deflate === true &&
+    payload.length >= MINIMUM_DEFLATED_BYTES &&
+    payload.length <= MAXIMUM_DEFLATED_BYTES;
+  if (!mayDeflate) return packFrame(payload, WIRE_VERSION);
+  const deflated = deflateRawSync(payload, { level: DEFLATE_LEVEL });
+  return packFrame(deflated, DEFLATED_VERSION);
+}
+
+function packFrame(payload: Uint8Array, version: number): Uint8Array {
   const frame = Buffer.allocUnsafe(
     LENGTH_BYTES + VERSION_BYTES + payload.length,
   );
   frame.writeUInt32BE(VERSION_BYTES + payload.length, 0);
-  frame.writeUInt8(WIRE_VERSION, LENGTH_BYTES);
+  frame.writeUInt8(version, LENGTH_BYTES);
   frame.set(payload, LENGTH_BYTES + VERSION_BYTES);
   return frame;
 }
@@ -106,7 +129,7 @@
         return rejectFrame(`frame length ${length} is out of range`);
       }
       const version = buffer.readUInt8(LENGTH_BYTES);
-      if (version !== WIRE_VERSION) {
+      if (version !== WIRE_VERSION && version !== DEFLATED_VERSION) {
         return rejectFrame(
           `frame format version is ${version}, expected ${WIRE_VERSION}`,
         );
@@ -118,9 +141,9 @@
       }
       const body = buffer.subarray(LENGTH_BYTES + VERSION_BYTES, end);
       try {
-        bodies.push(codec.decode(body));
+        bodies.push(codec.decode(this.#inflate(body, version)));
       } catch {
-        return rejectFrame("a frame contains malformed CBOR");
+        return rejectFrame("a frame is malformed or too large when inflated");
       }
       buffer = buffer.subarray(end);
     }
@@ -129,6 +152,11 @@
     return Ok(bodies);
   }
 
+  #inflate(body: Buffer, version: number): Buffer {
+    if (version !== DEFLATED_VERSION) return body;
+    return inflateRawSync(body, { maxOutputLength: this.#maximumBytes });
+  }
+
   #joinChunks(): Buffer {
     const [first] = this.#chunks;
     if (first !== undefined && this.#chunks.length === 1) {
--- a/wire/frame_test.ts
+++ b/wire/frame_test.ts
@@ -23,7 +23,9 @@
       ),
       fc.integer({ min: 1, max: 40 }),
       (bodies, size) => {
-        const bytes = Buffer.concat(bodies.map(encodeFrame));
+        const bytes = Buffer.concat(
+          bodies.map((body) => encodeFrame(body)),
+        );
         const decoder = new FrameDecoder();
         const received: unknown[] = [];
         for (let at = 0; at < bytes.length; at += size) {
@@ -82,3 +84,25 @@
     assert.deepEqual(decodeValue(body), { text });
   }
 });
+
+test("a deflated frame is smaller and decoded like any other, between frames that are not deflated", () => {
+  const page = {
+    results: Array.from({ length: 900 }, (_, at) => `text ${at}`),
+  };
+  const plain = encodeFrame(page);
+  const deflated = encodeFrame(page, { deflate: true });
+  assert.ok(deflated.length < plain.length * 0.7);
+  const small = encodeFrame({ kind: "ping" }, { deflate: true });
+  const decoder = new FrameDecoder();
+  const bodies = decoder.push(Buffer.concat([small, deflated, plain])).unwrap();
+  assert.deepEqual(bodies, [{ kind: "ping" }, page, page]);
+});
+
+test("a frame that would exceed the size limit when inflated is rejected", () => {
+  const bomb = encodeFrame({ a: "x".repeat(100_000) }, { deflate: true });
+  assert.ok(bomb.length < 2_000);
+  assert.equal(new FrameDecoder(50_000).push(bomb).ok, false);
+  const broken = encodeFrame({ a: "x".repeat(100_000) }, { deflate: true });
+  broken.fill(255, 5);
+  assert.equal(new FrameDecoder().push(broken).ok, false);
+});
--- a/wire/frame_writer.ts
+++ b/wire/frame_writer.ts
@@ -36,13 +36,17 @@
   }
 
   /** Writes an envelope; closes a connection whose peer does not read. */
-  write(socket: Socket, envelope: Envelope): WriteOutcome {
+  write(
+    socket: Socket,
+    envelope: Envelope,
+    options: { readonly deflate?: boolean } = {},
+  ): WriteOutcome {
     if (socket.destroyed) return "dropped";
     if (socket.writableLength > MAXIMUM_UNSENT_BYTES) {
       socket.destroy();
       return "dropped";
     }
-    const frame = encodeFrame(envelope);
+    const frame = encodeFrame(envelope, options);
     // The peer would close the connection, with everything else that is sent on it.
     if (isFrameTooLarge(frame)) return "too_large";
     if (!this.#unsent.admits(socket, frame.length)) return "no_memory";
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -31,6 +31,8 @@
     kind: z.literal("greeting"),
     cluster: z.string().max(128),
     vm: z.string().max(128),
+    /** Whether the sender reads deflated frames; absent in greetings of earlier builds. */
+    inflates: z.boolean().optional(),
   }),
   z.object({ kind: z.literal("notice"), channel, body: z.unknown() }),
   z.object({
--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -85,6 +85,8 @@
   readonly #pending: PendingRequests<OutgoingLink>;
   readonly #reconnectAtMs = new Map<string, Milliseconds>();
   readonly #writer = new FrameWriter();
+  /** Peers whose last greeting says that they read deflated frames. */
+  readonly #inflatingPeers = new Set<string>();
   #server: Server | undefined;
   #receivedBytes = 0;
 
@@ -225,6 +227,7 @@
       kind: "greeting",
       cluster: this.#options.cluster,
       vm: this.self,
+      inflates: true,
     });
     // The peer would reject every later message.
     if (greeted !== "written") socket.destroy();
@@ -288,6 +291,8 @@
         return;
       }
       peer = envelope.vm;
+      if (envelope.inflates === true) this.#inflatingPeers.add(peer);
+      else this.#inflatingPeers.delete(peer);
     });
   }
 
@@ -356,7 +361,8 @@
 
   #send(socket: Socket, to: string, envelope: Envelope): WriteOutcome {
     if (!this.#mayPass(this.self, to)) return "dropped";
-    return this.#writer.write(socket, envelope);
+    const deflate = this.#inflatingPeers.has(to);
+    return this.#writer.write(socket, envelope, { deflate });
   }
 
   #mayPass(from: string, to: string): boolean {
--- a/wire/tcp_network_test.ts
+++ b/wire/tcp_network_test.ts
@@ -10,7 +10,7 @@
   Ok,
   SystemClock,
 } from "#core";
-import { encodeFrame, MAXIMUM_FRAME_BYTES } from "./frame.ts";
+import { encodeFrame, FrameDecoder, MAXIMUM_FRAME_BYTES } from "./frame.ts";
 import { TcpNetwork } from "./tcp_network.ts";
 
 const MAXIMUM_WAITS = 1_000;
@@ -152,3 +152,46 @@
     a.close();
   }
 });
+
+test("replies are deflated for a peer whose greeting says that it reads that, and only for such a peer", async () => {
+  const host = loopbackHost(8);
+  const addresses = new Map([["page", { host, port: 17_101 }]]);
+  const server = network("page", { cluster: "one", addresses });
+  const page = { text: "some words of a text ".repeat(1_000) };
+  server.onRequest("batches", () => Promise.resolve(Ok(page)));
+  await server.listen();
+  try {
+    const sizes: number[] = [];
+    for (const inflates of [true, undefined]) {
+      const socket = connect({ host, port: 17_101 });
+      const greeting = { kind: "greeting", cluster: "one", vm: "peer" };
+      const hello = inflates === undefined
+        ? greeting
+        : { ...greeting, inflates };
+      socket.write(encodeFrame(hello));
+      socket.write(encodeFrame({
+        kind: "request",
+        channel: "batches",
+        correlation: 1,
+        body: {},
+      }));
+      const decoder = new FrameDecoder();
+      let bytes = 0;
+      const reply = await new Promise((resolve) => {
+        socket.on("data", (chunk) => {
+          bytes += chunk.length;
+          const [body] = decoder.push(chunk).unwrap();
+          if (body !== undefined) resolve(body);
+        });
+      });
+      assert.deepEqual(reply, { kind: "reply", correlation: 1, body: page });
+      sizes.push(bytes);
+      socket.destroy();
+    }
+    const [deflated = 0, plain = 0] = sizes;
+    assert.ok(plain > page.text.length);
+    assert.ok(deflated < plain / 10, `${deflated} and ${plain} bytes`);
+  } finally {
+    server.close();
+  }
+});
