--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -30,8 +30,8 @@
 
 /** Smaller bodies are not worth the processor time. */
 const MINIMUM_DEFLATED_BYTES: Bytes = 2 * KIBIBYTE;
-/** Larger bodies, such as parts of snapshots, would delay heartbeats while they are deflated. */
-const MAXIMUM_DEFLATED_BYTES: Bytes = 256 * KIBIBYTE;
+/** Larger bodies, such as new batches and parts of snapshots, would delay heartbeats while they are deflated. */
+const MAXIMUM_DEFLATED_BYTES: Bytes = 64 * KIBIBYTE;
 /** Fastest level; texts shrink by a third, and higher levels gain little. */
 const DEFLATE_LEVEL = 1;
 
