--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -14,6 +14,7 @@
 import { type ResponseMetadata, UpstreamDialect } from "#requests";
 import { BatchesMachine } from "./batches_machine.ts";
 import { BatchRunner } from "./batch_runner.ts";
+import type { RemoteRuns } from "./remote_runs.ts";
 import { type ScoringOutcome, ScoringPort } from "./item_scoring.ts";
 
 const CONFIGURATION = {
@@ -155,6 +156,11 @@
     configuration: () => CONFIGURATION,
     scoringPort: new NoScoring(),
     onLeads: () => {},
+    remote: {
+      startSession: () => {},
+      isLate: () => false,
+    } as unknown as RemoteRuns,
+    hostFor: () => undefined,
   });
   runner.start();
   try {
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -14,8 +14,9 @@
 import { match } from "ts-pattern";
 import { EngineObservations } from "./engine_observations.ts";
 import { BATCHES_EVENTS } from "./events.ts";
-import { runItem, type RunOutcome } from "./item_run.ts";
+import { type GeneratedEvent, runItem, type RunOutcome } from "./item_run.ts";
 import type { MoveReason } from "./item_plan.ts";
+import type { RemoteOutcome, RemoteRuns } from "./remote_runs.ts";
 import { abortRun, type ActiveRun, type ItemTask } from "./item_task.ts";
 
 /** Options of `ItemRuns`. */
@@ -23,7 +24,9 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dialect: UpstreamDialect;
-  readonly upstreams: () => readonly FleetUpstream[];
+  readonly remote: RemoteRuns;
+  /** Returns the store VM that runs items on an engine, or undefined if this VM does. */
+  readonly hostFor: (engine: FleetUpstream) => string | undefined;
   /** Called with an engine whose response states that it is leaving. */
   readonly onLeaving: (engine: FleetUpstream) => void;
   /** Called when there is new progress to store. */
@@ -51,41 +54,97 @@
 
   /** Starts an item on an engine, or resumes it there, and waits for the end of the run. */
   async start(task: ItemTask, upstream: FleetUpstream): Promise<void> {
-    const { clock, dialect } = this.#options;
+    const { clock } = this.#options;
     const nowMs = clock.nowMs();
     const run: ActiveRun = {
       engine: upstream.id,
       incarnation: incarnationOf(upstream),
       abort: new AbortController(),
+      host: this.#options.hostFor(upstream),
       startedMs: nowMs,
       lastEventMs: nowMs,
       hasEvents: false,
     };
     task.run = run;
-    const { incarnation } = run;
-    const outcome = await runItem({
+    const outcome = run.host === undefined
+      ? await this.#runHere(task, run, upstream)
+      : await this.#runOnHost(run.host, { task, run, upstream });
+    if (task.run !== run) return;
+    task.run = undefined;
+    this.#handleOutcome(task, upstream, outcome);
+  }
+
+  #runHere(
+    task: ItemTask,
+    run: ActiveRun,
+    upstream: FleetUpstream,
+  ): Promise<RunOutcome> {
+    return runItem({
       http: this.#http,
-      dialect,
+      dialect: this.#options.dialect,
       upstream,
       batch: task.batch,
       item: task.item,
       afterEvent: task.lastEvent,
-      allowsVersion: (version) => {
-        this.observations.recordVersion(incarnation, task.batch.model, version);
-        return task.allowsVersion(version);
+      allowsVersion: (version) => this.#checkVersion(task, run, version),
+      signal: run.abort.signal,
+      onLeaving: () => this.#options.onLeaving(upstream),
+      onEvent: (event) => this.#addEvent(task, run, event),
+    });
+  }
+
+  async #runOnHost(
+    host: string,
+    start: {
+      readonly task: ItemTask;
+      readonly run: ActiveRun;
+      readonly upstream: FleetUpstream;
+    },
+  ): Promise<RemoteOutcome> {
+    const { task, run, upstream } = start;
+    const { batch, item: { id, target, headers, body } } = task;
+    let refusedVersion: number | undefined;
+    const outcome = await this.#options.remote.run(host, {
+      order: {
+        upstream,
+        host: batch.host,
+        item: { id, target, headers, body },
+        afterEvent: task.lastEvent,
+        versions: {
+          minimum: batch.minimumVersion ?? 0,
+          single: batch.singleVersion,
+          used: task.versions,
+        },
       },
       signal: run.abort.signal,
       onLeaving: () => this.#options.onLeaving(upstream),
       onEvent: (event) => {
-        if (task.run !== run) return;
-        this.#recordEvent(run);
-        task.addEvent(event);
-        this.#options.onProgress();
+        if (refusedVersion !== undefined) return;
+        if (this.#checkVersion(task, run, event.version)) {
+          this.#addEvent(task, run, event);
+        } else refusedVersion = event.version;
       },
     });
+    if (refusedVersion === undefined) return outcome;
+    return { kind: "wrong_version", version: refusedVersion };
+  }
+
+  #checkVersion(task: ItemTask, run: ActiveRun, version: number): boolean {
+    const { model } = task.batch;
+    this.observations.recordVersion(run.incarnation, model, version);
+    return task.allowsVersion(version);
+  }
+
+  #addEvent(
+    task: ItemTask,
+    run: ActiveRun,
+    event: GeneratedEvent & { readonly intervalMs?: Milliseconds | null },
+  ): void {
     if (task.run !== run) return;
-    task.run = undefined;
-    this.#handleOutcome(task, upstream, outcome);
+    this.#recordEvent(run, event.intervalMs);
+    const { id, data, version } = event;
+    task.addEvent({ id, data, version });
+    this.#options.onProgress();
   }
 
   /** Aborts the run of an item, so that the item resumes on another engine. */
@@ -98,11 +157,14 @@
       request: task.item.id,
       engine: run.engine,
       reason,
+      host: run.host,
       lastEvent: task.lastEvent,
       silentMs: Math.round(silentMs),
     });
     task.moves += 1;
-    if (reason === "silent") {
+    const hostIsLate = run.host !== undefined &&
+      this.#options.remote.isLate(run.host);
+    if (reason === "silent" && !hostIsLate) {
       this.observations.recordStall(run.incarnation, silentMs, nowMs);
     }
     abortRun(task);
@@ -120,9 +182,10 @@
     this.#options.onItemDone();
   }
 
-  #recordEvent(run: ActiveRun): void {
+  /** `measuredMs` is the time since the event before, as a host measured it. */
+  #recordEvent(run: ActiveRun, measuredMs?: Milliseconds | null): void {
     const nowMs = this.#options.clock.nowMs();
-    const intervalMs: Milliseconds = nowMs - run.lastEventMs;
+    const intervalMs = measuredMs ?? nowMs - run.lastEventMs;
     if (run.hasEvents) {
       this.observations.recordInterval(run.incarnation, intervalMs, nowMs);
     }
@@ -133,7 +196,7 @@
   #handleOutcome(
     task: ItemTask,
     upstream: FleetUpstream,
-    outcome: RunOutcome,
+    outcome: RemoteOutcome,
   ): void {
     if (outcome.kind === "complete") {
       task.completeText();
@@ -158,7 +221,7 @@
         { kind: "broken" },
         () => this.observations.recordFailure(incarnation, nowMs),
       )
-      .with({ kind: "stale" }, () => {})
+      .with({ kind: "stale" }, { kind: "host_failed" }, () => {})
       .with({ kind: "wrong_version" }, () => {
         this.observations.recordRejection(incarnation, nowMs);
         if (task.batch.singleVersion) task.restart();
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -157,6 +157,7 @@
     startedMs: base.startedMs,
     firstStart: settings.firstStart,
     asked: [],
+    hostsRuns: role === "store",
     ...group,
   };
 }
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -9,12 +9,21 @@
   BatchRunner,
   BatchService,
   batchStateLimit,
+  chooseRunHost,
   ForwardedScoring,
+  RemoteRuns,
+  RunHost,
 } from "#batches";
-import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
+import type {
+  AnyStateMachine,
+  Failure,
+  FleetUpstream,
+  HeldSizes,
+  ServedVersion,
+} from "#core";
 import { FleetFollower } from "#membership";
 import { type NodeSettings, WorkerDialect } from "#platform";
-import { Forwarder } from "#requests";
+import { Forwarder, UpstreamHttp } from "#requests";
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
@@ -36,6 +45,9 @@
   readonly #fleetFollower: FleetFollower;
   readonly #onFatal: (failure: Failure) => void;
   readonly #monitoring: NodeMonitoring;
+  readonly #runHost: RunHost;
+  readonly #runHttp = new UpstreamHttp();
+  readonly #remoteRuns: RemoteRuns;
   /** Sends the scoring calls of items. */
   readonly #forwarder: Forwarder;
   #log: QuorumLog | undefined;
@@ -57,6 +69,12 @@
       self: () => describeNode(base, "store", this.#groupStatus()),
       onChange: () => this.#handleFleetChange(),
     });
+    this.#runHost = new RunHost({
+      ...base,
+      dialect: new WorkerDialect(),
+      http: this.#runHttp,
+    });
+    this.#remoteRuns = new RemoteRuns(base);
     this.#forwarder = new Forwarder({
       ...base,
       zone: settings.zone,
@@ -76,6 +94,7 @@
     const files = await openDataFolder(this.#base.settings, "store").list();
     // A VM with a replica reads its group from the log, so it starts without waiting for a placement.
     if (files.length > 0) this.#startLog([]);
+    this.#runHost.start();
     this.#fleetFollower.run();
   }
 
@@ -83,6 +102,8 @@
     this.#base.events.emit(HTTP_EVENTS.nodeStopping);
     await this.#runner?.stop();
     await this.#log?.stop();
+    this.#runHost.stop();
+    this.#runHttp.close();
     this.#forwarder.close();
     this.#fleetFollower.stop();
     await this.#monitoring.stop();
@@ -124,6 +145,17 @@
     return { leads, term, voters, asked };
   }
 
+  #runHostFor(engine: FleetUpstream): string | undefined {
+    const { nodes, placement } = this.#fleetFollower;
+    return chooseRunHost({
+      engine,
+      nodes,
+      replicas: placement.stores,
+      retiring: placement.retiring,
+      isUsable: (vm) => this.#remoteRuns.isUsable(vm),
+    });
+  }
+
   #handleFleetChange(): void {
     const { stores } = this.#fleetFollower.placement;
     if (this.#log === undefined && stores.length > 0) this.#startLog(stores);
@@ -156,6 +188,8 @@
       log,
       machine: this.#batchesMachine,
       dialect: new WorkerDialect(),
+      remote: this.#remoteRuns,
+      hostFor: (engine) => this.#runHostFor(engine),
       onLeads: () => this.#fleetFollower.reportSelf(),
       scoringPort: new ForwardedScoring({
         ...base,
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -18,6 +18,7 @@
   "weights",
   "fleet",
   "batches",
+  "runs",
 ] as const;
 
 /** Name of a channel. */
