--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -164,7 +164,9 @@
     task.moves += 1;
     const hostIsLate = run.host !== undefined &&
       this.#options.remote.isLate(run.host);
-    if (reason === "silent" && !hostIsLate) {
+    if (reason === "silent" && hostIsLate) {
+      this.observations.recordFailure(run.incarnation, nowMs);
+    } else if (reason === "silent") {
       this.observations.recordStall(run.incarnation, silentMs, nowMs);
     }
     abortRun(task);
@@ -218,10 +220,12 @@
         () => this.observations.recordRejection(incarnation, nowMs),
       )
       .with(
+        // The host of an engine in a partitioned zone fails like the engine; items are better tried elsewhere.
         { kind: "broken" },
+        { kind: "host_failed" },
         () => this.observations.recordFailure(incarnation, nowMs),
       )
-      .with({ kind: "stale" }, { kind: "host_failed" }, () => {})
+      .with({ kind: "stale" }, () => {})
       .with({ kind: "wrong_version" }, () => {
         this.observations.recordRejection(incarnation, nowMs);
         if (task.batch.singleVersion) task.restart();
