--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -22,7 +22,6 @@
 import { ItemScoring, type ScoringPort } from "./item_scoring.ts";
 import { abortRun, ItemTask } from "./item_task.ts";
 import { PROGRESS_DELAY_MS, ProgressWriter } from "./progress_writer.ts";
-import type { RemoteRuns } from "./remote_runs.ts";
 import { RunPlacement } from "./run_placement.ts";
 
 const TICK_INTERVAL_MS: Milliseconds = 50;
@@ -45,10 +44,6 @@
   readonly onLeaving: (engine: FleetUpstream) => void;
   readonly configuration: () => RoutingConfiguration | null;
   readonly scoringPort: ScoringPort;
-  /** Runs items on other store VMs. */
-  readonly remote: RemoteRuns;
-  /** Returns the store VM that runs items on an engine, or undefined if this VM does. */
-  readonly hostFor: (engine: FleetUpstream) => string | undefined;
   /** Called when this VM starts to lead the log. */
   readonly onLeads: () => void;
 }
@@ -179,7 +174,6 @@
   #startLeading(): void {
     if (this.#leading) return;
     this.#leading = true;
-    this.#options.remote.startSession();
     this.#options.onLeads();
     const open = this.#options.machine.openBatches().length;
     this.#options.events.emit(BATCHES_EVENTS.runnerLeads, { open });
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -14,7 +14,6 @@
 import { type ResponseMetadata, UpstreamDialect } from "#requests";
 import { BatchesMachine } from "./batches_machine.ts";
 import { BatchRunner } from "./batch_runner.ts";
-import type { RemoteRuns } from "./remote_runs.ts";
 import { type ScoringOutcome, ScoringPort } from "./item_scoring.ts";
 
 const CONFIGURATION = {
@@ -156,11 +155,6 @@
     configuration: () => CONFIGURATION,
     scoringPort: new NoScoring(),
     onLeads: () => {},
-    remote: {
-      startSession: () => {},
-      isLate: () => false,
-    } as unknown as RemoteRuns,
-    hostFor: () => undefined,
   });
   runner.start();
   try {
--- a/batches/events.ts
+++ b/batches/events.ts
@@ -69,11 +69,4 @@
     action:
       "Read the reason, then check the plain service that scores, and the route of the call.",
   },
-  runHostFailed: {
-    code: 2011,
-    level: "warn",
-    text:
-      "a store VM that runs items for the leader did not reply; its runs resume elsewhere",
-    action: "Check that VM and the network links to it.",
-  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/batches/item_run.ts
+++ b/batches/item_run.ts
@@ -48,8 +48,8 @@
   readonly http: UpstreamHttp;
   readonly dialect: UpstreamDialect;
   readonly upstream: FleetUpstream;
-  readonly batch: Pick<BatchHeader, "host">;
-  readonly item: Pick<BatchItem, "id" | "target" | "headers" | "body">;
+  readonly batch: BatchHeader;
+  readonly item: BatchItem;
   /** Identifier of the last known event, or null to start from the beginning. */
   readonly afterEvent: number | null;
   /** Returns whether a version may generate the next event. */
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -14,9 +14,8 @@
 import { match } from "ts-pattern";
 import { EngineObservations } from "./engine_observations.ts";
 import { BATCHES_EVENTS } from "./events.ts";
-import { type GeneratedEvent, runItem, type RunOutcome } from "./item_run.ts";
+import { runItem, type RunOutcome } from "./item_run.ts";
 import type { MoveReason } from "./item_plan.ts";
-import type { RemoteOutcome, RemoteRuns } from "./remote_runs.ts";
 import { abortRun, type ActiveRun, type ItemTask } from "./item_task.ts";
 
 /** Options of `ItemRuns`. */
@@ -24,9 +23,7 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dialect: UpstreamDialect;
-  readonly remote: RemoteRuns;
-  /** Returns the store VM that runs items on an engine, or undefined if this VM does. */
-  readonly hostFor: (engine: FleetUpstream) => string | undefined;
+  readonly upstreams: () => readonly FleetUpstream[];
   /** Called with an engine whose response states that it is leaving. */
   readonly onLeaving: (engine: FleetUpstream) => void;
   /** Called when there is new progress to store. */
@@ -54,97 +51,41 @@
 
   /** Starts an item on an engine, or resumes it there, and waits for the end of the run. */
   async start(task: ItemTask, upstream: FleetUpstream): Promise<void> {
-    const { clock } = this.#options;
+    const { clock, dialect } = this.#options;
     const nowMs = clock.nowMs();
     const run: ActiveRun = {
       engine: upstream.id,
       incarnation: incarnationOf(upstream),
       abort: new AbortController(),
-      host: this.#options.hostFor(upstream),
       startedMs: nowMs,
       lastEventMs: nowMs,
       hasEvents: false,
     };
     task.run = run;
-    const outcome = run.host === undefined
-      ? await this.#runHere(task, run, upstream)
-      : await this.#runOnHost(run.host, { task, run, upstream });
-    if (task.run !== run) return;
-    task.run = undefined;
-    this.#handleOutcome(task, upstream, outcome);
-  }
-
-  #runHere(
-    task: ItemTask,
-    run: ActiveRun,
-    upstream: FleetUpstream,
-  ): Promise<RunOutcome> {
-    return runItem({
+    const { incarnation } = run;
+    const outcome = await runItem({
       http: this.#http,
-      dialect: this.#options.dialect,
+      dialect,
       upstream,
       batch: task.batch,
       item: task.item,
       afterEvent: task.lastEvent,
-      allowsVersion: (version) => this.#checkVersion(task, run, version),
-      signal: run.abort.signal,
-      onLeaving: () => this.#options.onLeaving(upstream),
-      onEvent: (event) => this.#addEvent(task, run, event),
-    });
-  }
-
-  async #runOnHost(
-    host: string,
-    start: {
-      readonly task: ItemTask;
-      readonly run: ActiveRun;
-      readonly upstream: FleetUpstream;
-    },
-  ): Promise<RemoteOutcome> {
-    const { task, run, upstream } = start;
-    const { batch, item: { id, target, headers, body } } = task;
-    let refusedVersion: number | undefined;
-    const outcome = await this.#options.remote.run(host, {
-      order: {
-        upstream,
-        host: batch.host,
-        item: { id, target, headers, body },
-        afterEvent: task.lastEvent,
-        versions: {
-          minimum: batch.minimumVersion ?? 0,
-          single: batch.singleVersion,
-          used: task.versions,
-        },
+      allowsVersion: (version) => {
+        this.observations.recordVersion(incarnation, task.batch.model, version);
+        return task.allowsVersion(version);
       },
       signal: run.abort.signal,
       onLeaving: () => this.#options.onLeaving(upstream),
       onEvent: (event) => {
-        if (refusedVersion !== undefined) return;
-        if (this.#checkVersion(task, run, event.version)) {
-          this.#addEvent(task, run, event);
-        } else refusedVersion = event.version;
+        if (task.run !== run) return;
+        this.#recordEvent(run);
+        task.addEvent(event);
+        this.#options.onProgress();
       },
     });
-    if (refusedVersion === undefined) return outcome;
-    return { kind: "wrong_version", version: refusedVersion };
-  }
-
-  #checkVersion(task: ItemTask, run: ActiveRun, version: number): boolean {
-    const { model } = task.batch;
-    this.observations.recordVersion(run.incarnation, model, version);
-    return task.allowsVersion(version);
-  }
-
-  #addEvent(
-    task: ItemTask,
-    run: ActiveRun,
-    event: GeneratedEvent & { readonly intervalMs?: Milliseconds | null },
-  ): void {
     if (task.run !== run) return;
-    this.#recordEvent(run, event.intervalMs);
-    const { id, data, version } = event;
-    task.addEvent({ id, data, version });
-    this.#options.onProgress();
+    task.run = undefined;
+    this.#handleOutcome(task, upstream, outcome);
   }
 
   /** Aborts the run of an item, so that the item resumes on another engine. */
@@ -157,16 +98,11 @@
       request: task.item.id,
       engine: run.engine,
       reason,
-      host: run.host,
       lastEvent: task.lastEvent,
       silentMs: Math.round(silentMs),
     });
     task.moves += 1;
-    const hostIsLate = run.host !== undefined &&
-      this.#options.remote.isLate(run.host);
-    if (reason === "silent" && hostIsLate) {
-      this.observations.recordFailure(run.incarnation, nowMs);
-    } else if (reason === "silent") {
+    if (reason === "silent") {
       this.observations.recordStall(run.incarnation, silentMs, nowMs);
     }
     abortRun(task);
@@ -184,10 +120,9 @@
     this.#options.onItemDone();
   }
 
-  /** `measuredMs` is the time since the event before, as a host measured it. */
-  #recordEvent(run: ActiveRun, measuredMs?: Milliseconds | null): void {
+  #recordEvent(run: ActiveRun): void {
     const nowMs = this.#options.clock.nowMs();
-    const intervalMs = measuredMs ?? nowMs - run.lastEventMs;
+    const intervalMs: Milliseconds = nowMs - run.lastEventMs;
     if (run.hasEvents) {
       this.observations.recordInterval(run.incarnation, intervalMs, nowMs);
     }
@@ -198,7 +133,7 @@
   #handleOutcome(
     task: ItemTask,
     upstream: FleetUpstream,
-    outcome: RemoteOutcome,
+    outcome: RunOutcome,
   ): void {
     if (outcome.kind === "complete") {
       task.completeText();
@@ -220,9 +155,7 @@
         () => this.observations.recordRejection(incarnation, nowMs),
       )
       .with(
-        // The host of an engine in a partitioned zone fails like the engine; items are better tried elsewhere.
         { kind: "broken" },
-        { kind: "host_failed" },
         () => this.observations.recordFailure(incarnation, nowMs),
       )
       .with({ kind: "stale" }, () => {})
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -25,8 +25,6 @@
   /** Incarnation of the engine. */
   readonly incarnation: string;
   readonly abort: AbortController;
-  /** Store VM that carries out the run, or undefined if the leader does. */
-  readonly host: string | undefined;
   readonly startedMs: Milliseconds;
   lastEventMs: Milliseconds;
   /** Whether an event has arrived since the run started. */
--- a/batches/mod.ts
+++ b/batches/mod.ts
@@ -15,7 +15,4 @@
 export * from "./held_text.ts";
 export * from "./item_plan.ts";
 export { type ScoringOutcome, ScoringPort } from "./item_scoring.ts";
-export * from "./remote_runs.ts";
-export * from "./run_host.ts";
-export * from "./run_host_choice.ts";
 export * from "./scoring_plan.ts";
--- a/core/fleet.ts
+++ b/core/fleet.ts
@@ -48,8 +48,6 @@
   readonly voters: readonly string[];
   /** On the leader of the store VMs: for each model, the oldest version that its newest batch may use. */
   readonly asked: readonly ServedVersion[];
-  /** Whether this store VM runs items on behalf of the leader; absent in reports of earlier builds. */
-  readonly hostsRuns?: boolean;
 }
 
 /** Placement of the replicas of the replicated logs. */
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -157,7 +157,6 @@
     startedMs: base.startedMs,
     firstStart: settings.firstStart,
     asked: [],
-    hostsRuns: role === "store",
     ...group,
   };
 }
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -9,21 +9,12 @@
   BatchRunner,
   BatchService,
   batchStateLimit,
-  chooseRunHost,
   ForwardedScoring,
-  RemoteRuns,
-  RunHost,
 } from "#batches";
-import type {
-  AnyStateMachine,
-  Failure,
-  FleetUpstream,
-  HeldSizes,
-  ServedVersion,
-} from "#core";
+import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
 import { type NodeSettings, WorkerDialect } from "#platform";
-import { Forwarder, UpstreamHttp } from "#requests";
+import { Forwarder } from "#requests";
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
@@ -45,9 +36,6 @@
   readonly #fleetFollower: FleetFollower;
   readonly #onFatal: (failure: Failure) => void;
   readonly #monitoring: NodeMonitoring;
-  readonly #runHost: RunHost;
-  readonly #runHttp = new UpstreamHttp();
-  readonly #remoteRuns: RemoteRuns;
   /** Sends the scoring calls of items. */
   readonly #forwarder: Forwarder;
   #log: QuorumLog | undefined;
@@ -69,12 +57,6 @@
       self: () => describeNode(base, "store", this.#groupStatus()),
       onChange: () => this.#handleFleetChange(),
     });
-    this.#runHost = new RunHost({
-      ...base,
-      dialect: new WorkerDialect(),
-      http: this.#runHttp,
-    });
-    this.#remoteRuns = new RemoteRuns(base);
     this.#forwarder = new Forwarder({
       ...base,
       zone: settings.zone,
@@ -94,7 +76,6 @@
     const files = await openDataFolder(this.#base.settings, "store").list();
     // A VM with a replica reads its group from the log, so it starts without waiting for a placement.
     if (files.length > 0) this.#startLog([]);
-    this.#runHost.start();
     this.#fleetFollower.run();
   }
 
@@ -102,8 +83,6 @@
     this.#base.events.emit(HTTP_EVENTS.nodeStopping);
     await this.#runner?.stop();
     await this.#log?.stop();
-    this.#runHost.stop();
-    this.#runHttp.close();
     this.#forwarder.close();
     this.#fleetFollower.stop();
     await this.#monitoring.stop();
@@ -145,17 +124,6 @@
     return { leads, term, voters, asked };
   }
 
-  #runHostFor(engine: FleetUpstream): string | undefined {
-    const { nodes, placement } = this.#fleetFollower;
-    return chooseRunHost({
-      engine,
-      nodes,
-      replicas: placement.stores,
-      retiring: placement.retiring,
-      isUsable: (vm) => this.#remoteRuns.isUsable(vm),
-    });
-  }
-
   #handleFleetChange(): void {
     const { stores } = this.#fleetFollower.placement;
     if (this.#log === undefined && stores.length > 0) this.#startLog(stores);
@@ -188,8 +156,6 @@
       log,
       machine: this.#batchesMachine,
       dialect: new WorkerDialect(),
-      remote: this.#remoteRuns,
-      hostFor: (engine) => this.#runHostFor(engine),
       onLeads: () => this.#fleetFollower.reportSelf(),
       scoringPort: new ForwardedScoring({
         ...base,
--- a/wire/messages.ts
+++ b/wire/messages.ts
@@ -18,7 +18,6 @@
   "weights",
   "fleet",
   "batches",
-  "runs",
 ] as const;
 
 /** Name of a channel. */
