Reword two places after a last read

A comment gave a measured figure as the reason of the deflate level, and said that higher levels gain little, which was never measured. A test used the platform's word for upstreams. No logic is changed.

--- a/batches/scoring_plan_test.ts
+++ b/batches/scoring_plan_test.ts
@@ -4,9 +4,9 @@
 import { planScoring, type ReadyScoring } from "./scoring_plan.ts";
 
 const SERVICE = "scores";
-const WORKERS = 4;
-const SLOTS_PER_WORKER = 6;
-const SLOTS = WORKERS * SLOTS_PER_WORKER;
+const UPSTREAMS = 4;
+const SLOTS_PER_UPSTREAM = 6;
+const SLOTS = UPSTREAMS * SLOTS_PER_UPSTREAM;
 const GROUPS = 16;
 const ITEMS_PER_GROUP = 8;
 const CALL_MS = 230;
--- a/wire/frame.ts
+++ b/wire/frame.ts
@@ -32,7 +32,7 @@
 const MINIMUM_DEFLATED_BYTES: Bytes = 2 * KIBIBYTE;
 /** Larger bodies, such as new batches and parts of snapshots, would delay heartbeats while they are deflated. */
 const MAXIMUM_DEFLATED_BYTES: Bytes = 64 * KIBIBYTE;
-/** Fastest level; texts shrink by a third, and higher levels gain little. */
+/** Fastest level: on a busy leader, processor time counts more than bytes. */
 const DEFLATE_LEVEL = 1;
 
 /** Larger values are encoded in a buffer of their own. */
