--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -16,6 +16,7 @@
 } from "#core";
 import { CachedRouteRules, type UpstreamDialect } from "#requests";
 import type { BatchState } from "./batch_state.ts";
+import { BatchTimings } from "./batch_timings.ts";
 import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import { ItemRuns } from "./item_runs.ts";
@@ -57,8 +58,8 @@
   readonly #placement: RunPlacement;
   readonly #progress: ProgressWriter;
   readonly #tasks = new Map<string, ItemTask>();
-  /** When this VM started to run each open batch, by batch identifier. */
-  readonly #startedMsByBatch = new Map<string, Milliseconds>();
+  /** How the open batches progress on this VM, by batch identifier. */
+  readonly #timings = new Map<string, BatchTimings>();
   /** When the lease of this leader was first seen to have lapsed, or undefined. */
   #lapsedMs: Milliseconds | undefined;
   #ticks: Timer | undefined;
@@ -71,7 +72,7 @@
     this.#progress = new ProgressWriter({
       ...options,
       tasks: () => this.#tasks.values(),
-      onListed: (task) => this.#tasks.delete(task.key),
+      onListed: (task) => this.#handleListed(task),
     });
     this.#runs = new ItemRuns({
       ...options,
@@ -186,7 +187,7 @@
     this.#placement.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     this.#tasks.clear();
-    this.#startedMsByBatch.clear();
+    this.#timings.clear();
     this.#options.events.emit(BATCHES_EVENTS.runnerStoodDown);
   }
 
@@ -195,15 +196,21 @@
     const open = new Set<string>();
     for (const state of this.#options.machine.openBatches()) {
       open.add(state.batch.id);
-      if (!this.#startedMsByBatch.has(state.batch.id)) this.#startBatch(state);
+      if (!this.#timings.has(state.batch.id)) this.#startBatch(state);
     }
-    for (const id of this.#startedMsByBatch.keys()) {
+    for (const [id, timings] of this.#timings) {
       if (open.has(id)) continue;
-      this.#startedMsByBatch.delete(id);
-      this.#dropBatch(id);
+      this.#timings.delete(id);
+      this.#dropBatch(id, timings);
     }
   }
 
+  #handleListed(task: ItemTask): void {
+    this.#tasks.delete(task.key);
+    const timings = this.#timings.get(task.batch.id);
+    timings?.record(task, this.#options.clock.nowMs());
+  }
+
   /** Replaces tasks whose item has a logged state other than the one they are based on. */
   #replaceOutdatedTasks(): void {
     for (const task of this.#tasks.values()) {
@@ -225,7 +232,7 @@
     const { clock } = this.#options;
     const { batch, acceptedMs } = state;
     const nowMs = clock.nowMs();
-    this.#startedMsByBatch.set(batch.id, nowMs);
+    this.#timings.set(batch.id, new BatchTimings(nowMs));
     const ageMs = Math.max(0, clock.wallMs() - acceptedMs);
     const dueMs = nowMs + batch.dueMs - ageMs;
     for (const item of state.items.values()) {
@@ -239,19 +246,23 @@
       listed: state.results.length,
       model: batch.model,
       minimumVersion: batch.minimumVersion,
+      ageMs: Math.round(ageMs),
     });
   }
 
   /** Drops the tasks of an ended batch but logs their progress: a later batch can contain the same items. */
-  #dropBatch(id: string): void {
+  #dropBatch(id: string, timings: BatchTimings): void {
     const unfinished: ItemTask[] = [];
     for (const task of this.#tasksOf(id)) {
       abortRun(task);
       this.#tasks.delete(task.key);
       if (task.hasUnloggedChanges) unfinished.push(task);
     }
-    this.#options.events.emit(BATCHES_EVENTS.batchDropped, {
+    const { clock, events } = this.#options;
+    events.emit(BATCHES_EVENTS.batchDropped, {
       batch: id,
+      afterMs: Math.round(clock.nowMs() - timings.startedMs),
+      slowest: timings.slowest(),
       unfinished: unfinished.map((task) => task.item.id),
     });
     if (unfinished.length > 0) this.#progress.proposeUpdates(unfinished);
@@ -261,7 +272,7 @@
     const nowMs = this.#options.clock.nowMs();
     for (const { batch } of this.#options.machine.openBatches()) {
       const limitMs = batch.maximumQueueMs;
-      const startedMs = this.#startedMsByBatch.get(batch.id);
+      const startedMs = this.#timings.get(batch.id)?.startedMs;
       if (limitMs === null || startedMs === undefined) continue;
       if (nowMs < startedMs + limitMs + CLOCK_ERROR_MARGIN_MS) continue;
       for (const task of this.#tasksOf(batch.id)) {
--- /dev/null
+++ b/batches/batch_timings_test.ts
@@ -0,0 +1,61 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { freshItemState } from "./batch_state.ts";
+import { BatchTimings } from "./batch_timings.ts";
+import type { BatchHeader } from "./batch_types.ts";
+import { ItemTask } from "./item_task.ts";
+
+const BATCH: BatchHeader = {
+  id: "b",
+  route: "r",
+  host: "h",
+  model: "m",
+  minimumVersion: 1,
+  singleVersion: false,
+  maximumFailures: 3,
+  maximumQueueMs: null,
+  dueMs: 7_000,
+};
+
+function taskOf(id: string, group: string): ItemTask {
+  const logged = freshItemState({
+    id,
+    target: "/a",
+    headers: [],
+    body: new Uint8Array(0),
+    group,
+    promptTokens: 1,
+    expectedTokens: 10,
+    scoring: null,
+  });
+  return new ItemTask(BATCH, { logged, dueMs: 0 });
+}
+
+test("a late step states for its slowest groups which item was last, and how long it ran", () => {
+  const timings = new BatchTimings(1_000);
+  const late = taskOf("late", "g0");
+  late.addEvent({ id: 0, data: "a", version: 1 });
+  Object.assign(late.runUsage, { count: 2, totalMs: 6_500, latestEngine: "e" });
+  timings.record(taskOf("early", "g0"), 1_400);
+  timings.record(late, 9_000);
+  for (let group = 1; group < 6; group += 1) {
+    timings.record(taskOf(`i${group}`, `g${group}`), 2_000 + group);
+  }
+  const slowest = timings.slowest();
+  assert.deepEqual(slowest.map((each) => each.item), [
+    "late",
+    "i5",
+    "i4",
+    "i3",
+  ]);
+  assert.deepEqual(slowest[0], {
+    item: "late",
+    group: "g0",
+    afterMs: 8_000,
+    runMs: 6_500,
+    runs: 2,
+    events: 1,
+    engine: "e",
+    resubmitted: false,
+  });
+});
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -62,6 +62,8 @@
       hasEvents: false,
     };
     task.run = run;
+    task.runUsage.count += 1;
+    task.runUsage.latestEngine = run.engine;
     const { incarnation } = run;
     const outcome = await runItem({
       http: this.#http,
@@ -83,6 +85,7 @@
         this.#options.onProgress();
       },
     });
+    task.runUsage.totalMs += run.lastEventMs - run.startedMs;
     if (task.run !== run) return;
     task.run = undefined;
     this.#handleOutcome(task, upstream, outcome);
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -38,10 +38,19 @@
   readonly abort: AbortController;
 }
 
+/** What the runs of an item on this VM amounted to. */
+export interface RunUsage {
+  count: number;
+  /** Time of the ended runs, from each start to the last event of that run. */
+  totalMs: Milliseconds;
+  latestEngine: string | null;
+}
+
 /** The task to complete one item. */
 export class ItemTask {
   readonly batch: BatchHeader;
   readonly dueMs: Milliseconds;
+  readonly runUsage: RunUsage = { count: 0, totalMs: 0, latestEngine: null };
   run: ActiveRun | undefined;
   scoring: ActiveScoring | undefined;
   moves = 0;
@@ -139,10 +148,14 @@
     );
   }
 
+  /** Number of events generated so far. */
+  get eventCount(): number {
+    return this.#baseProgress().events + this.#newEvents.length;
+  }
+
   /** Returns the estimated number of tokens generated so far, by the number of events. */
   tokensGenerated(tokensPerEvent: number): number {
-    return (this.#baseProgress().events + this.#newEvents.length) *
-      tokensPerEvent;
+    return this.eventCount * tokensPerEvent;
   }
 
   /** Returns whether a version may generate the next event. */
