--- a/batches/batch_timings.ts
+++ b/batches/batch_timings.ts
@@ -18,6 +18,8 @@
   readonly afterMs: Milliseconds;
   /** Time in runs, from each start to the last event of that run. */
   readonly runMs: Milliseconds;
+  /** Longest time between two events of one run. */
+  readonly longestGapMs: Milliseconds;
   readonly runs: number;
   /** Events of the complete text, earlier ones included. */
   readonly events: number;
@@ -45,6 +47,7 @@
       group: item.group,
       afterMs: Math.round(nowMs - this.startedMs),
       runMs: Math.round(runUsage.totalMs),
+      longestGapMs: Math.round(runUsage.longestGapMs),
       runs: runUsage.count,
       events: task.eventCount,
       engine: runUsage.latestEngine,
--- a/batches/batch_timings_test.ts
+++ b/batches/batch_timings_test.ts
@@ -35,7 +35,12 @@
   const timings = new BatchTimings(1_000);
   const late = taskOf("late", "g0");
   late.addEvent({ id: 0, data: "a", version: 1 });
-  Object.assign(late.runUsage, { count: 2, totalMs: 6_500, latestEngine: "e" });
+  Object.assign(late.runUsage, {
+    count: 2,
+    totalMs: 6_500,
+    longestGapMs: 90,
+    latestEngine: "e",
+  });
   timings.record(taskOf("early", "g0"), 1_400);
   timings.record(late, 9_000);
   for (let group = 1; group < 6; group += 1) {
@@ -53,6 +58,7 @@
     group: "g0",
     afterMs: 8_000,
     runMs: 6_500,
+    longestGapMs: 90,
     runs: 2,
     events: 1,
     engine: "e",
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -80,7 +80,7 @@
       onLeaving: () => this.#options.onLeaving(upstream),
       onEvent: (event) => {
         if (task.run !== run) return;
-        this.#recordEvent(run);
+        this.#recordEvent(task, run);
         task.addEvent(event);
         this.#options.onProgress();
       },
@@ -123,11 +123,12 @@
     this.#options.onItemDone();
   }
 
-  #recordEvent(run: ActiveRun): void {
+  #recordEvent({ runUsage }: ItemTask, run: ActiveRun): void {
     const nowMs = this.#options.clock.nowMs();
     const intervalMs: Milliseconds = nowMs - run.lastEventMs;
     if (run.hasEvents) {
       this.observations.recordInterval(run.incarnation, intervalMs, nowMs);
+      runUsage.longestGapMs = Math.max(runUsage.longestGapMs, intervalMs);
     }
     run.hasEvents = true;
     run.lastEventMs = nowMs;
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -43,6 +43,8 @@
   count: number;
   /** Time of the ended runs, from each start to the last event of that run. */
   totalMs: Milliseconds;
+  /** Longest time between two events of one run. */
+  longestGapMs: Milliseconds;
   latestEngine: string | null;
 }
 
@@ -50,7 +52,12 @@
 export class ItemTask {
   readonly batch: BatchHeader;
   readonly dueMs: Milliseconds;
-  readonly runUsage: RunUsage = { count: 0, totalMs: 0, latestEngine: null };
+  readonly runUsage: RunUsage = {
+    count: 0,
+    totalMs: 0,
+    longestGapMs: 0,
+    latestEngine: null,
+  };
   run: ActiveRun | undefined;
   scoring: ActiveScoring | undefined;
   moves = 0;
