--- a/batches/batch_group_test.ts
+++ b/batches/batch_group_test.ts
@@ -20,6 +20,7 @@
   VirtualClock,
 } from "#core";
 import { decodeValue, encodeValue } from "#wire";
+import { testBatch, testItem } from "./batch_test_support.ts";
 import { type Batch, readResult } from "./batch_types.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 import { ItemTask } from "./item_task.ts";
@@ -52,27 +53,9 @@
 }
 
 function batchOf(id: string): Batch {
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: 1,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items: ITEMS.map((item) => ({
-      id: item,
-      target: "/a/b",
-      headers: [],
-      body: new Uint8Array(BODY_BYTES),
-      group: "g",
-      promptTokens: 1,
-      expectedTokens: 10,
-      scoring: null,
-    })),
-  };
+  const body = new Uint8Array(BODY_BYTES);
+  const items = ITEMS.map((item) => testItem(item, { body }));
+  return testBatch(id, items, { minimumVersion: 1 });
 }
 
 class BatchGroup {
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -12,6 +12,7 @@
   SystemClock,
 } from "#core";
 import { type ResponseMetadata, UpstreamDialect } from "#requests";
+import { testBatch, testItem } from "./batch_test_support.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 import { BatchRunner } from "./batch_runner.ts";
 import { type ScoringOutcome, ScoringPort } from "./item_scoring.ts";
@@ -119,27 +120,13 @@
     serves: [{ model: "m", version: 1 }],
   };
   const machine = new BatchesMachine();
-  const batch = {
-    id: "b",
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: 1,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items: [{
-      id: "x",
-      target: "/b/1",
-      headers: [],
-      body: new Uint8Array(1),
-      group: "g",
-      promptTokens: 10,
-      expectedTokens: 1_000,
-      scoring: null,
-    }],
-  };
+  const item = testItem("x", {
+    target: "/b/1",
+    body: new Uint8Array(1),
+    promptTokens: 10,
+    expectedTokens: 1_000,
+  });
+  const batch = testBatch("b", [item], { minimumVersion: 1 });
   const command = { kind: "accept" as const, batch, keepMs: 1_000 };
   machine.apply({ index: 1, atMs: Date.now(), command });
   const log = new FakeLog();
--- a/batches/batch_service_test.ts
+++ b/batches/batch_service_test.ts
@@ -15,6 +15,7 @@
 import type { PeerNetwork } from "#wire";
 import { BatchService } from "./batch_service.ts";
 import { expectedBatchBytes } from "./batch_state.ts";
+import { testBatch, testItem } from "./batch_test_support.ts";
 import type {
   Batch,
   BatchItem,
@@ -28,31 +29,11 @@
 const PAGE_BYTES = 800_000;
 
 function itemOf(id: string): BatchItem {
-  return {
-    id,
-    target: "/a/b",
-    headers: [],
-    body: new Uint8Array(BODY_BYTES),
-    group: "g",
-    promptTokens: 1,
-    expectedTokens: 10,
-    scoring: null,
-  };
+  return testItem(id, { body: new Uint8Array(BODY_BYTES) });
 }
 
 function batchOf(id: string): Batch {
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: null,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items: [itemOf(`${id}-x`), itemOf(`${id}-y`)],
-  };
+  return testBatch(id, [itemOf(`${id}-x`), itemOf(`${id}-y`)]);
 }
 
 /** Size of one batch of `batchOf` with an identifier of one character. */
--- a/batches/batch_snapshot_test.ts
+++ b/batches/batch_snapshot_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { MEBIBYTE } from "#core";
 import { decodeValue, encodeValue } from "#wire";
+import { numberedItems, testBatch } from "./batch_test_support.ts";
 import { type Batch, type ItemUpdate, readResult } from "./batch_types.ts";
 import { type BatchesCommand, BatchesMachine } from "./batches_machine.ts";
 
@@ -12,28 +13,9 @@
 let index = 0;
 
 function batchOf(id: string): Batch {
-  const items = Array.from({ length: ITEMS }, (_, at) => ({
-    id: `${id}-${at}`,
-    target: "/a/b",
-    headers: ["Model", "m"],
-    body: new Uint8Array(BODY_BYTES),
-    group: "g",
-    promptTokens: 1,
-    expectedTokens: 10,
-    scoring: null,
-  }));
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: null,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items,
-  };
+  const headers = ["Model", "m"];
+  const body = new Uint8Array(BODY_BYTES);
+  return testBatch(id, numberedItems(id, ITEMS, { headers, body }));
 }
 
 function updateOf(batch: string, item: string): ItemUpdate {
--- a/batches/batch_timings_test.ts
+++ b/batches/batch_timings_test.ts
@@ -1,33 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { freshItemState } from "./batch_state.ts";
+import { testBatch, testItem } from "./batch_test_support.ts";
 import { BatchTimings } from "./batch_timings.ts";
-import type { BatchHeader } from "./batch_types.ts";
 import { ItemTask } from "./item_task.ts";
 
-const BATCH: BatchHeader = {
-  id: "b",
-  route: "r",
-  host: "h",
-  model: "m",
-  minimumVersion: 1,
-  singleVersion: false,
-  maximumFailures: 3,
-  maximumQueueMs: null,
-  dueMs: 7_000,
-};
+const BATCH = testBatch("b", []);
 
 function taskOf(id: string, group: string): ItemTask {
-  const logged = freshItemState({
-    id,
-    target: "/a",
-    headers: [],
-    body: new Uint8Array(0),
-    group,
-    promptTokens: 1,
-    expectedTokens: 10,
-    scoring: null,
-  });
+  const logged = freshItemState(testItem(id, { group }));
   return new ItemTask(BATCH, { logged, dueMs: 0 });
 }
 
--- a/batches/batches_machine_test.ts
+++ b/batches/batches_machine_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import { testBatch, testItem } from "./batch_test_support.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 import {
   type Batch,
@@ -14,16 +15,11 @@
 let index = 0;
 
 function item(id: string): BatchItem {
-  return {
-    id,
-    target: "/a/b",
-    headers: [],
+  return testItem(id, {
     body: new Uint8Array([1, 2]),
-    group: "g",
     promptTokens: 10,
     expectedTokens: 100,
-    scoring: null,
-  };
+  });
 }
 
 function batch(
@@ -31,19 +27,8 @@
   items: readonly string[],
   change: Partial<Batch> = {},
 ): Batch {
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: 1,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items: items.map(item),
-    ...change,
-  };
+  const { items: changed = items.map(item), ...fields } = change;
+  return testBatch(id, changed, { minimumVersion: 1, ...fields });
 }
 
 function update(
--- a/batches/batches_size_test.ts
+++ b/batches/batches_size_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { encodeValue } from "#wire";
+import { numberedItems, testBatch } from "./batch_test_support.ts";
 import type { Batch, BatchItem, ItemUpdate } from "./batch_types.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 
@@ -11,31 +12,13 @@
 const MAXIMUM_OVERHEAD_BYTES = 2_000;
 
 function batchOf(id: string, count: number): Batch {
-  const items: BatchItem[] = [];
-  for (let index = 0; index < count; index += 1) {
-    items.push({
-      id: `${id}-${index}`,
-      target: "/a/b",
-      headers: ["Model", "m"],
-      body: new Uint8Array(600),
-      group: "g",
-      promptTokens: 10,
-      expectedTokens: 100,
-      scoring: null,
-    });
-  }
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: 1,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items,
-  };
+  const items = numberedItems(id, count, {
+    headers: ["Model", "m"],
+    body: new Uint8Array(600),
+    promptTokens: 10,
+    expectedTokens: 100,
+  });
+  return testBatch(id, items, { minimumVersion: 1 });
 }
 
 function completion(batch: Batch, item: BatchItem): ItemUpdate {
--- a/batches/item_scoring_test.ts
+++ b/batches/item_scoring_test.ts
@@ -8,6 +8,7 @@
 } from "#core";
 import { RouteRules } from "#requests";
 import { freshItemState } from "./batch_state.ts";
+import { testItem } from "./batch_test_support.ts";
 import type { BatchItem, ScoringCall } from "./batch_types.ts";
 import {
   ItemScoring,
@@ -62,16 +63,8 @@
 
 function itemOf(id: string, target = "/s/1"): BatchItem {
   const body = new Uint8Array(1);
-  return {
-    id,
-    target: "/a/b",
-    headers: [],
-    body,
-    group: "g",
-    promptTokens: 1,
-    expectedTokens: 10,
-    scoring: { id: `call-${id}`, host: "h2", target, body },
-  };
+  const scoring = { id: `call-${id}`, host: "h2", target, body };
+  return testItem(id, { body, scoring });
 }
 
 class Site {
--- a/batches/item_task_test.ts
+++ b/batches/item_task_test.ts
@@ -1,31 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { Batch } from "./batch_types.ts";
+import { testBatch, testItem } from "./batch_test_support.ts";
 import type { ItemState } from "./batch_state.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 import { ItemTask } from "./item_task.ts";
 
-const BATCH: Batch = {
-  id: "b",
-  route: "r",
-  host: "h",
-  model: "m",
-  minimumVersion: 1,
-  singleVersion: false,
-  maximumFailures: 3,
-  maximumQueueMs: null,
-  dueMs: 7_000,
-  items: [{
-    id: "x",
-    target: "/a/b",
-    headers: [],
-    body: new Uint8Array(0),
-    group: "g",
-    promptTokens: 1,
-    expectedTokens: 10,
-    scoring: null,
-  }],
-};
+const BATCH = testBatch("b", [testItem("x")], { minimumVersion: 1 });
 
 function stateIn(machine: BatchesMachine): ItemState {
   const state = machine.find("b")?.items.get("x");
--- a/batches/progress_writer_test.ts
+++ b/batches/progress_writer_test.ts
@@ -11,6 +11,7 @@
   VirtualClock,
 } from "#core";
 import { encodeValue } from "#wire";
+import { numberedItems, testBatch } from "./batch_test_support.ts";
 import type { Batch } from "./batch_types.ts";
 import { type BatchesCommand, BatchesMachine } from "./batches_machine.ts";
 import { ItemTask } from "./item_task.ts";
@@ -20,27 +21,8 @@
 const EVENT = "x".repeat(400);
 
 function batchOf(id: string): Batch {
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: null,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items: Array.from({ length: ITEMS }, (_, at) => ({
-      id: `${id}-${at}`,
-      target: "/a/b",
-      headers: [],
-      body: new Uint8Array(600),
-      group: "g",
-      promptTokens: 1,
-      expectedTokens: 1_400,
-      scoring: null,
-    })),
-  };
+  const fields = { body: new Uint8Array(600), expectedTokens: 1_400 };
+  return testBatch(id, numberedItems(id, ITEMS, fields));
 }
 
 test("progress that could not be logged for some seconds is logged once the log accepts commands again", async () => {
--- a/batches/restored_replica_test.ts
+++ b/batches/restored_replica_test.ts
@@ -1,31 +1,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { decodeValue, encodeValue } from "#wire";
+import { numberedItems, testBatch } from "./batch_test_support.ts";
 import type { Batch } from "./batch_types.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 
 function batchOf(id: string, count: number, expectedTokens: number): Batch {
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion: null,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items: Array.from({ length: count }, (_, at) => ({
-      id: `${id}-${at}`,
-      target: "/a/b",
-      headers: ["Model", "m"],
-      body: new Uint8Array(600),
-      group: "g",
-      promptTokens: 1,
-      expectedTokens,
-      scoring: null,
-    })),
-  };
+  const headers = ["Model", "m"];
+  const body = new Uint8Array(600);
+  const fields = { headers, body, expectedTokens };
+  return testBatch(id, numberedItems(id, count, fields));
 }
 
 function complete(
--- a/batches/scored_items_test.ts
+++ b/batches/scored_items_test.ts
@@ -1,38 +1,17 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { decodeValue, encodeValue } from "#wire";
+import { testBatch, testItem } from "./batch_test_support.ts";
 import type { Batch, ItemUpdate } from "./batch_types.ts";
 import { BatchesMachine } from "./batches_machine.ts";
 
 const KEEP_MS = 60_000;
 
 function batchOf(id: string, scoringId = "s1", minimumVersion = 1): Batch {
-  return {
-    id,
-    route: "r",
-    host: "h",
-    model: "m",
-    minimumVersion,
-    singleVersion: false,
-    maximumFailures: 3,
-    maximumQueueMs: null,
-    dueMs: 7_000,
-    items: [{
-      id: "x",
-      target: "/a/b",
-      headers: [],
-      body: new Uint8Array(2),
-      group: "g",
-      promptTokens: 1,
-      expectedTokens: 10,
-      scoring: {
-        id: scoringId,
-        host: "h2",
-        target: "/s/1",
-        body: new Uint8Array(5),
-      },
-    }],
-  };
+  const body = new Uint8Array(5);
+  const scoring = { id: scoringId, host: "h2", target: "/s/1", body };
+  const item = testItem("x", { body: new Uint8Array(2), scoring });
+  return testBatch(id, [item], { minimumVersion });
 }
 
 function updateOf(batch: string, change: Partial<ItemUpdate>): ItemUpdate {
