--- a/batches/batch_timings.ts
+++ b/batches/batch_timings.ts
@@ -41,10 +41,10 @@
 
   /** Records that an item was listed; items are recorded in the order of their listing. */
   record(task: ItemTask, nowMs: Milliseconds): void {
-    const { item, runUsage } = task;
-    this.#slowestByGroup.set(item.group, {
+    const { item, group, runUsage } = task;
+    this.#slowestByGroup.set(group, {
       item: item.id,
-      group: item.group,
+      group,
       afterMs: Math.round(nowMs - this.startedMs),
       runMs: Math.round(runUsage.totalMs),
       longestGapMs: Math.round(runUsage.longestGapMs),
--- a/batches/batch_timings_test.ts
+++ b/batches/batch_timings_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { freshItemState } from "./batch_state.ts";
+import { freshItemState, withoutRequest } from "./batch_state.ts";
 import { testBatch, testItem } from "./batch_test_support.ts";
 import { BatchTimings } from "./batch_timings.ts";
 import { ItemTask } from "./item_task.ts";
@@ -46,3 +46,20 @@
     resubmitted: false,
   });
 });
+
+test("a listed item counts for its group although the log no longer holds the group", () => {
+  const timings = new BatchTimings(0);
+  for (const group of ["g0", "g1"]) {
+    const logged = freshItemState(testItem(`${group}-x`, { group }));
+    const task = new ItemTask(BATCH, { logged, dueMs: 0 });
+    const { id } = task.prepareUpdate(`update-${group}`);
+    task.confirmUpdate({
+      ...withoutRequest(logged),
+      listed: true,
+      lastUpdate: id,
+    });
+    timings.record(task, 100);
+  }
+  const groups = timings.slowest().map((each) => each.group);
+  assert.deepEqual(groups, ["g0", "g1"]);
+});
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -52,6 +52,8 @@
 export class ItemTask {
   readonly batch: BatchHeader;
   readonly dueMs: Milliseconds;
+  /** Identifier of the group of the item, which the log no longer holds once it is listed. */
+  readonly group: string;
   readonly runUsage: RunUsage = {
     count: 0,
     totalMs: 0,
@@ -79,6 +81,7 @@
   ) {
     this.batch = batch;
     this.#logged = options.logged;
+    this.group = options.logged.item.group;
     this.dueMs = options.dueMs;
   }
 
