--- a/batches/batch_group_test.ts
+++ b/batches/batch_group_test.ts
@@ -87,6 +87,7 @@
       events: new MemoryEventLog(),
       random: new SeededRandom(1),
       tasks: () => this.#tasks.values(),
+      engineSpeeds: () => [],
       onListed: (task) => this.#tasks.delete(task.key),
     });
     this.resubmit();
--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -72,6 +72,7 @@
     this.#progress = new ProgressWriter({
       ...options,
       tasks: () => this.#tasks.values(),
+      engineSpeeds: () => this.#runs.observations.speeds(options.clock.nowMs()),
       onListed: (task) => this.#handleListed(task),
     });
     this.#runs = new ItemRuns({
@@ -175,9 +176,12 @@
   #startLeading(): void {
     if (this.#leading) return;
     this.#leading = true;
-    this.#options.onLeads();
-    const open = this.#options.machine.openBatches().length;
-    this.#options.events.emit(BATCHES_EVENTS.runnerLeads, { open });
+    const { clock, events, machine, onLeads } = this.#options;
+    onLeads();
+    const speeds = machine.engineSpeeds(clock.wallMs());
+    this.#runs.observations.adopt(speeds, clock.nowMs());
+    const open = machine.openBatches().length;
+    events.emit(BATCHES_EVENTS.runnerLeads, { open, speeds: speeds.length });
   }
 
   #stopLeading(): void {
--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -38,6 +38,7 @@
   MutableBatchState,
   ownItem,
 } from "./batch_state.ts";
+import type { EngineSpeed } from "./engine_observations.ts";
 import { textOf } from "./held_text.ts";
 
 /** State from which on its memory is reclaimed at once when it is dropped. */
@@ -51,7 +52,12 @@
     /** Retention time of the batch once it has ended, counted from its acceptance. */
     readonly keepMs: Milliseconds;
   }
-  | { readonly kind: "update"; readonly updates: readonly ItemUpdate[] }
+  | {
+    readonly kind: "update";
+    readonly updates: readonly ItemUpdate[];
+    /** Speeds of the engines that the leader has observed. Absent in logs of earlier builds. */
+    readonly speeds?: readonly EngineSpeed[];
+  }
   | { readonly kind: "end"; readonly id: string };
 
 /** Stores the batches, their items and results. */
@@ -61,6 +67,9 @@
   readonly #batches = new Map<string, MutableBatchState>();
   /** Identifier of the latest batch that contains an item, by item identifier. */
   readonly #latestBatchIdByItem = new Map<string, string>();
+  /** The speeds that were logged last, and when. Hints only: they are in no snapshot and decide no result. */
+  #speeds: readonly EngineSpeed[] = [];
+  #speedsAtMs: Milliseconds = 0;
   /** Time before which no batch is to be removed. */
   #nextExpiryMs: Milliseconds = Infinity;
 
@@ -70,7 +79,10 @@
     const { command, atMs } = entry;
     this.#removeExpired(atMs);
     if (command.kind === "accept") return this.#accept(command, atMs);
-    if (command.kind === "update") return this.#applyUpdates(command.updates);
+    if (command.kind === "update") {
+      if (command.speeds !== undefined) this.#setSpeeds(command.speeds, atMs);
+      return this.#applyUpdates(command.updates);
+    }
     if (command.kind === "end") return this.#end(command.id);
     return Err(fail("malformed_request", "unknown batch command"));
   }
@@ -94,6 +106,15 @@
     return [...minimumVersions].map(([model, version]) => ({ model, version }));
   }
 
+  /** Returns the speeds of the engines that a leader logged last. */
+  engineSpeeds(wallMs: Milliseconds): readonly EngineSpeed[] {
+    const loggedMs = Math.max(0, wallMs - this.#speedsAtMs);
+    return this.#speeds.map((each) => ({
+      ...each,
+      ageMs: each.ageMs + loggedMs,
+    }));
+  }
+
   /** Returns the batches that have not ended, in the order of their acceptance. */
   openBatches(): readonly BatchState[] {
     return [...this.#batches.values()].filter((each) => !each.ended);
@@ -232,6 +253,11 @@
     return Ok(applied);
   }
 
+  #setSpeeds(speeds: readonly EngineSpeed[], atMs: Milliseconds): void {
+    this.#speeds = speeds;
+    this.#speedsAtMs = atMs;
+  }
+
   #end(id: string): Result<number, Failure> {
     const state = this.#batches.get(id);
     if (state === undefined) {
--- a/batches/engine_observations.ts
+++ b/batches/engine_observations.ts
@@ -17,6 +17,16 @@
 const INITIAL_FAILURE_PAUSE_MS: Milliseconds = 250;
 const MAXIMUM_FAILURE_PAUSE_MS: Milliseconds = 2_000;
 
+/** The observed speed of an engine, as a leader passes it on to its successor. */
+export interface EngineSpeed {
+  /** Incarnation of the engine. */
+  readonly engine: string;
+  /** Expected time between two events of one run. */
+  readonly intervalMs: Milliseconds;
+  /** Time since the latest observation. */
+  readonly ageMs: Milliseconds;
+}
+
 interface Observations {
   readonly intervals: EventIntervalWindow;
   pausedUntilMs: Milliseconds;
@@ -91,6 +101,30 @@
     return lastingMs + (intervalMs - lastingMs) * remaining;
   }
 
+  /** Returns the observed speeds of all engines. */
+  speeds(nowMs: Milliseconds): readonly EngineSpeed[] {
+    const speeds: EngineSpeed[] = [];
+    for (const [engine, { intervals }] of this.#byEngine) {
+      const intervalMs = intervals.medianMs();
+      if (intervalMs === undefined) continue;
+      const ageMs = nowMs - intervals.lastEndedMs;
+      speeds.push({ engine, intervalMs, ageMs });
+    }
+    return speeds;
+  }
+
+  /** Adopts the speeds that another VM observed, where they are newer than those observed here. */
+  adopt(speeds: readonly EngineSpeed[], nowMs: Milliseconds): void {
+    for (const { engine, intervalMs, ageMs } of speeds) {
+      const { intervals } = this.#observationsOf(engine);
+      const observedMs = nowMs - ageMs;
+      const isNewer = intervals.medianMs() === undefined ||
+        intervals.lastEndedMs < observedMs;
+      if (isNewer) intervals.reset(intervalMs, observedMs);
+    }
+    this.#typicalMs = undefined;
+  }
+
   /** Returns the time before which no run may start on the engine. */
   pausedUntilMs(engine: string): Milliseconds {
     return this.#observationsOf(engine).pausedUntilMs;
--- a/batches/progress_writer.ts
+++ b/batches/progress_writer.ts
@@ -8,11 +8,14 @@
 import type { ItemState } from "./batch_state.ts";
 import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
+import type { EngineSpeed } from "./engine_observations.ts";
 import type { ItemTask } from "./item_task.ts";
 
 /** Time within which new progress is proposed to the log. */
 export const PROGRESS_DELAY_MS: Milliseconds = 250;
 
+/** Interval at which the speeds of the engines are logged, for the next leader. */
+const SPEEDS_INTERVAL_MS: Milliseconds = 2_000;
 /** Characters of text in one command; a command of the log holds 4 MiB, a character up to 3 bytes. */
 const MAXIMUM_COMMAND_LENGTH = 1_000_000;
 /** Length of an update besides its text, roughly. */
@@ -27,6 +30,8 @@
   readonly random: RandomSource;
   /** Returns the tasks of all items in progress. */
   readonly tasks: () => Iterable<ItemTask>;
+  /** Returns the observed speeds of the engines. */
+  readonly engineSpeeds: () => readonly EngineSpeed[];
   /** Called with the task of each item that the log has listed. */
   readonly onListed: (task: ItemTask) => void;
 }
@@ -36,6 +41,7 @@
   readonly #options: ProgressWriterOptions;
   #flushing = false;
   #dueMs: Milliseconds = Infinity;
+  #speedsDueMs: Milliseconds = 0;
 
   constructor(options: ProgressWriterOptions) {
     this.#options = options;
@@ -79,7 +85,7 @@
     const updates = tasks.map((task) =>
       task.prepareUpdate(this.#options.random.identifier())
     );
-    const command = { kind: "update", updates };
+    const command = { kind: "update", updates, ...this.#speedsIfDue() };
     const result = await log.propose({ machine: "batches", command });
     if (result.err) {
       events.emit(BATCHES_EVENTS.progressNotKept, { ...result.val });
@@ -87,6 +93,13 @@
     for (const task of tasks) this.#confirmUpdate(task);
   }
 
+  #speedsIfDue(): { readonly speeds?: readonly EngineSpeed[] } {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs < this.#speedsDueMs) return {};
+    this.#speedsDueMs = nowMs + SPEEDS_INTERVAL_MS;
+    return { speeds: this.#options.engineSpeeds() };
+  }
+
   #changedTasks(): readonly ItemTask[] {
     return [...this.#options.tasks()].filter((each) => each.hasUnloggedChanges);
   }
--- a/batches/progress_writer_test.ts
+++ b/batches/progress_writer_test.ts
@@ -73,6 +73,7 @@
     random: new SeededRandom(1),
     events: new MemoryEventLog(),
     tasks: () => tasks.values(),
+    engineSpeeds: () => [],
     onListed: (task) => tasks.delete(task.key),
   });
   // 680 items generate 18 events of 400 bytes each within 7 s, while the log is full.
