--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -15,10 +15,12 @@
   type Timer,
 } from "#core";
 import { CachedRouteRules, type UpstreamDialect } from "#requests";
+import type { EngineReport } from "#weights";
 import type { BatchState } from "./batch_state.ts";
 import { BatchTimings } from "./batch_timings.ts";
 import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
+import { ForeignRuns } from "./foreign_runs.ts";
 import { ItemRuns } from "./item_runs.ts";
 import { ItemScoring, type ScoringPort } from "./item_scoring.ts";
 import { abortRun, ItemTask } from "./item_task.ts";
@@ -45,6 +47,10 @@
   readonly onLeaving: (engine: FleetUpstream) => void;
   readonly configuration: () => RoutingConfiguration | null;
   readonly scoringPort: ScoringPort;
+  /** Fetches the state of an engine; returns undefined if the call fails. */
+  readonly fetchReport: (
+    engine: FleetUpstream,
+  ) => Promise<EngineReport | undefined>;
   /** Called when this VM starts to lead the log. */
   readonly onLeads: () => void;
 }
@@ -54,6 +60,7 @@
   readonly #options: BatchRunnerOptions;
   readonly #runs: ItemRuns;
   readonly #scoring: ItemScoring;
+  readonly #foreignRuns: ForeignRuns;
   readonly #rules = new CachedRouteRules();
   readonly #placement: RunPlacement;
   readonly #progress: ProgressWriter;
@@ -81,8 +88,14 @@
       onItemDone: () => this.#progress.scheduleFlush(RESULT_FLUSH_DELAY_MS),
       onRunEnded: () => this.wake(),
     });
+    this.#foreignRuns = new ForeignRuns({
+      ...options,
+      ownRuns: (incarnation) => this.#countRuns(incarnation),
+      onReply: () => this.wake(),
+    });
     this.#placement = new RunPlacement({
       ...options,
+      foreignRuns: this.#foreignRuns,
       runs: this.#runs,
       tasks: this.#tasks,
       rules: this.#rules,
@@ -181,6 +194,7 @@
     const speeds = machine.engineSpeeds(clock.wallMs());
     this.#runs.observations.adopt(speeds, clock.nowMs());
     const open = machine.openBatches().length;
+    if (open > 0) this.#foreignRuns.start();
     events.emit(BATCHES_EVENTS.runnerLeads, { open, speeds: speeds.length });
   }
 
@@ -188,6 +202,7 @@
     if (!this.#leading) return;
     this.#leading = false;
     this.#lapsedMs = undefined;
+    this.#foreignRuns.stop();
     this.#placement.clear();
     for (const task of this.#tasks.values()) abortRun(task);
     this.#tasks.clear();
@@ -286,6 +301,14 @@
     }
   }
 
+  #countRuns(incarnation: string): number {
+    let count = 0;
+    for (const { run } of this.#tasks.values()) {
+      if (run?.incarnation === incarnation) count += 1;
+    }
+    return count;
+  }
+
   #tasksOf(batch: string): readonly ItemTask[] {
     return [...this.#tasks.values()].filter((each) => each.batch.id === batch);
   }
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -140,6 +140,7 @@
     upstreams: () => [engine],
     onLeaving: () => {},
     configuration: () => CONFIGURATION,
+    fetchReport: () => Promise.resolve(undefined),
     scoringPort: new NoScoring(),
     onLeads: () => {},
   });
--- a/batches/events.ts
+++ b/batches/events.ts
@@ -69,4 +69,12 @@
     action:
       "Read the reason, then check the plain service that scores, and the route of the call.",
   },
+  foreignRunsFound: {
+    code: 2011,
+    level: "info",
+    text:
+      "after a change of leader the engines were asked how full they are (runs: of the leader before, on the occupied ones)",
+    action:
+      "None. Many runs follow a leader that froze or lost its power; new runs wait for free slots meanwhile.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -52,8 +52,10 @@
   readonly eventIntervalMs: Milliseconds;
   /** No runs start on the engine before this time. */
   readonly pausedUntilMs: Milliseconds;
-  /** Capacity of its cache in tokens, or Infinity. */
+  /** Capacity of its cache in tokens, or Infinity, without what `foreignRuns` occupy. */
   readonly cacheTokens: number;
+  /** Runs on it that this VM did not start. */
+  readonly foreignRuns: number;
 }
 
 /** Input of the plan functions. */
@@ -249,8 +251,14 @@
   engine: EngineSnapshot,
   loads: ReadonlyMap<string, EngineLoad>,
 ): boolean {
-  const running = loads.get(engine.upstream.id)?.running ?? 0;
-  return running < engine.upstream.slots;
+  return runsOn(engine, loads) < engine.upstream.slots;
+}
+
+function runsOn(
+  engine: EngineSnapshot,
+  loads: ReadonlyMap<string, EngineLoad>,
+): number {
+  return engine.foreignRuns + (loads.get(engine.upstream.id)?.running ?? 0);
 }
 
 function hasCapacity(
@@ -258,9 +266,9 @@
   engine: EngineSnapshot,
   loads: ReadonlyMap<string, EngineLoad>,
 ): boolean {
+  if (!hasFreeSlot(engine, loads)) return false;
   const load = loads.get(engine.upstream.id);
   if (load === undefined) return true;
-  if (!hasFreeSlot(engine, loads)) return false;
   return load.peakTokensWith(item) <=
     engine.cacheTokens * USABLE_CACHE_FRACTION;
 }
@@ -272,7 +280,7 @@
   loads: ReadonlyMap<string, EngineLoad>,
 ): number {
   const load = loads.get(engine.upstream.id);
-  const fullness = (load?.running ?? 0) / Math.max(1, engine.upstream.slots);
+  const fullness = runsOn(engine, loads) / Math.max(1, engine.upstream.slots);
   const promptCached = load?.hasGroup(item.group) === true;
   const loadPenalty = promptCached ? fullness * 0.5 : 0.3 + fullness;
   return engine.eventIntervalMs * (1 + loadPenalty);
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -50,6 +50,7 @@
     eventIntervalMs: 40,
     pausedUntilMs: 0,
     cacheTokens: 100_000,
+    foreignRuns: 0,
     ...change,
   };
 }
--- a/batches/leader_change_test.ts
+++ b/batches/leader_change_test.ts
@@ -52,6 +52,7 @@
     eventIntervalMs: observations.eventIntervalMs(id, nowMs),
     pausedUntilMs: 0,
     cacheTokens: Infinity,
+    foreignRuns: 0,
   };
 }
 
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -19,6 +19,7 @@
   type PlannedItem,
   planStarts,
 } from "./item_plan.ts";
+import type { ForeignRuns } from "./foreign_runs.ts";
 import type { ItemRuns } from "./item_runs.ts";
 import type { ItemTask } from "./item_task.ts";
 import { StartQueue } from "./start_queue.ts";
@@ -38,6 +39,7 @@
   readonly rules: CachedRouteRules;
   readonly configuration: () => RoutingConfiguration | null;
   readonly upstreams: () => readonly FleetUpstream[];
+  readonly foreignRuns: ForeignRuns;
   /** Called when a plan is to be made after a time. */
   readonly wakeAfter: (delayMs: Milliseconds) => void;
 }
@@ -70,6 +72,7 @@
   /** Makes a plan and carries it out, unless the last one was made just now or still has runs to start. */
   planIfDue(): void {
     if (this.#starts.isBusy) return;
+    if (this.#options.foreignRuns.survey(this.#engines())) return;
     const { clock } = this.#options;
     const startedMs = clock.nowMs();
     if (startedMs < this.#nextPlanMs) {
@@ -116,8 +119,17 @@
     return { nowMs, waiting, runs, engines: this.#engineSnapshots(nowMs) };
   }
 
+  #engines(): readonly FleetUpstream[] {
+    const services = this.#options.configuration()?.services ?? [];
+    const names = new Set<string>();
+    for (const { name, engine } of services) {
+      if (engine !== null) names.add(name);
+    }
+    return this.#options.upstreams().filter((each) => names.has(each.service));
+  }
+
   #engineSnapshots(nowMs: Milliseconds): readonly EngineSnapshot[] {
-    const { observations } = this.#options.runs;
+    const { foreignRuns, runs: { observations } } = this.#options;
     const services = this.#options.configuration()?.services ?? [];
     const snapshots: EngineSnapshot[] = [];
     const incarnations = new Set<string>();
@@ -126,12 +138,14 @@
       if (service === undefined || service.engine === null) continue;
       const incarnation = incarnationOf(upstream);
       incarnations.add(incarnation);
+      const foreign = foreignRuns.loadOf(incarnation);
       snapshots.push({
         upstream,
         versions: observations.versions(incarnation, upstream),
         eventIntervalMs: observations.eventIntervalMs(incarnation, nowMs),
         pausedUntilMs: observations.pausedUntilMs(incarnation),
-        cacheTokens: service.engine.cacheTokens,
+        cacheTokens: Math.max(0, service.engine.cacheTokens - foreign.tokens),
+        foreignRuns: foreign.runs,
       });
     }
     observations.retainOnly(incarnations);
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -13,7 +13,7 @@
 } from "#batches";
 import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
 import { FleetFollower } from "#membership";
-import { type NodeSettings, WorkerDialect } from "#platform";
+import { type NodeSettings, WorkerDialect, WorkerOrderClient } from "#platform";
 import { Forwarder } from "#requests";
 import { HTTP_EVENTS } from "./events.ts";
 import {
@@ -36,6 +36,7 @@
   readonly #fleetFollower: FleetFollower;
   readonly #onFatal: (failure: Failure) => void;
   readonly #monitoring: NodeMonitoring;
+  readonly #engineReports: WorkerOrderClient;
   /** Sends the scoring calls of items. */
   readonly #forwarder: Forwarder;
   #log: QuorumLog | undefined;
@@ -57,6 +58,10 @@
       self: () => describeNode(base, "store", this.#groupStatus()),
       onChange: () => this.#handleFleetChange(),
     });
+    this.#engineReports = new WorkerOrderClient(
+      base.clock,
+      (engine) => this.#fleetFollower.reportLeaving(engine),
+    );
     this.#forwarder = new Forwarder({
       ...base,
       zone: settings.zone,
@@ -157,6 +162,7 @@
       machine: this.#batchesMachine,
       dialect: new WorkerDialect(),
       onLeads: () => this.#fleetFollower.reportSelf(),
+      fetchReport: (engine) => this.#engineReports.fetchReport(engine),
       scoringPort: new ForwardedScoring({
         ...base,
         forwarder: this.#forwarder,
--- a/weights/engine_orders.ts
+++ b/weights/engine_orders.ts
@@ -32,6 +32,10 @@
   readonly busy: boolean;
   /** Number of orders accepted since the engine started. */
   readonly acceptedOrders: number;
+  /** Number of runs that it executes or has queued. */
+  readonly runs: number;
+  /** Tokens in its cache that it cannot release. */
+  readonly usedTokens: number;
 }
 
 /** Result of an order to an engine; `unknown` if the call failed, so that the engine may have accepted it. */
--- a/weights/engine_orders_test.ts
+++ b/weights/engine_orders_test.ts
@@ -79,6 +79,8 @@
     return Promise.resolve({
       serves: [{ model: "m", version: this.version }],
       busy: false,
+      runs: 0,
+      usedTokens: 0,
       acceptedOrders: this.acceptedOrders,
     });
   }
