--- a/agreement/election.ts
+++ b/agreement/election.ts
@@ -14,15 +14,20 @@
   #isTrial = true;
   #requestedTerm = 0;
   #grantedBy = new Set<string>();
+  readonly #prefersOtherLeader: () => boolean;
+  /** The time to which the latest election was postponed. */
+  #postponedToMs: Milliseconds | undefined;
 
-  constructor(state: ReplicaState) {
+  constructor(state: ReplicaState, prefersOtherLeader: () => boolean) {
     this.#state = state;
+    this.#prefersOtherLeader = prefersOtherLeader;
   }
 
   /** Starts an election once the election timeout has passed. Returns whether this replica has won. */
   tick(nowMs: Milliseconds): boolean {
     const state = this.#state;
     if (state.role === "leader" || nowMs < state.electionDueMs) return false;
+    if (this.#postpone(nowMs)) return false;
     state.resetElectionTimer(nowMs);
     if (!state.isVoter()) {
       state.role = "learner";
@@ -95,6 +100,17 @@
     return this.#tallyVotes();
   }
 
+  /** Postpones an election once, so that any other voter starts its own before. Returns whether it did. */
+  #postpone(nowMs: Milliseconds): boolean {
+    const state = this.#state;
+    if (state.electionDueMs === this.#postponedToMs) return false;
+    if (!this.#prefersOtherLeader()) return false;
+    const { electionSpreadMs, heartbeatMs } = state.timing;
+    this.#postponedToMs = nowMs + electionSpreadMs + heartbeatMs;
+    state.electionDueMs = this.#postponedToMs;
+    return true;
+  }
+
   #hasLiveLeader(nowMs: Milliseconds): boolean {
     const state = this.#state;
     if (state.role === "leader") return true;
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -69,6 +69,8 @@
    * folder waits to be added as a voter. Has no effect if the folder is not empty.
    */
   readonly firstStart?: { readonly voters: readonly string[] };
+  /** Whether another replica should lead if it can, such as on a VM that is busy with another log. */
+  readonly prefersOtherLeader?: () => boolean;
   readonly timing?: LogTiming;
   readonly snapshots?: SnapshotPolicy;
   /** Called once after the replica has stopped because of a storage error. */
@@ -143,6 +145,7 @@
       maximumLogBytes: this.#snapshotPolicy.maximumBytes,
       initialVoters: this.#options.firstStart?.voters,
       peers: this.#options.peers,
+      prefersOtherLeader: this.#options.prefersOtherLeader ?? (() => false),
       report: (report) => this.#reportVoters(report),
     });
     this.#replica = replica;
--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -30,6 +30,8 @@
   /** Returns the names of the control VMs whose replicas should be voters. */
   readonly peers: () => readonly string[];
   readonly report: (report: VoterReport) => void;
+  /** Whether another replica should lead if it can; by default this one may as well. */
+  readonly prefersOtherLeader?: () => boolean;
 }
 
 /** Replica of the log; its driver performs the input and output. */
@@ -46,7 +48,10 @@
   constructor(options: ReplicaOptions) {
     this.#options = options;
     this.state = new ReplicaState(options);
-    this.#election = new Election(this.state);
+    this.#election = new Election(
+      this.state,
+      options.prefersOtherLeader ?? (() => false),
+    );
     this.#followerRole = new FollowerRole(this.state);
     this.#nextHelloMs = options.nowMs;
     if (options.initialVoters === undefined) return;
--- a/agreement/replica_test.ts
+++ b/agreement/replica_test.ts
@@ -3,7 +3,7 @@
 import { MEBIBYTE, SeededRandom } from "#core";
 import { encodeVoterChange, type LogEntry, type Voter } from "./entries.ts";
 import type { Message, MessageOf } from "./messages.ts";
-import { Replica } from "./replica.ts";
+import { Replica, type ReplicaOptions } from "./replica.ts";
 import type { OutgoingMessage } from "./replica_state.ts";
 import { DEFAULT_TIMING } from "./timing.ts";
 
@@ -20,7 +20,10 @@
   return { index: 1, term: 1, atMs: 0, kind: "seats", body };
 }
 
-function createReplica(vm: string): Replica {
+function createReplica(
+  vm: string,
+  change: Partial<ReplicaOptions> = {},
+): Replica {
   return new Replica({
     vm,
     recovered: {
@@ -37,6 +40,7 @@
     initialVoters: undefined,
     peers: () => ["a", "b", "c"],
     report: () => {},
+    ...change,
   });
 }
 
@@ -259,3 +263,21 @@
   assert.equal(replica.state.role, "leader");
   assert.ok(sentBytes <= MEBIBYTE + entryBytes, `${sentBytes} bytes were sent`);
 });
+
+test("of two voters the one on the machine of another log's leader starts no election before the other", () => {
+  const busy = createReplica("a", { prefersOtherLeader: () => true });
+  const free = createReplica("b");
+  const longestMs = DEFAULT_TIMING.electionMinimumMs +
+    DEFAULT_TIMING.electionSpreadMs;
+  const firstElectionMs = (replica: Replica): number => {
+    for (let nowMs = START_MS; nowMs < START_MS + 10_000; nowMs += 10) {
+      replica.tick({ nowMs, wallMs: 0 });
+      if (replica.state.role === "candidate") return nowMs - START_MS;
+    }
+    return Infinity;
+  };
+  assert.ok(firstElectionMs(free) <= longestMs);
+  const busyMs = firstElectionMs(busy);
+  assert.ok(busyMs > longestMs, `${busyMs} ms`);
+  assert.ok(busyMs < 2 * longestMs, "it stands if no other voter does");
+});
--- a/membership/placement_plan.ts
+++ b/membership/placement_plan.ts
@@ -89,6 +89,21 @@
   return best;
 }
 
+/**
+ * Returns whether the leader of a group runs on the same machine as a VM. Two leaders on one machine share its
+ * processor, and after a restart of all VMs they need more of it than there is.
+ */
+export function isOnHostOfLeader(
+  vm: string,
+  group: {
+    readonly nodes: Iterable<FleetNode>;
+    readonly role: FleetNode["role"];
+  },
+): boolean {
+  const leader = leaderOf(group.nodes, group.role);
+  return leader !== undefined && hostOf(leader.vm) === hostOf(vm);
+}
+
 function liveNodes(
   input: PlacementInput,
   role: FleetNode["role"],
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -19,6 +19,7 @@
 } from "#core";
 import {
   FleetServer,
+  isOnHostOfLeader,
   LeaderClient,
   leaderOf,
   PlacementMachine,
@@ -169,6 +170,11 @@
       machines,
       peers: () => this.#peers(),
       ...(settings.firstStart ? { firstStart: { voters: base.seeds() } } : {}),
+      prefersOtherLeader: () =>
+        isOnHostOfLeader(base.vm, {
+          nodes: this.#fleet.nodes().map(({ node }) => node),
+          role: "store",
+        }),
       timing: SHORT_TIMING,
       onFatal,
     });
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -12,7 +12,7 @@
   ForwardedScoring,
 } from "#batches";
 import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
-import { FleetFollower } from "#membership";
+import { FleetFollower, isOnHostOfLeader } from "#membership";
 import { type NodeSettings, WorkerDialect, WorkerOrderClient } from "#platform";
 import { Forwarder } from "#requests";
 import { HTTP_EVENTS } from "./events.ts";
@@ -146,6 +146,11 @@
       machines: [this.#batchesMachine as AnyStateMachine],
       peers: () => this.#fleetFollower.placement.stores,
       ...(formsGroup ? { firstStart: { voters: stores } } : {}),
+      prefersOtherLeader: () =>
+        isOnHostOfLeader(base.vm, {
+          nodes: this.#fleetFollower.nodes,
+          role: "control",
+        }),
       timing: SHORT_TIMING,
       onFatal: this.#onFatal,
     });
