--- a/batches/foreign_runs.ts
+++ b/batches/foreign_runs.ts
@@ -18,8 +18,10 @@
 
 /** How long runs of an earlier leader are looked for; few texts take longer. */
 const SEARCH_MS: Milliseconds = 12 * SECOND_MS;
-/** Longest wait for the first reply of an engine before runs are placed without it. */
+/** Longest wait for the first reply of an engine before runs are placed there without it. */
 const MAXIMUM_WAIT_MS: Milliseconds = 100;
+/** Engines asked at a time; a process that has just started needs several milliseconds for each. */
+const MAXIMUM_CALLS = 8;
 const REPEAT_INTERVAL_MS: Milliseconds = 400;
 
 /** What runs of others occupy on an engine. */
@@ -76,24 +78,34 @@
     this.#untilMs = -Infinity;
   }
 
-  /** Asks the engines that are due; returns whether to wait for their replies before runs are placed. */
-  survey(engines: readonly FleetUpstream[]): boolean {
-    const nowMs = this.#options.clock.nowMs();
-    if (nowMs >= this.#untilMs) return false;
-    let mustWait = false;
+  /** Asks some of the engines that are due. */
+  survey(engines: readonly FleetUpstream[]): void {
+    if (!this.#isSearching) return;
+    let calls = 0;
+    let unknown = 0;
     for (const engine of engines) {
-      const asked = this.#askIfDue(engine, nowMs);
-      const waitedMs = nowMs - asked.firstAskedMs;
-      mustWait ||= !asked.replied && waitedMs < MAXIMUM_WAIT_MS;
+      if (this.#isUnknown(engine)) unknown += 1;
+      if (calls < MAXIMUM_CALLS && this.#askIfDue(engine)) calls += 1;
     }
-    if (!mustWait && engines.length > 0) this.#logOnce();
-    return mustWait;
+    if (unknown === 0 && engines.length > 0) this.#logOnce();
+  }
+
+  /** Returns what runs of others occupy on an engine; all of it until the engine has replied or had time to. */
+  loadOf(engine: FleetUpstream): ForeignLoad {
+    if (!this.#isSearching) return NO_LOAD;
+    if (this.#isUnknown(engine)) return { runs: engine.slots, tokens: 0 };
+    return this.#asked.get(incarnationOf(engine))?.load ?? NO_LOAD;
+  }
+
+  get #isSearching(): boolean {
+    return this.#options.clock.nowMs() < this.#untilMs;
   }
 
-  /** Returns what runs of others occupy on an engine, as far as it is known. */
-  loadOf(incarnation: string): ForeignLoad {
-    if (this.#options.clock.nowMs() >= this.#untilMs) return NO_LOAD;
-    return this.#asked.get(incarnation)?.load ?? NO_LOAD;
+  #isUnknown(engine: FleetUpstream): boolean {
+    const asked = this.#asked.get(incarnationOf(engine));
+    if (asked === undefined) return true;
+    const waitedMs = this.#options.clock.nowMs() - asked.firstAskedMs;
+    return !asked.replied && waitedMs < MAXIMUM_WAIT_MS;
   }
 
   #logOnce(): void {
@@ -112,25 +124,21 @@
     this.#options.events.emit(BATCHES_EVENTS.foreignRunsFound, counts);
   }
 
-  #askIfDue(engine: FleetUpstream, nowMs: Milliseconds): AskedEngine {
+  /** Asks an engine for the first time, or again if it was occupied. Returns whether it did. */
+  #askIfDue(engine: FleetUpstream): boolean {
+    const nowMs = this.#options.clock.nowMs();
     const incarnation = incarnationOf(engine);
-    const known = this.#asked.get(incarnation);
-    if (known === undefined) {
-      const asked = {
-        firstAskedMs: nowMs,
-        nextAskMs: Infinity,
-        replied: false,
-        load: NO_LOAD,
-      };
-      this.#asked.set(incarnation, asked);
-      void this.#ask(engine, asked);
-      return asked;
-    }
-    if (nowMs >= known.nextAskMs) {
-      known.nextAskMs = Infinity;
-      void this.#ask(engine, known);
-    }
-    return known;
+    const asked = this.#asked.get(incarnation) ?? {
+      firstAskedMs: nowMs,
+      nextAskMs: nowMs,
+      replied: false,
+      load: NO_LOAD,
+    };
+    if (nowMs < asked.nextAskMs) return false;
+    asked.nextAskMs = Infinity;
+    this.#asked.set(incarnation, asked);
+    void this.#ask(engine, asked);
+    return true;
   }
 
   async #ask(engine: FleetUpstream, asked: AskedEngine): Promise<void> {
--- a/batches/foreign_runs_test.ts
+++ b/batches/foreign_runs_test.ts
@@ -1,11 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  type FleetUpstream,
-  incarnationOf,
-  MemoryEventLog,
-  VirtualClock,
-} from "#core";
+import { type FleetUpstream, MemoryEventLog, VirtualClock } from "#core";
 import type { EngineReport } from "#weights";
 import { ForeignRuns } from "./foreign_runs.ts";
 import {
@@ -58,7 +53,13 @@
   }
 
   runsOn(id: string): number {
-    return this.foreignRuns.loadOf(incarnationOf(engineOf(id))).runs;
+    return this.foreignRuns.loadOf(engineOf(id)).runs;
+  }
+
+  /** Engines without runs of others, as far as it is known. */
+  free(): readonly string[] {
+    const ids = [...this.left.keys()];
+    return ids.filter((id) => this.runsOn(id) === 0);
   }
 
   snapshots(): readonly EngineSnapshot[] {
@@ -103,9 +104,9 @@
 test("a new leader starts no runs on engines that are full with runs of a leader that froze", async () => {
   const engines = new Engines({ full: 8, half: 5, empty: 0 });
   engines.foreignRuns.start();
-  assert.equal(engines.foreignRuns.survey(engines.all), true);
+  assert.deepEqual(engines.free(), []);
+  engines.foreignRuns.survey(engines.all);
   await replies();
-  assert.equal(engines.foreignRuns.survey(engines.all), false);
   const starts = planStarts({
     nowMs: 0,
     waiting: itemsOf(20),
@@ -127,7 +128,7 @@
   engines.left.set("full", 2);
   engines.own = 3;
   engines.clock.advance(500);
-  assert.equal(engines.foreignRuns.survey(engines.all), false);
+  engines.foreignRuns.survey(engines.all);
   await replies();
   assert.equal(engines.runsOn("full"), 2);
   assert.equal(engines.calls, 3, "an engine without such runs is asked once");
@@ -139,13 +140,24 @@
   engines.foreignRuns.start();
   engines.foreignRuns.survey(engines.all);
   await replies();
-  assert.equal(engines.foreignRuns.survey(engines.all), true);
+  assert.deepEqual(engines.free(), ["empty"]);
   engines.clock.advance(100);
-  assert.equal(engines.foreignRuns.survey(engines.all), false);
+  assert.deepEqual(engines.free(), ["dark", "empty"]);
 });
 
 test("a leader that took over nothing asks no engine", () => {
   const engines = new Engines({ empty: 0 });
-  assert.equal(engines.foreignRuns.survey(engines.all), false);
+  engines.foreignRuns.survey(engines.all);
+  assert.deepEqual(engines.free(), ["empty"]);
   assert.equal(engines.calls, 0);
 });
+
+test("a new leader asks a few engines at a time and places runs on those that have replied", async () => {
+  const left = Array.from({ length: 20 }, (_, at) => [`e${at}`, 0] as const);
+  const engines = new Engines(Object.fromEntries(left));
+  engines.foreignRuns.start();
+  engines.foreignRuns.survey(engines.all);
+  await replies();
+  assert.equal(engines.calls, 8);
+  assert.equal(engines.free().length, 8);
+});
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -72,13 +72,13 @@
   /** Makes a plan and carries it out, unless the last one was made just now or still has runs to start. */
   planIfDue(): void {
     if (this.#starts.isBusy) return;
-    if (this.#options.foreignRuns.survey(this.#engines())) return;
     const { clock } = this.#options;
     const startedMs = clock.nowMs();
     if (startedMs < this.#nextPlanMs) {
       this.#options.wakeAfter(this.#nextPlanMs - startedMs);
       return;
     }
+    this.#options.foreignRuns.survey(this.#engines());
     this.#placeRuns();
     const endedMs = clock.nowMs();
     const pauseMs = (endedMs - startedMs) *
@@ -138,7 +138,7 @@
       if (service === undefined || service.engine === null) continue;
       const incarnation = incarnationOf(upstream);
       incarnations.add(incarnation);
-      const foreign = foreignRuns.loadOf(incarnation);
+      const foreign = foreignRuns.loadOf(upstream);
       snapshots.push({
         upstream,
         versions: observations.versions(incarnation, upstream),
