--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -142,6 +142,7 @@
       random,
       timing: this.#options.timing ?? DEFAULT_TIMING,
       nowMs: clock.nowMs(),
+      startedMs,
       maximumLogBytes: this.#snapshotPolicy.maximumBytes,
       initialVoters: this.#options.firstStart?.voters,
       peers: this.#options.peers,
--- a/agreement/replica_state.ts
+++ b/agreement/replica_state.ts
@@ -59,6 +59,8 @@
   readonly timing: LogTiming;
   readonly random: RandomSource;
   readonly nowMs: Milliseconds;
+  /** When the replica began to read its disk, and after its last contact with a leader; `nowMs` by default. */
+  readonly startedMs?: Milliseconds;
   /** Size of the log in memory above which no further commands are accepted; unlimited by default. */
   readonly maximumLogBytes?: Bytes;
 }
@@ -111,9 +113,11 @@
     this.#hardState = recovered.hard;
     this.#durableIndex = this.log.lastIndex;
     this.#firstUnsyncedIndex = this.log.lastIndex + 1;
-    this.lastLeaderContactMs = recovered.isNew ? -Infinity : options.nowMs;
-    this.electionDueMs = options.nowMs;
-    this.resetElectionTimer(options.nowMs);
+    const { nowMs, startedMs = nowMs } = options;
+    this.lastLeaderContactMs = recovered.isNew ? -Infinity : startedMs;
+    this.electionDueMs = nowMs;
+    this.resetElectionTimer(startedMs);
+    if (startedMs < nowMs) this.#spreadElection(nowMs);
     this.role = this.isVoter() ? "follower" : "learner";
   }
 
@@ -183,6 +187,12 @@
     this.#hardStateVersion += 1;
   }
 
+  /** Postpones an election that became due while the disk was read, since other replicas may start just now. */
+  #spreadElection(nowMs: Milliseconds): void {
+    const spreadMs = this.random.fraction() * this.timing.electionSpreadMs;
+    this.electionDueMs = Math.max(this.electionDueMs, nowMs + spreadMs);
+  }
+
   /** Restarts the election timer with a random timeout. */
   resetElectionTimer(nowMs: Milliseconds): void {
     const { electionMinimumMs, electionSpreadMs } = this.timing;
--- a/agreement/replica_test.ts
+++ b/agreement/replica_test.ts
@@ -281,3 +281,26 @@
   assert.ok(busyMs > longestMs, `${busyMs} ms`);
   assert.ok(busyMs < 2 * longestMs, "it stands if no other voter does");
 });
+
+test("a replica that read its disk for longer than an election timeout votes and stands at once", () => {
+  const startedMs = START_MS - DEFAULT_TIMING.electionMinimumMs -
+    DEFAULT_TIMING.electionSpreadMs;
+  const voter = createReplica("a", { startedMs });
+  const request = voteRequest("replica-b", { trial: true });
+  voter.receive("b", request, { nowMs: START_MS, wallMs: 0 });
+  const syncBatch = voter.nextSyncBatch(START_MS);
+  if (syncBatch !== undefined) voter.markSynced(syncBatch);
+  const [reply] = messagesOfKind(voter.drainReadyMessages(), "voteReply");
+  assert.equal((reply as MessageOf<"voteReply">).granted, true);
+  const candidate = createReplica("a", { startedMs });
+  const nowMs = START_MS + DEFAULT_TIMING.electionSpreadMs;
+  candidate.tick({ nowMs, wallMs: 0 });
+  assert.equal(candidate.state.role, "candidate");
+});
+
+test("a replica that has just started grants no vote, although it read its disk for a moment", () => {
+  const voter = createReplica("a", { startedMs: START_MS - 10 });
+  const request = voteRequest("replica-b", { trial: true });
+  voter.receive("b", request, { nowMs: START_MS, wallMs: 0 });
+  assert.equal(voter.drainReadyMessages().length, 0);
+});
