--- a/agreement/replica_state.ts
+++ b/agreement/replica_state.ts
@@ -313,7 +313,7 @@
     const last = { index, term };
     return {
       batch,
-      messagesAfterSync: messagesAfterSync,
+      messagesAfterSync,
       last,
       hardStateVersion: this.#hardStateVersion,
     };
--- a/fakes/announcer.ts
+++ b/fakes/announcer.ts
@@ -113,7 +113,7 @@
     const { id, ...announcement } = this.#options.currentAnnouncement();
     const response = await this.#options.client.send({
       method: "PUT",
-      baseUrl: baseUrl,
+      baseUrl,
       path: `/v1/upstreams/${encodeURIComponent(id)}`,
       body: { ...announcement, sequence: this.#sequence },
       timeoutMs: CALL_TIMEOUT_MS,
--- a/proof/fuzz_ledger.ts
+++ b/proof/fuzz_ledger.ts
@@ -197,7 +197,7 @@
     step: group.step,
     group: group.group,
     oldestVersion: oldest,
-    commitLabel: commitLabel,
+    commitLabel,
   });
 }
 
--- a/proof/orders_world.ts
+++ b/proof/orders_world.ts
@@ -216,8 +216,7 @@
     order: EngineOrder,
     limitMs: Milliseconds,
   ): Promise<Result<null, Failure>> {
-    const { clock, orderFaults: orderFaults, sentOrders: sentOrders } =
-      this.#world;
+    const { clock, orderFaults, sentOrders } = this.#world;
     sentOrders.push({ vm: this.#vm, order, atMs: clock.nowMs(), limitMs });
     const fault = orderFaults.shift() ?? NO_FAULT;
     const engine = this.#engine(address);
--- a/requests/scheduler.ts
+++ b/requests/scheduler.ts
@@ -234,7 +234,7 @@
     const outstanding = this.#outstanding.get(item.tenant) ?? 0;
     return this.#rules.checkAdmission(item, {
       ...state,
-      outstanding: outstanding,
+      outstanding,
     });
   }
 
--- a/weights/departed_engine_detector.ts
+++ b/weights/departed_engine_detector.ts
@@ -26,8 +26,8 @@
   /** Returns the departed engines; returns none until the check interval has passed since the last check. */
   findDeparted(input: DepartedEnginesInput): readonly string[] {
     const {
-      orderedEngines: orderedEngines,
-      registeredEngines: registeredEngines,
+      orderedEngines,
+      registeredEngines,
       nowMs,
     } = input;
     if (nowMs < this.#nextCheckMs) return [];
--- a/weights/engine_orders.ts
+++ b/weights/engine_orders.ts
@@ -159,7 +159,7 @@
     this.#orderCounts.clear();
     this.#loadedVersions.clear();
     const effectiveFromMs = clock.nowMs() + (mustWait ? holdMs : 0);
-    this.#hold = { fence, effectiveFromMs: effectiveFromMs };
+    this.#hold = { fence, effectiveFromMs };
     events.emit(WEIGHTS_EVENTS.holdAcquired, { fence, mustWait });
   }
 
@@ -172,7 +172,7 @@
       configuration,
       engines,
       machine,
-      minimumVersions: minimumVersions,
+      minimumVersions,
     } = this.#options;
     this.#lag.observe(machine.current.versions, minimumVersions());
     const loads: PlannedLoad[] = [];
--- a/weights/engine_orders_test.ts
+++ b/weights/engine_orders_test.ts
@@ -90,7 +90,7 @@
     order: LoadOrder,
   ): Promise<OrderOutcome> {
     this.receivedOrders.push(order);
-    const { nextOutcome: nextOutcome } = this;
+    const { nextOutcome } = this;
     this.nextOutcome = undefined;
     if (nextOutcome !== undefined) return Promise.resolve(nextOutcome);
     if (order.fence < this.fence) return Promise.resolve("stale_fence");
--- a/weights/load_plan.ts
+++ b/weights/load_plan.ts
@@ -120,7 +120,7 @@
     readonly assigned: ReadonlyMap<string, string>;
   },
 ): readonly string[] {
-  const { models, assigned, allowedLags: allowedLags } = input;
+  const { models, assigned, allowedLags } = input;
   const ownIndex = models.indexOf(assigned.get(engine.id) ?? "");
   if (ownIndex < 0) return [];
   const versionsPerLoad = models.map((model) =>
