--- a/agreement/formation.ts
+++ b/agreement/formation.ts
@@ -1,7 +1,7 @@
 /**
- * Explicit first start of a group: the alphabetically first of the listed VMs collects the identities of
- * all replicas, then appends them as the first log entry. It forms no group once a replica reports that it
- * already belongs to one.
+ * Explicit first start of a group: one of the listed VMs, the coordinator, collects the identities of all
+ * replicas, appends them as the first log entry and becomes the first leader. It forms no group once a replica
+ * reports that it already belongs to one.
  *
  * @module
  */
@@ -14,22 +14,31 @@
 const FIRST_INDEX = 1;
 const GROUP_IDENTIFIER_LENGTH = 16;
 
+/** The VMs of a group that is formed. */
+export interface InitialGroup {
+  readonly voters: readonly string[];
+  /** The voter that forms the group, the same on all of them; by default the alphabetically first one. */
+  readonly coordinator?: string;
+}
+
 /** Forms a group of replicas that don't belong to one yet. */
 export class Formation {
   readonly #state: ReplicaState;
   readonly #voters: readonly string[];
+  readonly #coordinator: string | undefined;
   readonly #replicas = new Map<string, string>();
   #abandoned = false;
 
-  constructor(state: ReplicaState, voters: readonly string[]) {
+  constructor(state: ReplicaState, group: InitialGroup) {
     this.#state = state;
-    this.#voters = [...voters].sort();
+    this.#voters = [...group.voters].sort();
+    this.#coordinator = group.coordinator ?? this.#voters[0];
   }
 
   /** Whether this replica collects the identities and forms the group. */
   isCoordinator(): boolean {
     if (this.#abandoned || this.#state.group !== null) return false;
-    return this.#voters[0] === this.#state.vm;
+    return this.#coordinator === this.#state.vm;
   }
 
   /** Requests the identities of the other voters' replicas. */
--- a/agreement/quorum_log.ts
+++ b/agreement/quorum_log.ts
@@ -24,6 +24,7 @@
 import { ChunkSender } from "./chunk_sender.ts";
 import { type DataFolder, StorageError } from "./data_folder.ts";
 import { AGREEMENT_EVENTS } from "./events.ts";
+import type { InitialGroup } from "./formation.ts";
 import type { Instant } from "./leader_role.ts";
 import { LogStorage } from "./log_storage.ts";
 import { MachineHost, unknownMachine } from "./machine_host.ts";
@@ -68,7 +69,7 @@
    * Forms a new group of these VMs, each with an empty data folder. If undefined, a replica with an empty
    * folder waits to be added as a voter. Has no effect if the folder is not empty.
    */
-  readonly firstStart?: { readonly voters: readonly string[] };
+  readonly firstStart?: InitialGroup;
   /** Whether another replica should lead if it can, such as on a VM that is busy with another log. */
   readonly prefersOtherLeader?: () => boolean;
   readonly timing?: LogTiming;
@@ -144,7 +145,7 @@
       nowMs: clock.nowMs(),
       startedMs,
       maximumLogBytes: this.#snapshotPolicy.maximumBytes,
-      initialVoters: this.#options.firstStart?.voters,
+      initialGroup: this.#options.firstStart,
       peers: this.#options.peers,
       prefersOtherLeader: this.#options.prefersOtherLeader ?? (() => false),
       report: (report) => this.#reportVoters(report),
--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -9,7 +9,7 @@
 import { Election } from "./election.ts";
 import type { EntryKind, EntryPosition, LogEntry } from "./entries.ts";
 import { FollowerRole, type ReceivedChunk } from "./follower_role.ts";
-import { Formation } from "./formation.ts";
+import { Formation, type InitialGroup } from "./formation.ts";
 import { type Instant, LeaderRole } from "./leader_role.ts";
 import type { Message, MessageOf } from "./messages.ts";
 import type { ReplicaProgress } from "./replica_progress.ts";
@@ -26,7 +26,7 @@
 /** Options of `Replica`. */
 export interface ReplicaOptions extends ReplicaStateOptions {
   /** VMs that form a new group on an explicit first start; undefined to join an existing group. */
-  readonly initialVoters: readonly string[] | undefined;
+  readonly initialGroup: InitialGroup | undefined;
   /** Returns the names of the control VMs whose replicas should be voters. */
   readonly peers: () => readonly string[];
   readonly report: (report: VoterReport) => void;
@@ -54,8 +54,8 @@
     );
     this.#followerRole = new FollowerRole(this.state);
     this.#nextHelloMs = options.nowMs;
-    if (options.initialVoters === undefined) return;
-    this.#formation = new Formation(this.state, options.initialVoters);
+    if (options.initialGroup === undefined) return;
+    this.#formation = new Formation(this.state, options.initialGroup);
   }
 
   /** Leader role, or undefined while this replica is not the leader. */
--- a/agreement/replica_test.ts
+++ b/agreement/replica_test.ts
@@ -37,7 +37,7 @@
     timing: DEFAULT_TIMING,
     random: new SeededRandom(1),
     nowMs: START_MS,
-    initialVoters: undefined,
+    initialGroup: undefined,
     peers: () => ["a", "b", "c"],
     report: () => {},
     ...change,
--- a/membership/placement_plan.ts
+++ b/membership/placement_plan.ts
@@ -104,6 +104,22 @@
   return leader !== undefined && hostOf(leader.vm) === hostOf(vm);
 }
 
+/**
+ * Returns the group that the store VMs form first. The control VMs are led by the alphabetically first one at the
+ * start, so the last store VM leads the batch log, and a fault of one machine does not end both leaderships.
+ *
+ * @example
+ * ```ts
+ * initialStoreGroup(["a:1", "c:1", "b:1"]).coordinator; // "c:1"
+ * ```
+ */
+export function initialStoreGroup(
+  stores: readonly string[],
+): { readonly voters: readonly string[]; readonly coordinator: string } {
+  const voters = [...stores].sort();
+  return { voters, coordinator: voters.at(-1) ?? "" };
+}
+
 function liveNodes(
   input: PlacementInput,
   role: FleetNode["role"],
--- a/membership/placement_plan_test.ts
+++ b/membership/placement_plan_test.ts
@@ -2,6 +2,8 @@
 import { test } from "node:test";
 import type { FleetNode, Placement } from "#core";
 import {
+  initialStoreGroup,
+  isOnHostOfLeader,
   isRetirementComplete,
   nextPlacement,
   type ObservedNode,
@@ -176,3 +178,19 @@
   assert.equal(isRetired(controls), false);
   assert.equal(isRetired(second.controls), true);
 });
+
+test("the batch log is first led by another machine than the control log, whose first VM leads", () => {
+  const { voters, coordinator } = initialStoreGroup(["c:2", "a:2", "b:2"]);
+  assert.deepEqual(voters, ["a:2", "b:2", "c:2"]);
+  assert.equal(coordinator, "c:2");
+});
+
+test("a VM is on the host of the leader with the highest term only", () => {
+  const nodes = [
+    createNode("c1:1", "z0", { leads: true, term: 3 }).node,
+    createNode("c2:1", "z1", { leads: true, term: 4 }).node,
+  ];
+  const control = { nodes, role: "control" } as const;
+  assert.equal(isOnHostOfLeader("c2:2", control), true);
+  assert.equal(isOnHostOfLeader("c1:2", control), false);
+});
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -12,7 +12,11 @@
   ForwardedScoring,
 } from "#batches";
 import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
-import { FleetFollower, isOnHostOfLeader } from "#membership";
+import {
+  FleetFollower,
+  initialStoreGroup,
+  isOnHostOfLeader,
+} from "#membership";
 import { type NodeSettings, WorkerDialect, WorkerOrderClient } from "#platform";
 import { Forwarder } from "#requests";
 import { HTTP_EVENTS } from "./events.ts";
@@ -145,7 +149,7 @@
       folder: openDataFolder(settings, "store"),
       machines: [this.#batchesMachine as AnyStateMachine],
       peers: () => this.#fleetFollower.placement.stores,
-      ...(formsGroup ? { firstStart: { voters: stores } } : {}),
+      ...(formsGroup ? { firstStart: initialStoreGroup(stores) } : {}),
       prefersOtherLeader: () =>
         isOnHostOfLeader(base.vm, {
           nodes: this.#fleetFollower.nodes,
