--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -40,6 +40,7 @@
 } from "./batch_state.ts";
 import type { EngineSpeed } from "./engine_observations.ts";
 import { textOf } from "./held_text.ts";
+import { LoggedSpeeds } from "./logged_speeds.ts";
 
 /** State from which on its memory is reclaimed at once when it is dropped. */
 const LARGE_STATE_BYTES: Bytes = 8 * MEBIBYTE;
@@ -67,9 +68,7 @@
   readonly #batches = new Map<string, MutableBatchState>();
   /** Identifier of the latest batch that contains an item, by item identifier. */
   readonly #latestBatchIdByItem = new Map<string, string>();
-  /** The speeds that were logged last, and when. Hints only: they are in no snapshot and decide no result. */
-  #speeds: readonly EngineSpeed[] = [];
-  #speedsAtMs: Milliseconds = 0;
+  readonly #speeds = new LoggedSpeeds();
   /** Time before which no batch is to be removed. */
   #nextExpiryMs: Milliseconds = Infinity;
 
@@ -80,7 +79,7 @@
     this.#removeExpired(atMs);
     if (command.kind === "accept") return this.#accept(command, atMs);
     if (command.kind === "update") {
-      if (command.speeds !== undefined) this.#setSpeeds(command.speeds, atMs);
+      if (command.speeds !== undefined) this.#speeds.set(command.speeds, atMs);
       return this.#applyUpdates(command.updates);
     }
     if (command.kind === "end") return this.#end(command.id);
@@ -108,11 +107,7 @@
 
   /** Returns the speeds of the engines that a leader logged last. */
   engineSpeeds(wallMs: Milliseconds): readonly EngineSpeed[] {
-    const loggedMs = Math.max(0, wallMs - this.#speedsAtMs);
-    return this.#speeds.map((each) => ({
-      ...each,
-      ageMs: each.ageMs + loggedMs,
-    }));
+    return this.#speeds.at(wallMs);
   }
 
   /** Returns the batches that have not ended, in the order of their acceptance. */
@@ -253,11 +248,6 @@
     return Ok(applied);
   }
 
-  #setSpeeds(speeds: readonly EngineSpeed[], atMs: Milliseconds): void {
-    this.#speeds = speeds;
-    this.#speedsAtMs = atMs;
-  }
-
   #end(id: string): Result<number, Failure> {
     const state = this.#batches.get(id);
     if (state === undefined) {
