--- a/batches/foreign_runs.ts
+++ b/batches/foreign_runs.ts
@@ -37,6 +37,8 @@
   readonly firstAskedMs: Milliseconds;
   nextAskMs: Milliseconds;
   replied: boolean;
+  /** Whether the latest call failed, so that the load is not known. */
+  failed: boolean;
   load: ForeignLoad;
 }
 
@@ -114,10 +116,10 @@
     let runs = 0;
     let occupied = 0;
     let silent = 0;
-    for (const { load, replied } of this.#asked.values()) {
+    for (const { load, replied, failed } of this.#asked.values()) {
       runs += load.runs;
       if (load.runs > 0) occupied += 1;
-      if (!replied) silent += 1;
+      if (!replied || failed) silent += 1;
     }
     const engines = this.#asked.size;
     const counts = { engines, silent, occupied, runs };
@@ -132,6 +134,7 @@
       firstAskedMs: nowMs,
       nextAskMs: nowMs,
       replied: false,
+      failed: false,
       load: NO_LOAD,
     };
     if (nowMs < asked.nextAskMs) return false;
@@ -146,6 +149,7 @@
     const report = await fetchReport(engine);
     const isFirst = !asked.replied;
     asked.replied = true;
+    asked.failed = report === undefined;
     if (report !== undefined) {
       const runs = Math.max(0, report.runs - ownRuns(incarnationOf(engine)));
       asked.load = leastLoad(isFirst ? undefined : asked.load, {
--- a/batches/foreign_runs_test.ts
+++ b/batches/foreign_runs_test.ts
@@ -36,6 +36,8 @@
   readonly left = new Map<string, number>();
   readonly foreignRuns: ForeignRuns;
   readonly all: readonly FleetUpstream[];
+  readonly events = new MemoryEventLog();
+  failing = new Set<string>();
   calls = 0;
   silent = new Set<string>();
   own = 0;
@@ -45,7 +47,7 @@
     this.all = [...this.left.keys()].map(engineOf);
     this.foreignRuns = new ForeignRuns({
       clock: this.clock,
-      events: new MemoryEventLog(),
+      events: this.events,
       fetchReport: (engine) => this.#report(engine),
       ownRuns: () => this.own,
       onReply: () => {},
@@ -76,6 +78,7 @@
   #report(engine: FleetUpstream): Promise<EngineReport | undefined> {
     this.calls += 1;
     if (this.silent.has(engine.id)) return new Promise(() => {});
+    if (this.failing.has(engine.id)) return Promise.resolve(undefined);
     const runs = this.own + (this.left.get(engine.id) ?? 0);
     return Promise.resolve(reportOf(runs));
   }
@@ -161,3 +164,14 @@
   assert.equal(engines.calls, 8);
   assert.equal(engines.free().length, 8);
 });
+
+test("an engine whose report fails is not logged as empty", async () => {
+  const engines = new Engines({ broken: 0, empty: 0 });
+  engines.failing.add("broken");
+  engines.foreignRuns.start();
+  engines.foreignRuns.survey(engines.all);
+  await replies();
+  engines.foreignRuns.survey(engines.all);
+  const [logged] = engines.events.records();
+  assert.equal(logged?.fields["silent"], 1);
+});
--- a/membership/placement_plan.ts
+++ b/membership/placement_plan.ts
@@ -91,7 +91,7 @@
 
 /**
  * Returns whether the leader of a group runs on the same machine as a VM. Two leaders on one machine share its
- * processor, and after a restart of all VMs they need more of it than there is.
+ * processor, which may not suffice after a restart of all VMs.
  */
 export function isOnHostOfLeader(
   vm: string,
