Read the limits that upstreams name, and log what is sent to them

Event 1420 names each limit learned, changed or ended, with its source; 1507 names each call sent to a limited upstream with the number of the attempt. What one VM reads goes to the control VMs and from there to all VMs, as the notice of a leaving upstream does, ordered by the age of the response and not by the arrival of the report. Nothing is sent differently yet.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -14,7 +14,11 @@
   type RoutingConfiguration,
   type Timer,
 } from "#core";
-import { CachedRouteRules, type UpstreamDialect } from "#requests";
+import {
+  CachedRouteRules,
+  type UpstreamDialect,
+  type UpstreamNotices,
+} from "#requests";
 import type { EngineReport } from "#weights";
 import type { BatchState } from "./batch_state.ts";
 import { BatchTimings } from "./batch_timings.ts";
@@ -35,7 +39,7 @@
 const CLOCK_ERROR_MARGIN_MS: Milliseconds = 10_000;
 
 /** Options of `BatchRunner`. */
-export interface BatchRunnerOptions {
+export interface BatchRunnerOptions extends UpstreamNotices {
   readonly log: ReplicatedLog;
   readonly machine: BatchesMachine;
   readonly clock: Clock;
@@ -43,8 +47,6 @@
   readonly random: RandomSource;
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
-  /** Called with an engine whose response states that it is leaving. */
-  readonly onLeaving: (engine: FleetUpstream) => void;
   readonly configuration: () => RoutingConfiguration | null;
   readonly scoringPort: ScoringPort;
   /** Fetches the state of an engine; returns undefined if the call fails. */
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -44,6 +44,7 @@
       notRun: false,
       stamp: "s",
       leaving: false,
+      requestLimit: null,
       version: 1,
     };
   }
@@ -139,6 +140,7 @@
     dialect: new TestDialect(),
     upstreams: () => [engine],
     onLeaving: () => {},
+    onRequestLimit: () => {},
     configuration: () => CONFIGURATION,
     fetchReport: () => Promise.resolve(undefined),
     scoringPort: new NoScoring(),
--- a/batches/item_run.ts
+++ b/batches/item_run.ts
@@ -7,10 +7,12 @@
 import { type Bytes, type FleetUpstream, KIBIBYTE } from "#core";
 import {
   EventParser,
+  reportNotices,
   type StreamEvent,
   type StreamingResponse,
   type UpstreamDialect,
   type UpstreamHttp,
+  type UpstreamNotices,
 } from "#requests";
 import type { BatchHeader, BatchItem } from "./batch_types.ts";
 
@@ -55,8 +57,7 @@
   /** Returns whether a version may generate the next event. */
   readonly allowsVersion: (version: number) => boolean;
   readonly signal: AbortSignal;
-  /** Called if the engine states that it is leaving. */
-  readonly onLeaving: () => void;
+  readonly notices: UpstreamNotices;
   readonly onEvent: (event: GeneratedEvent) => void;
 }
 
@@ -96,7 +97,8 @@
 ): RunOutcome | undefined {
   const { status } = response.head;
   const marks = options.dialect.readResponse(response.head);
-  if (marks.leaving) options.onLeaving();
+  const { notices, upstream, item } = options;
+  reportNotices(notices, { upstream, requestId: item.id, metadata: marks });
   if (marks.notRun) return { kind: "refused", reason: `status ${status}` };
   if (marks.requestId !== options.item.id) {
     response.closeConnection();
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -10,7 +10,11 @@
   incarnationOf,
   type Milliseconds,
 } from "#core";
-import { type UpstreamDialect, UpstreamHttp } from "#requests";
+import {
+  type UpstreamDialect,
+  UpstreamHttp,
+  type UpstreamNotices,
+} from "#requests";
 import { match } from "ts-pattern";
 import { EngineObservations } from "./engine_observations.ts";
 import { BATCHES_EVENTS } from "./events.ts";
@@ -19,13 +23,11 @@
 import { abortRun, type ActiveRun, type ItemTask } from "./item_task.ts";
 
 /** Options of `ItemRuns`. */
-export interface ItemRunsOptions {
+export interface ItemRunsOptions extends UpstreamNotices {
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
-  /** Called with an engine whose response states that it is leaving. */
-  readonly onLeaving: (engine: FleetUpstream) => void;
   /** Called when there is new progress to store. */
   readonly onProgress: () => void;
   /** Called when an item is completed or abandoned. */
@@ -77,7 +79,7 @@
         return task.allowsVersion(version);
       },
       signal: run.abort.signal,
-      onLeaving: () => this.#options.onLeaving(upstream),
+      notices: this.#options,
       onEvent: (event) => {
         if (task.run !== run) return;
         this.#recordEvent(task, run);
--- a/core/fleet.ts
+++ b/core/fleet.ts
@@ -24,6 +24,11 @@
   readonly slots: number;
   readonly phase: UpstreamPhase;
   readonly serves: readonly ServedVersion[];
+  /**
+   * Requests per second that it accepts from all VMs together. Null if it names no limit any more; absent if this
+   * incarnation has never named one.
+   */
+  readonly requestLimit?: number | null;
 }
 
 /** Role of a VM of the system. */
--- a/membership/events.ts
+++ b/membership/events.ts
@@ -113,6 +113,14 @@
       "an upstream said in a response that it is leaving; this VM sends it nothing more",
     action: "None; a new incarnation receives calls again.",
   },
+  requestLimitChanged: {
+    code: 1420,
+    level: "info",
+    text:
+      "an upstream named a limit of requests per second for all VMs together, changed it or names none any more",
+    action:
+      "None; if it persists, the service has too little capacity. `source`: a response that this VM read, or a control VM.",
+  },
   isolated: {
     code: 1418,
     level: "warn",
--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -23,6 +23,7 @@
   FollowReply,
 } from "./fleet_messages.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
+import { NamedLimits } from "./named_limits.ts";
 
 const FOLLOW_WAIT_MS: Milliseconds = 1_500;
 const REPLY_MARGIN_MS: Milliseconds = 700;
@@ -51,6 +52,7 @@
   readonly #options: FleetFollowerOptions;
   readonly #startedMs: Milliseconds;
   readonly #leaving: LeavingUpstreams;
+  readonly #limits: NamedLimits;
   #configuration: RoutingConfiguration | null = null;
   #confirmed = false;
   #upstreams = new Map<string, FleetUpstream>();
@@ -76,6 +78,7 @@
     this.#options = options;
     this.#startedMs = options.clock.nowMs();
     this.#leaving = new LeavingUpstreams(options.events);
+    this.#limits = new NamedLimits(options);
     this.#switchCount = options.random.below(1_000);
   }
 
@@ -106,11 +109,11 @@
     return this.#options.clock.nowMs() - this.#silentSinceMs;
   }
 
-  /** Upstreams that are not gone; those that told this VM that they are leaving are draining. */
+  /** Upstreams that are not gone, with what their responses told this VM: that they are leaving, and their limits. */
   get upstreams(): readonly FleetUpstream[] {
     const upstreams: FleetUpstream[] = [];
     for (const upstream of this.#upstreams.values()) {
-      upstreams.push(this.#leaving.mark(upstream));
+      upstreams.push(this.#limits.mark(this.#leaving.mark(upstream)));
     }
     return upstreams;
   }
@@ -127,6 +130,17 @@
     this.#options.network.notify({ to: server, channel: "fleet" }, notice);
   }
 
+  /** Records the limit that an upstream names in a response, null for none, and tells the control VM if it changed. */
+  reportRequestLimit(upstream: FleetUpstream, perSecond: number | null): void {
+    if (!this.#limits.observe(upstream, perSecond)) return;
+    this.#options.onChange();
+    const server = this.#server;
+    const observation = this.#limits.observationOf(upstream);
+    if (server === undefined || observation === undefined) return;
+    const notice: FleetNotice = { kind: "limits", limits: [observation] };
+    this.#options.network.notify({ to: server, channel: "fleet" }, notice);
+  }
+
   get placement(): Placement {
     return this.#placement;
   }
@@ -200,6 +214,7 @@
           ? {}
           : { nodesDigest: this.#nodesDigest }),
         leaving: this.#leaving.unknownTo(this.#upstreams.values()),
+        limits: this.#limits.unknownTo(this.#upstreams.values()),
       },
     );
     if (response.ok) {
@@ -324,10 +339,12 @@
       const known = this.#upstreams.get(upstream.id);
       if (known !== undefined && known.bornMs > upstream.bornMs) continue;
       this.#upstreams.set(upstream.id, upstream);
+      this.#limits.adopt(upstream);
     }
     this.#fleet = fleet.revision;
     this.#fleetIsExact = replaces;
     this.#leaving.retainOnly(this.#upstreams.values());
+    this.#limits.retainOnly(this.#upstreams.values());
   }
 }
 
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -36,6 +36,8 @@
   readonly acceptsDeltas?: boolean;
   /** Upstreams that told the sender that they are leaving. Absent in requests of earlier builds. */
   readonly leaving?: readonly UpstreamIncarnation[];
+  /** Limits that the sender knows and the control VM does not state. Absent in requests of earlier builds. */
+  readonly limits?: readonly LimitObservation[];
 }
 
 /** One incarnation of an upstream. */
@@ -44,6 +46,12 @@
   readonly bornMs: Milliseconds;
 }
 
+/** The requests per second that an upstream named in a response, null for no limit, and how long ago. */
+export interface LimitObservation extends UpstreamIncarnation {
+  readonly perSecond: number | null;
+  readonly ageMs: Milliseconds;
+}
+
 /** The revision of the upstreams within one incarnation of one control VM. */
 export interface FleetRevision {
   readonly epoch: string;
@@ -92,6 +100,11 @@
     readonly kind: "draining";
     readonly upstreams: readonly UpstreamIncarnation[];
   }
+  /** Limits that upstreams named in responses. */
+  | {
+    readonly kind: "limits";
+    readonly limits: readonly LimitObservation[];
+  }
   | {
     readonly kind: "nodes";
     readonly nodes: readonly ObservedNode[];
@@ -100,7 +113,7 @@
   };
 
 const noticeKind = z.object({
-  kind: z.enum(["beats", "leave", "draining", "nodes"]),
+  kind: z.enum(["beats", "leave", "draining", "limits", "nodes"]),
 });
 const followKind = z.object({
   kind: z.literal("follow"),
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -23,6 +23,7 @@
   type FleetRevision,
   type FollowReply,
   type FollowRequest,
+  type LimitObservation,
   parseFleetNotice,
   parseFollowRequest,
   type UpstreamIncarnation,
@@ -122,6 +123,15 @@
     this.wakeWaiters();
   }
 
+  /** Records limits that upstreams named in responses, and notifies the others. */
+  recordLimits(limits: readonly LimitObservation[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    const news = limits.filter((each) => this.#table.recordLimit(each, nowMs));
+    if (news.length === 0) return;
+    this.#notifyPeers({ kind: "limits", limits: news });
+    this.wakeWaiters();
+  }
+
   /** Returns the upstreams that accept work or finish the work that they have. */
   upstreams(): readonly FleetUpstream[] {
     return this.#table.listed();
@@ -215,6 +225,7 @@
       this.#table.markGone(notice.id, notice.bornMs, nowMs);
     }
     if (notice.kind === "draining") this.recordLeaving(notice.upstreams);
+    if (notice.kind === "limits") this.recordLimits(notice.limits);
     if (notice.kind === "nodes") this.#handleNodes(from, notice);
     if (this.#table.revision !== previousRevision) this.wakeWaiters();
   }
@@ -246,6 +257,7 @@
     }
     if (this.#vms.recordReport(request.node)) this.wakeWaiters();
     this.recordLeaving(request.leaving ?? []);
+    this.recordLimits(request.limits ?? []);
     const confirmed = request.confirm
       ? await this.#options.confirm()
       : undefined;
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
+import type { LimitObservation } from "./fleet_messages.ts";
 
 /** Whether a heartbeat changed the routing, only renewed the upstream, or was outdated. */
 export type HeartbeatOutcome = "changed" | "renewed" | "outdated";
@@ -14,12 +15,16 @@
   receivedMs: Milliseconds;
   /** Start time of an incarnation that is known to leave, whatever its heartbeats say; null if none is. */
   leavingBornMs: Milliseconds | null;
+  /** When a response last named the limit in the record; null if none is known. */
+  limitObservedMs: Milliseconds | null;
 }
 
 /** A heartbeat with the time that has passed since it was received. */
 export interface AgedHeartbeat {
   readonly record: FleetUpstream;
   readonly ageMs: Milliseconds;
+  /** Time since a response named the limit in the record; absent if there is none, and in earlier builds. */
+  readonly limitAgeMs?: Milliseconds;
 }
 
 /** Time limits of the table. */
@@ -58,13 +63,24 @@
   recordHeartbeat(beat: AgedHeartbeat, nowMs: Milliseconds): HeartbeatOutcome {
     const known = this.#entries.get(beat.record.id);
     if (known !== undefined && !isNewer(beat.record, known.record)) {
+      this.#adoptLimitOf(beat, nowMs);
       return "outdated";
     }
     const leavingBornMs = known?.leavingBornMs ?? null;
-    const record = withDeparture(beat.record, leavingBornMs);
+    const limit = newerLimit(known, beat, nowMs);
+    const record = {
+      ...withDeparture(beat.record, leavingBornMs),
+      ...limitField(limit),
+    };
     const wasExpired = known !== undefined && this.#isExpired(known, nowMs);
     const receivedMs = nowMs - beat.ageMs;
-    this.#entries.set(record.id, { record, receivedMs, leavingBornMs });
+    const limitObservedMs = limit?.observedMs ?? null;
+    this.#entries.set(record.id, {
+      record,
+      receivedMs,
+      leavingBornMs,
+      limitObservedMs,
+    });
     const changed = known === undefined || wasExpired ||
       !sameForRouting(known.record, record);
     if (!changed) return "renewed";
@@ -105,6 +121,25 @@
     return true;
   }
 
+  /**
+   * Records the limit that an incarnation named in a response, null for none; returns whether that is news. An older
+   * observation than the known one, or one of another incarnation, is ignored.
+   */
+  recordLimit(observed: LimitObservation, nowMs: Milliseconds): boolean {
+    const known = this.#entries.get(observed.id);
+    if (known === undefined || known.record.bornMs !== observed.bornMs) {
+      return false;
+    }
+    const observedMs = nowMs - observed.ageMs;
+    if (observedMs <= (known.limitObservedMs ?? -Infinity)) return false;
+    known.limitObservedMs = observedMs;
+    const { perSecond } = observed;
+    if (known.record.requestLimit === perSecond) return false;
+    known.record = { ...known.record, requestLimit: perSecond };
+    this.#revision += 1;
+    return true;
+  }
+
   /** Marks upstreams without a heartbeat in time as gone, and removes those without one for the retention time. */
   expire(nowMs: Milliseconds): void {
     for (const [id, entry] of this.#entries) {
@@ -132,12 +167,24 @@
   /** Returns all stored heartbeats with their ages, for another control VM. */
   agedHeartbeats(nowMs: Milliseconds): readonly AgedHeartbeat[] {
     const all: AgedHeartbeat[] = [];
-    for (const { record, receivedMs } of this.#entries.values()) {
-      all.push({ record, ageMs: nowMs - receivedMs });
+    for (const entry of this.#entries.values()) {
+      const { record, receivedMs, limitObservedMs } = entry;
+      const ageMs = nowMs - receivedMs;
+      const limit = limitObservedMs === null
+        ? {}
+        : { limitAgeMs: nowMs - limitObservedMs };
+      all.push({ record, ageMs, ...limit });
     }
     return all;
   }
 
+  #adoptLimitOf(beat: AgedHeartbeat, nowMs: Milliseconds): void {
+    const { record: { id, bornMs, requestLimit }, limitAgeMs } = beat;
+    if (requestLimit === undefined || limitAgeMs === undefined) return;
+    const limit = { id, bornMs, perSecond: requestLimit, ageMs: limitAgeMs };
+    this.recordLimit(limit, nowMs);
+  }
+
   #isExpired(entry: TableEntry, nowMs: Milliseconds): boolean {
     return nowMs - entry.receivedMs > this.#options.heartbeatTimeoutMs;
   }
@@ -152,6 +199,42 @@
   return leaves ? { ...record, phase: "draining" } : record;
 }
 
+interface ObservedLimit {
+  readonly perSecond: number | null;
+  readonly observedMs: Milliseconds;
+}
+
+/** Returns the newer one of the limits known for an incarnation and the one that its heartbeat brings, if any. */
+function newerLimit(
+  known: TableEntry | undefined,
+  beat: AgedHeartbeat,
+  nowMs: Milliseconds,
+): ObservedLimit | undefined {
+  const stored = known?.record.bornMs === beat.record.bornMs
+    ? observedLimit(known.record, known.limitObservedMs)
+    : undefined;
+  const brought = beat.limitAgeMs === undefined
+    ? undefined
+    : observedLimit(beat.record, nowMs - beat.limitAgeMs);
+  if (stored === undefined || brought === undefined) return stored ?? brought;
+  return brought.observedMs > stored.observedMs ? brought : stored;
+}
+
+function observedLimit(
+  record: FleetUpstream,
+  observedMs: Milliseconds | null,
+): ObservedLimit | undefined {
+  const { requestLimit } = record;
+  if (requestLimit === undefined || observedMs === null) return undefined;
+  return { perSecond: requestLimit, observedMs };
+}
+
+function limitField(
+  limit: ObservedLimit | undefined,
+): Pick<FleetUpstream, "requestLimit"> {
+  return limit === undefined ? {} : { requestLimit: limit.perSecond };
+}
+
 function isNewer(record: FleetUpstream, known: FleetUpstream): boolean {
   if (record.bornMs !== known.bornMs) return record.bornMs > known.bornMs;
   return record.sequence > known.sequence;
@@ -159,7 +242,8 @@
 
 function sameForRouting(a: FleetUpstream, b: FleetUpstream): boolean {
   return a.bornMs === b.bornMs && a.phase === b.phase &&
-    a.service === b.service && a.zone === b.zone && a.slots === b.slots &&
+    a.requestLimit === b.requestLimit && a.service === b.service &&
+    a.zone === b.zone && a.slots === b.slots &&
     a.address.host === b.address.host && a.address.port === b.address.port &&
     JSON.stringify(a.serves) === JSON.stringify(b.serves);
 }
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -23,6 +23,7 @@
   NODE_HTTP_LIMITS,
   type NodeBase,
   type PlatformNode,
+  upstreamNotices,
 } from "./node_base.ts";
 import { NodeMonitoring } from "./node_monitoring.ts";
 import { probeRoutes } from "./probe_routes.ts";
@@ -64,7 +65,7 @@
       zone: settings.zone,
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
-      onLeaving: (upstream) => this.#fleetFollower.reportLeaving(upstream),
+      ...upstreamNotices(this.#fleetFollower),
     });
     this.#batches = new BatchClient({
       ...base,
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -24,7 +24,9 @@
 } from "#core";
 import { HTTP_EVENTS } from "./events.ts";
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
+import type { FleetFollower } from "#membership";
 import type { NodeSettings } from "#platform";
+import type { UpstreamNotices } from "#requests";
 import { TcpNetwork } from "#wire";
 
 const DEFAULT_DATA_FOLDER = "data";
@@ -161,6 +163,15 @@
   };
 }
 
+/** Passes what upstreams state in responses on to the follower of the fleet, which acts on it and tells the other VMs. */
+export function upstreamNotices(follower: FleetFollower): UpstreamNotices {
+  return {
+    onLeaving: (upstream) => follower.reportLeaving(upstream),
+    onRequestLimit: (upstream, perSecond) =>
+      follower.reportRequestLimit(upstream, perSecond),
+  };
+}
+
 /** Returns what a replica of a log holds, under the names of memory events and metrics. */
 export function logBytes(log: LogSizes | undefined): HeldSizes["bytes"] {
   return {
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -29,6 +29,7 @@
   type NodeBase,
   openDataFolder,
   type PlatformNode,
+  upstreamNotices,
 } from "./node_base.ts";
 import { NodeMonitoring } from "./node_monitoring.ts";
 
@@ -71,7 +72,7 @@
       zone: settings.zone,
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
-      onLeaving: (upstream) => this.#fleetFollower.reportLeaving(upstream),
+      ...upstreamNotices(this.#fleetFollower),
     });
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
@@ -178,7 +179,7 @@
         dialect: new WorkerDialect(),
       }),
       upstreams: () => this.#fleetFollower.upstreams,
-      onLeaving: (upstream) => this.#fleetFollower.reportLeaving(upstream),
+      ...upstreamNotices(this.#fleetFollower),
       configuration: () => this.#fleetFollower.configuration,
     });
     await log.start();
--- a/requests/endless_bytes_test.ts
+++ b/requests/endless_bytes_test.ts
@@ -146,6 +146,7 @@
           dialect: new TestDialect(),
           upstreams: () => fleetOf(troubled, healthy),
           onLeaving: () => {},
+          onRequestLimit: () => {},
         });
         const responses = await Promise.all(
           Array.from({ length: 1 + random.below(6) }, () =>
--- a/requests/events.ts
+++ b/requests/events.ts
@@ -44,4 +44,11 @@
     text: "a call got no response from any upstream",
     action: "Read `reason` and `tried`; see docs/OPERATIONS.md.",
   },
+  sentToLimited: {
+    code: 1507,
+    level: "info",
+    text: "a call was sent to an upstream that names a limit of requests",
+    action:
+      "None; `attempt` is 1 for the first upstream of the call, `sentMs` the time since this VM received the call.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -31,6 +31,7 @@
 import { StreamForwarding } from "./stream_forwarding.ts";
 import { UpstreamSelector } from "./upstream_selector.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
+import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 import {
   type CompleteResponse,
   type ResponseHead,
@@ -46,7 +47,7 @@
 const LATE_RESPONSE_GRACE_MS: Milliseconds = 60;
 
 /** Options of `Forwarder`. */
-export interface ForwarderOptions {
+export interface ForwarderOptions extends UpstreamNotices {
   readonly zone: string;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -54,8 +55,6 @@
   readonly dialect: UpstreamDialect;
   /** Returns the known upstreams, including draining ones. */
   readonly upstreams: () => readonly FleetUpstream[];
-  /** Called with an upstream whose response states that it is leaving. */
-  readonly onLeaving: (upstream: FleetUpstream) => void;
   /** Memory of the responses that the process reads and writes; absent if only the forwarder reads any. */
   readonly responseBudget?: ByteBudget;
 }
@@ -77,6 +76,8 @@
   readonly service: string;
   readonly headers: readonly string[];
   readonly triedUpstreams: Set<string>;
+  /** When this VM received the call. */
+  readonly arrivedMs: Milliseconds;
   /** The earlier of the caller's deadline and the route's timeout. */
   readonly cutoffMs: Milliseconds;
   readonly abortController: AbortController;
@@ -122,6 +123,7 @@
       service,
       headers,
       triedUpstreams: new Set(),
+      arrivedMs: this.#options.clock.nowMs(),
       cutoffMs: Math.min(
         routed.deadlineMs,
         this.#options.clock.nowMs() + route.timeoutMs,
@@ -244,6 +246,7 @@
     forwarded.possibleRuns += 1;
     this.#choice.recordSent(upstream.id);
     const sentMs = clock.nowMs();
+    this.#logIfLimited(forwarded, upstream);
     const result = await this.#http.call({
       address: upstream.address,
       method: call.method,
@@ -278,6 +281,19 @@
     return attempt;
   }
 
+  #logIfLimited(forwarded: ForwardedCall, upstream: FleetUpstream): void {
+    const { requestLimit = null } = upstream;
+    if (requestLimit === null) return;
+    const { routed, arrivedMs, triedUpstreams } = forwarded;
+    this.#options.events.emit(REQUEST_EVENTS.sentToLimited, {
+      request: routed.requestId,
+      upstream: upstream.id,
+      perSecond: requestLimit,
+      attempt: triedUpstreams.size,
+      sentMs: Math.round(this.#options.clock.nowMs() - arrivedMs),
+    });
+  }
+
   /** Returns why a response is to be rejected by its head, or undefined. */
   #checkHead(
     head: ResponseHead,
@@ -288,7 +304,7 @@
   ): string | undefined {
     const { requestId, upstream } = expected;
     const metadata = this.#options.dialect.readResponse(head);
-    if (metadata.leaving) this.#options.onLeaving(upstream);
+    reportNotices(this.#options, { upstream, requestId, metadata });
     if (metadata.requestId !== requestId) {
       return `response belongs to request ${metadata.requestId}`;
     }
--- a/requests/forwarder_test.ts
+++ b/requests/forwarder_test.ts
@@ -132,6 +132,7 @@
         leaving.has(each.id) ? { ...each, phase: "draining" } : each
       ),
     onLeaving: ({ id }) => leaving.add(id),
+    onRequestLimit: () => {},
   });
   try {
     await run({ forwarder, clock, events, reached });
--- a/requests/mod.ts
+++ b/requests/mod.ts
@@ -26,3 +26,4 @@
 export * from "./upstream_selector.ts";
 export * from "./upstream_dialect.ts";
 export * from "./upstream_http.ts";
+export * from "./upstream_notices.ts";
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -20,19 +20,18 @@
 import type { UpstreamSelector } from "./upstream_selector.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import type { StreamingResponse, UpstreamHttp } from "./upstream_http.ts";
+import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 
 const RETRY_AFTER_MS: Milliseconds = 150;
 const OK_STATUS = 200;
 
 /** Options of `StreamForwarding`. */
-export interface StreamForwardingOptions {
+export interface StreamForwardingOptions extends UpstreamNotices {
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dialect: UpstreamDialect;
   readonly http: UpstreamHttp;
   readonly choice: UpstreamSelector;
-  /** Called with an upstream whose response states that it is leaving. */
-  readonly onLeaving: (upstream: FleetUpstream) => void;
   readonly choose: (
     service: string,
     tried: ReadonlySet<string>,
@@ -153,7 +152,7 @@
       return undefined;
     }
     const metadata = dialect.readResponse(result.val.head);
-    if (metadata.leaving) this.#options.onLeaving(upstream);
+    reportNotices(this.#options, { upstream, requestId, metadata });
     if (metadata.requestId === requestId && !metadata.notRun) {
       progress.possibleRuns += 1;
       return result.val;
--- a/requests/test_dialect.ts
+++ b/requests/test_dialect.ts
@@ -30,6 +30,9 @@
       notRun: head.headers["x-not-run"] !== undefined,
       stamp: head.headers["x-stamp"] ?? null,
       leaving: head.headers["x-leaving"] !== undefined,
+      requestLimit: head.headers["x-limit"] === undefined
+        ? null
+        : Number(head.headers["x-limit"]),
       version: null,
     };
   }
--- a/requests/upstream_dialect.ts
+++ b/requests/upstream_dialect.ts
@@ -27,6 +27,8 @@
   readonly stamp: string | null;
   /** Whether the upstream states that it is leaving and wants no further calls. */
   readonly leaving: boolean;
+  /** Requests per second that the upstream accepts from all VMs together, or null if it names no limit. */
+  readonly requestLimit: number | null;
   /** Version of the weights at the start of the response, or null. */
   readonly version: number | null;
 }
