Send an upstream with a limit no more than all VMs together may

Cause: the limit belongs to all VMs together, and each entry VM chose upstreams by what it alone observes; no VM ever read the limit.

The leader of the control log issues permits, each for one request to one upstream: a token bucket an upstream, of small depth, so that whoever asks, the sum stays under the limit. VMs ask for the requests that wait, by priority and in order of arrival, and ahead for those that are likely to follow, from what is left beyond half of a bucket. A request whose turn does not come in time is rejected at once with the time until it would. Entry VMs, streams, scoring calls and the runs of items all need permits; hedged calls and moves to a faster engine get none.

--- a/batches/batch_client.ts
+++ b/batches/batch_client.ts
@@ -33,8 +33,6 @@
 export class BatchClient {
   readonly #options: BatchClientOptions;
   readonly #requests: LeaderClient;
-  /** Term of the leader that was last preferred. */
-  #leaderTerm = -1;
 
   constructor(options: BatchClientOptions) {
     this.#options = options;
@@ -49,10 +47,7 @@
 
   /** Takes notice of changed VMs: requests to a store VM that no longer leads are sent to its successor. */
   handleVmChange(): void {
-    const leader = leaderOf(this.#options.nodes(), "store");
-    if (leader === undefined || leader.term <= this.#leaderTerm) return;
-    this.#leaderTerm = leader.term;
-    this.#requests.preferLeader(leader.vm);
+    this.#requests.preferLeaderOf(this.#options.nodes(), "store");
   }
 
   /** Submits a batch; resolves once the log has stored all of it. Submitting a batch again is idempotent. */
--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -14,6 +14,7 @@
   type RoutingConfiguration,
   type Timer,
 } from "#core";
+import type { Permits } from "#quotas";
 import {
   CachedRouteRules,
   type UpstreamDialect,
@@ -47,6 +48,8 @@
   readonly random: RandomSource;
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
+  /** Permits for engines that name a limit of requests. */
+  readonly permits: Permits;
   readonly configuration: () => RoutingConfiguration | null;
   readonly scoringPort: ScoringPort;
   /** Fetches the state of an engine; returns undefined if the call fails. */
@@ -163,7 +166,10 @@
     this.#startLeading();
     this.#syncOpenBatches();
     this.#replaceOutdatedTasks();
-    if (this.#tasks.size === 0) return;
+    if (this.#tasks.size === 0) {
+      this.#placement.clear();
+      return;
+    }
     this.#abandonExpiredItems();
     this.#placement.planIfDue();
     const rules = this.#rules.of(this.#options.configuration());
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -11,6 +11,7 @@
   SeededRandom,
   SystemClock,
 } from "#core";
+import { UnlimitedPermits } from "#quotas";
 import { type ResponseMetadata, UpstreamDialect } from "#requests";
 import { testBatch, testItem } from "./batch_test_support.ts";
 import { BatchesMachine } from "./batches_machine.ts";
@@ -141,6 +142,7 @@
     upstreams: () => [engine],
     onLeaving: () => {},
     onRequestLimit: () => {},
+    permits: new UnlimitedPermits(),
     configuration: () => CONFIGURATION,
     fetchReport: () => Promise.resolve(undefined),
     scoringPort: new NoScoring(),
--- a/batches/foreign_runs_test.ts
+++ b/batches/foreign_runs_test.ts
@@ -72,6 +72,7 @@
       pausedUntilMs: 0,
       cacheTokens: Infinity,
       foreignRuns: this.runsOn(upstream.id),
+      startsLeft: Infinity,
     }));
   }
 
@@ -90,6 +91,7 @@
     group: `g-${at}`,
     model: "m",
     service: "models",
+    priority: 1,
     minimumVersion: 1,
     boundVersion: null,
     dueMs: 7_000,
--- a/batches/forwarded_scoring.ts
+++ b/batches/forwarded_scoring.ts
@@ -51,6 +51,8 @@
       route: { ...route, kind: "idempotent" },
       requestId: call.id,
       deadlineMs: clock.nowMs() + route.timeoutMs,
+      // Nobody waits for the response of this call but its step, which is due in seconds.
+      permitPatienceMs: route.timeoutMs,
       onServerError: () => {
         serverErrors += 1;
       },
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -16,6 +16,8 @@
   readonly group: string;
   readonly model: string;
   readonly service: string;
+  /** Priority of its route; 0 is the highest. */
+  readonly priority: number;
   /** Oldest weight version that may generate its tokens. */
   readonly minimumVersion: number;
   /** The only version that may continue its text, or null. */
@@ -56,6 +58,8 @@
   readonly cacheTokens: number;
   /** Runs on it that this VM did not start. */
   readonly foreignRuns: number;
+  /** Runs that may start on it now; Infinity unless it names a limit of requests. */
+  readonly startsLeft: number;
 }
 
 /** Input of the plan functions. */
@@ -95,8 +99,13 @@
 /** Returns the items to start now and their engines. */
 export function planStarts(input: ItemPlanInput): readonly PlannedStart[] {
   const loads = loadByEngine(input.runs);
+  const startsLeft = new Map(
+    input.engines.map((each) => [each, each.startsLeft]),
+  );
   const free = new Set(
-    input.engines.filter((each) => hasFreeSlot(each, loads)),
+    input.engines.filter((each) =>
+      each.startsLeft >= 1 && hasFreeSlot(each, loads)
+    ),
   );
   const starts: PlannedStart[] = [];
   const leastSlackFirst = [...input.waiting].sort((a, b) =>
@@ -111,7 +120,9 @@
     });
     if (engine === undefined) continue;
     addLoad(loads, engine.upstream.id, item);
-    if (!hasFreeSlot(engine, loads)) free.delete(engine);
+    const left = (startsLeft.get(engine) ?? 0) - 1;
+    startsLeft.set(engine, left);
+    if (left < 1 || !hasFreeSlot(engine, loads)) free.delete(engine);
     starts.push({ item, engine: engine.upstream });
   }
   return starts;
@@ -302,6 +313,8 @@
   for (const other of input.engines) {
     if (other.eventIntervalMs > maximumIntervalMs) continue;
     if (other === engine || !canRun(run.item, other, input.nowMs)) continue;
+    // An engine with a limit gets no run that has a place already.
+    if (other.startsLeft !== Infinity) continue;
     if (reading.has(other.upstream.id)) continue;
     if (!hasCapacity(run.item, other, loads)) continue;
     if (other.eventIntervalMs >= (best?.eventIntervalMs ?? Infinity)) continue;
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -18,6 +18,7 @@
     group: "g",
     model: "m",
     service: "models",
+    priority: 1,
     minimumVersion: 1,
     boundVersion: null,
     dueMs: NOW_MS + 7_000,
@@ -51,6 +52,7 @@
     pausedUntilMs: 0,
     cacheTokens: 100_000,
     foreignRuns: 0,
+    startsLeft: Infinity,
     ...change,
   };
 }
--- a/batches/leader_change_test.ts
+++ b/batches/leader_change_test.ts
@@ -53,6 +53,7 @@
     pausedUntilMs: 0,
     cacheTokens: Infinity,
     foreignRuns: 0,
+    startsLeft: Infinity,
   };
 }
 
@@ -94,6 +95,7 @@
       group: "g",
       model: "m",
       service: "models",
+      priority: 1,
       minimumVersion: 1,
       boundVersion: null,
       dueMs: task.dueMs,
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -10,6 +10,7 @@
   type Milliseconds,
   type RoutingConfiguration,
 } from "#core";
+import { isLimited, type Permits } from "#quotas";
 import { type CachedRouteRules, heaviestService } from "#requests";
 import {
   type EngineSnapshot,
@@ -39,6 +40,7 @@
   readonly rules: CachedRouteRules;
   readonly configuration: () => RoutingConfiguration | null;
   readonly upstreams: () => readonly FleetUpstream[];
+  readonly permits: Permits;
   readonly foreignRuns: ForeignRuns;
   /** Called when a plan is to be made after a time. */
   readonly wakeAfter: (delayMs: Milliseconds) => void;
@@ -48,6 +50,8 @@
 export class RunPlacement {
   readonly #options: RunPlacementOptions;
   readonly #starts: StartQueue;
+  /** Services for whose items permits were asked for. */
+  #demanding: ReadonlySet<string> = new Set();
   /** Time before which no plan is made. */
   #nextPlanMs: Milliseconds = 0;
 
@@ -58,15 +62,21 @@
       start: ({ item, engine }) => {
         const task = options.tasks.get(item.key);
         if (task === undefined || task.isBusy) return;
+        // A permit may have expired since the plan; the item then waits for the next one.
+        if (!options.permits.use(engine)) return;
         options.runs.start(task, engine);
       },
       onEmpty: () => options.wakeAfter(0),
     });
   }
 
-  /** Drops planned starts that have not begun. */
+  /** Drops planned starts that have not begun, and asks for no more permits. */
   clear(): void {
     this.#starts.clear();
+    for (const service of this.#demanding) {
+      this.#options.permits.setBacklog(service, { count: 0, priority: 0 });
+    }
+    this.#demanding = new Set();
   }
 
   /** Makes a plan and carries it out, unless the last one was made just now or still has runs to start. */
@@ -96,7 +106,31 @@
       if (to !== null) this.#options.runs.start(task, to);
     }
     if (moves.length > 0) input = this.#planInput();
-    this.#starts.add(planStarts(input));
+    const starts = planStarts(input);
+    this.#starts.add(starts);
+    this.#demandPermits(input, starts.length);
+  }
+
+  /** Asks for permits for the items of each service that are not placed yet, if its engines name limits. */
+  #demandPermits(input: ItemPlanInput, started: number): void {
+    const { permits } = this.#options;
+    const limited = new Set<string>();
+    for (const { upstream } of input.engines) {
+      if (isLimited(upstream)) limited.add(upstream.service);
+    }
+    for (const service of [...limited, ...this.#demanding]) {
+      const waiting = input.waiting.filter((each) => each.service === service);
+      const count = Math.max(0, waiting.length - started);
+      const priority = this.#highestPriority(waiting);
+      permits.setBacklog(service, { count, priority });
+    }
+    this.#demanding = limited;
+  }
+
+  #highestPriority(items: readonly PlannedItem[]): number {
+    let highest = Number.MAX_SAFE_INTEGER;
+    for (const { priority } of items) highest = Math.min(highest, priority);
+    return highest;
   }
 
   #planInput(): ItemPlanInput {
@@ -111,7 +145,8 @@
       // All items of a route with a traffic split go to one service.
       const service = heaviestService(route?.split ?? []);
       if (service === undefined) continue;
-      const item = toPlannedItem(task, service);
+      const priority = route?.priority ?? 0;
+      const item = toPlannedItem(task, { service, priority });
       const { run, moves } = task;
       if (run === undefined) waiting.push(item);
       else runs.push({ ...run, item, moves });
@@ -129,7 +164,7 @@
   }
 
   #engineSnapshots(nowMs: Milliseconds): readonly EngineSnapshot[] {
-    const { foreignRuns, runs: { observations } } = this.#options;
+    const { foreignRuns, permits, runs: { observations } } = this.#options;
     const services = this.#options.configuration()?.services ?? [];
     const snapshots: EngineSnapshot[] = [];
     const incarnations = new Set<string>();
@@ -146,6 +181,7 @@
         pausedUntilMs: observations.pausedUntilMs(incarnation),
         cacheTokens: Math.max(0, service.engine.cacheTokens - foreign.tokens),
         foreignRuns: foreign.runs,
+        startsLeft: permits.available(upstream),
       });
     }
     observations.retainOnly(incarnations);
@@ -153,13 +189,16 @@
   }
 }
 
-function toPlannedItem(task: ItemTask, service: string): PlannedItem {
+function toPlannedItem(
+  task: ItemTask,
+  route: { readonly service: string; readonly priority: number },
+): PlannedItem {
   const { item, batch } = task;
   return {
     key: task.key,
     group: item.group,
     model: batch.model,
-    service,
+    ...route,
     minimumVersion: batch.minimumVersion ?? 0,
     boundVersion: task.boundVersion,
     dueMs: task.dueMs,
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -137,6 +137,11 @@
     return this.#table.listed();
   }
 
+  /** Returns the limit that an incarnation of an upstream names, null if none any more, undefined if that is unknown. */
+  limitOf(incarnation: string): number | null | undefined {
+    return this.#table.limitOf(incarnation);
+  }
+
   /** Returns the control and store VMs, including this one. */
   nodes(): readonly ObservedNode[] {
     return this.#vms.all();
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { FleetUpstream, Milliseconds } from "#core";
+import { type FleetUpstream, incarnationOf, type Milliseconds } from "#core";
 import type { LimitObservation } from "./fleet_messages.ts";
 
 /** Whether a heartbeat changed the routing, only renewed the upstream, or was outdated. */
@@ -164,6 +164,16 @@
     return [...byAddress.values()].filter((each) => each.phase !== "gone");
   }
 
+  /** Returns the limit of an incarnation: null if it names none any more, undefined if it never did or is unknown. */
+  limitOf(incarnation: string): number | null | undefined {
+    const id = incarnation.slice(0, incarnation.lastIndexOf(":"));
+    const record = this.#entries.get(id)?.record;
+    if (record === undefined || record.phase === "gone") return undefined;
+    return incarnationOf(record) === incarnation
+      ? record.requestLimit
+      : undefined;
+  }
+
   /** Returns all stored heartbeats with their ages, for another control VM. */
   agedHeartbeats(nowMs: Milliseconds): readonly AgedHeartbeat[] {
     const all: AgedHeartbeat[] = [];
--- a/membership/leader_client.ts
+++ b/membership/leader_client.ts
@@ -10,10 +10,13 @@
   type ErrorKind,
   fail,
   type Failure,
+  type FleetNode,
+  type FleetRole,
   type Milliseconds,
   type Result,
 } from "#core";
 import type { Channel, PeerNetwork } from "#wire";
+import { leaderOf } from "./placement_plan.ts";
 
 const RETRY_INTERVAL_MS: Milliseconds = 60;
 const RETRY_AFTER_MS: Milliseconds = 500;
@@ -56,6 +59,8 @@
   readonly #options: LeaderClientOptions;
   #leader: string | undefined;
   #candidateIndex = 0;
+  /** Term of the leader that was preferred last by its report. */
+  #preferredTerm = -1;
   /** Attempts in flight: the VM that was asked, and how to stop waiting for it. */
   readonly #attempts = new Map<() => void, string>();
 
@@ -73,6 +78,14 @@
     }
   }
 
+  /** Uses the VM that reports to lead a group, unless a later leader is known. */
+  preferLeaderOf(nodes: readonly FleetNode[], role: FleetRole): void {
+    const leader = leaderOf(nodes, role);
+    if (leader === undefined || leader.term <= this.#preferredTerm) return;
+    this.#preferredTerm = leader.term;
+    this.preferLeader(leader.vm);
+  }
+
   /**
    * Sends a request to the leader and returns its result. Without one in time, fails with `outcome_unknown`
    * if a VM may have executed the request, else with `no_quorum`.
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -29,6 +29,7 @@
   type VmStatus,
 } from "#membership";
 import { controlRoutes, type NodeSettings, WorkerOrderClient } from "#platform";
+import { PermitServer } from "#quotas";
 import { EngineOrders, VersionsMachine } from "#weights";
 import { HttpServer } from "./http_server.ts";
 import { HTTP_EVENTS } from "./events.ts";
@@ -67,6 +68,7 @@
   readonly #fleet: FleetServer;
   readonly #placementKeeper: PlacementManager;
   readonly #engineOrders: EngineOrders;
+  readonly #permits: PermitServer;
   readonly #server: HttpServer;
   readonly #monitoring: NodeMonitoring;
 
@@ -116,6 +118,14 @@
           ?.asked ?? [],
       holdMs: settings.orderLeaseMs,
     });
+    this.#permits = new PermitServer({
+      ...base,
+      leadership: () => ({
+        ...this.#groupStatus(),
+        leader: log.status().leader,
+      }),
+      limitOf: (incarnation) => this.#fleet.limitOf(incarnation),
+    });
     this.#server = this.#buildServer();
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
@@ -136,6 +146,7 @@
     });
     this.#log.onApplied(() => this.#fleet.wakeWaiters());
     this.#fleet.start();
+    this.#permits.start();
     await this.#log.start();
     this.#placementKeeper.start();
     this.#engineOrders.start();
@@ -143,6 +154,7 @@
 
   async drain(): Promise<void> {
     this.#base.events.emit(HTTP_EVENTS.nodeStopping);
+    this.#permits.stop();
     await this.#engineOrders.stop();
     const drained = this.#server.drain(DRAIN_NOTICE_MS);
     await this.#log.stop();
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -17,11 +17,13 @@
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
+  buildPermits,
   describeNode,
   logReload,
   logStart,
   NODE_HTTP_LIMITS,
   type NodeBase,
+  type NodePermits,
   type PlatformNode,
   upstreamNotices,
 } from "./node_base.ts";
@@ -39,6 +41,7 @@
   #settings: NodeSettings;
   readonly #base: NodeBase;
   readonly #fleetFollower: FleetFollower;
+  readonly #permits: NodePermits;
   readonly #forwarder: Forwarder;
   readonly #batches: BatchClient;
   readonly #isolation: IsolationCheck;
@@ -58,7 +61,14 @@
     this.#fleetFollower = new FleetFollower({
       ...base,
       self: () => describeNode(base, "entry", NO_GROUP_STATUS),
-      onChange: () => this.#batches.handleVmChange(),
+      onChange: () => {
+        this.#batches.handleVmChange();
+        this.#permits.handleFleetChange();
+      },
+    });
+    this.#permits = buildPermits(base, {
+      follower: this.#fleetFollower,
+      onBacklogPermits: () => {},
     });
     this.#forwarder = new Forwarder({
       ...base,
@@ -66,6 +76,7 @@
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
       ...upstreamNotices(this.#fleetFollower),
+      permits: this.#permits.permits,
     });
     this.#batches = new BatchClient({
       ...base,
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -26,6 +26,7 @@
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
 import type { FleetFollower } from "#membership";
 import type { NodeSettings } from "#platform";
+import { LeaderPermitPort, PermitClient } from "#quotas";
 import type { UpstreamNotices } from "#requests";
 import { TcpNetwork } from "#wire";
 
@@ -172,6 +173,39 @@
   };
 }
 
+/** The permits of a VM, and what to call when the fleet has changed. */
+export interface NodePermits {
+  readonly permits: PermitClient;
+  readonly handleFleetChange: () => void;
+}
+
+/** Connects the permits of a VM to the control VM that issues them. */
+export function buildPermits(
+  base: NodeBase,
+  options: {
+    readonly follower: FleetFollower;
+    readonly onBacklogPermits: () => void;
+  },
+): NodePermits {
+  const { follower, onBacklogPermits } = options;
+  const port = new LeaderPermitPort({
+    ...base,
+    nodes: () => follower.nodes,
+    controlVms: () => follower.controlVms(),
+  });
+  const permits = new PermitClient({
+    ...base,
+    port,
+    upstreams: () => follower.upstreams,
+    onBacklogPermits,
+  });
+  const handleFleetChange = (): void => {
+    port.handleVmChange();
+    permits.handleFleetChange();
+  };
+  return { permits, handleFleetChange };
+}
+
 /** Returns what a replica of a log holds, under the names of memory events and metrics. */
 export function logBytes(log: LogSizes | undefined): HeldSizes["bytes"] {
   return {
--- a/programs/reference_pages.ts
+++ b/programs/reference_pages.ts
@@ -37,6 +37,7 @@
   fakes: 1900,
   batches: 2000,
   platform: 2100,
+  quotas: 2200,
 };
 
 const EVENTS_MODULE = "events.js";
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -22,11 +22,13 @@
 import { HTTP_EVENTS } from "./events.ts";
 import {
   buildNodeBase,
+  buildPermits,
   describeNode,
   logBytes,
   logReload,
   logStart,
   type NodeBase,
+  type NodePermits,
   openDataFolder,
   type PlatformNode,
   upstreamNotices,
@@ -42,6 +44,7 @@
   readonly #onFatal: (failure: Failure) => void;
   readonly #monitoring: NodeMonitoring;
   readonly #engineReports: WorkerOrderClient;
+  readonly #permits: NodePermits;
   /** Sends the scoring calls of items. */
   readonly #forwarder: Forwarder;
   #log: QuorumLog | undefined;
@@ -63,6 +66,10 @@
       self: () => describeNode(base, "store", this.#groupStatus()),
       onChange: () => this.#handleFleetChange(),
     });
+    this.#permits = buildPermits(base, {
+      follower: this.#fleetFollower,
+      onBacklogPermits: () => this.#runner?.wake(),
+    });
     this.#engineReports = new WorkerOrderClient(
       base.clock,
       (engine) => this.#fleetFollower.reportLeaving(engine),
@@ -73,6 +80,7 @@
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
       ...upstreamNotices(this.#fleetFollower),
+      permits: this.#permits.permits,
     });
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
@@ -137,6 +145,7 @@
   #handleFleetChange(): void {
     const { stores } = this.#fleetFollower.placement;
     if (this.#log === undefined && stores.length > 0) this.#startLog(stores);
+    this.#permits.handleFleetChange();
     this.#runner?.wake();
   }
 
@@ -180,6 +189,7 @@
       }),
       upstreams: () => this.#fleetFollower.upstreams,
       ...upstreamNotices(this.#fleetFollower),
+      permits: this.#permits.permits,
       configuration: () => this.#fleetFollower.configuration,
     });
     await log.start();
--- a/proof/limited_site.ts
+++ b/proof/limited_site.ts
@@ -22,6 +22,7 @@
 } from "#core";
 import { FleetFollower, FleetServer } from "#membership";
 import { WorkerDialect } from "#platform";
+import { LeaderPermitPort, PermitClient, PermitServer } from "#quotas";
 import { Forwarder } from "#requests";
 import { MemoryNetwork } from "#wire";
 
@@ -72,6 +73,9 @@
   readonly arrivals: Arrival[] = [];
   /** Limits that the upstreams name now. */
   readonly limits: (number | null)[];
+  /** The control VM that leads, and its term. */
+  leader: string | null = CONTROL_VMS[0] ?? null;
+  term = 1;
   readonly #random = new SeededRandom(31);
   readonly #network = new MemoryNetwork({
     clock: this.clock,
@@ -206,10 +210,15 @@
   }
 
   #startControl(vm: string): void {
+    const network = this.#network.join(vm);
     const server = new FleetServer({
-      network: this.#network.join(vm),
+      network,
       clock: this.clock,
-      self: () => describe(vm, "control", "z0"),
+      self: () => ({
+        ...describe(vm, "control", "z0"),
+        leads: vm === this.leader,
+        term: this.term,
+      }),
       epoch: vm,
       heartbeatTimeoutMs: 4 * HEARTBEAT_INTERVAL_MS,
       peers: () => CONTROL_VMS,
@@ -223,6 +232,17 @@
     });
     server.start();
     this.#controls.push(server);
+    new PermitServer({
+      network,
+      clock: this.clock,
+      events: this.events,
+      leadership: () => ({
+        leads: vm === this.leader,
+        term: this.term,
+        leader: this.leader,
+      }),
+      limitOf: (incarnation) => server.limitOf(incarnation),
+    }).start();
   }
 
   #startEntry(at: number): void {
@@ -230,14 +250,32 @@
     const vm = `10.1.0.${at}:3`;
     const { clock, events } = this;
     const random = new SeededRandom(at);
+    const network = this.#network.join(vm);
     const follower = new FleetFollower({
-      network: this.#network.join(vm),
+      network,
       clock,
       random,
       events,
       self: () => describe(vm, "entry", zone),
       seeds: () => CONTROL_VMS,
-      onChange: () => {},
+      onChange: () => {
+        port.handleVmChange();
+        permits.handleFleetChange();
+      },
+    });
+    const port = new LeaderPermitPort({
+      network,
+      clock,
+      nodes: () => follower.nodes,
+      controlVms: () => follower.controlVms(),
+    });
+    const permits = new PermitClient({
+      clock,
+      random,
+      events,
+      port,
+      upstreams: () => follower.upstreams,
+      onBacklogPermits: () => {},
     });
     const forwarder = new Forwarder({
       zone,
@@ -245,6 +283,7 @@
       random,
       events,
       dialect: new WorkerDialect(),
+      permits,
       upstreams: () => follower.upstreams,
       onLeaving: (upstream) => follower.reportLeaving(upstream),
       onRequestLimit: (upstream, perSecond) =>
@@ -263,8 +302,8 @@
     zone,
     startedMs: 0,
     firstStart: true,
-    leads: vm === CONTROL_VMS[0],
-    term: 1,
+    leads: false,
+    term: 0,
     voters: [],
     asked: [],
   };
--- /dev/null
+++ b/quotas/permit_server.ts
@@ -0,0 +1,176 @@
+/**
+ * The part of a control VM that issues permits while it leads the control log. Only one VM does at any time, since the
+ * lease of a leader ends before the next one starts.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  Err,
+  type EventLog,
+  fail,
+  type Failure,
+  type Milliseconds,
+  Ok,
+  type Result,
+  SECOND_MS,
+  type Timer,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import { QUOTA_EVENTS } from "./events.ts";
+import {
+  type LimitLookup,
+  PermitAllocator,
+  type PermitDecision,
+} from "./permit_allocator.ts";
+import {
+  parsePermitRequest,
+  PERMIT_VALIDITY_MS,
+  type PermitReply,
+  type PermitRequest,
+} from "./permit_messages.ts";
+
+const REPORT_INTERVAL_MS: Milliseconds = 5 * SECOND_MS;
+/** Time after which no permit of an earlier leader is in use, with a margin for the request that used it. */
+const TAKEOVER_MS: Milliseconds = 2 * PERMIT_VALIDITY_MS;
+
+/** Whether this VM leads the control log under a lease, and who else may. */
+export interface Leadership {
+  readonly leads: boolean;
+  readonly term: number;
+  readonly leader: string | null;
+}
+
+/** Options of `PermitServer`. */
+export interface PermitServerOptions {
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly leadership: () => Leadership;
+  /** Returns the newest limit of an incarnation that this VM knows. */
+  readonly limitOf: LimitLookup;
+}
+
+/** Counts since the last log line of a service. */
+interface ServiceCounts {
+  issued: number;
+  expired: number;
+}
+
+/** Serves requests for permits on the `requests` channel. */
+export class PermitServer {
+  readonly #options: PermitServerOptions;
+  readonly #allocator: PermitAllocator;
+  readonly #counts = new Map<string, ServiceCounts>();
+  #term: number | null = null;
+  #ledSinceMs: Milliseconds = 0;
+  #wakeUp: Timer | undefined;
+  #reports: Timer | undefined;
+
+  constructor(options: PermitServerOptions) {
+    this.#options = options;
+    this.#allocator = new PermitAllocator(options);
+  }
+
+  /** Starts to handle requests. */
+  start(): void {
+    const { network, clock } = this.#options;
+    network.onRequest("requests", (_from, body) => this.#handle(body));
+    this.#reports = clock.every(REPORT_INTERVAL_MS, () => this.#report());
+  }
+
+  /** Rejects the requests that wait. */
+  stop(): void {
+    this.#wakeUp?.cancel();
+    this.#reports?.cancel();
+    this.#allocator.clear();
+  }
+
+  #handle(body: unknown): Promise<Result<unknown, Failure>> {
+    const request = parsePermitRequest(body);
+    if (request === undefined) {
+      const message = "not a well-formed request for permits";
+      return Promise.resolve(Err(fail("malformed_request", message)));
+    }
+    const { leads, leader } = this.#options.leadership();
+    if (!leads) return Promise.resolve(Err(notLeader(leader)));
+    this.#noteTerm();
+    return this.#decide(request);
+  }
+
+  /** Starts anew if this VM did not lead in the same term before. */
+  #noteTerm(): void {
+    const { clock, leadership } = this.#options;
+    const { term } = leadership();
+    const nowMs = clock.nowMs();
+    if (term !== this.#term) {
+      this.#term = term;
+      this.#ledSinceMs = nowMs;
+      this.#allocator.clear();
+    }
+    if (nowMs - this.#ledSinceMs >= TAKEOVER_MS) this.#allocator.endTakeover();
+  }
+
+  #decide(request: PermitRequest): Promise<Result<unknown, Failure>> {
+    const { clock, leadership } = this.#options;
+    const arrivedMs = clock.nowMs();
+    return new Promise((resolve) => {
+      const settle = (decision: PermitDecision): void => {
+        const { leads, leader } = leadership();
+        if (!leads) return resolve(Err(notLeader(leader)));
+        this.#count(request, decision);
+        const heldMs = clock.nowMs() - arrivedMs;
+        const reply: PermitReply = { ...decision, heldMs };
+        resolve(Ok(reply));
+      };
+      this.#allocator.request(request, { nowMs: arrivedMs, settle });
+      this.#scheduleAdvance();
+    });
+  }
+
+  #scheduleAdvance(): void {
+    const { clock } = this.#options;
+    this.#wakeUp?.cancel();
+    const delayMs = this.#allocator.nextDelayMs(clock.nowMs());
+    if (delayMs === Infinity) return;
+    // Timers fire early by a fraction of a millisecond.
+    this.#wakeUp = clock.after(Math.ceil(delayMs) + 1, () => this.#advance());
+  }
+
+  #advance(): void {
+    const { clock, leadership } = this.#options;
+    if (leadership().leads) this.#allocator.advance(clock.nowMs());
+    else this.#allocator.clear();
+    this.#scheduleAdvance();
+  }
+
+  #count(request: PermitRequest, decision: PermitDecision): void {
+    const counts = this.#counts.get(request.service) ??
+      { issued: 0, expired: 0 };
+    this.#counts.set(request.service, counts);
+    for (const { count } of decision.grants) counts.issued += count;
+    const isExpired = request.waiting > 0 && decision.grants.length === 0;
+    if (isExpired) counts.expired += 1;
+  }
+
+  #report(): void {
+    this.#allocator.prune();
+    const { events } = this.#options;
+    for (const [service, counts] of this.#counts) {
+      const waiting = this.#allocator.queued;
+      const overMs = REPORT_INTERVAL_MS;
+      const fields = { service, ...counts, waiting, overMs };
+      events.emit(QUOTA_EVENTS.permitsIssued, fields);
+    }
+    this.#counts.clear();
+  }
+}
+
+function notLeader(leader: string | null): Failure {
+  const message = leader === null ? "no leader is known" : `${leader} leads`;
+  return fail(
+    "not_leader",
+    message,
+    leader === null ? {} : { detail: leader },
+  );
+}
--- a/requests/endless_bytes_test.ts
+++ b/requests/endless_bytes_test.ts
@@ -9,6 +9,7 @@
   SeededRandom,
   SystemClock,
 } from "#core";
+import { UnlimitedPermits } from "#quotas";
 import {
   ENDLESS_PLACES,
   type EndlessPace,
@@ -147,6 +148,7 @@
           upstreams: () => fleetOf(troubled, healthy),
           onLeaving: () => {},
           onRequestLimit: () => {},
+          permits: new UnlimitedPermits(),
         });
         const responses = await Promise.all(
           Array.from({ length: 1 + random.below(6) }, () =>
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -19,6 +19,7 @@
   type RandomSource,
   type RouteRule,
 } from "#core";
+import { isLimited, type PermitOutcome, type Permits } from "#quotas";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import { REQUEST_EVENTS } from "./events.ts";
 import {
@@ -28,7 +29,7 @@
   MINIMUM_SERVER_ERROR_STATUS,
 } from "./forwarded_attempt.ts";
 import { pickService } from "./route_rules.ts";
-import { StreamForwarding } from "./stream_forwarding.ts";
+import { type PermitWait, StreamForwarding } from "./stream_forwarding.ts";
 import { UpstreamSelector } from "./upstream_selector.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
@@ -40,6 +41,8 @@
 
 /** Share of the route's latency objective after which a call without a response is hedged. */
 const HEDGE_DELAY_OBJECTIVE_RATIO = 0.45;
+/** Share of the route's latency objective for which a call waits for a permit; the rest is for its response. */
+const PERMIT_PATIENCE_OBJECTIVE_RATIO = 0.5;
 const RETRY_AFTER_MS: Milliseconds = 150;
 /**
  * Time to wait past the cutoff for an upstream that reports its own timeout: its connection can then be reused.
@@ -55,6 +58,8 @@
   readonly dialect: UpstreamDialect;
   /** Returns the known upstreams, including draining ones. */
   readonly upstreams: () => readonly FleetUpstream[];
+  /** Permits for upstreams that name a limit of requests. */
+  readonly permits: Permits;
   /** Memory of the responses that the process reads and writes; absent if only the forwarder reads any. */
   readonly responseBudget?: ByteBudget;
 }
@@ -66,6 +71,8 @@
   readonly requestId: string;
   /** The caller's deadline, on this VM's clock. */
   readonly deadlineMs: Milliseconds;
+  /** How long the call may wait for a permit; part of the route's latency objective if absent. */
+  readonly permitPatienceMs?: Milliseconds;
   /** Called for each upstream that ran the call and responded with a server error. */
   readonly onServerError?: () => void;
 }
@@ -84,6 +91,8 @@
   /** Number of attempts that may have run. */
   possibleRuns: number;
   lastFailure: string;
+  /** When a permit for one of its upstreams is likely to be available; 0 if it waits for none. */
+  retryAfterMs: Milliseconds;
   /** The last response with a server error from an upstream. */
   serverErrorResponse: CompleteResponse | undefined;
 }
@@ -102,7 +111,8 @@
     this.#streams = new StreamForwarding({
       ...options,
       http: this.#http,
-      choose: (service, tried) => this.#choose(service, tried),
+      choose: (service, tried) => this.#choose(service, { tried }),
+      acquire: (call) => this.#acquire(call),
       choice: this.#choice,
     });
   }
@@ -131,6 +141,7 @@
       abortController: new AbortController(),
       possibleRuns: 0,
       lastFailure: "no upstream is known",
+      retryAfterMs: 0,
       serverErrorResponse: undefined,
     };
     const onAbort = (): void => forwarded.abortController.abort();
@@ -185,55 +196,127 @@
         hedgeTimer.cancel();
         resolve(response);
       };
-      const startNext = (): boolean => {
-        const upstream = this.#nextUpstream(forwarded);
-        if (upstream === undefined) return false;
+      const startOrSettle = (): void => {
+        if (!startNext() && running === 0) settle(this.#finalResult(forwarded));
+      };
+      const start = (upstream: FleetUpstream): void => {
         running += 1;
         this.#send(forwarded, upstream).then((attempt) => {
           running -= 1;
           const response = this.#finalResponse(forwarded, attempt);
           if (response !== undefined) settle(response);
-          else if (!startNext() && running === 0) {
-            settle(this.#finalResult(forwarded));
-          }
+          else startOrSettle();
+        });
+      };
+      const startNext = (): boolean => {
+        if (!this.#mayAttempt(forwarded)) return false;
+        const { service, triedUpstreams: tried } = forwarded;
+        const upstream = this.#choose(service, { tried });
+        if (upstream !== undefined) {
+          start(upstream);
+          return true;
+        }
+        if (!this.#hasUntriedLimited(service, tried)) return false;
+        running += 1;
+        this.#acquireFor(forwarded).then((acquired) => {
+          running -= 1;
+          if (acquired !== undefined) start(acquired);
+          else if (running === 0) settle(this.#finalResult(forwarded));
         });
         return true;
       };
       const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
       const hedgeTimer = clock.after(delayMs, () => {
-        if (
-          route.kind === "idempotent" &&
-          !forwarded.abortController.signal.aborted
-        ) {
-          startNext();
-        }
+        if (route.kind !== "idempotent" || !this.#mayAttempt(forwarded)) return;
+        const { service, triedUpstreams: tried } = forwarded;
+        const upstream = this.#choose(service, { tried, isHedge: true });
+        if (upstream !== undefined) start(upstream);
       });
-      if (!startNext()) settle(this.#finalResult(forwarded));
+      startOrSettle();
     });
   }
 
-  #nextUpstream(forwarded: ForwardedCall): FleetUpstream | undefined {
-    if (forwarded.abortController.signal.aborted) return undefined;
-    if (this.#options.clock.nowMs() >= forwarded.cutoffMs) return undefined;
+  /** Whether the call may be sent to a further upstream. */
+  #mayAttempt(forwarded: ForwardedCall): boolean {
+    if (forwarded.abortController.signal.aborted) return false;
+    if (this.#options.clock.nowMs() >= forwarded.cutoffMs) return false;
     const { route } = forwarded.routed;
     const maximumAttempts = route.kind === "once"
       ? 1
       : Math.max(1, route.maximumAttempts);
-    if (forwarded.possibleRuns >= maximumAttempts) return undefined;
-    return this.#choose(forwarded.service, forwarded.triedUpstreams);
+    return forwarded.possibleRuns < maximumAttempts;
   }
 
+  /** Returns the best upstream that accepts a request now, with its permit used if it names a limit. */
   #choose(
     service: string,
-    tried: ReadonlySet<string>,
+    options: {
+      readonly tried: ReadonlySet<string>;
+      /** Whether the call is already sent to another upstream; no permits are spent on it then. */
+      readonly isHedge?: boolean;
+    },
   ): FleetUpstream | undefined {
+    const { permits } = this.#options;
+    const { tried, isHedge = false } = options;
     const usable: FleetUpstream[] = [];
+    let knowsLimit = false;
     for (const upstream of this.#options.upstreams()) {
       if (upstream.service !== service || upstream.phase !== "ready") continue;
+      const limited = isLimited(upstream);
+      knowsLimit ||= limited;
+      if (limited && (isHedge || permits.available(upstream) < 1)) continue;
       usable.push(upstream);
     }
+    if (knowsLimit && !isHedge) permits.noteRequest(service);
     const nowMs = this.#options.clock.nowMs();
-    return this.#choice.select(usable, { tried, nowMs });
+    const selected = this.#choice.select(usable, { tried, nowMs });
+    if (selected !== undefined) permits.use(selected);
+    return selected;
+  }
+
+  /** Whether a call for which no upstream is available now may get a permit for one. */
+  #hasUntriedLimited(service: string, tried: ReadonlySet<string>): boolean {
+    for (const upstream of this.#options.upstreams()) {
+      if (upstream.service !== service || upstream.phase !== "ready") continue;
+      if (isLimited(upstream) && !tried.has(upstream.id)) return true;
+    }
+    return false;
+  }
+
+  async #acquireFor(
+    forwarded: ForwardedCall,
+  ): Promise<FleetUpstream | undefined> {
+    const { routed, service, triedUpstreams, cutoffMs } = forwarded;
+    const outcome = await this.#acquire({
+      routed,
+      service,
+      tried: triedUpstreams,
+      cutoffMs,
+      signal: forwarded.abortController.signal,
+    });
+    if (outcome.kind === "granted") return outcome.upstream;
+    forwarded.retryAfterMs = outcome.retryAfterMs;
+    forwarded.lastFailure = "the upstreams have reached the limits they name";
+    return undefined;
+  }
+
+  /** Waits for a permit, no longer than a part of the latency objective: what comes later is better sent again later. */
+  async #acquire(call: PermitWait): Promise<PermitOutcome> {
+    const { permits, clock } = this.#options;
+    if (!this.#hasUntriedLimited(call.service, call.tried)) {
+      return { kind: "rejected", retryAfterMs: 0 };
+    }
+    const { route, permitPatienceMs } = call.routed;
+    const patienceMs = permitPatienceMs ??
+      route.objectiveMs * PERMIT_PATIENCE_OBJECTIVE_RATIO;
+    const leftMs = Math.max(0, call.cutoffMs - clock.nowMs());
+    return await permits.acquire({
+      service: call.service,
+      priority: route.priority,
+      patienceMs: Math.min(patienceMs, leftMs),
+      signal: call.signal,
+      accepts: (upstream) => !call.tried.has(upstream.id),
+    });
   }
 
   async #send(
@@ -337,7 +420,8 @@
     const kind = forwarded.triedUpstreams.size > 0
       ? "upstream_refused"
       : "no_upstream";
-    return fail(kind, message, { retryAfterMs: RETRY_AFTER_MS });
+    const retryAfterMs = Math.max(RETRY_AFTER_MS, forwarded.retryAfterMs);
+    return fail(kind, message, { retryAfterMs });
   }
 
   #reportFailure(forwarded: ForwardedCall, failure: Failure): void {
--- a/requests/forwarder_test.ts
+++ b/requests/forwarder_test.ts
@@ -17,6 +17,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
+import { UnlimitedPermits } from "#quotas";
 import { Forwarder } from "./forwarder.ts";
 import { TestDialect } from "./test_dialect.ts";
 
@@ -133,6 +134,7 @@
       ),
     onLeaving: ({ id }) => leaving.add(id),
     onRequestLimit: () => {},
+    permits: new UnlimitedPermits(),
   });
   try {
     await run({ forwarder, clock, events, reached });
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -13,6 +13,7 @@
   type HttpResponse,
   type Milliseconds,
 } from "#core";
+import type { PermitOutcome } from "#quotas";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import { EventParser } from "./event_parser.ts";
 import { REQUEST_EVENTS } from "./events.ts";
@@ -36,6 +37,17 @@
     service: string,
     tried: ReadonlySet<string>,
   ) => FleetUpstream | undefined;
+  /** Waits for a permit for an upstream that names a limit. */
+  readonly acquire: (call: PermitWait) => Promise<PermitOutcome>;
+}
+
+/** A call that waits for a permit. */
+export interface PermitWait {
+  readonly routed: RoutedCall;
+  readonly service: string;
+  readonly tried: ReadonlySet<string>;
+  readonly cutoffMs: Milliseconds;
+  readonly signal: AbortSignal;
 }
 
 /** A call for a stream, with the service that it is sent to. */
@@ -56,6 +68,8 @@
   possibleRuns: number;
   lastEventId: number | null;
   lastFailure: string;
+  /** When a permit is likely to be available; 0 if the stream waits for none. */
+  retryAfterMs: Milliseconds;
 }
 
 /** Forwards streams of events to callers. */
@@ -73,6 +87,7 @@
       possibleRuns: 0,
       lastEventId: null,
       lastFailure: "no upstream is known",
+      retryAfterMs: 0,
     };
     const source = await this.#openNext(stream, progress);
     if (source === undefined) return this.#finalFailure(stream, progress);
@@ -90,7 +105,9 @@
     const message = `no upstream started the stream: ${progress.lastFailure}`;
     const failure = progress.possibleRuns > 0
       ? fail("upstream_failed", message)
-      : fail("upstream_refused", message, { retryAfterMs: RETRY_AFTER_MS });
+      : fail("upstream_refused", message, {
+        retryAfterMs: Math.max(RETRY_AFTER_MS, progress.retryAfterMs),
+      });
     this.#options.events.emit(REQUEST_EVENTS.callFailed, {
       request: stream.routed.requestId,
       route: stream.routed.route.name,
@@ -112,10 +129,7 @@
       ? Math.max(1, route.maximumAttempts)
       : 1;
     while (progress.possibleRuns < maximumAttempts && !call.signal.aborted) {
-      const upstream = this.#options.choose(
-        stream.service,
-        progress.triedUpstreams,
-      );
+      const upstream = await this.#nextUpstream(stream, progress);
       if (upstream === undefined) return undefined;
       progress.triedUpstreams.add(upstream.id);
       const response = await this.#open(stream, progress, upstream);
@@ -124,6 +138,26 @@
     return undefined;
   }
 
+  async #nextUpstream(
+    stream: StreamCall,
+    progress: StreamProgress,
+  ): Promise<FleetUpstream | undefined> {
+    const { service, routed } = stream;
+    const { triedUpstreams: tried } = progress;
+    const upstream = this.#options.choose(service, tried);
+    if (upstream !== undefined) return upstream;
+    const outcome = await this.#options.acquire({
+      routed,
+      service,
+      tried,
+      cutoffMs: routed.deadlineMs,
+      signal: routed.call.signal,
+    });
+    if (outcome.kind === "granted") return outcome.upstream;
+    progress.retryAfterMs = outcome.retryAfterMs;
+    return undefined;
+  }
+
   async #open(
     stream: StreamCall,
     progress: StreamProgress,
