Let calls wait for permits rather than behind full slots

Cause: the upstream without a limit always counted as available, so scoring calls piled up there, 16 at once before 6 slots, while 25 of 41 permits were issued in 5 s (2201). Ruled out: rejections for lack of permits (no 2202) and late steps (none).

While some upstreams of a service name limits, one without a limit is not loaded beyond its slots by the calls of one VM (two thirds of them by scoring calls); a call waits for a permit or a free slot first, and goes behind the full slots only if neither comes in time.

The tests (requests/limited_upstreams_test.ts) fail without it: the fifth call reaches the full upstream.

--- a/batches/forwarded_scoring.ts
+++ b/batches/forwarded_scoring.ts
@@ -8,6 +8,7 @@
 import type { Forwarder, UpstreamDialect } from "#requests";
 import type { ScoringCall } from "./batch_types.ts";
 import { type ScoringOutcome, ScoringPort } from "./item_scoring.ts";
+import { SCORING_SLOT_SHARE } from "./scoring_plan.ts";
 
 const MINIMUM_SUCCESS_STATUS = 200;
 const MAXIMUM_SUCCESS_STATUS = 299;
@@ -53,6 +54,7 @@
       deadlineMs: clock.nowMs() + route.timeoutMs,
       // Nobody waits for the response of this call but its step, which is due in seconds.
       permitPatienceMs: route.timeoutMs,
+      slotShare: SCORING_SLOT_SHARE,
       onServerError: () => {
         serverErrors += 1;
       },
--- a/batches/scoring_plan.ts
+++ b/batches/scoring_plan.ts
@@ -10,7 +10,7 @@
 import type { Milliseconds } from "#core";
 
 /** Part of a service's slots that scoring calls may use; the rest is for callers, who wait for each answer. */
-const SLOT_FRACTION = 2 / 3;
+export const SCORING_SLOT_SHARE = 2 / 3;
 
 /** A scoring call that could be sent. */
 export interface ReadyScoring {
@@ -75,5 +75,5 @@
 /** Returns the number of scoring calls that may be in flight to a service with this number of slots. */
 function callLimit(slots: number): number {
   if (slots === 0) return 0;
-  return Math.max(1, Math.floor(slots * SLOT_FRACTION));
+  return Math.max(1, Math.floor(slots * SCORING_SLOT_SHARE));
 }
--- a/quotas/permit_client.ts
+++ b/quotas/permit_client.ts
@@ -129,6 +129,11 @@
     if (backlog.count > 0) this.#ask(state);
   }
 
+  override handleFreeSlot(service: string): void {
+    const state = this.#services.get(service);
+    if (state !== undefined) this.#serveWaiters(state);
+  }
+
   /** Lets requests go on that waited for upstreams which name no limit any more, or for new ones. */
   handleFleetChange(): void {
     for (const state of this.#services.values()) this.#serveWaiters(state);
@@ -225,21 +230,31 @@
   /** Sends the waiting requests on for which there is an upstream now. */
   #serveWaiters(state: ServiceState): void {
     if (state.waiters.length === 0) return;
-    const upstreams = this.#readyUpstreams(state.service);
+    const upstreams = new Set(this.#readyUpstreams(state.service));
     const unserved: Waiter[] = [];
+    let mayServeMore = false;
     for (const waiter of state.waiters) {
       const upstream = this.#upstreamFor(waiter, upstreams);
-      if (upstream === undefined) unserved.push(waiter);
-      else waiter.settle({ kind: "granted", upstream });
+      if (upstream === undefined) {
+        unserved.push(waiter);
+        continue;
+      }
+      waiter.settle({ kind: "granted", upstream });
+      // Whether it accepts a further request shows once this one is sent.
+      if (isLimited(upstream)) continue;
+      upstreams.delete(upstream);
+      mayServeMore = true;
     }
     state.waiters = unserved;
+    if (!mayServeMore || unserved.length === 0) return;
+    this.#options.clock.after(0, () => this.#serveWaiters(state));
   }
 
   #upstreamFor(
     waiter: Waiter,
-    upstreams: readonly FleetUpstream[],
+    upstreams: ReadonlySet<FleetUpstream>,
   ): FleetUpstream | undefined {
-    const usable = upstreams.filter((each) => waiter.demand.accepts(each));
+    const usable = [...upstreams].filter((each) => waiter.demand.accepts(each));
     const unlimited = usable.find((each) => !isLimited(each));
     if (unlimited !== undefined) return unlimited;
     return usable.find((each) => this.use(each));
--- a/quotas/permits.ts
+++ b/quotas/permits.ts
@@ -32,6 +32,8 @@
   abstract acquire(demand: PermitDemand): Promise<PermitOutcome>;
   /** Records that a request for a service has arrived, whichever upstream it goes to. */
   abstract noteRequest(service: string): void;
+  /** Lets a waiting request of a service go on to an upstream without a limit that has a free slot again. */
+  abstract handleFreeSlot(service: string): void;
   /** Sets how many requests of a service wait elsewhere until `available` has permits for them. */
   abstract setBacklog(
     service: string,
@@ -62,5 +64,7 @@
 
   override noteRequest(): void {}
 
+  override handleFreeSlot(): void {}
+
   override setBacklog(): void {}
 }
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -73,6 +73,8 @@
   readonly deadlineMs: Milliseconds;
   /** How long the call may wait for a permit; part of the route's latency objective if absent. */
   readonly permitPatienceMs?: Milliseconds;
+  /** Share of an upstream's slots that calls like this one may use while others of its service name limits; all if absent. */
+  readonly slotShare?: number;
   /** Called for each upstream that ran the call and responded with a server error. */
   readonly onServerError?: () => void;
 }
@@ -111,7 +113,8 @@
     this.#streams = new StreamForwarding({
       ...options,
       http: this.#http,
-      choose: (service, tried) => this.#choose(service, { tried }),
+      choose: ({ service, routed }, tried) =>
+        this.#choose(service, { routed, tried }),
       acquire: (call) => this.#acquire(call),
       choice: this.#choice,
     });
@@ -210,8 +213,8 @@
       };
       const startNext = (): boolean => {
         if (!this.#mayAttempt(forwarded)) return false;
-        const { service, triedUpstreams: tried } = forwarded;
-        const upstream = this.#choose(service, { tried });
+        const { service, routed, triedUpstreams: tried } = forwarded;
+        const upstream = this.#choose(service, { routed, tried });
         if (upstream !== undefined) {
           start(upstream);
           return true;
@@ -228,8 +231,9 @@
       const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
       const hedgeTimer = clock.after(delayMs, () => {
         if (route.kind !== "idempotent" || !this.#mayAttempt(forwarded)) return;
-        const { service, triedUpstreams: tried } = forwarded;
-        const upstream = this.#choose(service, { tried, isHedge: true });
+        const { service, routed, triedUpstreams: tried } = forwarded;
+        const hedge = { routed, tried, isHedge: true };
+        const upstream = this.#choose(service, hedge);
         if (upstream !== undefined) start(upstream);
       });
       startOrSettle();
@@ -247,40 +251,56 @@
     return forwarded.possibleRuns < maximumAttempts;
   }
 
-  /** Returns the best upstream that accepts a request now, with its permit used if it names a limit. */
+  /**
+   * Returns the best upstream that accepts a request now, with its permit used if it names a limit. While some upstreams
+   * of a service name limits, the others are not loaded beyond their slots instead: a call waits for a permit first.
+   */
   #choose(
     service: string,
     options: {
+      readonly routed: RoutedCall;
       readonly tried: ReadonlySet<string>;
       /** Whether the call is already sent to another upstream; no permits are spent on it then. */
       readonly isHedge?: boolean;
+      /** Whether the call has waited for a permit in vain. */
+      readonly hasWaited?: boolean;
     },
   ): FleetUpstream | undefined {
-    const { permits } = this.#options;
-    const { tried, isHedge = false } = options;
-    const usable: FleetUpstream[] = [];
-    let knowsLimit = false;
-    for (const upstream of this.#options.upstreams()) {
-      if (upstream.service !== service || upstream.phase !== "ready") continue;
-      const limited = isLimited(upstream);
-      knowsLimit ||= limited;
-      if (limited && (isHedge || permits.available(upstream) < 1)) continue;
-      usable.push(upstream);
-    }
+    const { permits, clock } = this.#options;
+    const { routed, tried, isHedge = false, hasWaited = false } = options;
+    const ready = this.#readyUpstreams(service);
+    const knowsLimit = ready.some(isLimited);
     if (knowsLimit && !isHedge) permits.noteRequest(service);
-    const nowMs = this.#options.clock.nowMs();
+    const usable = ready.filter((upstream) => {
+      if (!knowsLimit) return true;
+      if (!isLimited(upstream)) {
+        return hasWaited || !this.#isFull(upstream, routed);
+      }
+      return !isHedge && permits.available(upstream) >= 1;
+    });
+    const nowMs = clock.nowMs();
     const selected = this.#choice.select(usable, { tried, nowMs });
     if (selected !== undefined) permits.use(selected);
     return selected;
   }
 
+  #readyUpstreams(service: string): readonly FleetUpstream[] {
+    return this.#options.upstreams().filter((each) =>
+      each.service === service && each.phase === "ready"
+    );
+  }
+
+  /** Whether the calls of this VM fill the slots of an upstream that calls like this one may use. */
+  #isFull(upstream: FleetUpstream, { slotShare = 1 }: RoutedCall): boolean {
+    const slots = Math.max(1, Math.floor(upstream.slots * slotShare));
+    return this.#choice.outstanding(upstream.id) >= slots;
+  }
+
   /** Whether a call for which no upstream is available now may get a permit for one. */
   #hasUntriedLimited(service: string, tried: ReadonlySet<string>): boolean {
-    for (const upstream of this.#options.upstreams()) {
-      if (upstream.service !== service || upstream.phase !== "ready") continue;
-      if (isLimited(upstream) && !tried.has(upstream.id)) return true;
-    }
-    return false;
+    return this.#readyUpstreams(service).some((each) =>
+      isLimited(each) && !tried.has(each.id)
+    );
   }
 
   async #acquireFor(
@@ -295,6 +315,10 @@
       signal: forwarded.abortController.signal,
     });
     if (outcome.kind === "granted") return outcome.upstream;
+    if (!this.#mayAttempt(forwarded)) return undefined;
+    const tried = triedUpstreams;
+    const full = this.#choose(service, { routed, tried, hasWaited: true });
+    if (full !== undefined) return full;
     forwarded.retryAfterMs = outcome.retryAfterMs;
     forwarded.lastFailure = "the upstreams have reached the limits they name";
     return undefined;
@@ -315,7 +339,9 @@
       priority: route.priority,
       patienceMs: Math.min(patienceMs, leftMs),
       signal: call.signal,
-      accepts: (upstream) => !call.tried.has(upstream.id),
+      accepts: (upstream) =>
+        !call.tried.has(upstream.id) &&
+        (isLimited(upstream) || !this.#isFull(upstream, call.routed)),
     });
   }
 
@@ -350,6 +376,7 @@
       : classifyError(result.val);
     const latencyMs = attempt.kind === "answer" ? nowMs - sentMs : null;
     this.#choice.recordEnded(upstream.id, { nowMs, latencyMs });
+    this.#options.permits.handleFreeSlot(upstream.service);
     const cancelled = forwarded.abortController.signal.aborted;
     if (latencyMs === null && !cancelled) {
       this.#choice.pause(upstream.id, nowMs);
@@ -417,9 +444,9 @@
     }
     const message = `no upstream responded: ${forwarded.lastFailure}`;
     if (forwarded.possibleRuns > 0) return fail("upstream_failed", message);
-    const kind = forwarded.triedUpstreams.size > 0
-      ? "upstream_refused"
-      : "no_upstream";
+    const hasUpstreams = forwarded.triedUpstreams.size > 0 ||
+      forwarded.retryAfterMs > 0;
+    const kind = hasUpstreams ? "upstream_refused" : "no_upstream";
     const retryAfterMs = Math.max(RETRY_AFTER_MS, forwarded.retryAfterMs);
     return fail(kind, message, { retryAfterMs });
   }
--- a/requests/forwarder_test.ts
+++ b/requests/forwarder_test.ts
@@ -1,188 +1,21 @@
 import assert from "node:assert/strict";
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
-import type { AddressInfo } from "node:net";
 import { test } from "node:test";
+import type { Failure, HttpResponse } from "#core";
 import {
-  type Failure,
-  type FleetUpstream,
-  type HttpRequest,
-  type HttpResponse,
-  MemoryEventLog,
-  type RouteRule,
-  SeededRandom,
-  VirtualClock,
-} from "#core";
-import { UnlimitedPermits } from "#quotas";
-import { Forwarder } from "./forwarder.ts";
-import { TestDialect } from "./test_dialect.ts";
-
-const ROUTE: RouteRule = {
-  name: "route",
-  host: "h",
-  pathPrefix: "/a/",
-  kind: "idempotent",
-  timeoutMs: 5_000,
-  objectiveMs: 200,
-  priority: 1,
-  split: [{ service: "cards", weight: 1 }],
-  maximumAttempts: 2,
-  resumable: false,
-  singleVersion: false,
-  maximumQueueMs: null,
-  dueMs: null,
-};
-
-type Behaviour = (request: IncomingMessage, response: ServerResponse) => void;
-
-const RESPONDS: Behaviour = (request, response) => {
-  response.setHeader("X-Id", String(request.headers["x-id"]));
-  response.setHeader("X-Stamp", "s");
-  response.end("whole");
-};
-const REJECTS: Behaviour = (request, response) => {
-  response.setHeader("X-Id", String(request.headers["x-id"]));
-  response.setHeader("X-Not-Run", "1");
-  response.writeHead(503).end();
-};
-const RESPONDS_AND_LEAVES: Behaviour = (request, response) => {
-  response.setHeader("X-Leaving", "1");
-  RESPONDS(request, response);
-};
-const REJECTS_AND_LEAVES: Behaviour = (request, response) => {
-  response.setHeader("X-Leaving", "1");
-  REJECTS(request, response);
-};
-const RETURNS_500: Behaviour = (request, response) => {
-  response.setHeader("X-Id", String(request.headers["x-id"]));
-  response.setHeader("X-Stamp", "s");
-  response.writeHead(500).end("sorry");
-};
-const IS_UNRESPONSIVE: Behaviour = () => {};
-const RESETS: Behaviour = (request) => {
-  request.socket.destroy();
-};
-const TRUNCATES_BODY: Behaviour = (request, response) => {
-  response.setHeader("X-Id", String(request.headers["x-id"]));
-  response.setHeader("X-Stamp", "s");
-  response.setHeader("Content-Length", "100");
-  response.write("whole", () => request.socket.destroy());
-};
-const ANSWERS_ANOTHER_CALL: Behaviour = (_request, response) => {
-  response.setHeader("X-Id", "another");
-  response.setHeader("X-Stamp", "s");
-  response.end("of another call");
-};
-
-interface ForwarderSetup {
-  readonly forwarder: Forwarder;
-  readonly clock: VirtualClock;
-  readonly events: MemoryEventLog;
-  /** Number of calls that reached each upstream. */
-  readonly reached: readonly number[];
-}
-
-async function withUpstreams(
-  behaviours: readonly Behaviour[],
-  run: (setup: ForwarderSetup) => Promise<void>,
-): Promise<void> {
-  const reached = behaviours.map(() => 0);
-  const servers: Server[] = [];
-  const upstreams: FleetUpstream[] = [];
-  for (const [index, behaviour] of behaviours.entries()) {
-    const server = createServer((request, response) => {
-      request.resume();
-      reached[index] = (reached[index] ?? 0) + 1;
-      behaviour(request, response);
-    });
-    await new Promise<void>((resolve) =>
-      server.listen({ host: "127.0.0.1", port: 0 }, resolve)
-    );
-    servers.push(server);
-    upstreams.push({
-      id: `u${index}`,
-      bornMs: 1,
-      sequence: 1,
-      service: "cards",
-      // The first upstream is in the VM's availability zone, so that it is tried first.
-      zone: index === 0 ? "here" : "there",
-      address: {
-        host: "127.0.0.1",
-        port: (server.address() as AddressInfo).port,
-      },
-      slots: 4,
-      phase: "ready",
-      serves: [],
-    });
-  }
-  const clock = new VirtualClock();
-  const events = new MemoryEventLog();
-  const leaving = new Set<string>();
-  const forwarder = new Forwarder({
-    zone: "here",
-    clock,
-    random: new SeededRandom(1),
-    events,
-    dialect: new TestDialect(),
-    upstreams: () =>
-      upstreams.map((each) =>
-        leaving.has(each.id) ? { ...each, phase: "draining" } : each
-      ),
-    onLeaving: ({ id }) => leaving.add(id),
-    onRequestLimit: () => {},
-    permits: new UnlimitedPermits(),
-  });
-  try {
-    await run({ forwarder, clock, events, reached });
-  } finally {
-    forwarder.close();
-    for (const server of servers) {
-      server.closeAllConnections();
-      server.close();
-    }
-  }
-}
-
-function createCall(signal = new AbortController().signal): HttpRequest {
-  return {
-    method: "POST",
-    path: "/a/b",
-    target: "/a/b?c=d",
-    rawHeaders: ["Host", "h", "Connection", "keep-alive"],
-    parameters: {},
-    query: new URLSearchParams(),
-    headers: {},
-    body: Buffer.from("card"),
-    signal,
-  };
-}
-
-function send(
-  setup: ForwarderSetup,
-  route: Partial<RouteRule> = {},
-  signal?: AbortSignal,
-): Promise<HttpResponse | Failure> {
-  return setup.forwarder.forward({
-    call: createCall(signal),
-    route: { ...ROUTE, ...route },
-    requestId: "r1",
-    deadlineMs: setup.clock.nowMs() + 2_000,
-  });
-}
-
-/** Waits until a call has reached an upstream. */
-async function untilReached(
-  setup: ForwarderSetup,
-  index: number,
-): Promise<void> {
-  while ((setup.reached[index] ?? 0) === 0) {
-    await new Promise((resolve) => setImmediate(resolve));
-  }
-}
+  ANSWERS_ANOTHER_CALL,
+  type Behaviour,
+  IS_UNRESPONSIVE,
+  REJECTS,
+  REJECTS_AND_LEAVES,
+  RESETS,
+  RESPONDS,
+  RESPONDS_AND_LEAVES,
+  RETURNS_500,
+  send,
+  TRUNCATES_BODY,
+  untilReached,
+  withUpstreams,
+} from "./forwarder_test_support.ts";
 
 test("the complete response of an upstream is forwarded without its hop-by-hop headers", async () => {
   await withUpstreams([RESPONDS], async (setup) => {
--- /dev/null
+++ b/requests/limited_upstreams_test.ts
@@ -0,0 +1,98 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { FleetUpstream } from "#core";
+import { type PermitDemand, type PermitOutcome, Permits } from "#quotas";
+import {
+  IS_UNRESPONSIVE,
+  RESPONDS,
+  send,
+  untilReached,
+  withUpstreams,
+} from "./forwarder_test_support.ts";
+
+const UPSTREAM_SLOTS = 4;
+
+/** Permits whose outcome the test sets; none are held. */
+class TestPermits extends Permits {
+  readonly demands: PermitDemand[] = [];
+  used = 0;
+  readonly #outcome: () => PermitOutcome;
+
+  constructor(outcome: () => PermitOutcome) {
+    super();
+    this.#outcome = outcome;
+  }
+
+  override available({ requestLimit }: FleetUpstream): number {
+    return requestLimit === null ? Infinity : 0;
+  }
+
+  override use({ requestLimit }: FleetUpstream): boolean {
+    if (requestLimit !== null) this.used += 1;
+    return true;
+  }
+
+  override acquire(demand: PermitDemand): Promise<PermitOutcome> {
+    this.demands.push(demand);
+    return Promise.resolve(this.#outcome());
+  }
+
+  override noteRequest(): void {}
+
+  override handleFreeSlot(): void {}
+
+  override setBacklog(): void {}
+}
+
+const REJECTED: PermitOutcome = { kind: "rejected", retryAfterMs: 700 };
+
+test("a call that gets no permit in time is rejected with the time until there is one", async () => {
+  const permits = new TestPermits(() => REJECTED);
+  await withUpstreams([RESPONDS, RESPONDS], async (setup) => {
+    const response = await send(setup);
+    assert.ok("kind" in response);
+    assert.equal(response.kind, "upstream_refused");
+    assert.equal(response.ran, "no");
+    assert.equal(response.retryAfterMs, 700);
+    assert.deepEqual(setup.reached, [0, 0]);
+  }, { limits: [1, 1], permits });
+  assert.equal(permits.demands[0]?.patienceMs, 100);
+  assert.equal(permits.demands[0]?.priority, 1);
+});
+
+test("a call waits for a permit rather than behind an upstream whose slots this VM has filled", async () => {
+  const limited: FleetUpstream[] = [];
+  const permits = new TestPermits(() => {
+    const upstream = limited[0];
+    return upstream === undefined ? REJECTED : { kind: "granted", upstream };
+  });
+  await withUpstreams([IS_UNRESPONSIVE, RESPONDS], async (setup) => {
+    limited.push(...setup.upstreams.slice(1));
+    for (let call = 0; call < UPSTREAM_SLOTS; call += 1) void send(setup);
+    assert.equal(permits.demands.length, 0);
+    const response = await send(setup);
+    assert.ok("status" in response);
+    await untilReached(setup, 0, UPSTREAM_SLOTS);
+    assert.deepEqual(setup.reached, [UPSTREAM_SLOTS, 1]);
+  }, { limits: [null, 1], permits });
+});
+
+test("a call that has waited for a permit in vain goes to an upstream without a limit, though its slots are full", async () => {
+  const permits = new TestPermits(() => REJECTED);
+  await withUpstreams([IS_UNRESPONSIVE, RESPONDS], async (setup) => {
+    for (let call = 0; call <= UPSTREAM_SLOTS; call += 1) void send(setup);
+    await untilReached(setup, 0, UPSTREAM_SLOTS + 1);
+    assert.equal(permits.demands.length, 1);
+  }, { limits: [null, 1], permits });
+});
+
+test("no permit is spent on hedging a call", async () => {
+  const permits = new TestPermits(() => REJECTED);
+  await withUpstreams([IS_UNRESPONSIVE, RESPONDS], async (setup) => {
+    void send(setup);
+    await untilReached(setup, 0);
+    setup.clock.advance(90);
+    assert.equal(permits.demands.length, 0);
+    assert.equal(permits.used, 0);
+  }, { limits: [null, 1], permits });
+});
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -34,7 +34,7 @@
   readonly http: UpstreamHttp;
   readonly choice: UpstreamSelector;
   readonly choose: (
-    service: string,
+    call: Pick<StreamCall, "service" | "routed">,
     tried: ReadonlySet<string>,
   ) => FleetUpstream | undefined;
   /** Waits for a permit for an upstream that names a limit. */
@@ -144,7 +144,7 @@
   ): Promise<FleetUpstream | undefined> {
     const { service, routed } = stream;
     const { triedUpstreams: tried } = progress;
-    const upstream = this.#options.choose(service, tried);
+    const upstream = this.#options.choose(stream, tried);
     if (upstream !== undefined) return upstream;
     const outcome = await this.#options.acquire({
       routed,
--- a/requests/upstream_selector.ts
+++ b/requests/upstream_selector.ts
@@ -51,6 +51,11 @@
     return best;
   }
 
+  /** Returns the number of calls of this VM to an upstream that have no response yet. */
+  outstanding(id: string): number {
+    return this.#stats.get(id)?.outstanding ?? 0;
+  }
+
   /** Records that a call was sent. */
   recordSent(id: string): void {
     this.#statsOf(id).outstanding += 1;
