--- a/quotas/permit_client.ts
+++ b/quotas/permit_client.ts
@@ -14,7 +14,6 @@
 } from "#core";
 import { DemandMeter } from "./demand_meter.ts";
 import { QUOTA_EVENTS } from "./events.ts";
-import { OfflineShare } from "./offline_share.ts";
 import { PermitHolder } from "./permit_holder.ts";
 import {
   PERMIT_VALIDITY_MS,
@@ -53,7 +52,6 @@
 interface ServiceState {
   readonly service: string;
   readonly meter: DemandMeter;
-  readonly offline: OfflineShare;
   waiters: Waiter[];
   backlog: { readonly count: number; readonly priority: number };
   asking: boolean;
@@ -92,17 +90,13 @@
     // Requests that wait go first.
     const state = this.#services.get(upstream.service);
     if (state !== undefined && state.waiters.length > 0) return 0;
-    return this.#held(upstream) + this.#offlineShareOf(upstream);
+    return this.#held(upstream);
   }
 
   override use(upstream: FleetUpstream): boolean {
     if (!isLimited(upstream)) return true;
     const nowMs = this.#options.clock.nowMs();
-    const incarnation = incarnationOf(upstream);
-    if (this.#holder.use(incarnation, nowMs)) return true;
-    const perSecond = upstream.requestLimit;
-    const { offline } = this.#stateOf(upstream.service);
-    return offline.use({ incarnation, perSecond }, nowMs);
+    return this.#holder.use(incarnationOf(upstream), nowMs);
   }
 
   override acquire(demand: PermitDemand): Promise<PermitOutcome> {
@@ -150,24 +144,12 @@
     return this.#holder.count(incarnationOf(upstream), nowMs);
   }
 
-  #offlineShareOf(
-    upstream: FleetUpstream & { readonly requestLimit: number },
-  ): number {
-    const share = this.#services.get(upstream.service)?.offline;
-    if (share === undefined) return 0;
-    const incarnation = incarnationOf(upstream);
-    const perSecond = upstream.requestLimit;
-    const nowMs = this.#options.clock.nowMs();
-    return share.available({ incarnation, perSecond }, nowMs);
-  }
-
   #stateOf(service: string): ServiceState {
     const existing = this.#services.get(service);
     if (existing !== undefined) return existing;
     const created: ServiceState = {
       service,
       meter: new DemandMeter(),
-      offline: new OfflineShare(this.#options),
       waiters: [],
       backlog: NO_BACKLOG,
       asking: false,
@@ -373,7 +355,6 @@
   ): void {
     const { clock, onBacklogPermits } = this.#options;
     const nowMs = clock.nowMs();
-    state.offline.recordReply(reply.senders);
     // The permits were issued at this time or later, since the request took some time to arrive.
     const issuedMs = reply.sentMs + reply.heldMs;
     const expiresMs = issuedMs + PERMIT_VALIDITY_MS;
@@ -400,8 +381,6 @@
 
   #applyFailure(state: ServiceState, failure: Failure): void {
     const nowMs = this.#options.clock.nowMs();
-    state.offline.recordFailure(nowMs);
-    this.#serveWaiters(state);
     state.pausedUntilMs = nowMs + FAILURE_PAUSE_MS;
     state.exhausted = { untilMs: nowMs + UNAVAILABLE_MS, priority: 0 };
     this.#options.events.emit(QUOTA_EVENTS.permitsUnavailable, {
--- a/quotas/permit_messages.ts
+++ b/quotas/permit_messages.ts
@@ -48,8 +48,6 @@
   readonly heldMs: Milliseconds;
   /** When the next permit is likely to be available for requests that got none; 0 unless some did. */
   readonly retryAfterMs: Milliseconds;
-  /** Number of VMs that asked for permits of the service lately. */
-  readonly senders: number;
 }
 
 /** Validates a request for permits; returns undefined if it is malformed. */
--- a/quotas/permit_server.ts
+++ b/quotas/permit_server.ts
@@ -31,8 +31,6 @@
 } from "./permit_messages.ts";
 
 const REPORT_INTERVAL_MS: Milliseconds = 5 * SECOND_MS;
-/** Time for which a VM counts as one that asks for permits. */
-const SENDER_MEMORY_MS: Milliseconds = 15 * SECOND_MS;
 /** Time after which no permit of an earlier leader is in use, with a margin for the request that used it. */
 const TAKEOVER_MS: Milliseconds = 2 * PERMIT_VALIDITY_MS;
 
@@ -63,7 +61,6 @@
 export class PermitServer {
   readonly #options: PermitServerOptions;
   readonly #allocator: PermitAllocator;
-  readonly #senders = new RecentSenders();
   readonly #counts = new Map<string, ServiceCounts>();
   #term: number | null = null;
   #ledSinceMs: Milliseconds = 0;
@@ -78,7 +75,7 @@
   /** Starts to handle requests. */
   start(): void {
     const { network, clock } = this.#options;
-    network.onRequest("requests", (from, body) => this.#handle(from, body));
+    network.onRequest("requests", (_from, body) => this.#handle(body));
     this.#reports = clock.every(REPORT_INTERVAL_MS, () => this.#report());
   }
 
@@ -89,7 +86,7 @@
     this.#allocator.clear();
   }
 
-  #handle(from: string, body: unknown): Promise<Result<unknown, Failure>> {
+  #handle(body: unknown): Promise<Result<unknown, Failure>> {
     const request = parsePermitRequest(body);
     if (request === undefined) {
       const message = "not a well-formed request for permits";
@@ -98,7 +95,6 @@
     const { leads, leader } = this.#options.leadership();
     if (!leads) return Promise.resolve(Err(notLeader(leader)));
     this.#noteTerm();
-    this.#senders.record(request.service, from, this.#options.clock.nowMs());
     return this.#decide(request);
   }
 
@@ -124,8 +120,7 @@
         if (!leads) return resolve(Err(notLeader(leader)));
         this.#count(request, decision);
         const heldMs = clock.nowMs() - arrivedMs;
-        const senders = this.#senders.count(request.service, clock.nowMs());
-        const reply: PermitReply = { ...decision, heldMs, senders };
+        const reply: PermitReply = { ...decision, heldMs };
         resolve(Ok(reply));
       };
       this.#allocator.request(request, { nowMs: arrivedMs, settle });
@@ -171,26 +166,6 @@
   }
 }
 
-/** The VMs that asked for permits lately, by service. */
-class RecentSenders {
-  readonly #byService = new Map<string, Map<string, Milliseconds>>();
-
-  record(service: string, sender: string, nowMs: Milliseconds): void {
-    const senders = this.#byService.get(service) ?? new Map();
-    senders.set(sender, nowMs);
-    this.#byService.set(service, senders);
-  }
-
-  count(service: string, nowMs: Milliseconds): number {
-    const senders = this.#byService.get(service);
-    if (senders === undefined) return 0;
-    for (const [sender, askedMs] of senders) {
-      if (nowMs - askedMs > SENDER_MEMORY_MS) senders.delete(sender);
-    }
-    return senders.size;
-  }
-}
-
 function notLeader(leader: string | null): Failure {
   const message = leader === null ? "no leader is known" : `${leader} leads`;
   return fail(
