--- /dev/null
+++ b/requests/forwarded_call.ts
@@ -0,0 +1,104 @@
+/**
+ * The state of a forwarded call over its attempts, and the response or failure that follows from it.
+ *
+ * @module
+ */
+import {
+  fail,
+  type Failure,
+  type HttpRequest,
+  type HttpResponse,
+  type Milliseconds,
+  type RouteRule,
+} from "#core";
+import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
+import type { UpstreamDemand } from "./upstream_choice.ts";
+import type { CompleteResponse } from "./upstream_http.ts";
+
+const RETRY_AFTER_MS: Milliseconds = 150;
+
+/** A call with its route and deadline. */
+export interface RoutedCall {
+  readonly call: HttpRequest;
+  readonly route: RouteRule;
+  readonly requestId: string;
+  /** The caller's deadline, on this VM's clock. */
+  readonly deadlineMs: Milliseconds;
+  /** How long the call may wait for a permit; part of the route's latency objective if absent. */
+  readonly permitPatienceMs?: Milliseconds;
+  /** Share of an upstream's slots that calls like this one may use while others of its service name limits; all if absent. */
+  readonly slotShare?: number;
+  /** Called for each upstream that ran the call and responded with a server error. */
+  readonly onServerError?: () => void;
+}
+
+/** State of one call over its attempts. */
+export interface ForwardedCall {
+  readonly routed: RoutedCall;
+  readonly service: string;
+  readonly headers: readonly string[];
+  readonly triedUpstreams: Set<string>;
+  /** When this VM received the call. */
+  readonly arrivedMs: Milliseconds;
+  /** The earlier of the caller's deadline and the route's timeout. */
+  readonly cutoffMs: Milliseconds;
+  readonly abortController: AbortController;
+  /** Number of attempts that may have run. */
+  possibleRuns: number;
+  lastFailure: string;
+  /** When a permit for one of its upstreams is likely to be available; 0 if it waits for none. */
+  retryAfterMs: Milliseconds;
+  /** The last response with a server error from an upstream. */
+  serverErrorResponse: CompleteResponse | undefined;
+}
+
+/** Returns what a call needs of an upstream. */
+export function upstreamDemand(forwarded: ForwardedCall): UpstreamDemand {
+  const { routed, service, triedUpstreams } = forwarded;
+  const { route, slotShare, permitPatienceMs } = routed;
+  return { service, route, tried: triedUpstreams, slotShare, permitPatienceMs };
+}
+
+/** Returns whether the call may be sent to a further upstream. */
+export function mayAttempt(
+  forwarded: ForwardedCall,
+  nowMs: Milliseconds,
+): boolean {
+  if (forwarded.abortController.signal.aborted) return false;
+  if (nowMs >= forwarded.cutoffMs) return false;
+  const { route } = forwarded.routed;
+  const maximumAttempts = route.kind === "once"
+    ? 1
+    : Math.max(1, route.maximumAttempts);
+  return forwarded.possibleRuns < maximumAttempts;
+}
+
+/** Returns the failure of a call that has no response when its time is up. */
+export function cutoffFailure(forwarded: ForwardedCall): Failure {
+  const message = `no response in time: ${forwarded.lastFailure}`;
+  if (forwarded.possibleRuns > 0) return fail("deadline_passed", message);
+  return fail("upstream_refused", message, { retryAfterMs: RETRY_AFTER_MS });
+}
+
+/** Returns the response of a call for which no further upstream is available. */
+export function finalResult(forwarded: ForwardedCall): HttpResponse | Failure {
+  if (forwarded.serverErrorResponse !== undefined) {
+    return toHttpResponse(forwarded.serverErrorResponse);
+  }
+  const message = `no upstream responded: ${forwarded.lastFailure}`;
+  if (forwarded.possibleRuns > 0) return fail("upstream_failed", message);
+  const hasUpstreams = forwarded.triedUpstreams.size > 0 ||
+    forwarded.retryAfterMs > 0;
+  const kind = hasUpstreams ? "upstream_refused" : "no_upstream";
+  const retryAfterMs = Math.max(RETRY_AFTER_MS, forwarded.retryAfterMs);
+  return fail(kind, message, { retryAfterMs });
+}
+
+/** Returns the response to the caller. */
+export function toHttpResponse(response: CompleteResponse): HttpResponse {
+  return {
+    status: response.status,
+    headers: headerRecord(endToEndHeaders(response.rawHeaders)),
+    body: response.body,
+  };
+}
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -13,14 +13,12 @@
   fail,
   type Failure,
   type FleetUpstream,
-  type HttpRequest,
   type HttpResponse,
   type Milliseconds,
   type RandomSource,
-  type RouteRule,
 } from "#core";
-import { isLimited, type PermitOutcome, type Permits } from "#quotas";
-import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
+import type { Permits } from "#quotas";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { REQUEST_EVENTS } from "./events.ts";
 import {
   type Attempt,
@@ -29,21 +27,23 @@
   MINIMUM_SERVER_ERROR_STATUS,
 } from "./forwarded_attempt.ts";
 import { pickService } from "./route_rules.ts";
-import { type PermitWait, StreamForwarding } from "./stream_forwarding.ts";
-import { UpstreamSelector } from "./upstream_selector.ts";
+import {
+  cutoffFailure,
+  finalResult,
+  type ForwardedCall,
+  mayAttempt,
+  type RoutedCall,
+  toHttpResponse,
+  upstreamDemand,
+} from "./forwarded_call.ts";
+import { StreamForwarding } from "./stream_forwarding.ts";
+import { UpstreamChoice } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
-import {
-  type CompleteResponse,
-  type ResponseHead,
-  UpstreamHttp,
-} from "./upstream_http.ts";
+import { type ResponseHead, UpstreamHttp } from "./upstream_http.ts";
 
 /** Share of the route's latency objective after which a call without a response is hedged. */
 const HEDGE_DELAY_OBJECTIVE_RATIO = 0.45;
-/** Share of the route's latency objective for which a call waits for a permit; the rest is for its response. */
-const PERMIT_PATIENCE_OBJECTIVE_RATIO = 0.5;
-const RETRY_AFTER_MS: Milliseconds = 150;
 /**
  * Time to wait past the cutoff for an upstream that reports its own timeout: its connection can then be reused.
  */
@@ -64,58 +64,20 @@
   readonly responseBudget?: ByteBudget;
 }
 
-/** A call with its route and deadline. */
-export interface RoutedCall {
-  readonly call: HttpRequest;
-  readonly route: RouteRule;
-  readonly requestId: string;
-  /** The caller's deadline, on this VM's clock. */
-  readonly deadlineMs: Milliseconds;
-  /** How long the call may wait for a permit; part of the route's latency objective if absent. */
-  readonly permitPatienceMs?: Milliseconds;
-  /** Share of an upstream's slots that calls like this one may use while others of its service name limits; all if absent. */
-  readonly slotShare?: number;
-  /** Called for each upstream that ran the call and responded with a server error. */
-  readonly onServerError?: () => void;
-}
-
-/** State of one call over its attempts. */
-interface ForwardedCall {
-  readonly routed: RoutedCall;
-  readonly service: string;
-  readonly headers: readonly string[];
-  readonly triedUpstreams: Set<string>;
-  /** When this VM received the call. */
-  readonly arrivedMs: Milliseconds;
-  /** The earlier of the caller's deadline and the route's timeout. */
-  readonly cutoffMs: Milliseconds;
-  readonly abortController: AbortController;
-  /** Number of attempts that may have run. */
-  possibleRuns: number;
-  lastFailure: string;
-  /** When a permit for one of its upstreams is likely to be available; 0 if it waits for none. */
-  retryAfterMs: Milliseconds;
-  /** The last response with a server error from an upstream. */
-  serverErrorResponse: CompleteResponse | undefined;
-}
-
 /** Forwards calls to upstreams. */
 export class Forwarder {
   readonly #options: ForwarderOptions;
   readonly #http: UpstreamHttp;
-  readonly #choice: UpstreamSelector;
+  readonly #choice: UpstreamChoice;
   readonly #streams: StreamForwarding;
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
     this.#http = new UpstreamHttp(options);
-    this.#choice = new UpstreamSelector({ zone: options.zone });
+    this.#choice = new UpstreamChoice(options);
     this.#streams = new StreamForwarding({
       ...options,
       http: this.#http,
-      choose: ({ service, routed }, tried) =>
-        this.#choose(service, { routed, tried }),
-      acquire: (call) => this.#acquire(call),
       choice: this.#choice,
     });
   }
@@ -168,7 +130,7 @@
       clock.nowMs();
     return new Promise((resolve) => {
       const timer = clock.after(timeoutMs, () => {
-        resolve(this.#cutoffFailure(forwarded));
+        resolve(cutoffFailure(forwarded));
       });
       const onAbort = (): void => {
         timer.cancel();
@@ -183,12 +145,6 @@
     });
   }
 
-  #cutoffFailure(forwarded: ForwardedCall): Failure {
-    const message = `no response in time: ${forwarded.lastFailure}`;
-    if (forwarded.possibleRuns > 0) return fail("deadline_passed", message);
-    return fail("upstream_refused", message, { retryAfterMs: RETRY_AFTER_MS });
-  }
-
   /** Retries until there is a final response; an idempotent call may have two attempts in flight. */
   #sendHedged(forwarded: ForwardedCall): Promise<HttpResponse | Failure> {
     const { route } = forwarded.routed;
@@ -200,7 +156,7 @@
         resolve(response);
       };
       const startOrSettle = (): void => {
-        if (!startNext() && running === 0) settle(this.#finalResult(forwarded));
+        if (!startNext() && running === 0) settle(finalResult(forwarded));
       };
       const start = (upstream: FleetUpstream): void => {
         running += 1;
@@ -212,139 +168,50 @@
         });
       };
       const startNext = (): boolean => {
-        if (!this.#mayAttempt(forwarded)) return false;
-        const { service, routed, triedUpstreams: tried } = forwarded;
-        const upstream = this.#choose(service, { routed, tried });
+        if (!mayAttempt(forwarded, clock.nowMs())) return false;
+        const demand = upstreamDemand(forwarded);
+        const upstream = this.#choice.choose(demand);
         if (upstream !== undefined) {
           start(upstream);
           return true;
         }
-        if (!this.#hasUntriedLimited(service, tried)) return false;
+        if (!this.#choice.mayGetPermit(demand)) return false;
         running += 1;
-        this.#acquireFor(forwarded).then((acquired) => {
+        this.#acquire(forwarded).then((acquired) => {
           running -= 1;
           if (acquired !== undefined) start(acquired);
-          else if (running === 0) settle(this.#finalResult(forwarded));
+          else if (running === 0) settle(finalResult(forwarded));
         });
         return true;
       };
       const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
       const hedgeTimer = clock.after(delayMs, () => {
-        if (route.kind !== "idempotent" || !this.#mayAttempt(forwarded)) return;
-        const { service, routed, triedUpstreams: tried } = forwarded;
-        const hedge = { routed, tried, isHedge: true };
-        const upstream = this.#choose(service, hedge);
+        if (
+          route.kind !== "idempotent" || !mayAttempt(forwarded, clock.nowMs())
+        ) return;
+        const demand = upstreamDemand(forwarded);
+        const upstream = this.#choice.choose(demand, { isHedge: true });
         if (upstream !== undefined) start(upstream);
       });
       startOrSettle();
     });
   }
 
-  /** Whether the call may be sent to a further upstream. */
-  #mayAttempt(forwarded: ForwardedCall): boolean {
-    if (forwarded.abortController.signal.aborted) return false;
-    if (this.#options.clock.nowMs() >= forwarded.cutoffMs) return false;
-    const { route } = forwarded.routed;
-    const maximumAttempts = route.kind === "once"
-      ? 1
-      : Math.max(1, route.maximumAttempts);
-    return forwarded.possibleRuns < maximumAttempts;
-  }
-
-  /**
-   * Returns the best upstream that accepts a request now, with its permit used if it names a limit. While some upstreams
-   * of a service name limits, the others are not loaded beyond their slots instead: a call waits for a permit first.
-   */
-  #choose(
-    service: string,
-    options: {
-      readonly routed: RoutedCall;
-      readonly tried: ReadonlySet<string>;
-      /** Whether the call is already sent to another upstream; no permits are spent on it then. */
-      readonly isHedge?: boolean;
-      /** Whether the call has waited for a permit in vain. */
-      readonly hasWaited?: boolean;
-    },
-  ): FleetUpstream | undefined {
-    const { permits, clock } = this.#options;
-    const { routed, tried, isHedge = false, hasWaited = false } = options;
-    const ready = this.#readyUpstreams(service);
-    const knowsLimit = ready.some(isLimited);
-    if (knowsLimit && !isHedge) permits.noteRequest(service);
-    const usable = ready.filter((upstream) => {
-      if (!knowsLimit) return true;
-      if (!isLimited(upstream)) {
-        return hasWaited || !this.#isFull(upstream, routed);
-      }
-      return !isHedge && permits.available(upstream) >= 1;
-    });
-    const nowMs = clock.nowMs();
-    const selected = this.#choice.select(usable, { tried, nowMs });
-    if (selected !== undefined) permits.use(selected);
-    return selected;
-  }
-
-  #readyUpstreams(service: string): readonly FleetUpstream[] {
-    return this.#options.upstreams().filter((each) =>
-      each.service === service && each.phase === "ready"
-    );
-  }
-
-  /** Whether the calls of this VM fill the slots of an upstream that calls like this one may use. */
-  #isFull(upstream: FleetUpstream, { slotShare = 1 }: RoutedCall): boolean {
-    const slots = Math.max(1, Math.floor(upstream.slots * slotShare));
-    return this.#choice.outstanding(upstream.id) >= slots;
-  }
-
-  /** Whether a call for which no upstream is available now may get a permit for one. */
-  #hasUntriedLimited(service: string, tried: ReadonlySet<string>): boolean {
-    return this.#readyUpstreams(service).some((each) =>
-      isLimited(each) && !tried.has(each.id)
-    );
-  }
-
-  async #acquireFor(
+  async #acquire(
     forwarded: ForwardedCall,
   ): Promise<FleetUpstream | undefined> {
-    const { routed, service, triedUpstreams, cutoffMs } = forwarded;
-    const outcome = await this.#acquire({
-      routed,
-      service,
-      tried: triedUpstreams,
-      cutoffMs,
-      signal: forwarded.abortController.signal,
-    });
+    const { cutoffMs, abortController: { signal } } = forwarded;
+    const demand = upstreamDemand(forwarded);
+    const outcome = await this.#choice.acquire(demand, { cutoffMs, signal });
     if (outcome.kind === "granted") return outcome.upstream;
-    if (!this.#mayAttempt(forwarded)) return undefined;
-    const tried = triedUpstreams;
-    const full = this.#choose(service, { routed, tried, hasWaited: true });
+    if (!mayAttempt(forwarded, this.#options.clock.nowMs())) return undefined;
+    const full = this.#choice.choose(demand, { hasWaited: true });
     if (full !== undefined) return full;
     forwarded.retryAfterMs = outcome.retryAfterMs;
     forwarded.lastFailure = "the upstreams have reached the limits they name";
     return undefined;
   }
 
-  /** Waits for a permit, no longer than a part of the latency objective: what comes later is better sent again later. */
-  async #acquire(call: PermitWait): Promise<PermitOutcome> {
-    const { permits, clock } = this.#options;
-    if (!this.#hasUntriedLimited(call.service, call.tried)) {
-      return { kind: "rejected", retryAfterMs: 0 };
-    }
-    const { route, permitPatienceMs } = call.routed;
-    const patienceMs = permitPatienceMs ??
-      route.objectiveMs * PERMIT_PATIENCE_OBJECTIVE_RATIO;
-    const leftMs = Math.max(0, call.cutoffMs - clock.nowMs());
-    return await permits.acquire({
-      service: call.service,
-      priority: route.priority,
-      patienceMs: Math.min(patienceMs, leftMs),
-      signal: call.signal,
-      accepts: (upstream) =>
-        !call.tried.has(upstream.id) &&
-        (isLimited(upstream) || !this.#isFull(upstream, call.routed)),
-    });
-  }
-
   async #send(
     forwarded: ForwardedCall,
     upstream: FleetUpstream,
@@ -353,7 +220,7 @@
     const { call, route, requestId } = forwarded.routed;
     forwarded.triedUpstreams.add(upstream.id);
     forwarded.possibleRuns += 1;
-    this.#choice.recordSent(upstream.id);
+    this.#choice.selector.recordSent(upstream.id);
     const sentMs = clock.nowMs();
     this.#logIfLimited(forwarded, upstream);
     const result = await this.#http.call({
@@ -375,16 +242,15 @@
       ? classifyResponse(result.val, dialect)
       : classifyError(result.val);
     const latencyMs = attempt.kind === "answer" ? nowMs - sentMs : null;
-    this.#choice.recordEnded(upstream.id, { nowMs, latencyMs });
-    this.#options.permits.handleFreeSlot(upstream.service);
+    this.#choice.recordEnded(upstream, { nowMs, latencyMs });
     const cancelled = forwarded.abortController.signal.aborted;
     if (latencyMs === null && !cancelled) {
-      this.#choice.pause(upstream.id, nowMs);
+      this.#choice.selector.pause(upstream.id, nowMs);
     }
     // If another upstream responded first, the time until the cancellation is a lower bound of this upstream's
     // latency.
     if (cancelled && latencyMs === null && nowMs - sentMs > route.objectiveMs) {
-      this.#choice.pause(upstream.id, nowMs);
+      this.#choice.selector.pause(upstream.id, nowMs);
     }
     if (attempt.kind === "not_run") forwarded.possibleRuns -= 1;
     if (attempt.kind !== "answer") forwarded.lastFailure = attempt.reason;
@@ -438,19 +304,6 @@
     return undefined;
   }
 
-  #finalResult(forwarded: ForwardedCall): HttpResponse | Failure {
-    if (forwarded.serverErrorResponse !== undefined) {
-      return toHttpResponse(forwarded.serverErrorResponse);
-    }
-    const message = `no upstream responded: ${forwarded.lastFailure}`;
-    if (forwarded.possibleRuns > 0) return fail("upstream_failed", message);
-    const hasUpstreams = forwarded.triedUpstreams.size > 0 ||
-      forwarded.retryAfterMs > 0;
-    const kind = hasUpstreams ? "upstream_refused" : "no_upstream";
-    const retryAfterMs = Math.max(RETRY_AFTER_MS, forwarded.retryAfterMs);
-    return fail(kind, message, { retryAfterMs });
-  }
-
   #reportFailure(forwarded: ForwardedCall, failure: Failure): void {
     const { route, requestId } = forwarded.routed;
     this.#options.events.emit(REQUEST_EVENTS.callFailed, {
@@ -464,11 +317,3 @@
     });
   }
 }
-
-function toHttpResponse(response: CompleteResponse): HttpResponse {
-  return {
-    status: response.status,
-    headers: headerRecord(endToEndHeaders(response.rawHeaders)),
-    body: response.body,
-  };
-}
--- a/requests/mod.ts
+++ b/requests/mod.ts
@@ -21,6 +21,7 @@
 export * from "./work_item.ts";
 export * from "./end_to_end_headers.ts";
 export * from "./event_parser.ts";
+export { type RoutedCall } from "./forwarded_call.ts";
 export * from "./forwarder.ts";
 export * from "./route_rules.ts";
 export * from "./upstream_selector.ts";
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -13,12 +13,11 @@
   type HttpResponse,
   type Milliseconds,
 } from "#core";
-import type { PermitOutcome } from "#quotas";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import { EventParser } from "./event_parser.ts";
 import { REQUEST_EVENTS } from "./events.ts";
-import type { RoutedCall } from "./forwarder.ts";
-import type { UpstreamSelector } from "./upstream_selector.ts";
+import type { RoutedCall } from "./forwarded_call.ts";
+import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import type { StreamingResponse, UpstreamHttp } from "./upstream_http.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
@@ -32,22 +31,7 @@
   readonly events: EventLog;
   readonly dialect: UpstreamDialect;
   readonly http: UpstreamHttp;
-  readonly choice: UpstreamSelector;
-  readonly choose: (
-    call: Pick<StreamCall, "service" | "routed">,
-    tried: ReadonlySet<string>,
-  ) => FleetUpstream | undefined;
-  /** Waits for a permit for an upstream that names a limit. */
-  readonly acquire: (call: PermitWait) => Promise<PermitOutcome>;
-}
-
-/** A call that waits for a permit. */
-export interface PermitWait {
-  readonly routed: RoutedCall;
-  readonly service: string;
-  readonly tried: ReadonlySet<string>;
-  readonly cutoffMs: Milliseconds;
-  readonly signal: AbortSignal;
+  readonly choice: UpstreamChoice;
 }
 
 /** A call for a stream, with the service that it is sent to. */
@@ -142,17 +126,14 @@
     stream: StreamCall,
     progress: StreamProgress,
   ): Promise<FleetUpstream | undefined> {
-    const { service, routed } = stream;
+    const { service, routed: { route, call, deadlineMs } } = stream;
+    const { choice } = this.#options;
     const { triedUpstreams: tried } = progress;
-    const upstream = this.#options.choose(stream, tried);
+    const demand: UpstreamDemand = { service, route, tried };
+    const upstream = choice.choose(demand);
     if (upstream !== undefined) return upstream;
-    const outcome = await this.#options.acquire({
-      routed,
-      service,
-      tried,
-      cutoffMs: routed.deadlineMs,
-      signal: routed.call.signal,
-    });
+    const limits = { cutoffMs: deadlineMs, signal: call.signal };
+    const outcome = await choice.acquire(demand, limits);
     if (outcome.kind === "granted") return outcome.upstream;
     progress.retryAfterMs = outcome.retryAfterMs;
     return undefined;
@@ -182,7 +163,7 @@
     if (result.err) {
       progress.lastFailure = result.val.reason;
       if (result.val.mayHaveRun) progress.possibleRuns += 1;
-      choice.pause(upstream.id, clock.nowMs());
+      choice.selector.pause(upstream.id, clock.nowMs());
       return undefined;
     }
     const metadata = dialect.readResponse(result.val.head);
@@ -196,7 +177,7 @@
     progress.lastFailure = metadata.notRun
       ? `rejected with status ${result.val.head.status}`
       : "response belongs to another request";
-    choice.pause(upstream.id, clock.nowMs());
+    choice.selector.pause(upstream.id, clock.nowMs());
     return undefined;
   }
 
--- /dev/null
+++ b/requests/upstream_choice.ts
@@ -0,0 +1,133 @@
+/**
+ * Chooses the upstream of each call, and uses a permit for it if the upstream names a limit of requests. Calls for which
+ * no upstream is available now may wait for a permit.
+ *
+ * @module
+ */
+import type { Clock, FleetUpstream, Milliseconds, RouteRule } from "#core";
+import { isLimited, type PermitOutcome, type Permits } from "#quotas";
+import { UpstreamSelector } from "./upstream_selector.ts";
+
+/** Share of the route's latency objective for which a call waits for a permit; the rest is for its response. */
+const PERMIT_PATIENCE_OBJECTIVE_RATIO = 0.5;
+
+/** A call that needs an upstream. */
+export interface UpstreamDemand {
+  readonly service: string;
+  readonly route: RouteRule;
+  /** Upstreams that it was sent to. */
+  readonly tried: ReadonlySet<string>;
+  /** Share of an upstream's slots that calls like this one may use while others of its service name limits; all if absent. */
+  readonly slotShare?: number | undefined;
+  /** How long it may wait for a permit; part of the route's latency objective if absent. */
+  readonly permitPatienceMs?: Milliseconds | undefined;
+}
+
+/** Options of `UpstreamChoice`. */
+export interface UpstreamChoiceOptions {
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly permits: Permits;
+  /** Returns the known upstreams, including draining ones. */
+  readonly upstreams: () => readonly FleetUpstream[];
+}
+
+/** Chooses upstreams for calls. */
+export class UpstreamChoice {
+  /** What is observed of the upstreams. */
+  readonly selector: UpstreamSelector;
+  readonly #options: UpstreamChoiceOptions;
+
+  constructor(options: UpstreamChoiceOptions) {
+    this.#options = options;
+    this.selector = new UpstreamSelector({ zone: options.zone });
+  }
+
+  /**
+   * Returns the best upstream that accepts a request now, with its permit used if it names a limit. While some upstreams
+   * of a service name limits, the others are not loaded beyond their slots instead: a call waits for a permit first.
+   */
+  choose(
+    demand: UpstreamDemand,
+    options: {
+      /** Whether the call is already sent to another upstream; no permits are spent on it then. */
+      readonly isHedge?: boolean;
+      /** Whether the call has waited for a permit in vain. */
+      readonly hasWaited?: boolean;
+    } = {},
+  ): FleetUpstream | undefined {
+    const { permits, clock } = this.#options;
+    const { isHedge = false, hasWaited = false } = options;
+    const ready = this.#readyUpstreams(demand.service);
+    const knowsLimit = ready.some(isLimited);
+    if (knowsLimit && !isHedge) permits.noteRequest(demand.service);
+    const usable = ready.filter((upstream) => {
+      if (!knowsLimit) return true;
+      if (!isLimited(upstream)) {
+        return hasWaited || !this.#isFull(upstream, demand);
+      }
+      return !isHedge && permits.available(upstream) >= 1;
+    });
+    const { tried } = demand;
+    const nowMs = clock.nowMs();
+    const selected = this.selector.select(usable, { tried, nowMs });
+    if (selected !== undefined) permits.use(selected);
+    return selected;
+  }
+
+  /** Whether a call for which no upstream is available now may get a permit for one. */
+  mayGetPermit({ service, tried }: UpstreamDemand): boolean {
+    return this.#readyUpstreams(service).some((each) =>
+      isLimited(each) && !tried.has(each.id)
+    );
+  }
+
+  /** Waits for a permit, no longer than a part of the latency objective: what comes later is better sent again later. */
+  async acquire(
+    demand: UpstreamDemand,
+    options: {
+      /** Time after which the call has failed. */
+      readonly cutoffMs: Milliseconds;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<PermitOutcome> {
+    if (!this.mayGetPermit(demand)) {
+      return { kind: "rejected", retryAfterMs: 0 };
+    }
+    const { permits, clock } = this.#options;
+    const { route, tried } = demand;
+    const patienceMs = demand.permitPatienceMs ??
+      route.objectiveMs * PERMIT_PATIENCE_OBJECTIVE_RATIO;
+    const leftMs = Math.max(0, options.cutoffMs - clock.nowMs());
+    return await permits.acquire({
+      service: demand.service,
+      priority: route.priority,
+      patienceMs: Math.min(patienceMs, leftMs),
+      signal: options.signal,
+      accepts: (upstream) =>
+        !tried.has(upstream.id) &&
+        (isLimited(upstream) || !this.#isFull(upstream, demand)),
+    });
+  }
+
+  /** Records that a call to an upstream has ended; see `UpstreamSelector.recordEnded`. */
+  recordEnded(
+    upstream: FleetUpstream,
+    outcome: Parameters<UpstreamSelector["recordEnded"]>[1],
+  ): void {
+    this.selector.recordEnded(upstream.id, outcome);
+    this.#options.permits.handleFreeSlot(upstream.service);
+  }
+
+  #readyUpstreams(service: string): readonly FleetUpstream[] {
+    return this.#options.upstreams().filter((each) =>
+      each.service === service && each.phase === "ready"
+    );
+  }
+
+  /** Whether the calls of this VM fill the slots of an upstream that calls like this one may use. */
+  #isFull(upstream: FleetUpstream, { slotShare = 1 }: UpstreamDemand): boolean {
+    const slots = Math.max(1, Math.floor(upstream.slots * slotShare));
+    return this.selector.outstanding(upstream.id) >= slots;
+  }
+}
