Hedge with a permit, and let failing upstreams yield to limited ones

Cause: hedged calls got none, so that nothing followed an attempt without a response, and an upstream without a limit was preferred although its calls had just failed. Ruled out: rejected for lack of permits (no 2202), and VMs out of reach of control (their zone is the one that answered).

A hedged call asks for a permit behind all calls that wait for one. While some upstreams of a service name limits, one that has just failed calls counts as full.

--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -37,7 +37,7 @@
   upstreamDemand,
 } from "./forwarded_call.ts";
 import { StreamForwarding } from "./stream_forwarding.ts";
-import { UpstreamChoice } from "./upstream_choice.ts";
+import { UpstreamChoice, type UpstreamDemand } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 import { type ResponseHead, UpstreamHttp } from "./upstream_http.ts";
@@ -167,9 +167,9 @@
           else startOrSettle();
         });
       };
-      const startNext = (): boolean => {
+      const startNext = (isHedge = false): boolean => {
         if (!mayAttempt(forwarded, clock.nowMs())) return false;
-        const demand = upstreamDemand(forwarded);
+        const demand = { ...upstreamDemand(forwarded), isHedge };
         const upstream = this.#choice.choose(demand);
         if (upstream !== undefined) {
           start(upstream);
@@ -177,7 +177,7 @@
         }
         if (!this.#choice.mayGetPermit(demand)) return false;
         running += 1;
-        this.#acquire(forwarded).then((acquired) => {
+        this.#acquire(forwarded, demand).then((acquired) => {
           running -= 1;
           if (acquired !== undefined) start(acquired);
           else if (running === 0) settle(finalResult(forwarded));
@@ -186,12 +186,7 @@
       };
       const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
       const hedgeTimer = clock.after(delayMs, () => {
-        if (
-          route.kind !== "idempotent" || !mayAttempt(forwarded, clock.nowMs())
-        ) return;
-        const demand = upstreamDemand(forwarded);
-        const upstream = this.#choice.choose(demand, { isHedge: true });
-        if (upstream !== undefined) start(upstream);
+        if (route.kind === "idempotent") startNext(true);
       });
       startOrSettle();
     });
@@ -199,12 +194,13 @@
 
   async #acquire(
     forwarded: ForwardedCall,
+    demand: UpstreamDemand,
   ): Promise<FleetUpstream | undefined> {
     const { cutoffMs, abortController: { signal } } = forwarded;
-    const demand = upstreamDemand(forwarded);
     const outcome = await this.#choice.acquire(demand, { cutoffMs, signal });
     if (outcome.kind === "granted") return outcome.upstream;
     if (!mayAttempt(forwarded, this.#options.clock.nowMs())) return undefined;
+    if (demand.isHedge === true) return undefined;
     const full = this.#choice.choose(demand, { hasWaited: true });
     if (full !== undefined) return full;
     forwarded.retryAfterMs = outcome.retryAfterMs;
--- a/requests/upstream_choice.ts
+++ b/requests/upstream_choice.ts
@@ -10,6 +10,8 @@
 
 /** Share of the route's latency objective for which a call waits for a permit; the rest is for its response. */
 const PERMIT_PATIENCE_OBJECTIVE_RATIO = 0.5;
+/** Behind the priorities of all routes. */
+const HEDGE_PRIORITY = Number.MAX_SAFE_INTEGER;
 
 /** A call that needs an upstream. */
 export interface UpstreamDemand {
@@ -21,6 +23,8 @@
   readonly slotShare?: number | undefined;
   /** How long it may wait for a permit; part of the route's latency objective if absent. */
   readonly permitPatienceMs?: Milliseconds | undefined;
+  /** Whether the call is already sent to another upstream; calls that are sent to none get permits first. */
+  readonly isHedge?: boolean;
 }
 
 /** Options of `UpstreamChoice`. */
@@ -45,30 +49,29 @@
 
   /**
    * Returns the best upstream that accepts a request now, with its permit used if it names a limit. While some upstreams
-   * of a service name limits, the others are not loaded beyond their slots instead: a call waits for a permit first.
+   * of a service name limits, the others are not loaded beyond their slots instead, nor while they fail calls: a call
+   * waits for a permit first.
    */
   choose(
     demand: UpstreamDemand,
     options: {
-      /** Whether the call is already sent to another upstream; no permits are spent on it then. */
-      readonly isHedge?: boolean;
       /** Whether the call has waited for a permit in vain. */
       readonly hasWaited?: boolean;
     } = {},
   ): FleetUpstream | undefined {
     const { permits, clock } = this.#options;
-    const { isHedge = false, hasWaited = false } = options;
+    const { hasWaited = false } = options;
+    const { isHedge = false, tried } = demand;
     const ready = this.#readyUpstreams(demand.service);
     const knowsLimit = ready.some(isLimited);
     if (knowsLimit && !isHedge) permits.noteRequest(demand.service);
     const usable = ready.filter((upstream) => {
       if (!knowsLimit) return true;
       if (!isLimited(upstream)) {
-        return hasWaited || !this.#isFull(upstream, demand);
+        return hasWaited || this.#hasCapacity(upstream, demand);
       }
       return !isHedge && permits.available(upstream) >= 1;
     });
-    const { tried } = demand;
     const nowMs = clock.nowMs();
     const selected = this.selector.select(usable, { tried, nowMs });
     if (selected !== undefined) permits.use(selected);
@@ -101,12 +104,12 @@
     const leftMs = Math.max(0, options.cutoffMs - clock.nowMs());
     return await permits.acquire({
       service: demand.service,
-      priority: route.priority,
+      priority: demand.isHedge === true ? HEDGE_PRIORITY : route.priority,
       patienceMs: Math.min(patienceMs, leftMs),
       signal: options.signal,
       accepts: (upstream) =>
         !tried.has(upstream.id) &&
-        (isLimited(upstream) || !this.#isFull(upstream, demand)),
+        (isLimited(upstream) || this.#hasCapacity(upstream, demand)),
     });
   }
 
@@ -125,9 +128,13 @@
     );
   }
 
-  /** Whether the calls of this VM fill the slots of an upstream that calls like this one may use. */
-  #isFull(upstream: FleetUpstream, { slotShare = 1 }: UpstreamDemand): boolean {
+  /** Whether an upstream without a limit has slots left of those that this VM may use, and has not just failed calls. */
+  #hasCapacity(
+    upstream: FleetUpstream,
+    { slotShare = 1 }: UpstreamDemand,
+  ): boolean {
     const slots = Math.max(1, Math.floor(upstream.slots * slotShare));
-    return this.selector.outstanding(upstream.id) >= slots;
+    return this.selector.outstanding(upstream.id) < slots &&
+      !this.selector.isPaused(upstream.id, this.#options.clock.nowMs());
   }
 }
--- a/requests/upstream_selector.ts
+++ b/requests/upstream_selector.ts
@@ -87,6 +87,11 @@
     stats.pauseMs = Math.min(MAXIMUM_PAUSE_MS, stats.pauseMs * 2);
   }
 
+  /** Whether calls to an upstream failed just now. */
+  isPaused(id: string, nowMs: Milliseconds): boolean {
+    return nowMs < (this.#stats.get(id)?.pausedUntilMs ?? 0);
+  }
+
   /** Removes upstreams that are not in `ids`, unless calls to them are outstanding. */
   retainOnly(ids: ReadonlySet<string>): void {
     for (const [id, stats] of this.#stats) {
