Begin the fault soak: real programs, drawn faults, workers that name limits

One VM of each role in each of three zones on loopback addresses, three workers, a call every 70 ms, half of them not idempotent. A seed draws kills, planned stops and pauses of processes and the limits that workers name; at most one process of a role is out at a time. Checked are: complete responses that belong to their calls, runs that someone sent and at most as often as allowed, no run of a call that was answered with 'not run', limits over each 4 s, and service after the faults.

One seed of 6 s is in 'npm test', with a test of the oracle and of the drawn faults.

--- /dev/null
+++ b/soak/soak.ts
@@ -0,0 +1,40 @@
+/**
+ * `npm run soak -- --first S --seeds N --seconds T`: runs the soak for several seeds and prints each broken promise.
+ *
+ * @module
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { SECOND_MS } from "#core";
+import { brokenPromises } from "./soak_oracle.ts";
+import { runSoak } from "./soak_site.ts";
+
+const WORKERS = 3;
+
+const { values } = parseArgs({
+  options: {
+    first: { type: "string", default: "1" },
+    seeds: { type: "string", default: "1" },
+    seconds: { type: "string", default: "10" },
+  },
+});
+const durationMs = Number(values.seconds) * SECOND_MS;
+let failed = 0;
+for (let at = 0; at < Number(values.seeds); at += 1) {
+  const seed = Number(values.first) + at;
+  const record = await runSoak(seed, { durationMs, workers: WORKERS });
+  const broken = brokenPromises(record);
+  if (broken.length > 0) failed += 1;
+  const statuses = countStatuses(record.calls.map((each) => each.status));
+  console.log(`seed ${seed}: ${broken.join("; ") || "kept"} (${statuses})`);
+}
+console.log(`soak: ${failed} of ${values.seeds} seeds failed`);
+process.exit(failed === 0 ? 0 : 1);
+
+function countStatuses(statuses: readonly number[]): string {
+  const counts = new Map<number, number>();
+  for (const status of statuses) {
+    counts.set(status, (counts.get(status) ?? 0) + 1);
+  }
+  return [...counts].map(([status, count]) => `${status}: ${count}`).join(", ");
+}
--- /dev/null
+++ b/soak/soak_faults.ts
@@ -0,0 +1,91 @@
+/**
+ * Draws the faults of a run from its seed. Performs no I/O.
+ *
+ * @module
+ */
+import { type Milliseconds, type RandomSource, SECOND_MS } from "#core";
+
+/** A fault of one VM or worker. */
+export type SoakFault =
+  & {
+    /** Time from the start of the run. */
+    readonly atMs: Milliseconds;
+  }
+  & (
+    | {
+      /** `kill` and `stop` end a process, which starts again; `pause` suspends it. */
+      readonly kind: "kill" | "stop" | "pause";
+      readonly role: "entry" | "control" | "store";
+      readonly zone: number;
+      readonly forMs: Milliseconds;
+    }
+    | {
+      /** A worker names another limit from now on, or none. */
+      readonly kind: "limit";
+      readonly worker: number;
+      readonly perSecond: number | null;
+    }
+  );
+
+const ROLES = ["entry", "control", "store"] as const;
+const PROCESS_FAULTS = ["kill", "stop", "pause"] as const;
+const ZONES = 3;
+const MINIMUM_GAP_MS: Milliseconds = 600;
+const LONGEST_GAP_MS: Milliseconds = 1_500;
+const SHORTEST_OUTAGE_MS: Milliseconds = 200;
+const LONGEST_OUTAGE_MS: Milliseconds = 2_500;
+/** Limits that workers name. */
+const LIMITS: readonly (number | null)[] = [1, 2, 5, 12, null];
+const LIMIT_CHANCE = 0.4;
+
+/** Size of a run. */
+export interface SoakSize {
+  readonly durationMs: Milliseconds;
+  readonly workers: number;
+}
+
+/**
+ * Returns the faults in the order of their times. Of the processes of one role at most one is out at a time, since the
+ * site tolerates the loss of one VM.
+ *
+ * @example
+ * ```ts
+ * const faults = drawFaults(new SeededRandom(1), { durationMs: 10_000, workers: 3 });
+ * ```
+ */
+export function drawFaults(
+  random: RandomSource,
+  size: SoakSize,
+): readonly SoakFault[] {
+  const faults: SoakFault[] = [];
+  const freeFromMs = new Map<string, Milliseconds>();
+  let atMs: Milliseconds = SECOND_MS;
+  while (atMs < size.durationMs) {
+    if (random.fraction() < LIMIT_CHANCE) {
+      const worker = random.below(size.workers);
+      const perSecond = LIMITS[random.below(LIMITS.length)] ?? null;
+      faults.push({ atMs, kind: "limit", worker, perSecond });
+    } else {
+      const role = ROLES[random.below(ROLES.length)] ?? "entry";
+      const kind = PROCESS_FAULTS[random.below(PROCESS_FAULTS.length)] ??
+        "kill";
+      const zone = random.below(ZONES);
+      const forMs = between(random, SHORTEST_OUTAGE_MS, LONGEST_OUTAGE_MS);
+      if (atMs >= (freeFromMs.get(role) ?? 0)) {
+        faults.push({ atMs, kind, role, zone, forMs });
+        // A process that starts again needs some seconds to catch up.
+        freeFromMs.set(role, atMs + forMs + 4 * SECOND_MS);
+      }
+    }
+    atMs += between(random, MINIMUM_GAP_MS, LONGEST_GAP_MS);
+  }
+  return faults;
+}
+
+function between(
+  random: RandomSource,
+  least: Milliseconds,
+  most: Milliseconds,
+): Milliseconds {
+  return Math.round(least + random.fraction() * (most - least));
+}
--- /dev/null
+++ b/soak/soak_oracle.ts
@@ -0,0 +1,128 @@
+/**
+ * Checks what callers and workers saw in a run against what is promised. Performs no I/O.
+ *
+ * @module
+ */
+import { type Milliseconds, SECOND_MS } from "#core";
+import type { ExecutedRequest } from "#platform";
+
+/** Span over which a limit is checked. */
+const SPAN_MS: Milliseconds = 4 * SECOND_MS;
+/** Time after which a limit that was first named binds. */
+const CONTACT_MS: Milliseconds = 3 * SECOND_MS;
+/** Statuses that promise that a call has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const OK_STATUS = 200;
+const LEAST_SERVED_SHARE = 0.9;
+
+/** One call, as its caller saw it. */
+export interface SoakCall {
+  readonly id: string;
+  readonly kind: "idempotent" | "once";
+  readonly body: string;
+  /** 0 if there was no complete response. */
+  readonly status: number;
+  readonly text: string;
+  readonly stamp: string | null;
+  /** Whether it was sent when all faults had been over for long enough. */
+  readonly afterFaults: boolean;
+}
+
+/** One worker: what it executed, and which limits it named from when on. */
+export interface SoakWorker {
+  readonly name: string;
+  readonly executed: readonly ExecutedRequest[];
+  readonly limits: readonly {
+    readonly fromMs: Milliseconds;
+    readonly perSecond: number | null;
+  }[];
+}
+
+/** Everything seen in a run. */
+export interface SoakRecord {
+  readonly calls: readonly SoakCall[];
+  readonly workers: readonly SoakWorker[];
+  /** Most workers that a route allows a call to be sent to. */
+  readonly maximumAttempts: number;
+}
+
+/** Returns a line for each broken promise; none if all were kept. */
+export function brokenPromises(record: SoakRecord): readonly string[] {
+  return [
+    ...checkResponses(record),
+    ...checkExecutions(record),
+    ...record.workers.flatMap((worker) => checkLimits(worker)),
+    ...checkRecovery(record.calls),
+  ];
+}
+
+function checkResponses({ calls }: SoakRecord): readonly string[] {
+  const broken: string[] = [];
+  for (const { id, status, text, stamp, body } of calls) {
+    if (status !== OK_STATUS) continue;
+    if (text === `done ${body}` && stamp === `stamp-${id}`) continue;
+    broken.push(`call ${id} got the response "${text}" with stamp ${stamp}`);
+  }
+  return broken;
+}
+
+function checkExecutions(record: SoakRecord): readonly string[] {
+  const broken: string[] = [];
+  const calls = new Map(record.calls.map((call) => [call.id, call]));
+  const counts = new Map<string, number>();
+  for (const { name, executed } of record.workers) {
+    for (const { id, body } of executed) {
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+      if (calls.get(id)?.body !== body) {
+        broken.push(`${name} ran ${id} with the body "${body}"`);
+      }
+    }
+  }
+  for (const { id, kind, status } of record.calls) {
+    const count = counts.get(id) ?? 0;
+    const most = kind === "once" ? 1 : record.maximumAttempts;
+    if (count > most) broken.push(`${id} (${kind}) ran ${count} times`);
+    if (kind === "once" && count > 0 && NOT_RUN_STATUSES.has(status)) {
+      broken.push(`${id} was answered ${status} and ran`);
+    }
+  }
+  return broken;
+}
+
+/** The highest limit named within a span counts, since VMs learn of a lower one only from a response. */
+function checkLimits(worker: SoakWorker): readonly string[] {
+  const times = worker.executed.map((each) => each.atMs).sort((a, b) => a - b);
+  for (const endMs of times) {
+    const startMs = endMs - SPAN_MS;
+    const limit = limitWithin(worker, startMs - CONTACT_MS, endMs);
+    if (limit === null) continue;
+    const count = times.filter((at) => at > startMs && at <= endMs).length;
+    const allowed = 1.5 * limit * SPAN_MS / SECOND_MS + 5;
+    if (count <= allowed) continue;
+    return [`${worker.name} got ${count} of ${allowed} requests in 4 s`];
+  }
+  return [];
+}
+
+/** Returns the highest limit of a span, or null if the worker named none at some time in it. */
+function limitWithin(
+  worker: SoakWorker,
+  startMs: Milliseconds,
+  endMs: Milliseconds,
+): number | null {
+  let highest: number | null = null;
+  for (const [at, { fromMs, perSecond }] of worker.limits.entries()) {
+    const untilMs = worker.limits[at + 1]?.fromMs ?? Infinity;
+    if (untilMs <= startMs || fromMs > endMs) continue;
+    if (perSecond === null) return null;
+    highest = Math.max(highest ?? 0, perSecond);
+  }
+  return highest;
+}
+
+function checkRecovery(calls: readonly SoakCall[]): readonly string[] {
+  const late = calls.filter((each) => each.afterFaults);
+  const served = late.filter((each) => each.status === OK_STATUS).length;
+  if (late.length > 0 && served >= late.length * LEAST_SERVED_SHARE) return [];
+  return [`${served} of ${late.length} calls were served after the faults`];
+}
--- /dev/null
+++ b/soak/soak_site.ts
@@ -0,0 +1,266 @@
+/**
+ * Runs the programs of a site, callers and workers, lets the faults of a seed happen, and returns what was seen.
+ *
+ * @module
+ */
+import { request as startRequest } from "node:http";
+import {
+  type Address,
+  type Milliseconds,
+  SECOND_MS,
+  SeededRandom,
+} from "#core";
+import { FakeWorker } from "#platform";
+import { delay, waitUntil } from "../proof/managed_process.ts";
+import { NodeCluster } from "../proof/node_cluster.ts";
+import { drawFaults, type SoakFault, type SoakSize } from "./soak_faults.ts";
+import type { SoakCall, SoakRecord, SoakWorker } from "./soak_oracle.ts";
+
+const SITE = { block: "127.8", network: 11 };
+const HOST = "site.example";
+const SERVICE = "cards";
+const ZONES = [0, 1, 2];
+const START_TIMEOUT_MS: Milliseconds = 60_000;
+const HEARTBEAT_INTERVAL_MS: Milliseconds = 300;
+const CALL_INTERVAL_MS: Milliseconds = 70;
+const CALL_TIMEOUT_MS: Milliseconds = 2_000;
+/** Time after the last fault in which the site recovers. */
+const RECOVERY_MS: Milliseconds = 12 * SECOND_MS;
+const CALLS_AFTER_FAULTS = 20;
+const MAXIMUM_ATTEMPTS = 2;
+
+const CONFIGURATION = {
+  version: 3,
+  routes: (["idempotent", "non_idempotent"] as const).map((kind) => ({
+    name: kind,
+    hostname: HOST,
+    path_prefix: `/${kind}/`,
+    kind,
+    timeout_ms: CALL_TIMEOUT_MS,
+    target_latency_ms: 400,
+    priority: kind === "idempotent" ? 2 : 1,
+    service: SERVICE,
+    max_attempts: MAXIMUM_ATTEMPTS,
+  })),
+  services: [{ name: SERVICE, max_conns: 100 }],
+};
+
+interface LimitedWorker {
+  readonly fake: FakeWorker;
+  readonly name: string;
+  readonly limits: {
+    readonly fromMs: number;
+    readonly perSecond: number | null;
+  }[];
+}
+
+/** Runs one seed and returns what callers and workers saw. */
+export async function runSoak(
+  seed: number,
+  size: SoakSize,
+): Promise<SoakRecord> {
+  const site = new SoakSite(size);
+  try {
+    await site.start();
+    return await site.run(drawFaults(new SeededRandom(seed), size));
+  } finally {
+    await site.close();
+  }
+}
+
+/** The processes, workers and callers of one run. */
+class SoakSite {
+  readonly #size: SoakSize;
+  readonly #cluster = new NodeCluster(SITE);
+  readonly #workers: LimitedWorker[] = [];
+  readonly #calls: SoakCall[] = [];
+  readonly #pending = new Set<Promise<void>>();
+  #heartbeats: NodeJS.Timeout | undefined;
+  #sent = 0;
+  #afterFaults = false;
+
+  constructor(size: SoakSize) {
+    this.#size = size;
+    for (let at = 0; at < size.workers; at += 1) {
+      const name = `w${at}`;
+      const fake = new FakeWorker({
+        id: name,
+        service: SERVICE,
+        zone: `z${at % ZONES.length + 1}`,
+        address: this.#cluster.fakeAddress(at),
+        models: [],
+        eventMs: 40,
+        startedMs: Date.now(),
+      });
+      this.#workers.push({
+        fake,
+        name,
+        limits: [{ fromMs: 0, perSecond: null }],
+      });
+    }
+  }
+
+  /** Starts everything and waits until each entry VM serves calls. */
+  async start(): Promise<void> {
+    await this.#cluster.start();
+    for (const { fake } of this.#workers) await fake.listen();
+    let turn = 0;
+    this.#heartbeats = setInterval(() => {
+      for (const { fake } of this.#workers) {
+        turn += 1;
+        void fake.sendHeartbeat(
+          this.#cluster.controlAddress(turn % ZONES.length),
+        );
+      }
+    }, HEARTBEAT_INTERVAL_MS);
+    await waitUntil(
+      "the configuration is acknowledged",
+      START_TIMEOUT_MS,
+      async () => {
+        const reply = await exchange(this.#cluster.controlAddress(1), {
+          path: "/config/replace",
+          headers: {},
+          body: JSON.stringify(CONFIGURATION),
+        });
+        return reply.status === 200;
+      },
+    );
+    for (const zone of ZONES) {
+      await this.#cluster.vm("entry", zone).waitUntilReady(START_TIMEOUT_MS);
+    }
+    await waitUntil("calls are served", START_TIMEOUT_MS, async () => {
+      await this.#call();
+      return this.#calls.at(-1)?.status === 200;
+    });
+  }
+
+  /** Sends calls while the faults happen, and some after the site has recovered. */
+  async run(faults: readonly SoakFault[]): Promise<SoakRecord> {
+    const callers = setInterval(() => this.#startCall(), CALL_INTERVAL_MS);
+    try {
+      await this.#cause(faults);
+      for (const worker of this.#workers) setLimit(worker, null);
+      await delay(RECOVERY_MS);
+    } finally {
+      clearInterval(callers);
+    }
+    await Promise.all(this.#pending);
+    this.#afterFaults = true;
+    for (let call = 0; call < CALLS_AFTER_FAULTS; call += 1) await this.#call();
+    return {
+      calls: this.#calls,
+      workers: this.#workers.map(toRecord),
+      maximumAttempts: MAXIMUM_ATTEMPTS,
+    };
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.#heartbeats);
+    for (const { fake } of this.#workers) fake.close();
+    await this.#cluster.close();
+  }
+
+  async #cause(faults: readonly SoakFault[]): Promise<void> {
+    const startMs = performance.now();
+    const ends: Promise<void>[] = [];
+    for (const fault of faults) {
+      await delay(Math.max(0, startMs + fault.atMs - performance.now()));
+      ends.push(this.#causeOne(fault));
+    }
+    await delay(
+      Math.max(0, startMs + this.#size.durationMs - performance.now()),
+    );
+    await Promise.all(ends);
+  }
+
+  async #causeOne(fault: SoakFault): Promise<void> {
+    if (fault.kind === "limit") {
+      const worker = this.#workers[fault.worker];
+      if (worker !== undefined) setLimit(worker, fault.perSecond);
+      return;
+    }
+    const vm = this.#cluster.vm(fault.role, fault.zone);
+    if (fault.kind === "pause") {
+      vm.pause();
+      await delay(fault.forMs);
+      vm.resume();
+      return;
+    }
+    if (fault.kind === "kill") await vm.kill();
+    else await vm.stop();
+    await delay(fault.forMs);
+    vm.restart();
+  }
+
+  #startCall(): void {
+    const call = this.#call();
+    this.#pending.add(call);
+    void call.finally(() => this.#pending.delete(call));
+  }
+
+  async #call(): Promise<void> {
+    this.#sent += 1;
+    const id = `call-${this.#sent}`;
+    const body = `card ${this.#sent}`;
+    const kind = this.#sent % 2 === 0 ? "idempotent" : "once";
+    const route = kind === "once" ? "non_idempotent" : "idempotent";
+    const afterFaults = this.#afterFaults;
+    const to = this.#cluster.callerAddress(this.#sent % ZONES.length);
+    const reply = await exchange(to, {
+      path: `/${route}/save`,
+      headers: { "Request-Id": id, "Deadline-Ms": String(CALL_TIMEOUT_MS) },
+      body,
+    });
+    this.#calls.push({ id, kind, body, afterFaults, ...reply });
+  }
+}
+
+function setLimit(worker: LimitedWorker, perSecond: number | null): void {
+  worker.fake.requestLimit = perSecond;
+  worker.limits.push({ fromMs: performance.now(), perSecond });
+}
+
+function toRecord({ name, fake, limits }: LimitedWorker): SoakWorker {
+  return { name, limits, executed: fake.executedRequests };
+}
+
+interface Exchange {
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+/** Sends a call on a new connection; the status is 0 without a complete response. */
+function exchange(
+  to: Address,
+  call: Exchange,
+): Promise<Pick<SoakCall, "status" | "text" | "stamp">> {
+  const none = { status: 0, text: "", stamp: null };
+  return new Promise((resolve) => {
+    const sent = startRequest({
+      host: to.host,
+      port: to.port,
+      path: call.path,
+      method: "POST",
+      agent: false,
+      headers: { Host: HOST, ...call.headers },
+    }, (response) => {
+      let text = "";
+      response.on("data", (chunk) => text += String(chunk));
+      response.on("error", () => resolve(none));
+      response.on("end", () => {
+        const stamp = response.headers["response-stamp"];
+        const status = response.complete ? response.statusCode ?? 0 : 0;
+        resolve({
+          status,
+          text,
+          stamp: stamp === undefined ? null : String(stamp),
+        });
+      });
+    });
+    sent.setTimeout(2 * CALL_TIMEOUT_MS, () => sent.destroy());
+    sent.on("error", () => resolve(none));
+    sent.on("close", () => resolve(none));
+    sent.end(call.body);
+  });
+}
--- /dev/null
+++ b/soak/soak_test.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SECOND_MS, SeededRandom } from "#core";
+import { drawFaults } from "./soak_faults.ts";
+import { brokenPromises, type SoakRecord } from "./soak_oracle.ts";
+import { runSoak } from "./soak_site.ts";
+
+const SIZE = { durationMs: 6 * SECOND_MS, workers: 3 };
+const SEED = 1;
+
+test(`callers and workers see no broken promise while processes fail and workers name limits, seed ${SEED}`, async () => {
+  const record = await runSoak(SEED, SIZE);
+  assert.deepEqual(brokenPromises(record), []);
+});
+
+test("a seed draws the same faults each time, and never two processes of one role at once", () => {
+  const size = { durationMs: 60 * SECOND_MS, workers: 3 };
+  for (let seed = 1; seed <= 50; seed += 1) {
+    const faults = drawFaults(new SeededRandom(seed), size);
+    assert.deepEqual(faults, drawFaults(new SeededRandom(seed), size));
+    const outUntilMs = new Map<string, number>();
+    for (const fault of faults) {
+      if (fault.kind === "limit") continue;
+      assert.ok(fault.atMs >= (outUntilMs.get(fault.role) ?? 0));
+      outUntilMs.set(fault.role, fault.atMs + fault.forMs);
+    }
+  }
+});
+
+const CALL = {
+  id: "a",
+  kind: "once",
+  body: "card",
+  status: 200,
+  text: "done card",
+  stamp: "stamp-a",
+  afterFaults: true,
+} as const;
+const RUN = { id: "a", path: "/", body: "card", lastEventId: null, atMs: 0 };
+
+function recordOf(change: {
+  readonly call?: Partial<SoakRecord["calls"][number]>;
+  readonly executed?: SoakRecord["workers"][number]["executed"];
+  readonly perSecond?: number;
+}): SoakRecord {
+  const limits = change.perSecond === undefined
+    ? []
+    : [{ fromMs: -60 * SECOND_MS, perSecond: change.perSecond }];
+  return {
+    calls: [{ ...CALL, ...change.call }],
+    workers: [{ name: "w", executed: change.executed ?? [RUN], limits }],
+    maximumAttempts: 2,
+  };
+}
+
+test("the oracle reports what it is to find, and nothing else", () => {
+  assert.deepEqual(brokenPromises(recordOf({})), []);
+  const served = { ...CALL, afterFaults: true };
+  const found = (record: SoakRecord): string =>
+    brokenPromises({ ...record, calls: [...record.calls] }).join();
+  assert.match(found(recordOf({ call: { text: "other" } })), /response/);
+  assert.match(found(recordOf({ call: { stamp: null } })), /stamp/);
+  assert.match(found(recordOf({ executed: [RUN, RUN] })), /ran 2 times/);
+  const rejected = { ...served, status: 503 };
+  assert.match(found(recordOf({ call: rejected })), /answered 503 and ran/);
+  const foreign = { ...RUN, id: "b" };
+  assert.match(found(recordOf({ executed: [foreign] })), /ran b/);
+  const failed = { ...served, status: 0 };
+  assert.match(found(recordOf({ call: failed })), /0 of 1 calls/);
+  const many = Array.from({ length: 12 }, (_, at) => ({ ...RUN, atMs: at }));
+  const limited = recordOf({ executed: many, perSecond: 1 });
+  assert.match(found(limited), /got 12 of 11 requests/);
+});
