--- a/batches/forwarded_scoring.ts
+++ b/batches/forwarded_scoring.ts
@@ -10,6 +10,8 @@
 import { type ScoringOutcome, ScoringPort } from "./item_scoring.ts";
 import { SCORING_SLOT_SHARE } from "./scoring_plan.ts";
 
+/** Status of an upstream that ran the call and failed. */
+const FAILED_STATUS = 500;
 const MINIMUM_SUCCESS_STATUS = 200;
 const MAXIMUM_SUCCESS_STATUS = 299;
 
@@ -35,7 +37,7 @@
   ): Promise<ScoringOutcome> {
     const { route, signal } = options;
     const { clock, forwarder } = this.#options;
-    let serverErrors = 0;
+    const statuses: number[] = [];
     const response = await forwarder.forward({
       call: {
         method: "POST",
@@ -55,17 +57,22 @@
       // Nobody waits for the response of this call but its step, which is due in seconds.
       permitPatienceMs: route.timeoutMs,
       slotShare: SCORING_SLOT_SHARE,
-      onServerError: () => {
-        serverErrors += 1;
+      onServerError: (status) => {
+        statuses.push(status);
       },
     });
-    if ("kind" in response) {
-      return { kind: "failed", serverErrors, reason: response.message };
-    }
-    const score = this.#scoreOf(response);
+    const score = "kind" in response ? null : this.#scoreOf(response);
     if (score !== null) return { kind: "scored", score };
-    const reason = `status ${response.status} without a score`;
-    return { kind: "failed", serverErrors, reason };
+    // A timeout that an upstream reports (504) says nothing about the call itself.
+    const serverErrors = statuses.filter((each) => each === FAILED_STATUS);
+    const message = "kind" in response
+      ? response.message
+      : `status ${response.status} without a score`;
+    return {
+      kind: "failed",
+      serverErrors: serverErrors.length,
+      reason: `${message}; responses ${statuses.join(", ") || "none"}`,
+    };
   }
 
   /** Returns the stamp of a successful response, which is the score. */
--- a/requests/forwarded_call.ts
+++ b/requests/forwarded_call.ts
@@ -29,7 +29,7 @@
   /** Share of an upstream's slots that calls like this one may use while others of its service name limits; all if absent. */
   readonly slotShare?: number;
   /** Called for each upstream that ran the call and responded with a server error. */
-  readonly onServerError?: () => void;
+  readonly onServerError?: (status: number) => void;
 }
 
 /** State of one call over its attempts. */
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -293,7 +293,7 @@
     const shouldRetry = forwarded.routed.route.kind === "idempotent" &&
       response.status >= MINIMUM_SERVER_ERROR_STATUS;
     if (response.status >= MINIMUM_SERVER_ERROR_STATUS) {
-      forwarded.routed.onServerError?.();
+      forwarded.routed.onServerError?.(response.status);
     }
     if (!shouldRetry) return toHttpResponse(response);
     forwarded.serverErrorResponse = response;
