Let the leader know the limits, and decide about permits by service

A request for permits listed all limited upstreams of its service, and each decision looked at the upstreams of every waiting request: with 165 VMs waiting and 1,700 limited upstreams 280,000 buckets a decision, and 50 KB a request.

The leader takes the limits from its own table, by service, cached until one changes. A VM that asks before the leader knows a limit asks again after 20 ms.

--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -137,9 +137,9 @@
     return this.#table.listed();
   }
 
-  /** Returns the limit that an incarnation of an upstream names, null if none any more, undefined if that is unknown. */
-  limitOf(incarnation: string): number | null | undefined {
-    return this.#table.limitOf(incarnation);
+  /** Returns the limits of the upstreams of a service, by incarnation; see `FleetTable.limitsOf`. */
+  limitsOf(service: string): ReadonlyMap<string, number> {
+    return this.#table.limitsOf(service);
   }
 
   /** Returns the control and store VMs, including this one. */
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -10,6 +10,8 @@
 /** Whether a heartbeat changed the routing, only renewed the upstream, or was outdated. */
 export type HeartbeatOutcome = "changed" | "renewed" | "outdated";
 
+const NO_LIMITS: ReadonlyMap<string, number> = new Map();
+
 interface TableEntry {
   record: FleetUpstream;
   receivedMs: Milliseconds;
@@ -49,6 +51,9 @@
   readonly #options: FleetTableOptions;
   readonly #entries = new Map<string, TableEntry>();
   #revision = 0;
+  /** Limits by service, as of a revision. */
+  #limits: ReadonlyMap<string, ReadonlyMap<string, number>> = new Map();
+  #limitsRevision = -1;
 
   constructor(options: FleetTableOptions) {
     this.#options = options;
@@ -164,14 +169,15 @@
     return [...byAddress.values()].filter((each) => each.phase !== "gone");
   }
 
-  /** Returns the limit of an incarnation: null if it names none any more, undefined if it never did or is unknown. */
-  limitOf(incarnation: string): number | null | undefined {
-    const id = incarnation.slice(0, incarnation.lastIndexOf(":"));
-    const record = this.#entries.get(id)?.record;
-    if (record === undefined || record.phase === "gone") return undefined;
-    return incarnationOf(record) === incarnation
-      ? record.requestLimit
-      : undefined;
+  /**
+   * Returns the limits of the listed upstreams of a service, by incarnation; the same object until one of them changes.
+   */
+  limitsOf(service: string): ReadonlyMap<string, number> {
+    if (this.#limitsRevision !== this.#revision) {
+      this.#limitsRevision = this.#revision;
+      this.#limits = groupLimits(this.listed());
+    }
+    return this.#limits.get(service) ?? NO_LIMITS;
   }
 
   /** Returns all stored heartbeats with their ages, for another control VM. */
@@ -209,6 +215,20 @@
   return leaves ? { ...record, phase: "draining" } : record;
 }
 
+function groupLimits(
+  upstreams: readonly FleetUpstream[],
+): ReadonlyMap<string, ReadonlyMap<string, number>> {
+  const limits = new Map<string, Map<string, number>>();
+  for (const upstream of upstreams) {
+    const { service, requestLimit = null, phase } = upstream;
+    if (requestLimit === null || phase !== "ready") continue;
+    const ofService = limits.get(service) ?? new Map<string, number>();
+    ofService.set(incarnationOf(upstream), requestLimit);
+    limits.set(service, ofService);
+  }
+  return limits;
+}
+
 interface ObservedLimit {
   readonly perSecond: number | null;
   readonly observedMs: Milliseconds;
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -124,7 +124,7 @@
         ...this.#groupStatus(),
         leader: log.status().leader,
       }),
-      limitOf: (incarnation) => this.#fleet.limitOf(incarnation),
+      limitsOf: (service) => this.#fleet.limitsOf(service),
     });
     this.#server = this.#buildServer();
     this.#monitoring = new NodeMonitoring(base, {
--- a/proof/limited_site.ts
+++ b/proof/limited_site.ts
@@ -241,7 +241,7 @@
         term: this.term,
         leader: this.leader,
       }),
-      limitOf: (incarnation) => server.limitOf(incarnation),
+      limitsOf: (service) => server.limitsOf(service),
     }).start();
   }
 
--- a/quotas/permit_allocator.ts
+++ b/quotas/permit_allocator.ts
@@ -7,51 +7,36 @@
  *
  * @module
  */
-import { type Milliseconds, SECOND_MS } from "#core";
-import type { PermitGrant, PermitRequest } from "./permit_messages.ts";
-import { RateBucket } from "./rate_bucket.ts";
-
-/** Part of a bucket that is kept for requests that wait. */
-const RESERVED_FRACTION = 0.5;
-
-/** What the allocator decided about a request for permits. */
-export interface PermitDecision {
-  readonly grants: readonly PermitGrant[];
-  /** When a permit is likely to be available if there is none now; 0 otherwise. */
-  readonly retryAfterMs: Milliseconds;
-}
-
-/** A request for permits that waits for its turn. */
-interface QueuedRequest {
-  readonly request: PermitRequest;
-  readonly untilMs: Milliseconds;
-  readonly settle: (decision: PermitDecision) => void;
-}
-
-/** Limit of an incarnation of an upstream: null if it names none any more, undefined if that is not known. */
-export type LimitLookup = (incarnation: string) => number | null | undefined;
+import type { Milliseconds } from "#core";
+import type { PermitRequest } from "./permit_messages.ts";
+import {
+  type PermitDecision,
+  type ServiceLimits,
+  ServicePermits,
+} from "./service_permits.ts";
 
 /** Options of `PermitAllocator`. */
 export interface PermitAllocatorOptions {
-  /** Returns the newest known limit of an upstream. */
-  readonly limitOf: LimitLookup;
+  /** Returns the limits of the upstreams of a service; the same object until one of them changes. */
+  readonly limitsOf: (service: string) => ServiceLimits;
 }
 
-/** Issues permits for all upstreams with a limit. */
+/** Issues permits for the upstreams of all services. */
 export class PermitAllocator {
-  readonly #limitOf: LimitLookup;
-  readonly #buckets = new Map<string, RateBucket>();
-  #queue: QueuedRequest[] = [];
+  readonly #limitsOf: PermitAllocatorOptions["limitsOf"];
+  readonly #services = new Map<string, ServicePermits>();
   /** Whether permits of an earlier allocator may still be in use, so that buckets start empty. */
   #startsEmpty = true;
 
   constructor(options: PermitAllocatorOptions) {
-    this.#limitOf = options.limitOf;
+    this.#limitsOf = options.limitsOf;
   }
 
   /** Number of requests that wait. */
   get queued(): number {
-    return this.#queue.length;
+    let queued = 0;
+    for (const service of this.#services.values()) queued += service.queued;
+    return queued;
   }
 
   /** Declares that permits of an earlier allocator are used up: buckets of new limits start full. */
@@ -70,166 +55,45 @@
       readonly settle: (decision: PermitDecision) => void;
     },
   ): void {
-    const { nowMs, settle } = options;
-    const buckets = this.#bucketsOf(request, nowMs);
-    if (buckets.size === 0) {
-      settle({ grants: [], retryAfterMs: 0 });
-      return;
-    }
-    const delayMs = this.#delayMs(request, { buckets, nowMs });
-    const mustWait = request.waiting > 0 && delayMs > 0;
-    if (!mustWait) {
-      settle({ grants: this.#issue(request, buckets, nowMs), retryAfterMs: 0 });
-      return;
-    }
-    if (delayMs > request.patienceMs) {
-      settle({ grants: [], retryAfterMs: delayMs });
-      return;
-    }
-    const untilMs = nowMs + request.patienceMs;
-    this.#queue.push({ request, untilMs, settle });
-    // Sorting keeps the order of arrival within a priority.
-    this.#queue.sort((a, b) => a.request.priority - b.request.priority);
+    this.#service(request.service, options.nowMs).request(request, options);
   }
 
   /** Issues permits to the requests whose turn has come, and rejects those whose patience has ended. */
   advance(nowMs: Milliseconds): void {
-    const queue = this.#queue;
-    this.#queue = [];
-    for (const queued of queue) {
-      const { request, settle, untilMs } = queued;
-      const buckets = this.#bucketsOf(request, nowMs);
-      const grants = this.#issue(request, buckets, nowMs);
-      if (grants.length > 0) settle({ grants, retryAfterMs: 0 });
-      else if (nowMs >= untilMs) {
-        const retryAfterMs = this.#delayMs(request, { buckets, nowMs });
-        settle({ grants, retryAfterMs });
-      } else this.#queue.push(queued);
+    for (const name of this.#services.keys()) {
+      this.#service(name, nowMs).advance(nowMs);
     }
   }
 
   /** Returns the time until `advance` can decide about a waiting request, Infinity without any. */
   nextDelayMs(nowMs: Milliseconds): Milliseconds {
     let delayMs = Infinity;
-    for (const { request, untilMs } of this.#queue) {
-      delayMs = Math.min(delayMs, untilMs - nowMs);
-      for (const bucket of this.#bucketsOf(request, nowMs).values()) {
-        delayMs = Math.min(delayMs, bucket.delayMs(1, nowMs));
-      }
+    for (const service of this.#services.values()) {
+      delayMs = Math.min(delayMs, service.nextDelayMs(nowMs));
     }
-    return Math.max(0, delayMs);
+    return delayMs;
   }
 
   /** Rejects all waiting requests, as when this VM no longer leads. */
   clear(): void {
-    const queue = this.#queue;
-    this.#queue = [];
-    this.#buckets.clear();
+    for (const service of this.#services.values()) service.clear();
+    this.#services.clear();
     this.#startsEmpty = true;
-    for (const { settle } of queue) settle({ grants: [], retryAfterMs: 0 });
-  }
-
-  /** Forgets the buckets of upstreams that are gone or name no limit any more. */
-  prune(): void {
-    for (const incarnation of this.#buckets.keys()) {
-      const limit = this.#limitOf(incarnation);
-      if (limit === undefined || limit === null) {
-        this.#buckets.delete(incarnation);
-      }
-    }
   }
 
-  #bucketsOf(
-    request: PermitRequest,
-    nowMs: Milliseconds,
-  ): ReadonlyMap<string, RateBucket> {
-    const buckets = new Map<string, RateBucket>();
-    for (const { incarnation, perSecond } of request.upstreams) {
-      // A VM that has just read a limit in a response may know it before this one does.
-      const limit = this.#limitOf(incarnation);
-      if (limit === null) continue;
-      const rate = limit ?? perSecond;
-      buckets.set(incarnation, this.#bucket(incarnation, rate, nowMs));
+  /** Forgets the services without a limit. */
+  prune(nowMs: Milliseconds): void {
+    for (const name of this.#services.keys()) {
+      if (this.#service(name, nowMs).isIdle) this.#services.delete(name);
     }
-    return buckets;
   }
 
-  #bucket(
-    incarnation: string,
-    perSecond: number,
-    nowMs: Milliseconds,
-  ): RateBucket {
-    const existing = this.#buckets.get(incarnation);
-    if (existing === undefined) {
-      const isFull = !this.#startsEmpty;
-      const created = new RateBucket({ perSecond, nowMs, isFull });
-      this.#buckets.set(incarnation, created);
-      return created;
-    }
-    existing.setRate(perSecond, nowMs);
-    return existing;
-  }
-
-  /** Returns the time until the first waiting request of a VM is likely to get its permit. */
-  #delayMs(request: PermitRequest, state: {
-    readonly buckets: ReadonlyMap<string, RateBucket>;
-    readonly nowMs: Milliseconds;
-  }): Milliseconds {
-    const { buckets, nowMs } = state;
-    let ahead = 0;
-    for (const { request: other } of this.#queue) {
-      const goesFirst = other.priority <= request.priority;
-      if (goesFirst && other.service === request.service) ahead += 1;
-    }
-    let perSecond = 0;
-    let available = 0;
-    let firstMs = Infinity;
-    for (const bucket of buckets.values()) {
-      perSecond += bucket.perSecond;
-      available += bucket.available(nowMs);
-      firstMs = Math.min(firstMs, bucket.delayMs(1, nowMs));
-    }
-    if (available > ahead) return 0;
-    return firstMs + (ahead - available) * SECOND_MS / perSecond;
-  }
-
-  #issue(
-    request: PermitRequest,
-    buckets: ReadonlyMap<string, RateBucket>,
-    nowMs: Milliseconds,
-  ): readonly PermitGrant[] {
-    const counts = new Map<string, number>();
-    const state = { buckets, nowMs, counts };
-    this.#draw(request.waiting, { ...state, reserved: 0 });
-    this.#draw(request.expected, { ...state, reserved: RESERVED_FRACTION });
-    const grants: PermitGrant[] = [];
-    for (const [incarnation, count] of counts) {
-      grants.push({ incarnation, count });
-    }
-    return grants;
-  }
-
-  /** Draws permits one by one from the fullest bucket, so that the load spreads as the limits do. */
-  #draw(count: number, state: {
-    readonly buckets: ReadonlyMap<string, RateBucket>;
-    readonly nowMs: Milliseconds;
-    readonly counts: Map<string, number>;
-    readonly reserved: number;
-  }): void {
-    const { buckets, nowMs, counts, reserved } = state;
-    for (let drawn = 0; drawn < count; drawn += 1) {
-      let fullest: string | undefined;
-      let most = 0;
-      for (const [incarnation, bucket] of buckets) {
-        const kept = bucket.depth * reserved;
-        const available = bucket.available(nowMs) - kept;
-        if (available < 1 || available <= most) continue;
-        fullest = incarnation;
-        most = available;
-      }
-      if (fullest === undefined) return;
-      buckets.get(fullest)?.take(1);
-      counts.set(fullest, (counts.get(fullest) ?? 0) + 1);
-    }
+  /** Returns the permits of a service with its newest limits. */
+  #service(name: string, nowMs: Milliseconds): ServicePermits {
+    const service = this.#services.get(name) ?? new ServicePermits();
+    this.#services.set(name, service);
+    const startsFull = !this.#startsEmpty;
+    service.setLimits(this.#limitsOf(name), { nowMs, startsFull });
+    return service;
   }
 }
--- a/quotas/permit_allocator_test.ts
+++ b/quotas/permit_allocator_test.ts
@@ -1,13 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { PermitAllocator, type PermitDecision } from "./permit_allocator.ts";
+import { PermitAllocator } from "./permit_allocator.ts";
 import type { PermitRequest } from "./permit_messages.ts";
+import type { PermitDecision } from "./service_permits.ts";
 
 function createRequest(change: Partial<PermitRequest> = {}): PermitRequest {
   return {
     kind: "permits",
     service: "s",
-    upstreams: [{ incarnation: "u:1", perSecond: 1 }],
     waiting: 1,
     expected: 0,
     priority: 1,
@@ -21,10 +21,8 @@
   readonly decisions: { readonly name: string; readonly granted: number }[] =
     [];
   readonly retries = new Map<string, number>();
-  readonly limits = new Map<string, number | null>();
-  readonly allocator = new PermitAllocator({
-    limitOf: (incarnation) => this.limits.get(incarnation),
-  });
+  limits: ReadonlyMap<string, number> = new Map([["u:1", 1]]);
+  readonly allocator = new PermitAllocator({ limitsOf: () => this.limits });
 
   ask(name: string, change: Partial<PermitRequest>, nowMs: number): void {
     const settle = (decision: PermitDecision): void => {
@@ -67,11 +65,10 @@
 
 test("permits for expected requests leave half of a bucket to those that wait", () => {
   const site = new TestAllocator();
-  const limit = { upstreams: [{ incarnation: "u:1", perSecond: 8 }] };
-  site.ask("fill", { ...limit, waiting: 0 }, 0);
-  const ahead = { ...limit, waiting: 0, expected: 100 };
-  site.ask("ahead", ahead, 10_000);
-  site.ask("waiting", { ...limit, waiting: 100 }, 10_000);
+  site.limits = new Map([["u:1", 8]]);
+  site.ask("fill", { waiting: 0 }, 0);
+  site.ask("ahead", { waiting: 0, expected: 100 }, 10_000);
+  site.ask("waiting", { waiting: 100 }, 10_000);
   assert.deepEqual(site.decisions.slice(1), [
     { name: "ahead", granted: 3 },
     { name: "waiting", granted: 4 },
@@ -80,7 +77,7 @@
 
 test("an upstream that named a limit of none is asked now and then whether that still holds", () => {
   const site = new TestAllocator();
-  site.limits.set("u:1", 0);
+  site.limits = new Map([["u:1", 0]]);
   site.ask("only", {}, 0);
   site.advanceUntil(6_000);
   assert.deepEqual(site.decisions, [{ name: "only", granted: 1 }]);
@@ -88,12 +85,11 @@
 
 test("a limit that has ended needs no permits, and a changed one counts from its change", () => {
   const site = new TestAllocator();
-  site.limits.set("u:1", 1);
   site.ask("at one", {}, 0);
-  site.limits.set("u:1", 10);
+  site.limits = new Map([["u:1", 10]]);
   site.advanceUntil(200);
   assert.deepEqual(site.decisions, [{ name: "at one", granted: 1 }]);
-  site.limits.set("u:1", null);
+  site.limits = new Map();
   site.ask("ended", {}, 1_000);
   assert.deepEqual(site.decisions.at(-1), { name: "ended", granted: 0 });
   assert.equal(site.retries.get("ended"), 0);
@@ -101,13 +97,10 @@
 
 test("permits are drawn from all upstreams in proportion to their limits", () => {
   const site = new TestAllocator();
-  const upstreams = [
-    { incarnation: "small:1", perSecond: 2 },
-    { incarnation: "large:1", perSecond: 6 },
-  ];
+  site.limits = new Map([["small:1", 2], ["large:1", 6]]);
   const counts = new Map<string, number>();
   for (let nowMs = 0; nowMs <= 10_000; nowMs += 100) {
-    site.allocator.request(createRequest({ upstreams, waiting: 1 }), {
+    site.allocator.request(createRequest(), {
       nowMs,
       settle: ({ grants }) => {
         for (const { incarnation, count } of grants) {
--- a/quotas/permit_client.ts
+++ b/quotas/permit_client.ts
@@ -36,6 +36,8 @@
 const BACKLOG_INTERVAL_MS: Milliseconds = 30;
 /** Pause after a request that no control VM answered. */
 const FAILURE_PAUSE_MS: Milliseconds = 100;
+/** Pause after a request for upstreams of which the control VM knows no limit. */
+const UNKNOWN_LIMIT_PAUSE_MS: Milliseconds = 20;
 /** Longest pause after a request that got no permit. */
 const MAXIMUM_PAUSE_MS: Milliseconds = 500;
 /** Time in which a control VM that leads is likely to be found again; callers should return after it. */
@@ -298,14 +300,9 @@
     const expected = this.#expectedCount(state, held, nowMs);
     const isTooSoon = nowMs - state.askedMs < EXPECTED_INTERVAL_MS;
     if (waiting === 0 && (expected === 0 || isTooSoon)) return undefined;
-    const upstreams = limited.map((each) => ({
-      incarnation: incarnationOf(each),
-      perSecond: each.requestLimit,
-    }));
     return {
       kind: "permits",
       service: state.service,
-      upstreams,
       waiting,
       expected,
       priority: this.#highestPriority(state),
@@ -374,8 +371,7 @@
     const { retryAfterMs } = reply;
     const { priority } = request;
     state.exhausted = { untilMs: nowMs + retryAfterMs, priority };
-    state.pausedUntilMs = nowMs +
-      Math.min(MAXIMUM_PAUSE_MS, Math.max(FAILURE_PAUSE_MS, retryAfterMs / 2));
+    state.pausedUntilMs = nowMs + pauseAfterRejectionMs(retryAfterMs);
     this.#rejectHopeless(state);
   }
 
@@ -401,3 +397,11 @@
     }
   }
 }
+
+/** Returns how long to ask for no more permits after a reply without any. */
+function pauseAfterRejectionMs(retryAfterMs: Milliseconds): Milliseconds {
+  // The control VM does not know of the limit yet, or knows already that it has ended.
+  if (retryAfterMs === 0) return UNKNOWN_LIMIT_PAUSE_MS;
+  const pauseMs = Math.max(FAILURE_PAUSE_MS, retryAfterMs / 2);
+  return Math.min(MAXIMUM_PAUSE_MS, pauseMs);
+}
--- a/quotas/permit_messages.ts
+++ b/quotas/permit_messages.ts
@@ -9,7 +9,6 @@
 /** How long a permit is valid after it was issued. */
 export const PERMIT_VALIDITY_MS: Milliseconds = 750;
 
-const MAXIMUM_UPSTREAMS = 4_096;
 const MAXIMUM_PERMITS = 65_536;
 
 const permitCount = z.number().int().min(0).max(MAXIMUM_PERMITS);
@@ -17,11 +16,6 @@
 const permitRequestSchema = z.object({
   kind: z.literal("permits"),
   service: z.string().max(256),
-  /** Incarnations of limited upstreams that the sender may use, with the limit that it knows. */
-  upstreams: z.array(z.object({
-    incarnation: z.string().max(256),
-    perSecond: z.number().finite().nonnegative(),
-  })).max(MAXIMUM_UPSTREAMS),
   /** Requests that wait for a permit. */
   waiting: permitCount,
   /** Requests that are likely to follow while a permit is valid. */
--- a/quotas/permit_server.ts
+++ b/quotas/permit_server.ts
@@ -18,17 +18,14 @@
 } from "#core";
 import type { PeerNetwork } from "#wire";
 import { QUOTA_EVENTS } from "./events.ts";
-import {
-  type LimitLookup,
-  PermitAllocator,
-  type PermitDecision,
-} from "./permit_allocator.ts";
+import { PermitAllocator } from "./permit_allocator.ts";
 import {
   parsePermitRequest,
   PERMIT_VALIDITY_MS,
   type PermitReply,
   type PermitRequest,
 } from "./permit_messages.ts";
+import type { PermitDecision, ServiceLimits } from "./service_permits.ts";
 
 const REPORT_INTERVAL_MS: Milliseconds = 5 * SECOND_MS;
 /** Time after which no permit of an earlier leader is in use, with a margin for the request that used it. */
@@ -47,8 +44,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly leadership: () => Leadership;
-  /** Returns the newest limit of an incarnation that this VM knows. */
-  readonly limitOf: LimitLookup;
+  /** Returns the limits of the upstreams of a service; the same object until one of them changes. */
+  readonly limitsOf: (service: string) => ServiceLimits;
 }
 
 /** Counts since the last log line of a service. */
@@ -154,8 +151,8 @@
   }
 
   #report(): void {
-    this.#allocator.prune();
-    const { events } = this.#options;
+    const { events, clock } = this.#options;
+    this.#allocator.prune(clock.nowMs());
     for (const [service, counts] of this.#counts) {
       const waiting = this.#allocator.queued;
       const overMs = REPORT_INTERVAL_MS;
--- a/quotas/permit_world.ts
+++ b/quotas/permit_world.ts
@@ -17,6 +17,7 @@
 import { PermitClient } from "./permit_client.ts";
 import { LeaderPermitPort } from "./permit_port.ts";
 import { PermitServer } from "./permit_server.ts";
+import type { ServiceLimits } from "./service_permits.ts";
 
 const CONTROLS = ["c1:1", "c2:1", "c3:1"];
 const SERVICE = "s";
@@ -56,6 +57,7 @@
   readonly #faults: boolean;
   readonly #upstreams: Upstream[] = [];
   readonly #senders: PermitClient[] = [];
+  #limits: ServiceLimits = new Map();
   #leader = 0;
   #term = 1;
   /** Time before which no control VM leads, as after the loss of a leader. */
@@ -75,6 +77,7 @@
       },
     });
     for (let at = 0; at < UPSTREAMS; at += 1) this.#addUpstream();
+    this.#limits = this.#limitsByIncarnation();
     for (const vm of CONTROLS) this.#startControl(vm);
     for (let at = 0; at < options.senders; at += 1) {
       this.#senders.push(this.#createSender(at));
@@ -129,6 +132,13 @@
     return MINIMUM_LIMIT * Math.exp(range * this.#random.fraction());
   }
 
+  #limitsByIncarnation(): ServiceLimits {
+    const limits = this.#listed().map((each) =>
+      [incarnationOf(each), each.requestLimit ?? 0] as const
+    );
+    return new Map(limits);
+  }
+
   #totalLimit(): number {
     let total = 0;
     for (const { limit } of this.#upstreams) total += limit;
@@ -160,9 +170,7 @@
         term: this.#term,
         leader: CONTROLS[this.#leader] ?? null,
       }),
-      limitOf: (incarnation) =>
-        this.#listed().find((each) => incarnationOf(each) === incarnation)
-          ?.requestLimit,
+      limitsOf: () => this.#limits,
     }).start();
   }
 
@@ -243,6 +251,7 @@
       if (upstream === undefined) return;
       upstream.limit = this.#drawLimit();
       upstream.named.push({ limit: upstream.limit, atMs: nowMs });
+      this.#limits = this.#limitsByIncarnation();
     }
   }
 }
