--- a/quotas/mod.ts
+++ b/quotas/mod.ts
@@ -11,4 +11,5 @@
 export * from "./permit_server.ts";
 export * from "./permits.ts";
 export * from "./rate_bucket.ts";
+export * from "./service_demand.ts";
 export * from "./service_permits.ts";
