Use no permit that comes too late, and hedge no call that was not sent

A hedged call could wait for a permit while another attempt of its call was sent: once granted, it was sent as well, beyond the attempts that the route allows (BUDGET). And a call that still waited for its first permit asked for a second one when its hedge fell due.

After the wait a call is checked again, and only a call that was sent is hedged. Both tests failed before (three upstreams reached of two allowed; two permits asked for). The backlog of items also subtracted the starts of all services from each one's.

--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -18,6 +18,7 @@
   type PlacedRun,
   planMoves,
   type PlannedItem,
+  type PlannedStart,
   planStarts,
 } from "./item_plan.ts";
 import type { ForeignRuns } from "./foreign_runs.ts";
@@ -108,11 +109,14 @@
     if (moves.length > 0) input = this.#planInput();
     const starts = planStarts(input);
     this.#starts.add(starts);
-    this.#demandPermits(input, starts.length);
+    this.#demandPermits(input, starts);
   }
 
   /** Asks for permits for the items of each service that are not placed yet, if its engines name limits. */
-  #demandPermits(input: ItemPlanInput, started: number): void {
+  #demandPermits(
+    input: ItemPlanInput,
+    starts: readonly PlannedStart[],
+  ): void {
     const { permits } = this.#options;
     const limited = new Set<string>();
     for (const { upstream } of input.engines) {
@@ -120,7 +124,8 @@
     }
     for (const service of [...limited, ...this.#demanding]) {
       const waiting = input.waiting.filter((each) => each.service === service);
-      const count = Math.max(0, waiting.length - started);
+      const started = starts.filter(({ item }) => item.service === service);
+      const count = Math.max(0, waiting.length - started.length);
       const priority = this.#highestPriority(waiting);
       permits.setBacklog(service, { count, priority });
     }
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -170,7 +170,7 @@
   }
 
   /**
-   * Returns the limits of the listed upstreams of a service, by incarnation; the same object until one of them changes.
+   * Returns the limits of the ready upstreams of a service, by incarnation; the same object while no upstream changes.
    */
   limitsOf(service: string): ReadonlyMap<string, number> {
     if (this.#limitsRevision !== this.#revision) {
--- a/quotas/permit_allocator.ts
+++ b/quotas/permit_allocator.ts
@@ -17,7 +17,7 @@
 
 /** Options of `PermitAllocator`. */
 export interface PermitAllocatorOptions {
-  /** Returns the limits of the upstreams of a service; the same object until one of them changes. */
+  /** Returns the limits of the upstreams of a service; the same object while none changes. */
   readonly limitsOf: (service: string) => ServiceLimits;
 }
 
--- a/quotas/permit_server.ts
+++ b/quotas/permit_server.ts
@@ -44,7 +44,7 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly leadership: () => Leadership;
-  /** Returns the limits of the upstreams of a service; the same object until one of them changes. */
+  /** Returns the limits of the upstreams of a service; the same object while none changes. */
   readonly limitsOf: (service: string) => ServiceLimits;
 }
 
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -186,7 +186,8 @@
       };
       const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
       const hedgeTimer = clock.after(delayMs, () => {
-        if (route.kind === "idempotent") startNext(true);
+        const isSent = forwarded.triedUpstreams.size > 0;
+        if (route.kind === "idempotent" && isSent) startNext(true);
       });
       startOrSettle();
     });
@@ -198,8 +199,9 @@
   ): Promise<FleetUpstream | undefined> {
     const { cutoffMs, abortController: { signal } } = forwarded;
     const outcome = await this.#choice.acquire(demand, { cutoffMs, signal });
-    if (outcome.kind === "granted") return outcome.upstream;
+    // Another attempt may have been sent meanwhile, or the time be up.
     if (!mayAttempt(forwarded, this.#options.clock.nowMs())) return undefined;
+    if (outcome.kind === "granted") return outcome.upstream;
     if (demand.isHedge === true) return undefined;
     const full = this.#choice.choose(demand, { hasWaited: true });
     if (full !== undefined) return full;
--- a/requests/limited_upstreams_test.ts
+++ b/requests/limited_upstreams_test.ts
@@ -1,8 +1,10 @@
 import assert from "node:assert/strict";
+import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { FleetUpstream } from "#core";
 import { type PermitDemand, type PermitOutcome, Permits } from "#quotas";
 import {
+  type Behaviour,
   IS_UNRESPONSIVE,
   RESETS,
   RESPONDS,
@@ -45,6 +47,20 @@
   override setBacklog(): void {}
 }
 
+/** Permits that the test grants later. */
+class DeferredPermits extends TestPermits {
+  readonly waiting: ((outcome: PermitOutcome) => void)[] = [];
+
+  constructor() {
+    super(() => REJECTED);
+  }
+
+  override acquire(demand: PermitDemand): Promise<PermitOutcome> {
+    this.demands.push(demand);
+    return new Promise((resolve) => this.waiting.push(resolve));
+  }
+}
+
 const REJECTED: PermitOutcome = { kind: "rejected", retryAfterMs: 700 };
 
 test("a call that gets no permit in time is rejected with the time until there is one", async () => {
@@ -118,3 +134,39 @@
     assert.deepEqual(setup.reached, [1, 2]);
   }, { limits: [null, 1], permits });
 });
+
+test("a permit that comes after the last attempt that a route allows is not used", async () => {
+  const permits = new DeferredPermits();
+  const sockets: Socket[] = [];
+  const hangs: Behaviour = (request) => sockets.push(request.socket);
+  const behaviours = [hangs, IS_UNRESPONSIVE, RESPONDS];
+  await withUpstreams(behaviours, async (setup) => {
+    void send(setup, { maximumAttempts: 2 });
+    await untilReached(setup, 0);
+    setup.clock.advance(90);
+    assert.equal(permits.waiting.length, 1);
+    sockets[0]?.destroy();
+    while (permits.waiting.length < 2) await turn();
+    const [, second, third] = setup.upstreams;
+    assert.ok(second !== undefined && third !== undefined);
+    permits.waiting[1]?.({ kind: "granted", upstream: second });
+    await untilReached(setup, 1);
+    permits.waiting[0]?.({ kind: "granted", upstream: third });
+    for (let turns = 0; turns < 50; turns += 1) await turn();
+    assert.deepEqual(setup.reached, [1, 1, 0]);
+  }, { limits: [null, 1, 1], permits });
+});
+
+test("a call that waits for its first permit is not hedged", async () => {
+  const permits = new DeferredPermits();
+  await withUpstreams([RESPONDS, RESPONDS], async (setup) => {
+    void send(setup);
+    setup.clock.advance(90);
+    for (let turns = 0; turns < 50; turns += 1) await turn();
+    assert.equal(permits.waiting.length, 1);
+  }, { limits: [1, 1], permits });
+});
+
+function turn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
