Declare the behaviours of test upstreams as functions

The linter asks for types of exported functions; its findings had been missed, since its coloured output hid them from the search for errors. No test changes.

--- a/requests/forwarder_test.ts
+++ b/requests/forwarder_test.ts
@@ -2,23 +2,23 @@
 import { test } from "node:test";
 import type { Failure, HttpResponse } from "#core";
 import {
-  ANSWERS_ANOTHER_CALL,
+  answerAnotherCall,
   type Behaviour,
-  IS_UNRESPONSIVE,
-  REJECTS,
-  REJECTS_AND_LEAVES,
-  RESETS,
-  RESPONDS,
-  RESPONDS_AND_LEAVES,
-  RETURNS_500,
+  reject,
+  rejectAndLeave,
+  reset,
+  respond,
+  respondAndLeave,
+  return500,
   send,
-  TRUNCATES_BODY,
+  stayUnresponsive,
+  truncateBody,
   untilReached,
   withUpstreams,
 } from "./forwarder_test_support.ts";
 
 test("the complete response of an upstream is forwarded without its hop-by-hop headers", async () => {
-  await withUpstreams([RESPONDS], async (setup) => {
+  await withUpstreams([respond], async (setup) => {
     const response = await send(setup);
     assert.ok("status" in response);
     assert.equal(response.status, 200);
@@ -31,14 +31,14 @@
 test("an idempotent call is retried on another upstream after a rejection, a reset, a server error, or a truncated or foreign response", async () => {
   for (
     const behaviour of [
-      REJECTS,
-      RESETS,
-      TRUNCATES_BODY,
-      ANSWERS_ANOTHER_CALL,
-      RETURNS_500,
+      reject,
+      reset,
+      truncateBody,
+      answerAnotherCall,
+      return500,
     ]
   ) {
-    await withUpstreams([behaviour, RESPONDS], async (setup) => {
+    await withUpstreams([behaviour, respond], async (setup) => {
       const response = await send(setup);
       assert.ok("status" in response, behaviour.toString());
       assert.equal(String(response.body), "whole");
@@ -48,7 +48,7 @@
 });
 
 test("a call without a response is hedged on a second upstream, and the first attempt is cancelled", async () => {
-  await withUpstreams([IS_UNRESPONSIVE, RESPONDS], async (setup) => {
+  await withUpstreams([stayUnresponsive, respond], async (setup) => {
     const response = send(setup);
     await untilReached(setup, 0);
     assert.deepEqual(setup.reached, [1, 0]);
@@ -60,7 +60,7 @@
 });
 
 test("a call is sent to no more upstreams than its route allows", async () => {
-  await withUpstreams([RESETS, RESETS, RESPONDS], async (setup) => {
+  await withUpstreams([reset, reset, respond], async (setup) => {
     const response = await send(setup);
     assert.ok("kind" in response);
     assert.equal(response.kind, "upstream_failed");
@@ -70,13 +70,13 @@
 });
 
 test("a call that may run only once is retried only after a rejection", async () => {
-  await withUpstreams([REJECTS, RESPONDS], async (setup) => {
+  await withUpstreams([reject, respond], async (setup) => {
     const response = await send(setup, { kind: "once" });
     assert.ok("status" in response);
     assert.deepEqual(setup.reached, [1, 1]);
   });
-  for (const behaviour of [RESETS, TRUNCATES_BODY, ANSWERS_ANOTHER_CALL]) {
-    await withUpstreams([behaviour, RESPONDS], async (setup) => {
+  for (const behaviour of [reset, truncateBody, answerAnotherCall]) {
+    await withUpstreams([behaviour, respond], async (setup) => {
       const response = await send(setup, { kind: "once" });
       assert.ok("kind" in response, behaviour.toString());
       assert.equal(response.ran, "unknown");
@@ -86,7 +86,7 @@
 });
 
 test("a rejection by all upstreams reports that the call did not run and when to retry", async () => {
-  await withUpstreams([REJECTS, REJECTS], async (setup) => {
+  await withUpstreams([reject, reject], async (setup) => {
     const response = await send(setup);
     assert.ok("kind" in response);
     assert.equal(response.kind, "upstream_refused");
@@ -98,8 +98,8 @@
 });
 
 test("an upstream that states in a response or a rejection that it is leaving gets no further calls", async () => {
-  for (const leaves of [RESPONDS_AND_LEAVES, REJECTS_AND_LEAVES]) {
-    await withUpstreams([leaves, RESPONDS], async (setup) => {
+  for (const leaves of [respondAndLeave, rejectAndLeave]) {
+    await withUpstreams([leaves, respond], async (setup) => {
       for (let calls = 0; calls < 3; calls += 1) {
         const response = await send(setup) as HttpResponse;
         assert.equal(response.status, 200);
@@ -110,7 +110,7 @@
 });
 
 test("calls to a service whose only upstream is leaving are rejected as not run, with a time to retry", async () => {
-  await withUpstreams([RESPONDS_AND_LEAVES], async (setup) => {
+  await withUpstreams([respondAndLeave], async (setup) => {
     await send(setup);
     const failure = await send(setup) as Failure;
     assert.equal(failure.kind, "no_upstream");
@@ -121,7 +121,7 @@
 });
 
 test("an upstream's error response is forwarded unchanged when there is no other response", async () => {
-  await withUpstreams([RETURNS_500], async (setup) => {
+  await withUpstreams([return500], async (setup) => {
     const response = await send(setup);
     assert.ok("status" in response);
     assert.equal(response.status, 500);
@@ -152,7 +152,7 @@
     response.setHeader("X-Stamp", String(request.headers["x-left"]));
     release = () => response.writeHead(504).end("late");
   };
-  await withUpstreams([stops, RESPONDS], async (setup) => {
+  await withUpstreams([stops, respond], async (setup) => {
     const response = send(setup, { timeoutMs: 1_000, objectiveMs: 5_000 });
     await untilReached(setup, 0);
     setup.clock.advance(1_000);
@@ -170,7 +170,7 @@
   const unresponsive: Behaviour = (request) => {
     closed = new Promise((resolve) => request.socket.once("close", resolve));
   };
-  await withUpstreams([unresponsive, RESPONDS], async (setup) => {
+  await withUpstreams([unresponsive, respond], async (setup) => {
     const abortController = new AbortController();
     const response = send(setup, {}, abortController.signal);
     await untilReached(setup, 0);
--- a/requests/forwarder_test_support.ts
+++ b/requests/forwarder_test_support.ts
@@ -48,52 +48,81 @@
 ) => void;
 
 /** Responds completely. */
-export const RESPONDS: Behaviour = (request, response) => {
+export function respond(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
   response.setHeader("X-Id", String(request.headers["x-id"]));
   response.setHeader("X-Stamp", "s");
   response.end("whole");
-};
+}
+
 /** Rejects the call without running it. */
-export const REJECTS: Behaviour = (request, response) => {
+export function reject(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
   response.setHeader("X-Id", String(request.headers["x-id"]));
   response.setHeader("X-Not-Run", "1");
   response.writeHead(503).end();
-};
+}
+
 /** Responds, and states that it is leaving. */
-export const RESPONDS_AND_LEAVES: Behaviour = (request, response) => {
+export function respondAndLeave(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
   response.setHeader("X-Leaving", "1");
-  RESPONDS(request, response);
-};
+  respond(request, response);
+}
+
 /** Rejects the call, and states that it is leaving. */
-export const REJECTS_AND_LEAVES: Behaviour = (request, response) => {
+export function rejectAndLeave(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
   response.setHeader("X-Leaving", "1");
-  REJECTS(request, response);
-};
+  reject(request, response);
+}
+
 /** Runs the call and fails. */
-export const RETURNS_500: Behaviour = (request, response) => {
+export function return500(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
   response.setHeader("X-Id", String(request.headers["x-id"]));
   response.setHeader("X-Stamp", "s");
   response.writeHead(500).end("sorry");
-};
+}
+
 /** Never responds. */
-export const IS_UNRESPONSIVE: Behaviour = () => {};
+export function stayUnresponsive(): void {}
+
 /** Resets the connection. */
-export const RESETS: Behaviour = (request) => {
+export function reset(request: IncomingMessage): void {
   request.socket.destroy();
-};
+}
+
 /** Ends the response early. */
-export const TRUNCATES_BODY: Behaviour = (request, response) => {
+export function truncateBody(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
   response.setHeader("X-Id", String(request.headers["x-id"]));
   response.setHeader("X-Stamp", "s");
   response.setHeader("Content-Length", "100");
   response.write("whole", () => request.socket.destroy());
-};
+}
+
 /** Sends the response to another call. */
-export const ANSWERS_ANOTHER_CALL: Behaviour = (_request, response) => {
+export function answerAnotherCall(
+  _request: IncomingMessage,
+  response: ServerResponse,
+): void {
   response.setHeader("X-Id", "another");
   response.setHeader("X-Stamp", "s");
   response.end("of another call");
-};
+}
 
 /** A forwarder and what its upstreams have received. */
 export interface ForwarderSetup {
--- a/requests/limited_upstreams_test.ts
+++ b/requests/limited_upstreams_test.ts
@@ -5,10 +5,10 @@
 import { type PermitDemand, type PermitOutcome, Permits } from "#quotas";
 import {
   type Behaviour,
-  IS_UNRESPONSIVE,
-  RESETS,
-  RESPONDS,
+  reset,
+  respond,
   send,
+  stayUnresponsive,
   untilReached,
   withUpstreams,
 } from "./forwarder_test_support.ts";
@@ -65,7 +65,7 @@
 
 test("a call that gets no permit in time is rejected with the time until there is one", async () => {
   const permits = new TestPermits(() => REJECTED);
-  await withUpstreams([RESPONDS, RESPONDS], async (setup) => {
+  await withUpstreams([respond, respond], async (setup) => {
     const response = await send(setup);
     assert.ok("kind" in response);
     assert.equal(response.kind, "upstream_refused");
@@ -83,7 +83,7 @@
     const upstream = limited[0];
     return upstream === undefined ? REJECTED : { kind: "granted", upstream };
   });
-  await withUpstreams([IS_UNRESPONSIVE, RESPONDS], async (setup) => {
+  await withUpstreams([stayUnresponsive, respond], async (setup) => {
     limited.push(...setup.upstreams.slice(1));
     for (let call = 0; call < UPSTREAM_SLOTS; call += 1) void send(setup);
     assert.equal(permits.demands.length, 0);
@@ -96,7 +96,7 @@
 
 test("a call that has waited for a permit in vain goes to an upstream without a limit, though its slots are full", async () => {
   const permits = new TestPermits(() => REJECTED);
-  await withUpstreams([IS_UNRESPONSIVE, RESPONDS], async (setup) => {
+  await withUpstreams([stayUnresponsive, respond], async (setup) => {
     for (let call = 0; call <= UPSTREAM_SLOTS; call += 1) void send(setup);
     await untilReached(setup, 0, UPSTREAM_SLOTS + 1);
     assert.equal(permits.demands.length, 1);
@@ -109,7 +109,7 @@
     const upstream = limited[0];
     return upstream === undefined ? REJECTED : { kind: "granted", upstream };
   });
-  await withUpstreams([IS_UNRESPONSIVE, RESPONDS], async (setup) => {
+  await withUpstreams([stayUnresponsive, respond], async (setup) => {
     limited.push(...setup.upstreams.slice(1));
     const response = send(setup);
     await untilReached(setup, 0);
@@ -127,7 +127,7 @@
     const upstream = limited[0];
     return upstream === undefined ? REJECTED : { kind: "granted", upstream };
   });
-  await withUpstreams([RESETS, RESPONDS], async (setup) => {
+  await withUpstreams([reset, respond], async (setup) => {
     limited.push(...setup.upstreams.slice(1));
     assert.ok("status" in await send(setup));
     assert.ok("status" in await send(setup));
@@ -139,7 +139,7 @@
   const permits = new DeferredPermits();
   const sockets: Socket[] = [];
   const hangs: Behaviour = (request) => sockets.push(request.socket);
-  const behaviours = [hangs, IS_UNRESPONSIVE, RESPONDS];
+  const behaviours = [hangs, stayUnresponsive, respond];
   await withUpstreams(behaviours, async (setup) => {
     void send(setup, { maximumAttempts: 2 });
     await untilReached(setup, 0);
@@ -159,7 +159,7 @@
 
 test("a call that waits for its first permit is not hedged", async () => {
   const permits = new DeferredPermits();
-  await withUpstreams([RESPONDS, RESPONDS], async (setup) => {
+  await withUpstreams([respond, respond], async (setup) => {
     void send(setup);
     setup.clock.advance(90);
     for (let turns = 0; turns < 50; turns += 1) await turn();
