Log attempts that end without a response, with a digest of the call

The logs of the incident could not tell apart whether repetitions of one call crash the upstreams, whether its retries alone do, or whether calls that ran beside it carry the crashes on: identifiers of repetitions differ, no line said what is in a call, and an attempt that is retried with success left none.

Event 1508 names each attempt that an upstream may have run and that got no complete response, with the digest of its method, host, target, caller and body. It is computed only then. Nothing is sent differently yet.

--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -35,6 +35,10 @@
 } as unknown as RoutingConfiguration;
 
 class TestDialect extends UpstreamDialect {
+  override callerOf(): string {
+    return "";
+  }
+
   override callHeaders(base: readonly string[]): readonly string[] {
     return base;
   }
--- /dev/null
+++ b/crashes/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Calls that crash the upstreams which run them.
+ *
+ * @module
+ */
+export * from "./call_digest.ts";
--- a/requests/events.ts
+++ b/requests/events.ts
@@ -51,4 +51,12 @@
     action:
       "None; `attempt` is 1 for the first upstream of the call, `sentMs` the time since this VM received the call.",
   },
+  attemptBroken: {
+    code: 1508,
+    level: "info",
+    text:
+      "an attempt that an upstream may have run ended without a complete response",
+    action:
+      "None for one line. Lines with the same `digest` are calls with the same content: if they name several upstreams that crashed, see docs/OPERATIONS.md.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/requests/forwarded_call.ts
+++ b/requests/forwarded_call.ts
@@ -11,8 +11,10 @@
   type Milliseconds,
   type RouteRule,
 } from "#core";
+import type { CallContent } from "#crashes";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import type { UpstreamDemand } from "./upstream_choice.ts";
+import type { UpstreamDialect } from "./upstream_dialect.ts";
 import type { CompleteResponse } from "./upstream_http.ts";
 
 const RETRY_AFTER_MS: Milliseconds = 150;
@@ -52,6 +54,20 @@
   serverErrorResponse: CompleteResponse | undefined;
 }
 
+/** Returns what a call has in common with repetitions of it. */
+export function contentOf(
+  { call, route }: RoutedCall,
+  dialect: UpstreamDialect,
+): CallContent {
+  return {
+    method: call.method,
+    host: route.host,
+    target: call.target,
+    caller: dialect.callerOf(call.rawHeaders),
+    body: call.body,
+  };
+}
+
 /** Returns what a call needs of an upstream. */
 export function upstreamDemand(forwarded: ForwardedCall): UpstreamDemand {
   const { routed, service, triedUpstreams } = forwarded;
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -17,6 +17,7 @@
   type Milliseconds,
   type RandomSource,
 } from "#core";
+import { digestOf } from "#crashes";
 import type { Permits } from "#quotas";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { REQUEST_EVENTS } from "./events.ts";
@@ -28,6 +29,7 @@
 } from "./forwarded_attempt.ts";
 import { pickService } from "./route_rules.ts";
 import {
+  contentOf,
   cutoffFailure,
   finalResult,
   type ForwardedCall,
@@ -252,9 +254,30 @@
     }
     if (attempt.kind === "not_run") forwarded.possibleRuns -= 1;
     if (attempt.kind !== "answer") forwarded.lastFailure = attempt.reason;
+    if (attempt.kind === "unknown" && !cancelled) {
+      const { reason } = attempt;
+      this.#logBroken(forwarded, { upstream, runMs: nowMs - sentMs, reason });
+    }
     return attempt;
   }
 
+  #logBroken(forwarded: ForwardedCall, attempt: {
+    readonly upstream: FleetUpstream;
+    readonly runMs: Milliseconds;
+    readonly reason: string;
+  }): void {
+    const { routed, triedUpstreams } = forwarded;
+    const { dialect, events } = this.#options;
+    events.emit(REQUEST_EVENTS.attemptBroken, {
+      request: routed.requestId,
+      digest: digestOf(contentOf(routed, dialect)),
+      upstream: attempt.upstream.id,
+      attempt: triedUpstreams.size,
+      runMs: Math.round(attempt.runMs),
+      reason: attempt.reason,
+    });
+  }
+
   #logIfLimited(forwarded: ForwardedCall, upstream: FleetUpstream): void {
     const { requestLimit = null } = upstream;
     if (requestLimit === null) return;
--- a/requests/test_dialect.ts
+++ b/requests/test_dialect.ts
@@ -24,6 +24,11 @@
     return [...headers, "X-After", String(metadata.lastEventId)];
   }
 
+  override callerOf(headers: readonly string[]): string {
+    const at = headers.indexOf("X-Caller");
+    return at < 0 ? "" : headers[at + 1] ?? "";
+  }
+
   override readResponse(head: ResponseHead): ResponseMetadata {
     return {
       requestId: head.headers["x-id"] ?? null,
--- a/requests/upstream_dialect.ts
+++ b/requests/upstream_dialect.ts
@@ -40,6 +40,8 @@
     base: readonly string[],
     metadata: CallMetadata,
   ): readonly string[];
+  /** Returns who sends a call, by its headers; empty if they do not say. */
+  abstract callerOf(headers: readonly string[]): string;
   /** Decodes the head of a response. */
   abstract readResponse(head: ResponseHead): ResponseMetadata;
   /** Returns the weight version in the extra fields of an event, or null if there is none. */
