--- a/proof/limited_site.ts
+++ b/proof/entry_site.ts
@@ -1,16 +1,13 @@
 /**
- * Entry VMs before upstreams that name limits of requests, on virtual time: control VMs and entry VMs in one process,
- * upstreams on loopback. Records which request reaches which upstream when.
+ * Entry VMs before the upstreams that they share, on virtual time: control VMs and entry VMs in one process, upstreams on
+ * loopback. Records which call reaches which upstream when.
  *
  * @module
  */
-import { createServer, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 import {
   type Failure,
   type FleetNode,
   type FleetRole,
-  type FleetUpstream,
   type HttpResponse,
   MemoryEventLog,
   type Milliseconds,
@@ -25,10 +22,17 @@
 import { LeaderPermitPort, PermitClient, PermitServer } from "#quotas";
 import { Forwarder } from "#requests";
 import { MemoryNetwork } from "#wire";
+import {
+  type Arrival,
+  type Crash,
+  SiteUpstream,
+  type SiteUpstreamTimes,
+} from "./site_upstream.ts";
 
 const CONTROL_VMS = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
 const SERVICE = "cards";
 const HEARTBEAT_INTERVAL_MS: Milliseconds = SECOND_MS;
+const STEP_MS: Milliseconds = 10;
 /** Turns of the event loop that a call over loopback takes at most when nothing waits for virtual time. */
 const CALL_TURNS = 60;
 
@@ -48,16 +52,20 @@
   dueMs: null,
 };
 
-/** A request that reached an upstream. */
-export interface Arrival {
-  readonly upstream: number;
-  readonly atMs: Milliseconds;
-}
+/** Upstreams that respond at once. */
+const INSTANT: SiteUpstreamTimes = {
+  workMs: 0,
+  crashMs: 0,
+  restartMs: 3 * SECOND_MS,
+};
 
-/** How many upstreams there are, and the requests per second that each accepts; null without a limit. */
-export interface LimitedSiteOptions {
+/** How many entry VMs there are, and the upstreams. */
+export interface EntrySiteOptions {
   readonly entries: number;
+  /** For each upstream, the requests per second that it accepts; null without a limit. */
   readonly limits: readonly (number | null)[];
+  /** Times of the upstreams; they respond at once if absent. */
+  readonly times?: SiteUpstreamTimes;
 }
 
 /** One entry VM. */
@@ -67,12 +75,12 @@
 }
 
 /** Entry VMs and the upstreams that they share. */
-export class LimitedSite {
+export class EntrySite {
   readonly clock = new VirtualClock();
   readonly events = new MemoryEventLog();
   readonly arrivals: Arrival[] = [];
-  /** Limits that the upstreams name now. */
-  readonly limits: (number | null)[];
+  readonly crashes: Crash[] = [];
+  readonly upstreams: readonly SiteUpstream[];
   /** The control VM that leads, and its term. */
   leader: string | null = CONTROL_VMS[0] ?? null;
   term = 1;
@@ -83,20 +91,30 @@
   });
   readonly #controls: FleetServer[] = [];
   readonly #entries: Entry[] = [];
-  readonly #servers: Server[] = [];
-  readonly #addresses: FleetUpstream["address"][] = [];
   #requests = 0;
-  #sequence = 0;
 
-  private constructor(options: LimitedSiteOptions) {
-    this.limits = [...options.limits];
+  private constructor(options: EntrySiteOptions) {
+    const { clock, arrivals, crashes } = this;
+    this.upstreams = options.limits.map((limit, index) =>
+      new SiteUpstream({
+        index,
+        service: SERVICE,
+        zone: `z${index % 3}`,
+        clock,
+        times: options.times ?? INSTANT,
+        limit,
+        onArrival: (arrival) => arrivals.push(arrival),
+        onCrash: (crash) => crashes.push(crash),
+        onStart: () => this.#sendHeartbeat(index),
+      })
+    );
   }
 
   /** Starts a site whose entry VMs know all upstreams. */
-  static async start(options: LimitedSiteOptions): Promise<LimitedSite> {
-    const site = new LimitedSite(options);
-    for (const at of options.limits.keys()) await site.#startUpstream(at);
+  static async start(options: EntrySiteOptions): Promise<EntrySite> {
+    const site = new EntrySite(options);
     for (const vm of CONTROL_VMS) site.#startControl(vm);
+    for (const upstream of site.upstreams) await upstream.start();
     for (let at = 0; at < options.entries; at += 1) site.#startEntry(at);
     site.#sendHeartbeats();
     site.clock.every(HEARTBEAT_INTERVAL_MS, () => site.#sendHeartbeats());
@@ -107,13 +125,10 @@
   /** Stops all upstreams. */
   stop(): void {
     for (const { forwarder } of this.#entries) forwarder.close();
-    for (const server of this.#servers) {
-      server.closeAllConnections();
-      server.close();
-    }
+    for (const upstream of this.upstreams) upstream.stop();
   }
 
-  /** Sends calls at a rate for a time, in turn over the entry VMs, and returns their responses. */
+  /** Sends calls at a rate for a time, to entry VMs that are drawn, and returns their responses. */
   async load(
     options: { readonly perSecond: number; readonly seconds: number },
   ): Promise<readonly (HttpResponse | Failure)[]> {
@@ -121,16 +136,36 @@
     const calls: Promise<HttpResponse | Failure>[] = [];
     const count = Math.round(options.perSecond * options.seconds);
     for (let sent = 0; sent < count; sent += 1) {
-      calls.push(this.#call(this.#random.below(this.#entries.length)));
+      calls.push(this.send("card"));
       await runTurns();
       await this.clock.advanceAsync(intervalMs);
       await runTurns();
     }
-    for (let step = 0; step < 20; step += 1) {
-      await this.clock.advanceAsync(100);
+    await this.advance(2 * SECOND_MS);
+    return await Promise.all(calls);
+  }
+
+  /** Lets time pass in steps that are short against the times of the upstreams. */
+  async advance(spanMs: Milliseconds): Promise<void> {
+    for (let passedMs = 0; passedMs < spanMs; passedMs += STEP_MS) {
       await runTurns();
+      await this.clock.advanceAsync(Math.min(STEP_MS, spanMs - passedMs));
     }
-    return await Promise.all(calls);
+    await runTurns();
+  }
+
+  /** Returns how often a call began to run later than a span after it had crashed so many upstreams. */
+  runsAfterCrashes(
+    body: string,
+    options: { readonly crashes: number; readonly spanMs: Milliseconds },
+  ): number {
+    const crashed = this.crashes.filter((each) => each.bodies.includes(body));
+    const last = crashed[options.crashes - 1];
+    if (last === undefined) return 0;
+    const fromMs = last.atMs + options.spanMs;
+    return this.arrivals.filter((each) =>
+      each.body === body && each.atMs > fromMs
+    ).length;
   }
 
   /** Returns the most requests that reached an upstream in any span of this length. */
@@ -147,9 +182,10 @@
     return most;
   }
 
-  #call(at: number): Promise<HttpResponse | Failure> {
-    const entry = this.#entries[at];
-    if (entry === undefined) throw new Error(`no entry VM ${at}`);
+  /** Sends a call to an entry VM that is drawn. */
+  send(body: string): Promise<HttpResponse | Failure> {
+    const entry = this.#entries[this.#random.below(this.#entries.length)];
+    if (entry === undefined) throw new Error("no entry VM");
     this.#requests += 1;
     const requestId = `r${this.#requests}`;
     return entry.forwarder.forward({
@@ -161,7 +197,7 @@
         parameters: {},
         query: new URLSearchParams(),
         headers: {},
-        body: Buffer.from("card"),
+        body: Buffer.from(body),
         signal: new AbortController().signal,
       },
       route: ROUTE,
@@ -170,43 +206,14 @@
     });
   }
 
-  async #startUpstream(at: number): Promise<void> {
-    const server = createServer((request, response) => {
-      request.resume();
-      this.arrivals.push({ upstream: at, atMs: this.clock.nowMs() });
-      this.#respond(response, String(request.headers["request-id"]), at);
-    });
-    await new Promise<void>((resolve) =>
-      server.listen({ host: "127.0.0.1", port: 0 }, resolve)
-    );
-    const { port } = server.address() as AddressInfo;
-    this.#servers.push(server);
-    this.#addresses.push({ host: "127.0.0.1", port });
-  }
-
-  #respond(response: ServerResponse, requestId: string, at: number): void {
-    const limit = this.limits[at] ?? null;
-    if (limit !== null) response.setHeader("Server-Limit", String(limit));
-    response.setHeader("Request-Id", requestId);
-    response.setHeader("Response-Stamp", "s");
-    response.end("done");
+  #sendHeartbeats(): void {
+    for (const at of this.upstreams.keys()) this.#sendHeartbeat(at);
   }
 
-  #sendHeartbeats(): void {
-    this.#sequence += 1;
-    for (const [at, address] of this.#addresses.entries()) {
-      this.#controls[at % this.#controls.length]?.recordHeartbeat({
-        id: `u${at}`,
-        bornMs: 1,
-        sequence: this.#sequence,
-        service: SERVICE,
-        zone: `z${at % 3}`,
-        address,
-        slots: 6,
-        phase: "ready",
-        serves: [],
-      });
-    }
+  #sendHeartbeat(at: number): void {
+    const heartbeat = this.upstreams[at]?.heartbeat();
+    if (heartbeat === undefined) return;
+    this.#controls[at % this.#controls.length]?.recordHeartbeat(heartbeat);
   }
 
   #startControl(vm: string): void {
--- a/proof/request_limits_test.ts
+++ b/proof/request_limits_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type Milliseconds, SECOND_MS } from "#core";
-import { LimitedSite, type LimitedSiteOptions } from "./limited_site.ts";
+import { EntrySite, type EntrySiteOptions } from "./entry_site.ts";
 
 const SPAN_MS: Milliseconds = 4 * SECOND_MS;
 
@@ -11,10 +11,10 @@
 }
 
 async function withSite(
-  options: LimitedSiteOptions,
-  run: (site: LimitedSite) => Promise<void>,
+  options: EntrySiteOptions,
+  run: (site: EntrySite) => Promise<void>,
 ): Promise<void> {
-  const site = await LimitedSite.start(options);
+  const site = await EntrySite.start(options);
   try {
     await run(site);
   } finally {
@@ -22,8 +22,8 @@
   }
 }
 
-function assertLimitsHeld(site: LimitedSite): void {
-  for (const [at, limit] of site.limits.entries()) {
+function assertLimitsHeld(site: EntrySite): void {
+  for (const [at, { limit }] of site.upstreams.entries()) {
     if (limit === null) continue;
     const most = site.mostWithin(at, SPAN_MS);
     const allowed = allowedWithin(SPAN_MS, limit);
