--- a/core/error_kinds.ts
+++ b/core/error_kinds.ts
@@ -216,6 +216,13 @@
     again: true,
     hint: "No upstream serves this now; retry after the given time.",
   },
+  call_blocked: {
+    status: 503,
+    ran: "no",
+    again: false,
+    hint:
+      "Upstreams crashed under requests with this content, so it is not sent to any more; change the request.",
+  },
   no_quorum: {
     status: 503,
     ran: "no",
--- /dev/null
+++ b/crashes/isolated_runs.ts
@@ -0,0 +1,185 @@
+/**
+ * Decides where and when suspects run: apart from each other, so that a crash shows under which of them, and never so
+ * many at a time that a service has no upstream left. Performs no I/O.
+ *
+ * @module
+ */
+import {
+  type FleetUpstream,
+  incarnationOf,
+  type Milliseconds,
+  SECOND_MS,
+} from "#core";
+import type {
+  IsolationDecision,
+  IsolationRequest,
+} from "./isolation_messages.ts";
+
+/** Time after which a run no longer counts, as its VM may have failed. */
+const RUN_MS: Milliseconds = SECOND_MS;
+/** Crashes from which on a call is so likely to crash the next upstream that most of the service must be up. */
+export const LIKELY_CRASHES = 2;
+
+/** What is known of crashes. */
+export interface CrashKnowledge {
+  crashesOf(digest: string): number;
+  isBlocked(digest: string): boolean;
+  hasCrashed(incarnation: string): boolean;
+}
+
+/** Options of `IsolatedRuns`. */
+export interface IsolatedRunsOptions {
+  readonly crashes: CrashKnowledge;
+  /** Returns the upstreams of a service that are ready by their heartbeats. */
+  readonly upstreamsOf: (service: string) => readonly FleetUpstream[];
+}
+
+interface Run {
+  readonly service: string;
+  readonly incarnation: string;
+  readonly untilMs: Milliseconds;
+}
+
+interface Waiter {
+  readonly request: IsolationRequest;
+  readonly untilMs: Milliseconds;
+  readonly settle: (decision: IsolationDecision) => void;
+}
+
+/** The upstreams of a service. */
+interface Copies {
+  readonly known: number;
+  readonly up: readonly FleetUpstream[];
+}
+
+/** Runs of suspects, and those that wait for one. */
+export class IsolatedRuns {
+  readonly #options: IsolatedRunsOptions;
+  /** Runs by the digest of their call. */
+  readonly #runs = new Map<string, Run>();
+  #waiters: Waiter[] = [];
+
+  constructor(options: IsolatedRunsOptions) {
+    this.#options = options;
+  }
+
+  /** Adds a request; it is settled now or by a later `advance`. */
+  request(
+    request: IsolationRequest,
+    waiting: {
+      readonly nowMs: Milliseconds;
+      readonly settle: (decision: IsolationDecision) => void;
+    },
+  ): void {
+    const { nowMs, settle } = waiting;
+    const untilMs = nowMs + request.patienceMs;
+    this.#waiters.push({ request, untilMs, settle });
+    this.advance(nowMs);
+  }
+
+  /** Records that a run has ended, and starts what waited for it. */
+  end(digest: string, incarnation: string, nowMs: Milliseconds): void {
+    if (this.#runs.get(digest)?.incarnation === incarnation) {
+      this.#runs.delete(digest);
+    }
+    this.advance(nowMs);
+  }
+
+  /** Settles what can be settled, those with the fewest crashes first. */
+  advance(nowMs: Milliseconds): void {
+    const { crashes } = this.#options;
+    for (const [digest, { untilMs }] of this.#runs) {
+      if (untilMs <= nowMs) this.#runs.delete(digest);
+    }
+    const inOrder = this.#waiters.toSorted((a, b) =>
+      crashes.crashesOf(a.request.digest) - crashes.crashesOf(b.request.digest)
+    );
+    const settled = new Set<Waiter>();
+    for (const waiter of inOrder) {
+      const decision = this.#decide(waiter, nowMs);
+      if (decision === undefined) continue;
+      settled.add(waiter);
+      waiter.settle(decision);
+    }
+    this.#waiters = this.#waiters.filter((each) => !settled.has(each));
+  }
+
+  /** Returns when `advance` has something to do though nothing else happens; Infinity if never. */
+  nextDelayMs(nowMs: Milliseconds): Milliseconds {
+    if (this.#waiters.length === 0) return Infinity;
+    let nextMs = Infinity;
+    for (const { untilMs } of this.#waiters) nextMs = Math.min(nextMs, untilMs);
+    for (const { untilMs } of this.#runs.values()) {
+      nextMs = Math.min(nextMs, untilMs);
+    }
+    return Math.max(0, nextMs - nowMs);
+  }
+
+  /** Rejects what waits, and forgets all runs. */
+  clear(): void {
+    const waiters = this.#waiters;
+    this.#waiters = [];
+    this.#runs.clear();
+    for (const { settle } of waiters) {
+      settle({ kind: "rejected", reason: "the control VM no longer leads" });
+    }
+  }
+
+  #decide(waiter: Waiter, nowMs: Milliseconds): IsolationDecision | undefined {
+    const { request, untilMs } = waiter;
+    const { digest, service } = request;
+    if (this.#options.crashes.isBlocked(digest)) return { kind: "blocked" };
+    const upstream = this.#choose(request);
+    if (upstream !== undefined) {
+      const incarnation = incarnationOf(upstream);
+      const run = { service, incarnation, untilMs: nowMs + RUN_MS };
+      this.#runs.set(digest, run);
+      return { kind: "granted", incarnation };
+    }
+    if (untilMs > nowMs) return undefined;
+    const reason = "too few upstreams are up to run a suspect";
+    return { kind: "rejected", reason };
+  }
+
+  #choose(request: IsolationRequest): FleetUpstream | undefined {
+    const { digest, service, tried, zone } = request;
+    if (this.#runs.has(digest)) return undefined;
+    const copies = this.#copiesOf(service);
+    const running = this.#runningIn(service);
+    const runs = running.size;
+    if (runs >= maximumRuns(copies)) return undefined;
+    const crashes = this.#options.crashes.crashesOf(digest);
+    const spare = copies.up.length - runs - 1;
+    if (spare < requiredSpare(copies, crashes)) return undefined;
+    const free = copies.up.filter((each) =>
+      !tried.includes(each.id) && !running.has(incarnationOf(each))
+    );
+    return free.find((each) => each.zone === zone) ?? free[0];
+  }
+
+  #copiesOf(service: string): Copies {
+    const { crashes, upstreamsOf } = this.#options;
+    const known = upstreamsOf(service);
+    const up = known.filter((each) => !crashes.hasCrashed(incarnationOf(each)));
+    return { known: known.length, up };
+  }
+
+  #runningIn(service: string): ReadonlySet<string> {
+    const incarnations = new Set<string>();
+    for (const run of this.#runs.values()) {
+      if (run.service === service) incarnations.add(run.incarnation);
+    }
+    return incarnations;
+  }
+}
+
+/** Returns how many suspects may run at a time: on no more than half of the upstreams. */
+function maximumRuns({ up }: Copies): number {
+  return Math.max(1, Math.floor(up.length / 2));
+}
+
+/** Returns how many upstreams must be left if all that run suspects crash; none if the service has only one. */
+function requiredSpare({ known }: Copies, crashes: number): number {
+  const wanted = crashes >= LIKELY_CRASHES ? Math.ceil(known / 2) : 1;
+  return Math.min(known - 1, wanted);
+}
--- /dev/null
+++ b/crashes/undecided_attempts_test.ts
@@ -0,0 +1,53 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { FleetUpstream } from "#core";
+import { UndecidedAttempts } from "./undecided_attempts.ts";
+
+const UPSTREAM: FleetUpstream = {
+  id: "u1",
+  bornMs: 1,
+  sequence: 1,
+  service: "s",
+  zone: "z1",
+  address: { host: "10.0.0.1", port: 1 },
+  slots: 6,
+  phase: "ready",
+  serves: [],
+};
+const CALL = { digest: "d", bodyBytes: 4 };
+
+function withAttempt(cancelled: boolean): UndecidedAttempts {
+  const undecided = new UndecidedAttempts();
+  undecided.add({ call: CALL, upstream: UPSTREAM, endedMs: 0, cancelled });
+  return undecided;
+}
+
+test("an attempt counts as a crash once another incarnation has taken the place of its upstream", () => {
+  const undecided = withAttempt(false);
+  assert.ok(undecided.isSuspect("d", 10));
+  assert.deepEqual(undecided.takeCrashed([UPSTREAM], 100), []);
+  const successor = { ...UPSTREAM, bornMs: 2 };
+  assert.equal(undecided.takeCrashed([successor], 200).length, 1);
+  assert.equal(undecided.takeCrashed([successor], 300).length, 0);
+});
+
+test("an upstream that leaves as planned, and one that responds again, have not crashed", () => {
+  const leaving = withAttempt(false);
+  leaving.takeCrashed([{ ...UPSTREAM, phase: "draining" }], 100);
+  assert.equal(leaving.takeCrashed([], 200).length, 0);
+  const alive = withAttempt(false);
+  alive.recordResponse(UPSTREAM, 50);
+  assert.equal(alive.takeCrashed([], 200).length, 0);
+});
+
+test("a call that its caller cancelled is no suspect, but its upstream may crash under it a little later", () => {
+  const undecided = withAttempt(true);
+  assert.equal(undecided.isSuspect("d", 10), false);
+  undecided.recordResponse(UPSTREAM, 50);
+  assert.equal(undecided.takeCrashed([], 200).length, 1);
+});
+
+test("an upstream that ends long after an attempt has not crashed under it", () => {
+  const undecided = withAttempt(false);
+  assert.equal(undecided.takeCrashed([], 11_000).length, 0);
+});
--- /dev/null
+++ b/membership/crash_ledger.ts
@@ -0,0 +1,231 @@
+/**
+ * Calls that were running when upstreams crashed, as one VM knows them. Performs no I/O.
+ *
+ * A call counts as a suspect from its first crash on, and is blocked after `BLOCKING_CRASHES` different incarnations. A
+ * complete response clears it. Suspects are forgotten after some minutes, blocked calls after a day; if there are too
+ * many, those with the fewest crashes are forgotten first, so that no number of other calls displaces a blocked one.
+ *
+ * @module
+ */
+import { type Bytes, type Milliseconds, MINUTE_MS, SECOND_MS } from "#core";
+import { BLOCKING_CRASHES, type CrashRecord } from "./crash_records.ts";
+
+const MAXIMUM_CALLS = 512;
+const SUSPECT_RETENTION_MS: Milliseconds = 10 * MINUTE_MS;
+const BLOCKED_RETENTION_MS: Milliseconds = 24 * 60 * MINUTE_MS;
+/** Longer than any report of a crash is under way that the response refutes. */
+const CLEARED_RETENTION_MS: Milliseconds = 30 * SECOND_MS;
+
+interface KnownCall {
+  readonly bodyBytes: Bytes;
+  /** When the crash of each incarnation was observed. */
+  readonly crashes: Map<string, Milliseconds>;
+  answeredMs: Milliseconds;
+  /** Revision of the ledger at the last change. */
+  changedAt: number;
+}
+
+/** What identifies a call in the ledger. */
+export interface CallKey {
+  readonly digest: string;
+  readonly bodyBytes: Bytes;
+}
+
+/**
+ * Stores which incarnations of upstreams crashed under which call.
+ *
+ * @example
+ * ```ts
+ * const ledger = new CrashLedger();
+ * ledger.recordCrash({ digest, bodyBytes: 4 }, "u1:1", clock.nowMs());
+ * ledger.isSuspect(digest); // true
+ * ```
+ */
+export class CrashLedger {
+  readonly #calls = new Map<string, KnownCall>();
+  #revision = 0;
+  /** Body lengths of all suspects, as of a revision. */
+  #lengths: ReadonlySet<Bytes> = new Set();
+  #lengthsRevision = 0;
+
+  /** Increases with each change. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Returns the number of upstreams that crashed under a call and that no later response refutes. */
+  crashesOf(digest: string): number {
+    return this.#calls.get(digest)?.crashes.size ?? 0;
+  }
+
+  /** Returns the incarnations that crashed under a call, in the order of their observation. */
+  incarnationsOf(digest: string): readonly string[] {
+    return [...this.#calls.get(digest)?.crashes.keys() ?? []];
+  }
+
+  isSuspect(digest: string): boolean {
+    return this.crashesOf(digest) > 0;
+  }
+
+  isBlocked(digest: string): boolean {
+    return this.crashesOf(digest) >= BLOCKING_CRASHES;
+  }
+
+  /** Whether there is a suspect whose body is this long. */
+  hasSuspectOfLength(bodyBytes: Bytes): boolean {
+    if (this.#lengthsRevision !== this.#revision) {
+      this.#lengthsRevision = this.#revision;
+      this.#lengths = this.#suspectLengths();
+    }
+    return this.#lengths.has(bodyBytes);
+  }
+
+  /** Whether an incarnation of an upstream is known to have crashed. */
+  hasCrashed(incarnation: string): boolean {
+    for (const { crashes } of this.#calls.values()) {
+      if (crashes.has(incarnation)) return true;
+    }
+    return false;
+  }
+
+  /** Records that an upstream crashed which may have run a call; returns whether that is news. */
+  recordCrash(
+    call: CallKey,
+    incarnation: string,
+    nowMs: Milliseconds,
+  ): boolean {
+    const crashes = [{ incarnation, ageMs: 0 }];
+    const record = { ...call, crashes, answeredAgeMs: null };
+    return this.merge([record], nowMs).length > 0;
+  }
+
+  /** Records that an upstream ran a call and responded completely; returns whether that clears it. */
+  recordAnswer(call: CallKey, nowMs: Milliseconds): boolean {
+    if (!this.isSuspect(call.digest)) return false;
+    const record = { ...call, crashes: [], answeredAgeMs: 0 };
+    return this.merge([record], nowMs).length > 0;
+  }
+
+  /** Adds what other VMs know; returns the records that were news, as they are known now. */
+  merge(
+    records: readonly CrashRecord[],
+    nowMs: Milliseconds,
+  ): readonly CrashRecord[] {
+    const changed: string[] = [];
+    for (const record of records) {
+      if (this.#mergeOne(record, nowMs)) changed.push(record.digest);
+    }
+    this.expire(nowMs);
+    return this.#describe(changed, nowMs);
+  }
+
+  /** Returns the records that changed after a revision. */
+  since(revision: number, nowMs: Milliseconds): readonly CrashRecord[] {
+    const changed: string[] = [];
+    for (const [digest, { changedAt }] of this.#calls) {
+      if (changedAt > revision) changed.push(digest);
+    }
+    return this.#describe(changed, nowMs);
+  }
+
+  /** Returns the record of a call, or undefined if nothing is known of it. */
+  recordOf(digest: string, nowMs: Milliseconds): CrashRecord | undefined {
+    return this.#describe([digest], nowMs)[0];
+  }
+
+  /** Forgets what is too old, and what exceeds the number of calls. */
+  expire(nowMs: Milliseconds): void {
+    for (const [digest, call] of this.#calls) {
+      if (nowMs - lastChangeMs(call) > retentionMs(call)) {
+        this.#calls.delete(digest);
+      }
+    }
+    if (this.#calls.size <= MAXIMUM_CALLS) return;
+    const byImportance = [...this.#calls].sort(([, a], [, b]) =>
+      a.crashes.size - b.crashes.size || lastChangeMs(a) - lastChangeMs(b)
+    );
+    const excess = byImportance.slice(0, this.#calls.size - MAXIMUM_CALLS);
+    for (const [digest] of excess) this.#calls.delete(digest);
+  }
+
+  #suspectLengths(): ReadonlySet<Bytes> {
+    const lengths = new Set<Bytes>();
+    for (const { bodyBytes, crashes } of this.#calls.values()) {
+      if (crashes.size > 0) lengths.add(bodyBytes);
+    }
+    return lengths;
+  }
+
+  /** Returns whether the record changes which crashes count. */
+  #mergeOne(record: CrashRecord, nowMs: Milliseconds): boolean {
+    const known = this.#calls.get(record.digest) ?? {
+      bodyBytes: record.bodyBytes,
+      crashes: new Map<string, Milliseconds>(),
+      answeredMs: -Infinity,
+      changedAt: 0,
+    };
+    const answeredMs = record.answeredAgeMs === null
+      ? -Infinity
+      : nowMs - record.answeredAgeMs;
+    let changed = false;
+    if (answeredMs > known.answeredMs) {
+      // Also without crashes to drop: reports of some that it refutes may still be under way.
+      const isFirst = known.answeredMs === -Infinity;
+      known.answeredMs = answeredMs;
+      changed = dropRefuted(known) || isFirst;
+    }
+    for (const { incarnation, ageMs } of record.crashes) {
+      const observedMs = nowMs - ageMs;
+      if (observedMs <= known.answeredMs) continue;
+      if (known.crashes.has(incarnation)) continue;
+      known.crashes.set(incarnation, observedMs);
+      changed = true;
+    }
+    if (!changed) return false;
+    this.#revision += 1;
+    known.changedAt = this.#revision;
+    this.#calls.set(record.digest, known);
+    return true;
+  }
+
+  #describe(
+    digests: readonly string[],
+    nowMs: Milliseconds,
+  ): readonly CrashRecord[] {
+    const records: CrashRecord[] = [];
+    for (const digest of digests) {
+      const call = this.#calls.get(digest);
+      if (call === undefined) continue;
+      const { bodyBytes, answeredMs } = call;
+      const crashes = [...call.crashes].map(([incarnation, observedMs]) => ({
+        incarnation,
+        ageMs: nowMs - observedMs,
+      }));
+      const answeredAgeMs = answeredMs === -Infinity
+        ? null
+        : nowMs - answeredMs;
+      records.push({ digest, bodyBytes, crashes, answeredAgeMs });
+    }
+    return records;
+  }
+}
+
+/** Drops the crashes that a response refutes; returns whether there were any. */
+function dropRefuted(call: KnownCall): boolean {
+  let dropped = false;
+  for (const [incarnation, observedMs] of call.crashes) {
+    if (observedMs > call.answeredMs) continue;
+    call.crashes.delete(incarnation);
+    dropped = true;
+  }
+  return dropped;
+}
+
+function lastChangeMs(call: KnownCall): Milliseconds {
+  return Math.max(call.answeredMs, ...call.crashes.values());
+}
+
+function retentionMs(call: KnownCall): Milliseconds {
+  if (call.crashes.size >= BLOCKING_CRASHES) return BLOCKED_RETENTION_MS;
+  return call.crashes.size > 0 ? SUSPECT_RETENTION_MS : CLEARED_RETENTION_MS;
+}
--- a/membership/events.ts
+++ b/membership/events.ts
@@ -121,6 +121,29 @@
     action:
       "None; if it persists, the service has too little capacity. `source`: a response that this VM read, or a control VM.",
   },
+  crashUnderCall: {
+    code: 1421,
+    level: "warn",
+    text:
+      "an upstream crashed while it may have run a call; the call is a suspect until an upstream responds to it completely",
+    action:
+      "None for one line. `evidence` says how the crash became known, `evidenceAgeMs` how long after the end of the attempt.",
+  },
+  callBlocked: {
+    code: 1422,
+    level: "error",
+    text:
+      "a call is blocked, since each upstream in `incarnations` crashed under it; this VM rejects it from now on",
+    action:
+      "Find the caller by the digest in events 1508 and 2302; correct the call or the service.",
+  },
+  callCleared: {
+    code: 1423,
+    level: "info",
+    text:
+      "an upstream responded completely to a suspect, which is none any more",
+    action: "None; the upstreams in `incarnations` crashed for another reason.",
+  },
   isolated: {
     code: 1418,
     level: "warn",
--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -22,6 +22,7 @@
   FleetRevision,
   FollowReply,
 } from "./fleet_messages.ts";
+import { KnownCrashes } from "./known_crashes.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
 import { NamedLimits } from "./named_limits.ts";
 
@@ -49,6 +50,8 @@
 
 /** The state of the cluster as known to one VM. */
 export class FleetFollower {
+  /** Crashes of upstreams under calls. */
+  readonly crashes: KnownCrashes;
   readonly #options: FleetFollowerOptions;
   readonly #startedMs: Milliseconds;
   readonly #leaving: LeavingUpstreams;
@@ -79,6 +82,10 @@
     this.#startedMs = options.clock.nowMs();
     this.#leaving = new LeavingUpstreams(options.events);
     this.#limits = new NamedLimits(options);
+    this.crashes = new KnownCrashes({
+      ...options,
+      send: (record) => this.#notify({ kind: "crashes", records: [record] }),
+    });
     this.#switchCount = options.random.below(1_000);
   }
 
@@ -122,23 +129,17 @@
   reportLeaving(upstream: FleetUpstream): void {
     if (!this.#leaving.record(upstream)) return;
     this.#options.onChange();
-    const server = this.#server;
-    if (server === undefined) return;
     const { id, bornMs } = upstream;
-    const upstreams = [{ id, bornMs }];
-    const notice: FleetNotice = { kind: "draining", upstreams };
-    this.#options.network.notify({ to: server, channel: "fleet" }, notice);
+    this.#notify({ kind: "draining", upstreams: [{ id, bornMs }] });
   }
 
   /** Records the limit that an upstream names in a response, null for none, and tells the control VM if it changed. */
   reportRequestLimit(upstream: FleetUpstream, perSecond: number | null): void {
     if (!this.#limits.observe(upstream, perSecond)) return;
     this.#options.onChange();
-    const server = this.#server;
     const observation = this.#limits.observationOf(upstream);
-    if (server === undefined || observation === undefined) return;
-    const notice: FleetNotice = { kind: "limits", limits: [observation] };
-    this.#options.network.notify({ to: server, channel: "fleet" }, notice);
+    if (observation === undefined) return;
+    this.#notify({ kind: "limits", limits: [observation] });
   }
 
   get placement(): Placement {
@@ -174,11 +175,8 @@
 
   /** Tells the control VM the state of this VM now, as when it starts to lead, instead of with the next request. */
   reportSelf(): void {
-    const server = this.#server;
-    if (server === undefined) return;
     const nodes = [{ node: this.#options.self(), ageMs: 0 }];
-    const notice: FleetNotice = { kind: "nodes", nodes, askBeats: false };
-    this.#options.network.notify({ to: server, channel: "fleet" }, notice);
+    this.#notify({ kind: "nodes", nodes, askBeats: false });
   }
 
   /** Follows until `stop`. */
@@ -194,11 +192,19 @@
     this.#stopped = true;
   }
 
+  /** Sends a notice to the control VM that this VM follows, if there is one. */
+  #notify(notice: FleetNotice): void {
+    const server = this.#server;
+    if (server === undefined) return;
+    this.#options.network.notify({ to: server, channel: "fleet" }, notice);
+  }
+
   async #followOnce(): Promise<boolean> {
     const server = this.#chooseServer();
     if (server === undefined) return false;
     const { network, self } = this.#options;
     const timeoutMs = FOLLOW_WAIT_MS + REPLY_MARGIN_MS;
+    const crashReport = this.crashes.unreported();
     const response = await network.request(
       { to: server, channel: "fleet", timeoutMs },
       {
@@ -215,10 +221,13 @@
           : { nodesDigest: this.#nodesDigest }),
         leaving: this.#leaving.unknownTo(this.#upstreams.values()),
         limits: this.#limits.unknownTo(this.#upstreams.values()),
+        crashes: crashReport.records,
+        crashRevision: this.crashes.received,
       },
     );
     if (response.ok) {
       this.#quorumUnavailable = false;
+      this.crashes.confirmReported(crashReport);
       const reply = response.val as FollowReply;
       this.#applyReply(reply);
       if (reply.current) this.#reportRecovery(server);
@@ -239,6 +248,7 @@
     this.#namedLeader = isNews ? leader : undefined;
     if (!isNews) return false;
     this.#server = leader;
+    this.crashes.handleServerChange();
     return true;
   }
 
@@ -252,7 +262,10 @@
   #chooseServer(): string | undefined {
     const controls = this.controlVms();
     if (controls.length === 0) return undefined;
-    this.#server ??= controls[this.#switchCount % controls.length];
+    if (this.#server === undefined) {
+      this.#server = controls[this.#switchCount % controls.length];
+      this.crashes.handleServerChange();
+    }
     return this.#server;
   }
 
@@ -283,6 +296,9 @@
     const nodesChanged = leadersOf(nodes) !== leadersOf(this.#nodes);
     this.#nodes = nodes;
     this.#nodesDigest = reply.nodesDigest;
+    if (reply.crashes !== undefined) {
+      this.crashes.receive(reply.crashes.revision, reply.crashes.records);
+    }
     const changed = this.#applyState(reply);
     if (changed || nodesChanged) this.#options.onChange();
   }
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -12,6 +12,7 @@
   Placement,
   RoutingConfiguration,
 } from "#core";
+import type { CrashRecord, CrashRevision } from "./crash_records.ts";
 import type { AgedHeartbeat } from "./fleet_table.ts";
 import type { ObservedNode } from "./placement_plan.ts";
 
@@ -38,6 +39,10 @@
   readonly leaving?: readonly UpstreamIncarnation[];
   /** Limits that the sender knows and the control VM does not state. Absent in requests of earlier builds. */
   readonly limits?: readonly LimitObservation[];
+  /** Crashes under calls that the control VM may not know. Absent in requests of earlier builds. */
+  readonly crashes?: readonly CrashRecord[];
+  /** The crashes under calls that the sender received last. Absent in requests of earlier builds. */
+  readonly crashRevision?: CrashRevision;
 }
 
 /** One incarnation of an upstream. */
@@ -85,6 +90,11 @@
   /** Control and store VMs that were observed recently; null if the digest of the request is theirs. */
   readonly nodes: readonly FleetNode[] | null;
   readonly nodesDigest: string;
+  /** Crashes under calls that are news to the sender; absent if there are none, and in replies of earlier builds. */
+  readonly crashes?: {
+    readonly revision: CrashRevision;
+    readonly records: readonly CrashRecord[];
+  };
 }
 
 /** A message between control VMs. */
@@ -105,6 +115,11 @@
     readonly kind: "limits";
     readonly limits: readonly LimitObservation[];
   }
+  /** Crashes under calls. */
+  | {
+    readonly kind: "crashes";
+    readonly records: readonly CrashRecord[];
+  }
   | {
     readonly kind: "nodes";
     readonly nodes: readonly ObservedNode[];
@@ -113,7 +128,7 @@
   };
 
 const noticeKind = z.object({
-  kind: z.enum(["beats", "leave", "draining", "limits", "nodes"]),
+  kind: z.enum(["beats", "leave", "draining", "limits", "crashes", "nodes"]),
 });
 const followKind = z.object({
   kind: z.literal("follow"),
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -18,6 +18,8 @@
   type StoredConfiguration,
 } from "#core";
 import type { PeerNetwork } from "#wire";
+import { CrashLedger } from "./crash_ledger.ts";
+import type { CrashRecord, CrashRevision } from "./crash_records.ts";
 import {
   type FleetNotice,
   type FleetRevision,
@@ -65,11 +67,13 @@
   readonly #table: FleetTable;
   readonly #deltas: FleetDeltas;
   readonly #vms: VmObservations;
+  readonly #crashes = new CrashLedger();
   readonly #waiters = new Set<() => void>();
   readonly #startedMs: Milliseconds;
   /** Whether another control VM has sent its heartbeats, so that they need not be requested again. */
   #receivedHeartbeats = false;
   #gossipRound = 0;
+  #handleChange: () => void = () => {};
 
   constructor(options: FleetServerOptions) {
     this.#options = options;
@@ -132,11 +136,32 @@
     this.wakeWaiters();
   }
 
+  /** Records crashes of upstreams under calls, and notifies the others. */
+  recordCrashes(records: readonly CrashRecord[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    const news = this.#crashes.merge(records, nowMs);
+    if (news.length === 0) return;
+    this.#notifyPeers({ kind: "crashes", records: news });
+    this.wakeWaiters();
+  }
+
+  /** What this VM knows of crashes of upstreams under calls. */
+  get crashes(): CrashLedger {
+    return this.#crashes;
+  }
+
   /** Returns the upstreams that accept work or finish the work that they have. */
   upstreams(): readonly FleetUpstream[] {
     return this.#table.listed();
   }
 
+  /** Returns the upstreams of a service that accept work by their heartbeats. */
+  readyUpstreams(service: string): readonly FleetUpstream[] {
+    return this.#table.listed().filter((each) =>
+      each.service === service && each.phase === "ready"
+    );
+  }
+
   /** Returns the limits of the upstreams of a service, by incarnation; see `FleetTable.limitsOf`. */
   limitsOf(service: string): ReadonlyMap<string, number> {
     return this.#table.limitsOf(service);
@@ -153,11 +178,17 @@
     return clock.nowMs() - this.#startedMs >= heartbeatTimeoutMs;
   }
 
+  /** Sets what is called when the state that VMs follow may have changed. */
+  onChange(handler: () => void): void {
+    this.#handleChange = handler;
+  }
+
   /** Wakes the follow requests that wait for newer state. */
   wakeWaiters(): void {
     const waiters = [...this.#waiters];
     this.#waiters.clear();
     for (const wake of waiters) wake();
+    this.#handleChange();
   }
 
   #gossip(): void {
@@ -231,6 +262,7 @@
     }
     if (notice.kind === "draining") this.recordLeaving(notice.upstreams);
     if (notice.kind === "limits") this.recordLimits(notice.limits);
+    if (notice.kind === "crashes") this.recordCrashes(notice.records);
     if (notice.kind === "nodes") this.#handleNodes(from, notice);
     if (this.#table.revision !== previousRevision) this.wakeWaiters();
   }
@@ -251,8 +283,12 @@
     if (!notice.askBeats || sender === undefined) return;
     const nowMs = this.#options.clock.nowMs();
     const beats = this.#table.agedHeartbeats(nowMs);
-    const reply: FleetNotice = { kind: "beats", beats };
-    this.#options.network.notify({ to: sender, channel: "fleet" }, reply);
+    const records = this.#crashes.since(0, nowMs);
+    for (
+      const reply of [{ kind: "beats", beats }, { kind: "crashes", records }]
+    ) {
+      this.#options.network.notify({ to: sender, channel: "fleet" }, reply);
+    }
   }
 
   async #handleFollow(body: unknown): Promise<Result<unknown, Failure>> {
@@ -263,6 +299,7 @@
     if (this.#vms.recordReport(request.node)) this.wakeWaiters();
     this.recordLeaving(request.leaving ?? []);
     this.recordLimits(request.limits ?? []);
+    this.recordCrashes(request.crashes ?? []);
     const confirmed = request.confirm
       ? await this.#options.confirm()
       : undefined;
@@ -326,11 +363,24 @@
         : null,
       nodes: nodesDigest === request.nodesDigest ? null : nodes,
       nodesDigest,
+      ...this.#crashesFor(request.crashRevision),
     };
   }
+
+  /** Returns the crashes under calls that are news to a follower; none to one of an earlier build. */
+  #crashesFor(known: CrashRevision | undefined): Pick<FollowReply, "crashes"> {
+    if (known === undefined) return {};
+    const { clock, epoch } = this.#options;
+    const sinceRevision = known.epoch === epoch ? known.revision : 0;
+    const { revision } = this.#crashes;
+    if (sinceRevision === revision) return {};
+    const records = this.#crashes.since(sinceRevision, clock.nowMs());
+    return { crashes: { revision: { epoch, revision }, records } };
+  }
 }
 
 function hasUpdates(reply: FollowReply): boolean {
   return reply.configuration !== null || reply.fleet !== null ||
-    reply.placement !== null || reply.nodes !== null;
+    reply.placement !== null || reply.nodes !== null ||
+    reply.crashes !== undefined;
 }
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -5,6 +5,7 @@
  */
 import { QuorumLog, SHORT_TIMING } from "#agreement";
 import { ConfigurationMachine } from "#bundles";
+import { IsolationServer } from "#crashes";
 import {
   type AnyStateMachine,
   ControlPort,
@@ -22,10 +23,12 @@
   isOnHostOfLeader,
   LeaderClient,
   leaderOf,
+  type Leadership,
   PlacementMachine,
   PlacementManager,
   type RequestTimeouts,
   serveControl,
+  serveLeaderRequests,
   type VmStatus,
 } from "#membership";
 import { controlRoutes, type NodeSettings, WorkerOrderClient } from "#platform";
@@ -69,6 +72,7 @@
   readonly #placementKeeper: PlacementManager;
   readonly #engineOrders: EngineOrders;
   readonly #permits: PermitServer;
+  readonly #isolation: IsolationServer;
   readonly #server: HttpServer;
   readonly #monitoring: NodeMonitoring;
 
@@ -118,14 +122,22 @@
           ?.asked ?? [],
       holdMs: settings.orderLeaseMs,
     });
+    const leadership = (): Leadership => ({
+      ...this.#groupStatus(),
+      leader: log.status().leader,
+    });
     this.#permits = new PermitServer({
       ...base,
-      leadership: () => ({
-        ...this.#groupStatus(),
-        leader: log.status().leader,
-      }),
+      leadership,
       limitsOf: (service) => this.#fleet.limitsOf(service),
     });
+    this.#isolation = new IsolationServer({
+      ...base,
+      leadership,
+      crashes: this.#fleet.crashes,
+      upstreamsOf: (service) => this.#fleet.readyUpstreams(service),
+      recordCrashes: (records) => this.#fleet.recordCrashes(records),
+    });
     this.#server = this.#buildServer();
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
@@ -146,6 +158,8 @@
     });
     this.#log.onApplied(() => this.#fleet.wakeWaiters());
     this.#fleet.start();
+    this.#fleet.onChange(() => this.#isolation.handleChange());
+    serveLeaderRequests(network, [this.#permits, this.#isolation]);
     this.#permits.start();
     await this.#log.start();
     this.#placementKeeper.start();
@@ -155,6 +169,7 @@
   async drain(): Promise<void> {
     this.#base.events.emit(HTTP_EVENTS.nodeStopping);
     this.#permits.stop();
+    this.#isolation.stop();
     await this.#engineOrders.stop();
     const drained = this.#server.drain(DRAIN_NOTICE_MS);
     await this.#log.stop();
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -5,17 +5,21 @@
  */
 import { BatchClient } from "#batches";
 import type { HeldSizes, Milliseconds } from "#core";
-import { FleetFollower, IsolationCheck } from "#membership";
+import { CallerGuard, LeaderIsolationPort } from "#crashes";
+import { type ControlLeader, FleetFollower, IsolationCheck } from "#membership";
 import { callerRoutes, type NodeSettings, WorkerDialect } from "#platform";
 import {
   CachedRouteRules,
   canConnect,
   Forwarder,
+  probeCrash,
   type RouteRules,
 } from "#requests";
+import type { PermitClient } from "#quotas";
 import { HttpServer } from "./http_server.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import {
+  buildControlLeader,
   buildNodeBase,
   buildPermits,
   describeNode,
@@ -23,7 +27,6 @@
   logStart,
   NODE_HTTP_LIMITS,
   type NodeBase,
-  type NodePermits,
   type PlatformNode,
   upstreamNotices,
 } from "./node_base.ts";
@@ -41,7 +44,9 @@
   #settings: NodeSettings;
   readonly #base: NodeBase;
   readonly #fleetFollower: FleetFollower;
-  readonly #permits: NodePermits;
+  readonly #controlLeader: ControlLeader;
+  readonly #permits: PermitClient;
+  readonly #crashGuard: CallerGuard;
   readonly #forwarder: Forwarder;
   readonly #batches: BatchClient;
   readonly #isolation: IsolationCheck;
@@ -63,20 +68,33 @@
       self: () => describeNode(base, "entry", NO_GROUP_STATUS),
       onChange: () => {
         this.#batches.handleVmChange();
+        this.#controlLeader.handleVmChange();
         this.#permits.handleFleetChange();
+        this.#crashGuard.handleFleetChange();
       },
     });
+    this.#controlLeader = buildControlLeader(base, this.#fleetFollower);
     this.#permits = buildPermits(base, {
       follower: this.#fleetFollower,
+      leader: this.#controlLeader,
       onBacklogPermits: () => {},
     });
+    this.#crashGuard = new CallerGuard({
+      ...base,
+      zone: settings.zone,
+      crashes: this.#fleetFollower.crashes,
+      port: new LeaderIsolationPort(this.#controlLeader),
+      upstreams: () => this.#fleetFollower.upstreams,
+      probe: probeCrash,
+    });
     this.#forwarder = new Forwarder({
       ...base,
       zone: settings.zone,
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
       ...upstreamNotices(this.#fleetFollower),
-      permits: this.#permits.permits,
+      permits: this.#permits,
+      crashGuard: this.#crashGuard,
     });
     this.#batches = new BatchClient({
       ...base,
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -24,7 +24,7 @@
 } from "#core";
 import { HTTP_EVENTS } from "./events.ts";
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
-import type { FleetFollower } from "#membership";
+import { ControlLeader, type FleetFollower } from "#membership";
 import type { NodeSettings } from "#platform";
 import { LeaderPermitPort, PermitClient } from "#quotas";
 import type { UpstreamNotices } from "#requests";
@@ -173,10 +173,16 @@
   };
 }
 
-/** The permits of a VM, and what to call when the fleet has changed. */
-export interface NodePermits {
-  readonly permits: PermitClient;
-  readonly handleFleetChange: () => void;
+/** Returns the leader of the control log, as a VM that follows the fleet asks it. */
+export function buildControlLeader(
+  base: NodeBase,
+  follower: FleetFollower,
+): ControlLeader {
+  return new ControlLeader({
+    ...base,
+    nodes: () => follower.nodes,
+    controlVms: () => follower.controlVms(),
+  });
 }
 
 /** Connects the permits of a VM to the control VM that issues them. */
@@ -184,26 +190,17 @@
   base: NodeBase,
   options: {
     readonly follower: FleetFollower;
+    readonly leader: ControlLeader;
     readonly onBacklogPermits: () => void;
   },
-): NodePermits {
-  const { follower, onBacklogPermits } = options;
-  const port = new LeaderPermitPort({
+): PermitClient {
+  const { follower, leader, onBacklogPermits } = options;
+  return new PermitClient({
     ...base,
-    nodes: () => follower.nodes,
-    controlVms: () => follower.controlVms(),
-  });
-  const permits = new PermitClient({
-    ...base,
-    port,
+    port: new LeaderPermitPort(leader),
     upstreams: () => follower.upstreams,
     onBacklogPermits,
   });
-  const handleFleetChange = (): void => {
-    port.handleVmChange();
-    permits.handleFleetChange();
-  };
-  return { permits, handleFleetChange };
 }
 
 /** Returns what a replica of a log holds, under the names of memory events and metrics. */
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -12,15 +12,19 @@
   ForwardedScoring,
 } from "#batches";
 import type { AnyStateMachine, Failure, HeldSizes, ServedVersion } from "#core";
+import { TrustedCalls } from "#crashes";
 import {
+  type ControlLeader,
   FleetFollower,
   initialStoreGroup,
   isOnHostOfLeader,
 } from "#membership";
 import { type NodeSettings, WorkerDialect, WorkerOrderClient } from "#platform";
 import { Forwarder } from "#requests";
+import type { PermitClient } from "#quotas";
 import { HTTP_EVENTS } from "./events.ts";
 import {
+  buildControlLeader,
   buildNodeBase,
   buildPermits,
   describeNode,
@@ -28,7 +32,6 @@
   logReload,
   logStart,
   type NodeBase,
-  type NodePermits,
   openDataFolder,
   type PlatformNode,
   upstreamNotices,
@@ -44,7 +47,8 @@
   readonly #onFatal: (failure: Failure) => void;
   readonly #monitoring: NodeMonitoring;
   readonly #engineReports: WorkerOrderClient;
-  readonly #permits: NodePermits;
+  readonly #controlLeader: ControlLeader;
+  readonly #permits: PermitClient;
   /** Sends the scoring calls of items. */
   readonly #forwarder: Forwarder;
   #log: QuorumLog | undefined;
@@ -66,8 +70,10 @@
       self: () => describeNode(base, "store", this.#groupStatus()),
       onChange: () => this.#handleFleetChange(),
     });
+    this.#controlLeader = buildControlLeader(base, this.#fleetFollower);
     this.#permits = buildPermits(base, {
       follower: this.#fleetFollower,
+      leader: this.#controlLeader,
       onBacklogPermits: () => this.#runner?.wake(),
     });
     this.#engineReports = new WorkerOrderClient(
@@ -80,7 +86,8 @@
       dialect: new WorkerDialect(),
       upstreams: () => this.#fleetFollower.upstreams,
       ...upstreamNotices(this.#fleetFollower),
-      permits: this.#permits.permits,
+      permits: this.#permits,
+      crashGuard: new TrustedCalls(),
     });
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
@@ -145,6 +152,7 @@
   #handleFleetChange(): void {
     const { stores } = this.#fleetFollower.placement;
     if (this.#log === undefined && stores.length > 0) this.#startLog(stores);
+    this.#controlLeader.handleVmChange();
     this.#permits.handleFleetChange();
     this.#runner?.wake();
   }
@@ -189,7 +197,7 @@
       }),
       upstreams: () => this.#fleetFollower.upstreams,
       ...upstreamNotices(this.#fleetFollower),
-      permits: this.#permits.permits,
+      permits: this.#permits,
       configuration: () => this.#fleetFollower.configuration,
     });
     await log.start();
--- a/proof/entry_site.ts
+++ b/proof/entry_site.ts
@@ -17,10 +17,16 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
-import { FleetFollower, FleetServer } from "#membership";
+import { CallerGuard, IsolationServer, LeaderIsolationPort } from "#crashes";
+import {
+  ControlLeader,
+  FleetFollower,
+  FleetServer,
+  serveLeaderRequests,
+} from "#membership";
 import { WorkerDialect } from "#platform";
 import { LeaderPermitPort, PermitClient, PermitServer } from "#quotas";
-import { Forwarder } from "#requests";
+import { Forwarder, probeCrash } from "#requests";
 import { MemoryNetwork } from "#wire";
 import {
   type Arrival,
@@ -239,8 +245,7 @@
     });
     server.start();
     this.#controls.push(server);
-    new PermitServer({
-      network,
+    const base = {
       clock: this.clock,
       events: this.events,
       leadership: () => ({
@@ -248,8 +253,20 @@
         term: this.term,
         leader: this.leader,
       }),
+    };
+    const permits = new PermitServer({
+      ...base,
       limitsOf: (service) => server.limitsOf(service),
-    }).start();
+    });
+    permits.start();
+    const isolation = new IsolationServer({
+      ...base,
+      crashes: server.crashes,
+      upstreamsOf: (service) => server.readyUpstreams(service),
+      recordCrashes: (records) => server.recordCrashes(records),
+    });
+    server.onChange(() => isolation.handleChange());
+    serveLeaderRequests(network, [permits, isolation]);
   }
 
   #startEntry(at: number): void {
@@ -266,11 +283,12 @@
       self: () => describe(vm, "entry", zone),
       seeds: () => CONTROL_VMS,
       onChange: () => {
-        port.handleVmChange();
+        leader.handleVmChange();
         permits.handleFleetChange();
+        crashGuard.handleFleetChange();
       },
     });
-    const port = new LeaderPermitPort({
+    const leader = new ControlLeader({
       network,
       clock,
       nodes: () => follower.nodes,
@@ -280,10 +298,19 @@
       clock,
       random,
       events,
-      port,
+      port: new LeaderPermitPort(leader),
       upstreams: () => follower.upstreams,
       onBacklogPermits: () => {},
     });
+    const crashGuard = new CallerGuard({
+      zone,
+      clock,
+      events,
+      crashes: follower.crashes,
+      port: new LeaderIsolationPort(leader),
+      upstreams: () => follower.upstreams,
+      probe: probeCrash,
+    });
     const forwarder = new Forwarder({
       zone,
       clock,
@@ -291,6 +318,7 @@
       events,
       dialect: new WorkerDialect(),
       permits,
+      crashGuard,
       upstreams: () => follower.upstreams,
       onLeaving: (upstream) => follower.reportLeaving(upstream),
       onRequestLimit: (upstream, perSecond) =>
--- a/quotas/permit_server.ts
+++ b/quotas/permit_server.ts
@@ -16,7 +16,7 @@
   SECOND_MS,
   type Timer,
 } from "#core";
-import type { PeerNetwork } from "#wire";
+import { LeaderPart, type Leadership, notLeaderFailure } from "#membership";
 import { QUOTA_EVENTS } from "./events.ts";
 import { PermitAllocator } from "./permit_allocator.ts";
 import {
@@ -31,16 +31,8 @@
 /** Time after which no permit of an earlier leader is in use, with a margin for the request that used it. */
 const TAKEOVER_MS: Milliseconds = 2 * PERMIT_VALIDITY_MS;
 
-/** Whether this VM leads the control log under a lease, and who else may. */
-export interface Leadership {
-  readonly leads: boolean;
-  readonly term: number;
-  readonly leader: string | null;
-}
-
 /** Options of `PermitServer`. */
 export interface PermitServerOptions {
-  readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly events: EventLog;
   readonly leadership: () => Leadership;
@@ -54,8 +46,9 @@
   expired: number;
 }
 
-/** Serves requests for permits on the `requests` channel. */
-export class PermitServer {
+/** Decides about requests for permits. */
+export class PermitServer extends LeaderPart {
+  override readonly kind = "permits";
   readonly #options: PermitServerOptions;
   readonly #allocator: PermitAllocator;
   readonly #counts = new Map<string, ServiceCounts>();
@@ -65,14 +58,14 @@
   #reports: Timer | undefined;
 
   constructor(options: PermitServerOptions) {
+    super();
     this.#options = options;
     this.#allocator = new PermitAllocator(options);
   }
 
-  /** Starts to handle requests. */
+  /** Starts to log what it issues. */
   start(): void {
-    const { network, clock } = this.#options;
-    network.onRequest("requests", (_from, body) => this.#handle(body));
+    const { clock } = this.#options;
     this.#reports = clock.every(REPORT_INTERVAL_MS, () => this.#report());
   }
 
@@ -83,14 +76,14 @@
     this.#allocator.clear();
   }
 
-  #handle(body: unknown): Promise<Result<unknown, Failure>> {
+  override handle(body: unknown): Promise<Result<unknown, Failure>> {
     const request = parsePermitRequest(body);
     if (request === undefined) {
       const message = "not a well-formed request for permits";
       return Promise.resolve(Err(fail("malformed_request", message)));
     }
     const { leads, leader } = this.#options.leadership();
-    if (!leads) return Promise.resolve(Err(notLeader(leader)));
+    if (!leads) return Promise.resolve(Err(notLeaderFailure(leader)));
     this.#noteTerm();
     return this.#decide(request);
   }
@@ -114,7 +107,7 @@
     return new Promise((resolve) => {
       const settle = (decision: PermitDecision): void => {
         const { leads, leader } = leadership();
-        if (!leads) return resolve(Err(notLeader(leader)));
+        if (!leads) return resolve(Err(notLeaderFailure(leader)));
         this.#count(request, decision);
         const heldMs = clock.nowMs() - arrivedMs;
         const reply: PermitReply = { ...decision, heldMs };
@@ -162,12 +155,3 @@
     this.#counts.clear();
   }
 }
-
-function notLeader(leader: string | null): Failure {
-  const message = leader === null ? "no leader is known" : `${leader} leads`;
-  return fail(
-    "not_leader",
-    message,
-    leader === null ? {} : { detail: leader },
-  );
-}
--- a/quotas/permit_world.ts
+++ b/quotas/permit_world.ts
@@ -13,6 +13,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
+import { ControlLeader, serveLeaderRequests } from "#membership";
 import { MemoryNetwork } from "#wire";
 import { PermitClient } from "./permit_client.ts";
 import { LeaderPermitPort } from "./permit_port.ts";
@@ -161,8 +162,7 @@
   }
 
   #startControl(vm: string): void {
-    new PermitServer({
-      network: this.#network.join(vm),
+    const permits = new PermitServer({
       clock: this.#clock,
       events: new MemoryEventLog(),
       leadership: () => ({
@@ -171,7 +171,9 @@
         leader: CONTROLS[this.#leader] ?? null,
       }),
       limitsOf: () => this.#limits,
-    }).start();
+    });
+    permits.start();
+    serveLeaderRequests(this.#network.join(vm), [permits]);
   }
 
   #isLeader(vm: string): boolean {
@@ -181,12 +183,13 @@
 
   #createSender(at: number): PermitClient {
     const network = this.#network.join(`e${at}:1`);
-    const port = new LeaderPermitPort({
+    const leader = new ControlLeader({
       network,
       clock: this.#clock,
       nodes: () => [],
       controlVms: () => CONTROLS,
     });
+    const port = new LeaderPermitPort(leader);
     return new PermitClient({
       clock: this.#clock,
       random: this.#random,
--- /dev/null
+++ b/requests/attempt_series.ts
@@ -0,0 +1,162 @@
+/**
+ * The attempts of one forwarded call: retries, hedged attempts, and attempts apart from other suspects.
+ *
+ * @module
+ */
+import type {
+  Clock,
+  Failure,
+  FleetUpstream,
+  HttpResponse,
+  Milliseconds,
+  Timer,
+} from "#core";
+import type { Attempt } from "./forwarded_attempt.ts";
+import {
+  finalResult,
+  type ForwardedCall,
+  mayAttempt,
+  upstreamDemand,
+} from "./forwarded_call.ts";
+import { isolateAttempt } from "./isolated_attempt.ts";
+import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
+
+/** Share of the route's latency objective after which a call without a response is hedged. */
+const HEDGE_DELAY_OBJECTIVE_RATIO = 0.45;
+/** Time after which an upstream that crashed under a call is likely to be up again. */
+const SUSPECT_RETRY_AFTER_MS: Milliseconds = 1_000;
+
+/** Options of `AttemptSeries`. */
+export interface AttemptSeriesOptions {
+  readonly clock: Clock;
+  readonly choice: UpstreamChoice;
+  /** Makes one attempt. */
+  readonly send: (upstream: FleetUpstream) => Promise<Attempt>;
+  /** Returns the response that ends the call, or undefined if another attempt may follow. */
+  readonly finalResponse: (attempt: Attempt) => HttpResponse | undefined;
+}
+
+/** Makes attempts until there is a final response; an idempotent call may have two in flight. */
+export class AttemptSeries {
+  readonly #forwarded: ForwardedCall;
+  readonly #options: AttemptSeriesOptions;
+  readonly #settle: (response: HttpResponse | Failure) => void;
+  /** Attempts that are in flight or wait for an upstream. */
+  #running = 0;
+  #hedgeTimer: Timer | undefined;
+
+  private constructor(
+    forwarded: ForwardedCall,
+    options: AttemptSeriesOptions,
+    settle: (response: HttpResponse | Failure) => void,
+  ) {
+    this.#forwarded = forwarded;
+    this.#options = options;
+    this.#settle = settle;
+  }
+
+  /** Returns the response of the call, or a failure that states whether it may have run. */
+  static run(
+    forwarded: ForwardedCall,
+    options: AttemptSeriesOptions,
+  ): Promise<HttpResponse | Failure> {
+    return new Promise((resolve) => {
+      const series = new AttemptSeries(forwarded, options, (response) => {
+        series.#hedgeTimer?.cancel();
+        resolve(response);
+      });
+      series.#begin();
+    });
+  }
+
+  #begin(): void {
+    const { route } = this.#forwarded.routed;
+    const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
+    this.#hedgeTimer = this.#options.clock.after(delayMs, () => {
+      const isSent = this.#forwarded.triedUpstreams.size > 0;
+      if (route.kind === "idempotent" && isSent) this.#startNext(true);
+    });
+    this.#startOrSettle();
+  }
+
+  #startOrSettle(): void {
+    if (this.#startNext() || this.#running > 0) return;
+    this.#settle(finalResult(this.#forwarded));
+  }
+
+  #start(upstream: FleetUpstream, release: () => void = () => {}): void {
+    this.#running += 1;
+    this.#options.send(upstream).then((attempt) => {
+      this.#running -= 1;
+      release();
+      const response = this.#options.finalResponse(attempt);
+      if (response !== undefined) this.#settle(response);
+      else this.#startOrSettle();
+    });
+  }
+
+  /** Starts another attempt, or lets one wait for an upstream; returns false if the call may make none now. */
+  #startNext(isHedge = false): boolean {
+    const { clock, choice } = this.#options;
+    if (!mayAttempt(this.#forwarded, clock.nowMs())) return false;
+    if (this.#forwarded.watch.standing !== "clear") return this.#isolateNext();
+    const demand = { ...upstreamDemand(this.#forwarded), isHedge };
+    const upstream = choice.choose(demand);
+    if (upstream !== undefined) {
+      this.#start(upstream);
+      return true;
+    }
+    if (!choice.mayGetPermit(demand)) return false;
+    this.#running += 1;
+    this.#acquire(demand).then((acquired) => {
+      this.#running -= 1;
+      if (acquired !== undefined) this.#start(acquired);
+      else if (this.#running === 0) this.#settle(finalResult(this.#forwarded));
+    });
+    return true;
+  }
+
+  async #acquire(demand: UpstreamDemand): Promise<FleetUpstream | undefined> {
+    const { clock, choice } = this.#options;
+    const { cutoffMs, abortController: { signal } } = this.#forwarded;
+    const outcome = await choice.acquire(demand, { cutoffMs, signal });
+    // Another attempt may have been sent meanwhile, or the time be up.
+    if (!mayAttempt(this.#forwarded, clock.nowMs())) return undefined;
+    if (outcome.kind === "granted") return outcome.upstream;
+    if (demand.isHedge === true) return undefined;
+    const full = choice.choose(demand, { hasWaited: true });
+    if (full !== undefined) return full;
+    this.#forwarded.retryAfterMs = outcome.retryAfterMs;
+    this.#forwarded.lastFailure =
+      "the upstreams have reached the limits they name";
+    return undefined;
+  }
+
+  /** Lets a suspect wait for an upstream of its own, unless it is in flight somewhere. */
+  #isolateNext(): boolean {
+    const { watch } = this.#forwarded;
+    if (this.#running > 0 || watch.standing === "blocked") return false;
+    this.#running += 1;
+    this.#isolate().then(() => {
+      this.#running -= 1;
+      if (this.#running === 0) this.#settle(finalResult(this.#forwarded));
+    });
+    return true;
+  }
+
+  async #isolate(): Promise<void> {
+    const forwarded = this.#forwarded;
+    const { watch, cutoffMs, abortController: { signal } } = forwarded;
+    const demand = upstreamDemand(forwarded);
+    const suspect = { watch, demand, cutoffMs, signal };
+    const attempt = await isolateAttempt(suspect, this.#options);
+    if (attempt.kind === "rejected") {
+      forwarded.retryAfterMs = SUSPECT_RETRY_AFTER_MS;
+      forwarded.lastFailure = attempt.reason;
+    } else if (mayAttempt(forwarded, this.#options.clock.nowMs())) {
+      this.#start(attempt.upstream, attempt.release);
+    } else {
+      attempt.release();
+    }
+  }
+}
--- a/requests/endless_bytes_test.ts
+++ b/requests/endless_bytes_test.ts
@@ -9,6 +9,7 @@
   SeededRandom,
   SystemClock,
 } from "#core";
+import { TrustedCalls } from "#crashes";
 import { UnlimitedPermits } from "#quotas";
 import {
   ENDLESS_PLACES,
@@ -149,6 +150,7 @@
           onLeaving: () => {},
           onRequestLimit: () => {},
           permits: new UnlimitedPermits(),
+          crashGuard: new TrustedCalls(),
         });
         const responses = await Promise.all(
           Array.from({ length: 1 + random.below(6) }, () =>
--- a/requests/forwarded_call.ts
+++ b/requests/forwarded_call.ts
@@ -11,7 +11,7 @@
   type Milliseconds,
   type RouteRule,
 } from "#core";
-import type { CallContent } from "#crashes";
+import type { CallContent, CallWatch } from "#crashes";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import type { UpstreamDemand } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
@@ -52,6 +52,8 @@
   retryAfterMs: Milliseconds;
   /** The last response with a server error from an upstream. */
   serverErrorResponse: CompleteResponse | undefined;
+  /** What is known of upstreams that crashed under the call. */
+  readonly watch: CallWatch;
 }
 
 /** Returns what a call has in common with repetitions of it. */
@@ -103,6 +105,7 @@
   }
   const message = `no upstream responded: ${forwarded.lastFailure}`;
   if (forwarded.possibleRuns > 0) return fail("upstream_failed", message);
+  if (forwarded.watch.standing === "blocked") return blockedFailure();
   const hasUpstreams = forwarded.triedUpstreams.size > 0 ||
     forwarded.retryAfterMs > 0;
   const kind = hasUpstreams ? "upstream_refused" : "no_upstream";
@@ -110,6 +113,11 @@
   return fail(kind, message, { retryAfterMs });
 }
 
+/** Returns the failure of a call that is not sent to any upstream, since too many crashed under it. */
+export function blockedFailure(): Failure {
+  return fail("call_blocked", "upstreams crashed under calls like this one");
+}
+
 /** Returns the response to the caller. */
 export function toHttpResponse(response: CompleteResponse): HttpResponse {
   return {
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -17,10 +17,11 @@
   type Milliseconds,
   type RandomSource,
 } from "#core";
-import { digestOf } from "#crashes";
+import type { CrashGuard } from "#crashes";
 import type { Permits } from "#quotas";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { REQUEST_EVENTS } from "./events.ts";
+import { AttemptSeries } from "./attempt_series.ts";
 import {
   type Attempt,
   classifyError,
@@ -31,21 +32,17 @@
 import {
   contentOf,
   cutoffFailure,
-  finalResult,
   type ForwardedCall,
-  mayAttempt,
   type RoutedCall,
   toHttpResponse,
-  upstreamDemand,
 } from "./forwarded_call.ts";
 import { StreamForwarding } from "./stream_forwarding.ts";
-import { UpstreamChoice, type UpstreamDemand } from "./upstream_choice.ts";
+import { UpstreamChoice } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
+import { reportSuspect } from "./isolated_attempt.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 import { type ResponseHead, UpstreamHttp } from "./upstream_http.ts";
 
-/** Share of the route's latency objective after which a call without a response is hedged. */
-const HEDGE_DELAY_OBJECTIVE_RATIO = 0.45;
 /**
  * Time to wait past the cutoff for an upstream that reports its own timeout: its connection can then be reused.
  */
@@ -62,6 +59,8 @@
   readonly upstreams: () => readonly FleetUpstream[];
   /** Permits for upstreams that name a limit of requests. */
   readonly permits: Permits;
+  /** Keeps calls from upstreams if others crashed under them. */
+  readonly crashGuard: CrashGuard;
   /** Memory of the responses that the process reads and writes; absent if only the forwarder reads any. */
   readonly responseBudget?: ByteBudget;
 }
@@ -110,6 +109,9 @@
       lastFailure: "no upstream is known",
       retryAfterMs: 0,
       serverErrorResponse: undefined,
+      watch: this.#options.crashGuard.watch(
+        contentOf(routed, this.#options.dialect),
+      ),
     };
     const onAbort = (): void => forwarded.abortController.abort();
     call.signal.addEventListener("abort", onAbort, { once: true });
@@ -139,7 +141,12 @@
         resolve(fail("cancelled", "the caller disconnected"));
       };
       call.signal.addEventListener("abort", onAbort, { once: true });
-      this.#sendHedged(forwarded).then((response) => {
+      AttemptSeries.run(forwarded, {
+        clock,
+        choice: this.#choice,
+        send: (upstream) => this.#send(forwarded, upstream),
+        finalResponse: (attempt) => this.#finalResponse(forwarded, attempt),
+      }).then((response) => {
         timer.cancel();
         call.signal.removeEventListener("abort", onAbort);
         resolve(response);
@@ -147,71 +154,6 @@
     });
   }
 
-  /** Retries until there is a final response; an idempotent call may have two attempts in flight. */
-  #sendHedged(forwarded: ForwardedCall): Promise<HttpResponse | Failure> {
-    const { route } = forwarded.routed;
-    const { clock } = this.#options;
-    return new Promise((resolve) => {
-      let running = 0;
-      const settle = (response: HttpResponse | Failure): void => {
-        hedgeTimer.cancel();
-        resolve(response);
-      };
-      const startOrSettle = (): void => {
-        if (!startNext() && running === 0) settle(finalResult(forwarded));
-      };
-      const start = (upstream: FleetUpstream): void => {
-        running += 1;
-        this.#send(forwarded, upstream).then((attempt) => {
-          running -= 1;
-          const response = this.#finalResponse(forwarded, attempt);
-          if (response !== undefined) settle(response);
-          else startOrSettle();
-        });
-      };
-      const startNext = (isHedge = false): boolean => {
-        if (!mayAttempt(forwarded, clock.nowMs())) return false;
-        const demand = { ...upstreamDemand(forwarded), isHedge };
-        const upstream = this.#choice.choose(demand);
-        if (upstream !== undefined) {
-          start(upstream);
-          return true;
-        }
-        if (!this.#choice.mayGetPermit(demand)) return false;
-        running += 1;
-        this.#acquire(forwarded, demand).then((acquired) => {
-          running -= 1;
-          if (acquired !== undefined) start(acquired);
-          else if (running === 0) settle(finalResult(forwarded));
-        });
-        return true;
-      };
-      const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
-      const hedgeTimer = clock.after(delayMs, () => {
-        const isSent = forwarded.triedUpstreams.size > 0;
-        if (route.kind === "idempotent" && isSent) startNext(true);
-      });
-      startOrSettle();
-    });
-  }
-
-  async #acquire(
-    forwarded: ForwardedCall,
-    demand: UpstreamDemand,
-  ): Promise<FleetUpstream | undefined> {
-    const { cutoffMs, abortController: { signal } } = forwarded;
-    const outcome = await this.#choice.acquire(demand, { cutoffMs, signal });
-    // Another attempt may have been sent meanwhile, or the time be up.
-    if (!mayAttempt(forwarded, this.#options.clock.nowMs())) return undefined;
-    if (outcome.kind === "granted") return outcome.upstream;
-    if (demand.isHedge === true) return undefined;
-    const full = this.#choice.choose(demand, { hasWaited: true });
-    if (full !== undefined) return full;
-    forwarded.retryAfterMs = outcome.retryAfterMs;
-    forwarded.lastFailure = "the upstreams have reached the limits they name";
-    return undefined;
-  }
-
   async #send(
     forwarded: ForwardedCall,
     upstream: FleetUpstream,
@@ -254,9 +196,15 @@
     }
     if (attempt.kind === "not_run") forwarded.possibleRuns -= 1;
     if (attempt.kind !== "answer") forwarded.lastFailure = attempt.reason;
-    if (attempt.kind === "unknown" && !cancelled) {
+    if (attempt.kind === "answer") {
+      const succeeded = attempt.response.status < MINIMUM_SERVER_ERROR_STATUS;
+      forwarded.watch.recordAnswered({ upstream, sentMs, succeeded });
+    }
+    if (attempt.kind === "unknown") {
       const { reason } = attempt;
-      this.#logBroken(forwarded, { upstream, runMs: nowMs - sentMs, reason });
+      const runMs = nowMs - sentMs;
+      if (!cancelled) this.#logBroken(forwarded, { upstream, runMs, reason });
+      await forwarded.watch.recordBroken({ upstream, cancelled });
     }
     return attempt;
   }
@@ -267,10 +215,9 @@
     readonly reason: string;
   }): void {
     const { routed, triedUpstreams } = forwarded;
-    const { dialect, events } = this.#options;
-    events.emit(REQUEST_EVENTS.attemptBroken, {
+    this.#options.events.emit(REQUEST_EVENTS.attemptBroken, {
       request: routed.requestId,
-      digest: digestOf(contentOf(routed, dialect)),
+      digest: forwarded.watch.digest,
       upstream: attempt.upstream.id,
       attempt: triedUpstreams.size,
       runMs: Math.round(attempt.runMs),
@@ -327,6 +274,7 @@
 
   #reportFailure(forwarded: ForwardedCall, failure: Failure): void {
     const { route, requestId } = forwarded.routed;
+    reportSuspect(forwarded.watch, { requestId, failure }, this.#options);
     this.#options.events.emit(REQUEST_EVENTS.callFailed, {
       request: requestId,
       route: route.name,
--- a/requests/forwarder_test_support.ts
+++ b/requests/forwarder_test_support.ts
@@ -20,6 +20,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
+import { TrustedCalls } from "#crashes";
 import { type Permits, UnlimitedPermits } from "#quotas";
 import { Forwarder } from "./forwarder.ts";
 import { TestDialect } from "./test_dialect.ts";
@@ -193,6 +194,7 @@
     onLeaving: ({ id }) => leaving.add(id),
     onRequestLimit: () => {},
     permits: limited.permits,
+    crashGuard: new TrustedCalls(),
   });
   try {
     await run({ forwarder, clock, events, upstreams, reached });
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -13,10 +13,16 @@
   type HttpResponse,
   type Milliseconds,
 } from "#core";
+import type { CallWatch, CrashGuard } from "#crashes";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import { EventParser } from "./event_parser.ts";
 import { REQUEST_EVENTS } from "./events.ts";
-import type { RoutedCall } from "./forwarded_call.ts";
+import {
+  blockedFailure,
+  contentOf,
+  type RoutedCall,
+} from "./forwarded_call.ts";
+import { isolateAttempt, reportSuspect } from "./isolated_attempt.ts";
 import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import type { StreamingResponse, UpstreamHttp } from "./upstream_http.ts";
@@ -32,6 +38,7 @@
   readonly dialect: UpstreamDialect;
   readonly http: UpstreamHttp;
   readonly choice: UpstreamChoice;
+  readonly crashGuard: CrashGuard;
 }
 
 /** A call for a stream, with the service that it is sent to. */
@@ -43,6 +50,9 @@
 
 interface OpenStream {
   readonly upstream: FleetUpstream;
+  readonly sentMs: Milliseconds;
+  /** Ends its right to run apart from other suspects, if it has one. */
+  readonly release: () => void;
   readonly response: StreamingResponse;
 }
 
@@ -54,6 +64,14 @@
   lastFailure: string;
   /** When a permit is likely to be available; 0 if the stream waits for none. */
   retryAfterMs: Milliseconds;
+  /** What is known of upstreams that crashed under the call. */
+  readonly watch: CallWatch;
+}
+
+/** An upstream that the stream may be sent to. */
+interface NextUpstream {
+  readonly upstream: FleetUpstream;
+  readonly release: () => void;
 }
 
 /** Forwards streams of events to callers. */
@@ -72,26 +90,27 @@
       lastEventId: null,
       lastFailure: "no upstream is known",
       retryAfterMs: 0,
+      watch: this.#options.crashGuard.watch(
+        contentOf(stream.routed, this.#options.dialect),
+      ),
     };
     const source = await this.#openNext(stream, progress);
     if (source === undefined) return this.#finalFailure(stream, progress);
-    const { head } = source.response;
+    const { head, bodyChunks } = source.response;
+    const isStream = head.status === OK_STATUS;
+    if (!isStream) source.release();
     return {
       status: head.status,
       headers: headerRecord(endToEndHeaders(head.rawHeaders)),
-      body: head.status === OK_STATUS
-        ? this.#relay(stream, progress, source)
-        : source.response.bodyChunks,
+      body: isStream ? this.#relay(stream, progress, source) : bodyChunks,
     };
   }
 
   #finalFailure(stream: StreamCall, progress: StreamProgress): Failure {
     const message = `no upstream started the stream: ${progress.lastFailure}`;
-    const failure = progress.possibleRuns > 0
-      ? fail("upstream_failed", message)
-      : fail("upstream_refused", message, {
-        retryAfterMs: Math.max(RETRY_AFTER_MS, progress.retryAfterMs),
-      });
+    const failure = failureOf(progress, message);
+    const { requestId } = stream.routed;
+    reportSuspect(progress.watch, { requestId, failure }, this.#options);
     this.#options.events.emit(REQUEST_EVENTS.callFailed, {
       request: stream.routed.requestId,
       route: stream.routed.route.name,
@@ -113,11 +132,16 @@
       ? Math.max(1, route.maximumAttempts)
       : 1;
     while (progress.possibleRuns < maximumAttempts && !call.signal.aborted) {
-      const upstream = await this.#nextUpstream(stream, progress);
-      if (upstream === undefined) return undefined;
+      const next = await this.#nextUpstream(stream, progress);
+      if (next === undefined) return undefined;
+      const { upstream, release } = next;
       progress.triedUpstreams.add(upstream.id);
+      const sentMs = this.#options.clock.nowMs();
       const response = await this.#open(stream, progress, upstream);
-      if (response !== undefined) return { upstream, response };
+      if (response !== undefined) {
+        return { upstream, response, sentMs, release };
+      }
+      release();
     }
     return undefined;
   }
@@ -125,16 +149,27 @@
   async #nextUpstream(
     stream: StreamCall,
     progress: StreamProgress,
-  ): Promise<FleetUpstream | undefined> {
+  ): Promise<NextUpstream | undefined> {
     const { service, routed: { route, call, deadlineMs } } = stream;
     const { choice } = this.#options;
-    const { triedUpstreams: tried } = progress;
+    const { triedUpstreams: tried, watch } = progress;
     const demand: UpstreamDemand = { service, route, tried };
-    const upstream = choice.choose(demand);
-    if (upstream !== undefined) return upstream;
     const limits = { cutoffMs: deadlineMs, signal: call.signal };
+    if (watch.standing === "blocked") return undefined;
+    if (watch.standing === "suspect") {
+      const suspect = { watch, demand, ...limits };
+      const isolated = await isolateAttempt(suspect, this.#options);
+      if (isolated.kind === "granted") return isolated;
+      progress.lastFailure = isolated.reason;
+      return undefined;
+    }
+    const release = (): void => {};
+    const upstream = choice.choose(demand);
+    if (upstream !== undefined) return { upstream, release };
     const outcome = await choice.acquire(demand, limits);
-    if (outcome.kind === "granted") return outcome.upstream;
+    if (outcome.kind === "granted") {
+      return { upstream: outcome.upstream, release };
+    }
     progress.retryAfterMs = outcome.retryAfterMs;
     return undefined;
   }
@@ -162,8 +197,12 @@
     });
     if (result.err) {
       progress.lastFailure = result.val.reason;
-      if (result.val.mayHaveRun) progress.possibleRuns += 1;
       choice.selector.pause(upstream.id, clock.nowMs());
+      if (result.val.mayHaveRun) {
+        progress.possibleRuns += 1;
+        const cancelled = call.signal.aborted;
+        await progress.watch.recordBroken({ upstream, cancelled });
+      }
       return undefined;
     }
     const metadata = dialect.readResponse(result.val.head);
@@ -189,8 +228,20 @@
   ): AsyncGenerator<string> {
     let source: OpenStream | undefined = first;
     while (source !== undefined) {
-      const isComplete = yield* this.#relayFrom(progress, source);
-      if (isComplete) return;
+      const { upstream, sentMs, release } = source;
+      let isComplete = false;
+      try {
+        isComplete = yield* this.#relayFrom(progress, source);
+      } finally {
+        // Also if the caller reads no further.
+        release();
+      }
+      if (isComplete) {
+        const succeeded = true;
+        return progress.watch.recordAnswered({ upstream, sentMs, succeeded });
+      }
+      const cancelled = stream.routed.call.signal.aborted;
+      await progress.watch.recordBroken({ upstream, cancelled });
       if (!stream.routed.route.resumable) break;
       source = await this.#openNext(stream, progress);
     }
@@ -228,6 +279,13 @@
   }
 }
 
+function failureOf(progress: StreamProgress, message: string): Failure {
+  if (progress.possibleRuns > 0) return fail("upstream_failed", message);
+  if (progress.watch.standing === "blocked") return blockedFailure();
+  const retryAfterMs = Math.max(RETRY_AFTER_MS, progress.retryAfterMs);
+  return fail("upstream_refused", message, { retryAfterMs });
+}
+
 function isNextEvent(id: number, last: number | null): boolean {
   return last === null || id === last + 1;
 }
--- a/requests/upstream_choice.ts
+++ b/requests/upstream_choice.ts
@@ -19,6 +19,8 @@
   readonly route: RouteRule;
   /** Upstreams that it was sent to. */
   readonly tried: ReadonlySet<string>;
+  /** The one upstream that it may be sent to; any if absent. */
+  readonly only?: string;
   /** Share of an upstream's slots that calls like this one may use while others of its service name limits; all if absent. */
   readonly slotShare?: number | undefined;
   /** How long it may wait for a permit; part of the route's latency objective if absent. */
@@ -62,7 +64,7 @@
     const { permits, clock } = this.#options;
     const { hasWaited = false } = options;
     const { isHedge = false, tried } = demand;
-    const ready = this.#readyUpstreams(demand.service);
+    const ready = this.#readyUpstreams(demand);
     const knowsLimit = ready.some(isLimited);
     if (knowsLimit && !isHedge) permits.noteRequest(demand.service);
     const usable = ready.filter((upstream) => {
@@ -79,9 +81,9 @@
   }
 
   /** Whether a call for which no upstream is available now may get a permit for one. */
-  mayGetPermit({ service, tried }: UpstreamDemand): boolean {
-    return this.#readyUpstreams(service).some((each) =>
-      isLimited(each) && !tried.has(each.id)
+  mayGetPermit(demand: UpstreamDemand): boolean {
+    return this.#readyUpstreams(demand).some((each) =>
+      isLimited(each) && !demand.tried.has(each.id)
     );
   }
 
@@ -108,7 +110,7 @@
       patienceMs: Math.min(patienceMs, leftMs),
       signal: options.signal,
       accepts: (upstream) =>
-        !tried.has(upstream.id) &&
+        !tried.has(upstream.id) && isAllowed(upstream, demand) &&
         (isLimited(upstream) || this.#hasCapacity(upstream, demand)),
     });
   }
@@ -122,9 +124,10 @@
     this.#options.permits.handleFreeSlot(upstream.service);
   }
 
-  #readyUpstreams(service: string): readonly FleetUpstream[] {
+  #readyUpstreams(demand: UpstreamDemand): readonly FleetUpstream[] {
     return this.#options.upstreams().filter((each) =>
-      each.service === service && each.phase === "ready"
+      each.service === demand.service && each.phase === "ready" &&
+      isAllowed(each, demand)
     );
   }
 
@@ -138,3 +141,7 @@
       !this.selector.isPaused(upstream.id, this.#options.clock.nowMs());
   }
 }
+
+function isAllowed(upstream: FleetUpstream, { only }: UpstreamDemand): boolean {
+  return only === undefined || upstream.id === only;
+}
