Leave a service its last upstreams while suspects are told apart

Traced in a model of the entry VMs, the control VMs and one service (requests/crash_world.ts): the second attempt of a suspect leaves one upstream, and a hedged or first attempt of another crashing call that one too.

- A call that ran alone at an upstream that crashed waits, as one with two crashes does, until most of the service is up; a call that was there beside others still runs apart at once.
- No call is hedged while an upstream of its service has crashed under a call and is not back.

One test of the decisions plays its suspect beside another one now, since alone it is held longer; what it asserts is the same.

--- a/crashes/caller_guard.ts
+++ b/crashes/caller_guard.ts
@@ -90,6 +90,14 @@
     return "suspect";
   }
 
+  /** Whether an upstream of a service that crashed under a call has not started again yet. */
+  hasCrashedUpstream(service: string): boolean {
+    const { crashes, upstreams } = this.#options;
+    return upstreams().some((each) =>
+      each.service === service && crashes.hasCrashed(each)
+    );
+  }
+
   /** Finds out whether the upstream of an attempt has crashed. */
   async recordBroken(
     call: CallWatch,
@@ -217,6 +225,11 @@
     return this.#guard.standingOf(this);
   }
 
+  override mayHedge(service: string): boolean {
+    return this.standing === "clear" &&
+      !this.#guard.hasCrashedUpstream(service);
+  }
+
   override isolate(demand: IsolationDemand): Promise<IsolationOutcome> {
     return this.#guard.isolate(this, demand);
   }
--- a/crashes/crash_guard.ts
+++ b/crashes/crash_guard.ts
@@ -62,6 +62,8 @@
   }
 
   abstract get standing(): CallStanding;
+  /** Whether a second attempt may run beside the first one, at another upstream of the service. */
+  abstract mayHedge(service: string): boolean;
   /** Waits for an upstream at which no other suspect runs. */
   abstract isolate(demand: IsolationDemand): Promise<IsolationOutcome>;
   /** Resolves when it is known, as far as that is possible at once, whether the upstream crashed. */
@@ -87,6 +89,10 @@
     return "clear";
   }
 
+  override mayHedge(): boolean {
+    return true;
+  }
+
   override isolate(): Promise<IsolationOutcome> {
     const reason = "the call is no suspect";
     return Promise.resolve({ kind: "rejected", reason });
--- a/crashes/isolated_runs.ts
+++ b/crashes/isolated_runs.ts
@@ -17,13 +17,15 @@
 
 /** Time after which a run no longer counts, as its VM may have failed. */
 const RUN_MS: Milliseconds = SECOND_MS;
-/** Crashes from which on a call is so likely to crash the next upstream that most of the service must be up. */
+/** Crashes from which on a call is so likely to crash the next upstream that most of its service must be up. */
 export const LIKELY_CRASHES = 2;
 
 /** What is known of crashes. */
 export interface CrashKnowledge {
   crashesOf(digest: string): number;
   isBlocked(digest: string): boolean;
+  /** Whether an upstream crashed while no other suspect is known to have run there. */
+  ranAlone(digest: string): boolean;
   hasCrashed(incarnation: string): boolean;
 }
 
@@ -148,15 +150,21 @@
     const running = this.#runningIn(service);
     const runs = running.size;
     if (runs >= maximumRuns(copies)) return undefined;
-    const crashes = this.#options.crashes.crashesOf(digest);
     const spare = copies.up.length - runs - 1;
-    if (spare < requiredSpare(copies, crashes)) return undefined;
+    const isLikely = this.#isLikelyToCrash(digest);
+    if (spare < requiredSpare(copies, isLikely)) return undefined;
     const free = copies.up.filter((each) =>
       !tried.includes(each.id) && !running.has(incarnationOf(each))
     );
     return free.find((each) => each.zone === zone) ?? free[0];
   }
 
+  #isLikelyToCrash(digest: string): boolean {
+    const { crashes } = this.#options;
+    return crashes.crashesOf(digest) >= LIKELY_CRASHES ||
+      crashes.ranAlone(digest);
+  }
+
   #copiesOf(service: string): Copies {
     const { crashes, upstreamsOf } = this.#options;
     const known = upstreamsOf(service);
@@ -178,8 +186,10 @@
   return Math.max(1, Math.floor(up.length / 2));
 }
 
-/** Returns how many upstreams must be left if all that run suspects crash; none if the service has only one. */
-function requiredSpare({ known }: Copies, crashes: number): number {
-  const wanted = crashes >= LIKELY_CRASHES ? Math.ceil(known / 2) : 1;
-  return Math.min(known - 1, wanted);
+/**
+ * Returns how many upstreams must be left if all that run suspects crash: half of the service for a call that is likely
+ * to crash the next one, else one; none if the service has only one.
+ */
+function requiredSpare({ known }: Copies, isLikely: boolean): number {
+  return Math.min(known - 1, isLikely ? Math.ceil(known / 2) : 1);
 }
--- a/crashes/isolated_runs_test.ts
+++ b/crashes/isolated_runs_test.ts
@@ -74,8 +74,8 @@
 
 test("a suspect is not sent to the last upstream that is up, and runs once another one has started", () => {
   const setup = new Setup(3);
-  setup.crash(0, ["a"]);
-  setup.crash(1, ["b"]);
+  setup.crash(0, ["a", "x"]);
+  setup.crash(1, ["x"]);
   const decisions = setup.ask("a");
   assert.equal(decisions.length, 0);
   setup.start(0);
@@ -83,6 +83,16 @@
   assert.equal(decisions[0]?.kind, "granted");
 });
 
+test("a call that ran alone at an upstream that crashed waits until most of the service is up, and one that did not runs", () => {
+  const setup = new Setup(3);
+  setup.crash(0, ["a"]);
+  const alone = setup.ask("a");
+  assert.equal(alone.length, 0);
+  setup.crash(0, ["b"]);
+  setup.runs.advance(10);
+  assert.equal(alone[0]?.kind, "granted");
+});
+
 test("a call under which two upstreams crashed waits until most of the service is up", () => {
   const setup = new Setup(3);
   setup.crash(0, ["a"]);
--- a/membership/crash_ledger.ts
+++ b/membership/crash_ledger.ts
@@ -88,6 +88,16 @@
     return false;
   }
 
+  /** Whether an upstream crashed while no other suspect is known to have run there. */
+  ranAlone(digest: string): boolean {
+    return this.incarnationsOf(digest).some((incarnation) => {
+      for (const [other, { crashes }] of this.#calls) {
+        if (other !== digest && crashes.has(incarnation)) return false;
+      }
+      return true;
+    });
+  }
+
   /** Records that an upstream crashed which may have run a call; returns whether that is news. */
   recordCrash(
     call: CallKey,
--- a/requests/attempt_series.ts
+++ b/requests/attempt_series.ts
@@ -18,7 +18,7 @@
   mayAttempt,
   upstreamDemand,
 } from "./forwarded_call.ts";
-import { isolateAttempt } from "./isolated_attempt.ts";
+import { isolateAttempt } from "./suspect_calls.ts";
 import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
 
 /** Share of the route's latency objective after which a call without a response is hedged. */
@@ -70,15 +70,20 @@
   }
 
   #begin(): void {
-    const { route } = this.#forwarded.routed;
-    const delayMs = route.objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
-    this.#hedgeTimer = this.#options.clock.after(delayMs, () => {
-      const isSent = this.#forwarded.triedUpstreams.size > 0;
-      if (route.kind === "idempotent" && isSent) this.#startNext(true);
-    });
+    const { objectiveMs } = this.#forwarded.routed.route;
+    const delayMs = objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
+    this.#hedgeTimer = this.#options.clock.after(delayMs, () => this.#hedge());
     this.#startOrSettle();
   }
 
+  #hedge(): void {
+    const { routed: { route }, triedUpstreams, watch, service } =
+      this.#forwarded;
+    if (route.kind !== "idempotent" || triedUpstreams.size === 0) return;
+    // While a service lacks upstreams that crashed, a hedge may cost it the next one.
+    if (watch.mayHedge(service)) this.#startNext(true);
+  }
+
   #startOrSettle(): void {
     if (this.#startNext() || this.#running > 0) return;
     this.#settle(finalResult(this.#forwarded));
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -39,7 +39,7 @@
 import { StreamForwarding } from "./stream_forwarding.ts";
 import { UpstreamChoice } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
-import { reportSuspect } from "./isolated_attempt.ts";
+import { recordOutcome, reportSuspect } from "./suspect_calls.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 import { type ResponseHead, UpstreamHttp } from "./upstream_http.ts";
 
@@ -196,16 +196,12 @@
     }
     if (attempt.kind === "not_run") forwarded.possibleRuns -= 1;
     if (attempt.kind !== "answer") forwarded.lastFailure = attempt.reason;
-    if (attempt.kind === "answer") {
-      const succeeded = attempt.response.status < MINIMUM_SERVER_ERROR_STATUS;
-      forwarded.watch.recordAnswered({ upstream, sentMs, succeeded });
-    }
-    if (attempt.kind === "unknown") {
+    if (attempt.kind === "unknown" && !cancelled) {
       const { reason } = attempt;
-      const runMs = nowMs - sentMs;
-      if (!cancelled) this.#logBroken(forwarded, { upstream, runMs, reason });
-      await forwarded.watch.recordBroken({ upstream, cancelled });
+      this.#logBroken(forwarded, { upstream, runMs: nowMs - sentMs, reason });
     }
+    const sent = { upstream, sentMs, cancelled };
+    await recordOutcome(forwarded.watch, attempt, sent);
     return attempt;
   }
 
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -22,7 +22,7 @@
   contentOf,
   type RoutedCall,
 } from "./forwarded_call.ts";
-import { isolateAttempt, reportSuspect } from "./isolated_attempt.ts";
+import { isolateAttempt, reportSuspect } from "./suspect_calls.ts";
 import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import type { StreamingResponse, UpstreamHttp } from "./upstream_http.ts";
--- a/requests/isolated_attempt.ts
+++ b/requests/suspect_calls.ts
@@ -1,5 +1,5 @@
 /**
- * Chooses the upstream of a call under which upstreams have crashed.
+ * How a call is sent and observed that may crash the upstreams which run it.
  *
  * @module
  */
@@ -11,6 +11,10 @@
   Milliseconds,
 } from "#core";
 import { type CallWatch, CRASH_EVENTS } from "#crashes";
+import {
+  type Attempt,
+  MINIMUM_SERVER_ERROR_STATUS,
+} from "./forwarded_attempt.ts";
 import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
 
 /** Longest time that a suspect waits for an upstream of its own. */
@@ -63,6 +67,26 @@
   return { kind: "rejected", reason: "its upstream does not accept it now" };
 }
 
+/** Records what an attempt shows about its upstream; resolves when it is known, as far as possible, whether it crashed. */
+export async function recordOutcome(
+  watch: CallWatch,
+  attempt: Attempt,
+  sent: {
+    readonly upstream: FleetUpstream;
+    readonly sentMs: Milliseconds;
+    /** Whether this VM ended the attempt. */
+    readonly cancelled: boolean;
+  },
+): Promise<void> {
+  const { upstream, sentMs, cancelled } = sent;
+  if (attempt.kind === "unknown") {
+    await watch.recordBroken({ upstream, cancelled });
+  }
+  if (attempt.kind !== "answer") return;
+  const succeeded = attempt.response.status < MINIMUM_SERVER_ERROR_STATUS;
+  watch.recordAnswered({ upstream, sentMs, succeeded });
+}
+
 /** Logs that a call failed as a suspect. */
 export function reportSuspect(
   watch: CallWatch,
