Let control VMs tell each other again which upstreams crashed under which call

A notice to a control VM without a connection is lost, and a crash was told to each of them once: one that missed it would have served its followers without it until the call crashed something else. Limits and leaving upstreams go round again with the heartbeats; crashes now do with the gossip, at most 64 records, those with the most crashes first, to one control VM in turn.

--- a/membership/crash_ledger.ts
+++ b/membership/crash_ledger.ts
@@ -138,6 +138,23 @@
     return this.#describe(changed, nowMs);
   }
 
+  /** Returns the records of the blocked calls. */
+  blocked(nowMs: Milliseconds): readonly CrashRecord[] {
+    const digests = [...this.#calls.keys()].filter((each) =>
+      this.isBlocked(each)
+    );
+    return this.#describe(digests, nowMs);
+  }
+
+  /** Returns so many records, those with the most crashes first. */
+  mostImportant(count: number, nowMs: Milliseconds): readonly CrashRecord[] {
+    const byImportance = [...this.#calls].sort(([, a], [, b]) =>
+      compareImportance(b, a)
+    );
+    const digests = byImportance.slice(0, count).map(([digest]) => digest);
+    return this.#describe(digests, nowMs);
+  }
+
   /** Returns the record of a call, or undefined if nothing is known of it. */
   recordOf(digest: string, nowMs: Milliseconds): CrashRecord | undefined {
     return this.#describe([digest], nowMs)[0];
@@ -152,7 +169,7 @@
     }
     if (this.#calls.size <= MAXIMUM_CALLS) return;
     const byImportance = [...this.#calls].sort(([, a], [, b]) =>
-      a.crashes.size - b.crashes.size || lastChangeMs(a) - lastChangeMs(b)
+      compareImportance(a, b)
     );
     const excess = byImportance.slice(0, this.#calls.size - MAXIMUM_CALLS);
     for (const [digest] of excess) this.#calls.delete(digest);
@@ -231,6 +248,10 @@
   return dropped;
 }
 
+function compareImportance(a: KnownCall, b: KnownCall): number {
+  return a.crashes.size - b.crashes.size || lastChangeMs(a) - lastChangeMs(b);
+}
+
 function lastChangeMs(call: KnownCall): Milliseconds {
   return Math.max(call.answeredMs, ...call.crashes.values());
 }
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -37,6 +37,8 @@
 import { digestOf, VmObservations } from "./vm_observations.ts";
 
 const GOSSIP_INTERVAL_MS: Milliseconds = 500;
+/** Most records of crashes in one round of gossip. */
+const GOSSIPED_CRASH_RECORDS = 64;
 /** Marks the epoch of revisions that were created before the table was complete. */
 const PARTIAL_EPOCH_SUFFIX = "-partial";
 const DEPARTURE_RETENTION_MS: Milliseconds = 60_000;
@@ -220,6 +222,19 @@
       const notice: FleetNotice = { kind: "nodes", nodes, askBeats };
       network.notify({ to, channel: "fleet" }, notice);
     }
+    if (completeFor !== undefined) this.#gossipCrashes(completeFor);
+  }
+
+  /** Sends the crashes under calls again, as a notice to a VM without a connection is lost. */
+  #gossipCrashes(to: string): void {
+    const { network, clock } = this.#options;
+    const records = this.#crashes.mostImportant(
+      GOSSIPED_CRASH_RECORDS,
+      clock.nowMs(),
+    );
+    if (records.length === 0) return;
+    const notice: FleetNotice = { kind: "crashes", records };
+    network.notify({ to, channel: "fleet" }, notice);
   }
 
   #notifyPeers(notice: FleetNotice): void {
