Store blocked calls on the control VMs

What is known of crashes is held in memory by all VMs. If all of them lose power at once, a blocked call was a call like any other and could crash three more upstreams. Control VMs now write the blocked calls, never the suspects, to a file of their own beside the log; that happens once per blocked call. A file that can't be read or written leaves a log line (1424) and nothing else.

Ruled out: a state machine in the control log, whose commands replicas of earlier builds can't apply during a rolling update.

--- a/membership/events.ts
+++ b/membership/events.ts
@@ -144,6 +144,14 @@
       "an upstream responded completely to a suspect, which is none any more",
     action: "None; the upstreams in `incarnations` crashed for another reason.",
   },
+  blockedCallsNotStored: {
+    code: 1424,
+    level: "warn",
+    text:
+      "the file with the blocked calls could not be read or written on this control VM",
+    action:
+      "Check the disk. The other VMs still know the blocked calls; they are forgotten only if all VMs lose power.",
+  },
   isolated: {
     code: 1418,
     level: "warn",
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+export * from "./blocked_call_store.ts";
 export * from "./bundle_follower.ts";
 export * from "./bundle_server.ts";
 export * from "./control_client.ts";
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -19,6 +19,7 @@
   type Result,
 } from "#core";
 import {
+  BlockedCallStore,
   FleetServer,
   isOnHostOfLeader,
   LeaderClient,
@@ -73,6 +74,7 @@
   readonly #engineOrders: EngineOrders;
   readonly #permits: PermitServer;
   readonly #isolation: IsolationServer;
+  readonly #blockedCalls: BlockedCallStore;
   readonly #server: HttpServer;
   readonly #monitoring: NodeMonitoring;
 
@@ -138,6 +140,11 @@
       upstreamsOf: (service) => this.#fleet.readyUpstreams(service),
       recordCrashes: (records) => this.#fleet.recordCrashes(records),
     });
+    this.#blockedCalls = new BlockedCallStore({
+      ...base,
+      folder: openDataFolder(settings, "crashes"),
+      ledger: this.#fleet.crashes,
+    });
     this.#server = this.#buildServer();
     this.#monitoring = new NodeMonitoring(base, {
       heldSizes: () => this.#heldSizes(),
@@ -158,7 +165,11 @@
     });
     this.#log.onApplied(() => this.#fleet.wakeWaiters());
     this.#fleet.start();
-    this.#fleet.onChange(() => this.#isolation.handleChange());
+    await this.#blockedCalls.load();
+    this.#fleet.onChange(() => {
+      this.#isolation.handleChange();
+      void this.#blockedCalls.update();
+    });
     serveLeaderRequests(network, [this.#permits, this.#isolation]);
     this.#permits.start();
     await this.#log.start();
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -222,13 +222,13 @@
   return { host, port: Number(vm.slice(host.length + 1)) };
 }
 
-/** Returns the files of a role in the data folder of its machine. */
+/** Returns the files of a role, or of a part of it, in the data folder of its machine. */
 export function openDataFolder(
   settings: NodeSettings,
-  role: FleetRole,
+  part: FleetRole | "crashes",
 ): FileFolder {
   return new FileFolder(settings.dataFolder ?? DEFAULT_DATA_FOLDER, {
     lock: "none",
-    prefix: `${role}-`,
+    prefix: `${part}-`,
   });
 }
