--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -19,28 +19,23 @@
 } from "#core";
 import type { PeerNetwork } from "#wire";
 import { CrashLedger } from "./crash_ledger.ts";
-import type { CrashRecord, CrashRevision } from "./crash_records.ts";
+import type { CrashRecord } from "./crash_records.ts";
 import {
   type FleetNotice,
-  type FleetRevision,
-  type FollowReply,
-  type FollowRequest,
   type LimitObservation,
   parseFleetNotice,
   parseFollowRequest,
   type UpstreamIncarnation,
 } from "./fleet_messages.ts";
-import { FleetDeltas } from "./fleet_deltas.ts";
 import { FleetTable } from "./fleet_table.ts";
+import { FollowReplies, hasUpdates } from "./follow_replies.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
 import type { ObservedNode } from "./placement_plan.ts";
-import { digestOf, VmObservations } from "./vm_observations.ts";
+import { VmObservations } from "./vm_observations.ts";
 
 const GOSSIP_INTERVAL_MS: Milliseconds = 500;
 /** Most records of crashes in one round of gossip. */
 const GOSSIPED_CRASH_RECORDS = 64;
-/** Marks the epoch of revisions that were created before the table was complete. */
-const PARTIAL_EPOCH_SUFFIX = "-partial";
 const DEPARTURE_RETENTION_MS: Milliseconds = 60_000;
 
 /** Options of `FleetServer`. */
@@ -67,7 +62,7 @@
 export class FleetServer {
   readonly #options: FleetServerOptions;
   readonly #table: FleetTable;
-  readonly #deltas: FleetDeltas;
+  readonly #replies: FollowReplies;
   readonly #vms: VmObservations;
   readonly #crashes = new CrashLedger();
   readonly #waiters = new Set<() => void>();
@@ -83,8 +78,14 @@
       heartbeatTimeoutMs: options.heartbeatTimeoutMs,
       retentionMs: DEPARTURE_RETENTION_MS,
     });
-    this.#deltas = new FleetDeltas(this.#table);
     this.#vms = new VmObservations(options);
+    this.#replies = new FollowReplies({
+      ...options,
+      table: this.#table,
+      vms: this.#vms,
+      crashes: this.#crashes,
+      isComplete: () => this.isComplete(),
+    });
     this.#startedMs = options.clock.nowMs();
   }
 
@@ -319,12 +320,12 @@
       ? await this.#options.confirm()
       : undefined;
     if (confirmed?.err) return Err(confirmed.val);
-    const reply = this.#createReply(request, confirmed !== undefined);
+    const reply = this.#replies.create(request, confirmed !== undefined);
     const hasConfirmed = confirmed !== undefined &&
       this.#options.configuration() !== null;
     if (hasConfirmed || hasUpdates(reply) || !reply.current) return Ok(reply);
     await this.#waitForChange(request.waitMs);
-    return Ok(this.#createReply(request, false));
+    return Ok(this.#replies.create(request, false));
   }
 
   #waitForChange(waitMs: Milliseconds): Promise<void> {
@@ -338,64 +339,4 @@
       this.#waiters.add(wake);
     });
   }
-
-  /** Returns the upstreams that a follower lacks, or all if it can't apply a change to those that it has. */
-  #fleetFor(
-    request: FollowRequest,
-    revision: FleetRevision,
-  ): NonNullable<FollowReply["fleet"]> {
-    const complete = this.isComplete();
-    const known = request.fleet;
-    const mayUseDelta = request.acceptsDeltas === true && complete &&
-      this.#options.reachesQuorum() && known?.epoch === revision.epoch;
-    const delta = mayUseDelta ? this.#deltas.since(known.revision) : undefined;
-    if (delta === undefined) {
-      return { revision, complete, upstreams: this.#table.listed() };
-    }
-    return { revision, complete, ...delta, since: known?.revision ?? 0 };
-  }
-
-  #createReply(request: FollowRequest, confirmed: boolean): FollowReply {
-    const rules = this.#options.configuration()?.rules ?? null;
-    const placement = this.#options.placement();
-    const complete = this.isComplete();
-    const epoch = this.#options.epoch + (complete ? "" : PARTIAL_EPOCH_SUFFIX);
-    const revision = { epoch, revision: this.#table.revision };
-    const nodes = this.#vms.listed();
-    const nodesDigest = digestOf(nodes);
-    const sameFleet = request.fleet?.epoch === epoch &&
-      request.fleet.revision === revision.revision;
-    return {
-      current: this.#options.reachesQuorum(),
-      confirmed,
-      configuration:
-        rules !== null && rules.version > request.configurationVersion
-          ? rules
-          : null,
-      fleet: sameFleet ? null : this.#fleetFor(request, revision),
-      placement: placement.revision > request.placementRevision
-        ? placement
-        : null,
-      nodes: nodesDigest === request.nodesDigest ? null : nodes,
-      nodesDigest,
-      ...this.#crashesFor(request.crashRevision),
-    };
-  }
-
-  /** Returns the crashes under calls that are news to a follower; none to one of an earlier build. */
-  #crashesFor(known: CrashRevision | undefined): Pick<FollowReply, "crashes"> {
-    if (known === undefined) return {};
-    const { clock, epoch } = this.#options;
-    const sinceRevision = known.epoch === epoch ? known.revision : 0;
-    const { revision } = this.#crashes;
-    if (sinceRevision === revision) return {};
-    const records = this.#crashes.since(sinceRevision, clock.nowMs());
-    return { crashes: { revision: { epoch, revision }, records } };
-  }
-}
-
-function hasUpdates(reply: FollowReply): boolean {
-  return reply.configuration !== null || reply.fleet !== null ||
-    reply.placement !== null || reply.nodes !== null ||
-    reply.crashes !== undefined;
 }
