Let calls crash workers in the soak

The oracle counts runs later than 3 s after the third crash of a call, and calls that are blocked without having crashed anything.

--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak -- --first S --seeds N --seconds T`: runs the soak for several seeds and prints each broken promise.
+ * `npm run soak -- --first S --seeds N --seconds T --crashing C`: runs the soak for several seeds and prints each broken promise.
  *
  * @module
  */
@@ -16,13 +16,19 @@
     first: { type: "string", default: "1" },
     seeds: { type: "string", default: "1" },
     seconds: { type: "string", default: "10" },
+    crashing: { type: "string", default: "2" },
   },
 });
+const crashingCalls = Number(values.crashing);
 const durationMs = Number(values.seconds) * SECOND_MS;
 let failed = 0;
 for (let at = 0; at < Number(values.seeds); at += 1) {
   const seed = Number(values.first) + at;
-  const record = await runSoak(seed, { durationMs, workers: WORKERS });
+  const record = await runSoak(seed, {
+    durationMs,
+    workers: WORKERS,
+    crashingCalls,
+  });
   const broken = brokenPromises(record);
   if (broken.length > 0) failed += 1;
   const statuses = countStatuses(record.calls.map((each) => each.status));
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -25,6 +25,12 @@
       readonly worker: number;
       readonly perSecond: number | null;
     }
+    | {
+      /** A call that crashes each worker which runs it comes once a second. */
+      readonly kind: "crashing_call";
+      readonly call: number;
+      readonly forMs: Milliseconds;
+    }
   );
 
 const ROLES = ["entry", "control", "store"] as const;
@@ -37,11 +43,14 @@
 /** Limits that workers name. */
 const LIMITS: readonly (number | null)[] = [1, 2, 5, 12, null];
 const LIMIT_CHANCE = 0.4;
+const CRASHING_CALL_MS: Milliseconds = 8 * SECOND_MS;
 
 /** Size of a run. */
 export interface SoakSize {
   readonly durationMs: Milliseconds;
   readonly workers: number;
+  /** Number of calls that crash each worker which runs them. */
+  readonly crashingCalls: number;
 }
 
 /**
@@ -79,7 +88,13 @@
     }
     atMs += between(random, MINIMUM_GAP_MS, LONGEST_GAP_MS);
   }
-  return faults;
+  // Drawn last, so that a seed draws the same other faults with and without them.
+  for (let call = 0; call < size.crashingCalls; call += 1) {
+    const startMs = between(random, SECOND_MS, size.durationMs);
+    const forMs = CRASHING_CALL_MS;
+    faults.push({ atMs: startMs, kind: "crashing_call", call, forMs });
+  }
+  return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
 function between(
--- a/soak/soak_oracle.ts
+++ b/soak/soak_oracle.ts
@@ -14,6 +14,10 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const OK_STATUS = 200;
 const LEAST_SERVED_SHARE = 0.9;
+const CRASHES_TO_BLOCK = 3;
+const MAXIMUM_FURTHER_RUNS = 3;
+/** Kind of the failure of a call that is blocked. */
+const BLOCKED_KIND = '"call_blocked"';
 
 /** One call, as its caller saw it. */
 export interface SoakCall {
@@ -29,19 +33,24 @@
 }
 
 /** One worker: what it executed, and which limits it named from when on. */
-export interface SoakWorker {
+export interface SoakWorkerRecord {
   readonly name: string;
   readonly executed: readonly ExecutedRequest[];
   readonly limits: readonly {
     readonly fromMs: Milliseconds;
     readonly perSecond: number | null;
   }[];
+  /** When it crashed, and the calls that it was running. */
+  readonly crashes: readonly {
+    readonly atMs: Milliseconds;
+    readonly bodies: readonly string[];
+  }[];
 }
 
 /** Everything seen in a run. */
 export interface SoakRecord {
   readonly calls: readonly SoakCall[];
-  readonly workers: readonly SoakWorker[];
+  readonly workers: readonly SoakWorkerRecord[];
   /** Most workers that a route allows a call to be sent to. */
   readonly maximumAttempts: number;
 }
@@ -52,6 +61,8 @@
     ...checkResponses(record),
     ...checkExecutions(record),
     ...record.workers.flatMap((worker) => checkLimits(worker)),
+    ...checkCrashes(record.workers),
+    ...checkBlocked(record),
     ...checkRecovery(record.calls),
   ];
 }
@@ -90,7 +101,7 @@
 }
 
 /** The highest limit named within a span counts, since VMs learn of a lower one only from a response. */
-function checkLimits(worker: SoakWorker): readonly string[] {
+function checkLimits(worker: SoakWorkerRecord): readonly string[] {
   const times = worker.executed.map((each) => each.atMs).sort((a, b) => a - b);
   for (const endMs of times) {
     const startMs = endMs - SPAN_MS;
@@ -106,7 +117,7 @@
 
 /** Returns the highest limit of a span, or null if the worker named none at some time in it. */
 function limitWithin(
-  worker: SoakWorker,
+  worker: SoakWorkerRecord,
   startMs: Milliseconds,
   endMs: Milliseconds,
 ): number | null {
@@ -120,6 +131,37 @@
   return highest;
 }
 
+/** A call that has crashed three workers may reach others three times more, from when all VMs may know of it. */
+function checkCrashes(
+  workers: readonly SoakWorkerRecord[],
+): readonly string[] {
+  const broken: string[] = [];
+  const crashes = workers.flatMap((worker) => worker.crashes)
+    .toSorted((a, b) => a.atMs - b.atMs);
+  for (const body of new Set(crashes.flatMap((each) => each.bodies))) {
+    const ofCall = crashes.filter((each) => each.bodies.includes(body));
+    const third = ofCall[CRASHES_TO_BLOCK - 1];
+    if (third === undefined) continue;
+    const runs = workers.flatMap((worker) => worker.executed).filter((each) =>
+      each.body === body && each.atMs > third.atMs + CONTACT_MS
+    );
+    if (runs.length <= MAXIMUM_FURTHER_RUNS) continue;
+    broken.push(`"${body}" ran ${runs.length} times more`);
+  }
+  return broken;
+}
+
+/** Only calls under which workers crashed may be blocked. */
+function checkBlocked({ calls, workers }: SoakRecord): readonly string[] {
+  const crashed = new Set(
+    workers.flatMap((worker) => worker.crashes.flatMap((each) => each.bodies)),
+  );
+  const blocked = calls.filter(({ text, body }) =>
+    text.includes(BLOCKED_KIND) && !crashed.has(body)
+  );
+  return blocked.map(({ id, body }) => `${id} ("${body}") was blocked`);
+}
+
 function checkRecovery(calls: readonly SoakCall[]): readonly string[] {
   const late = calls.filter((each) => each.afterFaults);
   const served = late.filter((each) => each.status === OK_STATUS).length;
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -10,11 +10,11 @@
   SECOND_MS,
   SeededRandom,
 } from "#core";
-import { FakeWorker } from "#platform";
 import { delay, waitUntil } from "../proof/managed_process.ts";
 import { NodeCluster } from "../proof/node_cluster.ts";
 import { drawFaults, type SoakFault, type SoakSize } from "./soak_faults.ts";
-import type { SoakCall, SoakRecord, SoakWorker } from "./soak_oracle.ts";
+import type { SoakCall, SoakRecord } from "./soak_oracle.ts";
+import { CRASHING_BODY_PREFIX, SoakWorker } from "./soak_worker.ts";
 
 const SITE = { block: "127.8", network: 11 };
 const HOST = "site.example";
@@ -23,6 +23,7 @@
 const START_TIMEOUT_MS: Milliseconds = 60_000;
 const HEARTBEAT_INTERVAL_MS: Milliseconds = 300;
 const CALL_INTERVAL_MS: Milliseconds = 70;
+const CRASHING_CALL_INTERVAL_MS: Milliseconds = SECOND_MS;
 const CALL_TIMEOUT_MS: Milliseconds = 2_000;
 /** Time after the last fault in which the site recovers. */
 const RECOVERY_MS: Milliseconds = 12 * SECOND_MS;
@@ -45,15 +46,6 @@
   services: [{ name: SERVICE, max_conns: 100 }],
 };
 
-interface LimitedWorker {
-  readonly fake: FakeWorker;
-  readonly name: string;
-  readonly limits: {
-    readonly fromMs: number;
-    readonly perSecond: number | null;
-  }[];
-}
-
 /** Runs one seed and returns what callers and workers saw. */
 export async function runSoak(
   seed: number,
@@ -72,7 +64,7 @@
 class SoakSite {
   readonly #size: SoakSize;
   readonly #cluster = new NodeCluster(SITE);
-  readonly #workers: LimitedWorker[] = [];
+  readonly #workers: readonly SoakWorker[];
   readonly #calls: SoakCall[] = [];
   readonly #pending = new Set<Promise<void>>();
   #heartbeats: NodeJS.Timeout | undefined;
@@ -81,36 +73,28 @@
 
   constructor(size: SoakSize) {
     this.#size = size;
-    for (let at = 0; at < size.workers; at += 1) {
-      const name = `w${at}`;
-      const fake = new FakeWorker({
-        id: name,
-        service: SERVICE,
-        zone: `z${at % ZONES.length + 1}`,
-        address: this.#cluster.fakeAddress(at),
-        models: [],
-        eventMs: 40,
-        startedMs: Date.now(),
-      });
-      this.#workers.push({
-        fake,
-        name,
-        limits: [{ fromMs: 0, perSecond: null }],
-      });
-    }
+    this.#workers = Array.from(
+      { length: size.workers },
+      (_, at) =>
+        new SoakWorker({
+          name: `w${at}`,
+          service: SERVICE,
+          zone: `z${at % ZONES.length + 1}`,
+          address: this.#cluster.fakeAddress(at),
+        }),
+    );
   }
 
   /** Starts everything and waits until each entry VM serves calls. */
   async start(): Promise<void> {
     await this.#cluster.start();
-    for (const { fake } of this.#workers) await fake.listen();
+    for (const worker of this.#workers) await worker.start();
     let turn = 0;
     this.#heartbeats = setInterval(() => {
-      for (const { fake } of this.#workers) {
+      for (const worker of this.#workers) {
         turn += 1;
-        void fake.sendHeartbeat(
-          this.#cluster.controlAddress(turn % ZONES.length),
-        );
+        const control = this.#cluster.controlAddress(turn % ZONES.length);
+        worker.sendHeartbeat(control);
       }
     }, HEARTBEAT_INTERVAL_MS);
     await waitUntil(
@@ -139,7 +123,7 @@
     const callers = setInterval(() => this.#startCall(), CALL_INTERVAL_MS);
     try {
       await this.#cause(faults);
-      for (const worker of this.#workers) setLimit(worker, null);
+      for (const worker of this.#workers) worker.setLimit(null);
       await delay(RECOVERY_MS);
     } finally {
       clearInterval(callers);
@@ -149,14 +133,14 @@
     for (let call = 0; call < CALLS_AFTER_FAULTS; call += 1) await this.#call();
     return {
       calls: this.#calls,
-      workers: this.#workers.map(toRecord),
+      workers: this.#workers.map((each) => each.record),
       maximumAttempts: MAXIMUM_ATTEMPTS,
     };
   }
 
   async close(): Promise<void> {
     clearInterval(this.#heartbeats);
-    for (const { fake } of this.#workers) fake.close();
+    for (const worker of this.#workers) worker.stop();
     await this.#cluster.close();
   }
 
@@ -175,10 +159,10 @@
 
   async #causeOne(fault: SoakFault): Promise<void> {
     if (fault.kind === "limit") {
-      const worker = this.#workers[fault.worker];
-      if (worker !== undefined) setLimit(worker, fault.perSecond);
+      this.#workers[fault.worker]?.setLimit(fault.perSecond);
       return;
     }
+    if (fault.kind === "crashing_call") return this.#repeatCrashing(fault);
     const vm = this.#cluster.vm(fault.role, fault.zone);
     if (fault.kind === "pause") {
       vm.pause();
@@ -192,16 +176,26 @@
     vm.restart();
   }
 
-  #startCall(): void {
-    const call = this.#call();
+  async #repeatCrashing(
+    fault: SoakFault & { readonly kind: "crashing_call" },
+  ): Promise<void> {
+    const untilMs = performance.now() + fault.forMs;
+    while (performance.now() < untilMs) {
+      this.#startCall(`${CRASHING_BODY_PREFIX} ${fault.call}`);
+      await delay(CRASHING_CALL_INTERVAL_MS);
+    }
+  }
+
+  /** Sends a call like no other, or one with this body. */
+  #startCall(body?: string): void {
+    const call = this.#call(body);
     this.#pending.add(call);
     void call.finally(() => this.#pending.delete(call));
   }
 
-  async #call(): Promise<void> {
+  async #call(body = `card ${this.#sent + 1}`): Promise<void> {
     this.#sent += 1;
     const id = `call-${this.#sent}`;
-    const body = `card ${this.#sent}`;
     const kind = this.#sent % 2 === 0 ? "idempotent" : "once";
     const route = kind === "once" ? "non_idempotent" : "idempotent";
     const afterFaults = this.#afterFaults;
@@ -215,15 +209,6 @@
   }
 }
 
-function setLimit(worker: LimitedWorker, perSecond: number | null): void {
-  worker.fake.requestLimit = perSecond;
-  worker.limits.push({ fromMs: performance.now(), perSecond });
-}
-
-function toRecord({ name, fake, limits }: LimitedWorker): SoakWorker {
-  return { name, limits, executed: fake.executedRequests };
-}
-
 interface Exchange {
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -5,7 +5,8 @@
 import { brokenPromises, type SoakRecord } from "./soak_oracle.ts";
 import { runSoak } from "./soak_site.ts";
 
-const SIZE = { durationMs: 10 * SECOND_MS, workers: 3 };
+const SIZE = { durationMs: 10 * SECOND_MS, workers: 3, crashingCalls: 0 };
+const CRASHING_SEED = 34;
 /** Seeds that failed once, with the cause. */
 const FAILED_SEEDS = [
   { seed: 3, cause: "limits of workers that no VM read" },
@@ -18,14 +19,20 @@
   });
 }
 
+test(`no call that crashes workers is sent on for good, and no other is blocked, while processes fail, seed ${CRASHING_SEED}`, async () => {
+  const size = { ...SIZE, crashingCalls: 2 };
+  const record = await runSoak(CRASHING_SEED, size);
+  assert.deepEqual(brokenPromises(record), []);
+});
+
 test("a seed draws the same faults each time, and never two processes of one role at once", () => {
-  const size = { durationMs: 60 * SECOND_MS, workers: 3 };
+  const size = { durationMs: 60 * SECOND_MS, workers: 3, crashingCalls: 2 };
   for (let seed = 1; seed <= 50; seed += 1) {
     const faults = drawFaults(new SeededRandom(seed), size);
     assert.deepEqual(faults, drawFaults(new SeededRandom(seed), size));
     const outUntilMs = new Map<string, number>();
     for (const fault of faults) {
-      if (fault.kind === "limit") continue;
+      if (fault.kind === "limit" || fault.kind === "crashing_call") continue;
       assert.ok(fault.atMs >= (outUntilMs.get(fault.role) ?? 0));
       outUntilMs.set(fault.role, fault.atMs + fault.forMs);
     }
@@ -47,13 +54,19 @@
   readonly call?: Partial<SoakRecord["calls"][number]>;
   readonly executed?: SoakRecord["workers"][number]["executed"];
   readonly perSecond?: number;
+  readonly crashes?: SoakRecord["workers"][number]["crashes"];
 }): SoakRecord {
   const limits = change.perSecond === undefined
     ? []
     : [{ fromMs: -60 * SECOND_MS, perSecond: change.perSecond }];
   return {
     calls: [{ ...CALL, ...change.call }],
-    workers: [{ name: "w", executed: change.executed ?? [RUN], limits }],
+    workers: [{
+      name: "w",
+      executed: change.executed ?? [RUN],
+      limits,
+      crashes: change.crashes ?? [],
+    }],
     maximumAttempts: 2,
   };
 }
@@ -75,4 +88,10 @@
   const many = Array.from({ length: 12 }, (_, at) => ({ ...RUN, atMs: at }));
   const limited = recordOf({ executed: many, perSecond: 1 });
   assert.match(found(limited), /got 12 of 11 requests/);
+  const crashes = [1, 2, 3].map((atMs) => ({ atMs, bodies: ["card"] }));
+  const late = many.slice(0, 4).map((each) => ({ ...each, atMs: 4_000 }));
+  const crashing = recordOf({ crashes, executed: late });
+  assert.match(found(crashing), /"card" ran 4 times more/);
+  const blocked = { status: 503, text: '{"kind":"call_blocked"}' };
+  assert.match(found(recordOf({ call: blocked })), /was blocked/);
 });
