Decide later about an upstream that still accepts a connection when one breaks

The connection of the call was reset before the address was closed, so that the probe some hundred microseconds later was accepted and the attempt counted as broken only.

Such an attempt is now undecided, without making its call a suspect: another incarnation of the upstream makes it a crash, a response of the same one to a later call refutes it. The new test failed before, as the attempt was dropped.

--- a/crashes/caller_guard.ts
+++ b/crashes/caller_guard.ts
@@ -107,18 +107,12 @@
     const { upstream, cancelled } = attempt;
     const { digest, bodyBytes } = call;
     const endedMs = clock.nowMs();
-    const undecided = {
-      call: { digest, bodyBytes },
-      upstream,
-      endedMs,
-      cancelled,
-    };
-    if (cancelled) return this.#undecided.add(undecided);
-    const state = await probe(upstream.address);
-    if (state === "silent") this.#undecided.add(undecided);
-    if (state !== "refused") return;
-    const evidence = "connection_refused";
-    this.#recordCrash(undecided.call, { upstream, endedMs, evidence });
+    const key = { digest, bodyBytes };
+    const end = cancelled ? "cancelled" : await probe(upstream.address);
+    if (end === "refused") {
+      const evidence = "connection_refused";
+      this.#recordCrash(key, { upstream, endedMs, evidence });
+    } else this.#undecided.add({ call: key, upstream, endedMs, end });
   }
 
   /** Records that an upstream is alive, and that it did not crash under this call. */
--- a/crashes/undecided_attempts.ts
+++ b/crashes/undecided_attempts.ts
@@ -18,13 +18,18 @@
 /** Time for which an upstream may run a call on whose connection is closed. */
 const RUN_ON_MS: Milliseconds = SECOND_MS;
 
+/**
+ * How an attempt ended: this VM cancelled it; its connection broke and a new one was open, so that the upstream is alive
+ * or was not quite gone yet; or a new one was not even refused.
+ */
+export type UndecidedEnd = "cancelled" | "open" | "silent";
+
 /** An attempt whose upstream may have crashed. */
 export interface UndecidedAttempt {
   readonly call: CallKey;
   readonly upstream: FleetUpstream;
   readonly endedMs: Milliseconds;
-  /** Whether this VM ended it, so that its end is no sign of a crash. */
-  readonly cancelled: boolean;
+  readonly end: UndecidedEnd;
 }
 
 /** Stores undecided attempts until the fate of their upstreams is known. */
@@ -43,7 +48,7 @@
   /** Whether a connection with this call broke, and the upstream has not been seen since. */
   isSuspect(digest: string, nowMs: Milliseconds): boolean {
     return this.#attempts.some((each) =>
-      each.call.digest === digest && !each.cancelled &&
+      each.call.digest === digest && each.end === "silent" &&
       nowMs - each.endedMs <= DECISION_MS
     );
   }
@@ -53,7 +58,7 @@
     if (this.#attempts.length === 0) return;
     const incarnation = incarnationOf(upstream);
     this.#attempts = this.#attempts.filter((each) => {
-      const runOnMs = each.cancelled ? RUN_ON_MS : 0;
+      const runOnMs = each.end === "cancelled" ? RUN_ON_MS : 0;
       return incarnationOf(each.upstream) !== incarnation ||
         each.endedMs + runOnMs > sentMs;
     });
--- a/crashes/undecided_attempts_test.ts
+++ b/crashes/undecided_attempts_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { FleetUpstream } from "#core";
-import { UndecidedAttempts } from "./undecided_attempts.ts";
+import { UndecidedAttempts, type UndecidedEnd } from "./undecided_attempts.ts";
 
 const UPSTREAM: FleetUpstream = {
   id: "u1",
@@ -16,14 +16,14 @@
 };
 const CALL = { digest: "d", bodyBytes: 4 };
 
-function withAttempt(cancelled: boolean): UndecidedAttempts {
+function withAttempt(end: UndecidedEnd): UndecidedAttempts {
   const undecided = new UndecidedAttempts();
-  undecided.add({ call: CALL, upstream: UPSTREAM, endedMs: 0, cancelled });
+  undecided.add({ call: CALL, upstream: UPSTREAM, endedMs: 0, end });
   return undecided;
 }
 
 test("an attempt counts as a crash once another incarnation has taken the place of its upstream", () => {
-  const undecided = withAttempt(false);
+  const undecided = withAttempt("silent");
   assert.ok(undecided.isSuspect("d", 10));
   assert.deepEqual(undecided.takeCrashed([UPSTREAM], 100), []);
   const successor = { ...UPSTREAM, bornMs: 2 };
@@ -32,22 +32,32 @@
 });
 
 test("an upstream that leaves as planned, and one that responds again, have not crashed", () => {
-  const leaving = withAttempt(false);
+  const leaving = withAttempt("silent");
   leaving.takeCrashed([{ ...UPSTREAM, phase: "draining" }], 100);
   assert.equal(leaving.takeCrashed([], 200).length, 0);
-  const alive = withAttempt(false);
+  const alive = withAttempt("silent");
   alive.recordResponse(UPSTREAM, 50);
   assert.equal(alive.takeCrashed([], 200).length, 0);
 });
 
 test("a call that its caller cancelled is no suspect, but its upstream may crash under it a little later", () => {
-  const undecided = withAttempt(true);
+  const undecided = withAttempt("cancelled");
   assert.equal(undecided.isSuspect("d", 10), false);
   undecided.recordResponse(UPSTREAM, 50);
   assert.equal(undecided.takeCrashed([], 200).length, 1);
 });
 
 test("an upstream that ends long after an attempt has not crashed under it", () => {
-  const undecided = withAttempt(false);
+  const undecided = withAttempt("silent");
   assert.equal(undecided.takeCrashed([], 11_000).length, 0);
 });
+
+test("an upstream that still accepts connections when one breaks has crashed if another incarnation follows without a response", () => {
+  const undecided = withAttempt("open");
+  assert.equal(undecided.isSuspect("d", 10), false);
+  const successor = { ...UPSTREAM, bornMs: 2 };
+  assert.equal(undecided.takeCrashed([successor], 1_500).length, 1);
+  const alive = withAttempt("open");
+  alive.recordResponse(UPSTREAM, 5);
+  assert.equal(alive.takeCrashed([successor], 1_500).length, 0);
+});
