--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -16,9 +16,11 @@
     first: { type: "string", default: "1" },
     seeds: { type: "string", default: "1" },
     seconds: { type: "string", default: "10" },
+    programs: { type: "string" },
     crashing: { type: "string", default: "2" },
   },
 });
+const { programs } = values;
 const crashingCalls = Number(values.crashing);
 const durationMs = Number(values.seconds) * SECOND_MS;
 let failed = 0;
@@ -28,6 +30,7 @@
     durationMs,
     workers: WORKERS,
     crashingCalls,
+    ...(programs === undefined ? {} : { programs }),
   });
   const broken = brokenPromises(record);
   if (broken.length > 0) failed += 1;
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -43,7 +43,8 @@
 /** Limits that workers name. */
 const LIMITS: readonly (number | null)[] = [1, 2, 5, 12, null];
 const LIMIT_CHANCE = 0.4;
-const CRASHING_CALL_MS: Milliseconds = 8 * SECOND_MS;
+/** Long enough that more repetitions than allowed follow the third crash. */
+const CRASHING_CALL_MS: Milliseconds = 12 * SECOND_MS;
 
 /** Size of a run. */
 export interface SoakSize {
@@ -51,6 +52,8 @@
   readonly workers: number;
   /** Number of calls that crash each worker which runs them. */
   readonly crashingCalls: number;
+  /** Folder of the built programs that are run; those of this build if absent. */
+  readonly programs?: string;
 }
 
 /**
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -63,7 +63,7 @@
 /** The processes, workers and callers of one run. */
 class SoakSite {
   readonly #size: SoakSize;
-  readonly #cluster = new NodeCluster(SITE);
+  readonly #cluster: NodeCluster;
   readonly #workers: readonly SoakWorker[];
   readonly #calls: SoakCall[] = [];
   readonly #pending = new Set<Promise<void>>();
@@ -73,6 +73,11 @@
 
   constructor(size: SoakSize) {
     this.#size = size;
+    const { programs } = size;
+    this.#cluster = new NodeCluster({
+      ...SITE,
+      ...(programs === undefined ? {} : { programs }),
+    });
     this.#workers = Array.from(
       { length: size.workers },
       (_, at) =>
@@ -181,22 +186,28 @@
   ): Promise<void> {
     const untilMs = performance.now() + fault.forMs;
     while (performance.now() < untilMs) {
-      this.#startCall(`${CRASHING_BODY_PREFIX} ${fault.call}`);
+      this.#startCall({
+        body: `${CRASHING_BODY_PREFIX} ${fault.call}`,
+        kind: fault.call % 2 === 0 ? "idempotent" : "once",
+      });
       await delay(CRASHING_CALL_INTERVAL_MS);
     }
   }
 
-  /** Sends a call like no other, or one with this body. */
-  #startCall(body?: string): void {
-    const call = this.#call(body);
+  #startCall(content?: CallContent): void {
+    const call = this.#call(content);
     this.#pending.add(call);
     void call.finally(() => this.#pending.delete(call));
   }
 
-  async #call(body = `card ${this.#sent + 1}`): Promise<void> {
+  /** Sends a call with this content, or one like no other, of each kind in turn. */
+  async #call(content?: CallContent): Promise<void> {
     this.#sent += 1;
     const id = `call-${this.#sent}`;
-    const kind = this.#sent % 2 === 0 ? "idempotent" : "once";
+    const {
+      body = `card ${this.#sent}`,
+      kind = this.#sent % 2 === 0 ? "idempotent" : "once",
+    } = content ?? {};
     const route = kind === "once" ? "non_idempotent" : "idempotent";
     const afterFaults = this.#afterFaults;
     const to = this.#cluster.callerAddress(this.#sent % ZONES.length);
@@ -209,6 +220,9 @@
   }
 }
 
+/** What a call has in common with its repetitions. */
+type CallContent = Pick<SoakCall, "body" | "kind">;
+
 interface Exchange {
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
