Count an upstream as up again that is still listed after its crash was seen

Found by reading: an upstream behind a cut link is delisted for lack of heartbeats, and calls that were cancelled there count as crashes. When the link heals, the same incarnation is back, but for ten minutes no call of its service would have been hedged, and no suspect sent to it. A crashed upstream is delisted within seconds, so one that is still listed 10 s later was alive.

Also: calls were hashed as long as any attempt was undecided; now only calls whose body is as long as that of such an attempt, as for suspects.

The new test failed before, with an upstream that counts as crashed for good.

--- a/crashes/caller_guard.ts
+++ b/crashes/caller_guard.ts
@@ -78,16 +78,14 @@
   /** Returns the standing of a call; needs its digest only if there is a suspect of its length. */
   standingOf(call: CallWatch): CallStanding {
     const { crashes, clock } = this.#options;
-    const nowMs = clock.nowMs();
-    if (crashes.hasSuspectOfLength(call.bodyBytes)) {
+    const { bodyBytes } = call;
+    if (crashes.hasSuspectOfLength(bodyBytes)) {
       if (crashes.isBlocked(call.digest)) return "blocked";
       if (crashes.crashesOf(call.digest) > 0) return "suspect";
     }
-    const { isEmpty } = this.#undecided;
-    if (isEmpty || !this.#undecided.isSuspect(call.digest, nowMs)) {
-      return "clear";
-    }
-    return "suspect";
+    if (!this.#undecided.hasLength(bodyBytes)) return "clear";
+    const isSuspect = this.#undecided.isSuspect(call.digest, clock.nowMs());
+    return isSuspect ? "suspect" : "clear";
   }
 
   /** Whether an upstream of a service that crashed under a call has not started again yet. */
@@ -121,10 +119,12 @@
     this.#undecided.recordResponse(upstream, sentMs);
     if (!succeeded) return;
     const { crashes } = this.#options;
-    if (!this.#undecided.isEmpty) this.#undecided.recordAnswer(call.digest);
-    if (!crashes.hasSuspectOfLength(call.bodyBytes)) return;
-    const { digest, bodyBytes } = call;
-    crashes.recordAnswer({ digest, bodyBytes });
+    const { bodyBytes } = call;
+    if (this.#undecided.hasLength(bodyBytes)) {
+      this.#undecided.recordAnswer(call.digest);
+    }
+    if (!crashes.hasSuspectOfLength(bodyBytes)) return;
+    crashes.recordAnswer({ digest: call.digest, bodyBytes });
   }
 
   /** Returns an upstream for a suspect. */
--- a/crashes/isolated_runs.ts
+++ b/crashes/isolated_runs.ts
@@ -26,7 +26,8 @@
   isBlocked(digest: string): boolean;
   /** Whether an upstream crashed while no other suspect is known to have run there. */
   ranAlone(digest: string): boolean;
-  hasCrashed(incarnation: string): boolean;
+  /** Whether an incarnation has crashed just now, though it may still be listed. */
+  hasCrashed(incarnation: string, nowMs: Milliseconds): boolean;
 }
 
 /** Options of `IsolatedRuns`. */
@@ -131,7 +132,7 @@
     const { request, untilMs } = waiter;
     const { digest, service } = request;
     if (this.#options.crashes.isBlocked(digest)) return { kind: "blocked" };
-    const upstream = this.#choose(request);
+    const upstream = this.#choose(request, nowMs);
     if (upstream !== undefined) {
       const incarnation = incarnationOf(upstream);
       const run = { service, incarnation, untilMs: nowMs + RUN_MS };
@@ -143,10 +144,13 @@
     return { kind: "rejected", reason };
   }
 
-  #choose(request: IsolationRequest): FleetUpstream | undefined {
+  #choose(
+    request: IsolationRequest,
+    nowMs: Milliseconds,
+  ): FleetUpstream | undefined {
     const { digest, service, tried, zone } = request;
     if (this.#runs.has(digest)) return undefined;
-    const copies = this.#copiesOf(service);
+    const copies = this.#copiesOf(service, nowMs);
     const running = this.#runningIn(service);
     const runs = running.size;
     if (runs >= maximumRuns(copies)) return undefined;
@@ -165,10 +169,12 @@
       crashes.ranAlone(digest);
   }
 
-  #copiesOf(service: string): Copies {
+  #copiesOf(service: string, nowMs: Milliseconds): Copies {
     const { crashes, upstreamsOf } = this.#options;
     const known = upstreamsOf(service);
-    const up = known.filter((each) => !crashes.hasCrashed(incarnationOf(each)));
+    const up = known.filter((each) =>
+      !crashes.hasCrashed(incarnationOf(each), nowMs)
+    );
     return { known: known.length, up };
   }
 
--- a/crashes/undecided_attempts.ts
+++ b/crashes/undecided_attempts.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  type Bytes,
   type FleetUpstream,
   incarnationOf,
   type Milliseconds,
@@ -36,8 +37,9 @@
 export class UndecidedAttempts {
   #attempts: UndecidedAttempt[] = [];
 
-  get isEmpty(): boolean {
-    return this.#attempts.length === 0;
+  /** Whether there is an attempt of a call whose body is this long. */
+  hasLength(bodyBytes: Bytes): boolean {
+    return this.#attempts.some((each) => each.call.bodyBytes === bodyBytes);
   }
 
   add(attempt: UndecidedAttempt): void {
--- a/membership/crash_ledger.ts
+++ b/membership/crash_ledger.ts
@@ -11,6 +11,8 @@
 import { BLOCKING_CRASHES, type CrashRecord } from "./crash_records.ts";
 
 const MAXIMUM_CALLS = 512;
+/** Time within which an upstream that has crashed is no longer listed, for lack of heartbeats. */
+const DELISTING_MS: Milliseconds = 10 * SECOND_MS;
 const SUSPECT_RETENTION_MS: Milliseconds = 10 * MINUTE_MS;
 const BLOCKED_RETENTION_MS: Milliseconds = 24 * 60 * MINUTE_MS;
 /** Longer than any report of a crash is under way that the response refutes. */
@@ -80,10 +82,14 @@
     return this.#lengths.has(bodyBytes);
   }
 
-  /** Whether an incarnation of an upstream is known to have crashed. */
-  hasCrashed(incarnation: string): boolean {
+  /**
+   * Whether an incarnation of an upstream is known to have crashed just now. One that is still listed later was alive
+   * after all, as behind a cut link.
+   */
+  hasCrashed(incarnation: string, nowMs: Milliseconds): boolean {
     for (const { crashes } of this.#calls.values()) {
-      if (crashes.has(incarnation)) return true;
+      const observedMs = crashes.get(incarnation) ?? -Infinity;
+      if (nowMs - observedMs <= DELISTING_MS) return true;
     }
     return false;
   }
--- a/membership/crash_ledger_test.ts
+++ b/membership/crash_ledger_test.ts
@@ -17,7 +17,7 @@
   assert.equal(ledger.isBlocked("d"), false);
   ledger.recordCrash(CALL, "u2:1", 130);
   assert.ok(ledger.isBlocked("d"));
-  assert.ok(ledger.hasCrashed("u1:2"));
+  assert.ok(ledger.hasCrashed("u1:2", 200));
   assert.ok(ledger.recordAnswer(CALL, 140));
   assert.equal(ledger.isSuspect("d"), false);
   assert.equal(ledger.hasSuspectOfLength(4), false);
@@ -94,3 +94,10 @@
     answeredAgeMs: answeredAgeMs === null ? null : answeredAgeMs + byMs,
   };
 }
+
+test("an upstream that is still listed some seconds after a crash was seen counts as up", () => {
+  const ledger = new CrashLedger();
+  ledger.recordCrash(CALL, "u1:1", 0);
+  assert.ok(ledger.hasCrashed("u1:1", 9_000));
+  assert.equal(ledger.hasCrashed("u1:1", 11_000), false);
+});
--- a/membership/known_crashes.ts
+++ b/membership/known_crashes.ts
@@ -69,7 +69,8 @@
   }
 
   hasCrashed(upstream: FleetUpstream): boolean {
-    return this.#ledger.hasCrashed(incarnationOf(upstream));
+    const nowMs = this.#options.clock.nowMs();
+    return this.#ledger.hasCrashed(incarnationOf(upstream), nowMs);
   }
 
   /** Returns the record of a call, or undefined if nothing is known of it. */
