--- a/crashes/isolated_runs.ts
+++ b/crashes/isolated_runs.ts
@@ -49,10 +49,12 @@
   readonly settle: (decision: IsolationDecision) => void;
 }
 
-/** The upstreams of a service. */
+/** The upstreams of a service at one moment. */
 interface Copies {
   readonly known: number;
   readonly up: readonly FleetUpstream[];
+  /** Incarnations at which suspects run. */
+  readonly running: Set<string>;
 }
 
 /** Runs of suspects, and those that wait for one. */
@@ -98,8 +100,12 @@
       crashes.crashesOf(a.request.digest) - crashes.crashesOf(b.request.digest)
     );
     const settled = new Set<Waiter>();
+    const services = new Map<string, Copies>();
     for (const waiter of inOrder) {
-      const decision = this.#decide(waiter, nowMs);
+      const { service } = waiter.request;
+      const copies = services.get(service) ?? this.#copiesOf(service, nowMs);
+      services.set(service, copies);
+      const decision = this.#decide(waiter, copies, nowMs);
       if (decision === undefined) continue;
       settled.add(waiter);
       waiter.settle(decision);
@@ -128,15 +134,20 @@
     }
   }
 
-  #decide(waiter: Waiter, nowMs: Milliseconds): IsolationDecision | undefined {
+  #decide(
+    waiter: Waiter,
+    copies: Copies,
+    nowMs: Milliseconds,
+  ): IsolationDecision | undefined {
     const { request, untilMs } = waiter;
     const { digest, service } = request;
     if (this.#options.crashes.isBlocked(digest)) return { kind: "blocked" };
-    const upstream = this.#choose(request, nowMs);
+    const upstream = this.#choose(request, copies);
     if (upstream !== undefined) {
       const incarnation = incarnationOf(upstream);
       const run = { service, incarnation, untilMs: nowMs + RUN_MS };
       this.#runs.set(digest, run);
+      copies.running.add(incarnation);
       return { kind: "granted", incarnation };
     }
     if (untilMs > nowMs) return undefined;
@@ -146,18 +157,16 @@
 
   #choose(
     request: IsolationRequest,
-    nowMs: Milliseconds,
+    copies: Copies,
   ): FleetUpstream | undefined {
-    const { digest, service, tried, zone } = request;
+    const { digest, tried, zone } = request;
+    const { up, running } = copies;
+    if (running.size >= maximumRuns(copies)) return undefined;
     if (this.#runs.has(digest)) return undefined;
-    const copies = this.#copiesOf(service, nowMs);
-    const running = this.#runningIn(service);
-    const runs = running.size;
-    if (runs >= maximumRuns(copies)) return undefined;
-    const spare = copies.up.length - runs - 1;
+    const spare = up.length - running.size - 1;
     const isLikely = this.#isLikelyToCrash(digest);
     if (spare < requiredSpare(copies, isLikely)) return undefined;
-    const free = copies.up.filter((each) =>
+    const free = up.filter((each) =>
       !tried.includes(each.id) && !running.has(incarnationOf(each))
     );
     return free.find((each) => each.zone === zone) ?? free[0];
@@ -175,10 +184,10 @@
     const up = known.filter((each) =>
       !crashes.hasCrashed(incarnationOf(each), nowMs)
     );
-    return { known: known.length, up };
+    return { known: known.length, up, running: this.#runningIn(service) };
   }
 
-  #runningIn(service: string): ReadonlySet<string> {
+  #runningIn(service: string): Set<string> {
     const incarnations = new Set<string>();
     for (const run of this.#runs.values()) {
       if (run.service === service) incarnations.add(run.incarnation);
--- a/membership/crash_ledger.ts
+++ b/membership/crash_ledger.ts
@@ -27,6 +27,33 @@
   changedAt: number;
 }
 
+/** What is asked of all suspects together, so that no question looks at each of them. */
+class SuspectIndex {
+  readonly lengths = new Set<Bytes>();
+  /** For each incarnation that crashed, when that was last observed and how many suspects ran there. */
+  readonly crashed = new Map<
+    string,
+    { lastMs: Milliseconds; suspects: number }
+  >();
+
+  constructor(calls: Iterable<KnownCall>) {
+    for (const { bodyBytes, crashes } of calls) {
+      if (crashes.size > 0) this.lengths.add(bodyBytes);
+      for (const [incarnation, observedMs] of crashes) {
+        this.#add(incarnation, observedMs);
+      }
+    }
+  }
+
+  #add(incarnation: string, observedMs: Milliseconds): void {
+    const known = this.crashed.get(incarnation) ??
+      { lastMs: -Infinity, suspects: 0 };
+    known.lastMs = Math.max(known.lastMs, observedMs);
+    known.suspects += 1;
+    this.crashed.set(incarnation, known);
+  }
+}
+
 /** What identifies a call in the ledger. */
 export interface CallKey {
   readonly digest: string;
@@ -46,9 +73,8 @@
 export class CrashLedger {
   readonly #calls = new Map<string, KnownCall>();
   #revision = 0;
-  /** Body lengths of all suspects, as of a revision. */
-  #lengths: ReadonlySet<Bytes> = new Set();
-  #lengthsRevision = 0;
+  #index = new SuspectIndex([]);
+  #indexRevision = 0;
 
   /** Increases with each change. */
   get revision(): number {
@@ -75,11 +101,7 @@
 
   /** Whether there is a suspect whose body is this long. */
   hasSuspectOfLength(bodyBytes: Bytes): boolean {
-    if (this.#lengthsRevision !== this.#revision) {
-      this.#lengthsRevision = this.#revision;
-      this.#lengths = this.#suspectLengths();
-    }
-    return this.#lengths.has(bodyBytes);
+    return this.#suspects().lengths.has(bodyBytes);
   }
 
   /**
@@ -87,21 +109,16 @@
    * after all, as behind a cut link.
    */
   hasCrashed(incarnation: string, nowMs: Milliseconds): boolean {
-    for (const { crashes } of this.#calls.values()) {
-      const observedMs = crashes.get(incarnation) ?? -Infinity;
-      if (nowMs - observedMs <= DELISTING_MS) return true;
-    }
-    return false;
+    const crashed = this.#suspects().crashed.get(incarnation);
+    return crashed !== undefined && nowMs - crashed.lastMs <= DELISTING_MS;
   }
 
   /** Whether an upstream crashed while no other suspect is known to have run there. */
   ranAlone(digest: string): boolean {
-    return this.incarnationsOf(digest).some((incarnation) => {
-      for (const [other, { crashes }] of this.#calls) {
-        if (other !== digest && crashes.has(incarnation)) return false;
-      }
-      return true;
-    });
+    const { crashed } = this.#suspects();
+    return this.incarnationsOf(digest).some((incarnation) =>
+      crashed.get(incarnation)?.suspects === 1
+    );
   }
 
   /** Records that an upstream crashed which may have run a call; returns whether that is news. */
@@ -181,12 +198,13 @@
     for (const [digest] of excess) this.#calls.delete(digest);
   }
 
-  #suspectLengths(): ReadonlySet<Bytes> {
-    const lengths = new Set<Bytes>();
-    for (const { bodyBytes, crashes } of this.#calls.values()) {
-      if (crashes.size > 0) lengths.add(bodyBytes);
+  /** Returns the index, which is built again only after a change. */
+  #suspects(): SuspectIndex {
+    if (this.#indexRevision !== this.#revision) {
+      this.#indexRevision = this.#revision;
+      this.#index = new SuspectIndex(this.#calls.values());
     }
-    return lengths;
+    return this.#index;
   }
 
   /** Returns whether the record changes which crashes count. */
