Change and read configurations while the soak's faults happen

An operator replaces the configuration every 1.2 s at one control VM after the other, and reads it back; the oracle reports a read that was sent later than 2 s after the acknowledgement of a newer version, also at the end. The HTTP exchange is a module of its own, as callers and the operator share it.

Still missing in the soak: a proxy, disks, clocks, batches, orders.

--- a/soak/soak_oracle.ts
+++ b/soak/soak_oracle.ts
@@ -13,6 +13,8 @@
 /** Statuses that promise that a call has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const OK_STATUS = 200;
+/** Time after which an acknowledged configuration is in force everywhere. */
+const CONFIGURATION_APPLY_MS: Milliseconds = 2 * SECOND_MS;
 const LEAST_SERVED_SHARE = 0.9;
 const CRASHES_TO_BLOCK = 3;
 const MAXIMUM_FURTHER_RUNS = 3;
@@ -47,8 +49,22 @@
   }[];
 }
 
+/** Which configurations the operator got acknowledged, and which were read when. */
+export interface SoakConfigurations {
+  readonly acknowledged: readonly {
+    readonly version: number;
+    readonly atMs: Milliseconds;
+  }[];
+  /** Reads with a clear answer. */
+  readonly reads: readonly {
+    readonly version: number;
+    readonly sentMs: Milliseconds;
+  }[];
+}
+
 /** Everything seen in a run. */
 export interface SoakRecord {
+  readonly configurations: SoakConfigurations;
   readonly calls: readonly SoakCall[];
   readonly workers: readonly SoakWorkerRecord[];
   /** Most workers that a route allows a call to be sent to. */
@@ -63,6 +79,7 @@
     ...record.workers.flatMap((worker) => checkLimits(worker)),
     ...checkCrashes(record.workers),
     ...checkBlocked(record),
+    ...checkConfigurations(record.configurations),
     ...checkRecovery(record.calls),
   ];
 }
@@ -162,6 +179,22 @@
   return blocked.map(({ id, body }) => `${id} ("${body}") was blocked`);
 }
 
+/** No VM may answer a read with a configuration that is older than one acknowledged some time before. */
+function checkConfigurations(
+  { acknowledged, reads }: SoakConfigurations,
+): readonly string[] {
+  const broken: string[] = [];
+  for (const { version, sentMs } of reads) {
+    const known = acknowledged.filter(({ atMs }) =>
+      atMs + CONFIGURATION_APPLY_MS < sentMs
+    );
+    const newest = Math.max(0, ...known.map((each) => each.version));
+    if (version >= newest) continue;
+    broken.push(`version ${version} was read after ${newest} was acknowledged`);
+  }
+  return broken;
+}
+
 function checkRecovery(calls: readonly SoakCall[]): readonly string[] {
   const late = calls.filter((each) => each.afterFaults);
   const served = late.filter((each) => each.status === OK_STATUS).length;
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -3,16 +3,12 @@
  *
  * @module
  */
-import { request as startRequest } from "node:http";
-import {
-  type Address,
-  type Milliseconds,
-  SECOND_MS,
-  SeededRandom,
-} from "#core";
+import { type Milliseconds, SECOND_MS, SeededRandom } from "#core";
 import { delay, waitUntil } from "../proof/managed_process.ts";
 import { NodeCluster } from "../proof/node_cluster.ts";
+import { exchange } from "./soak_exchange.ts";
 import { drawFaults, type SoakFault, type SoakSize } from "./soak_faults.ts";
+import { SoakOperator } from "./soak_operator.ts";
 import type { SoakCall, SoakRecord } from "./soak_oracle.ts";
 import { CRASHING_BODY_PREFIX, SoakWorker } from "./soak_worker.ts";
 
@@ -30,21 +26,7 @@
 const CALLS_AFTER_FAULTS = 20;
 const MAXIMUM_ATTEMPTS = 2;
 
-const CONFIGURATION = {
-  version: 3,
-  routes: (["idempotent", "non_idempotent"] as const).map((kind) => ({
-    name: kind,
-    hostname: HOST,
-    path_prefix: `/${kind}/`,
-    kind,
-    timeout_ms: CALL_TIMEOUT_MS,
-    target_latency_ms: 400,
-    priority: kind === "idempotent" ? 2 : 1,
-    service: SERVICE,
-    max_attempts: MAXIMUM_ATTEMPTS,
-  })),
-  services: [{ name: SERVICE, max_conns: 100 }],
-};
+const FIRST_VERSION = 3;
 
 /** Runs one seed and returns what callers and workers saw. */
 export async function runSoak(
@@ -64,6 +46,7 @@
 class SoakSite {
   readonly #size: SoakSize;
   readonly #cluster: NodeCluster;
+  readonly #operator: SoakOperator;
   readonly #workers: readonly SoakWorker[];
   readonly #calls: SoakCall[] = [];
   readonly #pending = new Set<Promise<void>>();
@@ -78,6 +61,11 @@
       ...SITE,
       ...(programs === undefined ? {} : { programs }),
     });
+    this.#operator = new SoakOperator({
+      controls: ZONES.map((zone) => this.#cluster.controlAddress(zone)),
+      firstVersion: FIRST_VERSION,
+      configuration: configurationText,
+    });
     this.#workers = Array.from(
       { length: size.workers },
       (_, at) =>
@@ -107,9 +95,10 @@
       START_TIMEOUT_MS,
       async () => {
         const reply = await exchange(this.#cluster.controlAddress(1), {
+          method: "POST",
           path: "/config/replace",
           headers: {},
-          body: JSON.stringify(CONFIGURATION),
+          body: configurationText(FIRST_VERSION),
         });
         return reply.status === 200;
       },
@@ -125,6 +114,7 @@
 
   /** Sends calls while the faults happen, and some after the site has recovered. */
   async run(faults: readonly SoakFault[]): Promise<SoakRecord> {
+    this.#operator.start();
     const callers = setInterval(() => this.#startCall(), CALL_INTERVAL_MS);
     try {
       await this.#cause(faults);
@@ -132,6 +122,7 @@
       await delay(RECOVERY_MS);
     } finally {
       clearInterval(callers);
+      await this.#operator.stop();
     }
     await Promise.all(this.#pending);
     this.#afterFaults = true;
@@ -139,6 +130,7 @@
     return {
       calls: this.#calls,
       workers: this.#workers.map((each) => each.record),
+      configurations: this.#operator.record,
       maximumAttempts: MAXIMUM_ATTEMPTS,
     };
   }
@@ -212,8 +204,13 @@
     const afterFaults = this.#afterFaults;
     const to = this.#cluster.callerAddress(this.#sent % ZONES.length);
     const reply = await exchange(to, {
+      method: "POST",
       path: `/${route}/save`,
-      headers: { "Request-Id": id, "Deadline-Ms": String(CALL_TIMEOUT_MS) },
+      headers: {
+        Host: HOST,
+        "Request-Id": id,
+        "Deadline-Ms": String(CALL_TIMEOUT_MS),
+      },
       body,
     });
     this.#calls.push({ id, kind, body, afterFaults, ...reply });
@@ -223,43 +220,19 @@
 /** What a call has in common with its repetitions. */
 type CallContent = Pick<SoakCall, "body" | "kind">;
 
-interface Exchange {
-  readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: string;
-}
-
-/** Sends a call on a new connection; the status is 0 without a complete response. */
-function exchange(
-  to: Address,
-  call: Exchange,
-): Promise<Pick<SoakCall, "status" | "text" | "stamp">> {
-  const none = { status: 0, text: "", stamp: null };
-  return new Promise((resolve) => {
-    const sent = startRequest({
-      host: to.host,
-      port: to.port,
-      path: call.path,
-      method: "POST",
-      agent: false,
-      headers: { Host: HOST, ...call.headers },
-    }, (response) => {
-      let text = "";
-      response.on("data", (chunk) => text += String(chunk));
-      response.on("error", () => resolve(none));
-      response.on("end", () => {
-        const stamp = response.headers["response-stamp"];
-        const status = response.complete ? response.statusCode ?? 0 : 0;
-        resolve({
-          status,
-          text,
-          stamp: stamp === undefined ? null : String(stamp),
-        });
-      });
-    });
-    sent.setTimeout(2 * CALL_TIMEOUT_MS, () => sent.destroy());
-    sent.on("error", () => resolve(none));
-    sent.on("close", () => resolve(none));
-    sent.end(call.body);
-  });
+/** Returns a configuration; versions differ in the latency objective only. */
+function configurationText(version: number): string {
+  const routes = (["idempotent", "non_idempotent"] as const).map((kind) => ({
+    name: kind,
+    hostname: HOST,
+    path_prefix: `/${kind}/`,
+    kind,
+    timeout_ms: CALL_TIMEOUT_MS,
+    target_latency_ms: 400 + version,
+    priority: kind === "idempotent" ? 2 : 1,
+    service: SERVICE,
+    max_attempts: MAXIMUM_ATTEMPTS,
+  }));
+  const services = [{ name: SERVICE, max_conns: 100 }];
+  return JSON.stringify({ version, routes, services });
 }
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -54,6 +54,7 @@
   readonly call?: Partial<SoakRecord["calls"][number]>;
   readonly executed?: SoakRecord["workers"][number]["executed"];
   readonly perSecond?: number;
+  readonly configurations?: Partial<SoakRecord["configurations"]>;
   readonly crashes?: SoakRecord["workers"][number]["crashes"];
 }): SoakRecord {
   const limits = change.perSecond === undefined
@@ -67,6 +68,7 @@
       limits,
       crashes: change.crashes ?? [],
     }],
+    configurations: { acknowledged: [], reads: [], ...change.configurations },
     maximumAttempts: 2,
   };
 }
@@ -92,6 +94,13 @@
   const late = many.slice(0, 4).map((each) => ({ ...each, atMs: 4_000 }));
   const crashing = recordOf({ crashes, executed: late });
   assert.match(found(crashing), /"card" ran 4 times more/);
+  const outdated = recordOf({
+    configurations: {
+      acknowledged: [{ version: 5, atMs: 0 }],
+      reads: [{ version: 5, sentMs: 10 }, { version: 4, sentMs: 2_001 }],
+    },
+  });
+  assert.match(found(outdated), /version 4 was read after 5/);
   const blocked = { status: 503, text: '{"kind":"call_blocked"}' };
   assert.match(found(recordOf({ call: blocked })), /was blocked/);
 });
