--- a/requests/forwarder_test_support.ts
+++ b/requests/forwarder_test_support.ts
@@ -20,7 +20,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
-import { TrustedCalls } from "#crashes";
+import { type CrashGuard, TrustedCalls } from "#crashes";
 import { type Permits, UnlimitedPermits } from "#quotas";
 import { Forwarder } from "./forwarder.ts";
 import { TestDialect } from "./test_dialect.ts";
@@ -140,6 +140,8 @@
   /** Limits of the upstreams in their order, null for none. */
   readonly limits: readonly (number | null)[];
   readonly permits: Permits;
+  /** Watches the calls; all calls are trusted if absent. */
+  readonly crashGuard?: CrashGuard;
 }
 
 /** Runs upstreams with these behaviours and a forwarder in front of them. */
@@ -194,7 +196,7 @@
     onLeaving: ({ id }) => leaving.add(id),
     onRequestLimit: () => {},
     permits: limited.permits,
-    crashGuard: new TrustedCalls(),
+    crashGuard: limited.crashGuard ?? new TrustedCalls(),
   });
   try {
     await run({ forwarder, clock, events, upstreams, reached });
