--- a/crashes/caller_guard.ts
+++ b/crashes/caller_guard.ts
@@ -65,7 +65,7 @@
   handleFleetChange(): void {
     const { clock, upstreams } = this.#options;
     const nowMs = clock.nowMs();
-    for (const attempt of this.#undecided.takeCrashed(upstreams(), nowMs)) {
+    for (const attempt of this.#undecided.removeCrashed(upstreams(), nowMs)) {
       const { call, upstream, endedMs } = attempt;
       this.#recordCrash(call, {
         upstream,
--- a/crashes/isolation_server.ts
+++ b/crashes/isolation_server.ts
@@ -34,7 +34,7 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly leadership: () => Leadership;
-  /** Adds what the sender of a request knows, and tells all VMs. */
+  /** Adds what the sender of a request knows, and distributes it to all VMs. */
   readonly recordCrashes: (records: readonly CrashRecord[]) => void;
 }
 
--- a/crashes/undecided_attempts.ts
+++ b/crashes/undecided_attempts.ts
@@ -77,7 +77,7 @@
    * Returns the attempts whose upstreams have ended, by the upstreams that are known now, and forgets them. An upstream
    * that was draining has left as planned.
    */
-  takeCrashed(
+  removeCrashed(
     known: readonly FleetUpstream[],
     nowMs: Milliseconds,
   ): readonly UndecidedAttempt[] {
--- a/membership/blocked_call_store.ts
+++ b/membership/blocked_call_store.ts
@@ -35,7 +35,7 @@
   readonly ledger: CrashLedger;
 }
 
-/** Keeps a file in step with the blocked calls of a ledger. */
+/** Synchronises a file with the blocked calls of a ledger. */
 export class BlockedCallStore {
   readonly #options: BlockedCallStoreOptions;
   /** Digests in the file, as one text. */
--- a/membership/control_leader.ts
+++ b/membership/control_leader.ts
@@ -62,7 +62,7 @@
     });
   }
 
-  /** Takes notice of changed VMs: requests to a control VM that no longer leads are sent to its successor. */
+  /** Processes changed VMs: requests to a control VM that no longer leads are sent to its successor. */
   handleVmChange(): void {
     this.#client.preferLeaderOf(this.#options.nodes(), "control");
   }
--- a/membership/crash_records.ts
+++ b/membership/crash_records.ts
@@ -1,5 +1,5 @@
 /**
- * What VMs tell each other about calls that were running when upstreams crashed.
+ * What VMs report to each other about calls that were running when upstreams crashed.
  *
  * @module
  */
@@ -20,7 +20,7 @@
 export interface CrashRecord {
   /** Digest of what the call has in common with its repetitions. */
   readonly digest: string;
-  /** Length of the body, by which most other calls are told apart without a digest. */
+  /** Length of the body, which distinguishes most other calls without a digest. */
   readonly bodyBytes: Bytes;
   readonly crashes: readonly CrashUnderCall[];
   /** Time since an upstream ran the call and responded completely, which refutes earlier crashes; null if none did. */
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -59,7 +59,7 @@
   readonly upstreams: () => readonly FleetUpstream[];
   /** Permits for upstreams that name a limit of requests. */
   readonly permits: Permits;
-  /** Keeps calls from upstreams if others crashed under them. */
+  /** Decides whether calls may run, by the upstreams that crashed under them. */
   readonly crashGuard: CrashGuard;
   /** Memory of the responses that the process reads and writes; absent if only the forwarder reads any. */
   readonly responseBudget?: ByteBudget;
