Part the replica of a control VM from its HTTP server

The replica, what it observes of the fleet, the placement and the way to the leader were wired inside the program, so no test could run them together without processes.

--- /dev/null
+++ b/membership/control_replica.ts
@@ -0,0 +1,210 @@
+/**
+ * The part of a control VM on the users' platform that acts together with the other control VMs: its replica of the
+ * control log, what it observes of the fleet, the placement of the logs, and the way to the leader.
+ *
+ * @module
+ */
+import { type DataFolder, QuorumLog, SHORT_TIMING } from "#agreement";
+import { ConfigurationMachine } from "#bundles";
+import {
+  type AnyStateMachine,
+  type Clock,
+  ControlPort,
+  type EventLog,
+  fail,
+  type Failure,
+  type FleetNode,
+  type Milliseconds,
+  type RandomSource,
+} from "#core";
+import type { PeerNetwork } from "#wire";
+import type { Leadership } from "./control_leader.ts";
+import type { VmStatus } from "./control_messages.ts";
+import { serveControl } from "./control_server.ts";
+import { FleetServer } from "./fleet_server.ts";
+import { LeaderClient } from "./leader_client.ts";
+import { LocalFirstControl } from "./local_first_control.ts";
+import { PlacementMachine } from "./placement_machine.ts";
+import { PlacementManager } from "./placement_manager.ts";
+import { isOnHostOfLeader } from "./placement_plan.ts";
+
+const VM_LOSS_TIMEOUT_MS: Milliseconds = 2_500;
+
+/** What a control VM reports of its replica. */
+export interface GroupStatus {
+  readonly leads: boolean;
+  readonly term: number;
+  readonly voters: readonly string[];
+}
+
+/** Options of `ControlReplica`. */
+export interface ControlReplicaOptions {
+  /** Peer address of this VM. */
+  readonly vm: string;
+  readonly zone: string;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly folder: DataFolder;
+  /** Whether the system starts for the first time, so that the VMs of the settings form the group. */
+  readonly firstStart: boolean;
+  /** Returns the control VMs of the settings. */
+  readonly seeds: () => readonly string[];
+  /** Number of replicas with which the tolerated losses leave a majority. */
+  readonly replicas: () => number;
+  /** Time without a heartbeat after which an upstream gets no more work. */
+  readonly heartbeatTimeoutMs: Milliseconds;
+  /** State machines of the log besides those of configuration and placement. */
+  readonly machines: readonly AnyStateMachine[];
+  /** Returns the description of this VM for the other VMs. */
+  readonly describe: (group: GroupStatus) => FleetNode;
+  /** Called once after the replica has stopped because of a storage error. */
+  readonly onFatal: (failure: Failure) => void;
+}
+
+/** A control VM as the other control VMs see it. */
+export class ControlReplica {
+  readonly log: QuorumLog;
+  readonly fleet: FleetServer;
+  /** Reaches the leader of the control log. */
+  readonly control: ControlPort;
+  readonly placements: PlacementManager;
+  readonly #options: ControlReplicaOptions;
+  readonly #configurations = new ConfigurationMachine();
+  readonly #placementMachine = new PlacementMachine();
+
+  constructor(options: ControlReplicaOptions) {
+    this.#options = options;
+    this.log = this.#buildLog();
+    this.fleet = this.#buildFleet();
+    this.control = new LocalFirstControl({
+      log: this.log,
+      leader: new LeaderClient({
+        ...options,
+        channel: "control",
+        candidates: () => this.#leaderCandidates(),
+      }),
+      rejectCommand: () => this.#checkReplication(),
+    });
+    this.placements = new PlacementManager({
+      ...options,
+      log: this.log,
+      machine: this.#placementMachine,
+      nodes: () => this.fleet.nodes(),
+      replicas: options.replicas(),
+      lostAfterMs: VM_LOSS_TIMEOUT_MS,
+    });
+  }
+
+  /** The configuration that this VM knows. */
+  get configuration(): ConfigurationMachine["current"] {
+    return this.#configurations.current;
+  }
+
+  /** Starts to serve the other VMs, without its replica. */
+  serve(): void {
+    serveControl({
+      network: this.#options.network,
+      log: this.log,
+      status: () => this.#vmStatus(),
+      rejectCommand: () => this.#checkReplication(),
+    });
+    this.log.onApplied(() => this.fleet.wakeWaiters());
+    this.fleet.start();
+  }
+
+  /** Recovers the replica from its disk and takes part in the group. */
+  async start(): Promise<void> {
+    await this.log.start();
+    this.placements.start();
+  }
+
+  /** Returns what this VM reports of its replica. */
+  status(): GroupStatus {
+    const { term, voters } = this.log.status();
+    const leads = this.log.leaseUntilMs() > this.#options.clock.nowMs();
+    return { leads, term, voters };
+  }
+
+  /** Returns whether this VM leads, and who else may. */
+  leadership(): Leadership {
+    return { ...this.status(), leader: this.log.status().leader };
+  }
+
+  #buildLog(): QuorumLog {
+    const { firstStart, ...options } = this.#options;
+    const { machines, seeds, vm } = options;
+    return new QuorumLog({
+      ...options,
+      machines: [
+        this.#configurations,
+        this.#placementMachine,
+        ...machines,
+      ] as readonly AnyStateMachine[],
+      peers: () => this.#peers(),
+      ...(firstStart ? { firstStart: { voters: seeds() } } : {}),
+      prefersOtherLeader: () =>
+        isOnHostOfLeader(vm, {
+          nodes: this.fleet.nodes().map(({ node }) => node),
+          role: "store",
+        }),
+      timing: SHORT_TIMING,
+    });
+  }
+
+  #buildFleet(): FleetServer {
+    const { describe } = this.#options;
+    return new FleetServer({
+      ...this.#options,
+      self: () => describe(this.status()),
+      epoch: this.#options.random.identifier(),
+      peers: () => this.#peers(),
+      configuration: () => this.#configurations.current,
+      placement: () => this.#placementMachine.current,
+      reachesQuorum: () => this.#isMember() && this.log.status().hearsLeader,
+      confirm: () =>
+        this.log.query({ machine: "configuration", question: null }),
+    });
+  }
+
+  /** Returns the control VMs of the placement, or those of the settings while there is no placement. */
+  #peers(): readonly string[] {
+    const { controls } = this.#placementMachine.current.placement;
+    return controls.length > 0 ? controls : this.#options.seeds();
+  }
+
+  #leaderCandidates(): readonly string[] {
+    const { leader } = this.log.status();
+    const first = leader === null ? [] : [leader];
+    return [...new Set([...first, ...this.#peers(), ...this.#options.seeds()])];
+  }
+
+  /** A VM that was replaced as a voter can still receive log entries for a while, but is no longer a member. */
+  #isMember(): boolean {
+    const { controls } = this.#placementMachine.current.placement;
+    return controls.length === 0 || controls.includes(this.#options.vm);
+  }
+
+  /** Rejects commands until the log has enough replicas that a majority survives the tolerated losses. */
+  #checkReplication(): Failure | undefined {
+    const required = this.#options.replicas();
+    const { voters } = this.log.status();
+    if (voters.length >= required) return undefined;
+    const message = `the log has ${voters.length} of ${required} replicas`;
+    return fail("not_ready", message);
+  }
+
+  #vmStatus(): VmStatus {
+    const status = this.log.status();
+    return {
+      vm: this.#options.vm,
+      zone: this.#options.zone,
+      role: "control",
+      ready: status.ready,
+      bundleVersion: null,
+      bundleDigest: null,
+      leader: status.leader,
+    };
+  }
+}
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -10,6 +10,7 @@
 export * from "./control_client.ts";
 export { parseVmStatus, type VmStatus } from "./control_messages.ts";
 export * from "./control_leader.ts";
+export * from "./control_replica.ts";
 export * from "./control_server.ts";
 export * from "./crash_ledger.ts";
 export * from "./crash_records.ts";
