Take only the rest of a stream from the next upstream, never its error

What callers see: a stream that had begun ended as if it were complete, or with the text of an error in it, when the next upstream answered with one.

Cause: an answer to a resumed stream was relayed whatever its status and without asking for its stamp. An error without events ended the stream cleanly; one that looks like an event got into it. A stream without a length that ended before its first event counted as complete, too.

Now the rest of a stream has status 200 and a stamp, else the next upstream is asked; a stream without any event is not complete, unless the caller resumes one.

--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -24,12 +24,14 @@
 } from "./forwarded_call.ts";
 import { isolateAttempt, reportSuspect } from "./suspect_calls.ts";
 import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
-import type { UpstreamDialect } from "./upstream_dialect.ts";
+import type { ResponseMetadata, UpstreamDialect } from "./upstream_dialect.ts";
 import type { StreamingResponse, UpstreamHttp } from "./upstream_http.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 
 const RETRY_AFTER_MS: Milliseconds = 150;
 const OK_STATUS = 200;
+/** Header of a caller that resumes a stream after an event that it has. */
+const RESUMPTION_HEADER = "last-event-id";
 
 /** Options of `StreamForwarding`. */
 export interface StreamForwardingOptions extends UpstreamNotices {
@@ -60,6 +62,8 @@
   readonly triedUpstreams: Set<string>;
   /** Number of upstreams that may have run the call. */
   possibleRuns: number;
+  /** Whether the caller gets a stream, so that only the rest of one may follow. */
+  hasBegun: boolean;
   lastEventId: number | null;
   lastFailure: string;
   /** When a permit is likely to be available; 0 if the stream waits for none. */
@@ -87,6 +91,7 @@
     const progress: StreamProgress = {
       triedUpstreams: new Set(),
       possibleRuns: 0,
+      hasBegun: false,
       lastEventId: null,
       lastFailure: "no upstream is known",
       retryAfterMs: 0,
@@ -98,7 +103,8 @@
     if (source === undefined) return this.#finalFailure(stream, progress);
     const { head, bodyChunks } = source.response;
     const isStream = head.status === OK_STATUS;
-    if (!isStream) source.release();
+    if (isStream) progress.hasBegun = true;
+    else source.release();
     return {
       status: head.status,
       headers: headerRecord(endToEndHeaders(head.rawHeaders)),
@@ -207,15 +213,15 @@
     }
     const metadata = dialect.readResponse(result.val.head);
     reportNotices(this.#options, { upstream, requestId, metadata });
-    if (metadata.requestId === requestId && !metadata.notRun) {
-      progress.possibleRuns += 1;
-      return result.val;
-    }
-    result.val.closeConnection();
     if (!metadata.notRun) progress.possibleRuns += 1;
-    progress.lastFailure = metadata.notRun
-      ? `rejected with status ${result.val.head.status}`
-      : "response belongs to another request";
+    const { status } = result.val.head;
+    const reason = rejectionOf({ status, metadata }, {
+      requestId,
+      isRest: progress.hasBegun,
+    });
+    if (reason === undefined) return result.val;
+    result.val.closeConnection();
+    progress.lastFailure = reason;
     choice.selector.pause(upstream.id, clock.nowMs());
     return undefined;
   }
@@ -231,7 +237,7 @@
       const { upstream, sentMs, release } = source;
       let isComplete = false;
       try {
-        isComplete = yield* this.#relayFrom(progress, source);
+        isComplete = yield* this.#relayFrom(stream, progress, source);
       } finally {
         // Also if the caller reads no further.
         release();
@@ -251,6 +257,7 @@
   }
 
   async *#relayFrom(
+    stream: StreamCall,
     progress: StreamProgress,
     source: OpenStream,
   ): AsyncGenerator<string, boolean> {
@@ -268,6 +275,9 @@
       if (parser.hasPartialEvent) {
         throw new Error("the stream ended within an event");
       }
+      if (progress.lastEventId === null && !isResumed(stream)) {
+        throw new Error("the stream ended before its first event");
+      }
       return true;
     } catch (error) {
       progress.lastFailure = error instanceof Error
@@ -286,6 +296,38 @@
   return fail("upstream_refused", message, { retryAfterMs });
 }
 
+/** Returns why a response is not passed on to the caller, or undefined if it is. */
+function rejectionOf(
+  response: {
+    readonly status: number;
+    readonly metadata: ResponseMetadata;
+  },
+  expected: {
+    readonly requestId: string;
+    /** Whether the response has to be the rest of a stream. */
+    readonly isRest: boolean;
+  },
+): string | undefined {
+  const { status, metadata } = response;
+  if (metadata.notRun) return `rejected with status ${status}`;
+  if (metadata.requestId !== expected.requestId) {
+    return "response belongs to another request";
+  }
+  if (status !== OK_STATUS) {
+    return expected.isRest
+      ? `status ${status} instead of the rest of the stream`
+      : undefined;
+  }
+  return metadata.stamp === null
+    ? "response without its stamp header"
+    : undefined;
+}
+
+/** Whether the caller has the first events of the stream, so that nothing may be left of it. */
+function isResumed({ routed: { call } }: StreamCall): boolean {
+  return call.headers[RESUMPTION_HEADER] !== undefined;
+}
+
 function isNextEvent(id: number, last: number | null): boolean {
   return last === null || id === last + 1;
 }
