Give every call an answer before a planned stop ends

What callers see: in a planned stop of an entry VM, calls that came late in the grace were passed on, and cut without an answer at its end, also calls that may not be repeated.

Cause: a connection that had not carried a request stays open until its first one, which was served at any time, and the process exits 0.5 s before the grace ends whatever is in progress.

What is still in progress 0.8 s before the end of the grace gets 504 (or 503 if its body had not come), and its upstream is told to stop. Streams that have begun can only be broken off.

Passing on everything and answering at the end only was weighed: calls that may not be repeated would be lost to their callers although another VM could have run them.

--- a/batches/batch_client.ts
+++ b/batches/batch_client.ts
@@ -18,9 +18,11 @@
 const ATTEMPT_TIMEOUT_MS: Milliseconds = 1_500;
 /** Time that a leader under load may take to reply. */
 const SILENCE_MS: Milliseconds = 400;
+/** Longest time that a call takes, beside the time for which a read may wait for results. */
+export const BATCH_CALL_LIMIT_MS: Milliseconds = 3_000;
 const DEFAULT_PATIENCE: RequestTimeouts = {
   attemptMs: ATTEMPT_TIMEOUT_MS,
-  totalMs: 3_000,
+  totalMs: BATCH_CALL_LIMIT_MS,
   silenceMs: SILENCE_MS,
 };
 
--- a/core/http.ts
+++ b/core/http.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Failure } from "./error_kinds.ts";
+import type { Milliseconds } from "./units.ts";
 
 /** A request whose headers and body were received completely and within their limits. */
 export interface HttpRequest {
@@ -21,6 +22,11 @@
   readonly body: Uint8Array;
   /** Aborted when the caller disconnects before the response is complete. */
   readonly signal: AbortSignal;
+  /**
+   * By when the response must be complete, on the monotonic clock of this VM, since the VM stops then. Absent unless the
+   * request came after the load balancer should have noticed that.
+   */
+  readonly endsByMs?: Milliseconds | undefined;
 }
 
 /** A response; the chunks of an iterable body are sent as they become available. */
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -37,6 +37,8 @@
 const DRAIN_NOTICE_MS: Milliseconds = 2_700;
 /** Part of the shutdown grace period that is left for the exit of the process. */
 const EXIT_MARGIN_MS: Milliseconds = 500;
+/** Time before that in which the responses to the last requests are sent. */
+const RESPONSE_MARGIN_MS: Milliseconds = 300;
 const NO_GROUP_STATUS = { leads: false, term: 0, voters: [] };
 
 /** An entry VM on the users' platform. */
@@ -151,7 +153,10 @@
     const { clock } = this.#base;
     const maximumDrainMs = this.#settings.shutdownGraceMs - EXIT_MARGIN_MS;
     await Promise.race([
-      this.#callerServer.drain(DRAIN_NOTICE_MS),
+      this.#callerServer.drain(
+        DRAIN_NOTICE_MS,
+        maximumDrainMs - RESPONSE_MARGIN_MS,
+      ),
       clock.sleep(maximumDrainMs),
     ]);
     this.#stopIsolationCheck();
--- a/programs/http_drain_test.ts
+++ b/programs/http_drain_test.ts
@@ -10,6 +10,7 @@
 import { ECHO_ROUTE, RawClient, withServer } from "./http_testing.ts";
 
 const NOTICE_MS: Milliseconds = 3_000;
+const GRACE_MS: Milliseconds = 7_000;
 const HOUR_MS: Milliseconds = 60 * MINUTE_MS;
 
 /** A route whose responses are delayed until `release` is called. */
@@ -138,3 +139,73 @@
     await drained;
   });
 });
+
+test("requests in progress at the end of the shutdown grace get a response, and their work is cancelled", async () => {
+  const clock = new VirtualClock();
+  const signals: AbortSignal[] = [];
+  const endless: HttpRoute = {
+    method: "ANY",
+    pattern: "/endless",
+    name: "endless",
+    handle: (call) => {
+      signals.push(call.signal);
+      return new Promise(() => {});
+    },
+  };
+  const options = { clock, routes: [endless] };
+  await withServer(options, async ({ server, address }) => {
+    const waiting = new RawClient(address);
+    waiting.send("GET /endless HTTP/1.1\r\nHost: h\r\n\r\n");
+    const sending = new RawClient(address);
+    sending.send(
+      "POST /endless HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\npart",
+    );
+    while (signals.length === 0 || server.connectionCount < 2) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    const drained = server.drain(NOTICE_MS, GRACE_MS);
+    await clock.advanceAsync(GRACE_MS - 1);
+    assert.equal(waiting.received, "");
+    await clock.advanceAsync(1);
+    const answered = await waiting.untilClosed();
+    assert.match(answered, /^HTTP\/1.1 504/);
+    assert.match(answered, /\r\nConnection: close\r\n/);
+    assert.equal(signals[0]?.aborted, true);
+    // Nothing of it can have run, since its body never came.
+    assert.match(await sending.until(/\r\n\r\n/), /^HTTP\/1.1 503/);
+    sending.socket.destroy();
+    await clock.advanceAsync(GRACE_MS);
+    await drained;
+  });
+});
+
+test("a request that comes late in the shutdown grace is told by when it must end, and an earlier one is not", async () => {
+  const clock = new VirtualClock();
+  const ends: (Milliseconds | undefined)[] = [];
+  const route: HttpRoute = {
+    method: "GET",
+    pattern: "/ends",
+    name: "ends",
+    handle: (call) => {
+      ends.push(call.endsByMs);
+      return Promise.resolve(jsonResponse(200, {}));
+    },
+  };
+  await withServer({ clock, routes: [route] }, async ({ server, address }) => {
+    const request = "GET /ends HTTP/1.1\r\nHost: h\r\n\r\n";
+    const early = new RawClient(address);
+    const late = new RawClient(address);
+    while (server.connectionCount < 2) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+    const startMs = clock.nowMs();
+    const drained = server.drain(NOTICE_MS, GRACE_MS);
+    early.send(request);
+    await early.untilClosed();
+    await clock.advanceAsync(NOTICE_MS);
+    late.send(request);
+    await late.untilClosed();
+    assert.deepEqual(ends, [undefined, startMs + GRACE_MS]);
+    await drained;
+  });
+});
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -44,8 +44,14 @@
   readBody,
 } from "./request_body.ts";
 import { buildCall, type FoundRoute, RouteFinder } from "./route_finder.ts";
+import { ShutdownLimit } from "./shutdown_limit.ts";
 
 const UNMATCHED_ROUTE = "unmatched";
+/** Failure of a request that is in progress when the VM has no more time. */
+const STOPPED = fail(
+  "outcome_unknown",
+  "this VM had to stop before the response was complete",
+);
 
 /** Options of `HttpServer`. */
 export interface HttpServerOptions {
@@ -92,10 +98,12 @@
   readonly #latency;
   readonly #responses;
   readonly #routes: RouteFinder;
+  readonly #shutdown: ShutdownLimit;
   #draining = false;
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
+    this.#shutdown = new ShutdownLimit(options.clock);
     this.#connections = new ConnectionTable(
       options.limits.maximumPipelinedRequests,
     );
@@ -150,10 +158,13 @@
   /**
    * Stops without interrupting a request. `draining` is true at once; connections are still accepted for
    * `noticeMs`, so that the load balancer can notice, and none after that. Resolves when every request that
-   * arrived has its complete response and every connection is closed.
+   * arrived has its complete response and every connection is closed. After `limitMs`, requests without a response are
+   * answered with a failure.
    */
-  async drain(noticeMs: Milliseconds): Promise<void> {
+  async drain(noticeMs: Milliseconds, limitMs?: Milliseconds): Promise<void> {
     this.#draining = true;
+    const limit = limitMs === undefined ? {} : { limitMs };
+    this.#shutdown.begin({ noticeMs, ...limit });
     const requests = this.#connections.pendingCount();
     this.#options.events.emit(HTTP_EVENTS.draining, { requests, noticeMs });
     await this.#options.clock.sleep(noticeMs);
@@ -297,7 +308,13 @@
       return this.#rejectBody(exchange, noMemoryFailure());
     }
     if (exchange.expectsContinue) response.writeContinue();
-    const body = await readBody(request, { maximumBytes, reservation });
+    const read = await this.#shutdown.wait(
+      readBody(request, { maximumBytes, reservation }),
+    );
+    if (read.kind === "stopped") {
+      return failureResponse(fail("not_ready", "this VM stops now"));
+    }
+    const body = read.value;
     if (body.err) return this.#rejectBody(exchange, body.val);
     return this.#handle(exchange, found, body.val);
   }
@@ -329,9 +346,19 @@
     response.once("close", () => {
       if (!response.writableFinished) disconnect.abort();
     });
-    const call = buildCall(request, { found, body, signal: disconnect.signal });
+    const call = buildCall(request, {
+      found,
+      body,
+      signal: disconnect.signal,
+      endsByMs: this.#shutdown.endOfRequestMs(),
+    });
     try {
-      const result = await found.route.handle(call);
+      const handled = await this.#shutdown.wait(found.route.handle(call));
+      if (handled.kind === "stopped") {
+        disconnect.abort();
+        return failureResponse(STOPPED);
+      }
+      const result = handled.value;
       return "kind" in result ? failureResponse(result) : result;
     } catch (error) {
       return failureResponse(this.#reportHandlerError(found.route.name, error));
--- a/programs/route_finder.ts
+++ b/programs/route_finder.ts
@@ -9,6 +9,7 @@
   type HttpRequest,
   type HttpResponse,
   type HttpRoute,
+  type Milliseconds,
   Ok,
   type Result,
 } from "#core";
@@ -61,6 +62,7 @@
     readonly found: FoundRoute;
     readonly body: Uint8Array;
     readonly signal: AbortSignal;
+    readonly endsByMs: Milliseconds | undefined;
   },
 ): HttpRequest {
   const { path, query, headers, parameters } = parts.found;
@@ -74,5 +76,6 @@
     headers,
     body: parts.body,
     signal: parts.signal,
+    endsByMs: parts.endsByMs,
   };
 }
