End notices about crashes and limits that went round among control VMs for ever

What callers see: for ten seconds and more no trainer can name a version and no operator gets an acknowledgement or reads a configuration back, and steps stand still, until all VMs lose power or the notices expire.

Cause: a report of a crash and one of a response to the same call, some milliseconds apart, refuted each other in turn. Ages are taken over on each VM's clock, so a report seems later by its time under way at each VM that it passes; what counts as the newer one changed again and again, and each change was sent to all other control VMs. Ten of them then hold 5 to 11 MB of unsent notices each and close connections for lack of pongs. Class: gossip that is not idempotent, since the order of two facts is judged anew at each hop.

Now a refuted crash is a fact of its own, for good, which only adds up; and of limits only the control VM that an upstream's limit is reported to tells others.

Ruled out: elections (none in that time), the disk, large configurations.

--- a/membership/crash_ledger.ts
+++ b/membership/crash_ledger.ts
@@ -11,6 +11,8 @@
 import { BLOCKING_CRASHES, type CrashRecord } from "./crash_records.ts";
 
 const MAXIMUM_CALLS = 512;
+/** Refuted crashes that are remembered of one call. */
+const MAXIMUM_REFUTED = 64;
 /** Time within which an upstream that has crashed is no longer listed, for lack of heartbeats. */
 const DELISTING_MS: Milliseconds = 10 * SECOND_MS;
 const SUSPECT_RETENTION_MS: Milliseconds = 10 * MINUTE_MS;
@@ -22,6 +24,11 @@
   readonly bodyBytes: Bytes;
   /** When the crash of each incarnation was observed. */
   readonly crashes: Map<string, Milliseconds>;
+  /**
+   * Incarnations whose crash was refuted. Which report is the later one is decided once: times shift with each VM that a
+   * report passes, so that VMs which decide anew would never agree.
+   */
+  readonly refuted: Set<string>;
   answeredMs: Milliseconds;
   /** Revision of the ledger at the last change. */
   changedAt: number;
@@ -207,30 +214,15 @@
     return this.#index;
   }
 
-  /** Returns whether the record changes which crashes count. */
+  /** Returns whether the record changes which crashes count, or is the first to say that the call was answered. */
   #mergeOne(record: CrashRecord, nowMs: Milliseconds): boolean {
-    const known = this.#calls.get(record.digest) ?? {
-      bodyBytes: record.bodyBytes,
-      crashes: new Map<string, Milliseconds>(),
-      answeredMs: -Infinity,
-      changedAt: 0,
-    };
-    const answeredMs = record.answeredAgeMs === null
-      ? -Infinity
-      : nowMs - record.answeredAgeMs;
-    let changed = false;
-    if (answeredMs > known.answeredMs) {
-      // Also without crashes to drop: reports of some that it refutes may still be under way.
-      const isFirst = known.answeredMs === -Infinity;
-      known.answeredMs = answeredMs;
-      changed = dropRefuted(known) || isFirst;
+    const known = this.#calls.get(record.digest) ?? newCall(record.bodyBytes);
+    let changed = mergeAnswer(known, record, nowMs);
+    for (const incarnation of record.refuted ?? []) {
+      if (refute(known, incarnation)) changed = true;
     }
     for (const { incarnation, ageMs } of record.crashes) {
-      const observedMs = nowMs - ageMs;
-      if (observedMs <= known.answeredMs) continue;
-      if (known.crashes.has(incarnation)) continue;
-      known.crashes.set(incarnation, observedMs);
-      changed = true;
+      if (mergeCrash(known, incarnation, nowMs - ageMs)) changed = true;
     }
     if (!changed) return false;
     this.#revision += 1;
@@ -247,7 +239,7 @@
     for (const digest of digests) {
       const call = this.#calls.get(digest);
       if (call === undefined) continue;
-      const { bodyBytes, answeredMs } = call;
+      const { bodyBytes, answeredMs, refuted } = call;
       const crashes = [...call.crashes].map(([incarnation, observedMs]) => ({
         incarnation,
         ageMs: nowMs - observedMs,
@@ -255,21 +247,69 @@
       const answeredAgeMs = answeredMs === -Infinity
         ? null
         : nowMs - answeredMs;
-      records.push({ digest, bodyBytes, crashes, answeredAgeMs });
+      const record = { digest, bodyBytes, crashes, answeredAgeMs };
+      records.push({ ...record, refuted: [...refuted] });
     }
     return records;
   }
 }
 
-/** Drops the crashes that a response refutes; returns whether there were any. */
-function dropRefuted(call: KnownCall): boolean {
-  let dropped = false;
-  for (const [incarnation, observedMs] of call.crashes) {
-    if (observedMs > call.answeredMs) continue;
-    call.crashes.delete(incarnation);
-    dropped = true;
+function newCall(bodyBytes: Bytes): KnownCall {
+  return {
+    bodyBytes,
+    crashes: new Map(),
+    refuted: new Set(),
+    answeredMs: -Infinity,
+    changedAt: 0,
+  };
+}
+
+/** Adds a response to the call, which refutes the crashes before it; returns whether that is news. */
+function mergeAnswer(
+  known: KnownCall,
+  record: CrashRecord,
+  nowMs: Milliseconds,
+): boolean {
+  if (record.answeredAgeMs === null) return false;
+  // A response that is known already seems later by the time that its report was under way.
+  const isRepeated = record.answeredAgeMs > 0 && known.answeredMs !== -Infinity;
+  if (isRepeated && record.refuted !== undefined) return false;
+  const answeredMs = nowMs - record.answeredAgeMs;
+  if (answeredMs <= known.answeredMs) return false;
+  // Also without crashes to drop: reports of some that it refutes may still be under way.
+  let changed = known.answeredMs === -Infinity;
+  known.answeredMs = answeredMs;
+  for (const [incarnation, observedMs] of known.crashes) {
+    if (observedMs > answeredMs) continue;
+    if (refute(known, incarnation)) changed = true;
+  }
+  return changed;
+}
+
+/** Adds a crash; returns whether that is news. */
+function mergeCrash(
+  known: KnownCall,
+  incarnation: string,
+  observedMs: Milliseconds,
+): boolean {
+  if (known.refuted.has(incarnation) || known.crashes.has(incarnation)) {
+    return false;
+  }
+  if (observedMs <= known.answeredMs) return refute(known, incarnation);
+  known.crashes.set(incarnation, observedMs);
+  return true;
+}
+
+/** Drops the crash of an incarnation for good; returns whether that is news. */
+function refute(known: KnownCall, incarnation: string): boolean {
+  known.crashes.delete(incarnation);
+  if (known.refuted.has(incarnation)) return false;
+  known.refuted.add(incarnation);
+  const [oldest] = known.refuted;
+  if (known.refuted.size > MAXIMUM_REFUTED && oldest !== undefined) {
+    known.refuted.delete(oldest);
   }
-  return dropped;
+  return true;
 }
 
 function compareImportance(a: KnownCall, b: KnownCall): number {
--- a/membership/crash_records.ts
+++ b/membership/crash_records.ts
@@ -25,6 +25,8 @@
   readonly crashes: readonly CrashUnderCall[];
   /** Time since an upstream ran the call and responded completely, which refutes earlier crashes; null if none did. */
   readonly answeredAgeMs: Milliseconds | null;
+  /** Incarnations whose crash such a response has refuted, for good. Absent in records of earlier builds. */
+  readonly refuted?: readonly string[];
 }
 
 /** The records that one control VM has sent last. */
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -132,11 +132,17 @@
 
   /** Records limits that upstreams named in responses, and notifies the others. */
   recordLimits(limits: readonly LimitObservation[]): void {
+    const news = this.#mergeLimits(limits);
+    if (news.length > 0) this.#notifyPeers({ kind: "limits", limits: news });
+  }
+
+  #mergeLimits(
+    limits: readonly LimitObservation[],
+  ): readonly LimitObservation[] {
     const nowMs = this.#options.clock.nowMs();
     const news = limits.filter((each) => this.#table.recordLimit(each, nowMs));
-    if (news.length === 0) return;
-    this.#notifyPeers({ kind: "limits", limits: news });
-    this.wakeWaiters();
+    if (news.length > 0) this.wakeWaiters();
+    return news;
   }
 
   /** Records crashes of upstreams under calls, and notifies the others. */
@@ -277,12 +283,21 @@
       this.#table.markGone(notice.id, notice.bornMs, nowMs);
     }
     if (notice.kind === "draining") this.recordLeaving(notice.upstreams);
-    if (notice.kind === "limits") this.recordLimits(notice.limits);
+    if (notice.kind === "limits") this.#handleLimits(from, notice.limits);
     if (notice.kind === "crashes") this.recordCrashes(notice.records);
     if (notice.kind === "nodes") this.#handleNodes(from, notice);
     if (this.#table.revision !== previousRevision) this.wakeWaiters();
   }
 
+  /**
+   * The control VM that a limit is reported to tells all others. They tell it to nobody: which of two limits is the
+   * newer one looks different at each VM, as times shift by the way of a notice.
+   */
+  #handleLimits(from: string, limits: readonly LimitObservation[]): void {
+    if (this.#peers().includes(from)) this.#mergeLimits(limits);
+    else this.recordLimits(limits);
+  }
+
   #handleNodes(
     from: string,
     notice: Extract<FleetNotice, { kind: "nodes" }>,
