Move no run for a difference that the delay of a busy leader explains

What callers see: 20 to 47 runs a second stop and go on elsewhere, also in calm; each costs a connection, a prompt and processor time, and steps come late.

Cause: a leader that is busy reads events late and in clumps. That looks like slow or silent engines; and the later a step is, the smaller a difference suffices to move its runs. Class: what delays the observer is taken for a fault of the observed, and the remedy adds to the delay.

The leader measures by how much its ticks come late (the longest delay within 0.6 s). Intervals of an engine count less by that before it is compared, and silence counts up to what has been read.

Two tests of the plan fail before.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -31,6 +31,7 @@
 import { abortRun, ItemTask } from "./item_task.ts";
 import { PROGRESS_DELAY_MS, ProgressWriter } from "./progress_writer.ts";
 import { RunPlacement } from "./run_placement.ts";
+import { TurnDelay } from "./turn_delay.ts";
 
 const TICK_INTERVAL_MS: Milliseconds = 50;
 /** Time without a lease after which a leader counts as replaced although it has not heard of another one. */
@@ -70,6 +71,7 @@
   readonly #placement: RunPlacement;
   readonly #progress: ProgressWriter;
   readonly #tasks = new Map<string, ItemTask>();
+  readonly #turnDelay = new TurnDelay(TICK_INTERVAL_MS);
   /** How the open batches progress on this VM, by batch identifier. */
   readonly #timings = new Map<string, BatchTimings>();
   /** When the lease of this leader was first seen to have lapsed, or undefined. */
@@ -104,6 +106,7 @@
       runs: this.#runs,
       tasks: this.#tasks,
       rules: this.#rules,
+      readingDelayMs: () => this.#turnDelay.worstMs(options.clock.nowMs()),
       wakeAfter: (delayMs) => this.#wakeAfter(delayMs),
     });
     this.#scoring = new ItemScoring({
@@ -125,10 +128,11 @@
 
   /** Starts to schedule items periodically and whenever the log applies an entry. */
   start(): void {
-    this.#ticks = this.#options.clock.every(
-      TICK_INTERVAL_MS,
-      () => this.#tick(),
-    );
+    const { clock } = this.#options;
+    this.#ticks = clock.every(TICK_INTERVAL_MS, () => {
+      this.#turnDelay.recordTick(clock.nowMs());
+      this.#tick();
+    });
     this.#options.log.onApplied(() => this.wake());
   }
 
--- a/batches/foreign_runs_test.ts
+++ b/batches/foreign_runs_test.ts
@@ -114,6 +114,7 @@
   await replies();
   const starts = planStarts({
     nowMs: 0,
+    readingDelayMs: 0,
     waiting: itemsOf(20),
     runs: [],
     engines: engines.snapshots(),
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -65,6 +65,8 @@
 /** Input of the plan functions. */
 export interface ItemPlanInput {
   readonly nowMs: Milliseconds;
+  /** How late this VM read events lately, at most; intervals between events seem longer by up to that. */
+  readonly readingDelayMs: Milliseconds;
   readonly waiting: readonly PlannedItem[];
   readonly runs: readonly PlacedRun[];
   readonly engines: readonly EngineSnapshot[];
@@ -156,7 +158,8 @@
       moves.push({ key: run.item.key, reason: "engine_leaves", to: null });
       continue;
     }
-    if (isStalled(run, engine, input.nowMs)) {
+    const readUntilMs = input.nowMs - input.readingDelayMs;
+    if (isStalled(run, engine, readUntilMs)) {
       moves.push({ key: run.item.key, reason: "silent", to: null });
       continue;
     }
@@ -309,7 +312,8 @@
   const { input, loads, reading } = state;
   let best: EngineSnapshot | undefined;
   // The most frequent reason against a move is checked first: a plan looks at each pair of a run and an engine.
-  const maximumIntervalMs = engine.eventIntervalMs / LATE_MOVE_SPEED_RATIO;
+  const intervalMs = engine.eventIntervalMs - input.readingDelayMs;
+  const maximumIntervalMs = intervalMs / LATE_MOVE_SPEED_RATIO;
   for (const other of input.engines) {
     if (other.eventIntervalMs > maximumIntervalMs) continue;
     if (other === engine || !canRun(run.item, other, input.nowMs)) continue;
@@ -318,7 +322,8 @@
     if (reading.has(other.upstream.id)) continue;
     if (!hasCapacity(run.item, other, loads)) continue;
     if (other.eventIntervalMs >= (best?.eventIntervalMs ?? Infinity)) continue;
-    const move = { from: engine, to: other, nowMs: input.nowMs };
+    const ratio = intervalMs / other.eventIntervalMs;
+    const move = { ratio, nowMs: input.nowMs };
     if (isWorthMoving(run.item, move)) best = other;
   }
   return best;
@@ -327,12 +332,12 @@
 function isWorthMoving(
   item: PlannedItem,
   move: {
-    readonly from: EngineSnapshot;
-    readonly to: EngineSnapshot;
+    /** How many times faster the other engine surely is. */
+    readonly ratio: number;
     readonly nowMs: Milliseconds;
   },
 ): boolean {
-  const ratio = move.from.eventIntervalMs / move.to.eventIntervalMs;
+  const { ratio } = move;
   const leftMs = item.tokensLeft * ESTIMATED_TOKEN_MS;
   if (leftMs * (ratio - 1) < MINIMUM_MOVE_GAIN_MS) return false;
   const atRisk =
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -76,6 +76,7 @@
 test("the item with the least slack starts first, on the fastest engine", () => {
   const starts = planStarts({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [
       item("short", { tokensLeft: 100 }),
       item("long", { tokensLeft: 9_000 }),
@@ -93,6 +94,7 @@
 test("a resubmitted item starts before a longer new one", () => {
   const starts = planStarts({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [
       item("new", { tokensLeft: 3_000 }),
       item("again", { resubmitted: true }),
@@ -113,6 +115,7 @@
   const small = engine("small", { cacheTokens: 3_000 });
   const starts = planStarts({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [item("one"), item("two")],
     runs: [run("other", "full"), run("there", "small")],
     engines: [...unavailable, small],
@@ -127,6 +130,7 @@
   const short = Array.from({ length: 9 }, (_, at) => item(`s${at}`));
   const starts = planStarts({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [...long, ...short],
     runs: [],
     engines: [engine("one", { cacheTokens: 36_000 }, { slots: 12 })],
@@ -137,6 +141,7 @@
 test("an item bound to one version resumes only on an engine with that version", () => {
   const input = {
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [item("bound", { boundVersion: 1 })],
     runs: [],
     engines: [engine("newer", { versions: new Map([["m", 2]]) })],
@@ -153,6 +158,7 @@
   ];
   const moves = planMoves({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [],
     runs,
     engines: [
@@ -172,6 +178,7 @@
 test("a run on a slightly slower engine moves to the fastest engine, which the plan names", () => {
   const moves = planMoves({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [],
     runs: [run("long", "slow", { item: item("long", { tokensLeft: 9_000 }) })],
     engines: [
@@ -192,6 +199,7 @@
   const to = (eventGapMs: number) =>
     planMoves({
       nowMs: NOW_MS,
+      readingDelayMs: 0,
       waiting: [],
       runs,
       engines: [
@@ -208,6 +216,7 @@
   const movesAfter = (ageMs: number) =>
     planMoves({
       nowMs: NOW_MS,
+      readingDelayMs: 0,
       waiting: [],
       runs: [run("new", "slow", { startedMs: NOW_MS - ageMs })],
       engines,
@@ -221,6 +230,7 @@
   const plan = (runs: readonly PlacedRun[]) =>
     planMoves({
       nowMs: NOW_MS,
+      readingDelayMs: 0,
       waiting: [],
       runs,
       engines: [
@@ -238,6 +248,7 @@
 test("a run stays when the time gained is less than the cost of a move", () => {
   const moves = planMoves({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [],
     runs: [run("short", "slow", { item: item("short", { tokensLeft: 500 }) })],
     engines: [engine("slow", { eventIntervalMs: 52 }), engine("fast")],
@@ -248,6 +259,7 @@
 test("a run stays when all faster engines are full", () => {
   const moves = planMoves({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [],
     runs: [run("slow", "slow"), run("a", "fast"), run("b", "fast")],
     engines: [engine("fast"), engine("slow", { eventIntervalMs: 140 })],
@@ -258,6 +270,7 @@
 test("a run leaves a stalled engine regardless of how often it has moved", () => {
   const moves = planMoves({
     nowMs: NOW_MS,
+    readingDelayMs: 0,
     waiting: [],
     runs: [
       run("silent", "dark", { lastEventMs: NOW_MS - 2_000, moves: 50 }),
@@ -281,3 +294,33 @@
   assert.ok(observations.eventIntervalMs("dark", 3_000) > 5 * usual);
   assert.ok(observations.eventIntervalMs("dark", 30_000) < 2 * usual);
 });
+
+test("a busy VM does not take its own delay for slow or silent engines", () => {
+  const runs = [
+    run("clumped", "slower"),
+    run("unread", "fast", { lastEventMs: NOW_MS - 400 }),
+  ];
+  const engines = [
+    engine("slower", { eventIntervalMs: 90 }, { slots: 8 }),
+    engine("fast", { eventIntervalMs: 40 }, { slots: 8 }),
+  ];
+  const movesAt = (readingDelayMs: number) =>
+    planMoves({ nowMs: NOW_MS, readingDelayMs, waiting: [], runs, engines })
+      .map((move) => `${move.key}: ${move.reason}`);
+  assert.deepEqual(movesAt(0).sort(), [
+    "clumped: faster_elsewhere",
+    "unread: silent",
+  ]);
+  assert.deepEqual(movesAt(60), []);
+});
+
+test("a busy VM still moves a run from an engine that is slower than its delay explains", () => {
+  const moves = planMoves({
+    nowMs: NOW_MS,
+    readingDelayMs: 60,
+    waiting: [],
+    runs: [run("slow", "slow")],
+    engines: [engine("slow", { eventIntervalMs: 200 }), engine("fast")],
+  });
+  assert.equal(moves.length, 1);
+});
--- a/batches/leader_change_test.ts
+++ b/batches/leader_change_test.ts
@@ -90,6 +90,7 @@
   after.adopt(machine.engineSpeeds(clock.wallMs()), clock.nowMs());
   const [start] = planStarts({
     nowMs: clock.nowMs(),
+    readingDelayMs: 0,
     waiting: [{
       key: task.key,
       group: "g",
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -43,6 +43,8 @@
   readonly upstreams: () => readonly FleetUpstream[];
   readonly permits: Permits;
   readonly foreignRuns: ForeignRuns;
+  /** Returns how late this VM read events lately, at most. */
+  readonly readingDelayMs: () => Milliseconds;
   /** Called when a plan is to be made after a time. */
   readonly wakeAfter: (delayMs: Milliseconds) => void;
 }
@@ -156,7 +158,9 @@
       if (run === undefined) waiting.push(item);
       else runs.push({ ...run, item, moves });
     }
-    return { nowMs, waiting, runs, engines: this.#engineSnapshots(nowMs) };
+    const engines = this.#engineSnapshots(nowMs);
+    const readingDelayMs = this.#options.readingDelayMs();
+    return { nowMs, readingDelayMs, waiting, runs, engines };
   }
 
   #engines(): readonly FleetUpstream[] {
