--- a/agreement/snapshot_saver.ts
+++ b/agreement/snapshot_saver.ts
@@ -112,6 +112,8 @@
     const { replica, applier, policy, clock } = this.#options;
     const nowMs = clock.nowMs();
     if (nowMs < this.#retryMs) return false;
+    // Without a leader nothing is applied, and votes would wait for the disk and the processor.
+    if (replica.state.leader === null) return false;
     const isTransferring = replica.leaderRole?.snapshotTransfers.isActive(
       nowMs,
     ) ?? false;
--- a/batches/batch_client.ts
+++ b/batches/batch_client.ts
@@ -45,6 +45,7 @@
       network: options.network,
       clock: options.clock,
       channel: "batches",
+      probe: { kind: "leader" },
       candidates: () =>
         leaderCandidates(options.nodes(), options.placement().stores),
     });
--- a/batches/batch_messages.ts
+++ b/batches/batch_messages.ts
@@ -9,6 +9,8 @@
 
 /** A request of an entry VM. */
 export type BatchRequest =
+  /** Succeeds if the VM leads. */
+  | { readonly kind: "leader" }
   | {
     readonly kind: "accept";
     readonly batch: Batch;
@@ -26,7 +28,7 @@
   | { readonly kind: "end"; readonly id: string };
 
 const requestKind = z.object({
-  kind: z.enum(["accept", "read", "body", "end"]),
+  kind: z.enum(["leader", "accept", "read", "body", "end"]),
 });
 
 /** Returns the request, or undefined if its kind is unknown. Does not validate the other fields. */
--- a/batches/batch_service.ts
+++ b/batches/batch_service.ts
@@ -82,6 +82,7 @@
       return Promise.resolve(Err(failure));
     }
     return match(request)
+      .with({ kind: "leader" }, () => this.#confirmLeadership())
       .with({ kind: "accept" }, (accept) => this.#accept(accept))
       .with({ kind: "end" }, (end) => this.#propose(end))
       .with({ kind: "read" }, (read) => this.#readResults(read))
@@ -89,6 +90,12 @@
       .exhaustive();
   }
 
+  async #confirmLeadership(): Promise<Result<null, Failure>> {
+    const { log } = this.#options;
+    const barrier = await log.query({ machine: "batches", question: null });
+    return barrier.err ? Err(barrier.val) : Ok(null);
+  }
+
   #propose(
     command: Extract<BatchRequest, { kind: "accept" | "end" }>,
   ): Promise<Result<unknown, Failure>> {
--- a/membership/leader_client.ts
+++ b/membership/leader_client.ts
@@ -26,6 +26,11 @@
   readonly channel: Channel;
   /** VMs that run the log; the likely leader first. */
   readonly candidates: () => readonly string[];
+  /**
+   * Question whether a VM leads, which only the leader answers. If present, a VM that is not known to lead is asked it
+   * first: while there is no leader, large requests would keep all VMs busy that are to elect one.
+   */
+  readonly probe?: unknown;
 }
 
 /**
@@ -74,11 +79,19 @@
     body: unknown,
     timeouts: RequestTimeouts,
   ): Promise<Result<unknown, Failure>> {
-    const { clock, network, channel } = this.#options;
+    const { clock, network, channel, probe } = this.#options;
+    const ask = (message: unknown) =>
+    (
+      to: string,
+      timeoutMs: Milliseconds,
+    ): Promise<Result<unknown, Failure>> =>
+      network.request({ to, channel, timeoutMs }, message);
     const request = new LeaderRequest({
       clock,
       timeouts,
-      ask: (to, timeoutMs) => network.request({ to, channel, timeoutMs }, body),
+      ask: ask(body),
+      ...(probe === undefined ? {} : { probe: ask(probe) }),
+      isLeader: (vm) => vm === this.#leader,
       candidates: () => this.#candidates(),
       onSilent: (vm) => this.#handleSilence(vm),
       onRejected: (vm, leader) => this.#handleRejection(vm, leader),
--- a/membership/leader_client_test.ts
+++ b/membership/leader_client_test.ts
@@ -23,13 +23,14 @@
 
 function createFixture(
   resultOf: (vm: string) => Result<unknown, Failure> | undefined,
+  probe?: unknown,
 ): Fixture {
   const clock = new VirtualClock();
   const network = new MemoryNetwork({ clock, random: new SeededRandom(2) });
   const askedVms: string[] = [];
   for (const vm of VMS) {
-    network.join(vm).onRequest("batches", () => {
-      askedVms.push(vm);
+    network.join(vm).onRequest("batches", (_from, body) => {
+      askedVms.push(body === probe ? `${vm}?` : vm);
       const result = resultOf(vm);
       return result === undefined
         ? new Promise(() => {})
@@ -41,6 +42,7 @@
     clock,
     channel: "batches",
     candidates: () => VMS,
+    ...(probe === undefined ? {} : { probe }),
   });
   return { clock, client, askedVms };
 }
@@ -155,3 +157,26 @@
   assert.equal(result.val.kind, "outcome_unknown");
   assert.equal(result.val.ran, "unknown");
 });
+
+test("while no VM leads none is sent the request itself, and the leader gets it once", async () => {
+  let leads = false;
+  const fixture = createFixture(
+    (vm) =>
+      leads && vm === "b" ? Ok(vm) : Err(fail("not_leader", "none leads")),
+    "probe",
+  );
+  const results: Result<unknown, Failure>[] = [];
+  const send = (): void => {
+    fixture.client.send({}, TIMEOUTS).then((result) => results.push(result));
+  };
+  send();
+  await fixture.clock.advanceAsync(500);
+  assert.deepEqual(fixture.askedVms.filter((vm) => !vm.endsWith("?")), []);
+  leads = true;
+  await fixture.clock.advanceAsync(500);
+  send();
+  await fixture.clock.advanceAsync(50);
+  assert.equal(results.length, 2);
+  const requests = fixture.askedVms.filter((vm) => !vm.endsWith("?"));
+  assert.deepEqual(requests, ["b", "b"]);
+});
--- a/membership/leader_request.ts
+++ b/membership/leader_request.ts
@@ -68,8 +68,17 @@
     vm: string,
     timeoutMs: Milliseconds,
   ) => Promise<Result<unknown, Failure>>;
+  /**
+   * Asks one VM whether it leads, before it is sent the request; absent for requests that are no larger than that.
+   */
+  readonly probe?: (
+    vm: string,
+    timeoutMs: Milliseconds,
+  ) => Promise<Result<unknown, Failure>>;
   /** Returns the VMs that may lead; the likely leader first. */
   readonly candidates: () => readonly string[];
+  /** Whether the VM is known to lead, so that it need not be probed. */
+  readonly isLeader: (vm: string) => boolean;
   /** Called when a VM does not reply for `silenceMs`, or not at all. */
   readonly onSilent: (vm: string) => void;
   /** Called when a VM rejects the request; `leader` is the one that it names, if it does. */
@@ -82,6 +91,8 @@
   readonly #startedMs: Milliseconds;
   /** VMs that have not replied yet, and when they were asked. */
   readonly #asked = new Map<string, Milliseconds>();
+  /** Those of them that have not been sent the request itself. */
+  readonly #probed = new Set<string>();
   readonly #failures = new Map<string, number>();
   readonly #attempts: AttemptRecord[] = [];
   #mayHaveRun = false;
@@ -140,18 +151,41 @@
   }
 
   #ask(vm: string): void {
-    const { clock, timeouts, ask } = this.#options;
-    const askedMs = clock.nowMs();
-    const remainingMs = this.#startedMs + timeouts.totalMs - askedMs;
-    if (remainingMs <= 0) return;
+    const askedMs = this.#options.clock.nowMs();
+    if (this.#timeoutMs() <= 0) return;
     this.#asked.set(vm, askedMs);
     this.#askAnotherAfterSilence();
-    ask(vm, Math.min(timeouts.attemptMs, remainingMs)).then((result) => {
-      const isAwaited = this.#asked.get(vm) === askedMs;
-      if (this.#settle !== undefined && isAwaited) this.#handle(vm, result);
+    const isAwaited = (): boolean =>
+      this.#settle !== undefined && this.#asked.get(vm) === askedMs;
+    this.#send(vm, isAwaited).then((result) => {
+      if (result !== undefined && isAwaited()) this.#handle(vm, result);
     });
   }
 
+  /** Sends the request, to a VM that is not known to lead only once it says that it does. */
+  async #send(
+    vm: string,
+    isAwaited: () => boolean,
+  ): Promise<Result<unknown, Failure> | undefined> {
+    const { probe, ask, isLeader } = this.#options;
+    if (probe === undefined || isLeader(vm)) return ask(vm, this.#timeoutMs());
+    this.#probed.add(vm);
+    const probed = await probe(vm, this.#timeoutMs());
+    if (!isAwaited()) return undefined;
+    // A VM of an earlier build does not know the question.
+    if (probed.err && probed.val.kind !== "malformed_request") {
+      return Err({ ...probed.val, ran: "no" });
+    }
+    this.#probed.delete(vm);
+    return ask(vm, this.#timeoutMs());
+  }
+
+  #timeoutMs(): Milliseconds {
+    const { clock, timeouts } = this.#options;
+    const remainingMs = this.#startedMs + timeouts.totalMs - clock.nowMs();
+    return Math.min(timeouts.attemptMs, remainingMs);
+  }
+
   #handle(vm: string, result: Result<unknown, Failure>): void {
     if (result.ok) {
       this.#record(vm, "ok");
@@ -184,7 +218,8 @@
   #withoutFalsePromise(failure: Failure): Failure {
     const { status } = ERROR_TABLE[failure.kind];
     const isPromise = status === 429 || status === 503;
-    const isCertain = !this.#mayHaveRun && this.#asked.size === 0;
+    const isCertain = !this.#mayHaveRun &&
+      this.#asked.size === this.#probed.size;
     if (!isPromise || isCertain) return failure;
     return fail("outcome_unknown", failure.message);
   }
@@ -208,14 +243,15 @@
   }
 
   #abandon(vm: string, reason: string): void {
+    this.#mayHaveRun ||= !this.#probed.has(vm);
     this.#record(vm, reason);
-    this.#mayHaveRun = true;
   }
 
   #record(vm: string, outcome: string): void {
     const nowMs = this.#options.clock.nowMs();
     const askedMs = this.#asked.get(vm) ?? nowMs;
     this.#asked.delete(vm);
+    this.#probed.delete(vm);
     this.#attempts.push({
       vm,
       startedMs: Math.round(askedMs - this.#startedMs),
