--- a/batches/batch_client.ts
+++ b/batches/batch_client.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Clock,
+  type EventLog,
   type Failure,
   type FleetNode,
   type Milliseconds,
@@ -30,6 +31,7 @@
 export interface BatchClientOptions {
   readonly network: PeerNetwork;
   readonly clock: Clock;
+  readonly events: EventLog;
   readonly nodes: () => readonly FleetNode[];
   readonly placement: () => Placement;
 }
@@ -44,6 +46,7 @@
     this.#requests = new LeaderClient({
       network: options.network,
       clock: options.clock,
+      events: options.events,
       channel: "batches",
       probe: { kind: "leader" },
       candidates: () =>
--- a/membership/control_leader.ts
+++ b/membership/control_leader.ts
@@ -7,6 +7,7 @@
 import {
   type Clock,
   Err,
+  type EventLog,
   fail,
   type Failure,
   type FleetNode,
@@ -42,6 +43,7 @@
 export interface ControlLeaderOptions {
   readonly network: PeerNetwork;
   readonly clock: Clock;
+  readonly events: EventLog;
   readonly nodes: () => readonly FleetNode[];
   /** Returns the control VMs, the likely ones first. */
   readonly controlVms: () => readonly string[];
@@ -57,6 +59,7 @@
     this.#client = new LeaderClient({
       network: options.network,
       clock: options.clock,
+      events: options.events,
       channel: CHANNEL,
       candidates: () => this.#candidates(),
     });
--- a/membership/events.ts
+++ b/membership/events.ts
@@ -152,6 +152,14 @@
     action:
       "Check the disk. The other VMs still know the blocked calls; they are forgotten only if all VMs lose power.",
   },
+  leaderRequestDelayed: {
+    code: 1425,
+    level: "info",
+    text:
+      "a request to the leader of a replicated log took long or failed; `attempts` names the VMs that were asked, when, for how long and with what outcome",
+    action:
+      "None for one line. If it persists, look at the first VM that did not reply, and for a leader in event 1202.",
+  },
   isolated: {
     code: 1418,
     level: "warn",
--- a/membership/leader_client.ts
+++ b/membership/leader_client.ts
@@ -6,6 +6,7 @@
  */
 import type {
   Clock,
+  EventLog,
   Failure,
   FleetNode,
   FleetRole,
@@ -13,16 +14,24 @@
   Result,
 } from "#core";
 import type { Channel, PeerNetwork } from "#wire";
-import { LeaderRequest, type RequestTimeouts } from "./leader_request.ts";
+import { MEMBERSHIP_EVENTS } from "./events.ts";
+import {
+  LeaderRequest,
+  type RequestOutcome,
+  type RequestTimeouts,
+} from "./leader_request.ts";
 import { leaderOf } from "./placement_plan.ts";
 
 /** Time for which a VM that did not reply is asked after all others. */
 const SILENCE_MEMORY_MS: Milliseconds = 1_000;
+/** Longest time for a request that several VMs were asked for, or that failed, and that leaves no line in the log. */
+const UNREPORTED_MS: Milliseconds = 200;
 
 /** Options of `LeaderClient`. */
 export interface LeaderClientOptions {
   readonly network: PeerNetwork;
   readonly clock: Clock;
+  readonly events: EventLog;
   readonly channel: Channel;
   /** VMs that run the log; the likely leader first. */
   readonly candidates: () => readonly string[];
@@ -97,12 +106,29 @@
       onRejected: (vm, leader) => this.#handleRejection(vm, leader),
     });
     this.#requests.add(request);
-    const { result, leader } = await request.run();
+    const startedMs = clock.nowMs();
+    const outcome = await request.run();
     this.#requests.delete(request);
+    const { result, leader } = outcome;
     if (leader !== undefined) this.#remember(leader);
+    this.#reportDelay(outcome, clock.nowMs() - startedMs);
     return result;
   }
 
+  #reportDelay(
+    { result, attempts }: RequestOutcome,
+    tookMs: Milliseconds,
+  ): void {
+    if (tookMs <= UNREPORTED_MS || (result.ok && attempts.length <= 1)) return;
+    const { events, channel } = this.#options;
+    events.emit(MEMBERSHIP_EVENTS.leaderRequestDelayed, {
+      channel,
+      tookMs: Math.round(tookMs),
+      outcome: result.ok ? "ok" : result.val.kind,
+      attempts,
+    });
+  }
+
   #remember(leader: string): void {
     this.#leader = leader;
     this.#silentAtMs.delete(leader);
--- a/membership/leader_client_test.ts
+++ b/membership/leader_client_test.ts
@@ -4,12 +4,14 @@
   Err,
   fail,
   type Failure,
+  MemoryEventLog,
   Ok,
   type Result,
   SeededRandom,
   VirtualClock,
 } from "#core";
 import { MemoryNetwork } from "#wire";
+import { MEMBERSHIP_EVENTS } from "./events.ts";
 import { LeaderClient } from "./leader_client.ts";
 
 const VMS = ["a", "b", "c"];
@@ -19,6 +21,7 @@
   readonly clock: VirtualClock;
   readonly client: LeaderClient;
   readonly askedVms: string[];
+  readonly events: MemoryEventLog;
 }
 
 function createFixture(
@@ -28,6 +31,7 @@
   const clock = new VirtualClock();
   const network = new MemoryNetwork({ clock, random: new SeededRandom(2) });
   const askedVms: string[] = [];
+  const events = new MemoryEventLog();
   for (const vm of VMS) {
     network.join(vm).onRequest("batches", (_from, body) => {
       askedVms.push(body === probe ? `${vm}?` : vm);
@@ -40,11 +44,12 @@
   const client = new LeaderClient({
     network: network.join("caller"),
     clock,
+    events,
     channel: "batches",
     candidates: () => VMS,
     ...(probe === undefined ? {} : { probe }),
   });
-  return { clock, client, askedVms };
+  return { clock, client, askedVms, events };
 }
 
 async function sendAndSettle(
@@ -141,6 +146,14 @@
   leader = "c";
   await fixture.clock.advanceAsync(300);
   assert.equal(results[0]?.unwrap(), "c");
+  const line = fixture.events.records().find(({ event }) =>
+    event === MEMBERSHIP_EVENTS.leaderRequestDelayed
+  );
+  const attempts = line?.fields["attempts"] as { readonly outcome: string }[];
+  assert.deepEqual(
+    [...new Set(attempts.map(({ outcome }) => outcome))],
+    ["not_leader", "ok"],
+  );
   assert.equal(fixture.askedVms.filter((vm) => vm === "a").length, 1);
 });
 
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -168,6 +168,7 @@
     const { control, fleet, log, placements } = this.#replica;
     const routes = [
       ...controlRoutes({
+        clock: base.clock,
         events: base.events,
         control,
         acceptHeartbeat: (upstream) => fleet.recordHeartbeat(upstream),
--- a/proof/simulated_vms.ts
+++ b/proof/simulated_vms.ts
@@ -159,6 +159,7 @@
   const leader = new ControlLeader({
     network,
     clock,
+    events,
     nodes: () => follower.nodes,
     controlVms: () => follower.controlVms(),
   });
--- a/quotas/permit_world.ts
+++ b/quotas/permit_world.ts
@@ -186,6 +186,7 @@
     const leader = new ControlLeader({
       network,
       clock: this.#clock,
+      events: new MemoryEventLog(),
       nodes: () => [],
       controlVms: () => CONTROLS,
     });
