Start whole groups first when the engines can't finish all of a step in time

What callers see: past what the engines can generate hardly any group is in time, though most of their work is done all the same.

Cause: of all waiting items the one with the least slack, so the longest, started first; each group then waits for its short items, and all groups end together after their time. Class: an order that is best while all fits, and worst when it does not.

Groups of the step that is due first now come first as far as the engines can generate them in time: those that the trainer waits for in any case, those that have begun, then the cheapest ones; the others get what slots are left. While all fits, nothing changes.

Not done: telling a trainer at once that a batch can't be in time, and second runs or moves of runs under overload.

--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -1,14 +1,15 @@
 /**
  * Decides which items start on which engines and which runs move to another engine. Performs no I/O.
  *
- * A step is complete only when its slowest items are, so the item with the least slack starts first, on the
- * engine that generates events fastest. A run that stalls moves to another engine and resumes from its last
+ * A step is complete only when its slowest items are, so the item with the least slack starts first (see
+ * `startOrder`), on the engine that generates events fastest. A run that stalls moves to another engine and resumes from its last
  * event; so does a slow run while a faster engine has a free slot.
  *
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
 import { EngineLoad } from "./engine_load.ts";
+import { latestStartMs, startOrder } from "./start_order.ts";
 
 /** An item as the plan uses it, waiting for an engine or running. */
 export interface PlannedItem {
@@ -94,7 +95,6 @@
 const MAXIMUM_MOVES = 6;
 /** Minimum time before a run moves again, since an engine seems slow while it reads the prompts of new runs. */
 const MINIMUM_STAY_MS: Milliseconds = 1_000;
-const RESUBMITTED_HEAD_START_MS: Milliseconds = 3_000;
 const USABLE_CACHE_FRACTION = 0.9;
 const ESTIMATED_TOKEN_MS: Milliseconds = 0.6;
 
@@ -110,10 +110,7 @@
     ),
   );
   const starts: PlannedStart[] = [];
-  const leastSlackFirst = [...input.waiting].sort((a, b) =>
-    latestStartMs(a) - latestStartMs(b)
-  );
-  for (const item of leastSlackFirst) {
+  for (const item of startOrder(input)) {
     if (free.size === 0) break;
     const engine = bestEngine(item, {
       engines: free,
@@ -190,12 +187,6 @@
   return nowMs - run.lastEventMs > allowedMs;
 }
 
-/** Returns the estimated latest start that meets the due time; earlier for resubmitted items, to prefer them. */
-function latestStartMs(item: PlannedItem): number {
-  const headStartMs = item.resubmitted ? RESUBMITTED_HEAD_START_MS : 0;
-  return item.dueMs - item.tokensLeft * ESTIMATED_TOKEN_MS - headStartMs;
-}
-
 function loadByEngine(runs: readonly PlacedRun[]): Map<string, EngineLoad> {
   const loads = new Map<string, EngineLoad>();
   for (const run of runs) addLoad(loads, run.engine, run.item);
