--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -15,7 +15,6 @@
 import {
   type Address,
   ByteBudget,
-  type ByteReservation,
   type Bytes,
   type Clock,
   type EventLog,
@@ -35,23 +34,12 @@
 import { type HttpLimits, nodeServerOptions } from "./http_limits.ts";
 import { HttpMemory } from "./http_memory.ts";
 import { type ClientError, clientFailure, rejectRaw } from "./raw_rejection.ts";
-import {
-  bodyTooLargeFailure,
-  contentLengthExceeds,
-  contentLengthOf,
-  discardBody,
-  noMemoryFailure,
-  readBody,
-} from "./request_body.ts";
-import { buildCall, type FoundRoute, RouteFinder } from "./route_finder.ts";
+import { discardBody } from "./request_body.ts";
+import { type Exchange, RequestHandler } from "./request_handler.ts";
+import { RouteFinder } from "./route_finder.ts";
 import { ShutdownLimit } from "./shutdown_limit.ts";
 
 const UNMATCHED_ROUTE = "unmatched";
-/** Failure of a request that is in progress when the VM has no more time. */
-const STOPPED = fail(
-  "outcome_unknown",
-  "this VM had to stop before the response was complete",
-);
 
 /** Options of `HttpServer`. */
 export interface HttpServerOptions {
@@ -69,17 +57,6 @@
   readonly metrics: Metrics;
 }
 
-/** A request and its response. */
-interface Exchange {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  /** Whether the client waits for `100 Continue` before it sends the body. */
-  readonly expectsContinue: boolean;
-  readonly startedAtMs: Milliseconds;
-  /** The memory of the request body, held until the response is written. */
-  readonly bodyReservation: ByteReservation;
-}
-
 /**
  * Serves HTTP on one address.
  *
@@ -99,11 +76,17 @@
   readonly #responses;
   readonly #routes: RouteFinder;
   readonly #shutdown: ShutdownLimit;
+  readonly #handler: RequestHandler;
   #draining = false;
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
     this.#shutdown = new ShutdownLimit(options.clock);
+    this.#handler = new RequestHandler({
+      ...options,
+      shutdown: this.#shutdown,
+      maximumBodyBytes: () => this.#maximumBodyBytes(),
+    });
     this.#connections = new ConnectionTable(
       options.limits.maximumPipelinedRequests,
     );
@@ -229,7 +212,7 @@
   }
 
   #rejectConnection(socket: Socket, failure: Failure): void {
-    this.#reportRejection(failure);
+    this.#handler.reportRejection(failure);
     // A client would take a rejection written before earlier responses for the response to its first request.
     if (!this.#connections.failInput(socket, failure)) return;
     this.#countResponse(UNMATCHED_ROUTE, failureResponse(failure).status);
@@ -257,7 +240,7 @@
         (failure) => this.#serve(exchange, failure),
       );
     } catch (error) {
-      this.#reportHandlerError(UNMATCHED_ROUTE, error);
+      this.#handler.reportError(UNMATCHED_ROUTE, error);
       response.destroy();
     } finally {
       exchange.bodyReservation.release();
@@ -277,10 +260,10 @@
     const found = this.#routes.find(exchange.request);
     const route = found.ok ? found.val.route.name : UNMATCHED_ROUTE;
     const complete = found.ok
-      ? await this.#readAndHandle(exchange, found.val)
+      ? await this.#handler.respond(exchange, found.val)
       : found.val;
     const held = this.#memory.holdResponse(complete);
-    if (held.failure !== undefined) this.#reportRejection(held.failure);
+    if (held.failure !== undefined) this.#handler.reportRejection(held.failure);
     const { response } = held;
     try {
       await this.#write(exchange, response);
@@ -294,90 +277,11 @@
     );
   }
 
-  async #readAndHandle(
-    exchange: Exchange,
-    found: FoundRoute,
-  ): Promise<HttpResponse> {
-    const { request, response } = exchange;
-    const maximumBytes = this.#maximumBodyBytes();
-    if (contentLengthExceeds(request, maximumBytes)) {
-      return failureResponse(bodyTooLargeFailure(maximumBytes));
-    }
-    const reservation = exchange.bodyReservation;
-    if (!reservation.extendTo(contentLengthOf(request))) {
-      return this.#rejectBody(exchange, noMemoryFailure());
-    }
-    if (exchange.expectsContinue) response.writeContinue();
-    const read = await this.#shutdown.wait(
-      readBody(request, { maximumBytes, reservation }),
-    );
-    if (read.kind === "stopped") {
-      return failureResponse(fail("not_ready", "this VM stops now"));
-    }
-    const body = read.value;
-    if (body.err) return this.#rejectBody(exchange, body.val);
-    return this.#handle(exchange, found, body.val);
-  }
-
-  #rejectBody(exchange: Exchange, failure: Failure): HttpResponse {
-    // Other bodies may use the memory while the rest of this one is discarded.
-    exchange.bodyReservation.release();
-    if (failure.kind === "overloaded") this.#reportRejection(failure);
-    return failureResponse(failure);
-  }
-
-  #reportRejection(failure: Failure): void {
-    const { kind } = failure;
-    this.#options.events.emit(HTTP_EVENTS.requestRejected, { kind });
-  }
-
   #maximumBodyBytes(): Bytes {
     const configured = this.#options.limits.maximumBodyBytes;
     return Math.min(configured, this.#options.bodyLimit?.() ?? configured);
   }
 
-  async #handle(
-    exchange: Exchange,
-    found: FoundRoute,
-    body: Uint8Array,
-  ): Promise<HttpResponse> {
-    const disconnect = new AbortController();
-    const { request, response } = exchange;
-    response.once("close", () => {
-      if (!response.writableFinished) disconnect.abort();
-    });
-    const call = buildCall(request, {
-      found,
-      body,
-      signal: disconnect.signal,
-      endsByMs: this.#shutdown.endOfRequestMs(),
-    });
-    try {
-      const handled = await this.#shutdown.wait(found.route.handle(call));
-      if (handled.kind === "stopped") {
-        disconnect.abort();
-        return failureResponse(STOPPED);
-      }
-      const result = handled.value;
-      return "kind" in result ? failureResponse(result) : result;
-    } catch (error) {
-      return failureResponse(this.#reportHandlerError(found.route.name, error));
-    }
-  }
-
-  #reportHandlerError(route: string, error: unknown): Failure {
-    const request = this.#options.random.identifier();
-    const stack = error instanceof Error ? error.stack : String(error);
-    this.#options.events.emit(HTTP_EVENTS.handlerFailed, {
-      route,
-      request,
-      stack,
-    });
-    return fail("internal", `the handler failed; request ${request}`, {
-      detail: request,
-    });
-  }
-
   async #write(exchange: Exchange, content: HttpResponse): Promise<void> {
     const { request, response } = exchange;
     this.#connections.markResponseStarted(request.socket);
