--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -27,6 +27,7 @@
   parseFollowRequest,
   type UpstreamIncarnation,
 } from "./fleet_messages.ts";
+import { FleetGossip } from "./fleet_gossip.ts";
 import { FleetTable } from "./fleet_table.ts";
 import { FollowReplies, hasUpdates } from "./follow_replies.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
@@ -34,8 +35,6 @@
 import { VmObservations } from "./vm_observations.ts";
 
 const GOSSIP_INTERVAL_MS: Milliseconds = 500;
-/** Most records of crashes in one round of gossip. */
-const GOSSIPED_CRASH_RECORDS = 64;
 const DEPARTURE_RETENTION_MS: Milliseconds = 60_000;
 
 /** Options of `FleetServer`. */
@@ -65,11 +64,11 @@
   readonly #replies: FollowReplies;
   readonly #vms: VmObservations;
   readonly #crashes = new CrashLedger();
+  readonly #gossip: FleetGossip;
   readonly #waiters = new Set<() => void>();
   readonly #startedMs: Milliseconds;
   /** Whether another control VM has sent its heartbeats, so that they need not be requested again. */
   #receivedHeartbeats = false;
-  #gossipRound = 0;
   #handleChange: () => void = () => {};
 
   constructor(options: FleetServerOptions) {
@@ -79,6 +78,11 @@
       retentionMs: DEPARTURE_RETENTION_MS,
     });
     this.#vms = new VmObservations(options);
+    this.#gossip = new FleetGossip({
+      ...options,
+      vms: this.#vms,
+      crashes: this.#crashes,
+    });
     this.#replies = new FollowReplies({
       ...options,
       table: this.#table,
@@ -94,8 +98,8 @@
     const { network, clock } = this.#options;
     network.onNotice("fleet", (from, body) => this.#handleNotice(from, body));
     network.onRequest("fleet", (_from, body) => this.#handleFollow(body));
-    clock.every(GOSSIP_INTERVAL_MS, () => this.#gossip());
-    this.#gossip();
+    clock.every(GOSSIP_INTERVAL_MS, () => this.#expireAndGossip());
+    this.#expireAndGossip();
   }
 
   /** Records a heartbeat of an upstream and forwards it; returns whether it may be acknowledged. */
@@ -106,7 +110,7 @@
       this.#options.clock.nowMs(),
     );
     if (outcome !== "outdated") {
-      this.#notifyPeers({ kind: "beats", beats: [heartbeat] });
+      this.#gossip.notify({ kind: "beats", beats: [heartbeat] });
     }
     if (outcome === "changed") this.wakeWaiters();
     return this.#options.reachesQuorum();
@@ -115,7 +119,7 @@
   /** Records that an upstream leaves and notifies the others; returns whether that may be acknowledged. */
   deregister(id: string, bornMs: Milliseconds | null): boolean {
     this.#table.markGone(id, bornMs, this.#options.clock.nowMs());
-    this.#notifyPeers({ kind: "leave", id, bornMs });
+    this.#gossip.notify({ kind: "leave", id, bornMs });
     this.wakeWaiters();
     return this.#options.reachesQuorum();
   }
@@ -126,14 +130,14 @@
       this.#table.markDraining(id, bornMs)
     );
     if (news.length === 0) return;
-    this.#notifyPeers({ kind: "draining", upstreams: news });
+    this.#gossip.notify({ kind: "draining", upstreams: news });
     this.wakeWaiters();
   }
 
   /** Records limits that upstreams named in responses, and notifies the others. */
   recordLimits(limits: readonly LimitObservation[]): void {
     const news = this.#mergeLimits(limits);
-    if (news.length > 0) this.#notifyPeers({ kind: "limits", limits: news });
+    if (news.length > 0) this.#gossip.notify({ kind: "limits", limits: news });
   }
 
   #mergeLimits(
@@ -150,7 +154,7 @@
     const nowMs = this.#options.clock.nowMs();
     const news = this.#crashes.merge(records, nowMs);
     if (news.length === 0) return;
-    this.#notifyPeers({ kind: "crashes", records: news });
+    this.#gossip.notify({ kind: "crashes", records: news });
     this.wakeWaiters();
   }
 
@@ -200,7 +204,7 @@
     this.#handleChange();
   }
 
-  #gossip(): void {
+  #expireAndGossip(): void {
     const nowMs = this.#options.clock.nowMs();
     const previousRevision = this.#table.revision;
     this.#table.expire(nowMs);
@@ -209,63 +213,8 @@
       this.wakeWaiters();
     }
     this.#vms.expire();
-    this.#gossipVms();
-  }
-
-  /**
-   * Sends the VMs that report to this one or changed to every control VM, and all known VMs to one of them in turn, so
-   * that a report also reaches a control VM to which its receiver has no path.
-   */
-  #gossipVms(): void {
-    const { network } = this.#options;
-    const all = this.#vms.all();
-    const news = this.#vms.news();
     const askBeats = !this.#receivedHeartbeats && !this.isComplete();
-    const peers = this.#peers();
-    this.#gossipRound += 1;
-    const completeFor = peers[this.#gossipRound % Math.max(1, peers.length)];
-    for (const to of peers) {
-      const nodes = to === completeFor ? all : news;
-      const notice: FleetNotice = { kind: "nodes", nodes, askBeats };
-      network.notify({ to, channel: "fleet" }, notice);
-    }
-    if (completeFor !== undefined) this.#gossipCrashes(completeFor);
-  }
-
-  /** Sends the crashes under calls again, as a notice to a VM without a connection is lost. */
-  #gossipCrashes(to: string): void {
-    const { network, clock } = this.#options;
-    const records = this.#crashes.mostImportant(
-      GOSSIPED_CRASH_RECORDS,
-      clock.nowMs(),
-    );
-    if (records.length === 0) return;
-    const notice: FleetNotice = { kind: "crashes", records };
-    network.notify({ to, channel: "fleet" }, notice);
-  }
-
-  #notifyPeers(notice: FleetNotice): void {
-    const { network } = this.#options;
-    for (const to of this.#peers()) {
-      network.notify({ to, channel: "fleet" }, notice);
-    }
-  }
-
-  /** Returns the other control VMs. */
-  #peers(): readonly string[] {
-    const { network, peers } = this.#options;
-    const others = new Set([...peers(), ...this.#recentControls()]);
-    others.delete(network.self);
-    return [...others];
-  }
-
-  /** Returns the control VMs observed recently. Those that are not voters are included: they may become voters. */
-  #recentControls(): readonly string[] {
-    const controls: string[] = [];
-    for (const { role, vm } of this.#vms.listed()) {
-      if (role === "control") controls.push(vm);
-    }
-    return controls;
+    this.#gossip.sendRound(askBeats);
   }
 
   #handleNotice(from: string, body: unknown): void {
@@ -294,7 +243,7 @@
    * newer one looks different at each VM, as times shift by the way of a notice.
    */
   #handleLimits(from: string, limits: readonly LimitObservation[]): void {
-    if (this.#peers().includes(from)) this.#mergeLimits(limits);
+    if (this.#gossip.peers().includes(from)) this.#mergeLimits(limits);
     else this.recordLimits(limits);
   }
 
@@ -308,7 +257,11 @@
       // A store VM says itself that it leads; the other control VMs learn it at once, as steps wait for it.
       const { node } = observed;
       if (node.role !== "store" || node.vm !== from) continue;
-      this.#notifyPeers({ kind: "nodes", nodes: [observed], askBeats: false });
+      this.#gossip.notify({
+        kind: "nodes",
+        nodes: [observed],
+        askBeats: false,
+      });
     }
     const sender = notice.nodes[0]?.node.vm;
     if (!notice.askBeats || sender === undefined) return;
