Let a trainer submit and read batches while the soak's faults happen

Three engines, a batch of four items every 1.5 s, read from its first position at any entry VM until it is complete. Checked: whole texts, one position for each item, positions that keep their result, no batch that was accepted and is not found, all complete after the recovery.

--- a/soak/soak_oracle.ts
+++ b/soak/soak_oracle.ts
@@ -5,6 +5,7 @@
  */
 import { type Milliseconds, SECOND_MS } from "#core";
 import type { ExecutedRequest } from "#platform";
+import { checkBatches, type SoakBatch } from "./soak_batches.ts";
 
 /** Span over which a limit is checked. */
 const SPAN_MS: Milliseconds = 4 * SECOND_MS;
@@ -64,6 +65,7 @@
 
 /** Everything seen in a run. */
 export interface SoakRecord {
+  readonly batches: readonly SoakBatch[];
   readonly configurations: SoakConfigurations;
   readonly calls: readonly SoakCall[];
   readonly workers: readonly SoakWorkerRecord[];
@@ -81,6 +83,7 @@
     ...checkBlocked(record),
     ...checkConfigurations(record.configurations),
     ...checkRecovery(record.calls),
+    ...checkBatches(record.batches),
   ];
 }
 
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -10,11 +10,17 @@
 import { drawFaults, type SoakFault, type SoakSize } from "./soak_faults.ts";
 import { SoakOperator } from "./soak_operator.ts";
 import type { SoakCall, SoakRecord } from "./soak_oracle.ts";
+import { SoakTrainer } from "./soak_trainer.ts";
 import { CRASHING_BODY_PREFIX, SoakWorker } from "./soak_worker.ts";
 
 const SITE = { block: "127.8", network: 11 };
 const HOST = "site.example";
 const SERVICE = "cards";
+const ENGINE_SERVICE = "models";
+const MODEL = "m";
+const ENGINES = 3;
+/** Time after the recovery within which all batches are completed. */
+const BATCH_COMPLETION_MS: Milliseconds = 10 * SECOND_MS;
 const ZONES = [0, 1, 2];
 const START_TIMEOUT_MS: Milliseconds = 60_000;
 const HEARTBEAT_INTERVAL_MS: Milliseconds = 300;
@@ -48,6 +54,8 @@
   readonly #cluster: NodeCluster;
   readonly #operator: SoakOperator;
   readonly #workers: readonly SoakWorker[];
+  readonly #engines: readonly SoakWorker[];
+  readonly #trainer: SoakTrainer;
   readonly #calls: SoakCall[] = [];
   readonly #pending = new Set<Promise<void>>();
   #heartbeats: NodeJS.Timeout | undefined;
@@ -76,15 +84,32 @@
           address: this.#cluster.fakeAddress(at),
         }),
     );
+    this.#engines = Array.from(
+      { length: ENGINES },
+      (_, at) =>
+        new SoakWorker({
+          name: `e${at}`,
+          service: ENGINE_SERVICE,
+          zone: `z${at % ZONES.length + 1}`,
+          address: this.#cluster.fakeAddress(size.workers + at),
+          models: [MODEL],
+        }),
+    );
+    this.#trainer = new SoakTrainer({
+      entries: ZONES.map((zone) => this.#cluster.callerAddress(zone)),
+      host: HOST,
+      model: MODEL,
+    });
   }
 
   /** Starts everything and waits until each entry VM serves calls. */
   async start(): Promise<void> {
     await this.#cluster.start();
-    for (const worker of this.#workers) await worker.start();
+    const workers = [...this.#workers, ...this.#engines];
+    for (const worker of workers) await worker.start();
     let turn = 0;
     this.#heartbeats = setInterval(() => {
-      for (const worker of this.#workers) {
+      for (const worker of workers) {
         turn += 1;
         const control = this.#cluster.controlAddress(turn % ZONES.length);
         worker.sendHeartbeat(control);
@@ -115,6 +140,7 @@
   /** Sends calls while the faults happen, and some after the site has recovered. */
   async run(faults: readonly SoakFault[]): Promise<SoakRecord> {
     this.#operator.start();
+    this.#trainer.start();
     const callers = setInterval(() => this.#startCall(), CALL_INTERVAL_MS);
     try {
       await this.#cause(faults);
@@ -123,11 +149,13 @@
     } finally {
       clearInterval(callers);
       await this.#operator.stop();
+      await this.#trainer.stop(BATCH_COMPLETION_MS);
     }
     await Promise.all(this.#pending);
     this.#afterFaults = true;
     for (let call = 0; call < CALLS_AFTER_FAULTS; call += 1) await this.#call();
     return {
+      batches: this.#trainer.record,
       calls: this.#calls,
       workers: this.#workers.map((each) => each.record),
       configurations: this.#operator.record,
@@ -138,6 +166,7 @@
   async close(): Promise<void> {
     clearInterval(this.#heartbeats);
     for (const worker of this.#workers) worker.stop();
+    for (const engine of this.#engines) engine.stop();
     await this.#cluster.close();
   }
 
@@ -233,6 +262,24 @@
     service: SERVICE,
     max_attempts: MAXIMUM_ATTEMPTS,
   }));
-  const services = [{ name: SERVICE, max_conns: 100 }];
-  return JSON.stringify({ version, routes, services });
+  const batches = {
+    name: "tuning",
+    hostname: HOST,
+    path_prefix: "/tuning/",
+    kind: "rollout",
+    timeout_ms: 10_000,
+    target_latency_ms: 400,
+    priority: 1,
+    service: ENGINE_SERVICE,
+    max_attempts: 3,
+    max_queue_s: 60,
+    due_ms: 7_500,
+  };
+  const models = [{ name: MODEL }];
+  const engine = { slots: 8, kv_capacity_tokens: 50_000, models };
+  const services = [
+    { name: SERVICE, max_conns: 100 },
+    { name: ENGINE_SERVICE, max_conns: 100, engine },
+  ];
+  return JSON.stringify({ version, routes: [...routes, batches], services });
 }
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -50,17 +50,30 @@
 } as const;
 const RUN = { id: "a", path: "/", body: "card", lastEventId: null, atMs: 0 };
 
+const RESULTS = [
+  { id: "i", state: "completed", text: "i-0\ni-1" },
+  { id: "j", state: "completed", text: "j-0" },
+];
+const BATCH = {
+  id: "b",
+  items: [{ id: "i", events: 2 }, { id: "j", events: 1 }],
+  pages: [{ total: 2, results: RESULTS }],
+  lost: 0,
+};
+
 function recordOf(change: {
   readonly call?: Partial<SoakRecord["calls"][number]>;
   readonly executed?: SoakRecord["workers"][number]["executed"];
   readonly perSecond?: number;
   readonly configurations?: Partial<SoakRecord["configurations"]>;
   readonly crashes?: SoakRecord["workers"][number]["crashes"];
+  readonly batch?: Partial<SoakRecord["batches"][number]>;
 }): SoakRecord {
   const limits = change.perSecond === undefined
     ? []
     : [{ fromMs: -60 * SECOND_MS, perSecond: change.perSecond }];
   return {
+    batches: [{ ...BATCH, ...change.batch }],
     calls: [{ ...CALL, ...change.call }],
     workers: [{
       name: "w",
@@ -101,6 +114,17 @@
     },
   });
   assert.match(found(outdated), /version 4 was read after 5/);
+  const batchOf = (change: Partial<typeof BATCH>): string =>
+    found(recordOf({ batch: change }));
+  assert.match(batchOf({ lost: 1 }), /not found 1 times/);
+  assert.match(batchOf({ pages: [] }), /0 of 2 results/);
+  const pageOf = (results: typeof RESULTS) => ({ total: 2, results });
+  const swapped = pageOf([...RESULTS].reverse());
+  assert.match(batchOf({ pages: [pageOf(RESULTS), swapped] }), /position 0/);
+  const cut = RESULTS.map((each) => ({ ...each, text: "i-0" }));
+  assert.match(batchOf({ pages: [pageOf(cut)] }), /lists i as completed/);
+  const twice = RESULTS.map(() => ({ ...RESULTS[0] as typeof RESULTS[0] }));
+  assert.match(batchOf({ pages: [pageOf(twice)] }), /lists an item twice/);
   const blocked = { status: 503, text: '{"kind":"call_blocked"}' };
   assert.match(found(recordOf({ call: blocked })), /was blocked/);
 });
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -20,6 +20,8 @@
   readonly service: string;
   readonly zone: string;
   readonly address: Address;
+  /** Models that it serves; none if it is a plain service. */
+  readonly models?: readonly string[];
 }
 
 /** One worker with all of its incarnations. */
@@ -52,14 +54,14 @@
 
   /** Starts the next incarnation. */
   async start(): Promise<void> {
-    const { name, service, zone, address } = this.#options;
+    const { name, service, zone, address, models = [] } = this.#options;
     this.#incarnations += 1;
     const fake = new FakeWorker({
       id: `${name}-${this.#incarnations}`,
       service,
       zone,
       address,
-      models: [],
+      models,
       eventMs: 40,
       startedMs: Date.now(),
       onRun: (request) => this.#run(request),
