Put back groups that seem too long only while the engines do not suffice

Cause: the order of starts put groups back whose longest item seems too long for its time, also in calm; estimates of lengths are often far off, and those texts then start last.

The test of the plan fails before.

--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -324,3 +324,22 @@
   });
   assert.equal(moves.length, 1);
 });
+
+test("an item whose estimated length exceeds its time is not put behind all others while the engines suffice", () => {
+  const starts = planStarts({
+    nowMs: NOW_MS,
+    readingDelayMs: 0,
+    waiting: [
+      item("short", { group: "a", tokensLeft: 500 }),
+      item("estimated too long", { group: "b", tokensLeft: 17_000 }),
+    ],
+    runs: [],
+    engines: [
+      engine("fast", {}, { slots: 1 }),
+      engine("slow", {
+        eventIntervalMs: 60,
+      }),
+    ],
+  });
+  assert.equal(starts[0]?.item.key, "estimated too long");
+});
--- a/batches/start_order.ts
+++ b/batches/start_order.ts
@@ -53,10 +53,24 @@
   isRequired: boolean;
 }
 
-/** Returns the groups that can't be complete in time beside those that are preferred. */
+/**
+ * Returns the groups that can't be complete in time beside those that are preferred. Only if there are any, groups count
+ * whose longest item seems too long: estimates are often far off.
+ */
 function groupsBeyondCapacity(
   service: string,
   input: ItemPlanInput,
+): readonly string[] {
+  const beyond = groupsThatDoNotFit(service, input, Infinity);
+  if (beyond.length === 0) return beyond;
+  return groupsThatDoNotFit(service, input, 1 / FASTEST_TOKEN_MS);
+}
+
+/** `tokensPerRunMs`: how fast an item can be generated at most. */
+function groupsThatDoNotFit(
+  service: string,
+  input: ItemPlanInput,
+  tokensPerRunMs: number,
 ): readonly string[] {
   const { nowMs } = input;
   const tokensPerMs = slotsOf(service, input) / CAPACITY_TOKEN_MS;
@@ -68,7 +82,7 @@
   for (const group of groupsByPreference(service, input)) {
     const leftMs = Math.max(0, group.dueMs - nowMs);
     const fits = committedTokens + group.tokens <= tokensPerMs * leftMs &&
-      group.longestTokens * FASTEST_TOKEN_MS <= leftMs;
+      group.longestTokens / tokensPerRunMs <= leftMs;
     if (fits || group.isRequired) committedTokens += group.tokens;
     else beyond.push(group.key);
   }
