Let a stream go on only at the software version that began it

What callers saw: a stream that a worker broke off went on at any other worker of the service, in about half of the cases at the other version.

Cause: a heartbeat's version of the software was not decoded, so nothing knew it. Ruled out: that workers check it themselves.

The version that wrote the first event which is passed on binds all further attempts, also those of suspects and those that wait for a permit. Without an upstream of it, or if it is unknown, the stream breaks off at once.

--- a/core/fleet.ts
+++ b/core/fleet.ts
@@ -24,6 +24,8 @@
   readonly slots: number;
   readonly phase: UpstreamPhase;
   readonly serves: readonly ServedVersion[];
+  /** Version of its software; absent if it is unknown, as from control VMs of earlier builds. */
+  readonly softwareVersion?: string;
   /**
    * Requests per second that it accepts from all VMs together. Null if it names no limit any more; absent if this
    * incarnation has never named one.
--- a/crashes/caller_guard.ts
+++ b/crashes/caller_guard.ts
@@ -25,7 +25,7 @@
 } from "./crash_guard.ts";
 import { CRASH_EVENTS } from "./events.ts";
 import { LIKELY_CRASHES } from "./isolated_runs.ts";
-import { ISOLATION_KIND } from "./isolation_messages.ts";
+import { ISOLATION_KIND, MAXIMUM_TRIED } from "./isolation_messages.ts";
 import type { IsolationPort } from "./isolation_port.ts";
 import { UndecidedAttempts } from "./undecided_attempts.ts";
 
@@ -139,7 +139,7 @@
       digest,
       service: demand.service,
       zone,
-      tried: [...demand.tried],
+      tried: [...demand.tried].slice(0, MAXIMUM_TRIED),
       patienceMs: demand.patienceMs,
       record: crashes.recordOf(digest) ?? null,
     });
--- a/crashes/isolation_messages.ts
+++ b/crashes/isolation_messages.ts
@@ -13,7 +13,8 @@
 export const ISOLATION_END_KIND = "isolated_run_ended";
 
 const MAXIMUM_TEXT = 256;
-const MAXIMUM_TRIED = 256;
+/** Most upstreams that a request names as tried. */
+export const MAXIMUM_TRIED = 256;
 
 const text = z.string().max(MAXIMUM_TEXT);
 const durationMs = z.number().finite().nonnegative();
--- a/proof/joined_streams_test.ts
+++ b/proof/joined_streams_test.ts
@@ -22,7 +22,7 @@
 test("no stream is joined from two software versions of a service, and streams that break off go on", async (context) => {
   const site = await StreamSite.start({ block: "127.8", network: 2, seed: 40 });
   try {
-    await context.test("while workers break off streams", OPEN, async () => {
+    await context.test("while workers break off streams", async () => {
       checkStreams("breaks", await site.load(LOAD));
     });
 
--- a/proof/scripted_upstream.ts
+++ b/proof/scripted_upstream.ts
@@ -165,6 +165,7 @@
     slots: 4,
     phase: "ready",
     serves: [],
+    softwareVersion: "v1",
   };
 }
 
--- a/requests/forwarder_test.ts
+++ b/requests/forwarder_test.ts
@@ -4,6 +4,7 @@
 import {
   answerAnotherCall,
   type Behaviour,
+  readAll,
   reject,
   rejectAndLeave,
   reset,
@@ -12,6 +13,7 @@
   return500,
   send,
   stayUnresponsive,
+  streamUntil,
   truncateBody,
   untilReached,
   withUpstreams,
@@ -184,33 +186,6 @@
   });
 });
 
-/** Streams the events after the caller's last event; closes the connection within event `breakAt`. */
-function streamUntil(breakAt: number): Behaviour {
-  return (request, response) => {
-    response.setHeader("X-Id", String(request.headers["x-id"]));
-    response.setHeader("X-Stamp", "s");
-    const after = request.headers["x-after"];
-    const first = after === undefined ? 0 : Number(after) + 1;
-    response.flushHeaders();
-    for (let id = first; id < 4; id += 1) {
-      if (id === breakAt) {
-        response.write(`id: ${id}\nda`, () => request.socket.destroy());
-        return;
-      }
-      response.write(`id: ${id}\ndata: ${id}\n\n`);
-    }
-    response.end();
-  };
-}
-
-async function readAll(response: HttpResponse): Promise<string> {
-  let text = "";
-  for await (const chunk of response.body as AsyncIterable<string>) {
-    text += chunk;
-  }
-  return text;
-}
-
 test("a resumable stream continues on another upstream after its last complete event", async () => {
   await withUpstreams([streamUntil(2), streamUntil(-1)], async (setup) => {
     const response = await send(setup, { kind: "stream", resumable: true });
--- a/requests/forwarder_test_support.ts
+++ b/requests/forwarder_test_support.ts
@@ -142,6 +142,8 @@
   readonly permits: Permits;
   /** Watches the calls; all calls are trusted if absent. */
   readonly crashGuard?: CrashGuard;
+  /** Software versions of the upstreams in their order, null if unknown; `v1` if absent. */
+  readonly softwareVersions?: readonly (string | null)[];
 }
 
 /** Runs upstreams with these behaviours and a forwarder in front of them. */
@@ -163,6 +165,7 @@
       server.listen({ host: "127.0.0.1", port: 0 }, resolve)
     );
     servers.push(server);
+    const softwareVersion = limited.softwareVersions?.[index] ?? "v1";
     upstreams.push({
       id: `u${index}`,
       bornMs: 1,
@@ -178,6 +181,9 @@
       phase: "ready",
       serves: [],
       requestLimit: limited.limits[index] ?? null,
+      ...(limited.softwareVersions?.[index] === null
+        ? {}
+        : { softwareVersion }),
     });
   }
   const clock = new VirtualClock();
@@ -248,3 +254,31 @@
     await new Promise((resolve) => setImmediate(resolve));
   }
 }
+
+/** Streams the events after the caller's last event; closes the connection within event `breakAt`. */
+export function streamUntil(breakAt: number): Behaviour {
+  return (request, response) => {
+    response.setHeader("X-Id", String(request.headers["x-id"]));
+    response.setHeader("X-Stamp", "s");
+    const after = request.headers["x-after"];
+    const first = after === undefined ? 0 : Number(after) + 1;
+    response.flushHeaders();
+    for (let id = first; id < 4; id += 1) {
+      if (id === breakAt) {
+        response.write(`id: ${id}\nda`, () => request.socket.destroy());
+        return;
+      }
+      response.write(`id: ${id}\ndata: ${id}\n\n`);
+    }
+    response.end();
+  };
+}
+
+/** Reads a stream to its end. */
+export async function readAll(response: HttpResponse): Promise<string> {
+  let text = "";
+  for await (const chunk of response.body as AsyncIterable<string>) {
+    text += chunk;
+  }
+  return text;
+}
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -65,6 +65,11 @@
   /** Whether the caller gets a stream, so that only the rest of one may follow. */
   hasBegun: boolean;
   lastEventId: number | null;
+  /**
+   * Version of the software that wrote the events which the caller has: null if it is unknown, so that nothing may
+   * follow; undefined before the first event.
+   */
+  softwareVersion: string | null | undefined;
   lastFailure: string;
   /** When a permit is likely to be available; 0 if the stream waits for none. */
   retryAfterMs: Milliseconds;
@@ -93,6 +98,7 @@
       possibleRuns: 0,
       hasBegun: false,
       lastEventId: null,
+      softwareVersion: undefined,
       lastFailure: "no upstream is known",
       retryAfterMs: 0,
       watch: this.#options.crashGuard.watch(
@@ -158,8 +164,14 @@
   ): Promise<NextUpstream | undefined> {
     const { service, routed: { route, call, deadlineMs } } = stream;
     const { choice } = this.#options;
-    const { triedUpstreams: tried, watch } = progress;
-    const demand: UpstreamDemand = { service, route, tried };
+    const { triedUpstreams: tried, watch, softwareVersion } = progress;
+    if (softwareVersion === null) return undefined;
+    const demand: UpstreamDemand = {
+      service,
+      route,
+      tried,
+      ...(softwareVersion === undefined ? {} : { softwareVersion }),
+    };
     const limits = { cutoffMs: deadlineMs, signal: call.signal };
     if (watch.standing === "blocked") return undefined;
     if (watch.standing === "suspect") {
@@ -269,6 +281,9 @@
             throw new Error(`event ${event.id} is out of order`);
           }
           progress.lastEventId = event.id;
+          if (progress.softwareVersion === undefined) {
+            progress.softwareVersion = source.upstream.softwareVersion ?? null;
+          }
           yield event.raw;
         }
       }
--- a/requests/suspect_calls.ts
+++ b/requests/suspect_calls.ts
@@ -49,18 +49,20 @@
   const { watch, demand, cutoffMs, signal } = suspect;
   const leftMs = Math.max(0, cutoffMs - clock.nowMs());
   const patienceMs = Math.min(MAXIMUM_PATIENCE_MS, leftMs * PATIENCE_RATIO);
-  const { service, tried } = demand;
+  const { service } = demand;
+  const tried = choice.unusableFor(demand);
   const outcome = await watch.isolate({ service, tried, patienceMs });
   if (outcome.kind === "rejected") return outcome;
   const { upstream, release } = outcome;
   const own: UpstreamDemand = { ...demand, only: upstream.id };
   if (!signal.aborted) {
-    if (choice.choose(own) !== undefined) {
-      return { kind: "granted", upstream, release };
+    const chosen = choice.choose(own);
+    if (chosen !== undefined) {
+      return { kind: "granted", upstream: chosen, release };
     }
     const permit = await choice.acquire(own, { cutoffMs, signal });
     if (permit.kind === "granted") {
-      return { kind: "granted", upstream, release };
+      return { kind: "granted", upstream: permit.upstream, release };
     }
   }
   release();
--- a/requests/upstream_choice.ts
+++ b/requests/upstream_choice.ts
@@ -21,6 +21,8 @@
   readonly tried: ReadonlySet<string>;
   /** The one upstream that it may be sent to; any if absent. */
   readonly only?: string;
+  /** Version of the software that the upstream must have, as the one that goes on with a stream; any if absent. */
+  readonly softwareVersion?: string;
   /** Share of an upstream's slots that calls like this one may use while others of its service name limits; all if absent. */
   readonly slotShare?: number | undefined;
   /** How long it may wait for a permit; part of the route's latency objective if absent. */
@@ -87,6 +89,16 @@
     );
   }
 
+  /** Returns the upstreams of the service that the call was sent to or must not be sent to. */
+  unusableFor(demand: UpstreamDemand): ReadonlySet<string> {
+    const unusable = new Set(demand.tried);
+    for (const each of this.#options.upstreams()) {
+      if (each.service !== demand.service) continue;
+      if (!isAllowed(each, demand)) unusable.add(each.id);
+    }
+    return unusable;
+  }
+
   /** Waits for a permit, no longer than a part of the latency objective: what comes later is better sent again later. */
   async acquire(
     demand: UpstreamDemand,
@@ -142,6 +154,11 @@
   }
 }
 
-function isAllowed(upstream: FleetUpstream, { only }: UpstreamDemand): boolean {
-  return only === undefined || upstream.id === only;
+function isAllowed(
+  upstream: FleetUpstream,
+  { only, softwareVersion }: UpstreamDemand,
+): boolean {
+  if (only !== undefined && upstream.id !== only) return false;
+  return softwareVersion === undefined ||
+    upstream.softwareVersion === softwareVersion;
 }
