Ask an upstream again if its identified connection was closed meanwhile

Nothing has been sent then, so the upstream is asked on a new connection; one that closes each connection gets streams which are not taken up.

--- a/requests/stream_opening.ts
+++ b/requests/stream_opening.ts
@@ -20,8 +20,12 @@
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 
 const OK_STATUS = 200;
-/** A stream that is never resumed may be written by any software. */
-const NOT_ASKED: IdentityCheck = { kind: "unidentified", isDoubtful: false };
+/** Identified connections of one upstream that may turn out to be closed before it counts as unidentified. */
+const MAXIMUM_CLOSED_CONNECTIONS = 3;
+const NOT_IDENTIFIED: IdentityCheck = {
+  kind: "unidentified",
+  isDoubtful: true,
+};
 
 /** Options of `StreamOpening`. */
 export interface StreamOpeningOptions extends UpstreamNotices {
@@ -119,30 +123,54 @@
     progress: StreamProgress,
     upstream: FleetUpstream,
   ): Promise<Omit<OpenStream, "release"> | undefined> {
-    const { clock } = this.#options;
-    const { route, call } = stream.routed;
-    const identity = route.resumable
-      ? await this.#identity.check(upstream, call.signal)
-      : NOT_ASKED;
-    const reason = reasonNotToSend(identity, progress);
+    for (let closed = 0; closed <= MAXIMUM_CLOSED_CONNECTIONS; closed += 1) {
+      const identity = closed < MAXIMUM_CLOSED_CONNECTIONS
+        ? await this.#identify(stream, upstream)
+        : NOT_IDENTIFIED;
+      const opened = await this.#openAs(stream, progress, {
+        upstream,
+        ...identity,
+      });
+      if (opened !== "closed") return opened;
+    }
+    return undefined;
+  }
+
+  /** Finds out who the upstream is, unless the stream is never resumed, so that any software may write it. */
+  async #identify(
+    { routed: { route, call } }: StreamCall,
+    upstream: FleetUpstream,
+  ): Promise<IdentityCheck> {
+    if (!route.resumable) return { kind: "unidentified", isDoubtful: false };
+    return await this.#identity.check(upstream, call.signal);
+  }
+
+  /** Opens the stream on an upstream of which so much is known, or returns that its connection had been closed before. */
+  async #openAs(
+    stream: StreamCall,
+    progress: StreamProgress,
+    identified: IdentityCheck & { readonly upstream: FleetUpstream },
+  ): Promise<Omit<OpenStream, "release"> | "closed" | undefined> {
+    const { upstream } = identified;
+    const reason = reasonNotToSend(identified, progress);
     if (reason !== undefined) {
       this.#recordFailure(progress, upstream, reason);
       return undefined;
     }
-    const sentMs = clock.nowMs();
-    const connection = identity.kind === "identified"
-      ? identity.connection
+    const sentMs = this.#options.clock.nowMs();
+    const connection = identified.kind === "identified"
+      ? identified.connection
       : undefined;
     const response = await this.#send(stream, progress, {
       upstream,
       connection,
     });
-    if (response === undefined) {
+    if (response === undefined || response === "closed") {
       connection?.close();
-      return undefined;
+      return response;
     }
     const isKnown = connection !== undefined ||
-      (identity.kind === "unidentified" && !identity.isDoubtful);
+      (identified.kind === "unidentified" && !identified.isDoubtful);
     const softwareVersion = isKnown ? upstream.softwareVersion ?? null : null;
     return { upstream, connection, response, sentMs, softwareVersion };
   }
@@ -154,7 +182,7 @@
       readonly upstream: FleetUpstream;
       readonly connection: SingleConnection | undefined;
     },
-  ): Promise<StreamingResponse | undefined> {
+  ): Promise<StreamingResponse | "closed" | undefined> {
     const { dialect, clock, http } = this.#options;
     const { call, requestId, deadlineMs } = stream.routed;
     const result = await http.open({
@@ -173,8 +201,10 @@
       ...(connection === undefined ? {} : { connection }),
     });
     if (result.err) {
+      const { stale, mayHaveRun } = result.val;
+      if (stale && !mayHaveRun) return "closed";
       this.#recordFailure(progress, upstream, result.val.reason);
-      if (result.val.mayHaveRun) {
+      if (mayHaveRun) {
         progress.possibleRuns += 1;
         const cancelled = call.signal.aborted;
         await progress.watch.recordBroken({ upstream, cancelled });
