Count running streams as load of their upstreams

What callers saw: all streams of an entry VM went to one upstream of its zone until that failed or was full, since a stream was no load and equal upstreams are taken in their order. A take-up that is bound to a version depends on free places at its upstreams.

Cause: the selector was told of calls, not of streams. A stream counts from the moment at which it is sent to its end; what a caller that leaves early held is freed as well.

--- a/requests/stream_call.ts
+++ b/requests/stream_call.ts
@@ -22,6 +22,8 @@
 export interface OpenStream {
   readonly upstream: FleetUpstream;
   readonly sentMs: Milliseconds;
+  /** From then to the head of the response. */
+  readonly latencyMs: Milliseconds;
   /** Ends its right to run apart from other suspects, if it has one. */
   readonly release: () => void;
   readonly response: StreamingResponse;
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -29,7 +29,7 @@
   type StreamCall,
   type StreamProgress,
 } from "./stream_call.ts";
-import { StreamOpening } from "./stream_opening.ts";
+import { StreamOpening, type StreamOutcome } from "./stream_opening.ts";
 import { startOf } from "./stream_take_up.ts";
 import { reportSuspect } from "./suspect_calls.ts";
 import type { UpstreamChoice } from "./upstream_choice.ts";
@@ -102,7 +102,11 @@
     const { head } = source.response;
     const isStream = head.status === OK_STATUS;
     if (isStream) progress.hasBegun = true;
-    else source.release();
+    // The caller may leave before it reads anything.
+    const onAbort = (): void => this.#opening.recordEnd(source, "cancelled");
+    stream.routed.call.signal.addEventListener("abort", onAbort, {
+      once: true,
+    });
     return {
       status: head.status,
       headers: headerRecord(endToEndHeaders(head.rawHeaders)),
@@ -157,16 +161,15 @@
   ): AsyncGenerator<string> {
     let source: OpenStream | undefined = first;
     while (source !== undefined) {
-      const { upstream, sentMs, release } = source;
+      const { upstream, sentMs } = source;
       let isComplete = false;
-      let outcome: "complete" | "broken" | "cancelled" = "cancelled";
+      let outcome: StreamOutcome = "cancelled";
       try {
         isComplete = yield* this.#relayFrom(stream, progress, source);
         if (isComplete) outcome = "complete";
         else if (!stream.routed.call.signal.aborted) outcome = "broken";
       } finally {
         // Also if the caller reads no further.
-        release();
         this.#opening.recordEnd(source, outcome);
       }
       if (isComplete) {
--- a/requests/stream_opening.ts
+++ b/requests/stream_opening.ts
@@ -41,21 +41,31 @@
   readonly release: () => void;
 }
 
+/** How a stream at one upstream ends. */
+export type StreamOutcome = "complete" | "broken" | "cancelled";
+
 /** Opens streams. */
 export class StreamOpening {
   readonly #options: StreamOpeningOptions;
   readonly #identity: UpstreamIdentity;
+  readonly #ended = new WeakSet<OpenStream>();
 
   constructor(options: StreamOpeningOptions) {
     this.#options = options;
     this.#identity = new UpstreamIdentity(options);
   }
 
-  /** Processes the end of a stream at an upstream: its connection is kept if the stream is complete. */
-  recordEnd(
-    { upstream, connection }: OpenStream,
-    outcome: "complete" | "broken" | "cancelled",
-  ): void {
+  /**
+   * Processes the end of a stream at an upstream: its connection is kept if the stream is complete. Only the first end
+   * counts.
+   */
+  recordEnd(source: OpenStream, outcome: StreamOutcome): void {
+    if (this.#ended.has(source)) return;
+    this.#ended.add(source);
+    const { upstream, connection, latencyMs, release } = source;
+    release();
+    const { clock, choice } = this.#options;
+    choice.recordEnded(upstream, { nowMs: clock.nowMs(), latencyMs });
     if (outcome === "broken") void this.#identity.recordFailure(upstream);
     if (connection === undefined) return;
     if (outcome === "complete") this.#identity.release(upstream, connection);
@@ -157,7 +167,9 @@
       this.#recordFailure(progress, upstream, reason);
       return undefined;
     }
-    const sentMs = this.#options.clock.nowMs();
+    const { clock, choice } = this.#options;
+    const sentMs = clock.nowMs();
+    choice.selector.recordSent(upstream.id);
     const connection = identified.kind === "identified"
       ? identified.connection
       : undefined;
@@ -166,13 +178,22 @@
       connection,
     });
     if (response === undefined || response === "closed") {
+      choice.recordEnded(upstream, { nowMs: clock.nowMs(), latencyMs: null });
       connection?.close();
       return response;
     }
     const isKnown = connection !== undefined ||
       (identified.kind === "unidentified" && !identified.isDoubtful);
     const softwareVersion = isKnown ? upstream.softwareVersion ?? null : null;
-    return { upstream, connection, response, sentMs, softwareVersion };
+    const latencyMs = clock.nowMs() - sentMs;
+    return {
+      upstream,
+      connection,
+      response,
+      sentMs,
+      latencyMs,
+      softwareVersion,
+    };
   }
 
   async #send(
--- a/requests/stream_versions_test.ts
+++ b/requests/stream_versions_test.ts
@@ -4,6 +4,7 @@
 import { UnlimitedPermits } from "#quotas";
 import { type OriginAnswer, type StreamOrigin, StreamOrigins } from "#streams";
 import {
+  type Behaviour,
   createCall,
   type ForwarderSetup,
   readAll,
@@ -167,3 +168,20 @@
     ]);
   }, site);
 });
+
+test("streams that run at the same time are spread over the upstreams of a service", async () => {
+  const starting: Behaviour = (request, response) => {
+    response.setHeader("X-Id", String(request.headers["x-id"]));
+    response.setHeader("X-Stamp", "s");
+    response.write("id: 0\ndata: 0\n\n");
+  };
+  await withUpstreams([starting, starting, starting], async (setup) => {
+    const abort = new AbortController();
+    for (let sent = 0; sent < 9; sent += 1) {
+      const response = await send(setup, STREAM, abort.signal);
+      assert.ok("status" in response);
+    }
+    for (const reached of setup.reached) assert.ok(reached >= 2);
+    abort.abort();
+  }, UNLIMITED);
+});
