Accept no heartbeat that can't be one of an upstream to use

Report: another writer left odd entries among those of the workers, and the machines that read the list ended again and again or stopped following it.

Found: 15 of 37 kinds of odd entries were accepted and went round to all VMs: port 0 (which is port 80 for the HTTP client), hosts that name nobody, a zone of any length, 50,000 models, numbers out of range, halves of characters. An identifier that can't stand in a header, or a port out of range, made the HTTP client throw out of the attempt. A malformed leave call took the worker out of service. Not found: an end of a process, deeply nested texts do no harm.

--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -24,6 +24,7 @@
 } from "./fleet_messages.ts";
 import { KnownCrashes } from "./known_crashes.ts";
 import { LeavingUpstreams } from "./leaving_upstreams.ts";
+import { problemOf } from "./upstream_check.ts";
 import { NamedLimits } from "./named_limits.ts";
 
 const FOLLOW_WAIT_MS: Milliseconds = 1_500;
@@ -363,6 +364,7 @@
     for (const upstream of fleet.upstreams) {
       const known = this.#upstreams.get(upstream.id);
       if (known !== undefined && known.bornMs > upstream.bornMs) continue;
+      if (problemOf(upstream) !== undefined) continue;
       this.#upstreams.set(upstream.id, upstream);
       this.#limits.adopt(upstream);
     }
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -32,6 +32,7 @@
 import { FollowReplies, hasUpdates } from "./follow_replies.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
 import type { ObservedNode } from "./placement_plan.ts";
+import { problemOf } from "./upstream_check.ts";
 import { VmObservations } from "./vm_observations.ts";
 
 const GOSSIP_INTERVAL_MS: Milliseconds = 500;
@@ -225,6 +226,8 @@
     if (notice.kind === "beats") {
       this.#receivedHeartbeats ||= notice.beats.length > 1;
       for (const heartbeat of notice.beats) {
+        // Control VMs of earlier builds accept them.
+        if (problemOf(heartbeat.record) !== undefined) continue;
         this.#table.recordHeartbeat(heartbeat, nowMs);
       }
     }
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -30,5 +30,6 @@
 export * from "./placement_plan.ts";
 export * from "./registry_service.ts";
 export { readJson, upstreamRoutes } from "./upstream_routes.ts";
+export * from "./upstream_check.ts";
 export * from "./upstream_registry.ts";
 export * from "./vm_directory.ts";
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -4,7 +4,12 @@
  *
  * @module
  */
-import { Agent, type IncomingMessage, request as send } from "node:http";
+import {
+  Agent,
+  type ClientRequest,
+  type IncomingMessage,
+  request as send,
+} from "node:http";
 import {
   type Address,
   BodyBuffer,
@@ -114,17 +119,9 @@
       );
     }
     let connected = false;
-    const outgoing = send({
-      host: call.address.host,
-      port: call.address.port,
-      method: call.method,
-      path: call.target,
-      headers: withContentLength(call) as string[],
-      setHost: false,
-      maxHeaderSize: MAXIMUM_HEAD_BYTES,
-      agent: call.connection?.agent ??
-        (call.reuseConnection ? this.#agent : false),
-    });
+    const created = this.#create(call);
+    if (created.err) return Promise.resolve(created);
+    const outgoing = created.val;
     const cancel = (): void => {
       outgoing.destroy(new Error("cancelled"));
     };
@@ -175,6 +172,27 @@
     return promise;
   }
 
+  /** Creates the request; fails if the call can't be written as one, as with an address that names nobody. */
+  #create(call: OutgoingCall): Result<ClientRequest, CallError> {
+    const agent = call.connection?.agent ??
+      (call.reuseConnection ? this.#agent : false);
+    try {
+      return Ok(send({
+        host: call.address.host,
+        port: call.address.port,
+        method: call.method,
+        path: call.target,
+        headers: withContentLength(call) as string[],
+        setHost: false,
+        maxHeaderSize: MAXIMUM_HEAD_BYTES,
+        agent,
+      }));
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      return Err({ mayHaveRun: false, reason, stale: false });
+    }
+  }
+
   /**
    * Sends a call and reads its complete response. `rejectionOf` returns the reason to reject a response by its
    * head, or undefined to accept it.
--- a/requests/upstream_http_test.ts
+++ b/requests/upstream_http_test.ts
@@ -153,3 +153,21 @@
   for (const socket of sockets) socket.destroy();
   server.close();
 });
+
+test("a call that can't be written, as to an odd entry among the upstreams, fails as not run", async () => {
+  const http = new UpstreamHttp();
+  const sound = callTo({ host: HOST, port: 1 });
+  const odd: readonly OutgoingCall[] = [
+    callTo({ host: HOST, port: 65_536 }),
+    callTo({ host: HOST, port: 99_999_999_999 }),
+    callTo({ host: "999.1.1.1", port: 1 }),
+    { ...sound, headers: ["Host", "h", "X-Upstream", "w\n1"] },
+    { ...sound, headers: ["Host", "h", "X-Upstream", "\u4e2d"] },
+  ];
+  for (const call of odd) {
+    const result = await http.open(call);
+    assert.ok(result.err);
+    assert.equal(result.val.mayHaveRun, false, result.val.reason);
+  }
+  http.close();
+});
