Remove the rest of an append that a full disk broke off before the next one

Report: disks of counted VMs were full for some seconds, one after another, and changes were refused long after the last had room again.

The folder remembers that a file is torn and truncates it before the next append or its close.

--- a/agreement/file_folder.ts
+++ b/agreement/file_folder.ts
@@ -24,6 +24,8 @@
   readonly file: FileHandle;
   /** Length of the file that is durable. */
   durableBytes: Bytes;
+  /** Whether bytes of an append that failed may follow them. */
+  isTorn: boolean;
 }
 
 /**
@@ -151,24 +153,34 @@
     }
   }
 
-  /** Appends and syncs bytes; if the disk is full, truncates the file to its durable length. */
+  /**
+   * Appends and syncs bytes; if the disk is full, truncates the file to its durable length. A full disk may prevent that
+   * as well, so it is made up for before the next append.
+   */
   async #writeAppended(
     appendFile: AppendFile,
     bytes: Uint8Array,
   ): Promise<void> {
-    const { file, durableBytes: length } = appendFile;
+    const { file } = appendFile;
+    if (appendFile.isTorn) await this.#truncateTorn(appendFile);
+    appendFile.isTorn = true;
     try {
       await file.writeFile(bytes);
       await file.datasync();
+      appendFile.isTorn = false;
     } catch (error) {
-      if (isDiskFull(error)) {
-        await file.truncate(length);
-        await file.datasync();
-      }
+      if (isDiskFull(error)) await this.#truncateTorn(appendFile);
       throw error;
     }
   }
 
+  async #truncateTorn(appendFile: AppendFile): Promise<void> {
+    const { file, durableBytes } = appendFile;
+    await file.truncate(durableBytes);
+    await file.datasync();
+    appendFile.isTorn = false;
+  }
+
   override async rename(from: string, to: string): Promise<void> {
     await this.#closeAppendFile(from);
     await this.#closeAppendFile(to);
@@ -202,7 +214,7 @@
     if (known !== undefined) return known;
     const file = await open(this.#pathOf(name), "a");
     const { size } = await file.stat();
-    const appendFile = { file, durableBytes: size };
+    const appendFile = { file, durableBytes: size, isTorn: false };
     this.#appendFiles.set(name, appendFile);
     await this.#syncFolder();
     return appendFile;
@@ -210,8 +222,10 @@
 
   async #closeAppendFile(name: string): Promise<void> {
     const appendFile = this.#appendFiles.get(name);
+    if (appendFile === undefined) return;
+    if (appendFile.isTorn) await this.#truncateTorn(appendFile);
     this.#appendFiles.delete(name);
-    await appendFile?.file.close();
+    await appendFile.file.close();
   }
 
   async #syncFolder(): Promise<void> {
