--- a/proof/crash_world.ts
+++ b/proof/crash_world.ts
@@ -32,7 +32,7 @@
   type SimulatedEntry,
   startEntry,
 } from "./simulated_vms.ts";
-import { VirtualUpstream } from "./virtual_upstream.ts";
+import { FIRST_PORT, VirtualUpstream } from "./virtual_upstream.ts";
 
 const SERVICE = "s";
 const STEP_MS: Milliseconds = 20;
@@ -246,7 +246,7 @@
   }
 
   #run(sender: Sender, body: string, to: FleetUpstream): Promise<Attempt> {
-    const upstream = this.#upstreams[to.address.port];
+    const upstream = this.#upstreams[to.address.port - FIRST_PORT];
     if (upstream?.isRunning(to) !== true) {
       return Promise.resolve({ kind: "not_run", reason: "refused" });
     }
@@ -309,7 +309,9 @@
 
   async #probe(port: number): Promise<ConnectionState> {
     await this.#clock.sleep(TRAVEL_MS);
-    return this.#upstreams[port]?.isUp === true ? "open" : "refused";
+    return this.#upstreams[port - FIRST_PORT]?.isUp === true
+      ? "open"
+      : "refused";
   }
 
   #causeFault(): void {
--- a/proof/virtual_upstream.ts
+++ b/proof/virtual_upstream.ts
@@ -25,6 +25,9 @@
   readonly end: (attempt: Attempt) => void;
 }
 
+/** Port of the upstream with index 0. */
+export const FIRST_PORT = 8_000;
+
 /** Options of `VirtualUpstream`. */
 export interface VirtualUpstreamOptions {
   readonly index: number;
@@ -56,7 +59,7 @@
       sequence: 1,
       service: options.service,
       zone: `z${options.index % 3}`,
-      address: { host: "10.0.0.1", port: options.index },
+      address: { host: "10.0.0.1", port: FIRST_PORT + options.index },
       slots: 6,
       phase: "ready",
       serves: [],
@@ -149,7 +152,7 @@
     this.#record = {
       ...this.#record,
       id: keepsId ? id : `${id}-${this.#starts}`,
-      bornMs: clock.nowMs(),
+      bornMs: Math.ceil(clock.nowMs()),
       phase: "ready",
       sequence: 1,
     };
