Send a call again whose upstream has not responded for a whole objective

Cause: a hedged attempt gets a permit only after all calls that wait for one, and while the limits bind that is never; it was tried once. A call whose attempts have been silent for as long as a response may take is in the same place as one that failed: it is sent on with the priority of its route, and the silent upstream is paused, so that others are chosen. The test hung before.

--- a/requests/attempt_series.ts
+++ b/requests/attempt_series.ts
@@ -23,6 +23,8 @@
 
 /** Share of the route's latency objective after which a call without a response is hedged. */
 const HEDGE_DELAY_OBJECTIVE_RATIO = 0.45;
+/** A route may name no objective. */
+const MINIMUM_OVERDUE_MS: Milliseconds = 50;
 /** Time after which an upstream that crashed under a call is likely to be up again. */
 const SUSPECT_RETRY_AFTER_MS: Milliseconds = 1_000;
 
@@ -44,6 +46,9 @@
   /** Attempts that are in flight or wait for an upstream. */
   #running = 0;
   #hedgeTimer: Timer | undefined;
+  #overdueTimer: Timer | undefined;
+  /** Attempts without a response, and when they were sent. */
+  readonly #inFlight = new Map<FleetUpstream, Milliseconds>();
 
   private constructor(
     forwarded: ForwardedCall,
@@ -63,6 +68,7 @@
     return new Promise((resolve) => {
       const series = new AttemptSeries(forwarded, options, (response) => {
         series.#hedgeTimer?.cancel();
+        series.#overdueTimer?.cancel();
         resolve(response);
       });
       series.#begin();
@@ -72,10 +78,33 @@
   #begin(): void {
     const { objectiveMs } = this.#forwarded.routed.route;
     const delayMs = objectiveMs * HEDGE_DELAY_OBJECTIVE_RATIO;
-    this.#hedgeTimer = this.#options.clock.after(delayMs, () => this.#hedge());
+    const { clock } = this.#options;
+    this.#hedgeTimer = clock.after(delayMs, () => this.#hedge());
+    const overdueMs = Math.max(MINIMUM_OVERDUE_MS, objectiveMs);
+    this.#overdueTimer = clock.every(
+      overdueMs,
+      () => this.#handleOverdue(overdueMs),
+    );
     this.#startOrSettle();
   }
 
+  /**
+   * Sends an idempotent call again whose upstreams have not responded for as long as a response may take, as if they had
+   * failed: a silent upstream must not hold the calls that it got until their deadline.
+   */
+  #handleOverdue(overdueMs: Milliseconds): void {
+    const { routed: { route }, watch, service } = this.#forwarded;
+    if (route.kind !== "idempotent" || this.#inFlight.size === 0) return;
+    const { clock, choice } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const [upstream, sentMs] of this.#inFlight) {
+      if (nowMs - sentMs < overdueMs) return;
+      choice.selector.pause(upstream.id, nowMs);
+    }
+    const isWaiting = this.#running > this.#inFlight.size;
+    if (!isWaiting && watch.mayHedge(service)) this.#startNext();
+  }
+
   #hedge(): void {
     const { routed: { route }, triedUpstreams, watch, service } =
       this.#forwarded;
@@ -91,8 +120,10 @@
 
   #start(upstream: FleetUpstream, release: () => void = () => {}): void {
     this.#running += 1;
+    this.#inFlight.set(upstream, this.#options.clock.nowMs());
     this.#options.send(upstream).then((attempt) => {
       this.#running -= 1;
+      this.#inFlight.delete(upstream);
       release();
       const response = this.#options.finalResponse(attempt);
       if (response !== undefined) this.#settle(response);
--- a/requests/limited_upstreams_test.ts
+++ b/requests/limited_upstreams_test.ts
@@ -121,6 +121,26 @@
   }, { limits: [null, 1], permits });
 });
 
+test("a call at a silent upstream is sent to a limited one before its deadline, though permits for hedges are never left", async () => {
+  const limited: FleetUpstream[] = [];
+  const permits = new TestPermits(() => {
+    const upstream = limited[0];
+    const isHedge = (permits.demands.at(-1)?.priority ?? 0) > 1_000;
+    if (upstream === undefined || isHedge) return REJECTED;
+    return { kind: "granted", upstream };
+  });
+  await withUpstreams([stayUnresponsive, respond], async (setup) => {
+    limited.push(...setup.upstreams.slice(1));
+    const response = send(setup);
+    await untilReached(setup, 0);
+    setup.clock.advance(90);
+    await new Promise((resolve) => setImmediate(resolve));
+    setup.clock.advance(110);
+    assert.ok("status" in await response);
+    assert.deepEqual(setup.reached, [1, 1]);
+  }, { limits: [null, 1], permits });
+});
+
 test("an upstream that has just failed calls is no reason to forgo a permit for another one", async () => {
   const limited: FleetUpstream[] = [];
   const permits = new TestPermits(() => {
