--- a/membership/fleet_follower.ts
+++ b/membership/fleet_follower.ts
@@ -17,15 +17,9 @@
 } from "#core";
 import type { PeerNetwork } from "#wire";
 import { MEMBERSHIP_EVENTS } from "./events.ts";
-import type {
-  FleetNotice,
-  FleetRevision,
-  FollowReply,
-} from "./fleet_messages.ts";
+import type { FleetNotice, FollowReply } from "./fleet_messages.ts";
+import { FollowedUpstreams } from "./followed_upstreams.ts";
 import { KnownCrashes } from "./known_crashes.ts";
-import { LeavingUpstreams } from "./leaving_upstreams.ts";
-import { problemOf } from "./upstream_check.ts";
-import { NamedLimits } from "./named_limits.ts";
 
 const FOLLOW_WAIT_MS: Milliseconds = 1_500;
 const REPLY_MARGIN_MS: Milliseconds = 700;
@@ -55,14 +49,9 @@
   readonly crashes: KnownCrashes;
   readonly #options: FleetFollowerOptions;
   readonly #startedMs: Milliseconds;
-  readonly #leaving: LeavingUpstreams;
-  readonly #limits: NamedLimits;
+  readonly #upstreams: FollowedUpstreams;
   #configuration: RoutingConfiguration | null = null;
   #confirmed = false;
-  #upstreams = new Map<string, FleetUpstream>();
-  #fleet: FleetRevision | null = null;
-  /** Whether the known upstreams are exactly those of the control VM, so that a change can be applied to them. */
-  #fleetIsExact = false;
   #placement: Placement = { controls: [], stores: [], retiring: [] };
   #placementRevision = 0;
   #nodes: readonly FleetNode[] = [];
@@ -81,8 +70,7 @@
   constructor(options: FleetFollowerOptions) {
     this.#options = options;
     this.#startedMs = options.clock.nowMs();
-    this.#leaving = new LeavingUpstreams(options.events);
-    this.#limits = new NamedLimits(options);
+    this.#upstreams = new FollowedUpstreams(options);
     this.crashes = new KnownCrashes({
       ...options,
       send: (record) => this.#notify({ kind: "crashes", records: [record] }),
@@ -119,16 +107,12 @@
 
   /** Upstreams that are not gone, with what their responses told this VM: that they are leaving, and their limits. */
   get upstreams(): readonly FleetUpstream[] {
-    const upstreams: FleetUpstream[] = [];
-    for (const upstream of this.#upstreams.values()) {
-      upstreams.push(this.#limits.mark(this.#leaving.mark(upstream)));
-    }
-    return upstreams;
+    return this.#upstreams.list();
   }
 
   /** Stops sending to an upstream whose response states that it is leaving, and tells the control VM. */
   reportLeaving(upstream: FleetUpstream): void {
-    if (!this.#leaving.record(upstream)) return;
+    if (!this.#upstreams.recordLeaving(upstream)) return;
     this.#options.onChange();
     const { id, bornMs } = upstream;
     this.#notify({ kind: "draining", upstreams: [{ id, bornMs }] });
@@ -136,10 +120,9 @@
 
   /** Records the limit that an upstream names in a response, null for none, and tells the control VM if it changed. */
   reportRequestLimit(upstream: FleetUpstream, perSecond: number | null): void {
-    if (!this.#limits.observe(upstream, perSecond)) return;
-    this.#options.onChange();
-    const observation = this.#limits.observationOf(upstream);
+    const observation = this.#upstreams.recordLimit(upstream, perSecond);
     if (observation === undefined) return;
+    this.#options.onChange();
     this.#notify({ kind: "limits", limits: [observation] });
   }
 
@@ -221,16 +204,13 @@
         kind: "follow",
         node: self(),
         configurationVersion: this.#configuration?.version ?? 0,
-        fleet: this.#fleet,
+        ...this.#upstreams.describe(),
         placementRevision: this.#placementRevision,
         confirm: this.#needsConfirmation(),
         waitMs: FOLLOW_WAIT_MS,
-        acceptsDeltas: this.#fleetIsExact,
         ...(this.#nodesDigest === undefined
           ? {}
           : { nodesDigest: this.#nodesDigest }),
-        leaving: this.#leaving.unknownTo(this.#upstreams.values()),
-        limits: this.#limits.unknownTo(this.#upstreams.values()),
         crashes: crashReport.records,
         crashRevision: this.crashes.received,
       },
@@ -334,7 +314,7 @@
       changed = true;
     }
     if (fleet !== null) {
-      this.#applyFleet(fleet, reply.current);
+      this.#upstreams.apply(fleet, reply.current);
       changed = true;
     }
     return changed;
@@ -348,31 +328,6 @@
   #isNewer(configuration: RoutingConfiguration): boolean {
     return configuration.version > (this.#configuration?.version ?? -1);
   }
-
-  /**
-   * Replaces the known upstreams if the control VM knows all of them. Merges them if it has just started or does
-   * not reach a quorum, since it may then not know all.
-   */
-  #applyFleet(
-    fleet: NonNullable<FollowReply["fleet"]>,
-    current: boolean,
-  ): void {
-    const isDelta = fleet.since !== undefined;
-    const replaces = fleet.complete && current;
-    if (replaces && !isDelta) this.#upstreams = new Map();
-    for (const id of fleet.removed ?? []) this.#upstreams.delete(id);
-    for (const upstream of fleet.upstreams) {
-      const known = this.#upstreams.get(upstream.id);
-      if (known !== undefined && known.bornMs > upstream.bornMs) continue;
-      if (problemOf(upstream) !== undefined) continue;
-      this.#upstreams.set(upstream.id, upstream);
-      this.#limits.adopt(upstream);
-    }
-    this.#fleet = fleet.revision;
-    this.#fleetIsExact = replaces;
-    this.#leaving.retainOnly(this.#upstreams.values());
-    this.#limits.retainOnly(this.#upstreams.values());
-  }
 }
 
 function leadersOf(nodes: readonly FleetNode[]): string {
