--- a/crashes/isolation_server.ts
+++ b/crashes/isolation_server.ts
@@ -14,8 +14,8 @@
   type Timer,
 } from "#core";
 import {
+  ControlPart,
   type CrashRecord,
-  LeaderPart,
   type Leadership,
   notLeaderFailure,
 } from "#membership";
@@ -39,7 +39,7 @@
 }
 
 /** Decides about requests to run suspects. */
-export class IsolationServer extends LeaderPart {
+export class IsolationServer extends ControlPart {
   override readonly kind = ISOLATION_KIND;
   readonly #options: IsolationServerOptions;
   readonly #runs: IsolatedRuns;
--- a/membership/control_leader.ts
+++ b/membership/control_leader.ts
@@ -93,26 +93,26 @@
   }
 }
 
-/** The part of a control VM that makes one kind of decision while it leads. */
-export abstract class LeaderPart {
-  /** Kind of the requests that it decides about. */
+/** The part of a control VM that handles one kind of request, mostly decisions that it makes only while it leads. */
+export abstract class ControlPart {
+  /** Kind of the requests that it handles. */
   abstract readonly kind: string;
-  /** Returns the decision, or `not_leader`. */
+  /** Returns the reply, or `not_leader`. */
   abstract handle(body: unknown): Promise<Result<unknown, Failure>>;
   /** Handles a notice of any kind. */
   handleNotice(_body: unknown): void {}
 }
 
-/** Passes what other VMs ask the leader for to the parts that decide about it. */
-export function serveLeaderRequests(
+/** Passes what other VMs ask a control VM for to the parts that handle it. */
+export function serveControlRequests(
   network: PeerNetwork,
-  parts: readonly LeaderPart[],
+  parts: readonly ControlPart[],
 ): void {
   network.onRequest(CHANNEL, (_from, body) => {
     const kind = (body as { readonly kind?: unknown } | null)?.kind;
     const part = parts.find((each) => each.kind === kind);
     if (part !== undefined) return part.handle(body);
-    const message = "not a request for a decision of the leader";
+    const message = "not a request that a control VM handles";
     return Promise.resolve(Err(fail("malformed_request", message)));
   });
   network.onNotice(CHANNEL, (_from, body) => {
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -16,7 +16,7 @@
   ControlReplica,
   leaderOf,
   type Leadership,
-  serveLeaderRequests,
+  serveControlRequests,
 } from "#membership";
 import { controlRoutes, type NodeSettings, WorkerOrderClient } from "#platform";
 import { PermitServer } from "#quotas";
@@ -110,7 +110,7 @@
       this.#isolation.handleChange();
       void this.#blockedCalls.update();
     });
-    serveLeaderRequests(network, [
+    serveControlRequests(network, [
       this.#permits,
       this.#isolation,
       this.#origins,
--- a/proof/bench_stream_origins.ts
+++ b/proof/bench_stream_origins.ts
@@ -14,7 +14,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
-import { serveLeaderRequests } from "#membership";
+import { serveControlRequests } from "#membership";
 import { OriginClient, OriginServer } from "#streams";
 import { MemoryNetwork } from "#wire";
 import type { BenchFigures, BenchOptions } from "./bench.ts";
@@ -37,7 +37,7 @@
   const controls = Array.from({ length: CONTROLS }, (_, at) => `control-${at}`);
   const servers = controls.map((vm) => {
     const server = new OriginServer({ clock, epoch: vm });
-    serveLeaderRequests(network.join(vm), [server]);
+    serveControlRequests(network.join(vm), [server]);
     return server;
   });
   const entries = Array.from({ length: ENTRIES }, (_, at) => {
--- a/proof/origin_world.ts
+++ b/proof/origin_world.ts
@@ -10,7 +10,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
-import { serveLeaderRequests } from "#membership";
+import { serveControlRequests } from "#membership";
 import { OriginClient, OriginServer } from "#streams";
 import { MemoryNetwork } from "#wire";
 
@@ -166,7 +166,7 @@
     const { clock } = this;
     const epoch = `${vm}-${clock.nowMs()}`;
     const server = new OriginServer({ clock, epoch });
-    serveLeaderRequests(this.network.join(vm), [server]);
+    serveControlRequests(this.network.join(vm), [server]);
   }
 }
 
--- a/proof/simulated_vms.ts
+++ b/proof/simulated_vms.ts
@@ -27,7 +27,7 @@
   FleetFollower,
   FleetServer,
   type Leadership,
-  serveLeaderRequests,
+  serveControlRequests,
 } from "#membership";
 import { LeaderPermitPort, PermitClient, PermitServer } from "#quotas";
 import type { MemoryNetwork } from "#wire";
@@ -117,7 +117,7 @@
       recordCrashes: (records) => server.recordCrashes(records),
     });
     server.onChange(() => isolation.handleChange());
-    serveLeaderRequests(network, [permits, isolation]);
+    serveControlRequests(network, [permits, isolation]);
   }
 }
 
--- a/quotas/permit_server.ts
+++ b/quotas/permit_server.ts
@@ -16,7 +16,7 @@
   SECOND_MS,
   type Timer,
 } from "#core";
-import { LeaderPart, type Leadership, notLeaderFailure } from "#membership";
+import { ControlPart, type Leadership, notLeaderFailure } from "#membership";
 import { QUOTA_EVENTS } from "./events.ts";
 import { PermitAllocator } from "./permit_allocator.ts";
 import {
@@ -47,7 +47,7 @@
 }
 
 /** Decides about requests for permits. */
-export class PermitServer extends LeaderPart {
+export class PermitServer extends ControlPart {
   override readonly kind = "permits";
   readonly #options: PermitServerOptions;
   readonly #allocator: PermitAllocator;
--- a/quotas/permit_world.ts
+++ b/quotas/permit_world.ts
@@ -13,7 +13,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
-import { ControlLeader, serveLeaderRequests } from "#membership";
+import { ControlLeader, serveControlRequests } from "#membership";
 import { MemoryNetwork } from "#wire";
 import { PermitClient } from "./permit_client.ts";
 import { LeaderPermitPort } from "./permit_port.ts";
@@ -173,7 +173,7 @@
       limitsOf: () => this.#limits,
     });
     permits.start();
-    serveLeaderRequests(this.#network.join(vm), [permits]);
+    serveControlRequests(this.#network.join(vm), [permits]);
   }
 
   #isLeader(vm: string): boolean {
--- a/streams/origin_server.ts
+++ b/streams/origin_server.ts
@@ -13,7 +13,7 @@
   type Result,
   SECOND_MS,
 } from "#core";
-import { LeaderPart } from "#membership";
+import { ControlPart } from "#membership";
 import {
   ORIGINS_KIND,
   type OriginsReply,
@@ -30,7 +30,7 @@
 }
 
 /** Keeps the streams that entry VMs report, and answers those that ask for one. */
-export class OriginServer extends LeaderPart {
+export class OriginServer extends ControlPart {
   override readonly kind = ORIGINS_KIND;
   readonly #options: OriginServerOptions;
   readonly #table = new OriginTable();
