Let links, clocks and software versions fail in the soak, and publish weights

Callers request streams all the time and take up what workers break off; workers come back with the other software version, under their identifier or a new one; a proxy before each of them delays, resets or drops what passes, in one direction; the time of day of VMs jumps; weights are published. The oracle counts joined and disordered streams, orders that go back, and versions that no engine loads. Faults of disks and a proxy between VMs are still missing.

--- a/proof/joined_streams_test.ts
+++ b/proof/joined_streams_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { delay } from "./managed_process.ts";
-import { type StreamCounts, StreamSite } from "./stream_site.ts";
+import type { StreamCounts } from "./stream_counts.ts";
+import { StreamSite } from "./stream_site.ts";
 
 const LOAD = { spanMs: 3_000, callers: 40 };
 const ENTRIES = [0, 1, 2];
--- a/proof/node_cluster.ts
+++ b/proof/node_cluster.ts
@@ -6,8 +6,8 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
-import { fileURLToPath } from "node:url";
-import type { Address, FleetRole } from "#core";
+import { fileURLToPath, pathToFileURL } from "node:url";
+import type { Address, FleetRole, Milliseconds } from "#core";
 import { SETTINGS_VARIABLE } from "#platform";
 import { ManagedProcess } from "./managed_process.ts";
 import { lockNetwork, type NetworkLock } from "./network_lock.ts";
@@ -15,6 +15,8 @@
 const BUILD = join(dirname(fileURLToPath(import.meta.url)), "..");
 const PROGRAMS = join(BUILD, "programs");
 const PROGRAM = "cicadafield_node.js";
+/** Names the file that a preloaded module reads. */
+const CLOCK_VARIABLE = "CICADAFIELD_SOAK_CLOCK";
 const ZONES = ["z1", "z2", "z3"];
 const PORTS = { callers: 8161, ready: 8167, control: 8166, peer: 7720 };
 const HOST_TENS: Readonly<Record<FleetRole, number>> = {
@@ -29,6 +31,8 @@
   readonly network: number;
   /** Folder of the built programs; the programs of this build by default. */
   readonly programs?: string;
+  /** Module that is loaded into each process before its program; none if absent. */
+  readonly preload?: string;
 }
 
 /** One VM of each role in each of three zones. */
@@ -99,13 +103,36 @@
       name,
       program: join(this.#options.programs ?? PROGRAMS, PROGRAM),
       arguments: [role],
-      environment: { [SETTINGS_VARIABLE]: settings },
+      environment: {
+        [SETTINGS_VARIABLE]: settings,
+        ...this.#preloadEnvironment(name),
+      },
       logFile: join(folder, "log"),
       readyUrl: `http://${host}:${port}/${path}`,
     });
     this.#processes.set(name, managed);
   }
 
+  /** Shifts the time of day of a VM, if the preloaded module reads it. */
+  shiftClock(role: FleetRole, zone: number, byMs: Milliseconds): void {
+    writeFileSync(this.#clockFile(vmName(role, zone)), String(byMs));
+  }
+
+  #preloadEnvironment(name: string): Readonly<Record<string, string>> {
+    const { preload } = this.#options;
+    if (preload === undefined) return {};
+    const file = this.#clockFile(name);
+    writeFileSync(file, "0");
+    return {
+      [CLOCK_VARIABLE]: file,
+      NODE_OPTIONS: `--import=${pathToFileURL(preload)}`,
+    };
+  }
+
+  #clockFile(name: string): string {
+    return join(this.#folder, name, "clock");
+  }
+
   #settingsText(role: FleetRole, zone: number): string {
     const host = this.host(role, zone);
     const seeds = [...ZONES.keys()].map((each) =>
--- a/proof/stream_caller.ts
+++ b/proof/stream_caller.ts
@@ -45,6 +45,7 @@
 export interface StreamTarget {
   readonly host: string;
   readonly path: string;
+  readonly model: string;
   /** Returns the address of an entry VM for a try. */
   readonly entryOf: (attempt: number) => Address;
 }
@@ -99,7 +100,7 @@
         Host: target.host,
         "Request-Id": id,
         "Deadline-Ms": String(Math.max(1, Math.floor(leftMs))),
-        Model: "m",
+        Model: target.model,
         "Token-Counts": `10,${EVENTS}`,
         ...(progress.origin === null ? {} : {
           Resumes: progress.origin,
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,11 +1,12 @@
 /**
- * `npm run soak -- --first S --seeds N --seconds T --crashing C`: runs the soak for several seeds and prints each broken promise.
+ * `npm run soak -- --first S --seeds N --seconds T --crashing C --advisers A`: runs the soak for several seeds and prints each broken promise.
  *
  * @module
  */
 import process from "node:process";
 import { parseArgs } from "node:util";
 import { SECOND_MS } from "#core";
+import { countStreams } from "../proof/stream_counts.ts";
 import { brokenPromises } from "./soak_oracle.ts";
 import { runSoak } from "./soak_site.ts";
 
@@ -18,6 +19,7 @@
     seconds: { type: "string", default: "10" },
     programs: { type: "string" },
     crashing: { type: "string", default: "2" },
+    advisers: { type: "string", default: "6" },
   },
 });
 const { programs } = values;
@@ -30,12 +32,19 @@
     durationMs,
     workers: WORKERS,
     crashingCalls,
+    advisers: Number(values.advisers),
     ...(programs === undefined ? {} : { programs }),
   });
   const broken = brokenPromises(record);
   if (broken.length > 0) failed += 1;
   const statuses = countStatuses(record.calls.map((each) => each.status));
-  console.log(`seed ${seed}: ${broken.join("; ") || "kept"} (${statuses})`);
+  const streams = countStreams(record.streams);
+  const { takenUp, completedAfterTakeUp } = streams;
+  console.log(
+    `seed ${seed}: ${
+      broken.join("; ") || "kept"
+    } (${statuses}; ${streams.streams} streams, ${completedAfterTakeUp} of ${takenUp} taken up went on; version ${record.publications.published})`,
+  );
 }
 console.log(`soak: ${failed} of ${values.seeds} seeds failed`);
 process.exit(failed === 0 ? 0 : 1);
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -31,8 +31,37 @@
       readonly call: number;
       readonly forMs: Milliseconds;
     }
+    | {
+      /** The proxy before a worker delays, resets or drops what passes. */
+      readonly kind: "link";
+      readonly worker: number;
+      readonly how: LinkFault;
+      readonly forMs: Milliseconds;
+    }
+    | {
+      /** The time of day of a VM jumps, and back. */
+      readonly kind: "clock";
+      readonly role: "entry" | "control" | "store";
+      readonly zone: number;
+      readonly byMs: Milliseconds;
+      readonly forMs: Milliseconds;
+    }
+    | {
+      /** An adviser ends and starts again with the other software version. */
+      readonly kind: "software";
+      readonly worker: number;
+      readonly keepsId: boolean;
+      readonly downMs: Milliseconds;
+    }
   );
 
+/** What a proxy does. */
+export type LinkFault =
+  | "delay"
+  | "reset"
+  | "drop_requests"
+  | "drop_responses";
+
 const ROLES = ["entry", "control", "store"] as const;
 const PROCESS_FAULTS = ["kill", "stop", "pause"] as const;
 const ZONES = 3;
@@ -43,6 +72,14 @@
 /** Limits that workers name. */
 const LIMITS: readonly (number | null)[] = [1, 2, 5, 12, null];
 const LIMIT_CHANCE = 0.4;
+const LINK_FAULTS: readonly LinkFault[] = [
+  "delay",
+  "reset",
+  "drop_requests",
+  "drop_responses",
+];
+const LONGEST_CLOCK_STEP_MS: Milliseconds = 3 * SECOND_MS;
+const LONGEST_DOWN_MS: Milliseconds = 800;
 /** Long enough that more repetitions than allowed follow the third crash. */
 const CRASHING_CALL_MS: Milliseconds = 12 * SECOND_MS;
 
@@ -52,6 +89,8 @@
   readonly workers: number;
   /** Number of calls that crash each worker which runs them. */
   readonly crashingCalls: number;
+  /** Number of workers that stream advice; no links, clocks and software versions fail if absent. */
+  readonly advisers?: number;
   /** Folder of the built programs that are run; those of this build if absent. */
   readonly programs?: string;
 }
@@ -97,9 +136,49 @@
     const forMs = CRASHING_CALL_MS;
     faults.push({ atMs: startMs, kind: "crashing_call", call, forMs });
   }
+  if (size.advisers !== undefined) {
+    faults.push(
+      ...drawFurtherFaults(random, { ...size, advisers: size.advisers }),
+    );
+  }
   return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
+/** Returns faults of links, clocks and software versions, which may overlap all others. */
+function drawFurtherFaults(
+  random: RandomSource,
+  size: SoakSize & { readonly advisers: number },
+): readonly SoakFault[] {
+  const faults: SoakFault[] = [];
+  let atMs: Milliseconds = SECOND_MS;
+  while (atMs < size.durationMs) {
+    const kind = random.below(3);
+    const worker = random.below(size.advisers);
+    const forMs = between(random, SHORTEST_OUTAGE_MS, LONGEST_OUTAGE_MS);
+    if (kind === 0) {
+      const how = LINK_FAULTS[random.below(LINK_FAULTS.length)] ?? "reset";
+      faults.push({ atMs, kind: "link", worker, how, forMs });
+    }
+    if (kind === 1) {
+      const role = ROLES[random.below(ROLES.length)] ?? "entry";
+      const zone = random.below(ZONES);
+      const byMs = between(
+        random,
+        -LONGEST_CLOCK_STEP_MS,
+        LONGEST_CLOCK_STEP_MS,
+      );
+      faults.push({ atMs, kind: "clock", role, zone, byMs, forMs });
+    }
+    if (kind === 2) {
+      const keepsId = random.below(2) === 0;
+      const downMs = between(random, 0, LONGEST_DOWN_MS);
+      faults.push({ atMs, kind: "software", worker, keepsId, downMs });
+    }
+    atMs += between(random, MINIMUM_GAP_MS, LONGEST_GAP_MS);
+  }
+  return faults;
+}
+
 function between(
   random: RandomSource,
   least: Milliseconds,
--- a/soak/soak_oracle.ts
+++ b/soak/soak_oracle.ts
@@ -5,7 +5,10 @@
  */
 import { type Milliseconds, SECOND_MS } from "#core";
 import type { ExecutedRequest } from "#platform";
+import type { StreamRecord } from "../proof/stream_caller.ts";
 import { checkBatches, type SoakBatch } from "./soak_batches.ts";
+import { checkPublications, type SoakPublications } from "./soak_publisher.ts";
+import { checkStreams } from "./soak_streams.ts";
 
 /** Span over which a limit is checked. */
 const SPAN_MS: Milliseconds = 4 * SECOND_MS;
@@ -71,6 +74,10 @@
   readonly workers: readonly SoakWorkerRecord[];
   /** Most workers that a route allows a call to be sent to. */
   readonly maximumAttempts: number;
+  readonly streams: readonly StreamRecord[];
+  /** Streams that were requested when all faults had been over for long enough. */
+  readonly lateStreams: readonly StreamRecord[];
+  readonly publications: SoakPublications;
 }
 
 /** Returns a line for each broken promise; none if all were kept. */
@@ -84,6 +91,8 @@
     ...checkConfigurations(record.configurations),
     ...checkRecovery(record.calls),
     ...checkBatches(record.batches),
+    ...checkStreams(record.streams, record.lateStreams),
+    ...checkPublications(record.publications),
   ];
 }
 
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -3,13 +3,17 @@
  *
  * @module
  */
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
 import { type Milliseconds, SECOND_MS, SeededRandom } from "#core";
 import { delay, waitUntil } from "../proof/managed_process.ts";
 import { NodeCluster } from "../proof/node_cluster.ts";
+import { SoakAdvisers } from "./soak_advisers.ts";
 import { exchange } from "./soak_exchange.ts";
 import { drawFaults, type SoakFault, type SoakSize } from "./soak_faults.ts";
 import { SoakOperator } from "./soak_operator.ts";
 import type { SoakCall, SoakRecord } from "./soak_oracle.ts";
+import { SoakPublisher } from "./soak_publisher.ts";
 import { SoakTrainer } from "./soak_trainer.ts";
 import { CRASHING_BODY_PREFIX, SoakWorker } from "./soak_worker.ts";
 
@@ -18,7 +22,15 @@
 const SERVICE = "cards";
 const ENGINE_SERVICE = "models";
 const MODEL = "m";
+const ADVICE_SERVICE = "advisers";
+const ADVICE_MODEL = "advice";
 const ENGINES = 3;
+const CLOCK_MODULE = join(
+  dirname(fileURLToPath(import.meta.url)),
+  "shifted_clock.js",
+);
+/** Time after the recovery within which engines load the newest version. */
+const LOAD_MS: Milliseconds = 5 * SECOND_MS;
 /** Time after the recovery within which all batches are completed. */
 const BATCH_COMPLETION_MS: Milliseconds = 10 * SECOND_MS;
 const ZONES = [0, 1, 2];
@@ -39,7 +51,7 @@
   seed: number,
   size: SoakSize,
 ): Promise<SoakRecord> {
-  const site = new SoakSite(size);
+  const site = new SoakSite(seed, size);
   try {
     await site.start();
     return await site.run(drawFaults(new SeededRandom(seed), size));
@@ -56,17 +68,20 @@
   readonly #workers: readonly SoakWorker[];
   readonly #engines: readonly SoakWorker[];
   readonly #trainer: SoakTrainer;
+  readonly #publisher: SoakPublisher;
+  readonly #advisers: SoakAdvisers;
   readonly #calls: SoakCall[] = [];
   readonly #pending = new Set<Promise<void>>();
   #heartbeats: NodeJS.Timeout | undefined;
   #sent = 0;
   #afterFaults = false;
 
-  constructor(size: SoakSize) {
+  constructor(seed: number, size: SoakSize) {
     this.#size = size;
-    const { programs } = size;
+    const { programs, advisers = 0 } = size;
     this.#cluster = new NodeCluster({
       ...SITE,
+      preload: CLOCK_MODULE,
       ...(programs === undefined ? {} : { programs }),
     });
     this.#operator = new SoakOperator({
@@ -95,6 +110,20 @@
           models: [MODEL],
         }),
     );
+    this.#publisher = new SoakPublisher({
+      controls: ZONES.map((zone) => this.#cluster.controlAddress(zone)),
+      model: MODEL,
+    });
+    this.#advisers = new SoakAdvisers({
+      cluster: this.#cluster,
+      random: new SeededRandom(seed),
+      count: advisers,
+      firstAddress: size.workers + ENGINES,
+      host: HOST,
+      service: ADVICE_SERVICE,
+      model: ADVICE_MODEL,
+      zones: ZONES.length,
+    });
     this.#trainer = new SoakTrainer({
       entries: ZONES.map((zone) => this.#cluster.callerAddress(zone)),
       host: HOST,
@@ -105,8 +134,10 @@
   /** Starts everything and waits until each entry VM serves calls. */
   async start(): Promise<void> {
     await this.#cluster.start();
-    const workers = [...this.#workers, ...this.#engines];
-    for (const worker of workers) await worker.start();
+    const own = [...this.#workers, ...this.#engines];
+    for (const worker of own) await worker.start();
+    await this.#advisers.start();
+    const workers = [...own, ...this.#advisers.workers];
     let turn = 0;
     this.#heartbeats = setInterval(() => {
       for (const worker of workers) {
@@ -141,6 +172,10 @@
   async run(faults: readonly SoakFault[]): Promise<SoakRecord> {
     this.#operator.start();
     this.#trainer.start();
+    if (this.#hasAdvisers) {
+      this.#advisers.startCallers();
+      this.#publisher.start();
+    }
     const callers = setInterval(() => this.#startCall(), CALL_INTERVAL_MS);
     try {
       await this.#cause(faults);
@@ -149,10 +184,16 @@
     } finally {
       clearInterval(callers);
       await this.#operator.stop();
+      await this.#advisers.stopCallers();
+      await this.#publisher.stop();
       await this.#trainer.stop(BATCH_COMPLETION_MS);
     }
     await Promise.all(this.#pending);
     this.#afterFaults = true;
+    if (this.#hasAdvisers) {
+      await this.#advisers.requestLate();
+      await this.#untilLoaded();
+    }
     for (let call = 0; call < CALLS_AFTER_FAULTS; call += 1) await this.#call();
     return {
       batches: this.#trainer.record,
@@ -160,13 +201,36 @@
       workers: this.#workers.map((each) => each.record),
       configurations: this.#operator.record,
       maximumAttempts: MAXIMUM_ATTEMPTS,
+      streams: this.#advisers.streams,
+      lateStreams: this.#advisers.lateStreams,
+      publications: {
+        published: this.#publisher.published,
+        engines: this.#engines.map((each) => each.engineRecord(MODEL)),
+      },
     };
   }
 
+  get #hasAdvisers(): boolean {
+    return (this.#size.advisers ?? 0) > 0;
+  }
+
+  /** Waits until all engines serve the newest version, or for as long as loading may take. */
+  async #untilLoaded(): Promise<void> {
+    const untilMs = performance.now() + LOAD_MS;
+    while (performance.now() < untilMs) {
+      const versions = this.#engines.map((each) =>
+        each.engineRecord(MODEL).version
+      );
+      if (Math.min(...versions) === this.#publisher.published) return;
+      await delay(HEARTBEAT_INTERVAL_MS);
+    }
+  }
+
   async close(): Promise<void> {
     clearInterval(this.#heartbeats);
     for (const worker of this.#workers) worker.stop();
     for (const engine of this.#engines) engine.stop();
+    this.#advisers.close();
     await this.#cluster.close();
   }
 
@@ -189,6 +253,12 @@
       return;
     }
     if (fault.kind === "crashing_call") return this.#repeatCrashing(fault);
+    if (
+      fault.kind === "link" || fault.kind === "clock" ||
+      fault.kind === "software"
+    ) {
+      return this.#advisers.cause(fault);
+    }
     const vm = this.#cluster.vm(fault.role, fault.zone);
     if (fault.kind === "pause") {
       vm.pause();
@@ -275,11 +345,27 @@
     max_queue_s: 60,
     due_ms: 7_500,
   };
-  const models = [{ name: MODEL }];
-  const engine = { slots: 8, kv_capacity_tokens: 50_000, models };
+  const advice = {
+    name: "advice",
+    hostname: HOST,
+    path_prefix: "/advice/",
+    kind: "streaming",
+    resumable: true,
+    timeout_ms: 10_000,
+    target_latency_ms: 400,
+    priority: 1,
+    service: ADVICE_SERVICE,
+    max_attempts: 3,
+  };
   const services = [
     { name: SERVICE, max_conns: 100 },
-    { name: ENGINE_SERVICE, max_conns: 100, engine },
+    { name: ENGINE_SERVICE, max_conns: 100, engine: engineOf(MODEL) },
+    { name: ADVICE_SERVICE, max_conns: 100, engine: engineOf(ADVICE_MODEL) },
   ];
-  return JSON.stringify({ version, routes: [...routes, batches], services });
+  const all = [...routes, batches, advice];
+  return JSON.stringify({ version, routes: all, services });
+}
+
+function engineOf(model: string): unknown {
+  return { slots: 8, kv_capacity_tokens: 50_000, models: [{ name: model }] };
 }
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -7,6 +7,7 @@
 
 const SIZE = { durationMs: 10 * SECOND_MS, workers: 3, crashingCalls: 0 };
 const CRASHING_SEED = 34;
+const ADVICE_SEED = 40;
 /** Seeds that failed once, with the cause. */
 const FAILED_SEEDS = [
   { seed: 3, cause: "limits of workers that no VM read" },
@@ -25,14 +26,24 @@
   assert.deepEqual(brokenPromises(record), []);
 });
 
+test(`no stream is joined from two software versions, and engines follow the published weights, while links, clocks and processes fail, seed ${ADVICE_SEED}`, async () => {
+  const record = await runSoak(ADVICE_SEED, { ...SIZE, advisers: 6 });
+  assert.deepEqual(brokenPromises(record), []);
+});
+
 test("a seed draws the same faults each time, and never two processes of one role at once", () => {
-  const size = { durationMs: 60 * SECOND_MS, workers: 3, crashingCalls: 2 };
+  const size = {
+    durationMs: 60 * SECOND_MS,
+    workers: 3,
+    crashingCalls: 2,
+    advisers: 6,
+  };
   for (let seed = 1; seed <= 50; seed += 1) {
     const faults = drawFaults(new SeededRandom(seed), size);
     assert.deepEqual(faults, drawFaults(new SeededRandom(seed), size));
     const outUntilMs = new Map<string, number>();
     for (const fault of faults) {
-      if (fault.kind === "limit" || fault.kind === "crashing_call") continue;
+      if (!("role" in fault) || fault.kind === "clock") continue;
       assert.ok(fault.atMs >= (outUntilMs.get(fault.role) ?? 0));
       outUntilMs.set(fault.role, fault.atMs + fault.forMs);
     }
@@ -68,6 +79,8 @@
   readonly configurations?: Partial<SoakRecord["configurations"]>;
   readonly crashes?: SoakRecord["workers"][number]["crashes"];
   readonly batch?: Partial<SoakRecord["batches"][number]>;
+  readonly lateStreams?: SoakRecord["lateStreams"];
+  readonly publications?: Partial<SoakRecord["publications"]>;
 }): SoakRecord {
   const limits = change.perSecond === undefined
     ? []
@@ -83,6 +96,9 @@
     }],
     configurations: { acknowledged: [], reads: [], ...change.configurations },
     maximumAttempts: 2,
+    streams: [],
+    lateStreams: change.lateStreams ?? [],
+    publications: { published: 2, engines: [], ...change.publications },
   };
 }
 
@@ -104,8 +120,8 @@
   const limited = recordOf({ executed: many, perSecond: 1 });
   assert.match(found(limited), /got 12 of 11 requests/);
   const crashes = [1, 2, 3].map((atMs) => ({ atMs, bodies: ["card"] }));
-  const late = many.slice(0, 4).map((each) => ({ ...each, atMs: 4_000 }));
-  const crashing = recordOf({ crashes, executed: late });
+  const lateRuns = many.slice(0, 4).map((each) => ({ ...each, atMs: 4_000 }));
+  const crashing = recordOf({ crashes, executed: lateRuns });
   assert.match(found(crashing), /"card" ran 4 times more/);
   const outdated = recordOf({
     configurations: {
@@ -125,6 +141,39 @@
   assert.match(batchOf({ pages: [pageOf(cut)] }), /lists i as completed/);
   const twice = RESULTS.map(() => ({ ...RESULTS[0] as typeof RESULTS[0] }));
   assert.match(batchOf({ pages: [pageOf(twice)] }), /lists an item twice/);
+  const attempt = { id: "s", isTakeUp: false, status: 200, events: 2 };
+  const streamOf = (...versions: readonly string[][]) => ({
+    attempts: versions.map((each) => ({ ...attempt, versions: each })),
+    isComplete: true,
+    isInOrder: true,
+  });
+  const late = (stream: SoakRecord["lateStreams"][number]): string =>
+    found(recordOf({ lateStreams: [stream] }));
+  assert.equal(late(streamOf(["v1"], ["v1"])), "");
+  assert.match(late(streamOf(["v1", "v2"])), /1 streams were joined/);
+  assert.match(late(streamOf(["v1"], ["v2"])), /1 streams were joined/);
+  const unordered = { ...streamOf(["v1"]), isInOrder: false };
+  assert.match(late(unordered), /out of order/);
+  const broken = { ...streamOf(["v1"]), isComplete: false };
+  assert.match(late(broken), /0 of 1 streams/);
+  const engineOf = (version: number, ...fences: readonly number[]): string =>
+    found(recordOf({
+      publications: {
+        engines: [{
+          name: "e",
+          orders: fences.map((fence, at) => ({
+            version: at + 1,
+            holder: "h",
+            fence,
+          })),
+          version,
+        }],
+      },
+    }));
+  assert.equal(engineOf(2, 4, 4), "");
+  assert.match(engineOf(1, 4), /no engine serves 2/);
+  assert.match(engineOf(0, 4), /e serves 0, 2 was published/);
+  assert.match(engineOf(2, 4, 3), /fence 3 after 4/);
   const blocked = { status: 503, text: '{"kind":"call_blocked"}' };
   assert.match(found(recordOf({ call: blocked })), /was blocked/);
 });
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -7,6 +7,7 @@
 import { type ExecutedRequest, FakeWorker } from "#platform";
 import { delay } from "../proof/managed_process.ts";
 import type { SoakWorkerRecord } from "./soak_oracle.ts";
+import type { SoakEngineRecord } from "./soak_publisher.ts";
 
 /** Calls whose body begins like this crash each worker that runs them. */
 export const CRASHING_BODY_PREFIX = "crash";
@@ -22,6 +23,12 @@
   readonly address: Address;
   /** Models that it serves; none if it is a plain service. */
   readonly models?: readonly string[];
+  /** Address that it announces, as that of a proxy before it; its own if absent. */
+  readonly announcedAddress?: Address;
+  /** Version of its software at first; it then writes that version into its streams. */
+  readonly softwareVersion?: string;
+  /** Returns after how many events a stream breaks off, or null if it does not; none does if absent. */
+  readonly eventsBeforeBreak?: () => number | null;
 }
 
 /** One worker with all of its incarnations. */
@@ -37,9 +44,33 @@
   /** Calls that crash this incarnation. */
   #crashing: string[] = [];
   #isStopped = false;
+  #softwareVersion: string | undefined;
 
   constructor(options: SoakWorkerOptions) {
     this.#options = options;
+    this.#softwareVersion = options.softwareVersion;
+  }
+
+  /** What it accepted of a model, and serves of it now. */
+  engineRecord(model: string): SoakEngineRecord {
+    return {
+      name: this.#options.name,
+      orders: this.#fake?.acceptedOrders ?? [],
+      version: this.#fake?.versionOf(model) ?? 0,
+    };
+  }
+
+  /** Ends it, and starts it again with other software, under the identifier that it had or a new one. */
+  async replace(
+    softwareVersion: string,
+    options: { readonly keepsId: boolean; readonly downMs: Milliseconds },
+  ): Promise<void> {
+    this.#fake?.close();
+    this.#fake = undefined;
+    this.#softwareVersion = softwareVersion;
+    if (!options.keepsId) this.#incarnations += 1;
+    await delay(options.downMs);
+    if (!this.#isStopped) await this.#startIncarnation();
   }
 
   /** Everything that was seen of it. */
@@ -52,10 +83,16 @@
     };
   }
 
-  /** Starts the next incarnation. */
+  /** Starts the next incarnation, under a new identifier. */
   async start(): Promise<void> {
-    const { name, service, zone, address, models = [] } = this.#options;
     this.#incarnations += 1;
+    await this.#startIncarnation();
+  }
+
+  async #startIncarnation(): Promise<void> {
+    const { name, service, zone, address, models = [] } = this.#options;
+    const { announcedAddress, eventsBeforeBreak } = this.#options;
+    const softwareVersion = this.#softwareVersion;
     const fake = new FakeWorker({
       id: `${name}-${this.#incarnations}`,
       service,
@@ -65,6 +102,11 @@
       eventMs: 40,
       startedMs: Date.now(),
       onRun: (request) => this.#run(request),
+      ...(announcedAddress === undefined ? {} : { announcedAddress }),
+      ...(eventsBeforeBreak === undefined ? {} : { eventsBeforeBreak }),
+      ...(softwareVersion === undefined
+        ? {}
+        : { softwareVersion, eventData: () => softwareVersion }),
     });
     fake.requestLimit = this.#limits.at(-1)?.perSecond ?? null;
     await fake.listen();
