--- a/agreement/old_formats_test.ts
+++ b/agreement/old_formats_test.ts
@@ -123,6 +123,7 @@
         bytes: 1_000_000,
         retainedEntries: 1,
         retainedBytes: 1_000_000,
+        settleMs: 0,
         maximumBytes: 1_000_000,
         writeBytes: 60,
       },
--- a/agreement/simulated_process.ts
+++ b/agreement/simulated_process.ts
@@ -28,6 +28,7 @@
   bytes: 1_000_000,
   retainedEntries: 3,
   retainedBytes: 1_000_000,
+  settleMs: 50,
   maximumBytes: 1_000_000,
   writeBytes: 60,
 };
--- a/agreement/snapshot_events_test.ts
+++ b/agreement/snapshot_events_test.ts
@@ -23,6 +23,7 @@
 const COMMANDS = 20;
 const POLICY: SnapshotPolicy = {
   ...DEFAULT_SNAPSHOT_POLICY,
+  settleMs: 0,
   entries: 8,
   bytes: 1_000_000,
   retainedEntries: 1,
--- a/agreement/snapshot_policy.ts
+++ b/agreement/snapshot_policy.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Bytes, MEBIBYTE } from "#core";
+import { type Bytes, MEBIBYTE, type Milliseconds } from "#core";
 import { DEFAULT_WRITE_BYTES } from "./log_storage.ts";
 
 /** When snapshots are written, and how much of the log remains in memory and on the disk. */
@@ -18,6 +18,8 @@
   readonly retainedBytes: Bytes;
   /** Size of the log above which a leader rejects commands, since no snapshot can be written. */
   readonly maximumBytes: Bytes;
+  /** Time under one leader before which a snapshot is written only if half as much again is due. */
+  readonly settleMs: Milliseconds;
   /** Approximate size of each write of a snapshot and of a rewritten log. */
   readonly writeBytes: Bytes;
 }
@@ -29,5 +31,6 @@
   retainedEntries: 1_024,
   retainedBytes: 4 * MEBIBYTE,
   maximumBytes: 48 * MEBIBYTE,
+  settleMs: 4_000,
   writeBytes: DEFAULT_WRITE_BYTES,
 };
--- a/agreement/snapshot_saver.ts
+++ b/agreement/snapshot_saver.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import type { Clock, EventLog, Milliseconds } from "#core";
 import type { Applier } from "./applier.ts";
 import { DiskFullError } from "./data_folder.ts";
@@ -15,6 +16,10 @@
 
 /** Factor on the limits of the policy while the current snapshot is being transferred. */
 const TRANSFER_SNAPSHOT_FACTOR = 4;
+/** The same while a leader has just been elected. */
+const SETTLING_FACTOR = 1.5;
+/** Share of the limits by which followers are earlier than the leader at most, so that not all are busy at once. */
+const FOLLOWER_SPREAD = 0.4;
 /** More than 1, so that a new log file is completed even if there is always a batch to write. */
 const LOG_WRITES_PER_BATCH = 2;
 /** Delay before a snapshot that did not fit on the disk is written again. */
@@ -36,9 +41,16 @@
 export class SnapshotSaver {
   readonly #options: SnapshotSaverOptions;
   #retryMs: Milliseconds = -Infinity;
+  /** The leader and its term, and since when they are known. */
+  #leadership = "";
+  #ledSinceMs: Milliseconds = -Infinity;
+
+  /** A number from 0 to 1 that differs from one replica to the next. */
+  readonly #place: number;
 
   constructor(options: SnapshotSaverOptions) {
     this.#options = options;
+    this.#place = fractionOf(options.replica.state.identity);
   }
 
   /** Writes a snapshot if one is due; returns whether one was stored. */
@@ -114,10 +126,7 @@
     if (nowMs < this.#retryMs) return false;
     // Without a leader nothing is applied, and votes would wait for the disk and the processor.
     if (replica.state.leader === null) return false;
-    const isTransferring = replica.leaderRole?.snapshotTransfers.isActive(
-      nowMs,
-    ) ?? false;
-    const factor = isTransferring ? TRANSFER_SNAPSHOT_FACTOR : 1;
+    const factor = this.#limitFactor(nowMs);
     if (applier.entriesSinceSnapshot >= policy.entries * factor) return true;
     const limitBytes = policy.bytes * factor;
     if (applier.bytesSinceSnapshot >= limitBytes) return true;
@@ -125,6 +134,29 @@
     const appliedBytes = replica.state.log.bytesThrough(applier.appliedIndex);
     return appliedBytes >= limitBytes + policy.retainedBytes;
   }
+
+  /** Returns the factor on the limits of the policy. */
+  #limitFactor(nowMs: Milliseconds): number {
+    const { replica, policy } = this.#options;
+    const { leader, term } = replica.state;
+    const leadership = `${leader} ${term}`;
+    if (leadership !== this.#leadership) {
+      this.#leadership = leadership;
+      this.#ledSinceMs = nowMs;
+    }
+    const transfers = replica.leaderRole?.snapshotTransfers;
+    if (transfers?.isActive(nowMs) === true) return TRANSFER_SNAPSHOT_FACTOR;
+    // Whatever was interrupted starts again then, on all replicas at once.
+    if (nowMs - this.#ledSinceMs < policy.settleMs) return SETTLING_FACTOR;
+    if (replica.leaderRole !== undefined) return 1;
+    return 1 - FOLLOWER_SPREAD * this.#place;
+  }
+}
+
+/** Returns a number from 0 to 1 that differs from one replica to the next. */
+function fractionOf(identity: string): number {
+  const hash = createHash("sha256").update(identity).digest();
+  return hash.readUInt32BE(0) / 2 ** 32;
 }
 
 /** Returns the contents of a log file that starts after an index. */
