--- a/platform/odd_entries_test.ts
+++ b/proof/odd_entries_test.ts
@@ -3,21 +3,21 @@
 import { test } from "node:test";
 import {
   type ControlPort,
-  type FleetNode,
   type HttpRequest,
   MemoryEventLog,
-  type Milliseconds,
   Ok,
-  SECOND_MS,
   SeededRandom,
   VirtualClock,
 } from "#core";
-import { FleetFollower, FleetServer } from "#membership";
+import type { FleetFollower } from "#membership";
+import { controlRoutes } from "#platform";
 import { MemoryNetwork } from "#wire";
-import { controlRoutes } from "./control_routes.ts";
+import {
+  HEARTBEAT_MS,
+  SimulatedControls,
+  startEntry,
+} from "./simulated_vms.ts";
 
-const CONTROL_VMS = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
-const HEARTBEAT_MS: Milliseconds = SECOND_MS;
 const SOUND_WORKERS = 40;
 /** How often each odd entry is written, to another control VM each time. */
 const REPETITIONS = 12;
@@ -94,24 +94,22 @@
 class Site {
   readonly clock = new VirtualClock();
   readonly follower: FleetFollower;
-  readonly #servers: readonly FleetServer[];
+  readonly #controls: SimulatedControls;
 
   constructor() {
     const { clock } = this;
-    const network = new MemoryNetwork({ clock, random: new SeededRandom(1) });
-    this.#servers = CONTROL_VMS.map((vm) =>
-      startServer(vm, { clock, network })
-    );
-    this.follower = new FleetFollower({
-      network: network.join("10.1.0.1:3"),
+    const random = new SeededRandom(1);
+    const network = new MemoryNetwork({ clock, random });
+    this.#controls = new SimulatedControls({ clock, network });
+    const entry = startEntry({
+      index: 0,
       clock,
-      random: new SeededRandom(2),
+      network,
+      random,
       events: new MemoryEventLog(),
-      self: () => describe("10.1.0.1:3"),
-      seeds: () => CONTROL_VMS,
-      onChange: () => {},
+      probe: () => Promise.resolve("open"),
     });
-    void this.follower.run();
+    this.follower = entry.follower;
   }
 
   /** Sends a call of a worker to a control VM; returns the status. */
@@ -120,14 +118,13 @@
     name: "heartbeat" | "leave",
     call: { readonly id: string; readonly body: string | Uint8Array },
   ): Promise<number> {
-    const server = this.#servers[at % this.#servers.length];
-    if (server === undefined) throw new Error("no control VM");
     const routes = controlRoutes({
       clock: this.clock,
       events: new MemoryEventLog(),
       control: {} as ControlPort,
-      acceptHeartbeat: (upstream) => server.recordHeartbeat(upstream),
-      acceptLeave: (id, bornMs) => server.deregister(id, bornMs),
+      acceptHeartbeat: (upstream) =>
+        this.#controls.recordHeartbeat(at, upstream),
+      acceptLeave: (id, bornMs) => this.#controls.deregister(at, id, bornMs),
       startRetirement: () => Promise.resolve(Ok(null)),
       retirementState: () => Ok(""),
       isLeader: () => true,
@@ -145,44 +142,6 @@
   }
 }
 
-function startServer(vm: string, base: {
-  readonly clock: VirtualClock;
-  readonly network: MemoryNetwork;
-}): FleetServer {
-  const server = new FleetServer({
-    network: base.network.join(vm),
-    clock: base.clock,
-    self: () => describe(vm),
-    epoch: vm,
-    heartbeatTimeoutMs: 4 * HEARTBEAT_MS,
-    peers: () => CONTROL_VMS,
-    configuration: () => null,
-    placement: () => ({
-      revision: 1,
-      placement: { controls: CONTROL_VMS, stores: [], retiring: [] },
-    }),
-    reachesQuorum: () => true,
-    confirm: () => Promise.resolve(Ok(null)),
-  });
-  server.start();
-  return server;
-}
-
-function describe(vm: string): FleetNode {
-  return {
-    vm,
-    name: vm,
-    role: vm.startsWith("10.1.") ? "entry" : "control",
-    zone: "z-a",
-    startedMs: 0,
-    firstStart: true,
-    leads: false,
-    term: 0,
-    voters: [],
-    asked: [],
-  };
-}
-
 function soundHeartbeat(worker: number, sequence: number): string {
   return text({ address: `10.128.1.${worker + 1}:8080`, seq: sequence });
 }
--- a/proof/simulated_vms.ts
+++ b/proof/simulated_vms.ts
@@ -58,9 +58,16 @@
     for (const vm of CONTROL_VMS) this.#start(vm);
   }
 
-  /** Lets one control VM receive a heartbeat. */
-  recordHeartbeat(at: number, heartbeat: FleetUpstream): void {
-    this.#servers[at % this.#servers.length]?.recordHeartbeat(heartbeat);
+  /** Lets one control VM receive a heartbeat; returns whether it may be acknowledged. */
+  recordHeartbeat(at: number, heartbeat: FleetUpstream): boolean {
+    const server = this.#servers[at % this.#servers.length];
+    return server?.recordHeartbeat(heartbeat) === true;
+  }
+
+  /** Lets one control VM receive the leave call of an upstream; returns whether it may be acknowledged. */
+  deregister(at: number, id: string, bornMs: Milliseconds | null): boolean {
+    const server = this.#servers[at % this.#servers.length];
+    return server?.deregister(id, bornMs) === true;
   }
 
   /** Lets another control VM lead, after a time in which none does. */
--- a/requests/forwarder_test_support.ts
+++ b/requests/forwarder_test_support.ts
@@ -44,6 +44,13 @@
   dueMs: null,
 };
 
+/** What differs for a route whose streams may be resumed. */
+export const STREAM = {
+  kind: "stream",
+  resumable: true,
+  maximumAttempts: 3,
+} as const;
+
 /** How an upstream responds to a call. */
 export type Behaviour = (
   request: IncomingMessage,
--- a/requests/stream_versions_test.ts
+++ b/requests/stream_versions_test.ts
@@ -10,15 +10,11 @@
   readAll,
   ROUTE,
   send,
+  STREAM,
   streamUntil,
   withUpstreams,
 } from "./forwarder_test_support.ts";
 
-const STREAM = {
-  kind: "stream",
-  resumable: true,
-  maximumAttempts: 3,
-} as const;
 /** Streams that began at known versions. */
 class KnownOrigins extends StreamOrigins {
   readonly noted: (StreamOrigin & { readonly attempt: string })[] = [];
--- a/requests/upstream_identity_test.ts
+++ b/requests/upstream_identity_test.ts
@@ -6,16 +6,12 @@
   type Behaviour,
   readAll,
   send,
+  STREAM,
   streamUntil,
   withUpstreams,
 } from "./forwarder_test_support.ts";
 import { TestDialect } from "./test_dialect.ts";
 
-const STREAM = {
-  kind: "stream",
-  resumable: true,
-  maximumAttempts: 3,
-} as const;
 const IDENTITY_TARGET = "/who";
 
 /** Upstreams tell their start, which is 1 for those that are known. */
