--- a/agreement/snapshot_transfer_test.ts
+++ b/agreement/snapshot_transfer_test.ts
@@ -7,7 +7,7 @@
   SeededRandom,
   VirtualClock,
 } from "#core";
-import type { LogEntry, Voter } from "./entries.ts";
+import type { LogEntry } from "./entries.ts";
 import { FollowerRole } from "./follower_role.ts";
 import { MeasuredFolder } from "./large_state_group.ts";
 import { LeaderRole } from "./leader_role.ts";
@@ -16,6 +16,15 @@
 import type { MessageOf } from "./messages.ts";
 import { newProgress } from "./replica_progress.ts";
 import { ReplicaState } from "./replica_state.ts";
+import {
+  createLeader,
+  createState,
+  emptyReply,
+  FOLLOWER,
+  GROUP,
+  NOW_MS,
+  SNAPSHOT,
+} from "./snapshot_transfer_support.ts";
 import {
   MAXIMUM_CHUNK_BYTES,
   SnapshotTransfers,
@@ -25,76 +34,11 @@
   SINGLE_VALUE_FORMAT,
   type SnapshotDescriptor,
 } from "./stored_state.ts";
-import { DEFAULT_TIMING, SHORT_TIMING } from "./timing.ts";
+import { SHORT_TIMING } from "./timing.ts";
 
-const GROUP = "group";
-const NOW_MS = 10_000;
 const RETRY_MS = 250;
 const MAXIMUM_TRANSFER_BYTES: Bytes = 3 * MEBIBYTE;
 const PARTS = 20;
-const VOTERS: readonly Voter[] = ["a", "b", "c"].map((vm) => ({
-  replica: `replica-${vm}`,
-  vm,
-}));
-const FOLLOWER = VOTERS[1] as Voter;
-
-const SNAPSHOT: SnapshotDescriptor = {
-  meta: {
-    index: 5,
-    term: 1,
-    atMs: 0,
-    seats: { index: 1, change: { before: [], after: VOTERS } },
-  },
-  bytes: 600 * KIBIBYTE,
-  hash: "hash",
-  format: PARTS_FORMAT,
-};
-
-/** Returns a replica whose log starts after its snapshot. */
-function createState(maximumLogBytes: Bytes = Infinity): ReplicaState {
-  return new ReplicaState({
-    vm: "a",
-    recovered: {
-      identity: "replica-a",
-      isNew: false,
-      hard: { term: 1, votedFor: null, group: GROUP, committedSeatsIndex: 1 },
-      base: { index: 5, term: 1 },
-      entries: [],
-      snapshot: SNAPSHOT,
-    },
-    timing: DEFAULT_TIMING,
-    random: new SeededRandom(1),
-    nowMs: NOW_MS,
-    maximumLogBytes,
-  });
-}
-
-/** Returns the reply of a follower whose log is empty. */
-function emptyReply(snapshotFormat?: number): MessageOf<"appendReply"> {
-  const reply = {
-    kind: "appendReply",
-    group: GROUP,
-    from: FOLLOWER.replica,
-    to: "replica-a",
-    term: 1,
-    matched: false,
-    index: 0,
-    committedIndex: 0,
-    sentMs: NOW_MS,
-  } as const;
-  return snapshotFormat === undefined ? reply : { ...reply, snapshotFormat };
-}
-
-function createLeader(): { leader: LeaderRole; unreadable: Voter[] } {
-  const unreadable: Voter[] = [];
-  const leader = new LeaderRole(createState(), {
-    instant: { nowMs: NOW_MS, wallMs: 0 },
-    lastEntryAtMs: 0,
-    onUnreadable: (member) => unreadable.push(member),
-  });
-  leader.tick(NOW_MS);
-  return { leader, unreadable };
-}
 
 test("a snapshot in parts is sent only to a replica that can read it, and others are reported once", () => {
   const old = createLeader();
