--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -23,10 +23,10 @@
 import { readEnvelopes } from "./envelope_reader.ts";
 import {
   FrameWriter,
-  replyFailure,
   requestFailure,
   type WriteOutcome,
 } from "./frame_writer.ts";
+import { IncomingConnections } from "./incoming_connections.ts";
 import type { Channel, Envelope } from "./messages.ts";
 import { PendingRequests } from "./pending_requests.ts";
 import { startKeepalive } from "./connection_keepalive.ts";
@@ -40,7 +40,6 @@
 
 const CONNECT_TIMEOUT_MS: Milliseconds = 1_000;
 const RECONNECT_DELAY_MS: Milliseconds = 200;
-const GREETING_TIMEOUT_MS: Milliseconds = 2_000;
 const MAXIMUM_CONNECTIONS = 2_048;
 
 /** Options of `TcpNetwork`. */
@@ -81,7 +80,7 @@
   readonly #options: TcpNetworkOptions;
   readonly #handlers: ChannelHandlers;
   readonly #links = new Map<string, OutgoingLink>();
-  readonly #incomingSockets = new Set<Socket>();
+  readonly #incoming: IncomingConnections;
   readonly #pending: PendingRequests<OutgoingLink>;
   readonly #reconnectAtMs = new Map<string, Milliseconds>();
   readonly #writer = new FrameWriter();
@@ -96,11 +95,23 @@
     this.#options = options;
     this.#handlers = new ChannelHandlers(options);
     this.#pending = new PendingRequests(options.clock);
+    this.#incoming = new IncomingConnections({
+      ...options,
+      handlers: this.#handlers,
+      read: (socket, onEnvelope) => this.#read(socket, onEnvelope),
+      send: (socket, to, envelope) => this.#send(socket, to, envelope),
+      onGreeting: (vm, inflates) => {
+        if (inflates) this.#inflatingPeers.add(vm);
+        else this.#inflatingPeers.delete(vm);
+      },
+      onClosed: (socket) => this.#writer.forget(socket),
+      mayPass: (from) => this.#mayPass(from, this.self),
+    });
   }
 
   /** Starts accepting connections; rejects if the address can't be bound. */
   listen(): Promise<void> {
-    const server = createServer((socket) => this.#accept(socket));
+    const server = createServer((socket) => this.#incoming.accept(socket));
     server.maxConnections = MAXIMUM_CONNECTIONS;
     this.#server = server;
     const { host, port } = this.#options.listen;
@@ -117,7 +128,7 @@
   close(): void {
     this.#server?.close();
     for (const link of this.#links.values()) link.socket.destroy();
-    for (const socket of this.#incomingSockets) socket.destroy();
+    this.#incoming.close();
   }
 
   /** Returns the bytes sent and received since the network was created. */
@@ -128,7 +139,7 @@
 
   /** Returns the number of open peer connections and the bytes that wait to be sent on them. */
   unsent(): UnsentData {
-    const connections = this.#links.size + this.#incomingSockets.size;
+    const connections = this.#links.size + this.#incoming.size;
     return { connections, bytes: this.#writer.unsentBytes };
   }
 
@@ -261,86 +272,6 @@
     this.#pending.settle(envelope.correlation, Err(failure));
   }
 
-  #accept(socket: Socket): void {
-    this.#incomingSockets.add(socket);
-    socket.setNoDelay(true);
-    let peer: string | undefined;
-    const timer = this.#options.clock.after(GREETING_TIMEOUT_MS, () => {
-      if (peer === undefined) this.#reject(socket, "greeting timed out");
-    });
-    socket.on("error", () => socket.destroy());
-    socket.on("close", () => {
-      timer.cancel();
-      this.#writer.forget(socket);
-      this.#incomingSockets.delete(socket);
-    });
-    this.#read(socket, (envelope) => {
-      if (peer !== undefined) {
-        this.#handleMessage({ from: peer, socket }, envelope);
-        return;
-      }
-      if (envelope.kind !== "greeting") {
-        this.#reject(socket, "the first message is not a greeting");
-        return;
-      }
-      if (envelope.cluster !== this.#options.cluster) {
-        this.#reject(
-          socket,
-          `the peer belongs to cluster ${envelope.cluster}`,
-        );
-        return;
-      }
-      peer = envelope.vm;
-      if (envelope.inflates === true) this.#inflatingPeers.add(peer);
-      else this.#inflatingPeers.delete(peer);
-    });
-  }
-
-  #reject(socket: Socket, reason: string): void {
-    this.#options.events.emit(WIRE_EVENTS.greetingRejected, {
-      reason,
-      remote: socket.remoteAddress,
-    });
-    socket.destroy();
-  }
-
-  #handleMessage(
-    source: { readonly from: string; readonly socket: Socket },
-    envelope: Envelope,
-  ): void {
-    if (!this.#mayPass(source.from, this.self)) return;
-    const { from } = source;
-    if (envelope.kind === "notice") {
-      const { channel, body } = envelope;
-      this.#handlers.handleNotice({ from, channel, body });
-      return;
-    }
-    if (envelope.kind === "ping") {
-      this.#send(source.socket, from, { kind: "pong" });
-      return;
-    }
-    if (envelope.kind !== "request") return;
-    this.#reply(source, envelope);
-  }
-
-  async #reply(
-    source: { readonly from: string; readonly socket: Socket },
-    request: Extract<Envelope, { kind: "request" }>,
-  ): Promise<void> {
-    const { from } = source;
-    const { channel, correlation, body } = request;
-    const result = await this.#handlers.handleRequest({ from, channel, body });
-    if (source.socket.destroyed) return;
-    const envelope: Envelope = result.ok
-      ? { kind: "reply", correlation, body: result.val }
-      : { kind: "refusal", correlation, failure: result.val };
-    const outcome = this.#send(source.socket, source.from, envelope);
-    const failure = replyFailure(outcome);
-    if (failure === undefined) return;
-    const refusal: Envelope = { kind: "refusal", correlation, failure };
-    this.#send(source.socket, source.from, refusal);
-  }
-
   #read(socket: Socket, onEnvelope: (envelope: Envelope) => void): void {
     readEnvelopes(socket, {
       onEnvelope,
