Close connections soon that no stream uses, and keep four at most for an upstream

Found by reading: identified connections were kept until the upstream closed them, as many as had been needed at once. An upstream accepts a limited number from all VMs together and resets the rest; with 165 entry VMs the idle ones alone would exceed it.

--- a/requests/upstream_identity.ts
+++ b/requests/upstream_identity.ts
@@ -13,6 +13,7 @@
   KIBIBYTE,
   type Milliseconds,
   SECOND_MS,
+  type Timer,
 } from "#core";
 import { probeCrash } from "./connection_probe.ts";
 import { SingleConnection } from "./single_connection.ts";
@@ -25,7 +26,10 @@
 const DOUBT_MS: Milliseconds = 6 * SECOND_MS;
 /** Incarnations that are remembered, the newest ones. */
 const MAXIMUM_REMEMBERED = 4_096;
-const MAXIMUM_IDLE_CONNECTIONS = 64;
+/** How long a connection is kept that no call uses: upstreams accept a limited number from all VMs together. */
+const IDLE_MS: Milliseconds = 500;
+/** Idle connections to one upstream. */
+const MAXIMUM_IDLE_CONNECTIONS = 4;
 const OK_STATUS = 200;
 
 /** What is known of the upstream that a call would reach. */
@@ -37,6 +41,12 @@
   /** Another incarnation is at the address, or none that replies. */
   | { readonly kind: "failed"; readonly reason: string };
 
+interface IdleConnection {
+  readonly connection: SingleConnection;
+  /** Closes it. */
+  readonly timer: Timer;
+}
+
 /** Options of `UpstreamIdentity`. */
 export interface UpstreamIdentityOptions {
   readonly clock: Clock;
@@ -48,7 +58,7 @@
 export class UpstreamIdentity {
   readonly #options: UpstreamIdentityOptions;
   /** Connections to incarnations over which no call is sent now. */
-  readonly #idle = new Map<string, SingleConnection[]>();
+  readonly #idle = new Map<string, IdleConnection[]>();
   /** Incarnations that don't tell which one they are. */
   readonly #silent = new Set<string>();
   /** Until when incarnations may have been replaced, as a call to them failed. */
@@ -88,19 +98,22 @@
     return await this.#ask(upstream, call, signal);
   }
 
-  /** Keeps a connection whose last call is complete. */
+  /** Keeps a connection whose last call is complete, for some time. */
   release(upstream: FleetUpstream, connection: SingleConnection): void {
     const incarnation = incarnationOf(upstream);
     const idle = this.#idle.get(incarnation) ?? [];
-    this.#idle.delete(incarnation);
+    if (idle.length >= MAXIMUM_IDLE_CONNECTIONS) return connection.close();
     this.#idle.set(incarnation, idle);
-    idle.push(connection);
-    if (this.#idle.size > MAXIMUM_IDLE_CONNECTIONS) this.#closeOldest();
+    const timer = this.#options.clock.after(IDLE_MS, () => {
+      this.#closeIdle(incarnation, connection);
+    });
+    idle.push({ connection, timer });
   }
 
   /** Closes all connections that are kept. */
   close(): void {
-    for (const connection of [...this.#idle.values()].flat()) {
+    for (const { connection, timer } of [...this.#idle.values()].flat()) {
+      timer.cancel();
       connection.close();
     }
     this.#idle.clear();
@@ -114,13 +127,22 @@
   #takeIdle(incarnation: string): SingleConnection | undefined {
     const idle = this.#idle.get(incarnation) ?? [];
     for (let next = idle.pop(); next !== undefined; next = idle.pop()) {
-      if (next.isOpen) return next;
-      next.close();
+      next.timer.cancel();
+      if (next.connection.isOpen) return next.connection;
+      next.connection.close();
     }
     this.#idle.delete(incarnation);
     return undefined;
   }
 
+  #closeIdle(incarnation: string, connection: SingleConnection): void {
+    connection.close();
+    const idle = this.#idle.get(incarnation) ?? [];
+    const left = idle.filter((each) => each.connection !== connection);
+    if (left.length === 0) this.#idle.delete(incarnation);
+    else this.#idle.set(incarnation, left);
+  }
+
   async #ask(
     upstream: FleetUpstream,
     call: OwnCall,
@@ -171,14 +193,6 @@
     const isDoubtful = this.#options.clock.nowMs() < untilMs;
     return { kind: "unidentified", isDoubtful };
   }
-
-  #closeOldest(): void {
-    for (const [incarnation, idle] of this.#idle) {
-      for (const connection of idle) connection.close();
-      this.#idle.delete(incarnation);
-      return;
-    }
-  }
 }
 
 function removeOldest(
--- a/requests/upstream_identity_test.ts
+++ b/requests/upstream_identity_test.ts
@@ -83,6 +83,26 @@
   }, SITE);
 });
 
+test("a connection that no stream uses is closed soon, since upstreams accept few from all VMs together", async () => {
+  const open = new Set<unknown>();
+  const counted: Behaviour = (request, response) => {
+    const { socket } = request;
+    open.add(socket);
+    socket.once("close", () => open.delete(socket));
+    telling(1, streamUntil(-1))(request, response);
+  };
+  await withUpstreams([counted], async (setup) => {
+    const response = await send(setup, STREAM);
+    assert.ok("status" in response);
+    await readAll(response);
+    assert.equal(open.size, 1);
+    setup.clock.advance(1_000);
+    while (open.size > 0) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }, SITE);
+});
+
 test("a connection that was closed is not replaced by one to whoever is at the address now", async () => {
   let bornMs = 1;
   let streams = 0;
