Ask the voters where a stream began, not all control VMs

Only voters are told of streams; a large fleet has thirty control VMs, and after a kill of all entry VMs every take-up asks. Tests of the client: a lost control VM, all of them started again, nobody told.

--- a/streams/origin_client.ts
+++ b/streams/origin_client.ts
@@ -30,7 +30,7 @@
   readonly clock: Clock;
   /** Returns the control VMs that hold a replica of the control log, those of the own availability zone first. */
   readonly voters: () => readonly string[];
-  /** Returns all control VMs that may have been told of a stream. */
+  /** Returns all control VMs that may be voters. */
   readonly controlVms: () => readonly string[];
 }
 
@@ -71,12 +71,12 @@
   }
 
   override async find(attempt: string): Promise<OriginAnswer> {
-    const { clock, controlVms, network } = this.#options;
+    const { clock, network } = this.#options;
     const key = attemptKey(attempt);
     const own = this.#own.find(key, clock.nowMs());
     if (own !== undefined) return answerOf(own, network.self);
     return await new Promise((resolve) => {
-      const asked = new Set(controlVms());
+      const asked = new Set(this.#candidates());
       let isComplete = true;
       for (const vm of asked) {
         void this.#ask(vm, key).then((reply) => {
@@ -90,6 +90,13 @@
     });
   }
 
+  /** Returns the control VMs that are told of streams; all that are known while the voters are not. */
+  #candidates(): readonly string[] {
+    const { voters, controlVms } = this.#options;
+    const known = voters();
+    return known.length > 0 ? known : controlVms();
+  }
+
   async #ask(vm: string, key: string): Promise<OriginsReply | undefined> {
     const request: OriginsRequest = {
       kind: ORIGINS_KIND,
