--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -12,6 +12,11 @@
 
 const WORKERS = 3;
 
+// An exit ends the processes of the site, a signal alone does not.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => process.exit(1));
+}
+
 const { values } = parseArgs({
   options: {
     first: { type: "string", default: "1" },
--- a/soak/soak_publisher.ts
+++ b/soak/soak_publisher.ts
@@ -96,7 +96,7 @@
     broken.push(`no engine serves ${published}, which was published`);
   }
   for (const { name, orders, version } of engines) {
-    // The engines of a model take turns, so that half of them load each version.
+    // The engines of a model take turns to load a version, as far as the batches allow; those here allow one.
     if (version < published - 1) {
       broken.push(`${name} serves ${version}, ${published} was published`);
     }
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -128,6 +128,7 @@
       entries: ZONES.map((zone) => this.#cluster.callerAddress(zone)),
       host: HOST,
       model: MODEL,
+      minimumVersion: () => Math.max(1, this.#publisher.published - 1),
     });
   }
 
--- a/soak/soak_trainer.ts
+++ b/soak/soak_trainer.ts
@@ -21,6 +21,8 @@
   readonly entries: readonly Address[];
   readonly host: string;
   readonly model: string;
+  /** Returns the oldest version of the weights that may generate the next batch. */
+  readonly minimumVersion: () => number;
 }
 
 /** Submits batches and reads them. */
@@ -71,12 +73,12 @@
   }
 
   async #submit({ id, items }: SoakBatch): Promise<void> {
-    const { host, model } = this.#options;
+    const { host, model, minimumVersion } = this.#options;
     const headers = { Host: host, "Request-Id": id };
     const body = JSON.stringify({
       step: 1,
       model,
-      min_version: 1,
+      min_version: minimumVersion(),
       desired: 1,
       items: items.map(({ id, events }, at) => ({
         id,
