--- a/requests/events.ts
+++ b/requests/events.ts
@@ -66,4 +66,11 @@
     action:
       "None if `outcome` is `goes_on`; else see docs/OPERATIONS.md: `origin` is the attempt that brought the first event, `source` the VM that knew its software version, `ageMs` how long.",
   },
+  streamPassedOn: {
+    code: 1510,
+    level: "info",
+    text: "an upstream broke a stream off in the middle of a response",
+    action:
+      "None if `next` names the upstream that goes on; null: none of `softwareVersion` could, and the caller has to take the stream up.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -9,7 +9,9 @@
   type EventLog,
   fail,
   type Failure,
+  type FleetUpstream,
   type HttpResponse,
+  incarnationOf,
   type Milliseconds,
   type RandomSource,
 } from "#core";
@@ -180,6 +182,7 @@
       await progress.watch.recordBroken({ upstream, cancelled });
       if (!stream.routed.route.resumable) break;
       source = await this.#opening.openNext(stream, progress);
+      this.#logBroken(stream, progress, { broken: upstream, next: source });
     }
     throw new Error(
       `the stream ended prematurely: ${progress.lastFailure}`,
@@ -221,6 +224,24 @@
     }
   }
 
+  #logBroken(
+    { routed }: StreamCall,
+    { softwareVersion, lastEventId, lastFailure }: StreamProgress,
+    { broken, next }: {
+      readonly broken: FleetUpstream;
+      readonly next: OpenStream | undefined;
+    },
+  ): void {
+    this.#options.events.emit(REQUEST_EVENTS.streamPassedOn, {
+      request: routed.requestId,
+      upstream: incarnationOf(broken),
+      softwareVersion,
+      lastEvent: lastEventId,
+      next: next === undefined ? null : incarnationOf(next.upstream),
+      reason: lastFailure,
+    });
+  }
+
   /** Binds the stream to the version that writes it, and tells other VMs before the caller gets the event. */
   #noteOrigin(
     { routed, start }: StreamCall,
--- a/requests/stream_versions_test.ts
+++ b/requests/stream_versions_test.ts
@@ -73,6 +73,10 @@
     const text = await readAll(response);
     assert.equal([...text.matchAll(/id: \d/g)].length, 4);
     assert.deepEqual(setup.reached, [1, 0, 1]);
+    const [passedOn] = setup.events.records();
+    assert.equal(passedOn?.event.code, 1510);
+    assert.equal(passedOn?.fields["softwareVersion"], "v1");
+    assert.equal(passedOn?.fields["next"], "u2:1");
   }, site);
 });
 
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -9,6 +9,17 @@
 import { delay, waitUntil } from "../proof/managed_process.ts";
 import { NodeCluster } from "../proof/node_cluster.ts";
 import { SoakAdvisers } from "./soak_advisers.ts";
+import {
+  ADVICE_MODEL,
+  ADVICE_SERVICE,
+  CALL_TIMEOUT_MS,
+  configurationText,
+  ENGINE_SERVICE,
+  HOST,
+  MAXIMUM_ATTEMPTS,
+  MODEL,
+  SERVICE,
+} from "./soak_configuration.ts";
 import { exchange } from "./soak_exchange.ts";
 import { drawFaults, type SoakFault, type SoakSize } from "./soak_faults.ts";
 import { SoakOperator } from "./soak_operator.ts";
@@ -18,12 +29,6 @@
 import { CRASHING_BODY_PREFIX, SoakWorker } from "./soak_worker.ts";
 
 const SITE = { block: "127.8", network: 11 };
-const HOST = "site.example";
-const SERVICE = "cards";
-const ENGINE_SERVICE = "models";
-const MODEL = "m";
-const ADVICE_SERVICE = "advisers";
-const ADVICE_MODEL = "advice";
 const ENGINES = 3;
 const CLOCK_MODULE = join(
   dirname(fileURLToPath(import.meta.url)),
@@ -38,11 +43,9 @@
 const HEARTBEAT_INTERVAL_MS: Milliseconds = 300;
 const CALL_INTERVAL_MS: Milliseconds = 70;
 const CRASHING_CALL_INTERVAL_MS: Milliseconds = SECOND_MS;
-const CALL_TIMEOUT_MS: Milliseconds = 2_000;
 /** Time after the last fault in which the site recovers. */
 const RECOVERY_MS: Milliseconds = 12 * SECOND_MS;
 const CALLS_AFTER_FAULTS = 20;
-const MAXIMUM_ATTEMPTS = 2;
 
 const FIRST_VERSION = 3;
 
@@ -319,54 +322,3 @@
 
 /** What a call has in common with its repetitions. */
 type CallContent = Pick<SoakCall, "body" | "kind">;
-
-/** Returns a configuration; versions differ in the latency objective only. */
-function configurationText(version: number): string {
-  const routes = (["idempotent", "non_idempotent"] as const).map((kind) => ({
-    name: kind,
-    hostname: HOST,
-    path_prefix: `/${kind}/`,
-    kind,
-    timeout_ms: CALL_TIMEOUT_MS,
-    target_latency_ms: 400 + version,
-    priority: kind === "idempotent" ? 2 : 1,
-    service: SERVICE,
-    max_attempts: MAXIMUM_ATTEMPTS,
-  }));
-  const batches = {
-    name: "tuning",
-    hostname: HOST,
-    path_prefix: "/tuning/",
-    kind: "rollout",
-    timeout_ms: 10_000,
-    target_latency_ms: 400,
-    priority: 1,
-    service: ENGINE_SERVICE,
-    max_attempts: 3,
-    max_queue_s: 60,
-    due_ms: 7_500,
-  };
-  const advice = {
-    name: "advice",
-    hostname: HOST,
-    path_prefix: "/advice/",
-    kind: "streaming",
-    resumable: true,
-    timeout_ms: 10_000,
-    target_latency_ms: 400,
-    priority: 1,
-    service: ADVICE_SERVICE,
-    max_attempts: 3,
-  };
-  const services = [
-    { name: SERVICE, max_conns: 100 },
-    { name: ENGINE_SERVICE, max_conns: 100, engine: engineOf(MODEL) },
-    { name: ADVICE_SERVICE, max_conns: 100, engine: engineOf(ADVICE_MODEL) },
-  ];
-  const all = [...routes, batches, advice];
-  return JSON.stringify({ version, routes: all, services });
-}
-
-function engineOf(model: string): unknown {
-  return { slots: 8, kv_capacity_tokens: 50_000, models: [{ name: model }] };
-}
