Review: a left worker is used again after the core was killed

DRAIN: a late heartbeat of a worker that has left is taken for news once all control processes have started again, and requests go to it 3.7 to 6.7 s after its acknowledgement.

--- a/review/lib/site.ts
+++ b/review/lib/site.ts
@@ -59,6 +59,8 @@
   readonly events?: number;
   readonly eventMs?: number;
   readonly workMs?: number;
+  /** How late the last heartbeat before the leave call arrives; it is none if absent. */
+  readonly lateHeartbeatMs?: number;
   readonly onLine?: (line: string) => void;
 }
 
--- a/review/lib/worker.ts
+++ b/review/lib/worker.ts
@@ -28,10 +28,13 @@
   readonly events?: number;
   readonly eventMs?: number;
   readonly workMs?: number;
+  /** How late the last heartbeat before the leave call arrives; it is none if absent. */
+  readonly lateHeartbeatMs?: number;
 }
 
 const settings = JSON.parse(process.env["WORKER"] ?? "{}") as Settings;
 const { id, service, zone, address, controls, heartbeatMs } = settings;
+const { lateHeartbeatMs } = settings;
 const { models = [], events = 5, eventMs = 40, workMs = 20 } = settings;
 const born = Date.now();
 const versions = new Map(models.map((model) => [model, 1]));
@@ -40,15 +43,16 @@
 let running = 0;
 let busy = false;
 let fence = 0;
+let heartbeats: NodeJS.Timeout | undefined;
 
 const print = (text: string): boolean => process.stdout.write(`${text}\n`);
 const modelList = (): readonly unknown[] =>
   [...versions].map(([name, version]) => ({ name, version, adapters: [] }));
 
-/** Calls one control process after the other until one acknowledges the heartbeat. */
-async function heartbeat(): Promise<void> {
+/** Returns the next heartbeat. */
+function nextHeartbeat(): string {
   seq += 1;
-  const body = JSON.stringify({
+  return JSON.stringify({
     service,
     address: `${address.host}:${address.port}`,
     zone,
@@ -61,19 +65,50 @@
     seq,
     born,
   });
+}
+
+/** Sends a heartbeat until one control process acknowledges it. */
+async function heartbeat(): Promise<void> {
+  await callControl("heartbeat", nextHeartbeat());
+}
+
+/** Calls one control process after the other; returns whether one has acknowledged the call. */
+async function callControl(call: string, body: string): Promise<boolean> {
   const first = Math.floor(Math.random() * controls.length);
   for (let at = 0; at < controls.length; at += 1) {
     const control = controls[(first + at) % controls.length];
-    if (control !== undefined && await post(control, body)) return;
+    if (control === undefined) continue;
+    if (await post(control, call, body)) return true;
+  }
+  return false;
+}
+
+/** Leaves without having reported `draining` before, and goes on serving. */
+async function leave(): Promise<void> {
+  clearInterval(heartbeats);
+  if (lateHeartbeatMs !== undefined) {
+    const last = nextHeartbeat();
+    print("the last heartbeat is on its way");
+    setTimeout(async () => {
+      const isAcknowledged = await callControl("heartbeat", last);
+      print(`the last heartbeat has arrived: ${isAcknowledged}`);
+    }, lateHeartbeatMs);
   }
+  const body = JSON.stringify({ born });
+  while (!await callControl("leave", body)) print("leave not acknowledged");
+  print("leave acknowledged");
 }
 
-function post(control: Address, body: string): Promise<boolean> {
+function post(
+  control: Address,
+  call: string,
+  body: string,
+): Promise<boolean> {
   return new Promise((resolve) => {
     const sent = request({
       ...control,
       method: "POST",
-      path: `/workers/${id}/heartbeat`,
+      path: `/workers/${id}/${call}`,
       agent: false,
       headers: {
         "Content-Type": "application/json",
@@ -192,5 +227,6 @@
 server.listen(address, () => {
   print(`listens, born ${born}`);
   heartbeat();
-  setInterval(heartbeat, heartbeatMs);
+  heartbeats = setInterval(heartbeat, heartbeatMs);
 });
+process.on("SIGUSR2", leave);
