--- a/review/lib/site.ts
+++ b/review/lib/site.ts
@@ -61,6 +61,10 @@
   readonly workMs?: number;
   /** How late the last heartbeat before the leave call arrives; it is none if absent. */
   readonly lateHeartbeatMs?: number;
+  /** Version of its software. */
+  readonly version?: string;
+  /** How late its first heartbeat arrives. */
+  readonly firstHeartbeatMs?: number;
   readonly onLine?: (line: string) => void;
 }
 
--- a/review/lib/worker.ts
+++ b/review/lib/worker.ts
@@ -30,11 +30,15 @@
   readonly workMs?: number;
   /** How late the last heartbeat before the leave call arrives; it is none if absent. */
   readonly lateHeartbeatMs?: number;
+  /** Version of its software. */
+  readonly version?: string;
+  /** How late its first heartbeat arrives. */
+  readonly firstHeartbeatMs?: number;
 }
 
 const settings = JSON.parse(process.env["WORKER"] ?? "{}") as Settings;
 const { id, service, zone, address, controls, heartbeatMs } = settings;
-const { lateHeartbeatMs } = settings;
+const { lateHeartbeatMs, version = "v1", firstHeartbeatMs = 0 } = settings;
 const { models = [], events = 5, eventMs = 40, workMs = 20 } = settings;
 const born = Date.now();
 const versions = new Map(models.map((model) => [model, 1]));
@@ -56,7 +60,7 @@
     service,
     address: `${address.host}:${address.port}`,
     zone,
-    version: "v1",
+    version,
     slots: 12,
     state: "ready",
     cold_left_ms: 0,
@@ -178,7 +182,9 @@
     if (!open) return;
     if (at === after) response.writeHead(200, headers);
     at += 1;
-    response.write(`id: ${at}\ndata: piece ${at} of ${requestId}\n\n`);
+    response.write(
+      `id: ${at}\ndata: piece ${at} of ${requestId} by ${version}\n\n`,
+    );
     if (at < events) {
       setTimeout(next, eventMs);
       return;
@@ -226,7 +232,9 @@
 });
 server.listen(address, () => {
   print(`listens, born ${born}`);
-  heartbeat();
-  heartbeats = setInterval(heartbeat, heartbeatMs);
+  setTimeout(() => {
+    heartbeat();
+    heartbeats = setInterval(heartbeat, heartbeatMs);
+  }, firstHeartbeatMs);
 });
 process.on("SIGUSR2", leave);
