--- a/review/2/play.ts
+++ b/review/2/play.ts
@@ -1,38 +1,44 @@
 /**
- * Clients ask for streams on a route that names a time-out. One of six workers goes dark. The streams that were sent to
- * it have to get their answer, at the latest half a second after the time-out of their route.
+ * A trainer's step is accepted, and more of its items wait than the engines have slots. Then a valid configuration
+ * removes the route under its name and adds one of another name with the same host, prefix, kind and service. The items
+ * that wait have to run as the others.
  */
-import { type Answer, runCase, send, sleep } from "../lib/site.ts";
+import { type Answer, runCase, send, type Sent, sleep } from "../lib/site.ts";
 
 const HOST = "ficu95.example";
-const MODEL = "daka510000";
 const SERVICE = "huvo11a";
-const WORKERS = 6;
-const TIMEOUT_MS = 1_000;
-const OBJECTIVE_MS = 400;
-const DEADLINE_MS = 2_000;
-/** The rule allows this time after the time-out. */
-const SLACK_MS = 500;
-/** A client abandons a stream after two seconds without an event, with this objective and pauses of 150 ms. */
-const PATIENCE_MS = 2_000;
-const DARK_MS = 4_500;
-const INTERVAL_MS = 15;
-/** The least number of late requests that the rule counts. */
-const LEAST_LATE = 8;
+const MODEL = "daka510000";
+const JOB = "7c41e09b52d6a3f8";
+const PREFIX = "/pufi791/";
+const GROUPS = 20;
+const GROUP_SIZE = 4;
+const ENGINES = 3;
+/** The trainer gives up, like the clients of its kind of request. */
+const DEADLINE_MS = 12_000;
+/** Time in which an item of a step may be at no worker. */
+const IDLE_MS = 5_000;
+const CHANGE_AFTER_MS = 400;
 
-const CONFIGURATION = {
-  version: 7,
+const configuration = (
+  version: number,
+  name: string,
+): { readonly version: number } & Record<string, unknown> => ({
+  version,
   routes: [{
-    name: "r-x73d3zj",
+    name,
     hostname: HOST,
-    path_prefix: "/pufi791/",
-    kind: "streaming",
-    timeout_ms: TIMEOUT_MS,
-    target_latency_ms: OBJECTIVE_MS,
+    path_prefix: PREFIX,
+    kind: "rollout",
+    timeout_ms: 10_000,
+    target_latency_ms: 400,
     priority: 1,
     service: SERVICE,
     max_attempts: 3,
+    max_queue_s: 40,
+    due_ms: 7_500,
+    single_version: false,
     sticky: true,
+    resumable: true,
   }],
   services: [{
     name: SERVICE,
@@ -53,63 +59,89 @@
     header_timeout_ms: 3_000,
     idle_timeout_ms: 15_000,
   },
-};
+});
+
+function job(): string {
+  const items = [];
+  for (let at = 0; at < GROUPS * GROUP_SIZE; at += 1) {
+    const id = `e5b2907c14da6${at.toString(16).padStart(3, "0")}`;
+    const group = Math.floor(at / GROUP_SIZE);
+    items.push({
+      id,
+      path: `${PREFIX}3/${id}`,
+      headers: {
+        Model: MODEL,
+        "Token-Counts": "1016,576",
+        "Prompt-Prefix": `9c2e${group.toString(16)}:1000,${id}:16`,
+      },
+      body: Buffer.from(`prompt ${at}`).toString("base64"),
+      tokens: 1_592,
+      group: `g${group}`,
+    });
+  }
+  return JSON.stringify({
+    step: 0,
+    model: MODEL,
+    min_version: 1,
+    desired: GROUPS * 0.9,
+    items,
+  });
+}
 
 await runCase(async (site, trouble) => {
-  for (let number = 0; number < WORKERS; number += 1) {
+  const begun = new Set<string>();
+  let lastBeganMs = 0;
+  for (let number = 0; number < ENGINES; number += 1) {
     site.startWorker(`engine-${number}`, {
       number,
-      zone: number % site.zones.length,
+      zone: number,
       service: SERVICE,
       models: [MODEL],
+      events: 20,
+      eventMs: 40,
+      onLine: (line) => {
+        const item = /^runs (\S+)/.exec(line)?.[1];
+        if (item === undefined) return;
+        begun.add(item);
+        lastBeganMs = performance.now();
+      },
     });
   }
-  await site.configure(CONFIGURATION);
-  let sent = 0;
-  const stream = async (): Promise<Answer> => {
-    sent += 1;
-    const id = sent.toString(16).padStart(16, "0");
-    const zone = sent % site.zones.length;
-    site.note(`stream ${id} sent to entry-${zone}`);
-    const answer = await send(site.entry(zone), `/pufi791/${id}`, {
-      method: "POST",
-      headers: {
-        Host: HOST,
-        "Request-Id": id,
-        "Deadline-Ms": String(DEADLINE_MS),
-        Model: MODEL,
-        "Token-Counts": "540,400",
-        "Prompt-Prefix": `9c2e41:300,${id}:240`,
-      },
-      body: "prompt",
-      limitMs: PATIENCE_MS,
+  await site.configure(configuration(7, "r-x73d3zj"));
+  await sleep(4_000);
+  const call = (path: string, options: Sent = {}): Promise<Answer> =>
+    send(site.entry(0), path, {
+      ...options,
+      headers: { Host: HOST, ...options.headers },
     });
-    const { status, outcome, tookMs } = answer;
-    site.note(`stream ${id}: ${status}, ${outcome} after ${tookMs} ms`);
-    return answer;
-  };
-  await site.waitFor("streams are answered", async () => {
-    const answers = await Promise.all([stream(), stream(), stream()]);
-    return answers.every(({ status }) => status === 200);
+  const answer = await call(`${PREFIX}7c41e0`, {
+    method: "POST",
+    body: job(),
+    headers: { "Request-Id": JOB, "Content-Type": "application/json" },
   });
-  // The machines have been undisturbed for `contact_ms`.
-  await sleep(3_500);
-  if (trouble) site.signal("engine-0", "SIGSTOP");
-  const pending: Promise<Answer>[] = [];
-  const untilMs = performance.now() + DARK_MS - PATIENCE_MS;
-  while (performance.now() < untilMs) {
-    pending.push(stream());
-    await sleep(INTERVAL_MS);
+  site.note(`batch job submitted: ${answer.status}`);
+  if (answer.status !== 202) throw new Error("the batch job is not accepted");
+  const acceptedMs = performance.now();
+  await sleep(CHANGE_AFTER_MS);
+  site.note(`${begun.size} items have begun`);
+  // Without the disruption the configuration changes too, but the route keeps its name.
+  await site.configure(configuration(9, trouble ? "r-k20aqc8" : "r-x73d3zj"));
+  const items = GROUPS * GROUP_SIZE;
+  let listed = 0;
+  while (performance.now() < acceptedMs + DEADLINE_MS && listed < items) {
+    const read = await call(`/lots/${JOB}?after=0`);
+    if (read.status === 200) listed = JSON.parse(read.text).results.length;
+    site.note(
+      `results read: ${read.status}, ${listed} of ${items} items are listed`,
+    );
+    await sleep(500);
   }
-  const answers = await Promise.all(pending);
-  if (trouble) site.signal("engine-0", "SIGKILL");
-  const open = answers.filter(({ tookMs }) => tookMs > TIMEOUT_MS);
-  const late = open.filter(({ tookMs }) => tookMs > TIMEOUT_MS + SLACK_MS);
+  const idleMs = performance.now() - lastBeganMs;
+  const waiting = items - begun.size;
   site.note(
-    `${answers.length} streams, ${open.length} without their answer at ${TIMEOUT_MS} ms, ${late.length} of these still at ${
-      TIMEOUT_MS + SLACK_MS
-    } ms`,
+    `${waiting} of ${items} items have been at no worker; the last run began ${
+      idleMs.toFixed(0)
+    } ms before the end`,
   );
-  if (answers.length === 0) throw new Error("no stream was sent");
-  return late.length < LEAST_LATE || late.length * 2 <= open.length;
+  return waiting === 0 || begun.size === 0 || idleMs < IDLE_MS;
 });
