Answer calls about accepted batches from the batch log, whatever the routes are

Cause: `dispatch` took `/lots/` and `/items/` for calls about batches only if the host had a batch route in the configuration in force and no route matched the path. A rule for new work decided about accepted work.

Evidence: the failure was `unknown_route`, 3 to 5 ms after the call, which only an entry VM produces; the store VMs logged no drop. Ruled out: that the log had lost the batch (the same run reads it when the route is kept).

The path of a submission and the version of its configuration are recorded for the next change.

--- a/batches/batch_types.ts
+++ b/batches/batch_types.ts
@@ -37,8 +37,13 @@
 /** A batch as submitted by a trainer. */
 export interface Batch {
   readonly id: string;
+  /** Name of the route that accepted it; builds before this one find the service by it. */
   readonly route: string;
   readonly host: string;
+  /** Path of the submission. Absent in logs of earlier builds. */
+  readonly path?: string;
+  /** Version of the configuration under which it was accepted. Absent in logs of earlier builds. */
+  readonly configurationVersion?: number;
   readonly model: string;
   /** Oldest weight version that may generate tokens of this batch, or null for any. */
   readonly minimumVersion: number | null;
--- a/requests/route_rules.ts
+++ b/requests/route_rules.ts
@@ -12,10 +12,13 @@
 
 /** Indexes the routes of a configuration by host, longest path prefix first, and by name. */
 export class RouteRules {
+  /** Version of the configuration. */
+  readonly version: number;
   readonly #byHost = new Map<string, RouteRule[]>();
   readonly #byName = new Map<string, RouteRule>();
 
   constructor(configuration: RoutingConfiguration) {
+    this.version = configuration.version;
     for (const route of configuration.routes) {
       const routes = this.#byHost.get(route.host) ?? [];
       routes.push(route);
@@ -33,12 +36,6 @@
     return routes.find((route) => path.startsWith(route.pathPrefix));
   }
 
-  /** Whether the host has a batch route. */
-  acceptsBatches(host: string): boolean {
-    const routes = this.#byHost.get(withoutPort(host)) ?? [];
-    return routes.some((route) => route.kind === "batch");
-  }
-
   /** Returns the route with a name, or undefined. */
   findByName(name: string): RouteRule | undefined {
     return this.#byName.get(name);
