Find the service of an accepted item by its host and path

Cause: a batch remembered its route by name; `RunPlacement` looked that name up in the configuration in force and left out each item, waiting or running, for which it found none.

Ruled out: full or paused engines, permits (none named a limit).

Why it works: host and path are what selects a route by the protocol, they are in every record, also of earlier builds, and no configuration can give them to anything else without meaning it.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -17,6 +17,7 @@
 import type { Permits } from "#quotas";
 import {
   CachedRouteRules,
+  type RouteRules,
   type UpstreamDialect,
   type UpstreamNotices,
 } from "#requests";
@@ -26,6 +27,7 @@
 import type { BatchesMachine } from "./batches_machine.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import { ForeignRuns } from "./foreign_runs.ts";
+import { ItemRoutes } from "./item_routes.ts";
 import { ItemRuns } from "./item_runs.ts";
 import { ItemScoring, type ScoringPort } from "./item_scoring.ts";
 import { abortRun, ItemTask } from "./item_task.ts";
@@ -68,6 +70,7 @@
   readonly #scoring: ItemScoring;
   readonly #foreignRuns: ForeignRuns;
   readonly #rules = new CachedRouteRules();
+  readonly #routes: ItemRoutes;
   readonly #placement: RunPlacement;
   readonly #progress: ProgressWriter;
   readonly #tasks = new Map<string, ItemTask>();
@@ -83,6 +86,7 @@
 
   constructor(options: BatchRunnerOptions) {
     this.#options = options;
+    this.#routes = new ItemRoutes(options.clock);
     this.#progress = new ProgressWriter({
       ...options,
       tasks: () => this.#tasks.values(),
@@ -106,6 +110,7 @@
       runs: this.#runs,
       tasks: this.#tasks,
       rules: this.#rules,
+      routes: this.#routes,
       readingDelayMs: () => this.#turnDelay.worstMs(options.clock.nowMs()),
       wakeAfter: (delayMs) => this.#wakeAfter(delayMs),
     });
@@ -174,9 +179,10 @@
       this.#placement.clear();
       return;
     }
+    const rules = this.#rules.of(this.#options.configuration());
     this.#abandonExpiredItems();
+    this.#abandonItemsWithoutRoute(rules);
     this.#placement.planIfDue();
-    const rules = this.#rules.of(this.#options.configuration());
     if (rules !== null) this.#scoring.startCalls(this.#tasks, rules);
     this.#progress.flushIfDue();
   }
@@ -313,6 +319,14 @@
     }
   }
 
+  /** Abandons the items that wait for an engine and whose route has ended; those that run may still be completed. */
+  #abandonItemsWithoutRoute(rules: RouteRules | null): void {
+    for (const task of this.#tasks.values()) {
+      if (task.isBusy || !this.#routes.hasEnded(task, rules)) continue;
+      this.#runs.abandonItem(task, "no route has its host and path any more");
+    }
+  }
+
   #countRuns(incarnation: string): number {
     let count = 0;
     for (const { run } of this.#tasks.values()) {
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -102,13 +102,17 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-/** Runs a batch of one item on an engine that never ends its text. */
+/** Time within which an item starts on an idle engine. */
+const START_LIMIT_MS = 5_000;
+
+/** Runs a batch of one item, accepted by route `r`, on an engine that never ends its text. */
 async function withRun(
   use: (state: {
     readonly log: FakeLog;
     readonly runs: readonly ServerResponse[];
     readonly cancelled: () => number;
   }) => Promise<void>,
+  configuration = CONFIGURATION,
 ): Promise<void> {
   const runs: ServerResponse[] = [];
   let cancelled = 0;
@@ -159,14 +163,16 @@
     onLeaving: () => {},
     onRequestLimit: () => {},
     permits: new UnlimitedPermits(),
-    configuration: () => CONFIGURATION,
+    configuration: () => configuration,
     fetchReport: () => Promise.resolve(undefined),
     scoringPort: new NoScoring(),
     onLeads: () => {},
   });
   runner.start();
   try {
-    while (runs.length === 0) await sleep(10);
+    const untilMs = Date.now() + START_LIMIT_MS;
+    while (runs.length === 0 && Date.now() < untilMs) await sleep(10);
+    assert.equal(runs.length, 1, "the item runs");
     await use({ log, runs, cancelled: () => cancelled });
   } finally {
     await runner.stop();
@@ -199,3 +205,15 @@
     assert.equal(cancelled(), 1);
   });
 });
+
+// Guards against items that wait without an end once a configuration gives their route another name.
+test("an item runs at the service of its host and path if its route was renamed or names were exchanged", async () => {
+  const [route] = CONFIGURATION.routes;
+  assert.ok(route !== undefined);
+  const split = [{ service: "others", weight: 1 }];
+  const renamed = [{ ...route, name: "s" }];
+  const exchanged = [...renamed, { ...route, pathPrefix: "/c/", split }];
+  for (const routes of [renamed, exchanged]) {
+    await withRun(() => Promise.resolve(), { ...CONFIGURATION, routes });
+  }
+});
--- a/batches/batches_machine.ts
+++ b/batches/batches_machine.ts
@@ -329,8 +329,8 @@
 }
 
 function sameItems(known: BatchState, batch: Batch): boolean {
-  const { model, route } = known.batch;
-  if (model !== batch.model || route !== batch.route) return false;
+  const { model, host } = known.batch;
+  if (model !== batch.model || host !== batch.host) return false;
   if (known.items.size !== batch.items.length) return false;
   let at = 0;
   for (const id of known.items.keys()) {
--- a/batches/batches_machine_test.ts
+++ b/batches/batches_machine_test.ts
@@ -83,6 +83,17 @@
   assert.equal(machine.find("b")?.items.size, 2);
 });
 
+// Guards against a conflict (409) for a batch that is sent again after its route got another name.
+test("a batch sent again under another name of its route is the same batch", () => {
+  const machine = new BatchesMachine();
+  assert.ok(accept(machine, batch("b", ["x", "y"])));
+  assert.ok(accept(machine, { ...batch("b", ["x", "y"]), route: "renamed" }));
+  assert.equal(
+    accept(machine, { ...batch("b", ["x", "y"]), host: "other" }),
+    false,
+  );
+});
+
 test("an update whose first event does not follow the stored progress is ignored", () => {
   const machine = new BatchesMachine();
   accept(machine, batch("b", ["x"]));
--- a/batches/item_plan.ts
+++ b/batches/item_plan.ts
@@ -16,7 +16,8 @@
   readonly key: string;
   readonly group: string;
   readonly model: string;
-  readonly service: string;
+  /** Service of its route, or null for an item that runs but whose route has been removed. */
+  readonly service: string | null;
   /** Priority of its route; 0 is the highest. */
   readonly priority: number;
   /** Oldest weight version that may generate its tokens. */
@@ -151,7 +152,7 @@
   );
   for (const run of leastSlackFirst) {
     const engine = enginesById.get(run.engine);
-    if (engine === undefined || engine.upstream.phase !== "ready") {
+    if (engine === undefined || shouldLeave(run, engine)) {
       moves.push({ key: run.item.key, reason: "engine_leaves", to: null });
       continue;
     }
@@ -171,6 +172,11 @@
   return moves;
 }
 
+/** Whether a run leaves an engine that will not serve for long; a run that could go nowhere else stays. */
+function shouldLeave(run: PlacedRun, engine: EngineSnapshot): boolean {
+  return engine.upstream.phase !== "ready" && run.item.service !== null;
+}
+
 /** Returns whether a run has had no event for too long. */
 export function isStalled(
   run: PlacedRun,
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -343,3 +343,29 @@
   });
   assert.equal(starts[0]?.item.key, "estimated too long");
 });
+
+// Guards against runs that are cut short, or hang at a silent engine, because their route was removed.
+test("a run without a route stays on its engine, also a draining one, unless it stalls or the engine is gone", () => {
+  const moved = item("x", { service: null });
+  const moves = planMoves({
+    nowMs: NOW_MS,
+    readingDelayMs: 0,
+    waiting: [],
+    runs: [
+      run("slow", "slow", { item: { ...moved, key: "slow" } }),
+      run("draining", "draining", { item: { ...moved, key: "draining" } }),
+      run("gone", "gone", { item: { ...moved, key: "gone" } }),
+      run("silent", "slow", {
+        item: { ...moved, key: "silent" },
+        lastEventMs: NOW_MS - 3_000,
+      }),
+    ],
+    engines: [
+      engine("slow", { eventIntervalMs: 400 }),
+      engine("fast", { eventIntervalMs: 20 }),
+      engine("draining", {}, { phase: "draining" }),
+    ],
+  });
+  const keys = moves.map(({ key, to }) => `${key} ${to}`).sort();
+  assert.deepEqual(keys, ["gone null", "silent null"]);
+});
--- a/batches/item_scoring.ts
+++ b/batches/item_scoring.ts
@@ -12,6 +12,7 @@
 } from "#core";
 import { heaviestService, type RouteRules } from "#requests";
 import { BATCHES_EVENTS } from "./events.ts";
+import { pathOf } from "./item_routes.ts";
 import type { ItemTask } from "./item_task.ts";
 import { planScoring, type ReadyScoring } from "./scoring_plan.ts";
 import type { ScoringCall } from "./batch_types.ts";
@@ -191,11 +192,6 @@
   return `${task.batch.id}/${task.item.group}`;
 }
 
-function pathOf(target: string): string {
-  const query = target.indexOf("?");
-  return query < 0 ? target : target.slice(0, query);
-}
-
 function add(counts: Map<string, number>, key: string, count = 1): void {
   counts.set(key, (counts.get(key) ?? 0) + count);
 }
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -22,6 +22,7 @@
   planStarts,
 } from "./item_plan.ts";
 import type { ForeignRuns } from "./foreign_runs.ts";
+import type { ItemRoutes } from "./item_routes.ts";
 import type { ItemRuns } from "./item_runs.ts";
 import type { ItemTask } from "./item_task.ts";
 import { StartQueue } from "./start_queue.ts";
@@ -39,6 +40,7 @@
   /** The tasks of all items in progress by their keys. */
   readonly tasks: ReadonlyMap<string, ItemTask>;
   readonly rules: CachedRouteRules;
+  readonly routes: ItemRoutes;
   readonly configuration: () => RoutingConfiguration | null;
   readonly upstreams: () => readonly FleetUpstream[];
   readonly permits: Permits;
@@ -141,28 +143,38 @@
   }
 
   #planInput(): ItemPlanInput {
-    const { clock, configuration, rules, tasks } = this.#options;
+    const { clock, configuration, routes, tasks } = this.#options;
     const nowMs = clock.nowMs();
-    const routes = rules.of(configuration());
+    const rules = this.#options.rules.of(configuration());
+    const engines = this.#engineSnapshots(nowMs);
+    const unplanned = this.#unplannedEngines(engines);
     const waiting: PlannedItem[] = [];
     const runs: PlacedRun[] = [];
     for (const task of tasks.values()) {
       if (task.done || task.textComplete) continue;
-      const route = routes?.findByName(task.batch.route);
+      const route = routes.find(task, rules);
       // All items of a route with a traffic split go to one service.
-      const service = heaviestService(route?.split ?? []);
-      if (service === undefined) continue;
+      const service = heaviestService(route?.split ?? []) ?? null;
+      const { run, moves } = task;
+      if (run === undefined && service === null) continue;
       const priority = route?.priority ?? 0;
       const item = toPlannedItem(task, { service, priority });
-      const { run, moves } = task;
       if (run === undefined) waiting.push(item);
-      else runs.push({ ...run, item, moves });
+      else if (service !== null || !unplanned.has(run.engine)) {
+        runs.push({ ...run, item, moves });
+      }
     }
-    const engines = this.#engineSnapshots(nowMs);
     const readingDelayMs = this.#options.readingDelayMs();
     return { nowMs, readingDelayMs, waiting, runs, engines };
   }
 
+  /** Returns the engines of services that the configuration no longer has; runs there go on if they have no route. */
+  #unplannedEngines(engines: readonly EngineSnapshot[]): ReadonlySet<string> {
+    const unplanned = new Set(this.#options.upstreams().map(({ id }) => id));
+    for (const { upstream } of engines) unplanned.delete(upstream.id);
+    return unplanned;
+  }
+
   #engines(): readonly FleetUpstream[] {
     const services = this.#options.configuration()?.services ?? [];
     const names = new Set<string>();
@@ -200,7 +212,7 @@
 
 function toPlannedItem(
   task: ItemTask,
-  route: { readonly service: string; readonly priority: number },
+  route: { readonly service: string | null; readonly priority: number },
 ): PlannedItem {
   const { item, batch } = task;
   return {
--- a/batches/start_order.ts
+++ b/batches/start_order.ts
@@ -58,7 +58,7 @@
  * whose longest item seems too long: estimates are often far off.
  */
 function groupsBeyondCapacity(
-  service: string,
+  service: PlannedItem["service"],
   input: ItemPlanInput,
 ): readonly string[] {
   const beyond = groupsThatDoNotFit(service, input, Infinity);
@@ -68,7 +68,7 @@
 
 /** `tokensPerRunMs`: how fast an item can be generated at most. */
 function groupsThatDoNotFit(
-  service: string,
+  service: PlannedItem["service"],
   input: ItemPlanInput,
   tokensPerRunMs: number,
 ): readonly string[] {
@@ -91,7 +91,7 @@
 
 /** Returns the groups with waiting items: by due time, those first that are required, have begun, or cost least. */
 function groupsByPreference(
-  service: string,
+  service: PlannedItem["service"],
   input: ItemPlanInput,
 ): readonly GroupWork[] {
   const groups = new Map<string, GroupWork>();
@@ -125,7 +125,10 @@
   };
 }
 
-function slotsOf(service: string, input: ItemPlanInput): number {
+function slotsOf(
+  service: PlannedItem["service"],
+  input: ItemPlanInput,
+): number {
   let slots = 0;
   for (const { upstream, foreignRuns } of input.engines) {
     if (upstream.service !== service || upstream.phase !== "ready") continue;
--- a/requests/route_rules.ts
+++ b/requests/route_rules.ts
@@ -10,12 +10,11 @@
   WeightedService,
 } from "#core";
 
-/** Indexes the routes of a configuration by host, longest path prefix first, and by name. */
+/** Indexes the routes of a configuration by host, longest path prefix first. */
 export class RouteRules {
   /** Version of the configuration. */
   readonly version: number;
   readonly #byHost = new Map<string, RouteRule[]>();
-  readonly #byName = new Map<string, RouteRule>();
 
   constructor(configuration: RoutingConfiguration) {
     this.version = configuration.version;
@@ -23,7 +22,6 @@
       const routes = this.#byHost.get(route.host) ?? [];
       routes.push(route);
       this.#byHost.set(route.host, routes);
-      this.#byName.set(route.name, route);
     }
     for (const routes of this.#byHost.values()) {
       routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
@@ -35,11 +33,6 @@
     const routes = this.#byHost.get(withoutPort(host)) ?? [];
     return routes.find((route) => path.startsWith(route.pathPrefix));
   }
-
-  /** Returns the route with a name, or undefined. */
-  findByName(name: string): RouteRule | undefined {
-    return this.#byName.get(name);
-  }
 }
 
 /** Keeps the index of a configuration until there is another one. */
