Keep departures of upstreams in the control log

Cause: departures were in the memory of the control processes only. After a start the table is empty, so any heartbeat of the incarnation is the first news of it.

Ruled out: the order of heartbeats, as the table gives a departure the highest sequence number. Weighed and dropped: to believe an incarnation only after two heartbeats.

Change: a leave call, a `draining` heartbeat and a notice in a response are stored in the control log before they are acknowledged; the table consults them. Control VMs without a replica are told by the leader.

Cost: one commit of some 60 bytes for each worker that leaves, two with a `draining` heartbeat before.

--- a/core/state_machine.ts
+++ b/core/state_machine.ts
@@ -17,7 +17,8 @@
   | "configuration"
   | "placement"
   | "versions"
-  | "batches";
+  | "batches"
+  | "departures";
 
 /** All state machine names, in the order in which snapshots store their states. */
 export const MACHINE_NAMES: readonly MachineName[] = [
@@ -29,6 +30,7 @@
   "placement",
   "versions",
   "batches",
+  "departures",
 ];
 
 /** A committed command with its log index. */
--- a/membership/control_replica.ts
+++ b/membership/control_replica.ts
@@ -14,6 +14,8 @@
   fail,
   type Failure,
   type FleetNode,
+  type FleetUpstream,
+  type MachineCommand,
   type Milliseconds,
   type RandomSource,
 } from "#core";
@@ -21,6 +23,9 @@
 import type { Leadership } from "./control_leader.ts";
 import type { VmStatus } from "./control_messages.ts";
 import { serveControl } from "./control_server.ts";
+import { DepartureRecorder } from "./departure_recorder.ts";
+import { DeparturesMachine } from "./departures_machine.ts";
+import type { UpstreamIncarnation } from "./fleet_messages.ts";
 import { FleetServer } from "./fleet_server.ts";
 import { LeaderClient } from "./leader_client.ts";
 import { LocalFirstControl } from "./local_first_control.ts";
@@ -73,6 +78,8 @@
   readonly #options: ControlReplicaOptions;
   readonly #configurations = new ConfigurationMachine();
   readonly #placementMachine = new PlacementMachine();
+  readonly #departures = new DeparturesMachine();
+  readonly #recorder: DepartureRecorder;
 
   constructor(options: ControlReplicaOptions) {
     this.#options = options;
@@ -85,7 +92,12 @@
         channel: "control",
         candidates: () => this.#leaderCandidates(),
       }),
-      rejectCommand: () => this.#checkReplication(),
+      rejectCommand: (command) => this.#checkReplication(command),
+    });
+    this.#recorder = new DepartureRecorder({
+      ...options,
+      control: this.control,
+      departures: this.#departures,
     });
     this.placements = new PlacementManager({
       ...options,
@@ -108,9 +120,12 @@
       network: this.#options.network,
       log: this.log,
       status: () => this.#vmStatus(),
-      rejectCommand: () => this.#checkReplication(),
+      rejectCommand: (command) => this.#checkReplication(command),
+    });
+    this.log.onApplied(() => {
+      this.fleet.applyDepartures();
+      this.fleet.wakeWaiters();
     });
-    this.log.onApplied(() => this.fleet.wakeWaiters());
     this.fleet.start();
   }
 
@@ -120,6 +135,30 @@
     this.placements.start();
   }
 
+  /** Records a heartbeat of an upstream; returns whether it may be acknowledged. */
+  async acceptHeartbeat(record: FleetUpstream): Promise<boolean> {
+    const isAccepted = this.fleet.recordHeartbeat(record);
+    const { id, bornMs, phase } = record;
+    if (!isAccepted || phase !== "draining") return isAccepted;
+    return await this.#recorder.record({ id, bornMs, phase });
+  }
+
+  /**
+   * Records that an incarnation of an upstream leaves, or the newest one if `bornMs` is null; returns whether that may
+   * be acknowledged.
+   */
+  async acceptLeave(
+    id: string,
+    bornMs: Milliseconds | null,
+  ): Promise<boolean> {
+    const { clock } = this.#options;
+    // One that has just started knows no incarnation; whichever it is started before this call.
+    const leavingBornMs = bornMs ?? this.fleet.bornMsOf(id) ?? clock.wallMs();
+    if (!this.fleet.deregister(id, leavingBornMs)) return false;
+    const departure = { id, bornMs: leavingBornMs, phase: "gone" } as const;
+    return await this.#recorder.record(departure);
+  }
+
   /** Returns what this VM reports of its replica. */
   status(): GroupStatus {
     const { term, voters } = this.log.status();
@@ -140,6 +179,7 @@
       machines: [
         this.#configurations,
         this.#placementMachine,
+        this.#departures,
         ...machines,
       ] as readonly AnyStateMachine[],
       peers: () => this.#peers(),
@@ -162,12 +202,21 @@
       peers: () => this.#peers(),
       configuration: () => this.#configurations.current,
       placement: () => this.#placementMachine.current,
+      departures: this.#departures,
+      onLeaving: (upstreams) => this.#recordLeaving(upstreams),
       reachesQuorum: () => this.#isMember() && this.log.status().hearsLeader,
       confirm: () =>
         this.log.query({ machine: "configuration", question: null }),
     });
   }
 
+  /** Nobody waits for these departures: an upstream says in each response that it leaves. */
+  #recordLeaving(upstreams: readonly UpstreamIncarnation[]): void {
+    for (const { id, bornMs } of upstreams) {
+      void this.#recorder.record({ id, bornMs, phase: "draining" });
+    }
+  }
+
   /** Returns the control VMs of the placement, or those of the settings while there is no placement. */
   #peers(): readonly string[] {
     const { controls } = this.#placementMachine.current.placement;
@@ -201,8 +250,12 @@
     return controls.length === 0 || controls.includes(this.#options.vm);
   }
 
-  /** Rejects commands until the log has enough replicas that a majority survives the tolerated losses. */
-  #checkReplication(): Failure | undefined {
+  /**
+   * Rejects commands until the log has enough replicas that a majority survives the tolerated losses. A departure is
+   * stored all the same: an upstream that leaves does not wait for replicas.
+   */
+  #checkReplication({ machine }: MachineCommand): Failure | undefined {
+    if (machine === "departures") return undefined;
     const required = this.#options.replicas();
     const { voters } = this.log.status();
     if (voters.length >= required) return undefined;
--- a/membership/events.ts
+++ b/membership/events.ts
@@ -152,6 +152,21 @@
     action:
       "Check the disk. The other VMs still know the blocked calls; they are forgotten only if all VMs lose power.",
   },
+  departureStored: {
+    code: 1426,
+    level: "info",
+    text:
+      "the control log holds that an upstream leaves; it gets no more requests, whatever its late heartbeats say",
+    action: "None.",
+  },
+  departureNotStored: {
+    code: 1427,
+    level: "warn",
+    text:
+      "the control log could not store that an upstream leaves; its call is not acknowledged and comes again",
+    action:
+      "Read the failure; check that a majority of the control VMs can be reached.",
+  },
   leaderRequestDelayed: {
     code: 1425,
     level: "info",
--- a/membership/fleet_deltas_test.ts
+++ b/membership/fleet_deltas_test.ts
@@ -3,9 +3,14 @@
 import fc from "fast-check";
 import type { FleetUpstream } from "#core";
 import { FleetDeltas } from "./fleet_deltas.ts";
+import { NO_DEPARTURES } from "./departures_machine.ts";
 import { FleetTable } from "./fleet_table.ts";
 
-const OPTIONS = { heartbeatTimeoutMs: 4_000, retentionMs: 60_000 };
+const OPTIONS = {
+  heartbeatTimeoutMs: 4_000,
+  retentionMs: 60_000,
+  departures: NO_DEPARTURES,
+};
 
 function upstreamOf(change: Partial<FleetUpstream>): FleetUpstream {
   return {
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -12,6 +12,7 @@
   Placement,
   RoutingConfiguration,
 } from "#core";
+import type { Departure } from "./departures_machine.ts";
 import type { CrashRecord, CrashRevision } from "./crash_records.ts";
 import type { AgedHeartbeat } from "./fleet_table.ts";
 import type { ObservedNode } from "./placement_plan.ts";
@@ -110,6 +111,8 @@
     readonly kind: "draining";
     readonly upstreams: readonly UpstreamIncarnation[];
   }
+  /** Departures that the sender knows, among them those of the control log. */
+  | { readonly kind: "departures"; readonly departures: readonly Departure[] }
   /** Limits that upstreams named in responses. */
   | {
     readonly kind: "limits";
@@ -128,7 +131,15 @@
   };
 
 const noticeKind = z.object({
-  kind: z.enum(["beats", "leave", "draining", "limits", "crashes", "nodes"]),
+  kind: z.enum([
+    "beats",
+    "leave",
+    "draining",
+    "departures",
+    "limits",
+    "crashes",
+    "nodes",
+  ]),
 });
 const followKind = z.object({
   kind: z.literal("follow"),
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -19,6 +19,7 @@
 } from "#core";
 import type { PeerNetwork } from "#wire";
 import { CrashLedger } from "./crash_ledger.ts";
+import type { Departure, KnownDepartures } from "./departures_machine.ts";
 import type { CrashRecord } from "./crash_records.ts";
 import {
   type FleetNotice,
@@ -30,13 +31,15 @@
 import { FleetGossip } from "./fleet_gossip.ts";
 import { FleetTable } from "./fleet_table.ts";
 import { FollowReplies, hasUpdates } from "./follow_replies.ts";
+import { HeardDepartures } from "./heard_departures.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
 import type { ObservedNode } from "./placement_plan.ts";
 import { problemOf } from "./upstream_check.ts";
 import { VmObservations } from "./vm_observations.ts";
 
 const GOSSIP_INTERVAL_MS: Milliseconds = 500;
-const DEPARTURE_RETENTION_MS: Milliseconds = 60_000;
+/** Time for which the table remembers that an upstream is gone. */
+const GONE_RETENTION_MS: Milliseconds = 60_000;
 
 /** Options of `FleetServer`. */
 export interface FleetServerOptions {
@@ -52,6 +55,10 @@
   readonly peers: () => readonly string[];
   readonly configuration: () => StoredConfiguration | null;
   readonly placement: () => VersionedPlacement;
+  /** Departures that the control log holds. */
+  readonly departures: KnownDepartures;
+  /** Called with upstreams that are known to leave although their heartbeats do not say so, once on one control VM. */
+  readonly onLeaving?: (upstreams: readonly UpstreamIncarnation[]) => void;
   /** Whether this VM leads under a lease or receives heartbeats of a leader. */
   readonly reachesQuorum: () => boolean;
   /** Succeeds if the configuration of this VM is certain to be the newest; fails if that cannot be determined. */
@@ -62,6 +69,9 @@
 export class FleetServer {
   readonly #options: FleetServerOptions;
   readonly #table: FleetTable;
+  readonly #departures: HeardDepartures;
+  /** Revision of the departures that this VM told the others last. */
+  #toldDepartures = 0;
   readonly #replies: FollowReplies;
   readonly #vms: VmObservations;
   readonly #crashes = new CrashLedger();
@@ -74,9 +84,11 @@
 
   constructor(options: FleetServerOptions) {
     this.#options = options;
+    this.#departures = new HeardDepartures(options.departures);
     this.#table = new FleetTable({
       heartbeatTimeoutMs: options.heartbeatTimeoutMs,
-      retentionMs: DEPARTURE_RETENTION_MS,
+      retentionMs: GONE_RETENTION_MS,
+      departures: this.#departures,
     });
     this.#vms = new VmObservations(options);
     this.#gossip = new FleetGossip({
@@ -120,6 +132,7 @@
   /** Records that an upstream leaves and notifies the others; returns whether that may be acknowledged. */
   deregister(id: string, bornMs: Milliseconds | null): boolean {
     this.#table.markGone(id, bornMs, this.#options.clock.nowMs());
+    if (bornMs !== null) this.#hear([{ id, bornMs, phase: "gone" }]);
     this.#gossip.notify({ kind: "leave", id, bornMs });
     this.wakeWaiters();
     return this.#options.reachesQuorum();
@@ -127,12 +140,49 @@
 
   /** Records upstreams that are known to leave although their heartbeats do not say so, and notifies the others. */
   recordLeaving(upstreams: readonly UpstreamIncarnation[]): void {
+    const news = this.#markDraining(upstreams);
+    if (news.length > 0) this.#options.onLeaving?.(news);
+  }
+
+  #markDraining(
+    upstreams: readonly UpstreamIncarnation[],
+  ): readonly UpstreamIncarnation[] {
     const news = upstreams.filter(({ id, bornMs }) =>
       this.#table.markDraining(id, bornMs)
     );
-    if (news.length === 0) return;
+    if (news.length === 0) return news;
     this.#gossip.notify({ kind: "draining", upstreams: news });
     this.wakeWaiters();
+    return news;
+  }
+
+  #hear(departures: Iterable<Departure>): void {
+    this.#departures.add(departures, this.#options.clock.nowMs());
+    this.applyDepartures();
+  }
+
+  /**
+   * Tells all departures to the control VMs after a change. Those that have no replica of the log and have just started
+   * learn in no other way what late heartbeats to ignore.
+   */
+  #tellDepartures(): void {
+    const { revision } = this.#departures;
+    if (revision === this.#toldDepartures) return;
+    if (!this.#options.self().leads) return;
+    this.#toldDepartures = revision;
+    const departures = [...this.#departures.all()];
+    this.#gossip.notify({ kind: "departures", departures });
+  }
+
+  /** Takes notice of departures that the control log has stored. */
+  applyDepartures(): void {
+    const { clock } = this.#options;
+    if (this.#table.applyDepartures(clock.nowMs())) this.wakeWaiters();
+  }
+
+  /** Returns the start time of the newest known incarnation of an upstream. */
+  bornMsOf(id: string): Milliseconds | undefined {
+    return this.#table.bornMsOf(id);
   }
 
   /** Records limits that upstreams named in responses, and notifies the others. */
@@ -214,6 +264,7 @@
       this.wakeWaiters();
     }
     this.#vms.expire();
+    this.#tellDepartures();
     const askBeats = !this.#receivedHeartbeats && !this.isComplete();
     this.#gossip.sendRound(askBeats);
   }
@@ -231,16 +282,23 @@
         this.#table.recordHeartbeat(heartbeat, nowMs);
       }
     }
-    if (notice.kind === "leave") {
-      this.#table.markGone(notice.id, notice.bornMs, nowMs);
-    }
-    if (notice.kind === "draining") this.recordLeaving(notice.upstreams);
+    if (notice.kind === "leave") this.#handleLeave(notice, nowMs);
+    if (notice.kind === "departures") this.#hear(notice.departures);
+    if (notice.kind === "draining") this.#markDraining(notice.upstreams);
     if (notice.kind === "limits") this.#handleLimits(from, notice.limits);
     if (notice.kind === "crashes") this.recordCrashes(notice.records);
     if (notice.kind === "nodes") this.#handleNodes(from, notice);
     if (this.#table.revision !== previousRevision) this.wakeWaiters();
   }
 
+  #handleLeave(
+    { id, bornMs }: Extract<FleetNotice, { kind: "leave" }>,
+    nowMs: Milliseconds,
+  ): void {
+    this.#table.markGone(id, bornMs, nowMs);
+    if (bornMs !== null) this.#hear([{ id, bornMs, phase: "gone" }]);
+  }
+
   /**
    * The control VM that a limit is reported to tells all others. They tell it to nobody: which of two limits is the
    * newer one looks different at each VM, as times shift by the way of a notice.
@@ -271,9 +329,13 @@
     const nowMs = this.#options.clock.nowMs();
     const beats = this.#table.agedHeartbeats(nowMs);
     const records = this.#crashes.since(0, nowMs);
-    for (
-      const reply of [{ kind: "beats", beats }, { kind: "crashes", records }]
-    ) {
+    const departures = [...this.#departures.all()];
+    const replies: readonly FleetNotice[] = [
+      { kind: "departures", departures },
+      { kind: "beats", beats },
+      { kind: "crashes", records },
+    ];
+    for (const reply of replies) {
       this.#options.network.notify({ to: sender, channel: "fleet" }, reply);
     }
   }
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { type FleetUpstream, incarnationOf, type Milliseconds } from "#core";
+import { covers, type KnownDepartures } from "./departures_machine.ts";
 import type { LimitObservation } from "./fleet_messages.ts";
 
 /** Whether a heartbeat changed the routing, only renewed the upstream, or was outdated. */
@@ -35,6 +36,8 @@
   readonly heartbeatTimeoutMs: Milliseconds;
   /** Time for which the table remembers that an incarnation is gone. */
   readonly retentionMs: Milliseconds;
+  /** Departures that the control log holds, which no heartbeat of these incarnations revokes. */
+  readonly departures: KnownDepartures;
 }
 
 /**
@@ -42,7 +45,7 @@
  *
  * @example
  * ```ts
- * const table = new FleetTable({ heartbeatTimeoutMs: 4_200, retentionMs: 60_000 });
+ * const table = new FleetTable({ heartbeatTimeoutMs: 4_200, retentionMs: 60_000, departures });
  * table.recordHeartbeat({ record, ageMs: 0 }, clock.nowMs());
  * const usable = table.listed();
  * ```
@@ -54,6 +57,8 @@
   /** Limits by service, as of a revision. */
   #limits: ReadonlyMap<string, ReadonlyMap<string, number>> = new Map();
   #limitsRevision = -1;
+  /** Revision of the departures that are applied to the entries. */
+  #departuresRevision = -1;
 
   constructor(options: FleetTableOptions) {
     this.#options = options;
@@ -71,7 +76,11 @@
       this.#adoptLimitOf(beat, nowMs);
       return "outdated";
     }
-    const leavingBornMs = known?.leavingBornMs ?? null;
+    const { id, bornMs } = beat.record;
+    const departure = this.#options.departures.find(id);
+    if (covers(departure, { bornMs, phase: "gone" })) return "outdated";
+    const isDraining = covers(departure, { bornMs, phase: "draining" });
+    const leavingBornMs = isDraining ? bornMs : known?.leavingBornMs ?? null;
     const limit = newerLimit(known, beat, nowMs);
     const record = {
       ...withDeparture(beat.record, leavingBornMs),
@@ -111,6 +120,27 @@
     this.#revision += 1;
   }
 
+  /** Applies the departures that the control log holds to the known upstreams; returns whether that changed any. */
+  applyDepartures(nowMs: Milliseconds): boolean {
+    const { departures } = this.#options;
+    if (departures.revision === this.#departuresRevision) return false;
+    this.#departuresRevision = departures.revision;
+    const before = this.#revision;
+    for (const { id, bornMs, phase } of departures.all()) {
+      const known = this.#entries.get(id)?.record;
+      if (known === undefined || known.bornMs > bornMs) continue;
+      if (known.phase === "gone") continue;
+      if (phase === "gone") this.markGone(id, bornMs, nowMs);
+      else this.markDraining(id, known.bornMs);
+    }
+    return this.#revision !== before;
+  }
+
+  /** Returns the start time of the newest known incarnation of an upstream. */
+  bornMsOf(id: string): Milliseconds | undefined {
+    return this.#entries.get(id)?.record.bornMs;
+  }
+
   /**
    * Marks an incarnation that still sends heartbeats as draining; returns whether that is news. A later incarnation of
    * the same upstream is not affected.
--- a/membership/fleet_table_test.ts
+++ b/membership/fleet_table_test.ts
@@ -2,9 +2,14 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import type { FleetUpstream } from "#core";
+import { NO_DEPARTURES } from "./departures_machine.ts";
 import { FleetTable } from "./fleet_table.ts";
 
-const OPTIONS = { heartbeatTimeoutMs: 4_000, retentionMs: 60_000 };
+const OPTIONS = {
+  heartbeatTimeoutMs: 4_000,
+  retentionMs: 60_000,
+  departures: NO_DEPARTURES,
+};
 
 function createUpstream(
   id: string,
--- a/membership/fleet_test_support.ts
+++ b/membership/fleet_test_support.ts
@@ -16,6 +16,7 @@
   VirtualClock,
 } from "#core";
 import { MemoryNetwork } from "#wire";
+import { NO_DEPARTURES } from "./departures_machine.ts";
 import { FleetFollower } from "./fleet_follower.ts";
 import { FleetServer } from "./fleet_server.ts";
 
@@ -147,6 +148,7 @@
         revision: 1,
         placement: { controls: CONTROLS, stores: [], retiring: [] },
       }),
+      departures: NO_DEPARTURES,
       reachesQuorum: () => control.reachesQuorum === true,
       confirm: () => {
         const detail = control.leader ?? null;
--- a/membership/local_first_control.ts
+++ b/membership/local_first_control.ts
@@ -29,7 +29,7 @@
   /** Reaches the leader over the network. */
   readonly leader: LeaderClient;
   /** Returns the failure with which a command is rejected before it reaches the replica of this VM. */
-  readonly rejectCommand: () => Failure | undefined;
+  readonly rejectCommand: (command: MachineCommand) => Failure | undefined;
 }
 
 /** Sends commands and queries to the replica of this VM if it leads, else to the leader over the network. */
@@ -46,7 +46,7 @@
     if (log.leaseUntilMs() === 0) {
       return this.#askLeader({ kind: "propose", ...request });
     }
-    const failure = rejectCommand();
+    const failure = rejectCommand(request);
     if (failure !== undefined) return Promise.resolve(Err(failure));
     return log.propose(request);
   }
--- a/membership/mod.ts
+++ b/membership/mod.ts
@@ -14,6 +14,7 @@
 export * from "./control_server.ts";
 export * from "./crash_ledger.ts";
 export * from "./crash_records.ts";
+export * from "./departures_machine.ts";
 export * from "./events.ts";
 export * from "./fleet_follower.ts";
 export * from "./fleet_messages.ts";
--- a/membership/named_limits_test.ts
+++ b/membership/named_limits_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemoryEventLog, VirtualClock } from "#core";
+import { NO_DEPARTURES } from "./departures_machine.ts";
 import { FleetTable } from "./fleet_table.ts";
 import { createUpstream, TestCluster } from "./fleet_test_support.ts";
 import { NamedLimits } from "./named_limits.ts";
@@ -81,7 +82,11 @@
 });
 
 test("the limit of the newest response holds, in whatever order reports arrive", () => {
-  const table = new FleetTable({ heartbeatTimeoutMs: 4_000, retentionMs: 9e4 });
+  const table = new FleetTable({
+    heartbeatTimeoutMs: 4_000,
+    retentionMs: 9e4,
+    departures: NO_DEPARTURES,
+  });
   table.recordHeartbeat({ record: createUpstream(), ageMs: 0 }, 1_000);
   const limit = { id: "u", bornMs: 1 };
   assert.equal(
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -175,14 +175,14 @@
   #buildServer(): HttpServer {
     const base = this.#base;
     const { settings } = base;
-    const { control, fleet, log, placements } = this.#replica;
+    const { control, log, placements } = this.#replica;
     const routes = [
       ...controlRoutes({
         clock: base.clock,
         events: base.events,
         control,
-        acceptHeartbeat: (upstream) => fleet.recordHeartbeat(upstream),
-        acceptLeave: (id, bornMs) => fleet.deregister(id, bornMs),
+        acceptHeartbeat: (upstream) => this.#replica.acceptHeartbeat(upstream),
+        acceptLeave: (id, bornMs) => this.#replica.acceptLeave(id, bornMs),
         startRetirement: (name) => placements.retire(name),
         retirementState: (name) => placements.retireState(name),
         isLeader: () => this.#replica.status().leads,
--- a/proof/odd_entries_test.ts
+++ b/proof/odd_entries_test.ts
@@ -123,8 +123,9 @@
       events: new MemoryEventLog(),
       control: {} as ControlPort,
       acceptHeartbeat: (upstream) =>
-        this.#controls.recordHeartbeat(at, upstream),
-      acceptLeave: (id, bornMs) => this.#controls.deregister(at, id, bornMs),
+        Promise.resolve(this.#controls.recordHeartbeat(at, upstream)),
+      acceptLeave: (id, bornMs) =>
+        Promise.resolve(this.#controls.deregister(at, id, bornMs)),
       startRetirement: () => Promise.resolve(Ok(null)),
       retirementState: () => Ok(""),
       isLeader: () => true,
--- a/proof/simulated_vms.ts
+++ b/proof/simulated_vms.ts
@@ -27,6 +27,7 @@
   FleetFollower,
   FleetServer,
   type Leadership,
+  NO_DEPARTURES,
   serveControlRequests,
 } from "#membership";
 import { LeaderPermitPort, PermitClient, PermitServer } from "#quotas";
@@ -102,6 +103,7 @@
         revision: 1,
         placement: { controls: CONTROL_VMS, stores: [], retiring: [] },
       }),
+      departures: NO_DEPARTURES,
       reachesQuorum: () => true,
       confirm: () => Promise.resolve(Ok(null)),
     });
