Bound calls of all kinds by the timeout of their route

Cause: the limit in time belonged to calls. `Forwarder.forward` handed streams over before it set the timer; connect, head, first event, pauses and end of a stream waited for the caller's signal only.

Evidence: no stream ended before its caller left. Ruled out: a limit that fires late.

Change: `CallLimit` holds the limit of a call, and every response and body passes through it. Nothing from an upstream for an objective is evidence against it (`SilenceWatch`): it gets one call at a time, and a stream that may be resumed leaves it.

--- a/batches/batch_client.ts
+++ b/batches/batch_client.ts
@@ -59,14 +59,19 @@
     this.#requests.preferLeaderOf(this.#options.nodes(), "store");
   }
 
-  /** Submits a batch; resolves once the log has stored all of it. Submitting a batch again is idempotent. */
+  /**
+   * Submits a batch; resolves once the log has stored all of it, at the latest after `withinMs`. Submitting a batch again
+   * is idempotent.
+   */
   accept(
     batch: Batch,
     keepMs: Milliseconds,
+    withinMs: Milliseconds = BATCH_CALL_LIMIT_MS,
   ): Promise<Result<unknown, Failure>> {
+    const totalMs = Math.min(withinMs, BATCH_CALL_LIMIT_MS);
     return this.#requests.send(
       { kind: "accept", batch, keepMs },
-      DEFAULT_PATIENCE,
+      { ...DEFAULT_PATIENCE, totalMs },
     );
   }
 
--- a/requests/attempt_series.ts
+++ b/requests/attempt_series.ts
@@ -94,7 +94,8 @@
    */
   #handleOverdue(overdueMs: Milliseconds): void {
     const { routed: { route }, watch, service } = this.#forwarded;
-    if (route.kind !== "idempotent" || this.#inFlight.size === 0) return;
+    if (route.kind !== "idempotent") return this.#pauseSilent(overdueMs);
+    if (this.#inFlight.size === 0) return;
     const { clock, choice } = this.#options;
     const nowMs = clock.nowMs();
     for (const [upstream, sentMs] of this.#inFlight) {
@@ -105,6 +106,17 @@
     if (!isWaiting && watch.mayHedge(service)) this.#startNext();
   }
 
+  /** Keeps other calls away from an upstream that answers nobody; a call that runs once at most has to wait for it. */
+  #pauseSilent(overdueMs: Milliseconds): void {
+    const { clock, choice: { selector } } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const [upstream, sentMs] of this.#inFlight) {
+      const heardMs = Math.max(sentMs, selector.heardMs(upstream.id));
+      if (nowMs - heardMs < overdueMs) continue;
+      selector.recordSilence(upstream.id, nowMs);
+    }
+  }
+
   #hedge(): void {
     const { routed: { route }, triedUpstreams, watch, service } =
       this.#forwarded;
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -23,6 +23,7 @@
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { REQUEST_EVENTS } from "./events.ts";
 import { AttemptSeries } from "./attempt_series.ts";
+import { CallLimit } from "./call_limit.ts";
 import {
   type Attempt,
   classifyError,
@@ -44,11 +45,6 @@
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 import { type ResponseHead, UpstreamHttp } from "./upstream_http.ts";
 
-/**
- * Time to wait past the cutoff for an upstream that reports its own timeout: its connection can then be reused.
- */
-const LATE_RESPONSE_GRACE_MS: Milliseconds = 60;
-
 /** Options of `Forwarder`. */
 export interface ForwarderOptions extends UpstreamNotices {
   readonly zone: string;
@@ -89,9 +85,18 @@
 
   /** Returns the upstream's response, or a failure that states whether the call may have run. */
   async forward(routed: RoutedCall): Promise<HttpResponse | Failure> {
+    const limit = new CallLimit(routed, this.#options.clock);
+    const response = routed.route.kind === "stream"
+      ? this.#streams.forward(routed, limit)
+      : this.#forwardCall(routed, limit);
+    return await limit.guard(response);
+  }
+
+  async #forwardCall(
+    routed: RoutedCall,
+    limit: CallLimit,
+  ): Promise<HttpResponse | Failure> {
     const { call, route } = routed;
-    const headers = endToEndHeaders(call.rawHeaders);
-    if (route.kind === "stream") return this.#streams.forward(routed, headers);
     const service = pickService(route.split, this.#options.random);
     if (service === undefined) {
       return fail("no_upstream", `route ${route.name} has no service`);
@@ -99,13 +104,10 @@
     const forwarded: ForwardedCall = {
       routed,
       service,
-      headers,
+      headers: endToEndHeaders(call.rawHeaders),
       triedUpstreams: new Set(),
       arrivedMs: this.#options.clock.nowMs(),
-      cutoffMs: Math.min(
-        routed.deadlineMs,
-        this.#options.clock.nowMs() + route.timeoutMs,
-      ),
+      cutoffMs: limit.cutoffMs,
       abortController: new AbortController(),
       possibleRuns: 0,
       lastFailure: "no upstream is known",
@@ -115,11 +117,8 @@
         contentOf(routed, this.#options.dialect),
       ),
     };
-    const onAbort = (): void => forwarded.abortController.abort();
-    call.signal.addEventListener("abort", onAbort, { once: true });
-    const response = await this.#sendUntilCutoff(forwarded);
+    const response = await this.#sendUntilCutoff(forwarded, limit);
     forwarded.abortController.abort();
-    call.signal.removeEventListener("abort", onAbort);
     if ("kind" in response) this.#reportFailure(forwarded, response);
     return response;
   }
@@ -130,31 +129,25 @@
     this.#streams.close();
   }
 
-  #sendUntilCutoff(forwarded: ForwardedCall): Promise<HttpResponse | Failure> {
+  /** Makes attempts until the time is up or the caller leaves; what comes first decides. */
+  #sendUntilCutoff(
+    forwarded: ForwardedCall,
+    limit: CallLimit,
+  ): Promise<HttpResponse | Failure> {
     const { clock } = this.#options;
-    const { call } = forwarded.routed;
-    const timeoutMs = forwarded.cutoffMs + LATE_RESPONSE_GRACE_MS -
-      clock.nowMs();
-    return new Promise((resolve) => {
-      const timer = clock.after(timeoutMs, () => {
-        resolve(cutoffFailure(forwarded));
-      });
-      const onAbort = (): void => {
-        timer.cancel();
-        resolve(fail("cancelled", "the caller disconnected"));
-      };
-      call.signal.addEventListener("abort", onAbort, { once: true });
-      AttemptSeries.run(forwarded, {
-        clock,
-        choice: this.#choice,
-        send: (upstream) => this.#send(forwarded, upstream),
-        finalResponse: (attempt) => this.#finalResponse(forwarded, attempt),
-      }).then((response) => {
-        timer.cancel();
-        call.signal.removeEventListener("abort", onAbort);
-        resolve(response);
-      });
+    const attempts = AttemptSeries.run(forwarded, {
+      clock,
+      choice: this.#choice,
+      send: (upstream) => this.#send(forwarded, upstream),
+      finalResponse: (attempt) => this.#finalResponse(forwarded, attempt),
     });
+    return limit.race(
+      attempts,
+      (reason) =>
+        reason === "left"
+          ? fail("cancelled", "the caller disconnected")
+          : cutoffFailure(forwarded),
+    );
   }
 
   async #send(
--- a/requests/stream_call.ts
+++ b/requests/stream_call.ts
@@ -5,7 +5,9 @@
  */
 import type { FleetUpstream, Milliseconds } from "#core";
 import type { CallWatch } from "#crashes";
+import type { CallLimit } from "./call_limit.ts";
 import type { RoutedCall } from "./forwarded_call.ts";
+import type { SilenceWatch } from "./silence_watch.ts";
 import type { SingleConnection } from "./single_connection.ts";
 import type { StreamStart } from "./stream_take_up.ts";
 import type { UpstreamDemand } from "./upstream_choice.ts";
@@ -15,6 +17,8 @@
 export interface StreamCall {
   readonly routed: RoutedCall;
   readonly start: StreamStart;
+  /** When the stream must be complete, also over its attempts. */
+  readonly limit: CallLimit;
   readonly headers: readonly string[];
 }
 
@@ -27,6 +31,10 @@
   /** Ends its right to run apart from other suspects, if it has one. */
   readonly release: () => void;
   readonly response: StreamingResponse;
+  /** Whether this VM gave the attempt up, as its upstream was silent. */
+  readonly isGivenUp: () => boolean;
+  /** Ends the attempt if nothing comes from its upstream any more. */
+  readonly silence: SilenceWatch;
   /** The connection that identified the upstream, for further streams; undefined if it is not identified. */
   readonly connection: SingleConnection | undefined;
   /** Version of the software that writes it; null if that is not known. */
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -17,6 +17,7 @@
 } from "#core";
 import type { CrashGuard } from "#crashes";
 import type { StreamOrigins } from "#streams";
+import type { CallLimit } from "./call_limit.ts";
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import { EventParser } from "./event_parser.ts";
 import { REQUEST_EVENTS } from "./events.ts";
@@ -69,7 +70,7 @@
   /** Returns the stream, or a failure if no upstream started it or it must not go on. */
   async forward(
     routed: RoutedCall,
-    headers: readonly string[],
+    limit: CallLimit,
   ): Promise<HttpResponse | Failure> {
     const resumption = this.#options.dialect.readResumption(
       routed.call.headers,
@@ -77,7 +78,8 @@
     if (resumption.err) return resumption.val;
     const start = await startOf(routed, resumption.val, this.#options);
     if ("kind" in start) return start;
-    return await this.#begin({ routed, start, headers });
+    const headers = endToEndHeaders(routed.call.rawHeaders);
+    return await this.#begin({ routed, start, limit, headers });
   }
 
   /** Closes idle connections. */
@@ -143,6 +145,13 @@
 
   #failureOf(stream: StreamCall, progress: StreamProgress): Failure {
     const message = `no upstream started the stream: ${progress.lastFailure}`;
+    if (stream.limit.ended === "left") {
+      return fail("cancelled", "the caller disconnected");
+    }
+    const isOver = stream.limit.ended === "over";
+    if (isOver && progress.possibleRuns > 0) {
+      return fail("deadline_passed", message);
+    }
     if (progress.possibleRuns > 0) return fail("upstream_failed", message);
     if (progress.watch.standing === "blocked") return blockedFailure();
     const demand = demandOf(stream, progress);
@@ -178,7 +187,7 @@
         const succeeded = true;
         return progress.watch.recordAnswered({ upstream, sentMs, succeeded });
       }
-      const cancelled = stream.routed.call.signal.aborted;
+      const cancelled = stream.limit.ended !== undefined || source.isGivenUp();
       await progress.watch.recordBroken({ upstream, cancelled });
       if (!stream.routed.route.resumable) break;
       source = await this.#opening.openNext(stream, progress);
@@ -198,6 +207,7 @@
     let isFirst = true;
     try {
       for await (const chunk of source.response.bodyChunks) {
+        source.silence.recordHeard();
         for (const event of parser.push(chunk)) {
           if (!isNextEvent(event.id, progress.lastEventId)) {
             throw new Error(`event ${event.id} is out of order`);
--- a/requests/stream_opening.ts
+++ b/requests/stream_opening.ts
@@ -11,6 +11,7 @@
   type StreamCall,
   type StreamProgress,
 } from "./stream_call.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 import type { SingleConnection } from "./single_connection.ts";
 import { isolateAttempt } from "./suspect_calls.ts";
 import type { UpstreamChoice } from "./upstream_choice.ts";
@@ -41,6 +42,12 @@
   readonly release: () => void;
 }
 
+/** An attempt that may be given up. */
+interface WatchedAttempt {
+  readonly abort: AbortController;
+  readonly silence: SilenceWatch;
+}
+
 /** How a stream at one upstream ends. */
 export type StreamOutcome = "complete" | "broken" | "cancelled";
 
@@ -63,6 +70,7 @@
     if (this.#ended.has(source)) return;
     this.#ended.add(source);
     const { upstream, connection, latencyMs, release } = source;
+    source.silence.stop();
     release();
     const { clock, choice } = this.#options;
     choice.recordEnded(upstream, { nowMs: clock.nowMs(), latencyMs });
@@ -82,11 +90,8 @@
     stream: StreamCall,
     progress: StreamProgress,
   ): Promise<OpenStream | undefined> {
-    const { route, call } = stream.routed;
-    const maximumAttempts = route.resumable
-      ? Math.max(1, route.maximumAttempts)
-      : 1;
-    while (progress.possibleRuns < maximumAttempts && !call.signal.aborted) {
+    const { limit } = stream;
+    while (mayAttempt(stream, progress) && !limit.signal.aborted) {
       const next = await this.#nextUpstream(stream, progress);
       if (next === undefined) return undefined;
       const { upstream, release } = next;
@@ -102,12 +107,12 @@
     stream: StreamCall,
     progress: StreamProgress,
   ): Promise<NextUpstream | undefined> {
-    const { call, deadlineMs } = stream.routed;
+    const { cutoffMs, signal } = stream.limit;
     const { choice } = this.#options;
     const { watch } = progress;
     if (progress.softwareVersion === null) return undefined;
     const demand = demandOf(stream, progress);
-    const limits = { cutoffMs: deadlineMs, signal: call.signal };
+    const limits = { cutoffMs, signal };
     if (watch.standing === "blocked") return undefined;
     if (watch.standing === "suspect") {
       const suspect = { watch, demand, ...limits };
@@ -148,11 +153,11 @@
 
   /** Finds out who the upstream is, unless the stream is never resumed, so that any software may write it. */
   async #identify(
-    { routed: { route, call } }: StreamCall,
+    { routed: { route }, limit }: StreamCall,
     upstream: FleetUpstream,
   ): Promise<IdentityCheck> {
     if (!route.resumable) return { kind: "unidentified", isDoubtful: false };
-    return await this.#identity.check(upstream, call.signal);
+    return await this.#identity.check(upstream, limit.signal);
   }
 
   /** Opens the stream on an upstream of which so much is known, or returns that its connection had been closed before. */
@@ -173,11 +178,15 @@
     const connection = identified.kind === "identified"
       ? identified.connection
       : undefined;
+    const attempt = this.#watchSilence(stream, progress, upstream);
+    const { abort, silence } = attempt;
     const response = await this.#send(stream, progress, {
       upstream,
       connection,
+      attempt,
     });
     if (response === undefined || response === "closed") {
+      silence.stop();
       choice.recordEnded(upstream, { nowMs: clock.nowMs(), latencyMs: null });
       connection?.close();
       return response;
@@ -190,22 +199,50 @@
       upstream,
       connection,
       response,
+      silence,
+      isGivenUp: () => abort.signal.aborted,
       sentMs,
       latencyMs,
       softwareVersion,
     };
   }
 
+  /** Gives an attempt up once its upstream is silent, if the stream may go on at another one at once. */
+  #watchSilence(
+    stream: StreamCall,
+    progress: StreamProgress,
+    upstream: FleetUpstream,
+  ): WatchedAttempt {
+    const { clock, choice } = this.#options;
+    const abort = new AbortController();
+    const runsBefore = progress.possibleRuns;
+    const silence = new SilenceWatch({
+      clock,
+      selector: choice.selector,
+      upstream,
+      objectiveMs: stream.routed.route.objectiveMs,
+      onSilent: () => {
+        if (!stream.routed.route.resumable) return;
+        if (runsBefore + 1 >= attemptLimit(stream)) return;
+        if (choice.hasReady(demandOf(stream, progress))) abort.abort();
+      },
+    });
+    return { abort, silence };
+  }
+
   async #send(
     stream: StreamCall,
     progress: StreamProgress,
-    { upstream, connection }: {
+    { upstream, connection, attempt }: {
       readonly upstream: FleetUpstream;
       readonly connection: SingleConnection | undefined;
+      readonly attempt: WatchedAttempt;
     },
   ): Promise<StreamingResponse | "closed" | undefined> {
     const { dialect, clock, http } = this.#options;
-    const { call, requestId, deadlineMs } = stream.routed;
+    const { routed: { call, requestId }, limit } = stream;
+    const { silence } = attempt;
+    const signal = AbortSignal.any([limit.signal, attempt.abort.signal]);
     const result = await http.open({
       address: upstream.address,
       method: call.method,
@@ -213,11 +250,11 @@
       headers: dialect.callHeaders(stream.headers, {
         requestId,
         upstream,
-        remainingMs: Math.max(1, deadlineMs - clock.nowMs()),
+        remainingMs: Math.max(1, limit.cutoffMs - clock.nowMs()),
         lastEventId: progress.lastEventId,
       }),
       body: call.body,
-      signal: call.signal,
+      signal,
       reuseConnection: false,
       ...(connection === undefined ? {} : { connection }),
     });
@@ -227,11 +264,12 @@
       this.#recordFailure(progress, upstream, result.val.reason);
       if (mayHaveRun) {
         progress.possibleRuns += 1;
-        const cancelled = call.signal.aborted;
+        const cancelled = signal.aborted;
         await progress.watch.recordBroken({ upstream, cancelled });
       }
       return undefined;
     }
+    silence.recordHeard();
     const metadata = dialect.readResponse(result.val.head);
     reportNotices(this.#options, { upstream, requestId, metadata });
     if (!metadata.notRun) progress.possibleRuns += 1;
@@ -260,6 +298,15 @@
   }
 }
 
+/** Returns the number of upstreams that may run the call. */
+function attemptLimit({ routed: { route } }: StreamCall): number {
+  return route.resumable ? Math.max(1, route.maximumAttempts) : 1;
+}
+
+function mayAttempt(stream: StreamCall, progress: StreamProgress): boolean {
+  return progress.possibleRuns < attemptLimit(stream);
+}
+
 /** Returns why a stream is not sent to an upstream, or undefined if it is. */
 function reasonNotToSend(
   identity: IdentityCheck,
--- a/requests/upstream_choice.ts
+++ b/requests/upstream_choice.ts
@@ -96,6 +96,14 @@
     );
   }
 
+  /** Whether an upstream accepts requests by its heartbeats that the call was not sent to. */
+  hasReady(demand: UpstreamDemand): boolean {
+    const nowMs = this.#options.clock.nowMs();
+    return this.#readyUpstreams(demand).some(({ id }) =>
+      !demand.tried.has(id) && !this.selector.isPaused(id, nowMs)
+    );
+  }
+
   /** Returns the upstreams of the service that the call was sent to or must not be sent to. */
   unusableFor(demand: UpstreamDemand): ReadonlySet<string> {
     const unusable = new Set(demand.tried);
--- a/requests/upstream_selector.ts
+++ b/requests/upstream_selector.ts
@@ -20,6 +20,10 @@
   latencyAtMs: Milliseconds;
   pausedUntilMs: Milliseconds;
   pauseMs: Milliseconds;
+  /** When anything last came from it. */
+  heardMs: Milliseconds;
+  /** Whether nothing has come from it for longer than its calls may take. */
+  isSilent: boolean;
 }
 
 /** Tracks statistics of calls by upstream and selects by them. */
@@ -72,6 +76,7 @@
     const stats = this.#statsOf(id);
     stats.outstanding = Math.max(0, stats.outstanding - 1);
     if (outcome.latencyMs === null) return;
+    this.recordHeard(id, outcome.nowMs);
     const decayed = decayedLatency(stats, outcome.nowMs);
     stats.latencyMs = decayed +
       LATENCY_SMOOTHING_FACTOR * (outcome.latencyMs - decayed);
@@ -79,6 +84,18 @@
     stats.pauseMs = INITIAL_PAUSE_MS;
   }
 
+  /** Records that an upstream has sent a part of a response. */
+  recordHeard(id: string, nowMs: Milliseconds): void {
+    const stats = this.#statsOf(id);
+    stats.heardMs = nowMs;
+    stats.isSilent = false;
+  }
+
+  /** Returns when anything last came from an upstream; `-Infinity` if nothing has. */
+  heardMs(id: string): Milliseconds {
+    return this.#stats.get(id)?.heardMs ?? -Infinity;
+  }
+
   /** Pauses an upstream after a failure or rejection, for twice as long each time up to `MAXIMUM_PAUSE_MS`. */
   pause(id: string, nowMs: Milliseconds): void {
     const stats = this.#statsOf(id);
@@ -87,9 +104,19 @@
     stats.pauseMs = Math.min(MAXIMUM_PAUSE_MS, stats.pauseMs * 2);
   }
 
-  /** Whether calls to an upstream failed just now. */
+  /**
+   * Pauses an upstream from which nothing comes any more. Until something does, it gets one call at a time: the one that
+   * finds out.
+   */
+  recordSilence(id: string, nowMs: Milliseconds): void {
+    this.pause(id, nowMs);
+    this.#statsOf(id).isSilent = true;
+  }
+
+  /** Whether calls to an upstream failed just now, or one finds out whether it is still silent. */
   isPaused(id: string, nowMs: Milliseconds): boolean {
-    return nowMs < (this.#stats.get(id)?.pausedUntilMs ?? 0);
+    const stats = this.#stats.get(id);
+    return stats !== undefined && pauseLeftMs(stats, nowMs) > 0;
   }
 
   /** Removes upstreams that are not in `ids`, unless calls to them are outstanding. */
@@ -106,8 +133,7 @@
       : OTHER_ZONE_LATENCY_FACTOR;
     const loadFactor = 1 + stats.outstanding / Math.max(1, upstream.slots);
     const score = decayedLatency(stats, nowMs) * loadFactor * zoneFactor;
-    const pausedMs = Math.max(0, stats.pausedUntilMs - nowMs);
-    return score + pausedMs * MAXIMUM_PAUSE_MS;
+    return score + pauseLeftMs(stats, nowMs) * MAXIMUM_PAUSE_MS;
   }
 
   #statsOf(id: string): UpstreamStats {
@@ -119,12 +145,19 @@
       latencyAtMs: 0,
       pausedUntilMs: 0,
       pauseMs: INITIAL_PAUSE_MS,
+      heardMs: -Infinity,
+      isSilent: false,
     };
     this.#stats.set(id, created);
     return created;
   }
 }
 
+function pauseLeftMs(stats: UpstreamStats, nowMs: Milliseconds): Milliseconds {
+  if (stats.isSilent && stats.outstanding > 0) return MAXIMUM_PAUSE_MS;
+  return Math.max(0, stats.pausedUntilMs - nowMs);
+}
+
 function decayedLatency(
   stats: UpstreamStats,
   nowMs: Milliseconds,
