Keep entry VMs within their memory while a worker sends without end

Here entry VMs of the smallest site (200 MB) went to 243 to 295 MB, and 29 of 117 calls that run once got 502.

Cause: buffers that were dropped are not free. Each read makes one of 64 KiB outside the heap, a body one of up to 32 MiB; the runtime looks for them after tens of megabytes only, and the allocator keeps them. And the faulty worker was asked again after 200 ms each time, as its quick heads made it seem the best.

Ruled out: a missing bound, a bound that is looked at too late.

Why it works: garbage is collected by the bytes that cause it, and bytes that are no response are evidence that one sound response does not outweigh.

--- a/core/body_buffer.ts
+++ b/core/body_buffer.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ByteReservation } from "./byte_budget.ts";
+import { GARBAGE_METER } from "./garbage_meter.ts";
 import type { Bytes } from "./units.ts";
 
 /** Large, so that few bytes are copied and left to the garbage collector while a body grows. */
@@ -59,6 +60,11 @@
     return "appended";
   }
 
+  /** Number of bytes appended so far. */
+  get length(): Bytes {
+    return this.#length;
+  }
+
   /** Returns the bytes appended so far. */
   bytes(): Uint8Array {
     return this.#buffer.subarray(0, this.#length);
@@ -77,6 +83,7 @@
     const capacity = Math.min(this.#options.maximumBytes, enlarged);
     const grown = Buffer.allocUnsafe(capacity);
     grown.set(this.bytes());
+    GARBAGE_METER.drop(this.#length);
     this.#buffer = grown;
   }
 }
--- a/core/byte_budget.ts
+++ b/core/byte_budget.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { GARBAGE_METER } from "./garbage_meter.ts";
 import { type Bytes, KIBIBYTE } from "./units.ts";
 
 /** A body up to this size may use the whole budget, so that a few large bodies can't block the small ones. */
@@ -86,6 +87,7 @@
   /** Returns the reserved bytes to the budget; later calls have no effect. */
   release(): void {
     this.#reserve(0, -this.#bytes);
+    GARBAGE_METER.drop(this.#bytes);
     this.#bytes = 0;
   }
 }
--- a/programs/node_base.ts
+++ b/programs/node_base.ts
@@ -34,6 +34,8 @@
 const KEEP_ALIVE_MS: Milliseconds = 300_000;
 const BODY_BYTES = 33_554_432;
 const HEADER_BYTES = 65_536;
+/** Share of the memory of the VM for responses; the largest response is always accepted while there is no other. */
+const RESPONSE_MEMORY_RATIO = 0.15;
 
 /** Offset of each role's peer port, so that a control and a store process can share a machine. */
 const PEER_PORT_OFFSETS: Readonly<Record<FleetRole, number>> = {
@@ -131,7 +133,10 @@
     metrics: new Metrics(),
     network,
     responseBudget: new ByteBudget({
-      maximumBytes: NODE_HTTP_LIMITS.maximumHeldResponseBytes,
+      maximumBytes: Math.min(
+        NODE_HTTP_LIMITS.maximumHeldResponseBytes,
+        (settings.memoryLimitBytes ?? Infinity) * RESPONSE_MEMORY_RATIO,
+      ),
       maximumBodyBytes: BODY_BYTES,
     }),
     startedMs: clock.wallMs(),
--- a/programs/request_body.ts
+++ b/programs/request_body.ts
@@ -12,6 +12,7 @@
   Err,
   fail,
   type Failure,
+  GARBAGE_METER,
   type Milliseconds,
   Ok,
   type Result,
@@ -76,6 +77,7 @@
     };
     request.on("data", (chunk: Uint8Array) => {
       const outcome = buffer.append(chunk);
+      GARBAGE_METER.drop(chunk.length);
       if (outcome === "appended") return;
       buffer.clear();
       const failure = outcome === "too_large"
--- a/proof/node_cluster.ts
+++ b/proof/node_cluster.ts
@@ -33,6 +33,12 @@
   readonly programs?: string;
   /** Module that is loaded into each process before its program; none if absent. */
   readonly preload?: string;
+  /** Flags of the runtime, as in a deploy file; none if absent. */
+  readonly nodeFlags?: string;
+  /** Environment variables, as in a deploy file; none if absent. */
+  readonly environment?: Readonly<Record<string, string>>;
+  /** Memory of each process at which the platform ends it, in megabytes; no limit if absent. */
+  readonly memoryMegabytes?: number;
 }
 
 /** One VM of each role in each of three zones. */
@@ -104,6 +110,7 @@
       program: join(this.#options.programs ?? PROGRAMS, PROGRAM),
       arguments: [role],
       environment: {
+        ...this.#options.environment,
         [SETTINGS_VARIABLE]: settings,
         ...this.#preloadEnvironment(name),
       },
@@ -119,13 +126,13 @@
   }
 
   #preloadEnvironment(name: string): Readonly<Record<string, string>> {
-    const { preload } = this.#options;
-    if (preload === undefined) return {};
+    const { preload, nodeFlags = "" } = this.#options;
+    if (preload === undefined) return { NODE_OPTIONS: nodeFlags };
     const file = this.#clockFile(name);
     writeFileSync(file, "0");
     return {
       [CLOCK_VARIABLE]: file,
-      NODE_OPTIONS: `--import=${pathToFileURL(preload)}`,
+      NODE_OPTIONS: `--import=${pathToFileURL(preload)} ${nodeFlags}`,
     };
   }
 
@@ -150,6 +157,10 @@
       "bounds.grace_s=8",
       "bounds.lease_ms=500",
     ];
+    const { memoryMegabytes } = this.#options;
+    if (memoryMegabytes !== undefined) {
+      lines.push(`limits.memory_mb=${memoryMegabytes}`);
+    }
     if (role === "entry") {
       lines.push(`listen.front=${host}:${PORTS.callers}`);
       lines.push(`listen.ready=${host}:${PORTS.ready}`);
--- a/requests/event_parser.ts
+++ b/requests/event_parser.ts
@@ -5,6 +5,7 @@
  */
 
 import { KIBIBYTE } from "#core";
+import { FoulBytesError } from "./foul_bytes.ts";
 
 /** One event of a stream. */
 export interface StreamEvent {
@@ -55,7 +56,7 @@
       end = this.#pending.indexOf(END_OF_EVENT);
     }
     if (this.#pending.length > MAXIMUM_PARTIAL_EVENT_LENGTH) {
-      throw new Error("an event of the stream is too long");
+      throw new FoulBytesError("an event of the stream is too long");
     }
     return events;
   }
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -180,6 +180,9 @@
       ? classifyResponse(result.val, dialect)
       : classifyError(result.val);
     const latencyMs = attempt.kind === "answer" ? nowMs - sentMs : null;
+    if (result.err && result.val.isFoul === true) {
+      this.#choice.selector.recordFoul(upstream.id, nowMs);
+    }
     this.#choice.recordEnded(upstream, { nowMs, latencyMs });
     const cancelled = forwarded.abortController.signal.aborted;
     if (latencyMs === null && !cancelled) {
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -21,6 +21,7 @@
 import { endToEndHeaders, headerRecord } from "./end_to_end_headers.ts";
 import { EventParser } from "./event_parser.ts";
 import { REQUEST_EVENTS } from "./events.ts";
+import { isFoul } from "./foul_bytes.ts";
 import {
   blockedFailure,
   contentOf,
@@ -176,9 +177,9 @@
       let isComplete = false;
       let outcome: StreamOutcome = "cancelled";
       try {
-        isComplete = yield* this.#relayFrom(stream, progress, source);
-        if (isComplete) outcome = "complete";
-        else if (!stream.routed.call.signal.aborted) outcome = "broken";
+        outcome = yield* this.#relayFrom(stream, progress, source);
+        isComplete = outcome === "complete";
+        if (stream.limit.ended === "left") outcome = "cancelled";
       } finally {
         // Also if the caller reads no further.
         this.#opening.recordEnd(source, outcome);
@@ -202,7 +203,7 @@
     stream: StreamCall,
     progress: StreamProgress,
     source: OpenStream,
-  ): AsyncGenerator<string, boolean> {
+  ): AsyncGenerator<string, StreamOutcome> {
     const parser = new EventParser();
     let isFirst = true;
     try {
@@ -224,13 +225,13 @@
       if (progress.lastEventId === null && !isTakenUp(stream)) {
         throw new Error("the stream ended before its first event");
       }
-      return true;
+      return "complete";
     } catch (error) {
       progress.lastFailure = error instanceof Error
         ? error.message
         : String(error);
       source.response.closeConnection();
-      return false;
+      return isFoul(error) ? "foul" : "broken";
     }
   }
 
--- a/requests/stream_opening.ts
+++ b/requests/stream_opening.ts
@@ -49,7 +49,12 @@
 }
 
 /** How a stream at one upstream ends. */
-export type StreamOutcome = "complete" | "broken" | "cancelled";
+export type StreamOutcome =
+  | "complete"
+  | "broken"
+  /** The upstream sent bytes that are no stream. */
+  | "foul"
+  | "cancelled";
 
 /** Opens streams. */
 export class StreamOpening {
@@ -69,12 +74,20 @@
   recordEnd(source: OpenStream, outcome: StreamOutcome): void {
     if (this.#ended.has(source)) return;
     this.#ended.add(source);
-    const { upstream, connection, latencyMs, release } = source;
+    const { upstream, connection, release } = source;
     source.silence.stop();
     release();
     const { clock, choice } = this.#options;
-    choice.recordEnded(upstream, { nowMs: clock.nowMs(), latencyMs });
-    if (outcome === "broken") void this.#identity.recordFailure(upstream);
+    const nowMs = clock.nowMs();
+    const isBroken = outcome === "broken" || outcome === "foul";
+    // A quick head says nothing for an upstream whose stream breaks off.
+    const latencyMs = isBroken ? null : source.latencyMs;
+    choice.recordEnded(upstream, { nowMs, latencyMs });
+    if (outcome === "foul") choice.selector.recordFoul(upstream.id, nowMs);
+    if (isBroken) {
+      choice.selector.pause(upstream.id, nowMs);
+      void this.#identity.recordFailure(upstream);
+    }
     if (connection === undefined) return;
     if (outcome === "complete") this.#identity.release(upstream, connection);
     else connection.close();
@@ -239,7 +252,7 @@
       readonly attempt: WatchedAttempt;
     },
   ): Promise<StreamingResponse | "closed" | undefined> {
-    const { dialect, clock, http } = this.#options;
+    const { dialect, clock, http, choice } = this.#options;
     const { routed: { call, requestId }, limit } = stream;
     const { silence } = attempt;
     const signal = AbortSignal.any([limit.signal, attempt.abort.signal]);
@@ -259,8 +272,9 @@
       ...(connection === undefined ? {} : { connection }),
     });
     if (result.err) {
-      const { stale, mayHaveRun } = result.val;
+      const { stale, mayHaveRun, isFoul = false } = result.val;
       if (stale && !mayHaveRun) return "closed";
+      if (isFoul) choice.selector.recordFoul(upstream.id, clock.nowMs());
       this.#recordFailure(progress, upstream, result.val.reason);
       if (mayHaveRun) {
         progress.possibleRuns += 1;
@@ -281,7 +295,7 @@
     if (reason === undefined) return result.val;
     result.val.closeConnection();
     progress.lastFailure = reason;
-    this.#options.choice.selector.pause(upstream.id, clock.nowMs());
+    choice.selector.pause(upstream.id, clock.nowMs());
     return undefined;
   }
 
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -17,17 +17,21 @@
   type ByteReservation,
   type Bytes,
   Err,
+  GARBAGE_METER,
   KIBIBYTE,
   MEBIBYTE,
   type Milliseconds,
   Ok,
   type Result,
 } from "#core";
+import { FoulBytesError, isFoul } from "./foul_bytes.ts";
 import type { SingleConnection } from "./single_connection.ts";
 
 const MAXIMUM_RESPONSE_BYTES: Bytes = 32 * MEBIBYTE;
 /** Responses that are being read, together, if the caller passes no budget. */
 const MAXIMUM_HELD_RESPONSE_BYTES: Bytes = 40 * MEBIBYTE;
+/** A response that has grown beyond this without a length, and for which there is no more memory, may never end. */
+const UNANNOUNCED_BYTES: Bytes = MEBIBYTE;
 /** Headers of a response, and the sizes and trailers of its chunks. */
 const MAXIMUM_HEAD_BYTES: Bytes = 16 * KIBIBYTE;
 /** Interim responses (1xx) before a response; an upstream in trouble may send them without end. */
@@ -73,6 +77,8 @@
   readonly reason: string;
   /** Whether a reused connection turned out to be dead: the upstream itself may be healthy. */
   readonly stale: boolean;
+  /** Whether the upstream sent bytes that are no response; false if absent. */
+  readonly isFoul?: boolean;
 }
 
 /** A response whose body is read while it arrives. */
@@ -146,12 +152,17 @@
     outgoing.on("information", () => {
       interimResponses += 1;
       if (interimResponses <= MAXIMUM_INTERIM_RESPONSES) return;
-      outgoing.destroy(new Error("too many interim responses"));
+      outgoing.destroy(new FoulBytesError("too many interim responses"));
     });
     outgoing.on("error", (error) => {
       connectionError = error;
       const stale = outgoing.reusedSocket;
-      resolve(Err({ mayHaveRun: connected, reason: error.message, stale }));
+      resolve(Err({
+        mayHaveRun: connected,
+        reason: error.message,
+        stale,
+        isFoul: isFoul(error),
+      }));
     });
     outgoing.on("response", (incoming) => {
       incoming.on("error", () => {});
@@ -221,7 +232,12 @@
     } catch (error) {
       closeConnection();
       const reason = error instanceof Error ? error.message : String(error);
-      return Err({ mayHaveRun: true, reason, stale: false });
+      return Err({
+        mayHaveRun: true,
+        reason,
+        stale: false,
+        isFoul: isFoul(error),
+      });
     } finally {
       reservation.release();
     }
@@ -244,7 +260,7 @@
   size: { readonly announcedBytes: Bytes; readonly maximumBytes: Bytes },
 ): BodyBuffer {
   const { announcedBytes, maximumBytes } = size;
-  if (announcedBytes > maximumBytes) throw new Error("response too large");
+  if (announcedBytes > maximumBytes) throw tooLargeError();
   const buffer = new BodyBuffer({ maximumBytes, reservation });
   if (!buffer.announce(announcedBytes)) throw noMemoryError();
   return buffer;
@@ -253,8 +269,17 @@
 /** Appends a chunk; throws if the response exceeds a limit. */
 function appendChunk(buffer: BodyBuffer, chunk: Uint8Array): void {
   const outcome = buffer.append(chunk);
-  if (outcome === "too_large") throw new Error("response too large");
-  if (outcome === "no_memory") throw noMemoryError();
+  if (outcome === "too_large") throw tooLargeError();
+  if (outcome === "appended") return;
+  // One that announces its length is rejected before its first byte.
+  if (buffer.length >= UNANNOUNCED_BYTES) {
+    throw new FoulBytesError("no memory for a response without a length");
+  }
+  throw noMemoryError();
+}
+
+function tooLargeError(): Error {
+  return new FoulBytesError("response too large");
 }
 
 function noMemoryError(): Error {
@@ -295,7 +320,11 @@
   incoming: IncomingMessage,
   connectionError: () => Error | undefined,
 ): AsyncGenerator<Uint8Array> {
-  for await (const chunk of incoming) yield chunk as Uint8Array;
+  for await (const chunk of incoming) {
+    const bytes = chunk as Uint8Array;
+    yield bytes;
+    GARBAGE_METER.drop(bytes.length);
+  }
   const error = connectionError();
   if (error !== undefined) throw error;
   if (!incoming.complete) throw new Error("the response ended prematurely");
--- a/requests/upstream_selector.ts
+++ b/requests/upstream_selector.ts
@@ -13,6 +13,11 @@
 const OTHER_ZONE_LATENCY_FACTOR = 1.3;
 const INITIAL_PAUSE_MS: Milliseconds = 200;
 const MAXIMUM_PAUSE_MS: Milliseconds = 2_000;
+/** Pause of an upstream that sent bytes which are no response; twice as long each time up to the maximum. */
+const INITIAL_FOUL_PAUSE_MS: Milliseconds = 1_000;
+const MAXIMUM_FOUL_PAUSE_MS: Milliseconds = 16_000;
+/** Time without such bytes after which an upstream counts as mended; one sound response shows little. */
+const FOUL_MEMORY_MS: Milliseconds = 60_000;
 
 interface UpstreamStats {
   outstanding: number;
@@ -22,6 +27,10 @@
   pauseMs: Milliseconds;
   /** When anything last came from it. */
   heardMs: Milliseconds;
+  /** Pause after the next response that is none. */
+  foulPauseMs: Milliseconds;
+  /** When it last sent one. */
+  foulMs: Milliseconds;
   /** Whether nothing has come from it for longer than its calls may take. */
   isSilent: boolean;
 }
@@ -104,6 +113,19 @@
     stats.pauseMs = Math.min(MAXIMUM_PAUSE_MS, stats.pauseMs * 2);
   }
 
+  /** Pauses an upstream that sent bytes which are no response, for much longer than one that fails. */
+  recordFoul(id: string, nowMs: Milliseconds): void {
+    const stats = this.#statsOf(id);
+    if (nowMs - stats.foulMs > FOUL_MEMORY_MS) {
+      stats.foulPauseMs = INITIAL_FOUL_PAUSE_MS;
+    }
+    stats.foulMs = nowMs;
+    const untilMs = nowMs + stats.foulPauseMs;
+    if (untilMs <= stats.pausedUntilMs) return;
+    stats.pausedUntilMs = untilMs;
+    stats.foulPauseMs = Math.min(MAXIMUM_FOUL_PAUSE_MS, stats.foulPauseMs * 2);
+  }
+
   /**
    * Pauses an upstream from which nothing comes any more. Until something does, it gets one call at a time: the one that
    * finds out.
@@ -146,6 +168,8 @@
       pausedUntilMs: 0,
       pauseMs: INITIAL_PAUSE_MS,
       heardMs: -Infinity,
+      foulPauseMs: INITIAL_FOUL_PAUSE_MS,
+      foulMs: -Infinity,
       isSilent: false,
     };
     this.#stats.set(id, created);
