Watch the processes of plain services whose streams may be resumed

Cause: who answers at an address was taken for the incarnation of the last heartbeat, which may be seconds old. A plain service tells nobody who it is.

Change: each VM keeps two connections to each such worker; while one is open, the process is the same. Streams begin where the software is known. An attempt is not given up as silent because this VM stood still.

--- a/core/clock.ts
+++ b/core/clock.ts
@@ -111,6 +111,11 @@
     return this.#earliest()?.dueMs;
   }
 
+  /** Lets time pass in which no timer runs, as in a process that stands still; timers that are due run later. */
+  standStill(forMs: Milliseconds): void {
+    this.#nowMs += forMs;
+  }
+
   /** Advances the time; runs each due timer at its due time, in order. */
   advance(byMs: Milliseconds): void {
     const untilMs = this.#nowMs + byMs;
--- a/programs/entry_node.ts
+++ b/programs/entry_node.ts
@@ -106,6 +106,7 @@
       permits: this.#permits,
       crashGuard: this.#crashGuard,
       origins: this.#origins,
+      isOutOfDate: () => this.#fleetFollower.silentMs() > 0,
     });
     this.#batches = new BatchClient({
       ...base,
--- a/proof/stream_site.ts
+++ b/proof/stream_site.ts
@@ -25,7 +25,13 @@
 /** How long a worker that has started again sends no heartbeat, as one that can't reach a control VM at once. */
 const SILENT_START_MS: Milliseconds = 500;
 
-const CONFIGURATION = {
+const ENGINE = {
+  slots: 8,
+  kv_capacity_tokens: 50_000,
+  models: [{ name: "m" }],
+};
+
+const configurationOf = (isPlain: boolean): unknown => ({
   version: 1,
   routes: [{
     name: "advice",
@@ -41,21 +47,24 @@
   services: [{
     name: SERVICE,
     max_conns: 150,
-    engine: { slots: 8, kv_capacity_tokens: 50_000, models: [{ name: "m" }] },
+    ...(isPlain ? {} : { engine: ENGINE }),
   }],
-};
+});
 
 /** Options of `StreamSite`. */
 export interface StreamSiteOptions {
   readonly block: string;
   readonly network: number;
   readonly seed: number;
+  /** Whether the service is a plain one, whose workers do not tell their start; false if absent. */
+  readonly isPlain?: boolean;
 }
 
 /** Processes of all roles, workers and callers. */
 export class StreamSite {
   readonly cluster: NodeCluster;
   readonly #random: SeededRandom;
+  readonly #isPlain: boolean;
   readonly #workers = new Map<number, FakeWorker>();
   readonly #silent = new Set<FakeWorker>();
   readonly #heartbeats: NodeJS.Timeout;
@@ -64,6 +73,7 @@
   private constructor(options: StreamSiteOptions) {
     this.cluster = new NodeCluster(options);
     this.#random = new SeededRandom(options.seed);
+    this.#isPlain = options.isPlain === true;
     this.#heartbeats = setInterval(
       () => this.#sendHeartbeats(),
       HEARTBEAT_MS,
@@ -80,7 +90,11 @@
     await waitUntil(
       "the configuration is stored",
       START_TIMEOUT_MS,
-      () => putConfiguration(site.cluster.controlAddress(0)),
+      () =>
+        putConfiguration(
+          site.cluster.controlAddress(0),
+          configurationOf(site.#isPlain),
+        ),
     );
     await site.waitUntilReady();
     await waitUntil("a stream is complete", START_TIMEOUT_MS, async () => {
@@ -158,6 +172,14 @@
     for (const zone of zones) this.cluster.vm("entry", zone).restart();
   }
 
+  /** Lets an entry VM stand still for a time. */
+  async suspendEntry(zone: number, forMs: Milliseconds): Promise<void> {
+    const vm = this.cluster.vm("entry", zone);
+    vm.pause();
+    await delay(forMs);
+    vm.resume();
+  }
+
   /** Resolves when all entry VMs are ready. */
   async waitUntilReady(): Promise<void> {
     for (const zone of ZONES) {
@@ -171,7 +193,7 @@
       service: SERVICE,
       zone: `z${1 + at % ZONES.length}`,
       address: this.cluster.fakeAddress(at),
-      models: ["m"],
+      models: this.#isPlain ? [] : ["m"],
       eventMs: EVENT_MS,
       startedMs: Date.now(),
       softwareVersion,
@@ -213,7 +235,10 @@
   }
 }
 
-async function putConfiguration(control: Address): Promise<boolean> {
+async function putConfiguration(
+  control: Address,
+  configuration: unknown,
+): Promise<boolean> {
   return await new Promise((resolve) => {
     const outgoing = request({
       host: control.host,
@@ -227,6 +252,6 @@
     });
     // No control VM leads yet; the caller sends it again.
     outgoing.on("error", () => resolve(false));
-    outgoing.end(JSON.stringify(CONFIGURATION));
+    outgoing.end(JSON.stringify(configuration));
   });
 }
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -60,6 +60,8 @@
   readonly crashGuard: CrashGuard;
   /** Where streams began; absent if only calls without streams are forwarded. */
   readonly origins?: StreamOrigins;
+  /** Whether this VM follows no control VM now, so that what it knows of the upstreams is old; never if absent. */
+  readonly isOutOfDate?: () => boolean;
   /** Memory of the responses that the process reads and writes; absent if only the forwarder reads any. */
   readonly responseBudget?: ByteBudget;
 }
--- a/requests/silence_watch.ts
+++ b/requests/silence_watch.ts
@@ -29,10 +29,12 @@
   readonly #silentAfterMs: Milliseconds;
   readonly #timer: Timer;
   #heardMs: Milliseconds;
+  #checkedMs: Milliseconds;
 
   constructor(options: SilenceWatchOptions) {
     this.#options = options;
     this.#heardMs = options.clock.nowMs();
+    this.#checkedMs = this.#heardMs;
     this.#silentAfterMs = Math.max(MINIMUM_SILENCE_MS, options.objectiveMs);
     this.#timer = options.clock.every(
       this.#silentAfterMs / CHECKS,
@@ -55,6 +57,10 @@
   #check(): void {
     const { clock, selector, upstream, onSilent } = this.#options;
     const nowMs = clock.nowMs();
+    // After a standstill of this VM, what came meanwhile is read after this check.
+    const isLate = nowMs - this.#checkedMs > this.#silentAfterMs / 2;
+    this.#checkedMs = nowMs;
+    if (isLate) this.#heardMs = nowMs;
     const heardMs = Math.max(this.#heardMs, selector.heardMs(upstream.id));
     if (nowMs - heardMs < this.#silentAfterMs) return;
     selector.recordSilence(upstream.id, nowMs);
--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -56,6 +56,8 @@
   readonly choice: UpstreamChoice;
   readonly crashGuard: CrashGuard;
   readonly origins: StreamOrigins;
+  /** Whether this VM follows no control VM now; never if absent. */
+  readonly isOutOfDate?: () => boolean;
 }
 
 /** Forwards streams of events to callers. */
--- a/requests/stream_opening.ts
+++ b/requests/stream_opening.ts
@@ -14,7 +14,7 @@
 import { SilenceWatch } from "./silence_watch.ts";
 import type { SingleConnection } from "./single_connection.ts";
 import { isolateAttempt } from "./suspect_calls.ts";
-import type { UpstreamChoice } from "./upstream_choice.ts";
+import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
 import type { ResponseMetadata, UpstreamDialect } from "./upstream_dialect.ts";
 import type { StreamingResponse, UpstreamHttp } from "./upstream_http.ts";
 import { type IdentityCheck, UpstreamIdentity } from "./upstream_identity.ts";
@@ -34,6 +34,8 @@
   readonly dialect: UpstreamDialect;
   readonly http: UpstreamHttp;
   readonly choice: UpstreamChoice;
+  /** Whether this VM follows no control VM now; never if absent. */
+  readonly isOutOfDate?: () => boolean;
 }
 
 /** An upstream that the stream may be sent to. */
@@ -104,6 +106,9 @@
     progress: StreamProgress,
   ): Promise<OpenStream | undefined> {
     const { limit } = stream;
+    if (stream.routed.route.resumable) {
+      this.#identity.attend(this.#ready(stream));
+    }
     while (mayAttempt(stream, progress) && !limit.signal.aborted) {
       const next = await this.#nextUpstream(stream, progress);
       if (next === undefined) return undefined;
@@ -135,7 +140,7 @@
       return undefined;
     }
     const release = (): void => {};
-    const upstream = choice.choose(demand);
+    const upstream = this.#chooseKnown(stream, demand) ?? choice.choose(demand);
     if (upstream !== undefined) return { upstream, release };
     const outcome = await choice.acquire(demand, limits);
     if (outcome.kind === "granted") {
@@ -145,6 +150,25 @@
     return undefined;
   }
 
+  /** Chooses an upstream whose software is known, as a stream that began at any other can't go on. */
+  #chooseKnown(
+    stream: StreamCall,
+    demand: UpstreamDemand,
+  ): FleetUpstream | undefined {
+    if (!stream.routed.route.resumable) return undefined;
+    const doubtful = this.#identity.doubtful(this.#ready(stream));
+    if (doubtful.length === 0) return undefined;
+    const tried = new Set([...demand.tried, ...doubtful]);
+    return this.#options.choice.choose({ ...demand, tried });
+  }
+
+  #ready(
+    { start: { service }, routed: { route } }: StreamCall,
+  ): readonly FleetUpstream[] {
+    const tried = new Set<string>();
+    return this.#options.choice.readyUpstreams({ service, route, tried });
+  }
+
   /** Opens the stream on an upstream, if that is the one that it is known as. */
   async #open(
     stream: StreamCall,
@@ -204,8 +228,15 @@
       connection?.close();
       return response;
     }
-    const isKnown = connection !== undefined ||
-      (identified.kind === "unidentified" && !identified.isDoubtful);
+    const isKnown = await this.#isKnown(stream, identified);
+    if (!isKnown && progress.softwareVersion !== undefined) {
+      silence.stop();
+      response.closeConnection();
+      choice.recordEnded(upstream, { nowMs: clock.nowMs(), latencyMs: null });
+      connection?.close();
+      progress.lastFailure = "it may have started again with other software";
+      return undefined;
+    }
     const softwareVersion = isKnown ? upstream.softwareVersion ?? null : null;
     const latencyMs = clock.nowMs() - sentMs;
     return {
@@ -220,6 +251,17 @@
     };
   }
 
+  /** Whether the head that has just arrived came from the incarnation that is known, as the software matters. */
+  async #isKnown(
+    { routed: { route } }: StreamCall,
+    identified: IdentityCheck & { readonly upstream: FleetUpstream },
+  ): Promise<boolean> {
+    if (identified.kind === "identified") return true;
+    if (identified.kind === "failed" || identified.isDoubtful) return false;
+    return !route.resumable ||
+      await this.#identity.confirm(identified.upstream);
+  }
+
   /** Gives an attempt up once its upstream is silent, if the stream may go on at another one at once. */
   #watchSilence(
     stream: StreamCall,
--- a/requests/upstream_choice.ts
+++ b/requests/upstream_choice.ts
@@ -66,7 +66,7 @@
     const { permits, clock } = this.#options;
     const { hasWaited = false } = options;
     const { isHedge = false, tried } = demand;
-    const ready = this.#readyUpstreams(demand);
+    const ready = this.readyUpstreams(demand);
     const knowsLimit = ready.some(isLimited);
     if (knowsLimit && !isHedge) permits.noteRequest(demand.service);
     const usable = ready.filter((upstream) => {
@@ -84,7 +84,7 @@
 
   /** Whether a call for which no upstream is available now may get a permit for one. */
   mayGetPermit(demand: UpstreamDemand): boolean {
-    return this.#readyUpstreams(demand).some((each) =>
+    return this.readyUpstreams(demand).some((each) =>
       isLimited(each) && !demand.tried.has(each.id)
     );
   }
@@ -99,7 +99,7 @@
   /** Whether an upstream accepts requests by its heartbeats that the call was not sent to. */
   hasReady(demand: UpstreamDemand): boolean {
     const nowMs = this.#options.clock.nowMs();
-    return this.#readyUpstreams(demand).some(({ id }) =>
+    return this.readyUpstreams(demand).some(({ id }) =>
       !demand.tried.has(id) && !this.selector.isPaused(id, nowMs)
     );
   }
@@ -151,7 +151,8 @@
     this.#options.permits.handleFreeSlot(upstream.service);
   }
 
-  #readyUpstreams(demand: UpstreamDemand): readonly FleetUpstream[] {
+  /** Returns the upstreams that the call may be sent to by their heartbeats. */
+  readyUpstreams(demand: UpstreamDemand): readonly FleetUpstream[] {
     return this.#options.upstreams().filter((each) =>
       each.service === demand.service && each.phase === "ready" &&
       isAllowed(each, demand)
--- a/requests/upstream_identity.ts
+++ b/requests/upstream_identity.ts
@@ -16,6 +16,7 @@
   type Timer,
 } from "#core";
 import { probeCrash } from "./connection_probe.ts";
+import { ProcessWatch } from "./process_watch.ts";
 import { SingleConnection } from "./single_connection.ts";
 import type { OwnCall, UpstreamDialect } from "./upstream_dialect.ts";
 import type { UpstreamHttp } from "./upstream_http.ts";
@@ -36,7 +37,7 @@
 export type IdentityCheck =
   /** Calls over this connection reach the incarnation that is known. */
   | { readonly kind: "identified"; readonly connection: SingleConnection }
-  /** The upstream doesn't tell; `isDoubtful` if a call to it failed just now, so that it may have started again. */
+  /** The upstream doesn't tell; `isDoubtful` if it may have started again since its last heartbeat. */
   | { readonly kind: "unidentified"; readonly isDoubtful: boolean }
   /** Another incarnation is at the address, or none that replies. */
   | { readonly kind: "failed"; readonly reason: string };
@@ -52,6 +53,8 @@
   readonly clock: Clock;
   readonly dialect: UpstreamDialect;
   readonly http: UpstreamHttp;
+  /** Whether this VM follows no control VM now; never if absent. */
+  readonly isOutOfDate?: () => boolean;
 }
 
 /** Identifies upstreams by what they say on a connection, and keeps the connections for further calls. */
@@ -63,9 +66,40 @@
   readonly #silent = new Set<string>();
   /** Until when incarnations may have been replaced, as a call to them failed. */
   readonly #doubtfulUntilMs = new Map<string, Milliseconds>();
+  /** Whether those that don't tell have started again. */
+  readonly #processes: ProcessWatch;
 
   constructor(options: UpstreamIdentityOptions) {
     this.#options = options;
+    this.#processes = new ProcessWatch(options);
+  }
+
+  /** Watches those of these upstreams that don't tell who they are, before a stream is sent to any of them. */
+  attend(upstreams: readonly FleetUpstream[]): void {
+    for (const upstream of upstreams) {
+      if (this.#isSilent(upstream)) this.#processes.attend(upstream);
+    }
+  }
+
+  /** Returns those of these upstreams of which nobody knows whether they have started again. */
+  doubtful(upstreams: readonly FleetUpstream[]): readonly string[] {
+    const found: string[] = [];
+    for (const upstream of upstreams) {
+      if (!this.#isSilent(upstream)) continue;
+      const isDoubtful = this.#hasFailed(upstream) ||
+        this.#processes.mayHaveChanged(upstream);
+      if (isDoubtful) found.push(upstream.id);
+    }
+    return found;
+  }
+
+  /**
+   * Whether the head of a response that has just arrived came from the known incarnation of an upstream that does not
+   * tell who it is.
+   */
+  async confirm(upstream: FleetUpstream): Promise<boolean> {
+    return !this.#hasFailed(upstream) &&
+      await this.#processes.isUnchanged(upstream);
   }
 
   /**
@@ -93,7 +127,7 @@
     if (idle !== undefined) return { kind: "identified", connection: idle };
     const call = this.#options.dialect.identityCall(upstream);
     if (call === null || this.#isSilent(upstream)) {
-      return this.#unidentified(incarnation);
+      return await this.#unidentified(upstream);
     }
     return await this.#ask(upstream, call, signal);
   }
@@ -117,6 +151,7 @@
       connection.close();
     }
     this.#idle.clear();
+    this.#processes.close();
   }
 
   #isSilent(upstream: FleetUpstream): boolean {
@@ -169,7 +204,7 @@
     connection.close();
     const incarnation = incarnationOf(upstream);
     return this.#silent.has(incarnation)
-      ? this.#unidentified(incarnation)
+      ? await this.#unidentified(upstream)
       : { kind: "failed", reason };
   }
 
@@ -188,10 +223,18 @@
     return "it does not say which incarnation it is";
   }
 
-  #unidentified(incarnation: string): IdentityCheck {
-    const untilMs = this.#doubtfulUntilMs.get(incarnation) ?? 0;
-    const isDoubtful = this.#options.clock.nowMs() < untilMs;
-    return { kind: "unidentified", isDoubtful };
+  async #unidentified(upstream: FleetUpstream): Promise<IdentityCheck> {
+    this.#processes.attend(upstream);
+    return {
+      kind: "unidentified",
+      isDoubtful: !await this.confirm(upstream),
+    };
+  }
+
+  /** Whether a call to an upstream failed just now, so that it may have started again. */
+  #hasFailed(upstream: FleetUpstream): boolean {
+    const untilMs = this.#doubtfulUntilMs.get(incarnationOf(upstream)) ?? 0;
+    return this.#options.clock.nowMs() < untilMs;
   }
 }
 
