Use the buffers of bodies of unknown length again

What was seen: without the allocator's threshold, entry VMs of 200 MB went to 205 to 226 MB beside workers that send without end (proof/endless_bodies_test.ts, 4 of 4 runs failed).

Cause: buffers of 512 KiB and 4 MiB, freed between small ones, leave the allocator with memory in pieces. After the first 4 MiB that were freed it takes such sizes from its own heap, and gives back only what is free at the end of that.

Change: a body of unknown length grows through few sizes, and those of 512 KiB and 4 MiB are kept for the next one.

Tests: core/buffer_pool_test.ts; proof/endless_bodies_test.ts failed before in 4 of 4 runs.

--- a/core/body_buffer.ts
+++ b/core/body_buffer.ts
@@ -4,11 +4,20 @@
  * @module
  */
 import type { ByteReservation } from "./byte_budget.ts";
+import { BufferPool } from "./buffer_pool.ts";
 import { GARBAGE_METER } from "./garbage_meter.ts";
-import type { Bytes } from "./units.ts";
+import { type Bytes, KIBIBYTE, MEBIBYTE } from "./units.ts";
 
-/** Large, so that few bytes are copied and left to the garbage collector while a body grows. */
+/** Large, so that few bytes are copied while a body grows. */
 const GROWTH_FACTOR = 8;
+/** Smallest buffer of a body of unknown size; the next sizes are multiples of it, so that buffers can be used again. */
+const FIRST_CAPACITY_BYTES: Bytes = 64 * KIBIBYTE;
+/** Buffers from this size on are used again, but for the largest, which the allocator gives back to the system itself. */
+const MINIMUM_POOLED_BYTES: Bytes = 256 * KIBIBYTE;
+const MAXIMUM_POOLED_BYTES: Bytes = 8 * MEBIBYTE;
+
+/** Buffers of bodies that were dropped. */
+const POOL = new BufferPool();
 
 /** Limits of a `BodyBuffer`. */
 export interface BodyBufferOptions {
@@ -33,7 +42,9 @@
  */
 export class BodyBuffer {
   readonly #options: BodyBufferOptions;
-  #buffer = Buffer.alloc(0);
+  #buffer: Buffer = Buffer.alloc(0);
+  /** Whether the buffer may be used again for another body. */
+  #isPooled = false;
   #length: Bytes = 0;
 
   constructor(options: BodyBufferOptions) {
@@ -70,8 +81,9 @@
     return this.#buffer.subarray(0, this.#length);
   }
 
-  /** Drops the bytes appended so far, for a reader that lives longer than the body. */
+  /** Drops the bytes appended so far; what `bytes` returned before must not be used any more. */
   clear(): void {
+    this.#dropBuffer();
     this.#buffer = Buffer.alloc(0);
     this.#length = 0;
   }
@@ -79,11 +91,28 @@
   /** Pages of the capacity that no byte is written to use no memory, so only the length is reserved. */
   #growTo(length: Bytes): void {
     if (length <= this.#buffer.length) return;
-    const enlarged = Math.max(length, this.#buffer.length * GROWTH_FACTOR);
-    const capacity = Math.min(this.#options.maximumBytes, enlarged);
-    const grown = Buffer.allocUnsafe(capacity);
+    const capacity = this.#nextCapacity(length);
+    const isPooled = capacity >= MINIMUM_POOLED_BYTES &&
+      capacity <= MAXIMUM_POOLED_BYTES;
+    const grown = isPooled ? POOL.take(capacity) : Buffer.allocUnsafe(capacity);
     grown.set(this.bytes());
-    GARBAGE_METER.drop(this.#length);
+    this.#dropBuffer();
     this.#buffer = grown;
+    this.#isPooled = isPooled;
+  }
+
+  /** Most bodies come in one small chunk; those that go on grow in few sizes. */
+  #nextCapacity(length: Bytes): Bytes {
+    if (this.#length === 0 && length < FIRST_CAPACITY_BYTES) return length;
+    let capacity = FIRST_CAPACITY_BYTES;
+    while (capacity < length) capacity *= GROWTH_FACTOR;
+    return Math.min(this.#options.maximumBytes, capacity);
+  }
+
+  /** Keeps the buffer for another body, or leaves it to the garbage collector. */
+  #dropBuffer(): void {
+    const isKept = this.#isPooled && POOL.give(this.#buffer);
+    if (!isKept) GARBAGE_METER.drop(this.#length);
+    this.#isPooled = false;
   }
 }
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./blackboard.ts";
 export * from "./body_buffer.ts";
+export * from "./buffer_pool.ts";
 export * from "./byte_budget.ts";
 export * from "./board_sections.ts";
 export * from "./bounded_event_log.ts";
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -221,9 +221,10 @@
       return Err({ mayHaveRun: true, reason: rejectionReason, stale: false });
     }
     const reservation = this.#bodyBudget.open();
+    let buffer: BodyBuffer | undefined;
     try {
       const announcedBytes = call.method === "HEAD" ? 0 : contentLength(head);
-      const buffer = openBuffer(reservation, {
+      buffer = openBuffer(reservation, {
         announcedBytes,
         maximumBytes: call.maximumResponseBytes ?? MAXIMUM_RESPONSE_BYTES,
       });
@@ -231,6 +232,7 @@
       return Ok({ ...head, body: buffer.bytes() });
     } catch (error) {
       closeConnection();
+      buffer?.clear();
       const reason = error instanceof Error ? error.message : String(error);
       return Err({
         mayHaveRun: true,
