Let a blocked call run twice more, counted for good

Cause: only a whole answer clears a call, and a blocked one never runs.

Change: two trial runs, 5 s after the last crash and 5 s apart, apart from other suspects, counted in the control log before they begin. Calls that crash upstreams run no more than three times after the third crash, as before (proof/crashing_calls_test.ts, proof/crash_fuzz_test.ts).

The upstreams of proof/site_upstream.ts named fractional start times, which control VMs reject from each other; they are whole now, and the bounds are as before.

--- a/core/state_machine.ts
+++ b/core/state_machine.ts
@@ -18,7 +18,8 @@
   | "placement"
   | "versions"
   | "batches"
-  | "departures";
+  | "departures"
+  | "trials";
 
 /** All state machine names, in the order in which snapshots store their states. */
 export const MACHINE_NAMES: readonly MachineName[] = [
@@ -31,6 +32,7 @@
   "versions",
   "batches",
   "departures",
+  "trials",
 ];
 
 /** A committed command with its log index. */
--- a/crashes/caller_guard.ts
+++ b/crashes/caller_guard.ts
@@ -24,11 +24,14 @@
   type IsolationOutcome,
 } from "./crash_guard.ts";
 import { CRASH_EVENTS } from "./events.ts";
-import { LIKELY_CRASHES } from "./isolated_runs.ts";
+import { LIKELY_CRASHES, TRIAL_INTERVAL_MS } from "./isolated_runs.ts";
 import { ISOLATION_KIND, MAXIMUM_TRIED } from "./isolation_messages.ts";
 import type { IsolationPort } from "./isolation_port.ts";
 import { UndecidedAttempts } from "./undecided_attempts.ts";
 
+/** Blocked calls of which this VM remembers when it asked for a trial run. */
+const MAXIMUM_ASKED = 1_024;
+
 /** What an attempt to connect to an address shows. */
 export type ConnectionState = "open" | "refused" | "silent";
 
@@ -49,6 +52,8 @@
 export class CallerGuard extends CrashGuard {
   readonly #options: CallerGuardOptions;
   readonly #undecided = new UndecidedAttempts();
+  /** When this VM last asked for a trial run of a blocked call, by digest; the oldest is first. */
+  readonly #trialAskedMs = new Map<string, Milliseconds>();
   /** Incarnations at which this VM runs suspects that no control VM has decided about. */
   readonly #ownRuns = new Set<string>();
 
@@ -88,6 +93,24 @@
     return isSuspect ? "suspect" : "clear";
   }
 
+  /** Whether a blocked call may ask for a trial run now; one call at a time does. */
+  claimTrial(digest: string): boolean {
+    const { crashes, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const sinceMs = Math.max(
+      crashes.lastCrashMs(digest),
+      this.#trialAskedMs.get(digest) ?? -Infinity,
+    );
+    if (nowMs - sinceMs < TRIAL_INTERVAL_MS) return false;
+    this.#trialAskedMs.delete(digest);
+    this.#trialAskedMs.set(digest, nowMs);
+    const [oldest] = this.#trialAskedMs.keys();
+    if (this.#trialAskedMs.size > MAXIMUM_ASKED && oldest !== undefined) {
+      this.#trialAskedMs.delete(oldest);
+    }
+    return true;
+  }
+
   /** Whether an upstream of a service that crashed under a call has not started again yet. */
   hasCrashedUpstream(service: string): boolean {
     const { crashes, upstreams } = this.#options;
@@ -209,6 +232,8 @@
 class WatchedCall extends CallWatch {
   readonly #guard: CallerGuard;
   #isAnswered = false;
+  /** Whether the call asks for a trial run, as it was blocked when it came; undefined before that is known. */
+  #asksForTrial: boolean | undefined;
 
   constructor(content: CallContent, guard: CallerGuard) {
     super(content);
@@ -216,7 +241,13 @@
   }
 
   override get standing(): CallStanding {
-    return this.#guard.standingOf(this);
+    const standing = this.#guard.standingOf(this);
+    if (standing !== "blocked") {
+      this.#asksForTrial ??= false;
+      return standing;
+    }
+    this.#asksForTrial ??= this.#guard.claimTrial(this.digest);
+    return this.#asksForTrial ? "suspect" : "blocked";
   }
 
   override mayHedge(service: string): boolean {
@@ -225,6 +256,8 @@
   }
 
   override isolate(demand: IsolationDemand): Promise<IsolationOutcome> {
+    // Whatever becomes of a trial run, it is the only one of this call.
+    this.#asksForTrial = false;
     return this.#guard.isolate(this, demand);
   }
 
--- a/crashes/isolated_runs.ts
+++ b/crashes/isolated_runs.ts
@@ -20,9 +20,17 @@
 /** Crashes from which on a call is so likely to crash the next upstream that most of its service must be up. */
 export const LIKELY_CRASHES = 2;
 
+/**
+ * Time after the last crash under a blocked call before which it has no trial run, and between two of them. Whatever
+ * else ended its upstreams is over by then, and they have started again.
+ */
+export const TRIAL_INTERVAL_MS: Milliseconds = 5 * SECOND_MS;
+
 /** What is known of crashes. */
 export interface CrashKnowledge {
   crashesOf(digest: string): number;
+  /** When the last crash under a call was observed; `-Infinity` without any. */
+  lastCrashMs(digest: string): Milliseconds;
   isBlocked(digest: string): boolean;
   /** Whether an upstream crashed while no other suspect is known to have run there. */
   ranAlone(digest: string): boolean;
@@ -82,6 +90,21 @@
     this.advance(nowMs);
   }
 
+  /** Chooses an upstream for a trial run of a blocked call, and counts the run; returns undefined if there is none now. */
+  beginTrial(
+    request: IsolationRequest,
+    nowMs: Milliseconds,
+  ): string | undefined {
+    this.advance(nowMs);
+    const { digest, service } = request;
+    const upstream = this.#choose(request, this.#copiesOf(service, nowMs));
+    if (upstream === undefined) return undefined;
+    const incarnation = incarnationOf(upstream);
+    const untilMs = nowMs + RUN_MS;
+    this.#runs.set(digest, { service, incarnation, untilMs });
+    return incarnation;
+  }
+
   /** Records that a run has ended, and starts what waited for it. */
   end(digest: string, incarnation: string, nowMs: Milliseconds): void {
     if (this.#runs.get(digest)?.incarnation === incarnation) {
--- a/crashes/isolation_server.ts
+++ b/crashes/isolation_server.ts
@@ -20,7 +20,11 @@
   notLeaderFailure,
 } from "#membership";
 import { CRASH_EVENTS } from "./events.ts";
-import { IsolatedRuns, type IsolatedRunsOptions } from "./isolated_runs.ts";
+import {
+  IsolatedRuns,
+  type IsolatedRunsOptions,
+  TRIAL_INTERVAL_MS,
+} from "./isolated_runs.ts";
 import {
   ISOLATION_KIND,
   type IsolationDecision,
@@ -36,6 +40,8 @@
   readonly leadership: () => Leadership;
   /** Adds what the sender of a request knows, and distributes it to all VMs. */
   readonly recordCrashes: (records: readonly CrashRecord[]) => void;
+  /** Counts a trial run of a blocked call in the control log; returns whether the call may have it. */
+  readonly countTrial: (digest: string) => Promise<boolean>;
 }
 
 /** Decides about requests to run suspects. */
@@ -70,7 +76,29 @@
     this.#term = term;
     const { record } = request;
     if (record !== null) this.#options.recordCrashes([record]);
-    return this.#decide(request);
+    return this.#options.crashes.isBlocked(request.digest)
+      ? this.#decideTrial(request)
+      : this.#decide(request);
+  }
+
+  /** Lets a blocked call run once more, long after its last crash and no more often than is counted for good. */
+  async #decideTrial(
+    request: IsolationRequest,
+  ): Promise<Result<unknown, Failure>> {
+    const { clock, crashes, countTrial } = this.#options;
+    const { digest } = request;
+    const nowMs = clock.nowMs();
+    let decision: IsolationDecision = { kind: "blocked" };
+    if (nowMs - crashes.lastCrashMs(digest) >= TRIAL_INTERVAL_MS) {
+      const incarnation = this.#runs.beginTrial(request, nowMs);
+      if (incarnation !== undefined && await countTrial(digest)) {
+        decision = { kind: "granted", incarnation };
+      } else if (incarnation !== undefined) {
+        this.#runs.end(digest, incarnation, clock.nowMs());
+      }
+    }
+    this.#log(request, decision);
+    return Ok(decision);
   }
 
   override handleNotice(body: unknown): void {
--- a/crashes/mod.ts
+++ b/crashes/mod.ts
@@ -12,3 +12,4 @@
 export * from "./isolation_messages.ts";
 export * from "./isolation_port.ts";
 export * from "./isolation_server.ts";
+export * from "./trials_machine.ts";
--- a/membership/crash_ledger.ts
+++ b/membership/crash_ledger.ts
@@ -98,6 +98,12 @@
     return [...this.#calls.get(digest)?.crashes.keys() ?? []];
   }
 
+  /** Returns when the last crash under a call was observed; `-Infinity` without any. */
+  lastCrashMs(digest: string): Milliseconds {
+    const crashes = this.#calls.get(digest)?.crashes.values() ?? [];
+    return Math.max(-Infinity, ...crashes);
+  }
+
   isSuspect(digest: string): boolean {
     return this.crashesOf(digest) > 0;
   }
--- a/membership/known_crashes.ts
+++ b/membership/known_crashes.ts
@@ -9,6 +9,7 @@
   type EventLog,
   type FleetUpstream,
   incarnationOf,
+  type Milliseconds,
 } from "#core";
 import { type CallKey, CrashLedger } from "./crash_ledger.ts";
 import type { CrashRecord, CrashRevision } from "./crash_records.ts";
@@ -56,6 +57,11 @@
     return this.#ledger.crashesOf(digest);
   }
 
+  /** Returns when the last crash under a call was observed; `-Infinity` without any. */
+  lastCrashMs(digest: string): Milliseconds {
+    return this.#ledger.lastCrashMs(digest);
+  }
+
   isBlocked(digest: string): boolean {
     return this.#ledger.isBlocked(digest);
   }
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { IsolationServer } from "#crashes";
+import { IsolationServer, MAXIMUM_TRIALS, TrialsMachine } from "#crashes";
 import {
   type AnyStateMachine,
   type Failure,
@@ -48,6 +48,7 @@
   #settings: NodeSettings;
   readonly #base: NodeBase;
   readonly #versionsMachine = new VersionsMachine();
+  readonly #trialsMachine = new TrialsMachine();
   readonly #replica: ControlReplica;
   readonly #engineOrders: EngineOrders;
   readonly #permits: PermitServer;
@@ -82,6 +83,7 @@
       crashes: fleet.crashes,
       upstreamsOf: (service) => fleet.readyUpstreams(service),
       recordCrashes: (records) => fleet.recordCrashes(records),
+      countTrial: (digest) => this.#countTrial(digest),
     });
     this.#origins = new OriginServer({
       clock: base.clock,
@@ -147,12 +149,22 @@
       firstStart: settings.firstStart,
       replicas: () => replicaCountFor(this.#settings.toleratedVmLosses),
       heartbeatTimeoutMs: settings.heartbeatMs * MISSED_HEARTBEAT_LIMIT,
-      machines: [this.#versionsMachine] as readonly AnyStateMachine[],
+      machines: [
+        this.#versionsMachine,
+        this.#trialsMachine,
+      ] as readonly AnyStateMachine[],
       describe: (group) => describeNode(base, "control", group),
       onFatal,
     });
   }
 
+  async #countTrial(digest: string): Promise<boolean> {
+    if (this.#trialsMachine.count(digest) >= MAXIMUM_TRIALS) return false;
+    const { log } = this.#replica;
+    const command = { digest };
+    return (await log.propose({ machine: "trials", command })).ok;
+  }
+
   #buildEngineOrders(): EngineOrders {
     const base = this.#base;
     const { fleet } = this.#replica;
--- a/proof/crashing_calls_test.ts
+++ b/proof/crashing_calls_test.ts
@@ -58,3 +58,35 @@
     site.stop();
   }
 });
+
+// Guards against a call that stays refused for good because it was under way at three upstreams that ended by chance.
+test("a call that was under way at three upstreams when they were killed is served again once they are back", async () => {
+  const site = await EntrySite.start({
+    entries: 3,
+    limits: [null, null, null],
+    times: { workMs: 600, crashMs: 90, restartMs: 1_000 },
+  });
+  try {
+    const body = "card of many callers";
+    const first = Array.from({ length: 18 }, () => site.send(body));
+    await site.advance(300);
+    for (const upstream of site.upstreams) {
+      upstream.crash();
+      await site.advance(20);
+    }
+    await site.advance(4 * SECOND_MS);
+    await Promise.all(first);
+    let served = 0;
+    const statuses: string[] = [];
+    for (let second = 0; second < 20; second += 1) {
+      const sent = site.send(body);
+      await site.advance(SECOND_MS);
+      const response = await sent;
+      statuses.push("kind" in response ? response.kind : "served");
+      if (isServed(response)) served += 1;
+    }
+    assert.ok(served >= 10, statuses.join(" "));
+  } finally {
+    site.stop();
+  }
+});
--- a/proof/simulated_vms.ts
+++ b/proof/simulated_vms.ts
@@ -21,6 +21,7 @@
   type ConnectionState,
   IsolationServer,
   LeaderIsolationPort,
+  TrialsMachine,
 } from "#crashes";
 import {
   ControlLeader,
@@ -51,6 +52,8 @@
   leaderlessUntilMs: Milliseconds = 0;
   readonly #base: SimulationBase;
   readonly #servers: FleetServer[] = [];
+  readonly #trials = new TrialsMachine();
+  #trialEntries = 0;
   #leader = 0;
   #term = 1;
 
@@ -85,6 +88,14 @@
     return { leads, term: this.#term, leader };
   }
 
+  /** Counts a trial run as a committed entry of the control log does. */
+  #countTrial(digest: string): Promise<boolean> {
+    const index = ++this.#trialEntries;
+    const atMs = this.#base.clock.wallMs();
+    const counted = this.#trials.apply({ index, atMs, command: { digest } });
+    return Promise.resolve(counted.ok);
+  }
+
   #start(vm: string): void {
     const { clock } = this.#base;
     const network = this.#base.network.join(vm);
@@ -124,6 +135,7 @@
       crashes: server.crashes,
       upstreamsOf: (service) => server.readyUpstreams(service),
       recordCrashes: (records) => server.recordCrashes(records),
+      countTrial: (digest) => this.#countTrial(digest),
     });
     server.onChange(() => isolation.handleChange());
     serveControlRequests(network, [permits, isolation]);
--- a/proof/site_upstream.ts
+++ b/proof/site_upstream.ts
@@ -93,7 +93,7 @@
     this.#address = { host: "127.0.0.1", port };
     this.#server = server;
     this.#incarnations += 1;
-    this.#bornMs = this.#options.clock.nowMs() + 1;
+    this.#bornMs = Math.round(this.#options.clock.nowMs()) + 1;
     this.#options.onStart();
   }
 
