Draw departures, renamed and removed routes in the soak

The soak now gives the routes of calls another name in each configuration, exchanges the names of the routes of batches and streams, removes the route of a batch that was accepted and reads its results to the end. A run of its own lets workers leave beside kills of the whole core, with their last heartbeat late.

--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak -- --first S --seeds N --seconds T --crashing C --advisers A`: runs the soak for several seeds and prints each broken promise.
+ * `npm run soak -- --first S --seeds N --seconds T --crashing C --advisers A --departures`: runs the soak for several seeds and prints each broken promise.
  *
  * @module
  */
@@ -25,6 +25,7 @@
     programs: { type: "string" },
     crashing: { type: "string", default: "2" },
     advisers: { type: "string", default: "6" },
+    departures: { type: "boolean", default: false },
   },
 });
 const { programs } = values;
@@ -38,6 +39,7 @@
     workers: WORKERS,
     crashingCalls,
     advisers: Number(values.advisers),
+    hasDepartures: values.departures,
     ...(programs === undefined ? {} : { programs }),
   });
   const broken = brokenPromises(record);
--- a/soak/soak_configuration.ts
+++ b/soak/soak_configuration.ts
@@ -22,10 +22,19 @@
 /** Most workers that a call is sent to. */
 export const MAXIMUM_ATTEMPTS = 2;
 
-/** Returns a configuration; versions differ in the latency objective only. */
-export function configurationText(version: number): string {
+/** Path of the batches whose route is removed in the course of a run. */
+export const REMOVED_PREFIX = "/spare/";
+
+/**
+ * Returns a configuration. Versions differ in the latency objective and in the names of routes: those of calls are new in
+ * each, those of batches and streams are exchanged in each second one. The spare route for batches comes on demand.
+ */
+export function configurationText(
+  version: number,
+  options: { readonly hasSpareRoute: boolean },
+): string {
   const routes = (["idempotent", "non_idempotent"] as const).map((kind) => ({
-    name: kind,
+    name: `${kind}-${version}`,
     hostname: HOST,
     path_prefix: `/${kind}/`,
     kind,
@@ -35,10 +44,13 @@
     service: SERVICE,
     max_attempts: MAXIMUM_ATTEMPTS,
   }));
-  const batches = {
-    name: "tuning",
+  const names = version % 2 === 0
+    ? { batches: "tuning", streams: "advice" }
+    : { batches: "advice", streams: "tuning" };
+  const batchesAt = (name: string, prefix: string): unknown => ({
+    name,
     hostname: HOST,
-    path_prefix: "/tuning/",
+    path_prefix: prefix,
     kind: "rollout",
     timeout_ms: 10_000,
     target_latency_ms: 400,
@@ -47,9 +59,9 @@
     max_attempts: 3,
     max_queue_s: 60,
     due_ms: 7_500,
-  };
+  });
   const advice = {
-    name: "advice",
+    name: names.streams,
     hostname: HOST,
     path_prefix: "/advice/",
     kind: "streaming",
@@ -65,7 +77,11 @@
     { name: ENGINE_SERVICE, max_conns: 100, engine: engineOf(MODEL) },
     { name: ADVICE_SERVICE, max_conns: 100, engine: engineOf(ADVICE_MODEL) },
   ];
-  const all = [...routes, batches, advice];
+  const spare = options.hasSpareRoute
+    ? [batchesAt("spare", REMOVED_PREFIX)]
+    : [];
+  const batches = batchesAt(names.batches, "/tuning/");
+  const all = [...routes, batches, advice, ...spare];
   return JSON.stringify({ version, routes: all, services });
 }
 
--- a/soak/soak_faults.ts
+++ b/soak/soak_faults.ts
@@ -46,6 +46,18 @@
       readonly byMs: Milliseconds;
       readonly forMs: Milliseconds;
     }
+    | {
+      /** A worker leaves; its last heartbeat before that arrives late. */
+      readonly kind: "departure";
+      readonly worker: number;
+      readonly lateMs: Milliseconds;
+      readonly forMs: Milliseconds;
+    }
+    | {
+      /** All control and store processes are killed at once, and start again. */
+      readonly kind: "core_kill";
+      readonly forMs: Milliseconds;
+    }
     | {
       /** An adviser ends and starts again with the other software version. */
       readonly kind: "software";
@@ -80,6 +92,9 @@
 ];
 const LONGEST_CLOCK_STEP_MS: Milliseconds = 3 * SECOND_MS;
 const LONGEST_DOWN_MS: Milliseconds = 800;
+/** How long a worker goes on after its departure; a heartbeat that is taken for news counts for 4.2 s. */
+const DEPARTURE_MS: Milliseconds = 8 * SECOND_MS;
+const LATEST_HEARTBEAT_MS: Milliseconds = 5 * SECOND_MS;
 /** Long enough that more repetitions than allowed follow the third crash. */
 const CRASHING_CALL_MS: Milliseconds = 12 * SECOND_MS;
 
@@ -91,6 +106,8 @@
   readonly crashingCalls: number;
   /** Number of workers that stream advice; no links, clocks and software versions fail if absent. */
   readonly advisers?: number;
+  /** Whether workers leave beside kills of the whole core; nothing else fails then. */
+  readonly hasDepartures?: boolean;
   /** Folder of the built programs that are run; those of this build if absent. */
   readonly programs?: string;
 }
@@ -108,6 +125,7 @@
   random: RandomSource,
   size: SoakSize,
 ): readonly SoakFault[] {
+  if (size.hasDepartures === true) return drawDepartures(random, size);
   const faults: SoakFault[] = [];
   const freeFromMs = new Map<string, Milliseconds>();
   let atMs: Milliseconds = SECOND_MS;
@@ -179,6 +197,32 @@
   return faults;
 }
 
+/**
+ * Returns departures one after the other. The core is killed soon after each, and the late heartbeat arrives when it has
+ * started again: some of them before it has read its log, most of them after that.
+ */
+function drawDepartures(
+  random: RandomSource,
+  size: SoakSize,
+): readonly SoakFault[] {
+  const faults: SoakFault[] = [];
+  let worker = random.below(size.workers);
+  for (
+    let atMs: Milliseconds = SECOND_MS;
+    atMs < size.durationMs;
+    atMs += DEPARTURE_MS + 2 * SECOND_MS
+  ) {
+    const lateMs = between(random, SECOND_MS, LATEST_HEARTBEAT_MS);
+    const forMs = DEPARTURE_MS;
+    faults.push({ atMs, kind: "departure", worker, lateMs, forMs });
+    const killMs = atMs + between(random, 300, 800);
+    const downMs = between(random, SHORTEST_OUTAGE_MS, SECOND_MS);
+    faults.push({ atMs: killMs, kind: "core_kill", forMs: downMs });
+    worker = (worker + 1) % size.workers;
+  }
+  return faults;
+}
+
 function between(
   random: RandomSource,
   least: Milliseconds,
--- a/soak/soak_oracle.ts
+++ b/soak/soak_oracle.ts
@@ -19,6 +19,8 @@
 const OK_STATUS = 200;
 /** Time after which an acknowledged configuration is in force everywhere. */
 const CONFIGURATION_APPLY_MS: Milliseconds = 2 * SECOND_MS;
+/** Time after the acknowledgement of a departure in which requests may still be under way. */
+const DRAIN_MS: Milliseconds = 2 * SECOND_MS;
 const LEAST_SERVED_SHARE = 0.9;
 const CRASHES_TO_BLOCK = 3;
 const MAXIMUM_FURTHER_RUNS = 3;
@@ -51,6 +53,11 @@
     readonly atMs: Milliseconds;
     readonly bodies: readonly string[];
   }[];
+  /** From when to when an incarnation had its departure acknowledged and went on; none if absent. */
+  readonly departures?: readonly {
+    readonly fromMs: Milliseconds;
+    readonly untilMs: Milliseconds;
+  }[];
 }
 
 /** Which configurations the operator got acknowledged, and which were read when. */
@@ -86,6 +93,7 @@
     ...checkResponses(record),
     ...checkExecutions(record),
     ...record.workers.flatMap((worker) => checkLimits(worker)),
+    ...record.workers.flatMap((worker) => checkDepartures(worker)),
     ...checkCrashes(record.workers),
     ...checkBlocked(record),
     ...checkConfigurations(record.configurations),
@@ -96,6 +104,24 @@
   ];
 }
 
+/** A worker gets nothing more `DRAIN_MS` after its departure was acknowledged. */
+function checkDepartures(
+  { name, executed, departures = [] }: SoakWorkerRecord,
+): readonly string[] {
+  const broken: string[] = [];
+  for (const { fromMs, untilMs } of departures) {
+    const late = executed.filter(({ atMs }) =>
+      atMs > fromMs + DRAIN_MS && atMs < untilMs
+    );
+    if (late.length === 0) continue;
+    const lastMs = Math.round((late.at(-1)?.atMs ?? fromMs) - fromMs);
+    broken.push(
+      `${name} got ${late.length} requests after it had left, the last after ${lastMs} ms`,
+    );
+  }
+  return broken;
+}
+
 function checkResponses({ calls }: SoakRecord): readonly string[] {
   const broken: string[] = [];
   for (const { id, status, text, stamp, body } of calls) {
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -48,6 +48,8 @@
 const CALLS_AFTER_FAULTS = 20;
 
 const FIRST_VERSION = 3;
+/** Version from which on there is no spare route for batches; the batch that used it has been completed by then. */
+const FIRST_VERSION_WITHOUT_SPARE = FIRST_VERSION + 4;
 
 /** Runs one seed and returns what callers and workers saw. */
 export async function runSoak(
@@ -90,7 +92,7 @@
     this.#operator = new SoakOperator({
       controls: ZONES.map((zone) => this.#cluster.controlAddress(zone)),
       firstVersion: FIRST_VERSION,
-      configuration: configurationText,
+      configuration: textOfVersion,
     });
     this.#workers = Array.from(
       { length: size.workers },
@@ -158,7 +160,7 @@
           method: "POST",
           path: "/config/replace",
           headers: {},
-          body: configurationText(FIRST_VERSION),
+          body: textOfVersion(FIRST_VERSION),
         });
         return reply.status === 200;
       },
@@ -263,6 +265,12 @@
     ) {
       return this.#advisers.cause(fault);
     }
+    if (fault.kind === "departure") {
+      const controls = ZONES.map((zone) => this.#cluster.controlAddress(zone));
+      await this.#workers[fault.worker]?.depart(controls, fault);
+      return;
+    }
+    if (fault.kind === "core_kill") return this.#killCore(fault.forMs);
     const vm = this.#cluster.vm(fault.role, fault.zone);
     if (fault.kind === "pause") {
       vm.pause();
@@ -276,6 +284,16 @@
     vm.restart();
   }
 
+  async #killCore(forMs: Milliseconds): Promise<void> {
+    const core = ZONES.flatMap((zone) => [
+      this.#cluster.vm("control", zone),
+      this.#cluster.vm("store", zone),
+    ]);
+    await Promise.all(core.map((vm) => vm.kill()));
+    await delay(forMs);
+    for (const vm of core) vm.restart();
+  }
+
   async #repeatCrashing(
     fault: SoakFault & { readonly kind: "crashing_call" },
   ): Promise<void> {
@@ -320,5 +338,10 @@
   }
 }
 
+function textOfVersion(version: number): string {
+  const hasSpareRoute = version < FIRST_VERSION_WITHOUT_SPARE;
+  return configurationText(version, { hasSpareRoute });
+}
+
 /** What a call has in common with its repetitions. */
 type CallContent = Pick<SoakCall, "body" | "kind">;
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -8,6 +8,7 @@
 const SIZE = { durationMs: 10 * SECOND_MS, workers: 3, crashingCalls: 0 };
 const CRASHING_SEED = 34;
 const ADVICE_SEED = 40;
+const DEPARTURE_SEED = 46;
 /** Seeds that failed once, with the cause. */
 const FAILED_SEEDS = [
   { seed: 3, cause: "limits of workers that no VM read" },
@@ -31,6 +32,13 @@
   assert.deepEqual(brokenPromises(record), []);
 });
 
+// Guards against a worker that has left and is used again, as its late heartbeat arrives at a core that was killed.
+test(`workers that have left get no more requests though the core is killed, seed ${DEPARTURE_SEED}`, async () => {
+  const size = { ...SIZE, hasDepartures: true, durationMs: 9 * SECOND_MS };
+  const record = await runSoak(DEPARTURE_SEED, size);
+  assert.deepEqual(brokenPromises(record), []);
+});
+
 test("a seed draws the same faults each time, and never two processes of one role at once", () => {
   const size = {
     durationMs: 60 * SECOND_MS,
--- a/soak/soak_trainer.ts
+++ b/soak/soak_trainer.ts
@@ -8,10 +8,12 @@
 import { delay } from "../proof/managed_process.ts";
 import { exchange } from "./soak_exchange.ts";
 import type { SoakBatch, SoakPage } from "./soak_batches.ts";
+import { REMOVED_PREFIX } from "./soak_configuration.ts";
 
 const BATCH_INTERVAL_MS: Milliseconds = 1_500;
 const READ_INTERVAL_MS: Milliseconds = 200;
 const ITEMS = 4;
+const BATCHES_PREFIX = "/tuning/";
 const ACCEPTED_STATUS = 202;
 const OK_STATUS = 200;
 const NOT_FOUND_STATUS = 404;
@@ -66,13 +68,18 @@
       const id = `batch-${this.#batches.length}`;
       const batch: SoakBatch = { id, items: itemsOf(id), pages: [], lost: 0 };
       this.#batches.push(batch);
-      await this.#submit(batch);
-      this.#reading.push(this.#read(batch));
+      // The route of the first one is removed later, and its results must not be.
+      const isFirst = this.#batches.length === 1;
+      await this.#submit(batch, isFirst ? REMOVED_PREFIX : BATCHES_PREFIX);
+      this.#reading.push(this.#read(batch, { readsOn: isFirst }));
       await delay(BATCH_INTERVAL_MS);
     }
   }
 
-  async #submit({ id, items }: SoakBatch): Promise<void> {
+  async #submit(
+    { id, items }: SoakBatch,
+    prefix: string,
+  ): Promise<void> {
     const { host, model, minimumVersion } = this.#options;
     const headers = { Host: host, "Request-Id": id };
     const body = JSON.stringify({
@@ -82,7 +89,7 @@
       desired: 1,
       items: items.map(({ id, events }, at) => ({
         id,
-        path: "/tuning/x",
+        path: `${prefix}x`,
         headers: { Model: model, "Token-Counts": `10,${events}` },
         body: "eA==",
         tokens: 10 + events,
@@ -92,7 +99,7 @@
     while (true) {
       const { status } = await exchange(this.#nextEntry(), {
         method: "POST",
-        path: "/tuning/submit",
+        path: `${prefix}submit`,
         headers,
         body,
       });
@@ -101,8 +108,11 @@
     }
   }
 
-  /** Reads the batch from the start until all results are listed. */
-  async #read(batch: SoakBatch): Promise<void> {
+  /** Reads the batch from the start until all results are listed, or as long as batches are submitted. */
+  async #read(
+    batch: SoakBatch,
+    { readsOn }: { readonly readsOn: boolean },
+  ): Promise<void> {
     const headers = { Host: this.#options.host };
     while (!this.#isOver) {
       const { status, text } = await exchange(this.#nextEntry(), {
@@ -115,7 +125,8 @@
       if (status === OK_STATUS) {
         const page = JSON.parse(text) as SoakPage;
         batch.pages.push(page);
-        if (page.results.length === batch.items.length) return;
+        const isWhole = page.results.length === batch.items.length;
+        if (isWhole && (!readsOn || this.#isStopped)) return;
       }
       await delay(READ_INTERVAL_MS);
     }
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -14,6 +14,7 @@
 
 const CRASH_MS: Milliseconds = 80;
 const RESTART_MS: Milliseconds = 1_500;
+const DEPARTURE_RETRY_MS: Milliseconds = 100;
 
 /** Where a worker runs, and for which service. */
 export interface SoakWorkerOptions {
@@ -43,6 +44,7 @@
   #incarnations = 0;
   /** Calls that crash this incarnation. */
   #crashing: string[] = [];
+  readonly #departures: { fromMs: Milliseconds; untilMs: Milliseconds }[] = [];
   #isStopped = false;
   #softwareVersion: string | undefined;
 
@@ -80,9 +82,39 @@
       limits: this.#limits,
       executed: this.#executed,
       crashes: this.#crashes,
+      departures: this.#departures,
     };
   }
 
+  /**
+   * Reports that it drains until that is acknowledged, goes on for a time in which its last heartbeat before that arrives
+   * once more, and starts again as another incarnation.
+   */
+  async depart(
+    controls: readonly Address[],
+    options: { readonly lateMs: Milliseconds; readonly forMs: Milliseconds },
+  ): Promise<void> {
+    const fake = this.#fake;
+    if (fake === undefined) return;
+    fake.drain();
+    let turn = 0;
+    while (!this.#isStopped) {
+      const control = controls[turn % controls.length];
+      turn += 1;
+      if (control !== undefined && await fake.sendHeartbeat(control)) break;
+      await delay(DEPARTURE_RETRY_MS);
+    }
+    const fromMs = performance.now();
+    // It is silent from now on, but for the heartbeat that was under way.
+    this.#fake = undefined;
+    await delay(options.lateMs);
+    for (const control of controls) await fake.repeatReadyHeartbeat(control);
+    await delay(Math.max(0, options.forMs - options.lateMs));
+    this.#departures.push({ fromMs, untilMs: performance.now() });
+    fake.close();
+    if (!this.#isStopped) await this.start();
+  }
+
   /** Starts the next incarnation, under a new identifier. */
   async start(): Promise<void> {
     this.#incarnations += 1;
