--- a/requests/stream_opening.ts
+++ b/requests/stream_opening.ts
@@ -13,14 +13,14 @@
 } from "./stream_call.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 import type { SingleConnection } from "./single_connection.ts";
+import { reasonNotToSend, rejectionOf } from "./stream_checks.ts";
 import { isolateAttempt } from "./suspect_calls.ts";
 import type { UpstreamChoice, UpstreamDemand } from "./upstream_choice.ts";
-import type { ResponseMetadata, UpstreamDialect } from "./upstream_dialect.ts";
+import type { UpstreamDialect } from "./upstream_dialect.ts";
 import type { StreamingResponse, UpstreamHttp } from "./upstream_http.ts";
 import { type IdentityCheck, UpstreamIdentity } from "./upstream_identity.ts";
 import { reportNotices, type UpstreamNotices } from "./upstream_notices.ts";
 
-const OK_STATUS = 200;
 /** Identified connections of one upstream that may turn out to be closed before it counts as unidentified. */
 const MAXIMUM_CLOSED_CONNECTIONS = 3;
 const NOT_IDENTIFIED: IdentityCheck = {
@@ -362,44 +362,3 @@
 function mayAttempt(stream: StreamCall, progress: StreamProgress): boolean {
   return progress.possibleRuns < attemptLimit(stream);
 }
-
-/** Returns why a stream is not sent to an upstream, or undefined if it is. */
-function reasonNotToSend(
-  identity: IdentityCheck,
-  { softwareVersion }: StreamProgress,
-): string | undefined {
-  if (identity.kind === "failed") return identity.reason;
-  if (identity.kind === "identified" || softwareVersion === undefined) {
-    return undefined;
-  }
-  return identity.isDoubtful
-    ? "it may have started again with other software"
-    : undefined;
-}
-
-/** Returns why a response is not passed on to the caller, or undefined if it is. */
-function rejectionOf(
-  response: {
-    readonly status: number;
-    readonly metadata: ResponseMetadata;
-  },
-  expected: {
-    readonly requestId: string;
-    /** Whether the response has to be the rest of a stream. */
-    readonly isRest: boolean;
-  },
-): string | undefined {
-  const { status, metadata } = response;
-  if (metadata.notRun) return `rejected with status ${status}`;
-  if (metadata.requestId !== expected.requestId) {
-    return "response belongs to another request";
-  }
-  if (status !== OK_STATUS) {
-    return expected.isRest
-      ? `status ${status} instead of the rest of the stream`
-      : undefined;
-  }
-  return metadata.stamp === null
-    ? "response without its stamp header"
-    : undefined;
-}
