--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -15,6 +15,8 @@
 const CRASH_MS: Milliseconds = 80;
 const RESTART_MS: Milliseconds = 1_500;
 const DEPARTURE_RETRY_MS: Milliseconds = 100;
+/** A worker without an acknowledgement ends anyway some seconds later. */
+const DEPARTURE_LIMIT_MS: Milliseconds = 5_000;
 
 /** Where a worker runs, and for which service. */
 export interface SoakWorkerOptions {
@@ -97,14 +99,18 @@
     const fake = this.#fake;
     if (fake === undefined) return;
     fake.drain();
+    const untilMs = performance.now() + DEPARTURE_LIMIT_MS;
     let turn = 0;
-    while (!this.#isStopped) {
+    let isAcknowledged = false;
+    while (!isAcknowledged && performance.now() < untilMs) {
       const control = controls[turn % controls.length];
       turn += 1;
-      if (control !== undefined && await fake.sendHeartbeat(control)) break;
-      await delay(DEPARTURE_RETRY_MS);
+      if (control !== undefined) {
+        isAcknowledged = await fake.sendHeartbeat(control);
+      }
+      if (!isAcknowledged) await delay(DEPARTURE_RETRY_MS);
     }
-    const fromMs = performance.now();
+    const fromMs = isAcknowledged ? performance.now() : Infinity;
     // It is silent from now on, but for the heartbeat that was under way.
     this.#fake = undefined;
     await delay(options.lateMs);
