--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -49,8 +49,8 @@
 
   /** Sends a beat, to the next machines if it is not acknowledged; returns whether it was. */
   async beat() {
-    const { service, zone, address, slots, model, software, controls } =
-      this.options;
+    const { service, zone, slots, model, software, controls } = this.options;
+    const address = this.options.announced ?? this.options.address;
     this.beatCount += 1;
     const body = JSON.stringify({
       service,
