review: case 9, items are given up after answers of 503

One of seven model workers fails part of its requests with 503. Items are listed as terminated although no worker answered 500 or 422 (MIXED): `checkHead` in batches/item_run.ts counts each status from 500 on as a failed attempt, and the item is sent to the same worker again at once.

--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -213,6 +213,25 @@
     }, LOAD_MS);
   }
 
+  /** Answers a run with a failure, after some work on it. */
+  #fail(run, { status, afterMs }, response) {
+    run.end = `answered ${status}`;
+    const timer = setTimeout(() => {
+      run.toMs = performance.now();
+      response.writeHead(status, {
+        "Content-Length": 0,
+        "Request-Id": run.id,
+        "Response-Stamp": `stamp.${this.id}.${run.id}`,
+      }).end();
+    }, afterMs);
+    response.on("close", () => {
+      clearTimeout(timer);
+      if (run.toMs !== Infinity) return;
+      run.toMs = performance.now();
+      run.end = "broken off";
+    });
+  }
+
   #stream(id, request, response, body) {
     const { headers } = request;
     const running = this.runs.filter((each) => each.toMs === Infinity).length;
@@ -221,6 +240,8 @@
       return;
     }
     const run = this.#begin(id, request, body);
+    const failure = this.options.failureOf?.(id) ?? null;
+    if (failure !== null) return this.#fail(run, failure, response);
     response.writeHead(200, {
       "Content-Type": "text/event-stream",
       "Request-Id": id,
@@ -242,7 +263,9 @@
         ? ""
         : `weight-versions: ${this.version}\n`;
       version = this.version;
-      const text = `${change}id: ${next}\ndata: ${dataOf(id, next)}\n\n`;
+      const text = `${change}id: ${next}\ndata: ${
+        (this.options.dataOf ?? dataOf)(id, next)
+      }\n\n`;
       if (this.options.writeEvent === undefined) response.write(text);
       else this.options.writeEvent(response, text);
       run.events += 1;
