--- /dev/null
+++ b/review/entry-36/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -43,6 +43,10 @@
       this.server.listen({ host, port }, () => resolve())
     );
     this.isUp = true;
+    if (this.options.firstBeatMs > 0) {
+      this.timer = setTimeout(() => this.beat(), this.options.firstBeatMs);
+      return;
+    }
     await this.beat();
     this.timer = setInterval(() => this.beat(), BEAT_MS);
   }
