Split the plan of items by its decisions

They are four modules now: plan_types, engine_choice, item_plan (starts) and move_plan. Nothing is decided differently; the tests of batches pass unchanged but for their imports.

--- /dev/null
+++ b/batches/engine_choice.ts
@@ -0,0 +1,110 @@
+/**
+ * Which engines can run an item, and which of them is best. Performs no I/O.
+ *
+ * @module
+ */
+import type { Milliseconds } from "#core";
+import { EngineLoad } from "./engine_load.ts";
+import type { EngineSnapshot, PlacedRun, PlannedItem } from "./plan_types.ts";
+
+const USABLE_CACHE_FRACTION = 0.9;
+
+/** Returns the load of each engine, by its identifier. */
+export function loadByEngine(
+  runs: readonly PlacedRun[],
+): Map<string, EngineLoad> {
+  const loads = new Map<string, EngineLoad>();
+  for (const run of runs) addLoad(loads, run.engine, run.item);
+  return loads;
+}
+
+/** Adds a run to the load of an engine. */
+export function addLoad(
+  loads: Map<string, EngineLoad>,
+  engine: string,
+  item: PlannedItem,
+): void {
+  const load = loads.get(engine) ?? new EngineLoad();
+  load.add(item);
+  loads.set(engine, load);
+}
+
+/** Returns the engine with room for an item on which it starts best, or undefined if none can run it now. */
+export function bestEngine(
+  item: PlannedItem,
+  state: {
+    readonly engines: Iterable<EngineSnapshot>;
+    readonly nowMs: Milliseconds;
+    readonly loads: ReadonlyMap<string, EngineLoad>;
+  },
+): EngineSnapshot | undefined {
+  const { loads } = state;
+  let best: EngineSnapshot | undefined;
+  let bestScore = Infinity;
+  for (const engine of state.engines) {
+    if (!canRun(item, engine, state.nowMs)) continue;
+    if (!hasCapacity(item, engine, loads)) continue;
+    const score = placementScore(item, engine, loads);
+    if (score >= bestScore) continue;
+    best = engine;
+    bestScore = score;
+  }
+  return best;
+}
+
+/** Returns whether an engine may run an item now, whatever its load. */
+export function canRun(
+  item: PlannedItem,
+  engine: EngineSnapshot,
+  nowMs: Milliseconds,
+): boolean {
+  const { upstream } = engine;
+  if (upstream.service !== item.service || upstream.phase !== "ready") {
+    return false;
+  }
+  if (nowMs < engine.pausedUntilMs) return false;
+  const version = engine.versions.get(item.model) ?? 0;
+  if (item.boundVersion !== null && version !== item.boundVersion) return false;
+  return version >= item.minimumVersion;
+}
+
+/** Returns whether an engine has a free slot. */
+export function hasFreeSlot(
+  engine: EngineSnapshot,
+  loads: ReadonlyMap<string, EngineLoad>,
+): boolean {
+  return runsOn(engine, loads) < engine.upstream.slots;
+}
+
+function runsOn(
+  engine: EngineSnapshot,
+  loads: ReadonlyMap<string, EngineLoad>,
+): number {
+  return engine.foreignRuns + (loads.get(engine.upstream.id)?.running ?? 0);
+}
+
+/** Returns whether an engine has a free slot, and room in its cache for an item. */
+export function hasCapacity(
+  item: PlannedItem,
+  engine: EngineSnapshot,
+  loads: ReadonlyMap<string, EngineLoad>,
+): boolean {
+  if (!hasFreeSlot(engine, loads)) return false;
+  const load = loads.get(engine.upstream.id);
+  if (load === undefined) return true;
+  return load.peakTokensWith(item) <=
+    engine.cacheTokens * USABLE_CACHE_FRACTION;
+}
+
+/** Returns a score, lower is better: speed counts first, then a cached prompt, then the lower load. */
+function placementScore(
+  item: PlannedItem,
+  engine: EngineSnapshot,
+  loads: ReadonlyMap<string, EngineLoad>,
+): number {
+  const load = loads.get(engine.upstream.id);
+  const fullness = runsOn(engine, loads) / Math.max(1, engine.upstream.slots);
+  const promptCached = load?.hasGroup(item.group) === true;
+  const loadPenalty = promptCached ? fullness * 0.5 : 0.3 + fullness;
+  return engine.eventIntervalMs * (1 + loadPenalty);
+}
--- a/batches/foreign_runs_test.ts
+++ b/batches/foreign_runs_test.ts
@@ -3,11 +3,8 @@
 import { type FleetUpstream, MemoryEventLog, VirtualClock } from "#core";
 import type { EngineReport } from "#weights";
 import { ForeignRuns } from "./foreign_runs.ts";
-import {
-  type EngineSnapshot,
-  type PlannedItem,
-  planStarts,
-} from "./item_plan.ts";
+import { planStarts } from "./item_plan.ts";
+import type { EngineSnapshot, PlannedItem } from "./plan_types.ts";
 
 const SLOTS = 8;
 
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -2,13 +2,9 @@
 import { test } from "node:test";
 import type { FleetUpstream } from "#core";
 import { EngineObservations } from "./engine_observations.ts";
-import {
-  type EngineSnapshot,
-  type PlacedRun,
-  planMoves,
-  type PlannedItem,
-  planStarts,
-} from "./item_plan.ts";
+import { planStarts } from "./item_plan.ts";
+import { planMoves } from "./move_plan.ts";
+import type { EngineSnapshot, PlacedRun, PlannedItem } from "./plan_types.ts";
 
 const NOW_MS = 10_000;
 
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -19,7 +19,7 @@
 import { EngineObservations } from "./engine_observations.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import { runItem, type RunOutcome } from "./item_run.ts";
-import type { MoveReason } from "./item_plan.ts";
+import type { MoveReason } from "./move_plan.ts";
 import { abortRun, type ActiveRun, type ItemTask } from "./item_task.ts";
 
 /** Options of `ItemRuns`. */
--- a/batches/leader_change_test.ts
+++ b/batches/leader_change_test.ts
@@ -11,7 +11,8 @@
 import { numberedItems, testBatch } from "./batch_test_support.ts";
 import { type BatchesCommand, BatchesMachine } from "./batches_machine.ts";
 import { EngineObservations } from "./engine_observations.ts";
-import { type EngineSnapshot, planStarts } from "./item_plan.ts";
+import { planStarts } from "./item_plan.ts";
+import type { EngineSnapshot } from "./plan_types.ts";
 import { ItemTask } from "./item_task.ts";
 import { ProgressWriter } from "./progress_writer.ts";
 
--- a/batches/overload_world.ts
+++ b/batches/overload_world.ts
@@ -6,12 +6,8 @@
  */
 import { type Milliseconds, type RandomSource, SeededRandom } from "#core";
 import { drawNormal, drawTokens } from "./item_lengths.ts";
-import {
-  type EngineSnapshot,
-  type PlacedRun,
-  type PlannedItem,
-  planStarts,
-} from "./item_plan.ts";
+import { planStarts } from "./item_plan.ts";
+import type { EngineSnapshot, PlacedRun, PlannedItem } from "./plan_types.ts";
 
 const ENGINES = 12;
 const SLOTS = 8;
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -13,15 +13,14 @@
 } from "#core";
 import { isLimited, type Permits } from "#quotas";
 import { type CachedRouteRules, heaviestService } from "#requests";
-import {
-  type EngineSnapshot,
-  type ItemPlanInput,
-  type PlacedRun,
-  planMoves,
-  type PlannedItem,
-  type PlannedStart,
-  planStarts,
-} from "./item_plan.ts";
+import { type PlannedStart, planStarts } from "./item_plan.ts";
+import { planMoves } from "./move_plan.ts";
+import type {
+  EngineSnapshot,
+  ItemPlanInput,
+  PlacedRun,
+  PlannedItem,
+} from "./plan_types.ts";
 import type { ForeignRuns } from "./foreign_runs.ts";
 import type { ItemRoutes } from "./item_routes.ts";
 import type { ItemRuns } from "./item_runs.ts";
--- a/batches/service_load.ts
+++ b/batches/service_load.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Milliseconds, ServiceLoad } from "#core";
-import type { ItemPlanInput, PlannedItem } from "./item_plan.ts";
+import type { ItemPlanInput, PlannedItem } from "./plan_types.ts";
 import { CAPACITY_TOKEN_MS, FASTEST_TOKEN_MS } from "./start_order.ts";
 
 /**
--- a/batches/service_load_test.ts
+++ b/batches/service_load_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { ItemPlanInput, PlacedRun, PlannedItem } from "./item_plan.ts";
+import type { ItemPlanInput, PlacedRun, PlannedItem } from "./plan_types.ts";
 import { serviceLoad } from "./service_load.ts";
 
 function item(change: Partial<PlannedItem> = {}): PlannedItem {
--- a/batches/start_order.ts
+++ b/batches/start_order.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { Milliseconds } from "#core";
-import type { ItemPlanInput, PlannedItem } from "./item_plan.ts";
+import type { ItemPlanInput, PlannedItem } from "./plan_types.ts";
 import { inTenantTurns } from "./tenant_turns.ts";
 
 const RESUBMITTED_HEAD_START_MS: Milliseconds = 3_000;
--- a/batches/tenant_turns.ts
+++ b/batches/tenant_turns.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { PlacedRun, PlannedItem } from "./item_plan.ts";
+import type { PlacedRun, PlannedItem } from "./plan_types.ts";
 
 /** The waiting items of one tenant. */
 interface TenantQueue {
--- a/batches/tenant_turns_test.ts
+++ b/batches/tenant_turns_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { PlacedRun, PlannedItem } from "./item_plan.ts";
+import type { PlacedRun, PlannedItem } from "./plan_types.ts";
 import { inTenantTurns } from "./tenant_turns.ts";
 
 const SLOTS = 12;
--- a/batches/uneven_world.ts
+++ b/batches/uneven_world.ts
@@ -12,13 +12,13 @@
 } from "#core";
 import { EngineObservations } from "./engine_observations.ts";
 import { drawNormal, drawTokens } from "./item_lengths.ts";
-import {
-  type EngineSnapshot,
-  type ItemPlanInput,
-  planMoves,
-  type PlannedItem,
-  planStarts,
-} from "./item_plan.ts";
+import { planStarts } from "./item_plan.ts";
+import { planMoves } from "./move_plan.ts";
+import type {
+  EngineSnapshot,
+  ItemPlanInput,
+  PlannedItem,
+} from "./plan_types.ts";
 
 const ENGINES = 34;
 const SLOTS = 8;
