Begin texts anew that no engine can continue

Cause: a text was discarded only after an answer with another version, and an item that waits was never sent to an engine that would give one. Besides, a run left a draining engine also if it could go nowhere else.

Evidence: each of the items was bound to version 1, all engines had version 2.

Why it works: one decision looks at each waiting item, whatever ended its run, and ends the wait by what is known of the engines with its version: none, or none that runs it within the time that the text took. It discards a text only if an engine can begin it at once.

--- a/batches/batch_group_test.ts
+++ b/batches/batch_group_test.ts
@@ -172,7 +172,7 @@
     for (const { batch, items } of this.machine.openBatches()) {
       for (const state of items.values()) {
         if (state.listed) continue;
-        const task = new ItemTask(batch, { logged: state, dueMs: 0 });
+        const task = new ItemTask(batch, { logged: state, dueMs: 0, nowMs: 0 });
         this.#tasks.set(task.key, task);
       }
     }
@@ -185,7 +185,11 @@
       if (state === undefined || task.isBasedOn(state)) continue;
       this.#tasks.delete(task.key);
       if (state.listed) continue;
-      const replacement = new ItemTask(task.batch, { logged: state, dueMs: 0 });
+      const replacement = new ItemTask(task.batch, {
+        logged: state,
+        dueMs: 0,
+        nowMs: 0,
+      });
       this.#tasks.set(replacement.key, replacement);
     }
   }
--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -55,6 +55,8 @@
   /** Permits for engines that name a limit of requests. */
   readonly permits: Permits;
   readonly configuration: () => RoutingConfiguration | null;
+  /** How long an engine goes on serving, at least, once it is known to be draining. */
+  readonly drainMs: Milliseconds;
   readonly scoringPort: ScoringPort;
   /** Fetches the state of an engine; returns undefined if the call fails. */
   readonly fetchReport: (
@@ -269,7 +271,11 @@
       const { dueMs } = task;
       this.#tasks.set(
         task.key,
-        new ItemTask(task.batch, { logged: state, dueMs }),
+        new ItemTask(task.batch, {
+          logged: state,
+          dueMs,
+          nowMs: this.#options.clock.nowMs(),
+        }),
       );
     }
   }
@@ -283,7 +289,7 @@
     const dueMs = nowMs + batch.dueMs - ageMs;
     for (const item of state.items.values()) {
       if (item.listed) continue;
-      const task = new ItemTask(batch, { logged: item, dueMs });
+      const task = new ItemTask(batch, { logged: item, dueMs, nowMs });
       this.#tasks.set(task.key, task);
     }
     this.#options.events.emit(BATCHES_EVENTS.batchTaken, {
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -165,6 +165,7 @@
     onRequestLimit: () => {},
     permits: new UnlimitedPermits(),
     configuration: () => configuration,
+    drainMs: 2_000,
     fetchReport: () => Promise.resolve(undefined),
     scoringPort: new NoScoring(),
     onLeads: () => {},
--- a/batches/batch_timings_test.ts
+++ b/batches/batch_timings_test.ts
@@ -9,7 +9,7 @@
 
 function taskOf(id: string, group: string): ItemTask {
   const logged = freshItemState(testItem(id, { group }));
-  return new ItemTask(BATCH, { logged, dueMs: 0 });
+  return new ItemTask(BATCH, { logged, dueMs: 0, nowMs: 0 });
 }
 
 test("a late step states for its slowest groups which item was last, and how long it ran", () => {
@@ -51,7 +51,7 @@
   const timings = new BatchTimings(0);
   for (const group of ["g0", "g1"]) {
     const logged = freshItemState(testItem(`${group}-x`, { group }));
-    const task = new ItemTask(BATCH, { logged, dueMs: 0 });
+    const task = new ItemTask(BATCH, { logged, dueMs: 0, nowMs: 0 });
     const { id } = task.prepareUpdate(`update-${group}`);
     task.confirmUpdate({
       ...withoutRequest(logged),
--- a/batches/engine_choice.ts
+++ b/batches/engine_choice.ts
@@ -9,10 +9,13 @@
 
 const USABLE_CACHE_FRACTION = 0.9;
 
+/** The loads of engines by their identifiers. */
+export type LoadsByEngine = Map<string, EngineLoad>;
+
 /** Returns the load of each engine, by its identifier. */
 export function loadByEngine(
   runs: readonly PlacedRun[],
-): Map<string, EngineLoad> {
+): LoadsByEngine {
   const loads = new Map<string, EngineLoad>();
   for (const run of runs) addLoad(loads, run.engine, run.item);
   return loads;
@@ -20,7 +23,7 @@
 
 /** Adds a run to the load of an engine. */
 export function addLoad(
-  loads: Map<string, EngineLoad>,
+  loads: LoadsByEngine,
   engine: string,
   item: PlannedItem,
 ): void {
@@ -58,11 +61,13 @@
   engine: EngineSnapshot,
   nowMs: Milliseconds,
 ): boolean {
-  const { upstream } = engine;
-  if (upstream.service !== item.service || upstream.phase !== "ready") {
-    return false;
-  }
-  if (nowMs < engine.pausedUntilMs) return false;
+  if (engine.upstream.phase !== "ready") return false;
+  return nowMs >= engine.pausedUntilMs && hasVersion(item, engine);
+}
+
+/** Returns whether an engine of the item's service has a version that may continue its text. */
+export function hasVersion(item: PlannedItem, engine: EngineSnapshot): boolean {
+  if (engine.upstream.service !== item.service) return false;
   const version = engine.versions.get(item.model) ?? 0;
   if (item.boundVersion !== null && version !== item.boundVersion) return false;
   return version >= item.minimumVersion;
--- a/batches/engine_observations.ts
+++ b/batches/engine_observations.ts
@@ -32,6 +32,8 @@
   pausedUntilMs: Milliseconds;
   failurePauseMs: Milliseconds;
   readonly versions: Map<string, number>;
+  /** Since when the engine is known to be draining, or undefined. */
+  drainingSinceMs: Milliseconds | undefined;
 }
 
 /** Stores observations of engines by their incarnation. */
@@ -142,6 +144,21 @@
     return versions;
   }
 
+  /** Returns for how long the engine has been known to be draining, or null if it is not. */
+  drainingForMs(
+    engine: string,
+    upstream: FleetUpstream,
+    nowMs: Milliseconds,
+  ): Milliseconds | null {
+    const observations = this.#observationsOf(engine);
+    if (upstream.phase === "ready") {
+      observations.drainingSinceMs = undefined;
+      return null;
+    }
+    observations.drainingSinceMs ??= nowMs;
+    return nowMs - observations.drainingSinceMs;
+  }
+
   /** Removes the observations of all engines but these. */
   retainOnly(engines: ReadonlySet<string>): void {
     for (const engine of this.#byEngine.keys()) {
@@ -171,6 +188,7 @@
       pausedUntilMs: 0,
       failurePauseMs: INITIAL_FAILURE_PAUSE_MS,
       versions: new Map(),
+      drainingSinceMs: undefined,
     };
     this.#byEngine.set(engine, fresh);
     return fresh;
--- a/batches/events.ts
+++ b/batches/events.ts
@@ -77,4 +77,12 @@
     action:
       "None. Many runs follow a leader that froze or lost its power; new runs wait for free slots meanwhile.",
   },
+  textRestarted: {
+    code: 2012,
+    level: "info",
+    text:
+      "the text of an item was discarded and is begun anew, since no engine with its version continues it",
+    action:
+      "None during a rollout of weights or a replacement of engines; otherwise check why engines with that version were lost.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/batches/foreign_runs_test.ts
+++ b/batches/foreign_runs_test.ts
@@ -5,6 +5,7 @@
 import { ForeignRuns } from "./foreign_runs.ts";
 import { planStarts } from "./item_plan.ts";
 import type { EngineSnapshot, PlannedItem } from "./plan_types.ts";
+import { FRESH_ITEM, SOUND_ENGINE } from "./plan_test_support.ts";
 
 const SLOTS = 8;
 
@@ -66,10 +67,9 @@
       upstream,
       versions: new Map([["m", 1]]),
       eventIntervalMs: 50,
-      pausedUntilMs: 0,
       cacheTokens: Infinity,
+      ...SOUND_ENGINE,
       foreignRuns: this.runsOn(upstream.id),
-      startsLeft: Infinity,
     }));
   }
 
@@ -90,11 +90,10 @@
     service: "models",
     priority: 1,
     minimumVersion: 1,
-    boundVersion: null,
+    ...FRESH_ITEM,
     dueMs: 7_000,
     tokensLeft: 1_000,
     usedTokens: 500,
-    resubmitted: false,
   }));
 }
 
--- a/batches/item_plan_test.ts
+++ b/batches/item_plan_test.ts
@@ -5,6 +5,7 @@
 import { planStarts } from "./item_plan.ts";
 import { planMoves } from "./move_plan.ts";
 import type { EngineSnapshot, PlacedRun, PlannedItem } from "./plan_types.ts";
+import { FRESH_ITEM, SOUND_ENGINE } from "./plan_test_support.ts";
 
 const NOW_MS = 10_000;
 
@@ -16,11 +17,10 @@
     service: "models",
     priority: 1,
     minimumVersion: 1,
-    boundVersion: null,
+    ...FRESH_ITEM,
     dueMs: NOW_MS + 7_000,
     tokensLeft: 1_000,
     usedTokens: 500,
-    resubmitted: false,
     ...change,
   };
 }
@@ -45,10 +45,8 @@
     },
     versions: new Map([["m", 1]]),
     eventIntervalMs: 40,
-    pausedUntilMs: 0,
     cacheTokens: 100_000,
-    foreignRuns: 0,
-    startsLeft: Infinity,
+    ...SOUND_ENGINE,
     ...change,
   };
 }
--- a/batches/item_priority_test.ts
+++ b/batches/item_priority_test.ts
@@ -95,6 +95,7 @@
     onRequestLimit: () => {},
     permits,
     configuration: () => configuration,
+    drainMs: 2_000,
     fetchReport: () => Promise.resolve(undefined),
     scoringPort: {} as ScoringPort,
     onLeads: () => {},
--- a/batches/item_routes_test.ts
+++ b/batches/item_routes_test.ts
@@ -111,6 +111,7 @@
       onRequestLimit: () => {},
       permits: new UnlimitedPermits(),
       configuration: () => this.configuration,
+      drainMs: 2_000,
       fetchReport: () => Promise.resolve(undefined),
       scoringPort: {} as ScoringPort,
       onLeads: () => {},
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -20,6 +20,7 @@
 import { BATCHES_EVENTS } from "./events.ts";
 import { runItem, type RunOutcome } from "./item_run.ts";
 import type { MoveReason } from "./move_plan.ts";
+import type { PlannedRestart } from "./text_restarts.ts";
 import { abortRun, type ActiveRun, type ItemTask } from "./item_task.ts";
 
 /** Options of `ItemRuns`. */
@@ -113,6 +114,21 @@
     abortRun(task);
   }
 
+  /** Discards the text of an item that waits, so that it is begun anew. */
+  restartText(task: ItemTask, restart: PlannedRestart): void {
+    this.#options.events.emit(BATCHES_EVENTS.textRestarted, {
+      request: task.item.id,
+      batch: task.batch.id,
+      reason: restart.reason,
+      idleMs: Math.round(restart.idleMs),
+      version: task.boundVersion,
+      events: task.eventCount,
+      engine: task.runUsage.latestEngine,
+    });
+    task.restart();
+    this.#options.onProgress();
+  }
+
   /** Aborts an item's run and lists the item as given up. */
   abandonItem(task: ItemTask, reason: string): void {
     abortRun(task);
@@ -125,8 +141,10 @@
     this.#options.onItemDone();
   }
 
-  #recordEvent({ runUsage }: ItemTask, run: ActiveRun): void {
+  #recordEvent(task: ItemTask, run: ActiveRun): void {
+    const { runUsage } = task;
     const nowMs = this.#options.clock.nowMs();
+    task.progressMs = nowMs;
     const intervalMs: Milliseconds = nowMs - run.lastEventMs;
     if (run.hasEvents) {
       this.observations.recordInterval(run.incarnation, intervalMs, nowMs);
@@ -165,10 +183,11 @@
         () => this.observations.recordFailure(incarnation, nowMs),
       )
       .with({ kind: "stale" }, () => {})
-      .with({ kind: "wrong_version" }, () => {
-        this.observations.recordRejection(incarnation, nowMs);
-        if (task.batch.singleVersion) task.restart();
-      })
+      // The text is kept: another engine may have its version (see `planRestarts`).
+      .with(
+        { kind: "wrong_version" },
+        () => this.observations.recordRejection(incarnation, nowMs),
+      )
       .with(
         { kind: "impossible" },
         () =>
--- a/batches/item_scoring_test.ts
+++ b/batches/item_scoring_test.ts
@@ -101,6 +101,7 @@
     const task = new ItemTask(batch, {
       logged: freshItemState(item),
       dueMs: 7_000,
+      nowMs: 0,
     });
     this.tasks.set(task.key, task);
     return task;
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -63,6 +63,8 @@
   run: ActiveRun | undefined;
   scoring: ActiveScoring | undefined;
   moves = 0;
+  /** When its last event arrived on this VM, or since when this VM has the item. */
+  progressMs: Milliseconds;
   #logged: ItemState;
   #newEvents: GeneratedEvent[] = [];
   #restartPending = false;
@@ -77,9 +79,14 @@
 
   constructor(
     batch: BatchHeader,
-    options: { readonly logged: ItemState; readonly dueMs: Milliseconds },
+    options: {
+      readonly logged: ItemState;
+      readonly dueMs: Milliseconds;
+      readonly nowMs: Milliseconds;
+    },
   ) {
     this.batch = batch;
+    this.progressMs = options.nowMs;
     this.#logged = options.logged;
     this.group = options.logged.item.group;
     this.dueMs = options.dueMs;
--- a/batches/item_task_test.ts
+++ b/batches/item_task_test.ts
@@ -17,10 +17,18 @@
   const machine = new BatchesMachine();
   const command = { kind: "accept", batch: BATCH, keepMs: 1 } as const;
   machine.apply({ index: 1, atMs: 0, command });
-  const before = new ItemTask(BATCH, { logged: stateIn(machine), dueMs: 0 });
+  const before = new ItemTask(BATCH, {
+    logged: stateIn(machine),
+    dueMs: 0,
+    nowMs: 0,
+  });
   before.addEvent({ id: 0, data: "a", version: 1 });
   const late = before.prepareUpdate("late");
-  const after = new ItemTask(BATCH, { logged: stateIn(machine), dueMs: 0 });
+  const after = new ItemTask(BATCH, {
+    logged: stateIn(machine),
+    dueMs: 0,
+    nowMs: 0,
+  });
   after.addEvent({ id: 0, data: "a", version: 1 });
   const own = after.prepareUpdate("own");
   machine.apply({
@@ -41,7 +49,11 @@
   const machine = new BatchesMachine();
   const command = { kind: "accept", batch: BATCH, keepMs: 1 } as const;
   machine.apply({ index: 1, atMs: 0, command });
-  const task = new ItemTask(BATCH, { logged: stateIn(machine), dueMs: 0 });
+  const task = new ItemTask(BATCH, {
+    logged: stateIn(machine),
+    dueMs: 0,
+    nowMs: 0,
+  });
   task.addEvent({ id: 0, data: "a", version: 1 });
   const update = task.prepareUpdate("own");
   machine.apply({
@@ -58,7 +70,11 @@
   const machine = new BatchesMachine();
   const command = { kind: "accept", batch: BATCH, keepMs: 1 } as const;
   machine.apply({ index: 1, atMs: 0, command });
-  const task = new ItemTask(BATCH, { logged: stateIn(machine), dueMs: 0 });
+  const task = new ItemTask(BATCH, {
+    logged: stateIn(machine),
+    dueMs: 0,
+    nowMs: 0,
+  });
   task.addEvent({ id: 0, data: "old", version: 1 });
   const update = task.prepareUpdate("own");
   task.restart();
@@ -80,7 +96,11 @@
   const machine = new BatchesMachine();
   const command = { kind: "accept", batch: BATCH, keepMs: 1 } as const;
   machine.apply({ index: 1, atMs: 0, command });
-  const task = new ItemTask(BATCH, { logged: stateIn(machine), dueMs: 0 });
+  const task = new ItemTask(BATCH, {
+    logged: stateIn(machine),
+    dueMs: 0,
+    nowMs: 0,
+  });
   for (const id of ["first", "second"]) {
     task.addEvent({ id: 0, data: id, version: 1 });
     const updates = [task.prepareUpdate(id)];
--- a/batches/leader_change_test.ts
+++ b/batches/leader_change_test.ts
@@ -15,6 +15,7 @@
 import type { EngineSnapshot } from "./plan_types.ts";
 import { ItemTask } from "./item_task.ts";
 import { ProgressWriter } from "./progress_writer.ts";
+import { FRESH_ITEM, SOUND_ENGINE } from "./plan_test_support.ts";
 
 const ENGINES = ["slow", "typical", "fast"];
 const INTERVALS_MS = [65, 50, 35];
@@ -51,10 +52,8 @@
     upstream,
     versions: new Map([["m", 1]]),
     eventIntervalMs: observations.eventIntervalMs(id, nowMs),
-    pausedUntilMs: 0,
     cacheTokens: Infinity,
-    foreignRuns: 0,
-    startsLeft: Infinity,
+    ...SOUND_ENGINE,
   };
 }
 
@@ -66,7 +65,7 @@
   machine.apply({ index: 1, atMs: clock.wallMs(), command: accept });
   const logged = machine.find("b")?.items.get("b-0");
   assert.ok(logged !== undefined);
-  const task = new ItemTask(batch, { logged, dueMs: 7_000 });
+  const task = new ItemTask(batch, { logged, dueMs: 7_000, nowMs: 0 });
   task.addEvent({ id: 0, data: "a", version: 1 });
   const before = observeEngines(clock);
   const writer = new ProgressWriter({
@@ -99,11 +98,10 @@
       service: "models",
       priority: 1,
       minimumVersion: 1,
-      boundVersion: null,
+      ...FRESH_ITEM,
       dueMs: task.dueMs,
       tokensLeft: 10_000,
       usedTokens: 10,
-      resubmitted: false,
     }],
     runs: [],
     engines: ENGINES.map((each) => snapshotOf(each, after, clock.nowMs())),
--- a/batches/move_plan.ts
+++ b/batches/move_plan.ts
@@ -6,13 +6,22 @@
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
-import { addLoad, canRun, hasCapacity, loadByEngine } from "./engine_choice.ts";
+import {
+  addLoad,
+  bestEngine,
+  canRun,
+  hasCapacity,
+  hasVersion,
+  loadByEngine,
+  type LoadsByEngine,
+} from "./engine_choice.ts";
 import type { EngineLoad } from "./engine_load.ts";
-import type {
-  EngineSnapshot,
-  ItemPlanInput,
-  PlacedRun,
-  PlannedItem,
+import {
+  type EngineSnapshot,
+  ESTIMATED_TOKEN_MS,
+  type ItemPlanInput,
+  type PlacedRun,
+  type PlannedItem,
 } from "./plan_types.ts";
 import { latestStartMs } from "./start_order.ts";
 
@@ -32,7 +41,6 @@
 const MAXIMUM_MOVES = 6;
 /** Minimum time before a run moves again, since an engine seems slow while it reads the prompts of new runs. */
 const MINIMUM_STAY_MS: Milliseconds = 1_000;
-const ESTIMATED_TOKEN_MS: Milliseconds = 0.6;
 
 /** Why a run moves to another engine. */
 export type MoveReason = "engine_leaves" | "silent" | "faster_elsewhere";
@@ -58,7 +66,7 @@
   );
   for (const run of leastSlackFirst) {
     const engine = enginesById.get(run.engine);
-    if (engine === undefined || shouldLeave(run, engine)) {
+    if (engine === undefined || shouldLeave(run, engine, { input, loads })) {
       moves.push({ key: run.item.key, reason: "engine_leaves", to: null });
       continue;
     }
@@ -78,9 +86,46 @@
   return moves;
 }
 
-/** Whether a run leaves an engine that will not serve for long; a run that could go nowhere else stays. */
-function shouldLeave(run: PlacedRun, engine: EngineSnapshot): boolean {
-  return engine.upstream.phase !== "ready" && run.item.service !== null;
+/**
+ * Whether a run leaves an engine that will not serve for long. One that could go nowhere else stays for as long as it
+ * is served; one whose text no other engine may continue stays only if it may be complete by then.
+ */
+function shouldLeave(run: PlacedRun, engine: EngineSnapshot, state: {
+  readonly input: ItemPlanInput;
+  readonly loads: LoadsByEngine;
+}): boolean {
+  const { item } = run;
+  if (engine.upstream.phase === "ready" || item.service === null) return false;
+  const { input, loads } = state;
+  const { engines, nowMs } = input;
+  const successor = bestEngine(item, { engines, nowMs, loads });
+  if (successor !== undefined) {
+    addLoad(loads, successor.upstream.id, item);
+    return true;
+  }
+  if (item.boundVersion === null) return false;
+  const isLastOfVersion = !engines.some((each) =>
+    each.upstream.phase === "ready" && hasVersion(item, each)
+  );
+  if (!isLastOfVersion) return false;
+  const begunAnew = { ...item, boundVersion: null };
+  const other = bestEngine(begunAnew, { engines, nowMs, loads });
+  if (other === undefined) return false;
+  if (mayBeComplete(item, engine, nowMs)) return false;
+  addLoad(loads, other.upstream.id, begunAnew);
+  return true;
+}
+
+/** Whether a text may be complete while its engine drains: surely enough, or at least if one begun anew would be late. */
+function mayBeComplete(
+  item: PlannedItem,
+  { servesForMs }: EngineSnapshot,
+  nowMs: Milliseconds,
+): boolean {
+  const leftMs = item.tokensLeft * ESTIMATED_TOKEN_MS;
+  const textMs = leftMs + item.generatedTokens * ESTIMATED_TOKEN_MS;
+  const safety = nowMs + textMs > item.dueMs ? 1 : LENGTH_SAFETY_FACTOR;
+  return leftMs * safety <= servesForMs;
 }
 
 /** Returns whether a run has had no event for too long. */
--- a/batches/overload_world.ts
+++ b/batches/overload_world.ts
@@ -8,6 +8,7 @@
 import { drawNormal, drawTokens } from "./item_lengths.ts";
 import { planStarts } from "./item_plan.ts";
 import type { EngineSnapshot, PlacedRun, PlannedItem } from "./plan_types.ts";
+import { FRESH_ITEM, SOUND_ENGINE } from "./plan_test_support.ts";
 
 const ENGINES = 12;
 const SLOTS = 8;
@@ -118,10 +119,8 @@
     },
     versions: new Map([["m", 1]]),
     eventIntervalMs: 40,
-    pausedUntilMs: 0,
     cacheTokens: Infinity,
-    foreignRuns: 0,
-    startsLeft: Infinity,
+    ...SOUND_ENGINE,
   };
 }
 
@@ -156,11 +155,10 @@
           service: "models",
           priority: 1,
           minimumVersion: 1,
-          boundVersion: null,
+          ...FRESH_ITEM,
           dueMs: nowMs + DUE_MS,
           tokensLeft: hinted,
           usedTokens: 0,
-          resubmitted: false,
         },
         step,
         tokensLeft: tokens,
--- a/batches/plan_types.ts
+++ b/batches/plan_types.ts
@@ -5,6 +5,9 @@
  */
 import type { FleetUpstream, Milliseconds } from "#core";
 
+/** Estimated time in which an engine generates a token of one run. */
+export const ESTIMATED_TOKEN_MS: Milliseconds = 0.6;
+
 /** An item as the plan uses it, waiting for an engine or running. */
 export interface PlannedItem {
   readonly key: string;
@@ -22,6 +25,12 @@
   readonly dueMs: Milliseconds;
   /** Estimated number of tokens still to be generated. */
   readonly tokensLeft: number;
+  /** Estimated number of tokens generated so far. */
+  readonly generatedTokens: number;
+  /** When its last event arrived on this VM, or since when this VM has the item. */
+  readonly progressMs: Milliseconds;
+  /** The engine of its last run on this VM, or null before the first. */
+  readonly latestEngine: string | null;
   /** Tokens of its prompt and of its generated text, which occupy the cache of an engine. */
   readonly usedTokens: number;
   /** Tenant of its batch; null or absent if it has none. */
@@ -56,6 +65,8 @@
   readonly cacheTokens: number;
   /** Runs on it that this VM did not start. */
   readonly foreignRuns: number;
+  /** How long it goes on serving its runs; Infinity unless it is draining. */
+  readonly servesForMs: Milliseconds;
   /** Runs that may start on it now; Infinity unless it names a limit of requests. */
   readonly startsLeft: number;
 }
--- a/batches/progress_writer_test.ts
+++ b/batches/progress_writer_test.ts
@@ -62,7 +62,11 @@
       command: { kind: "accept", batch, keepMs: 120_000 },
     });
     for (const item of machine.find(id)?.items.values() ?? []) {
-      const task = new ItemTask(batch, { logged: item, dueMs: 7_000 });
+      const task = new ItemTask(batch, {
+        logged: item,
+        dueMs: 7_000,
+        nowMs: 0,
+      });
       tasks.set(task.key, task);
     }
   }
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -26,6 +26,7 @@
 import type { ItemRuns } from "./item_runs.ts";
 import type { ItemTask } from "./item_task.ts";
 import { serviceLoad } from "./service_load.ts";
+import { planRestarts } from "./text_restarts.ts";
 import { StartQueue } from "./start_queue.ts";
 
 /** Least time between two plans; a plan after a short pause finds several ended runs at once. */
@@ -45,6 +46,8 @@
   readonly configuration: () => RoutingConfiguration | null;
   readonly upstreams: () => readonly FleetUpstream[];
   readonly permits: Permits;
+  /** How long an engine goes on serving, at least, once it is known to be draining. */
+  readonly drainMs: Milliseconds;
   readonly foreignRuns: ForeignRuns;
   /** Returns how late this VM read events lately, at most. */
   readonly readingDelayMs: () => Milliseconds;
@@ -123,6 +126,12 @@
       if (to !== null) this.#options.runs.start(task, to);
     }
     if (moves.length > 0) input = this.#planInput();
+    const restarts = planRestarts(input);
+    for (const restart of restarts) {
+      const task = this.#options.tasks.get(restart.key);
+      if (task !== undefined) this.#options.runs.restartText(task, restart);
+    }
+    if (restarts.length > 0) input = this.#planInput();
     const starts = planStarts(input);
     this.#starts.add(starts);
     this.#demandPermits(input, starts);
@@ -199,7 +208,8 @@
   }
 
   #engineSnapshots(nowMs: Milliseconds): readonly EngineSnapshot[] {
-    const { foreignRuns, permits, runs: { observations } } = this.#options;
+    const { drainMs, foreignRuns, permits } = this.#options;
+    const { observations } = this.#options.runs;
     const services = this.#options.configuration()?.services ?? [];
     const snapshots: EngineSnapshot[] = [];
     const incarnations = new Set<string>();
@@ -209,6 +219,11 @@
       const incarnation = incarnationOf(upstream);
       incarnations.add(incarnation);
       const foreign = foreignRuns.loadOf(upstream);
+      const drainingForMs = observations.drainingForMs(
+        incarnation,
+        upstream,
+        nowMs,
+      );
       snapshots.push({
         upstream,
         versions: observations.versions(incarnation, upstream),
@@ -216,6 +231,9 @@
         pausedUntilMs: observations.pausedUntilMs(incarnation),
         cacheTokens: Math.max(0, service.engine.cacheTokens - foreign.tokens),
         foreignRuns: foreign.runs,
+        servesForMs: drainingForMs === null
+          ? Infinity
+          : Math.max(0, drainMs - drainingForMs),
         startsLeft: permits.available(upstream),
       });
     }
@@ -240,6 +258,7 @@
   route: { readonly service: string | null; readonly priority: number },
 ): PlannedItem {
   const { item, batch } = task;
+  const generatedTokens = task.tokensGenerated(ESTIMATED_TOKENS_PER_EVENT);
   return {
     key: task.key,
     group: item.group,
@@ -249,8 +268,10 @@
     boundVersion: task.boundVersion,
     dueMs: task.dueMs,
     tokensLeft: task.tokensLeft(ESTIMATED_TOKENS_PER_EVENT),
-    usedTokens: item.promptTokens +
-      task.tokensGenerated(ESTIMATED_TOKENS_PER_EVENT),
+    generatedTokens,
+    progressMs: task.progressMs,
+    latestEngine: task.runUsage.latestEngine,
+    usedTokens: item.promptTokens + generatedTokens,
     resubmitted: task.resubmitted,
     tenant: batch.tenant ?? null,
   };
--- a/batches/service_load_test.ts
+++ b/batches/service_load_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { ItemPlanInput, PlacedRun, PlannedItem } from "./plan_types.ts";
 import { serviceLoad } from "./service_load.ts";
+import { FRESH_ITEM } from "./plan_test_support.ts";
 
 function item(change: Partial<PlannedItem> = {}): PlannedItem {
   return {
@@ -11,11 +12,10 @@
     service: "s",
     priority: 0,
     minimumVersion: 0,
-    boundVersion: null,
+    ...FRESH_ITEM,
     dueMs: 7_000,
     tokensLeft: 1_000,
     usedTokens: 0,
-    resubmitted: false,
     ...change,
   };
 }
--- a/batches/start_order.ts
+++ b/batches/start_order.ts
@@ -8,11 +8,14 @@
  * @module
  */
 import type { Milliseconds } from "#core";
-import type { ItemPlanInput, PlannedItem } from "./plan_types.ts";
+import {
+  ESTIMATED_TOKEN_MS,
+  type ItemPlanInput,
+  type PlannedItem,
+} from "./plan_types.ts";
 import { inTenantTurns } from "./tenant_turns.ts";
 
 const RESUBMITTED_HEAD_START_MS: Milliseconds = 3_000;
-const ESTIMATED_TOKEN_MS: Milliseconds = 0.6;
 /** Fastest time of a token, with which an item that can't be complete in time surely can't. */
 export const FASTEST_TOKEN_MS: Milliseconds = 0.45;
 /** Time of a token over all slots of the engines, some of which are free between two runs. */
--- a/batches/tenant_turns_test.ts
+++ b/batches/tenant_turns_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { PlacedRun, PlannedItem } from "./plan_types.ts";
 import { inTenantTurns } from "./tenant_turns.ts";
+import { FRESH_ITEM } from "./plan_test_support.ts";
 
 const SLOTS = 12;
 const RUN_MS = 1_000;
@@ -16,11 +17,10 @@
     service: "engines",
     priority: 1,
     minimumVersion: 0,
-    boundVersion: null,
+    ...FRESH_ITEM,
     dueMs: DUE_MS,
     tokensLeft: 100,
     usedTokens: 0,
-    resubmitted: false,
     tenant,
   }));
 }
--- a/batches/uneven_world.ts
+++ b/batches/uneven_world.ts
@@ -19,6 +19,7 @@
   ItemPlanInput,
   PlannedItem,
 } from "./plan_types.ts";
+import { FRESH_ITEM, SOUND_ENGINE } from "./plan_test_support.ts";
 
 const ENGINES = 34;
 const SLOTS = 8;
@@ -189,11 +190,10 @@
         service: "models",
         priority: 1,
         minimumVersion: 1,
-        boundVersion: null,
+        ...FRESH_ITEM,
         dueMs: nowMs + DUE_MS,
         tokensLeft: tokens * Math.exp(0.4 * drawNormal(random)),
         usedTokens: 0,
-        resubmitted: false,
       },
       submittedMs: nowMs,
       tokensLeft: tokens,
@@ -256,10 +256,8 @@
     upstream,
     versions: new Map([["m", 1]]),
     eventIntervalMs: observations.eventIntervalMs(incarnation, nowMs),
-    pausedUntilMs: 0,
     cacheTokens: Infinity,
-    foreignRuns: 0,
-    startsLeft: Infinity,
+    ...SOUND_ENGINE,
   };
 }
 
--- a/programs/store_node.ts
+++ b/programs/store_node.ts
@@ -214,6 +214,7 @@
       ...upstreamNotices(this.#fleetFollower),
       permits: this.#permits,
       configuration: () => this.#fleetFollower.configuration,
+      drainMs: settings.upstreamDrainMs,
     });
     await log.start();
     service.start();
