Count only status 500 as a failed attempt of an item, and try another engine next

Cause: each status from 500 on counted as a failed attempt, where the platform names 500 and 422 alone. And nothing kept the next run away from the engine that had just failed: it looked idle since its runs end early.

Evidence: the runs of each such item are three at one engine within 0.2 s. Ruled out: responses of 500 (none was sent); engines without room (the others had free slots).

Why it works: one table says what the head of a response to an item means; the item remembers where it failed and goes elsewhere first, to an engine that failed it only after a pause; and engines of which many runs fail get fewer. Failures that don't count are followed by growing pauses, so an item that no engine serves does not go round without an end.

--- a/batches/engine_choice.ts
+++ b/batches/engine_choice.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
-import type { Milliseconds } from "#core";
+import { incarnationOf, type Milliseconds } from "#core";
 import { EngineLoad } from "./engine_load.ts";
 import type { EngineSnapshot, PlacedRun, PlannedItem } from "./plan_types.ts";
 
 const USABLE_CACHE_FRACTION = 0.9;
+/** How much slower an engine counts whose runs all fail; it is still used while the others are full. */
+const ERROR_PENALTY = 4;
 
 /** The loads of engines by their identifiers. */
 export type LoadsByEngine = Map<string, EngineLoad>;
@@ -44,13 +46,17 @@
   const { loads } = state;
   let best: EngineSnapshot | undefined;
   let bestScore = Infinity;
+  let leastSetbacks = Infinity;
   for (const engine of state.engines) {
     if (!canRun(item, engine, state.nowMs)) continue;
     if (!hasCapacity(item, engine, loads)) continue;
+    const setbacks = setbacksAt(item, engine);
+    if (setbacks > leastSetbacks) continue;
     const score = placementScore(item, engine, loads);
-    if (score >= bestScore) continue;
+    if (setbacks === leastSetbacks && score >= bestScore) continue;
     best = engine;
     bestScore = score;
+    leastSetbacks = setbacks;
   }
   return best;
 }
@@ -62,7 +68,13 @@
   nowMs: Milliseconds,
 ): boolean {
   if (engine.upstream.phase !== "ready") return false;
-  return nowMs >= engine.pausedUntilMs && hasVersion(item, engine);
+  if (nowMs < engine.pausedUntilMs || !hasVersion(item, engine)) return false;
+  return item.setbacks.mayTry(incarnationOf(engine.upstream), nowMs);
+}
+
+/** Returns how often runs of an item failed at an engine. */
+function setbacksAt(item: PlannedItem, { upstream }: EngineSnapshot): number {
+  return item.setbacks.countAt(incarnationOf(upstream));
 }
 
 /** Returns whether an engine of the item's service has a version that may continue its text. */
@@ -101,7 +113,9 @@
     engine.cacheTokens * USABLE_CACHE_FRACTION;
 }
 
-/** Returns a score, lower is better: speed counts first, then a cached prompt, then the lower load. */
+/**
+ * Returns a score, lower is better: speed and sound runs count first, then a cached prompt, then the lower load.
+ */
 function placementScore(
   item: PlannedItem,
   engine: EngineSnapshot,
@@ -111,5 +125,6 @@
   const fullness = runsOn(engine, loads) / Math.max(1, engine.upstream.slots);
   const promptCached = load?.hasGroup(item.group) === true;
   const loadPenalty = promptCached ? fullness * 0.5 : 0.3 + fullness;
-  return engine.eventIntervalMs * (1 + loadPenalty);
+  const errorPenalty = engine.errorShare * ERROR_PENALTY;
+  return engine.eventIntervalMs * (1 + loadPenalty) * (1 + errorPenalty);
 }
--- a/batches/engine_observations.ts
+++ b/batches/engine_observations.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
+import { ErrorShare } from "./error_share.ts";
 import { EventIntervalWindow } from "./event_interval_window.ts";
 
 /** Assumed time between events before any engine has been observed. */
@@ -16,6 +17,8 @@
 const REJECTION_PAUSE_MS: Milliseconds = 120;
 const INITIAL_FAILURE_PAUSE_MS: Milliseconds = 250;
 const MAXIMUM_FAILURE_PAUSE_MS: Milliseconds = 2_000;
+/** Share of failed runs from which an engine is reported in the log. */
+const REPORTED_ERROR_SHARE = 0.25;
 
 /** The observed speed of an engine, as a leader passes it on to its successor. */
 export interface EngineSpeed {
@@ -32,6 +35,7 @@
   pausedUntilMs: Milliseconds;
   failurePauseMs: Milliseconds;
   readonly versions: Map<string, number>;
+  readonly errors: ErrorShare;
   /** Since when the engine is known to be draining, or undefined. */
   drainingSinceMs: Milliseconds | undefined;
 }
@@ -89,6 +93,30 @@
     );
   }
 
+  /** Records that the engine completed a run. */
+  recordSoundRun(engine: string, nowMs: Milliseconds): void {
+    this.#observationsOf(engine).errors.record(false, nowMs);
+  }
+
+  /** Records that the engine failed a run; `isNews` is set if only now more runs fail than of a sound engine. */
+  recordFailedRun(
+    engine: string,
+    nowMs: Milliseconds,
+  ): { readonly share: number; readonly isNews: boolean } {
+    const { errors } = this.#observationsOf(engine);
+    const before = errors.at(nowMs);
+    errors.record(true, nowMs);
+    const share = errors.at(nowMs);
+    const isNews = before < REPORTED_ERROR_SHARE &&
+      share >= REPORTED_ERROR_SHARE;
+    return { share, isNews };
+  }
+
+  /** Returns the share of the engine's latest runs that failed, 0 to 1. */
+  errorShare(engine: string, nowMs: Milliseconds): number {
+    return this.#observationsOf(engine).errors.at(nowMs);
+  }
+
   /**
    * Returns the expected time between two events of one run. An engine without observations counts as typical.
    * The slowness of an engine without new events decays in part, so that it is tried again.
@@ -188,6 +216,7 @@
       pausedUntilMs: 0,
       failurePauseMs: INITIAL_FAILURE_PAUSE_MS,
       versions: new Map(),
+      errors: new ErrorShare(),
       drainingSinceMs: undefined,
     };
     this.#byEngine.set(engine, fresh);
--- a/batches/events.ts
+++ b/batches/events.ts
@@ -85,4 +85,11 @@
     action:
       "None during a rollout of weights or a replacement of engines; otherwise check why engines with that version were lost.",
   },
+  engineFails: {
+    code: 2013,
+    level: "warn",
+    text: "an engine fails a share of its runs; items prefer other engines",
+    action:
+      "Check the engine if its health check is good: 2006 names the outcome of each run.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/batches/item_run.ts
+++ b/batches/item_run.ts
@@ -15,12 +15,10 @@
   type UpstreamNotices,
 } from "#requests";
 import type { BatchHeader, BatchItem } from "./batch_types.ts";
+import { rejectHead } from "./item_response.ts";
 
 /** Largest body of a rejection that is read to the end. */
 const MAXIMUM_DRAINED_BYTES: Bytes = 64 * KIBIBYTE;
-const OK_STATUS = 200;
-const UNPROCESSABLE_STATUS = 422;
-const MINIMUM_SERVER_ERROR_STATUS = 500;
 
 /** One event of a generated text. */
 export interface GeneratedEvent {
@@ -34,8 +32,10 @@
   | { readonly kind: "complete" }
   /** The engine rejected the item without running it. */
   | { readonly kind: "refused"; readonly reason: string }
-  /** The engine ran the item and failed. */
+  /** The engine ran the item and failed, which counts as a failed attempt. */
   | { readonly kind: "failed"; readonly status: number }
+  /** The engine responded with a status that says nothing of the item. */
+  | { readonly kind: "error"; readonly status: number }
   /** The engine cannot process the item, and no retry will succeed. */
   | { readonly kind: "impossible" }
   /** The engine serves a version that may not generate this text. */
@@ -96,32 +96,14 @@
   response: StreamingResponse,
   options: ItemRunOptions,
 ): RunOutcome | undefined {
-  const { status } = response.head;
-  const marks = options.dialect.readResponse(response.head);
-  const { notices, upstream, item } = options;
-  reportNotices(notices, { upstream, requestId: item.id, metadata: marks });
-  if (marks.notRun) return { kind: "refused", reason: `status ${status}` };
-  if (marks.requestId !== options.item.id) {
-    response.closeConnection();
-    return {
-      kind: "broken",
-      reason: `the response is for request ${marks.requestId}`,
-    };
-  }
-  if (status === UNPROCESSABLE_STATUS) return { kind: "impossible" };
-  if (status >= MINIMUM_SERVER_ERROR_STATUS) return { kind: "failed", status };
-  if (status !== OK_STATUS) {
-    return { kind: "broken", reason: `status ${status}` };
-  }
-  if (marks.version === null) {
-    response.closeConnection();
-    return { kind: "broken", reason: "the response has no weight version" };
-  }
-  if (!options.allowsVersion(marks.version)) {
-    response.closeConnection();
-    return { kind: "wrong_version", version: marks.version };
-  }
-  return undefined;
+  const { head } = response;
+  const metadata = options.dialect.readResponse(head);
+  const { notices, upstream, item, allowsVersion } = options;
+  reportNotices(notices, { upstream, requestId: item.id, metadata });
+  const expected = { requestId: item.id, allowsVersion };
+  const rejected = rejectHead(head.status, metadata, expected);
+  if (rejected?.mustClose === true) response.closeConnection();
+  return rejected?.outcome;
 }
 
 /** Reads the rest of a short response, so that its connection can be reused; a long one is not worth reading. */
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -145,6 +145,7 @@
     const { runUsage } = task;
     const nowMs = this.#options.clock.nowMs();
     task.progressMs = nowMs;
+    task.setbacks.recordProgress();
     const intervalMs: Milliseconds = nowMs - run.lastEventMs;
     if (run.hasEvents) {
       this.observations.recordInterval(run.incarnation, intervalMs, nowMs);
@@ -159,7 +160,10 @@
     upstream: FleetUpstream,
     outcome: RunOutcome,
   ): void {
+    const incarnation = incarnationOf(upstream);
+    const nowMs = this.#options.clock.nowMs();
     if (outcome.kind === "complete") {
+      this.observations.recordSoundRun(incarnation, nowMs);
       task.completeText();
       this.#options.onItemDone();
       this.#options.onRunEnded();
@@ -171,17 +175,16 @@
       lastEvent: task.lastEvent,
       ...outcome,
     });
-    const incarnation = incarnationOf(upstream);
-    const nowMs = this.#options.clock.nowMs();
     match(outcome)
       .with(
         { kind: "refused" },
         () => this.observations.recordRejection(incarnation, nowMs),
       )
-      .with(
-        { kind: "broken" },
-        () => this.observations.recordFailure(incarnation, nowMs),
-      )
+      .with({ kind: "broken" }, () => {
+        this.observations.recordFailure(incarnation, nowMs);
+        this.#recordSetback(task, upstream);
+      })
+      .with({ kind: "error" }, () => this.#recordSetback(task, upstream))
       .with({ kind: "stale" }, () => {})
       // The text is kept: another engine may have its version (see `planRestarts`).
       .with(
@@ -196,11 +199,27 @@
             "the engine reported that it cannot process the request",
           ),
       )
-      .with({ kind: "failed" }, () => this.#countFailure(task))
+      .with({ kind: "failed" }, () => {
+        this.#recordSetback(task, upstream);
+        this.#countFailure(task);
+      })
       .exhaustive();
     this.#options.onRunEnded();
   }
 
+  /** Records that an engine failed a run, for this item and for the choice of engines. */
+  #recordSetback(task: ItemTask, upstream: FleetUpstream): void {
+    const incarnation = incarnationOf(upstream);
+    const nowMs = this.#options.clock.nowMs();
+    task.setbacks.record(incarnation, nowMs);
+    const errors = this.observations.recordFailedRun(incarnation, nowMs);
+    if (!errors.isNews) return;
+    this.#options.events.emit(BATCHES_EVENTS.engineFails, {
+      engine: upstream.id,
+      share: Number(errors.share.toFixed(2)),
+    });
+  }
+
   #countFailure(task: ItemTask): void {
     task.countFailure();
     this.#options.onProgress();
--- a/batches/move_plan.ts
+++ b/batches/move_plan.ts
@@ -37,6 +37,8 @@
 /** Texts often become twice as long as estimated. */
 const LENGTH_SAFETY_FACTOR = 2;
 const MINIMUM_MOVE_GAIN_MS: Milliseconds = 150;
+/** No run moves to an engine of whose latest runs more than this share failed. */
+const MAXIMUM_MOVE_ERROR_SHARE = 0.1;
 /** Limit on the moves of one item to faster engines. Moves away from stalled engines are not limited. */
 const MAXIMUM_MOVES = 6;
 /** Minimum time before a run moves again, since an engine seems slow while it reads the prompts of new runs. */
@@ -172,6 +174,7 @@
   const maximumIntervalMs = intervalMs / LATE_MOVE_SPEED_RATIO;
   for (const other of input.engines) {
     if (other.eventIntervalMs > maximumIntervalMs) continue;
+    if (other.errorShare > MAXIMUM_MOVE_ERROR_SHARE) continue;
     if (other === engine || !canRun(run.item, other, input.nowMs)) continue;
     // An engine with a limit gets no run that has a place already.
     if (other.startsLeft !== Infinity) continue;
--- a/batches/plan_test_support.ts
+++ b/batches/plan_test_support.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { NO_SETBACKS } from "./item_setbacks.ts";
 import type { EngineSnapshot, PlannedItem } from "./plan_types.ts";
 
 /** Fields of an item that has not run yet. */
@@ -11,11 +12,13 @@
   generatedTokens: 0,
   progressMs: 0,
   latestEngine: null,
+  setbacks: NO_SETBACKS,
   resubmitted: false,
 } as const satisfies Partial<PlannedItem>;
 
 /** Fields of a ready engine on which nothing but the planned runs is going on. */
 export const SOUND_ENGINE = {
+  errorShare: 0,
   pausedUntilMs: 0,
   foreignRuns: 0,
   servesForMs: Infinity,
--- a/batches/plan_types.ts
+++ b/batches/plan_types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
+import type { KnownSetbacks } from "./item_setbacks.ts";
 
 /** Estimated time in which an engine generates a token of one run. */
 export const ESTIMATED_TOKEN_MS: Milliseconds = 0.6;
@@ -31,6 +32,8 @@
   readonly progressMs: Milliseconds;
   /** The engine of its last run on this VM, or null before the first. */
   readonly latestEngine: string | null;
+  /** Its failed runs on this VM. */
+  readonly setbacks: KnownSetbacks;
   /** Tokens of its prompt and of its generated text, which occupy the cache of an engine. */
   readonly usedTokens: number;
   /** Tenant of its batch; null or absent if it has none. */
@@ -59,6 +62,8 @@
   readonly versions: ReadonlyMap<string, number>;
   /** Expected time between two events of one run. */
   readonly eventIntervalMs: Milliseconds;
+  /** Share of its latest runs that failed, 0 to 1. */
+  readonly errorShare: number;
   /** No runs start on the engine before this time. */
   readonly pausedUntilMs: Milliseconds;
   /** Capacity of its cache in tokens, or Infinity, without what `foreignRuns` occupy. */
