Accept only statuses from 200 to 599 as the end of an exchange

What callers saw: an upstream in trouble answers with status 000 or 099: the caller's connection was closed without a response and without a second attempt, idempotent calls too. 600 and 999 were passed on as they are, for calls that run once at most and for streams also at the first answer.

Cause: the parser accepts any three digits, and nothing after it asked which statuses can end an exchange. Writing a status below 100 throws, and the server then destroyed the connection.

Ruled out: headers with control characters, the other head that the server can't write; the parser refuses those.

Why it works: one function names the range; both HTTP clients treat a head with another status as bytes that are no response, so calls, streams, items, scoring, reports, orders and identity checks pass it. The server checks a head before it sends any of it, replaces one that can't be written by 502, and logs why (1815).

--- a/batches/failed_runs_test.ts
+++ b/batches/failed_runs_test.ts
@@ -108,7 +108,7 @@
 }
 
 // Guards against items that are given up after responses of one sick engine while sound ones are idle.
-for (const status of [500, 502, 503, 504, 404]) {
+for (const status of [500, 502, 503, 504, 404, 600]) {
   test(`items that one engine answers with ${status} are completed at others`, async () => {
     const load = { engines: 3, failing: 1, status, items: 20 };
     await play(load, ({ results, engines: [sick], world }) => {
--- a/core/mod.ts
+++ b/core/mod.ts
@@ -27,6 +27,7 @@
 export * from "./metrics.ts";
 export * from "./ports.ts";
 export * from "./random.ts";
+export * from "./response_status.ts";
 export * from "./result.ts";
 export * from "./settings.ts";
 export * from "./state_machine.ts";
--- a/programs/events.ts
+++ b/programs/events.ts
@@ -98,6 +98,13 @@
       "an HTTP connection is closed after its pending responses, since it pipelined more requests than allowed or than there is memory for",
     action: "Look for a client that sends requests without reading responses.",
   },
+  responseUnwritable: {
+    code: 1815,
+    level: "error",
+    text:
+      "a response could not be written because of its status or a header; its caller got a 502 instead",
+    action: "Report the reason, and the upstream of the call (1506).",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
 
 /** Events 1830 to 1839: the memory of the process. All have the same fields. */
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -29,7 +29,7 @@
   type RandomSource,
   SECOND_MS,
 } from "#core";
-import { writeResponse } from "./response_writer.ts";
+import { writeResponseOrFailure } from "./response_writer.ts";
 import { type CloseReason, ConnectionTable } from "./connection_table.ts";
 import { HTTP_EVENTS } from "./events.ts";
 import { failureResponse } from "./failure_response.ts";
@@ -283,12 +283,13 @@
     const held = this.#memory.holdResponse(complete);
     if (held.failure !== undefined) this.#handler.reportRejection(held.failure);
     const { response } = held;
+    let status: number;
     try {
-      await this.#write(exchange, response);
+      status = await this.#write(exchange, response);
     } finally {
       held.release();
     }
-    this.#countResponse(route, response.status);
+    this.#countResponse(route, status);
     this.#latency.observe(
       { route },
       (this.#options.clock.nowMs() - exchange.startedAtMs) / SECOND_MS,
@@ -300,19 +301,25 @@
     return Math.min(configured, this.#options.bodyLimit?.() ?? configured);
   }
 
-  async #write(exchange: Exchange, content: HttpResponse): Promise<void> {
+  /** Returns the status that was written. */
+  async #write(exchange: Exchange, content: HttpResponse): Promise<number> {
     const { request, response } = exchange;
     this.#connections.markResponseStarted(request.socket);
     const bodyUnread = isBodyUnread(request);
     const closeConnection = bodyUnread ||
       this.#closesAfterResponse(request.socket);
-    const outcome = await writeResponse(response, content, {
-      clock: this.#options.clock,
-      sendTimeoutMs: this.#options.limits.sendTimeoutMs,
-      closeConnection,
-      ...(bodyUnread ? { beforeEnd: () => this.#discardBody(request) } : {}),
-    });
+    const { outcome, status } = await writeResponseOrFailure(
+      response,
+      content,
+      {
+        clock: this.#options.clock,
+        sendTimeoutMs: this.#options.limits.sendTimeoutMs,
+        closeConnection,
+        ...(bodyUnread ? { beforeEnd: () => this.#discardBody(request) } : {}),
+      },
+    );
     this.#handler.reportOutcome(outcome);
+    return status;
   }
 
   #closesAfterResponse(socket: Socket): boolean {
--- a/programs/http_server_test.ts
+++ b/programs/http_server_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { fail, type HttpRoute, jsonResponse } from "#core";
+import { HTTP_EVENTS } from "./events.ts";
 import {
   ECHO_ROUTE,
   exchange,
@@ -289,3 +290,35 @@
     });
   }
 });
+
+// Guards against callers whose connection is closed without a response because its head can't be written.
+test("a response whose head can't be written is replaced by 502, and the connection goes on", async () => {
+  const bodies: (string | AsyncIterable<string>)[] = ["x", emptyStream()];
+  for (const body of bodies) {
+    for (const status of [0, 99, 199, 600, 999, 1_000, NaN, 200]) {
+      const headers: Record<string, string> = { "X-Stamp": "s" };
+      if (status === 200) headers["X-Odd"] = "a\u0001b";
+      const odd = route("/odd", () => {
+        return Promise.resolve({ status, headers, body });
+      });
+      const routes = [odd, ECHO_ROUTE];
+      await withServer({ routes }, async ({ address, events }) => {
+        const raw = await exchange(
+          address,
+          "GET /odd HTTP/1.1\r\nHost: h\r\n\r\n" +
+            "PUT /echo/b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+        );
+        const [first, second] = raw.split(/(?=HTTP\/1\.1 200 OK)/);
+        assert.match(first ?? "", /^HTTP\/1\.1 502 /);
+        assert.doesNotMatch(first ?? "", /X-Stamp/);
+        assert.match(second ?? "", /^HTTP\/1\.1 200 OK/);
+        const reported = events.records().filter(({ event }) =>
+          event.code === HTTP_EVENTS.responseUnwritable.code
+        );
+        assert.equal(reported.length, 1);
+      });
+    }
+  }
+});
+
+async function* emptyStream(): AsyncGenerator<string> {}
--- a/programs/request_handler.ts
+++ b/programs/request_handler.ts
@@ -106,10 +106,14 @@
     if (outcome.kind === "stalled") {
       this.#options.events.emit(HTTP_EVENTS.callerStalled);
     }
-    if (outcome.kind !== "broken") return;
-    const error = outcome.error;
-    const reason = error instanceof Error ? error.message : String(error);
-    this.#options.events.emit(HTTP_EVENTS.responseAborted, { reason });
+    if (outcome.kind === "broken") {
+      const reason = messageOf(outcome.error);
+      this.#options.events.emit(HTTP_EVENTS.responseAborted, { reason });
+    }
+    if (outcome.kind === "unwritable") {
+      const reason = messageOf(outcome.error);
+      this.#options.events.emit(HTTP_EVENTS.responseUnwritable, { reason });
+    }
   }
 
   async #handle(
@@ -158,3 +162,7 @@
     });
   }
 }
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- a/programs/response_writer.ts
+++ b/programs/response_writer.ts
@@ -7,10 +7,13 @@
 import {
   type Bytes,
   type Clock,
+  fail,
   type HttpResponse,
+  isFinalStatus,
   KIBIBYTE,
   type Milliseconds,
 } from "#core";
+import { failureResponse } from "./failure_response.ts";
 
 const WRITE_SLICE_BYTES: Bytes = 64 * KIBIBYTE;
 
@@ -23,7 +26,9 @@
   /** The client did not drain what was written within `sendTimeoutMs`. */
   | { readonly kind: "stalled" }
   /** The source of a streamed body threw. */
-  | { readonly kind: "broken"; readonly error: unknown };
+  | { readonly kind: "broken"; readonly error: unknown }
+  /** The head can't be written, such as one with a status that ends no exchange; nothing has been sent. */
+  | { readonly kind: "unwritable"; readonly error: unknown };
 
 /** Options of `writeResponse`. */
 export interface WriteOptions {
@@ -37,20 +42,31 @@
 }
 
 const COMPLETE: WriteOutcome = { kind: "whole" };
+const UNWRITABLE = fail(
+  "upstream_failed",
+  "the response can't be written as HTTP",
+  { ran: "unknown" },
+);
 
-/** Writes a response; destroys the connection if that fails, so that a truncated body can't pass for a complete one. */
+/**
+ * Writes a response. Destroys the connection if that fails, so that a truncated body can't pass for a complete one; after
+ * a head that can't be written, another response may be written instead.
+ */
 export async function writeResponse(
   response: ServerResponse,
   content: HttpResponse,
   options: WriteOptions,
 ): Promise<WriteOutcome> {
   if (response.destroyed) return { kind: "gone" };
-  for (const [name, value] of Object.entries(content.headers)) {
-    response.setHeader(name, value);
+  const { body } = content;
+  try {
+    setHead(response, content);
+  } catch (error) {
+    removeHead(response);
+    if (isStreamed(body)) await discard(body);
+    return { kind: "unwritable", error };
   }
   if (options.closeConnection) response.setHeader("Connection", "close");
-  response.statusCode = content.status;
-  const body = content.body;
   const outcome = isStreamed(body)
     ? await writeStreamedBody(response, body, options)
     : await writeFixedBody(response, body, options);
@@ -58,6 +74,50 @@
   return outcome;
 }
 
+/** A response as it was written, and how writing the one that was to be written ended. */
+export interface WrittenResponse {
+  readonly status: number;
+  readonly outcome: WriteOutcome;
+}
+
+/** Writes a response, or a failure in its place if its head can't be written. */
+export async function writeResponseOrFailure(
+  response: ServerResponse,
+  content: HttpResponse,
+  options: WriteOptions,
+): Promise<WrittenResponse> {
+  const outcome = await writeResponse(response, content, options);
+  if (outcome.kind !== "unwritable") return { status: content.status, outcome };
+  const replacement = failureResponse(UNWRITABLE);
+  await writeResponse(response, replacement, options);
+  return { status: replacement.status, outcome };
+}
+
+/** Sets the status and the headers; throws if they can't be written. */
+function setHead(
+  response: ServerResponse,
+  { status, headers }: HttpResponse,
+): void {
+  if (!isFinalStatus(status)) {
+    throw new RangeError(`status ${status} ends no exchange`);
+  }
+  for (const [name, value] of Object.entries(headers)) {
+    response.setHeader(name, value);
+  }
+  response.statusCode = status;
+}
+
+function removeHead(response: ServerResponse): void {
+  for (const name of response.getHeaderNames()) response.removeHeader(name);
+}
+
+/** Ends the source of a body that is not written. */
+async function discard(
+  body: AsyncIterable<string | Uint8Array>,
+): Promise<void> {
+  await body[Symbol.asyncIterator]().return?.();
+}
+
 function isStreamed(
   body: HttpResponse["body"],
 ): body is AsyncIterable<string | Uint8Array> {
--- a/requests/upstream_client.ts
+++ b/requests/upstream_client.ts
@@ -15,6 +15,7 @@
   type Bytes,
   type Clock,
   Err,
+  isFinalStatus,
   type Milliseconds,
   Ok,
   type Result,
@@ -222,6 +223,14 @@
 
   #receive(incoming: IncomingMessage): void {
     this.#advance("first_byte");
+    incoming.on("error", (error) => {
+      this.#fail("short_answer", messageOf(error));
+    });
+    if (!isFinalStatus(incoming.statusCode)) {
+      const { statusCode } = incoming;
+      this.#fail("short_answer", `status ${statusCode} ends no exchange`);
+      return;
+    }
     this.#watchStall(incoming);
     const isStreaming = this.#request.onData !== undefined &&
       incoming.statusCode === 200;
@@ -235,9 +244,6 @@
       if (isStreaming) this.#request.onData?.(chunk);
       else this.#chunks.push(chunk);
     });
-    incoming.on("error", (error) => {
-      this.#fail("short_answer", messageOf(error));
-    });
     incoming.on("end", () => this.#finish(incoming));
     incoming.on(
       "close",
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -18,6 +18,7 @@
   type Bytes,
   Err,
   GARBAGE_METER,
+  isFinalStatus,
   KIBIBYTE,
   MEBIBYTE,
   type Milliseconds,
@@ -114,7 +115,10 @@
     });
   }
 
-  /** Sends a call and returns its response once the head has been received. */
+  /**
+   * Sends a call and returns its response once the head has been received. The status of a response is from 200 to 599;
+   * a head with any other is an error, and its connection is closed.
+   */
   open(call: OutgoingCall): Promise<Result<StreamingResponse, CallError>> {
     const { promise, resolve } = deferred<
       Result<StreamingResponse, CallError>
@@ -169,6 +173,12 @@
       incoming.once("close", () => {
         call.signal.removeEventListener("abort", cancel);
       });
+      if (!isFinalStatus(incoming.statusCode)) {
+        const reason = `status ${incoming.statusCode} ends no exchange`;
+        outgoing.destroy();
+        resolve(Err({ mayHaveRun: true, reason, stale: false, isFoul: true }));
+        return;
+      }
       resolve(Ok({
         head: responseHead(incoming),
         bodyChunks: readChunks(incoming, () => connectionError),
