Say what waiting items wait for

Event 2014 and the gauge cicadafield_items_waiting state once a second, for items without an event for a second, the first condition that no engine meets. At most eight lines a second; nothing is computed while no item waits so long.

The tests check each reason, and that short waits are not reported.

--- a/batches/batch_runner.ts
+++ b/batches/batch_runner.ts
@@ -9,6 +9,7 @@
   type Clock,
   type EventLog,
   type FleetUpstream,
+  type Metrics,
   type Milliseconds,
   type RandomSource,
   type RoutingConfiguration,
@@ -49,6 +50,7 @@
   readonly machine: BatchesMachine;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly random: RandomSource;
   readonly dialect: UpstreamDialect;
   readonly upstreams: () => readonly FleetUpstream[];
--- a/batches/batch_runner_test.ts
+++ b/batches/batch_runner_test.ts
@@ -6,6 +6,7 @@
 import {
   type FleetUpstream,
   MemoryEventLog,
+  Metrics,
   Ok,
   type RoutingConfiguration,
   SeededRandom,
@@ -158,6 +159,7 @@
     machine,
     clock: new SystemClock(),
     events: new MemoryEventLog(),
+    metrics: new Metrics(),
     random: new SeededRandom(1),
     dialect: new TestDialect(),
     upstreams: () => [engine],
--- a/batches/events.ts
+++ b/batches/events.ts
@@ -92,4 +92,12 @@
     action:
       "Check the engine if its health check is good: 2006 names the outcome of each run.",
   },
+  itemsWait: {
+    code: 2014,
+    level: "info",
+    text:
+      "items have had no event for a second and wait (reason: the first condition that no engine meets)",
+    action:
+      "None while engines are full (slot, cache, turn). Otherwise see the page on operations for the reason.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/batches/item_priority_test.ts
+++ b/batches/item_priority_test.ts
@@ -4,6 +4,7 @@
 import {
   type FleetUpstream,
   MemoryEventLog,
+  Metrics,
   Ok,
   type RoutingConfiguration,
   SeededRandom,
@@ -88,6 +89,7 @@
     machine,
     clock,
     events: new MemoryEventLog(),
+    metrics: new Metrics(),
     random: new SeededRandom(1),
     dialect: {} as UpstreamDialect,
     upstreams: () => [ENGINE],
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -5,8 +5,10 @@
  */
 import {
   type Clock,
+  type EventLog,
   type FleetUpstream,
   incarnationOf,
+  type Metrics,
   type Milliseconds,
   type RoutingConfiguration,
   type ServiceLoad,
@@ -28,6 +30,7 @@
 import { serviceLoad } from "./service_load.ts";
 import { planRestarts } from "./text_restarts.ts";
 import { StartQueue } from "./start_queue.ts";
+import { WaitingReport } from "./waiting_reasons.ts";
 
 /** Least time between two plans; a plan after a short pause finds several ended runs at once. */
 const PLAN_INTERVAL_MS: Milliseconds = 20;
@@ -38,6 +41,8 @@
 /** Options of `RunPlacement`. */
 export interface RunPlacementOptions {
   readonly clock: Clock;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
   readonly runs: ItemRuns;
   /** The tasks of all items in progress by their keys. */
   readonly tasks: ReadonlyMap<string, ItemTask>;
@@ -59,6 +64,7 @@
 export class RunPlacement {
   readonly #options: RunPlacementOptions;
   readonly #starts: StartQueue;
+  readonly #waiting: WaitingReport;
   /** Services for whose items permits were asked for. */
   #demanding: ReadonlySet<string> = new Set();
   /** Time before which no plan is made. */
@@ -66,6 +72,7 @@
 
   constructor(options: RunPlacementOptions) {
     this.#options = options;
+    this.#waiting = new WaitingReport(options);
     this.#starts = new StartQueue({
       clock: options.clock,
       start: ({ item, engine }) => {
@@ -82,6 +89,7 @@
   /** Drops planned starts that have not begun, and asks for no more permits. */
   clear(): void {
     this.#starts.clear();
+    this.#waiting.clear();
     for (const service of this.#demanding) {
       this.#options.permits.setBacklog(service, { count: 0, priority: 0 });
     }
@@ -134,9 +142,19 @@
     if (restarts.length > 0) input = this.#planInput();
     const starts = planStarts(input);
     this.#starts.add(starts);
+    this.#reportWaiting(input, starts);
     this.#demandPermits(input, starts);
   }
 
+  #reportWaiting(
+    input: ItemPlanInput,
+    starts: readonly PlannedStart[],
+  ): void {
+    const started = new Set(starts.map(({ item }) => item.key));
+    const waiting = input.waiting.filter(({ key }) => !started.has(key));
+    this.#waiting.update(waiting, input);
+  }
+
   /** Asks for permits for the items of each service that are not placed yet, if its engines name limits. */
   #demandPermits(
     input: ItemPlanInput,
