Answer 502 for calls that may have run, whatever the upstream's status promises

Cause: the upstream's response was passed on as it was, whatever its status promises towards a caller.

Evidence: each such call has one run that responded with 503 and one at another upstream after it. Ruled out: a retry of our own (one attempt each).

Streams that may be resumed go on at another upstream.

--- a/core/response_status.ts
+++ b/core/response_status.ts
@@ -1,5 +1,5 @@
 /**
- * The statuses with which an HTTP exchange can end.
+ * The statuses with which an HTTP exchange can end, and those that promise something.
  *
  * @module
  */
@@ -21,3 +21,19 @@
   return status !== undefined && Number.isInteger(status) &&
     status >= MINIMUM_FINAL_STATUS && status <= MAXIMUM_FINAL_STATUS;
 }
+
+/** Request timeout, misdirected request, too many requests, service unavailable. */
+const PROMISE_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/**
+ * Returns whether a status tells a caller that its request has not run and never will, so that it may send it again.
+ *
+ * @example
+ * ```ts
+ * promisesNotRun(503); // true
+ * promisesNotRun(502); // false
+ * ```
+ */
+export function promisesNotRun(status: number): boolean {
+  return PROMISE_STATUSES.has(status);
+}
--- a/requests/forwarded_attempt.ts
+++ b/requests/forwarded_attempt.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Milliseconds } from "#core";
+import { type Milliseconds, promisesNotRun, type RouteRule } from "#core";
 import type { UpstreamDialect } from "./upstream_dialect.ts";
 import type { CompleteResponse } from "./upstream_http.ts";
 
@@ -52,6 +52,21 @@
     : { kind: "not_run", reason };
 }
 
+/**
+ * Whether the caller of a call that has run, or may have, would send it again because of its status, and so run it twice.
+ */
+export function isFalsePromise(
+  status: number,
+  kind: RouteRule["kind"],
+): boolean {
+  return kind === "once" && promisesNotRun(status);
+}
+
+/** Returns the reason not to pass on a status that promises that a request has not run. */
+export function ranReason(status: number): string {
+  return `status ${status} of an upstream that may have run it`;
+}
+
 /** Whether an attempt shows that its service can't run all calls; undefined if it shows nothing of its load. */
 export function isOverload(
   attempt: Attempt,
--- a/requests/forwarder.ts
+++ b/requests/forwarder.ts
@@ -28,9 +28,11 @@
   type Attempt,
   classifyError,
   classifyResponse,
+  isFalsePromise,
   isOverload,
   isServerError,
   MINIMUM_SERVER_ERROR_STATUS,
+  ranReason,
 } from "./forwarded_attempt.ts";
 import { pickService } from "./route_rules.ts";
 import { type ReportedAttempt, RunReport } from "./run_report.ts";
@@ -318,6 +320,10 @@
     if (response.status >= MINIMUM_SERVER_ERROR_STATUS) {
       forwarded.routed.onServerError?.(response.status);
     }
+    if (isFalsePromise(response.status, forwarded.routed.route.kind)) {
+      forwarded.lastFailure = ranReason(response.status);
+      return undefined;
+    }
     if (!shouldRetry) return toHttpResponse(response);
     forwarded.serverErrorResponse = response;
     return undefined;
--- a/requests/stream_checks.ts
+++ b/requests/stream_checks.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { promisesNotRun } from "#core";
+import { ranReason } from "./forwarded_attempt.ts";
 import type { StreamProgress } from "./stream_call.ts";
 import type { ResponseMetadata } from "./upstream_dialect.ts";
 import type { IdentityCheck } from "./upstream_identity.ts";
@@ -40,6 +42,8 @@
   if (metadata.requestId !== expected.requestId) {
     return "response belongs to another request";
   }
+  // The caller may send the request again after such a status, but it may have run.
+  if (promisesNotRun(status)) return ranReason(status);
   if (status !== OK_STATUS) {
     return expected.isRest
       ? `status ${status} instead of the rest of the stream`
