--- a/requests/stream_forwarding.ts
+++ b/requests/stream_forwarding.ts
@@ -232,6 +232,8 @@
       if (progress.lastEventId === null && !isTakenUp(stream)) {
         throw new Error("the stream ended before its first event");
       }
+      // Comments and the like after the last event.
+      if (parser.rest !== "") yield parser.rest;
       return "complete";
     } catch (error) {
       progress.lastFailure = error instanceof Error
