Listen for errors of every connection, also after a CONNECT

Cause: Node hands the socket of a CONNECT over without a listener for errors; writing the rejection to it fails once the reset is known, and an error without a listener ends the process. On related paths: the listening sockets had no listener after they had been bound.

Evidence: the processes ended with an unhandled ECONNRESET of a write; the test sees it as an uncaught error in some of twenty turns. Ruled out: the other inputs that are rejected without a response object (garbage, an upgrade).

Why it works: each connection has a listener of ours from its first moment on, which Node does not remove when it hands the socket over.

--- a/core/mod.ts
+++ b/core/mod.ts
@@ -20,6 +20,7 @@
 export * from "./fleet.ts";
 export * from "./garbage_collection.ts";
 export * from "./garbage_meter.ts";
+export * from "./listening.ts";
 export * from "./local_control.ts";
 export * from "./loopback_host.ts";
 export * from "./memory_holder.ts";
--- a/programs/connection_table.ts
+++ b/programs/connection_table.ts
@@ -84,6 +84,8 @@
       failure: undefined,
       previousResponse: Promise.resolve(),
     });
+    // Node hands some sockets over without a listener, such as those of CONNECT; an error then ends the process.
+    socket.on("error", () => socket.destroy());
     socket.once("close", () => {
       gate.close();
       this.#connections.delete(socket);
--- a/programs/events.ts
+++ b/programs/events.ts
@@ -105,6 +105,12 @@
       "a response could not be written because of its status or a header; its caller got a 502 instead",
     action: "Report the reason, and the upstream of the call (1506).",
   },
+  acceptFailed: {
+    code: 1816,
+    level: "warn",
+    text: "an HTTP connection could not be accepted",
+    action: "Check the memory and the open files of the VM.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
 
 /** Events 1830 to 1839: the memory of the process. All have the same fields. */
--- a/programs/http_server.ts
+++ b/programs/http_server.ts
@@ -24,6 +24,7 @@
   type HttpResponse,
   type HttpRoute,
   KIBIBYTE,
+  listenOn,
   type Metrics,
   type Milliseconds,
   type RandomSource,
@@ -139,16 +140,12 @@
   }
 
   /** Starts accepting connections; rejects if the address can't be bound. */
-  listen(): Promise<void> {
-    const { host, port } = this.#options.listen;
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port }, () => {
-        this.#server.off("error", reject);
-        this.#options.events.emit(HTTP_EVENTS.listening, { ...this.address() });
-        resolve();
-      });
+  async listen(): Promise<void> {
+    const { events, listen } = this.#options;
+    await listenOn(this.#server, listen, (error) => {
+      events.emit(HTTP_EVENTS.acceptFailed, { reason: error.message });
     });
+    events.emit(HTTP_EVENTS.listening, { ...this.address() });
   }
 
   /**
--- a/programs/http_server_test.ts
+++ b/programs/http_server_test.ts
@@ -1,7 +1,16 @@
 import assert from "node:assert/strict";
+import { Server } from "node:net";
+import process from "node:process";
 import { test } from "node:test";
-import { fail, type HttpRoute, jsonResponse } from "#core";
+import {
+  fail,
+  type HttpRoute,
+  jsonResponse,
+  listenOn,
+  MemoryEventLog,
+} from "#core";
 import { HTTP_EVENTS } from "./events.ts";
+import type { HttpServer } from "./http_server.ts";
 import {
   ECHO_ROUTE,
   exchange,
@@ -322,3 +331,60 @@
 });
 
 async function* emptyStream(): AsyncGenerator<string> {}
+
+// Guards against a client that ends the process by leaving before a response that is written without a response object.
+test("clients that reset their connections after CONNECT, an upgrade or garbage end no process", async () => {
+  const uncaught: unknown[] = [];
+  const record = (error: unknown): void => {
+    uncaught.push(error);
+  };
+  process.on("uncaughtException", record);
+  try {
+    await withServer({}, async ({ address, server }) => {
+      const inputs = [
+        "CONNECT h:443 HTTP/1.1\r\nHost: h\r\n\r\n",
+        "CONNECT h:443 HTTP/1.1\r\nHost: h\r\n\r\nmore",
+        "GET /echo/a HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\n" +
+        "Upgrade: x\r\n\r\nmore",
+        "GARBAGE\r\n\r\n",
+        "PUT /echo/a HTTP/1.1\r\nHost: h\r\n\r\nCONNECT h:1 HTTP/1.1\r\n\r\n",
+      ];
+      for (let turn = 0; turn < 20; turn += 1) {
+        for (const input of inputs) {
+          const client = new RawClient(address);
+          await new Promise((resolve) => client.socket.write(input, resolve));
+          client.socket.resetAndDestroy();
+        }
+      }
+      await untilNoConnection(server);
+      const raw = await exchange(
+        address,
+        "PUT /echo/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      );
+      assert.match(raw, /^HTTP\/1\.1 200 OK/);
+    });
+  } finally {
+    process.off("uncaughtException", record);
+  }
+  assert.deepEqual(uncaught, []);
+});
+
+async function untilNoConnection(server: HttpServer): Promise<void> {
+  while (server.connectionCount > 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+test("an error of the listening socket is logged and ends nothing", async () => {
+  const events = new MemoryEventLog();
+  const server = new Server();
+  await listenOn(server, { host: "127.3.0.1", port: 0 }, ({ message }) => {
+    events.emit(HTTP_EVENTS.acceptFailed, { reason: message });
+  });
+  server.emit("error", new Error("no buffer space"));
+  assert.equal(events.records().length, 1);
+  assert.equal(server.listening, true);
+  server.close();
+  const foreign = { host: "192.0.2.1", port: 0 };
+  await assert.rejects(listenOn(new Server(), foreign, () => {}));
+});
--- a/wire/events.ts
+++ b/wire/events.ts
@@ -34,4 +34,10 @@
     action:
       "None for a single event. If it repeats, check the VM in the field `to` and the network to it.",
   },
+  acceptFailed: {
+    code: 1105,
+    level: "warn",
+    text: "a peer connection could not be accepted",
+    action: "Check the memory and the open files of the VM.",
+  },
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/wire/tcp_network.ts
+++ b/wire/tcp_network.ts
@@ -14,6 +14,7 @@
   fail,
   type Failure,
   isFailure,
+  listenOn,
   type Milliseconds,
   Ok,
   type Result,
@@ -114,13 +115,9 @@
     const server = createServer((socket) => this.#incoming.accept(socket));
     server.maxConnections = MAXIMUM_CONNECTIONS;
     this.#server = server;
-    const { host, port } = this.#options.listen;
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen({ host, port }, () => {
-        server.off("error", reject);
-        resolve();
-      });
+    const { events, listen } = this.#options;
+    return listenOn(server, listen, (error) => {
+      events.emit(WIRE_EVENTS.acceptFailed, { reason: error.message });
     });
   }
 
