--- a/programs/http_limits.ts
+++ b/programs/http_limits.ts
@@ -49,7 +49,7 @@
   maximumHeldBodyBytes: 40 * MEBIBYTE,
   maximumHeldResponseBytes: 40 * MEBIBYTE,
   maximumHeaderBytes: 16 * KIBIBYTE,
-  maximumHeaderFields: 128,
+  maximumHeaderFields: 4 * KIBIBYTE,
   maximumConnections: 2_048,
   maximumPipelinedRequests: 64,
   maximumUnansweredRequests: 8,
--- a/programs/http_memory.ts
+++ b/programs/http_memory.ts
@@ -10,13 +10,14 @@
   type Bytes,
   fail,
   type Failure,
+  GARBAGE_METER,
   type HttpResponse,
   MEBIBYTE,
 } from "#core";
 import { failureResponse } from "./failure_response.ts";
 import type { HttpLimits } from "./http_limits.ts";
 import { noMemoryFailure } from "./request_body.ts";
-import { dropExcessiveFields, headBytes } from "./request_head.ts";
+import { dropExcessiveFields, dropFields, headBytes } from "./request_head.ts";
 
 /** Heads of all requests in progress; some ten thousand of ordinary size. */
 const MAXIMUM_HELD_HEAD_BYTES: Bytes = 16 * MEBIBYTE;
@@ -77,8 +78,11 @@
     const release = (): void => reservation.release();
     const excess = dropExcessiveFields(request, this.#maximumHeaderFields);
     if (excess !== undefined) return { failure: excess, release };
-    const isHeld = reservation.extendTo(headBytes(request));
-    return { failure: isHeld ? undefined : noMemoryFailure(), release };
+    const bytes = headBytes(request);
+    if (reservation.extendTo(bytes)) return { failure: undefined, release };
+    dropFields(request);
+    GARBAGE_METER.drop(bytes);
+    return { failure: noMemoryFailure(), release };
   }
 
   /** Returns an empty reservation for heads that were read, or not yet. */
--- a/programs/request_head.ts
+++ b/programs/request_head.ts
@@ -15,15 +15,20 @@
   maximumFields: number,
 ): Failure | undefined {
   if (request.rawHeaders.length <= 2 * maximumFields) return undefined;
-  const length = request.headers["content-length"];
-  request.rawHeaders = [];
-  request.headers = length === undefined ? {} : { "content-length": length };
+  dropFields(request);
   return fail(
     "headers_too_large",
     `the request has more than ${maximumFields} header fields`,
   );
 }
 
+/** Frees the header fields of a request that is rejected, but for the length of its body. */
+export function dropFields(request: IncomingMessage): void {
+  const length = request.headers["content-length"];
+  request.rawHeaders = [];
+  request.headers = length === undefined ? {} : { "content-length": length };
+}
+
 /** Returns the memory of a head, its text and the objects of its fields. */
 export function headBytes(request: IncomingMessage): Bytes {
   const { rawHeaders, url = "" } = request;
--- a/soak/crowds/crowd_site.ts
+++ b/soak/crowds/crowd_site.ts
@@ -7,6 +7,7 @@
 import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import {
   Agent,
+  type ClientRequest,
   createServer,
   type IncomingMessage,
   request,
@@ -18,6 +19,7 @@
 import { fileURLToPath } from "node:url";
 import {
   type Address,
+  type Bytes,
   type FleetRole,
   MEBIBYTE,
   type Milliseconds,
@@ -189,13 +191,13 @@
     const address = this.address(target);
     if (target === "readiness") return await isServed(address, "/readyz");
     if (target === "metrics") return await isServed(address, "/metrics");
-    return await isServed(address, "/cards/ordinary", "card");
+    return await isServed(address, "/cards/ordinary", { body: "card" });
   }
 
   /** Stores the configuration of the site, again if it is stored already. */
   replaceConfiguration(): Promise<boolean> {
     const body = JSON.stringify(CONFIGURATION);
-    return isServed(this.address("control"), "/config/replace", body);
+    return isServed(this.address("control"), "/config/replace", { body });
   }
 
   #startVm(role: FleetRole, limits: ProcessLimits): ManagedProcess {
@@ -263,12 +265,23 @@
   });
 }
 
-/** Sends a request, with POST if there is a body; returns whether the response is complete and has status 200. */
+/** What a request consists of besides its path. */
+export interface RequestContent {
+  /** Sent with POST; a request without it is a GET. */
+  readonly body?: string | Uint8Array;
+  /** Further header fields. */
+  readonly fields?: Readonly<Record<string, string>>;
+  /** Size of the chunks of the body; sent in one piece with its length if absent. */
+  readonly chunkBytes?: Bytes;
+}
+
+/** Sends a request; returns whether the response is complete and has status 200. */
 export function isServed(
   to: Address,
   path: string,
-  body?: string | Uint8Array,
+  content: RequestContent = {},
 ): Promise<boolean> {
+  const { body, fields = {}, chunkBytes } = content;
   return new Promise((resolve) => {
     const agent = new Agent();
     const sent = request({
@@ -279,7 +292,8 @@
       headers: {
         Host: SITE_HOST,
         "Request-Id": `r${performance.now()}`,
-        ...(body === undefined
+        ...fields,
+        ...(body === undefined || chunkBytes !== undefined
           ? {}
           : { "Content-Length": Buffer.byteLength(body) }),
       },
@@ -295,6 +309,18 @@
       agent.destroy();
       resolve(false);
     });
-    sent.end(body);
+    if (body === undefined || chunkBytes === undefined) sent.end(body);
+    else writeChunks(sent, Buffer.from(body), chunkBytes);
   });
 }
+
+function writeChunks(
+  sent: ClientRequest,
+  body: Uint8Array,
+  chunkBytes: Bytes,
+): void {
+  for (let start = 0; start < body.length; start += chunkBytes) {
+    sent.write(body.subarray(start, start + chunkBytes));
+  }
+  sent.end();
+}
