Soak: a route with a single version, and workers that run and answer 503

One worker and one engine now run one of five requests and answer 503 until the faults are over, the same requests each time; all batches allow one version for each text, which is checked.

--- a/soak/soak_batches.ts
+++ b/soak/soak_batches.ts
@@ -11,6 +11,8 @@
     readonly id: string;
     readonly state: string;
     readonly text: string;
+    /** Versions of the weights that generated the text. */
+    readonly versions: readonly number[];
   }[];
 }
 
@@ -23,7 +25,7 @@
   lost: number;
 }
 
-/** Returns a line for each broken promise. */
+/** Returns a line for each broken promise; the routes allow one version for each text. */
 export function checkBatches(batches: readonly SoakBatch[]): readonly string[] {
   return batches.flatMap((batch) => [
     ...checkKept(batch),
@@ -49,7 +51,10 @@
   const broken = new Set<string>();
   for (const { total, results } of pages) {
     if (total !== items.length) broken.add(`${id} says that it has ${total}`);
-    for (const { id: item, state, text } of results) {
+    for (const { id: item, state, text, versions } of results) {
+      if (versions.length > 1) {
+        broken.add(`${id} lists ${item} with versions ${versions}`);
+      }
       if (state === "completed" && text === texts.get(item)) continue;
       broken.add(`${id} lists ${item} as ${state} with "${text}"`);
     }
--- a/soak/soak_configuration.ts
+++ b/soak/soak_configuration.ts
@@ -59,6 +59,7 @@
     max_attempts: 3,
     max_queue_s: 60,
     due_ms: 7_500,
+    single_version: true,
   });
   const advice = {
     name: names.streams,
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -102,6 +102,7 @@
           service: SERVICE,
           zone: `z${at % ZONES.length + 1}`,
           address: this.#cluster.fakeAddress(at),
+          isGrey: at === 0,
         }),
     );
     this.#engines = Array.from(
@@ -113,6 +114,7 @@
           zone: `z${at % ZONES.length + 1}`,
           address: this.#cluster.fakeAddress(size.workers + at),
           models: [MODEL],
+          isGrey: at === 0,
         }),
     );
     this.#publisher = new SoakPublisher({
@@ -185,7 +187,7 @@
     const callers = setInterval(() => this.#startCall(), CALL_INTERVAL_MS);
     try {
       await this.#cause(faults);
-      for (const worker of this.#workers) worker.setLimit(null);
+      for (const worker of this.#workers) worker.recover();
       await delay(RECOVERY_MS);
     } finally {
       clearInterval(callers);
--- a/soak/soak_test.ts
+++ b/soak/soak_test.ts
@@ -70,8 +70,8 @@
 const RUN = { id: "a", path: "/", body: "card", lastEventId: null, atMs: 0 };
 
 const RESULTS = [
-  { id: "i", state: "completed", text: "i-0\ni-1" },
-  { id: "j", state: "completed", text: "j-0" },
+  { id: "i", state: "completed", text: "i-0\ni-1", versions: [1] },
+  { id: "j", state: "completed", text: "j-0", versions: [2] },
 ];
 const BATCH = {
   id: "b",
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -12,6 +12,9 @@
 /** Calls whose body begins like this crash each worker that runs them. */
 export const CRASHING_BODY_PREFIX = "crash";
 
+/** Of so many requests a grey worker fails one. */
+const FAILED_EACH = 5;
+const FAILURE_STATUS = 503;
 const CRASH_MS: Milliseconds = 80;
 const RESTART_MS: Milliseconds = 1_500;
 const DEPARTURE_RETRY_MS: Milliseconds = 100;
@@ -30,6 +33,8 @@
   readonly announcedAddress?: Address;
   /** Version of its software at first; it then writes that version into its streams. */
   readonly softwareVersion?: string;
+  /** Whether it fails part of its requests with 503, although it has run them. */
+  readonly isGrey?: boolean;
   /** Returns after how many events a stream breaks off, or null if it does not; none does if absent. */
   readonly eventsBeforeBreak?: () => number | null;
 }
@@ -49,10 +54,12 @@
   readonly #departures: { fromMs: Milliseconds; untilMs: Milliseconds }[] = [];
   #isStopped = false;
   #softwareVersion: string | undefined;
+  #isGrey: boolean;
 
   constructor(options: SoakWorkerOptions) {
     this.#options = options;
     this.#softwareVersion = options.softwareVersion;
+    this.#isGrey = options.isGrey ?? false;
   }
 
   /** What it accepted of a model, and serves of it now. */
@@ -140,6 +147,7 @@
       eventMs: 40,
       startedMs: Date.now(),
       onRun: (request) => this.#run(request),
+      failureOf: (request) => this.#isGrey ? failureOf(request) : null,
       ...(announcedAddress === undefined ? {} : { announcedAddress }),
       ...(eventsBeforeBreak === undefined ? {} : { eventsBeforeBreak }),
       ...(softwareVersion === undefined
@@ -161,6 +169,12 @@
     void this.#fake?.sendHeartbeat(control);
   }
 
+  /** Fails no more requests, and names no limit. */
+  recover(): void {
+    this.#isGrey = false;
+    this.setLimit(null);
+  }
+
   /** Names another limit from now on, null for none. */
   setLimit(perSecond: number | null): void {
     if (this.#fake !== undefined) this.#fake.requestLimit = perSecond;
@@ -186,3 +200,10 @@
     if (!this.#isStopped) await this.start();
   }
 }
+
+/** Returns the failure of a request at a grey worker: the same requests fail each time. */
+function failureOf({ id }: ExecutedRequest): number | null {
+  let sum = 0;
+  for (const character of id) sum += character.charCodeAt(0);
+  return sum % FAILED_EACH === 0 ? FAILURE_STATUS : null;
+}
