--- a/batches/engine_choice.ts
+++ b/batches/engine_choice.ts
@@ -49,19 +49,19 @@
   const hasWaited = nowMs - item.progressMs >= ESTIMATE_PATIENCE_MS;
   let best: EngineSnapshot | undefined;
   let bestScore = Infinity;
-  let leastSetbacks = Infinity;
+  let fewestFailedRuns = Infinity;
   for (const engine of state.engines) {
     if (!canRun(item, engine, nowMs)) continue;
     const hasRoom = hasCapacity(item, engine, loads) ||
       (hasWaited && isUnderHalfFull(item, engine, loads));
     if (!hasRoom) continue;
-    const setbacks = setbacksAt(item, engine);
-    if (setbacks > leastSetbacks) continue;
+    const failures = failedRunsAt(item, engine);
+    if (failures > fewestFailedRuns) continue;
     const score = placementScore(item, engine, loads);
-    if (setbacks === leastSetbacks && score >= bestScore) continue;
+    if (failures === fewestFailedRuns && score >= bestScore) continue;
     best = engine;
     bestScore = score;
-    leastSetbacks = setbacks;
+    fewestFailedRuns = failures;
   }
   return best;
 }
@@ -74,12 +74,12 @@
 ): boolean {
   if (engine.upstream.phase !== "ready") return false;
   if (nowMs < engine.pausedUntilMs || !hasVersion(item, engine)) return false;
-  return item.setbacks.mayTry(incarnationOf(engine.upstream), nowMs);
+  return item.failedRuns.mayStart(incarnationOf(engine.upstream), nowMs);
 }
 
 /** Returns how often runs of an item failed at an engine. */
-function setbacksAt(item: PlannedItem, { upstream }: EngineSnapshot): number {
-  return item.setbacks.countAt(incarnationOf(upstream));
+function failedRunsAt(item: PlannedItem, { upstream }: EngineSnapshot): number {
+  return item.failedRuns.countAt(incarnationOf(upstream));
 }
 
 /** Returns whether an engine of the item's service has a version that may continue its text. */
--- a/batches/item_setbacks.ts
+++ b/batches/failed_runs.ts
@@ -12,23 +12,23 @@
 const INITIAL_ITEM_PAUSE_MS: Milliseconds = 50;
 const MAXIMUM_PAUSE_MS: Milliseconds = 1_000;
 
-interface Setback {
+interface FailuresAt {
   readonly count: number;
   readonly retryMs: Milliseconds;
 }
 
 /** What the plan of an item needs to know of its failed runs. */
-export interface KnownSetbacks {
+export interface KnownFailedRuns {
   /** Returns the number of failed runs at an engine, by its incarnation. */
   countAt(engine: string): number;
   /** Returns whether the item may be sent to an engine now. */
-  mayTry(engine: string, nowMs: Milliseconds): boolean;
+  mayStart(engine: string, nowMs: Milliseconds): boolean;
 }
 
-/** The setbacks of an item whose runs have not failed. */
-export const NO_SETBACKS: KnownSetbacks = {
+/** The failed runs of an item whose runs have not failed. */
+export const NO_FAILED_RUNS: KnownFailedRuns = {
   countAt: () => 0,
-  mayTry: () => true,
+  mayStart: () => true,
 };
 
 /**
@@ -36,14 +36,14 @@
  *
  * @example
  * ```ts
- * const setbacks = new ItemSetbacks();
- * setbacks.record("engine:1", 0);
- * setbacks.mayTry("engine:1", 0); // false
- * setbacks.mayTry("other:1", 0); // true
+ * const failedRuns = new FailedRuns();
+ * failedRuns.record("engine:1", 0);
+ * failedRuns.mayStart("engine:1", 0); // false
+ * failedRuns.mayStart("other:1", 0); // true
  * ```
  */
-export class ItemSetbacks implements KnownSetbacks {
-  readonly #byEngine = new Map<string, Setback>();
+export class FailedRuns implements KnownFailedRuns {
+  readonly #byEngine = new Map<string, FailuresAt>();
   /** Failed runs since the last event. */
   #inARow = 0;
   #retryMs: Milliseconds = -Infinity;
@@ -68,7 +68,7 @@
     return this.#byEngine.get(engine)?.count ?? 0;
   }
 
-  mayTry(engine: string, nowMs: Milliseconds): boolean {
+  mayStart(engine: string, nowMs: Milliseconds): boolean {
     if (nowMs < this.#retryMs) return false;
     return nowMs >= (this.#byEngine.get(engine)?.retryMs ?? -Infinity);
   }
--- a/batches/failed_runs_test.ts
+++ b/batches/failed_runs_test.ts
@@ -6,7 +6,7 @@
 import { ErrorShare } from "./error_share.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import { rejectHead } from "./item_response.ts";
-import { ItemSetbacks } from "./item_setbacks.ts";
+import { FailedRuns } from "./failed_runs.ts";
 import { RunnerWorld, sleep, type StubEngine } from "./runner_world.ts";
 
 const EVENTS = 8;
@@ -45,22 +45,22 @@
 });
 
 test("an item pauses longer after each failed run in a row, and at an engine that failed it", () => {
-  const setbacks = new ItemSetbacks();
-  setbacks.record("a", 0);
-  assert.equal(setbacks.mayTry("a", 399), false);
-  assert.equal(setbacks.mayTry("a", 400), true);
-  assert.equal(setbacks.mayTry("b", 0), true);
-  setbacks.record("b", 10);
-  assert.equal(setbacks.mayTry("c", 59), false);
-  assert.equal(setbacks.mayTry("c", 60), true);
+  const failedRuns = new FailedRuns();
+  failedRuns.record("a", 0);
+  assert.equal(failedRuns.mayStart("a", 399), false);
+  assert.equal(failedRuns.mayStart("a", 400), true);
+  assert.equal(failedRuns.mayStart("b", 0), true);
+  failedRuns.record("b", 10);
+  assert.equal(failedRuns.mayStart("c", 59), false);
+  assert.equal(failedRuns.mayStart("c", 60), true);
   for (let nowMs = 0; nowMs < 20_000; nowMs += 1_000) {
-    setbacks.record("a", nowMs);
-    assert.equal(setbacks.mayTry("c", nowMs + 1_000), true);
+    failedRuns.record("a", nowMs);
+    assert.equal(failedRuns.mayStart("c", nowMs + 1_000), true);
   }
-  setbacks.recordProgress();
-  setbacks.record("d", 30_000);
-  assert.equal(setbacks.mayTry("e", 30_000), true);
-  assert.equal(setbacks.countAt("a"), 21);
+  failedRuns.recordProgress();
+  failedRuns.record("d", 30_000);
+  assert.equal(failedRuns.mayStart("e", 30_000), true);
+  assert.equal(failedRuns.countAt("a"), 21);
 });
 
 test("the error share of an engine falls with its sound runs and with time", () => {
--- a/batches/item_runs.ts
+++ b/batches/item_runs.ts
@@ -145,7 +145,7 @@
     const { runUsage } = task;
     const nowMs = this.#options.clock.nowMs();
     task.progressMs = nowMs;
-    task.setbacks.recordProgress();
+    task.failedRuns.recordProgress();
     const intervalMs: Milliseconds = nowMs - run.lastEventMs;
     if (run.hasEvents) {
       this.observations.recordInterval(run.incarnation, intervalMs, nowMs);
@@ -182,9 +182,9 @@
       )
       .with({ kind: "broken" }, () => {
         this.observations.recordFailure(incarnation, nowMs);
-        this.#recordSetback(task, upstream);
+        this.#recordFailedRun(task, upstream);
       })
-      .with({ kind: "error" }, () => this.#recordSetback(task, upstream))
+      .with({ kind: "error" }, () => this.#recordFailedRun(task, upstream))
       .with({ kind: "stale" }, () => {})
       // The text is kept: another engine may have its version (see `planRestarts`).
       .with(
@@ -200,7 +200,7 @@
           ),
       )
       .with({ kind: "failed" }, () => {
-        this.#recordSetback(task, upstream);
+        this.#recordFailedRun(task, upstream);
         this.#countFailure(task);
       })
       .exhaustive();
@@ -208,10 +208,10 @@
   }
 
   /** Records that an engine failed a run, for this item and for the choice of engines. */
-  #recordSetback(task: ItemTask, upstream: FleetUpstream): void {
+  #recordFailedRun(task: ItemTask, upstream: FleetUpstream): void {
     const incarnation = incarnationOf(upstream);
     const nowMs = this.#options.clock.nowMs();
-    task.setbacks.record(incarnation, nowMs);
+    task.failedRuns.record(incarnation, nowMs);
     const errors = this.observations.recordFailedRun(incarnation, nowMs);
     if (!errors.isNews) return;
     this.#options.events.emit(BATCHES_EVENTS.engineFails, {
--- a/batches/item_task.ts
+++ b/batches/item_task.ts
@@ -15,7 +15,7 @@
 import type { ItemState } from "./batch_state.ts";
 import { versionsAllowed } from "./batches_machine.ts";
 import type { GeneratedEvent } from "./item_run.ts";
-import { ItemSetbacks } from "./item_setbacks.ts";
+import { FailedRuns } from "./failed_runs.ts";
 
 /** Fraction of the generated tokens that is expected to follow at least, since estimates are often too low. */
 const EXPECTED_GROWTH_RATIO = 0.5;
@@ -65,7 +65,7 @@
   scoring: ActiveScoring | undefined;
   moves = 0;
   /** Runs on this VM that failed. */
-  readonly setbacks = new ItemSetbacks();
+  readonly failedRuns = new FailedRuns();
   /** When its last event arrived on this VM, or since when this VM has the item. */
   progressMs: Milliseconds;
   #logged: ItemState;
--- a/batches/plan_test_support.ts
+++ b/batches/plan_test_support.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { NO_SETBACKS } from "./item_setbacks.ts";
+import { NO_FAILED_RUNS } from "./failed_runs.ts";
 import type { EngineSnapshot, PlannedItem } from "./plan_types.ts";
 
 /** Fields of an item that has not run yet. */
@@ -12,7 +12,7 @@
   generatedTokens: 0,
   progressMs: 0,
   latestEngine: null,
-  setbacks: NO_SETBACKS,
+  failedRuns: NO_FAILED_RUNS,
   resubmitted: false,
 } as const satisfies Partial<PlannedItem>;
 
--- a/batches/plan_types.ts
+++ b/batches/plan_types.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { FleetUpstream, Milliseconds } from "#core";
-import type { KnownSetbacks } from "./item_setbacks.ts";
+import type { KnownFailedRuns } from "./failed_runs.ts";
 
 /** Estimated time in which an engine generates a token of one run. */
 export const ESTIMATED_TOKEN_MS: Milliseconds = 0.6;
@@ -33,7 +33,7 @@
   /** The engine of its last run on this VM, or null before the first. */
   readonly latestEngine: string | null;
   /** Its failed runs on this VM. */
-  readonly setbacks: KnownSetbacks;
+  readonly failedRuns: KnownFailedRuns;
   /** Tokens of its prompt and of its generated text, which occupy the cache of an engine. */
   readonly usedTokens: number;
   /** Tenant of its batch; null or absent if it has none. */
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -290,7 +290,7 @@
     generatedTokens,
     progressMs: task.progressMs,
     latestEngine: task.runUsage.latestEngine,
-    setbacks: task.setbacks,
+    failedRuns: task.failedRuns,
     usedTokens: item.promptTokens + generatedTokens,
     resubmitted: task.resubmitted,
     tenant: batch.tenant ?? null,
--- a/batches/text_restarts.ts
+++ b/batches/text_restarts.ts
@@ -64,15 +64,13 @@
   loads: LoadsByEngine,
 ): PlannedRestart | undefined {
   if (engineToStartOn(item, input, loads) !== undefined) return undefined;
-  const hasHolder = input.engines.some((each) =>
+  const isServed = input.engines.some((each) =>
     each.upstream.phase === "ready" && hasVersion(item, each)
   );
   const idleMs = input.nowMs - item.progressMs;
-  const waitMs = hasHolder
-    ? longestWaitMs(item)
-    : waitForUnknownMs(item, input);
+  const waitMs = isServed ? longestWaitMs(item) : waitForUnknownMs(item, input);
   if (idleMs < waitMs) return undefined;
-  const reason = hasHolder ? "version_unavailable" : "version_gone";
+  const reason = isServed ? "version_unavailable" : "version_gone";
   return { key: item.key, reason, idleMs };
 }
 
--- a/batches/text_restarts_test.ts
+++ b/batches/text_restarts_test.ts
@@ -127,13 +127,13 @@
 
 // Guards against items that wait without an end for an engine that is full, paused or silent.
 test("an engine with the version is waited for while it costs less than beginning anew", () => {
-  const holders = [
+  const unavailable = [
     engine("full", 1, { foreignRuns: SLOTS }),
     engine("paused", 1, { pausedUntilMs: NOW_MS + 100 }),
     engine("limited", 1, { startsLeft: 0 }),
   ];
-  for (const holder of holders) {
-    const engines = [holder, engine("new", 2)];
+  for (const each of unavailable) {
+    const engines = [each, engine("new", 2)];
     const patient = boundItem("x", { progressMs: NOW_MS - 1_900 });
     assert.deepEqual(restartsOf(patient, engines), []);
     const waited = boundItem("x", { progressMs: NOW_MS - 2_000 });
--- a/batches/waiting_reasons_test.ts
+++ b/batches/waiting_reasons_test.ts
@@ -66,7 +66,7 @@
     hasEvents: true,
     moves: 0,
   };
-  const failed = { countAt: () => 1, mayTry: () => false };
+  const failed = { countAt: () => 1, mayStart: () => false };
   const cases: readonly [
     string,
     Partial<EngineSnapshot>,
@@ -77,7 +77,7 @@
     ["version", {}, { minimumVersion: 2 }],
     ["version", { versions: new Map([["m", 2]]) }, { boundVersion: 1 }],
     ["pause", { pausedUntilMs: NOW_MS + 1 }, {}],
-    ["setback", {}, { setbacks: failed }],
+    ["backoff", {}, { failedRuns: failed }],
     ["slot", { foreignRuns: 2 }, {}],
     ["permit", { startsLeft: 0 }, {}],
     ["cache", {}, {}],
--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -102,7 +102,7 @@
           service: SERVICE,
           zone: `z${at % ZONES.length + 1}`,
           address: this.#cluster.fakeAddress(at),
-          isGrey: at === 0,
+          failsSome: at === 0,
         }),
     );
     this.#engines = Array.from(
@@ -114,7 +114,7 @@
           zone: `z${at % ZONES.length + 1}`,
           address: this.#cluster.fakeAddress(size.workers + at),
           models: [MODEL],
-          isGrey: at === 0,
+          failsSome: at === 0,
         }),
     );
     this.#publisher = new SoakPublisher({
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -12,7 +12,7 @@
 /** Calls whose body begins like this crash each worker that runs them. */
 export const CRASHING_BODY_PREFIX = "crash";
 
-/** Of so many requests a grey worker fails one. */
+/** Of so many requests a worker that fails some fails one. */
 const FAILED_EACH = 5;
 const FAILURE_STATUS = 503;
 const CRASH_MS: Milliseconds = 80;
@@ -34,7 +34,7 @@
   /** Version of its software at first; it then writes that version into its streams. */
   readonly softwareVersion?: string;
   /** Whether it fails part of its requests with 503, although it has run them. */
-  readonly isGrey?: boolean;
+  readonly failsSome?: boolean;
   /** Returns after how many events a stream breaks off, or null if it does not; none does if absent. */
   readonly eventsBeforeBreak?: () => number | null;
 }
@@ -54,12 +54,12 @@
   readonly #departures: { fromMs: Milliseconds; untilMs: Milliseconds }[] = [];
   #isStopped = false;
   #softwareVersion: string | undefined;
-  #isGrey: boolean;
+  #failsSome: boolean;
 
   constructor(options: SoakWorkerOptions) {
     this.#options = options;
     this.#softwareVersion = options.softwareVersion;
-    this.#isGrey = options.isGrey ?? false;
+    this.#failsSome = options.failsSome ?? false;
   }
 
   /** What it accepted of a model, and serves of it now. */
@@ -147,7 +147,7 @@
       eventMs: 40,
       startedMs: Date.now(),
       onRun: (request) => this.#run(request),
-      failureOf: (request) => this.#isGrey ? failureOf(request) : null,
+      failureOf: (request) => this.#failsSome ? failureOf(request) : null,
       ...(announcedAddress === undefined ? {} : { announcedAddress }),
       ...(eventsBeforeBreak === undefined ? {} : { eventsBeforeBreak }),
       ...(softwareVersion === undefined
@@ -171,7 +171,7 @@
 
   /** Fails no more requests, and names no limit. */
   recover(): void {
-    this.#isGrey = false;
+    this.#failsSome = false;
     this.setLimit(null);
   }
 
@@ -201,7 +201,7 @@
   }
 }
 
-/** Returns the failure of a request at a grey worker: the same requests fail each time. */
+/** Returns the failure of a request at a worker that fails some: the same ones each time. */
 function failureOf({ id }: ExecutedRequest): number | null {
   let sum = 0;
   for (const character of id) sum += character.charCodeAt(0);
