--- a/batches/text_restarts_test.ts
+++ b/batches/text_restarts_test.ts
@@ -4,7 +4,12 @@
 import { numberedItems, testBatch } from "./batch_test_support.ts";
 import { BATCHES_EVENTS } from "./events.ts";
 import { planMoves } from "./move_plan.ts";
-import { FRESH_ITEM, SOUND_ENGINE } from "./plan_test_support.ts";
+import {
+  engineSnapshot,
+  placedRun,
+  PLAN_MS,
+  plannedItem,
+} from "./plan_test_support.ts";
 import type {
   EngineSnapshot,
   ItemPlanInput,
@@ -14,7 +19,6 @@
 import { RunnerWorld, sleep } from "./runner_world.ts";
 import { planRestarts } from "./text_restarts.ts";
 
-const NOW_MS = 10_000;
 const SLOTS = 2;
 
 /** An item with a text of version 1 that its engine stopped generating a moment ago. */
@@ -22,23 +26,15 @@
   key: string,
   change: Partial<PlannedItem> = {},
 ): PlannedItem {
-  return {
-    ...FRESH_ITEM,
-    key,
-    group: "g",
-    model: "m",
-    service: "models",
-    priority: 1,
-    minimumVersion: 1,
+  return plannedItem(key, {
     boundVersion: 1,
     generatedTokens: 5_000,
-    progressMs: NOW_MS - 40,
+    progressMs: PLAN_MS - 40,
     latestEngine: "old",
-    dueMs: NOW_MS + 30_000,
-    tokensLeft: 1_000,
+    dueMs: PLAN_MS + 30_000,
     usedTokens: 5_500,
     ...change,
-  };
+  });
 }
 
 function engine(
@@ -47,45 +43,13 @@
   change: Partial<EngineSnapshot> = {},
   phase: FleetUpstream["phase"] = "ready",
 ): EngineSnapshot {
-  return {
-    ...SOUND_ENGINE,
-    upstream: {
-      id,
-      bornMs: 1,
-      sequence: 1,
-      service: "models",
-      zone: "a",
-      address: { host: "10.0.0.1", port: 80 },
-      slots: SLOTS,
-      phase,
-      serves: [],
-    },
-    versions: new Map([["m", version]]),
-    eventIntervalMs: 40,
-    cacheTokens: 100_000,
-    ...change,
-  };
-}
-
-function runOn(
-  id: string,
-  item: PlannedItem,
-  change: Partial<PlacedRun> = {},
-): PlacedRun {
-  return {
-    item,
-    engine: id,
-    startedMs: NOW_MS - 2_000,
-    lastEventMs: NOW_MS - 40,
-    hasEvents: true,
-    moves: 0,
-    ...change,
-  };
+  const versions = new Map([["m", version]]);
+  return engineSnapshot(id, { versions, ...change }, { phase });
 }
 
 function input(parts: Partial<ItemPlanInput>): ItemPlanInput {
   return {
-    nowMs: NOW_MS,
+    nowMs: PLAN_MS,
     readingDelayMs: 0,
     waiting: [],
     runs: [],
@@ -119,7 +83,7 @@
 test("an engine that is not known any more, or not yet, is waited for a moment", () => {
   const others = [engine("new", 2)];
   assert.deepEqual(restartsOf(boundItem("x"), others), []);
-  const waited = boundItem("x", { progressMs: NOW_MS - 400 });
+  const waited = boundItem("x", { progressMs: PLAN_MS - 400 });
   assert.deepEqual(restartsOf(waited, others), ["version_gone"]);
   const taken = boundItem("x", { latestEngine: null });
   assert.deepEqual(restartsOf(taken, others), []);
@@ -129,33 +93,33 @@
 test("an engine with the version is waited for while it costs less than beginning anew", () => {
   const unavailable = [
     engine("full", 1, { foreignRuns: SLOTS }),
-    engine("paused", 1, { pausedUntilMs: NOW_MS + 100 }),
+    engine("paused", 1, { pausedUntilMs: PLAN_MS + 100 }),
     engine("limited", 1, { startsLeft: 0 }),
   ];
   for (const each of unavailable) {
     const engines = [each, engine("new", 2)];
-    const patient = boundItem("x", { progressMs: NOW_MS - 1_900 });
+    const patient = boundItem("x", { progressMs: PLAN_MS - 1_900 });
     assert.deepEqual(restartsOf(patient, engines), []);
-    const waited = boundItem("x", { progressMs: NOW_MS - 2_000 });
+    const waited = boundItem("x", { progressMs: PLAN_MS - 2_000 });
     assert.deepEqual(restartsOf(waited, engines), ["version_unavailable"]);
     const short = boundItem("x", {
       generatedTokens: 100,
-      progressMs: NOW_MS - 400,
+      progressMs: PLAN_MS - 400,
     });
     assert.deepEqual(restartsOf(short, engines), ["version_unavailable"]);
     const late = boundItem("x", {
-      progressMs: NOW_MS - 500,
-      dueMs: NOW_MS + 3_500,
+      progressMs: PLAN_MS - 500,
+      dueMs: PLAN_MS + 3_500,
     });
     assert.deepEqual(restartsOf(late, engines), ["version_unavailable"]);
   }
 });
 
 test("a text is kept while no other engine could begin it anew, and while one can go on with it", () => {
-  const waited = boundItem("x", { progressMs: NOW_MS - 9_000 });
+  const waited = boundItem("x", { progressMs: PLAN_MS - 9_000 });
   const unusable = [
     engine("full", 2, { foreignRuns: SLOTS }),
-    engine("paused", 2, { pausedUntilMs: NOW_MS + 100 }),
+    engine("paused", 2, { pausedUntilMs: PLAN_MS + 100 }),
     engine("leaving", 2, {}, "draining"),
     engine("below", 0),
   ];
@@ -180,14 +144,14 @@
   ): boolean => {
     const drains = engine("old", 1, { servesForMs }, "draining");
     const engines = [drains, ...others];
-    const runs = [runOn("old", item)];
+    const runs = [placedRun("x", "old", { item })];
     return planMoves(input({ runs, engines })).length > 0;
   };
   const item = boundItem("x");
   const full = { foreignRuns: SLOTS };
   assert.equal(leaves(item, 2_000, [engine("new", 2)]), false);
   assert.equal(leaves(item, 1_000, [engine("new", 2)]), true);
-  const late = boundItem("x", { dueMs: NOW_MS + 3_000 });
+  const late = boundItem("x", { dueMs: PLAN_MS + 3_000 });
   assert.equal(leaves(late, 1_000, [engine("new", 2)]), false);
   assert.equal(leaves(late, 500, [engine("new", 2)]), true);
   assert.equal(leaves(item, 2_000, [engine("same", 1)]), true);
--- a/batches/waiting_reasons_test.ts
+++ b/batches/waiting_reasons_test.ts
@@ -1,7 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemoryEventLog, Metrics } from "#core";
-import { FRESH_ITEM, SOUND_ENGINE } from "./plan_test_support.ts";
+import {
+  engineSnapshot,
+  placedRun,
+  PLAN_MS,
+  plannedItem,
+} from "./plan_test_support.ts";
 import type {
   EngineSnapshot,
   ItemPlanInput,
@@ -9,38 +14,8 @@
 } from "./plan_types.ts";
 import { WaitingReport } from "./waiting_reasons.ts";
 
-const NOW_MS = 10_000;
-
-const ITEM: PlannedItem = {
-  ...FRESH_ITEM,
-  key: "b/x",
-  group: "g",
-  model: "m",
-  service: "models",
-  priority: 1,
-  minimumVersion: 1,
-  dueMs: NOW_MS,
-  tokensLeft: 1_000,
-  usedTokens: 500,
-};
-
-const ENGINE: EngineSnapshot = {
-  ...SOUND_ENGINE,
-  upstream: {
-    id: "e",
-    bornMs: 1,
-    sequence: 1,
-    service: "models",
-    zone: "z",
-    address: { host: "10.0.0.1", port: 80 },
-    slots: 2,
-    phase: "ready",
-    serves: [],
-  },
-  versions: new Map([["m", 1]]),
-  eventIntervalMs: 40,
-  cacheTokens: 2_000,
-};
+const ITEM = plannedItem("b/x", { dueMs: PLAN_MS });
+const ENGINE = engineSnapshot("e", { cacheTokens: 2_000 });
 
 /** Returns what is reported of the waiting items. */
 function reported(
@@ -49,7 +24,7 @@
 ): readonly unknown[] {
   const events = new MemoryEventLog();
   const report = new WaitingReport({ events, metrics: new Metrics() });
-  const input = { nowMs: NOW_MS, readingDelayMs: 0, waiting, runs: [] };
+  const input = { nowMs: PLAN_MS, readingDelayMs: 0, waiting, runs: [] };
   report.update(waiting, { ...input, engines: [ENGINE], ...parts });
   report.update(waiting, { ...input, engines: [ENGINE], ...parts });
   return events.records().map(({ fields }) => [fields.reason, fields.items]);
@@ -58,14 +33,8 @@
 // Guards against items that wait without a line in the log that says for what.
 test("what an item waits for is the first condition that no engine meets, reported once a second", () => {
   const { upstream } = ENGINE;
-  const run = {
-    item: { ...ITEM, usedTokens: 1_000 },
-    engine: "e",
-    startedMs: 0,
-    lastEventMs: NOW_MS,
-    hasEvents: true,
-    moves: 0,
-  };
+  const item = { ...ITEM, usedTokens: 1_000 };
+  const run = placedRun("other", "e", { item });
   const failed = { countAt: () => 1, mayStart: () => false };
   const cases: readonly [
     string,
@@ -76,7 +45,7 @@
     ["engine", {}, { service: "others" }],
     ["version", {}, { minimumVersion: 2 }],
     ["version", { versions: new Map([["m", 2]]) }, { boundVersion: 1 }],
-    ["pause", { pausedUntilMs: NOW_MS + 1 }, {}],
+    ["pause", { pausedUntilMs: PLAN_MS + 1 }, {}],
     ["backoff", {}, { failedRuns: failed }],
     ["slot", { foreignRuns: 2 }, {}],
     ["permit", { startsLeft: 0 }, {}],
@@ -94,7 +63,7 @@
 });
 
 test("items that have not waited for a second are not reported", () => {
-  const fresh = { ...ITEM, progressMs: NOW_MS - 999 };
+  const fresh = { ...ITEM, progressMs: PLAN_MS - 999 };
   assert.deepEqual(reported([fresh], { engines: [] }), []);
   const engines: readonly EngineSnapshot[] = [];
   assert.deepEqual(reported([ITEM, fresh, ITEM], { engines }), [["engine", 2]]);
