--- a/batches/engine_choice.ts
+++ b/batches/engine_choice.ts
@@ -74,12 +74,16 @@
 ): boolean {
   if (engine.upstream.phase !== "ready") return false;
   if (nowMs < engine.pausedUntilMs || !hasVersion(item, engine)) return false;
-  return item.failedRuns.mayStart(incarnationOf(engine.upstream), nowMs);
+  const { failedRuns } = item;
+  // A plan looks at each pair of an item and an engine.
+  return failedRuns.isEmpty ||
+    failedRuns.mayStart(incarnationOf(engine.upstream), nowMs);
 }
 
 /** Returns how often runs of an item failed at an engine. */
 function failedRunsAt(item: PlannedItem, { upstream }: EngineSnapshot): number {
-  return item.failedRuns.countAt(incarnationOf(upstream));
+  const { failedRuns } = item;
+  return failedRuns.isEmpty ? 0 : failedRuns.countAt(incarnationOf(upstream));
 }
 
 /** Returns whether an engine of the item's service has a version that may continue its text. */
--- a/batches/failed_runs.ts
+++ b/batches/failed_runs.ts
@@ -19,6 +19,8 @@
 
 /** What the plan of an item needs to know of its failed runs. */
 export interface KnownFailedRuns {
+  /** Whether no run has failed, so that the item may start anywhere. */
+  readonly isEmpty: boolean;
   /** Returns the number of failed runs at an engine, by its incarnation. */
   countAt(engine: string): number;
   /** Returns whether the item may be sent to an engine now. */
@@ -27,6 +29,7 @@
 
 /** The failed runs of an item whose runs have not failed. */
 export const NO_FAILED_RUNS: KnownFailedRuns = {
+  isEmpty: true,
   countAt: () => 0,
   mayStart: () => true,
 };
@@ -48,6 +51,10 @@
   #inARow = 0;
   #retryMs: Milliseconds = -Infinity;
 
+  get isEmpty(): boolean {
+    return this.#byEngine.size === 0;
+  }
+
   /** Records that a run failed at an engine. */
   record(engine: string, nowMs: Milliseconds): void {
     const count = this.countAt(engine) + 1;
--- a/batches/run_placement.ts
+++ b/batches/run_placement.ts
@@ -150,6 +150,7 @@
     input: ItemPlanInput,
     starts: readonly PlannedStart[],
   ): void {
+    if (!this.#waiting.isDue(input.nowMs)) return;
     const started = new Set(starts.map(({ item }) => item.key));
     const waiting = input.waiting.filter(({ key }) => !started.has(key));
     this.#waiting.update(waiting, input);
--- a/batches/waiting_reasons.ts
+++ b/batches/waiting_reasons.ts
@@ -101,10 +101,15 @@
     });
   }
 
-  /** Reports the items that still wait after the starts of a plan. */
+  /** Whether the next report is due. */
+  isDue(nowMs: Milliseconds): boolean {
+    return nowMs >= this.#nextMs;
+  }
+
+  /** Reports the items that still wait after the starts of a plan, if a report is due. */
   update(waiting: readonly PlannedItem[], input: ItemPlanInput): void {
     const { nowMs } = input;
-    if (nowMs < this.#nextMs) return;
+    if (!this.isDue(nowMs)) return;
     this.#nextMs = nowMs + REPORT_INTERVAL_MS;
     const late = waiting.filter(({ progressMs }) =>
       nowMs - progressMs >= REPORTED_WAIT_MS
--- a/batches/waiting_reasons_test.ts
+++ b/batches/waiting_reasons_test.ts
@@ -35,7 +35,7 @@
   const { upstream } = ENGINE;
   const item = { ...ITEM, usedTokens: 1_000 };
   const run = placedRun("other", "e", { item });
-  const failed = { countAt: () => 1, mayStart: () => false };
+  const failed = { isEmpty: false, countAt: () => 1, mayStart: () => false };
   const cases: readonly [
     string,
     Partial<EngineSnapshot>,
