--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -6,7 +6,7 @@
 
 const TROUBLE = process.env.TROUBLE !== "0";
 const FAULTY_WORKERS = 2;
-const SHARE = 0.03;
+const SHARE = 0.02;
 const LOTS = 8;
 const ITEMS = 240;
 const EVENTS = 10;
