--- a/core/mod.ts
+++ b/core/mod.ts
@@ -28,6 +28,7 @@
 export * from "./metrics.ts";
 export * from "./ports.ts";
 export * from "./random.ts";
+export * from "./marked_end.ts";
 export * from "./response_status.ts";
 export * from "./result.ts";
 export * from "./settings.ts";
--- a/fakes/json_client.ts
+++ b/fakes/json_client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Agent, request } from "node:http";
-import type { Milliseconds } from "#core";
+import { hasMarkedEnd, type Milliseconds } from "#core";
 
 /** An HTTP request with a JSON body. */
 export interface JsonCall {
@@ -50,7 +50,9 @@
         response.on("data", (chunk: Buffer) => chunks.push(chunk));
         response.on("error", () => resolve(NO_RESPONSE));
         response.on("close", () => {
-          if (!response.complete) return resolve(NO_RESPONSE);
+          const isWhole = response.complete &&
+            hasMarkedEnd(response, call.method);
+          if (!isWhole) return resolve(NO_RESPONSE);
           resolve({
             status: response.statusCode ?? 0,
             headers: response.headers,
--- a/programs/operator_client.ts
+++ b/programs/operator_client.ts
@@ -9,6 +9,7 @@
   Err,
   fail,
   type Failure,
+  hasMarkedEnd,
   isFailure,
   type Milliseconds,
   Ok,
@@ -84,6 +85,9 @@
         incoming.on("data", (chunk: Uint8Array) => chunks.push(chunk));
         incoming.on("error", (error) => resolve(Err(error.message)));
         incoming.on("end", () => {
+          if (!hasMarkedEnd(incoming, request.method)) {
+            return resolve(Err("the response does not mark its end"));
+          }
           const text = Buffer.concat(chunks).toString();
           resolve(parseResponse(incoming.statusCode ?? 0, text));
         });
--- a/proof/broken_upstreams_test.ts
+++ b/proof/broken_upstreams_test.ts
@@ -14,7 +14,7 @@
 const CHUNKED = ["Transfer-Encoding: chunked"];
 const EVENTS = ["Content-Type: text/event-stream", ...CHUNKED];
 const WITHOUT_LENGTH = ["Content-Type: text/event-stream", "Connection: close"];
-const ENDS = ["close", "reset"] as const;
+const ENDS = ["close", "reset", "reset_at_once"] as const;
 
 /** Two events of a stream, and then the end of the connection. */
 const BROKEN_STREAM: Script = {
--- a/proof/scripted_upstream.ts
+++ b/proof/scripted_upstream.ts
@@ -40,7 +40,7 @@
 /** What an upstream sends after it has received a call, and how it ends the connection. */
 export interface Script {
   readonly bytes: string;
-  readonly end: "close" | "reset" | "keep";
+  readonly end: "close" | "reset" | "reset_at_once" | "keep";
 }
 
 /** Returns a response that names the call, with a stamp unless `stamp` is false. */
@@ -183,8 +183,9 @@
 function follow({ bytes, end }: Script, socket: Socket): void {
   const finish = (): void => {
     if (end === "close") socket.end();
-    // What was written has to arrive before the reset.
+    // What was written is read before the reset, or together with it.
     if (end === "reset") setTimeout(() => socket.resetAndDestroy(), 5);
+    if (end === "reset_at_once") socket.resetAndDestroy();
   };
   if (bytes === "") finish();
   else socket.write(bytes, "latin1", finish);
--- a/requests/single_connection.ts
+++ b/requests/single_connection.ts
@@ -4,16 +4,16 @@
  *
  * @module
  */
-import { Agent } from "node:http";
 import type { Socket } from "node:net";
 import type { Milliseconds } from "#core";
+import { UpstreamAgent } from "./upstream_socket.ts";
 
 const KEEP_ALIVE_PROBE_DELAY_MS: Milliseconds = 1_000;
 
 /** A connection over which calls are sent one after the other. */
 export class SingleConnection {
   /** Opens the connection with the first call. */
-  readonly agent = new Agent({
+  readonly agent = new UpstreamAgent({
     keepAlive: true,
     keepAliveMsecs: KEEP_ALIVE_PROBE_DELAY_MS,
     maxSockets: 1,
--- a/requests/upstream_client.ts
+++ b/requests/upstream_client.ts
@@ -15,6 +15,7 @@
   type Bytes,
   type Clock,
   Err,
+  hasMarkedEnd,
   isFinalStatus,
   type Milliseconds,
   Ok,
@@ -80,8 +81,6 @@
   readonly clock: Clock;
 }
 
-const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Port for calls to upstreams. */
 export abstract class UpstreamCaller {
   /** Sends one call; never throws. */
@@ -269,7 +268,8 @@
   #finish(incoming: IncomingMessage): void {
     if (this.#settled) return;
     const status = incoming.statusCode ?? 0;
-    if (!incoming.complete || !this.#hasMarkedEnd(incoming)) {
+    const hasEnd = hasMarkedEnd(incoming, this.#request.method);
+    if (!incoming.complete || !hasEnd) {
       return this.#fail("short_answer", "the response has no marked end");
     }
     this.#advance("whole");
@@ -280,14 +280,6 @@
     }));
   }
 
-  #hasMarkedEnd(incoming: IncomingMessage): boolean {
-    if (NO_BODY_STATUSES.has(incoming.statusCode ?? 0)) return true;
-    if (this.#request.method === "HEAD") return true;
-    if (incoming.headers["content-length"] !== undefined) return true;
-    const encoding = incoming.headers["transfer-encoding"] ?? "";
-    return encoding.toLowerCase().includes("chunked");
-  }
-
   #advance(stage: RequestStage): void {
     if (this.#settled) return;
     this.#reachedStage = stage;
--- a/requests/upstream_http.ts
+++ b/requests/upstream_http.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import {
-  Agent,
   type ClientRequest,
   type IncomingMessage,
   request as send,
@@ -17,7 +16,7 @@
   type ByteReservation,
   type Bytes,
   Err,
-  GARBAGE_METER,
+  hasMarkedEnd,
   isFinalStatus,
   KIBIBYTE,
   MEBIBYTE,
@@ -26,7 +25,9 @@
   type Result,
 } from "#core";
 import { FoulBytesError, isFoul } from "./foul_bytes.ts";
+import { confirmEnd, readChunks } from "./response_chunks.ts";
 import type { SingleConnection } from "./single_connection.ts";
+import { UpstreamAgent } from "./upstream_socket.ts";
 
 const MAXIMUM_RESPONSE_BYTES: Bytes = 32 * MEBIBYTE;
 /** Responses that are being read, together, if the caller passes no budget. */
@@ -99,12 +100,13 @@
 
 /** Sends calls over a pool of keep-alive connections. */
 export class UpstreamHttp {
-  readonly #agent = new Agent({
+  readonly #agent = new UpstreamAgent({
     keepAlive: true,
     keepAliveMsecs: KEEP_ALIVE_PROBE_DELAY_MS,
     maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS,
     scheduling: "lifo",
   });
+  readonly #singleUseAgent = new UpstreamAgent();
 
   readonly #bodyBudget: ByteBudget;
 
@@ -170,7 +172,11 @@
     });
     outgoing.on("response", (incoming) => {
       incoming.on("error", () => {});
-      incoming.once("close", () => {
+      const hasEnd = hasMarkedEnd(incoming, call.method);
+      if (!hasEnd) confirmEnd(incoming);
+      // Without a marked end, the call is under way until its connection has ended.
+      const exchange = hasEnd ? incoming : outgoing;
+      exchange.once("close", () => {
         call.signal.removeEventListener("abort", cancel);
       });
       if (!isFinalStatus(incoming.statusCode)) {
@@ -196,7 +202,7 @@
   /** Creates the request; fails if the call can't be written as one, as with an address that names nobody. */
   #create(call: OutgoingCall): Result<ClientRequest, CallError> {
     const agent = call.connection?.agent ??
-      (call.reuseConnection ? this.#agent : false);
+      (call.reuseConnection ? this.#agent : this.#singleUseAgent);
     try {
       return Ok(send({
         host: call.address.host,
@@ -326,18 +332,3 @@
     rawHeaders: incoming.rawHeaders,
   };
 }
-
-/** Yields the body; a body without a length seems complete to Node also after an error of its connection. */
-async function* readChunks(
-  incoming: IncomingMessage,
-  connectionError: () => Error | undefined,
-): AsyncGenerator<Uint8Array> {
-  for await (const chunk of incoming) {
-    const bytes = chunk as Uint8Array;
-    yield bytes;
-    GARBAGE_METER.drop(bytes.length);
-  }
-  const error = connectionError();
-  if (error !== undefined) throw error;
-  if (!incoming.complete) throw new Error("the response ended prematurely");
-}
--- a/soak/soak_exchange.ts
+++ b/soak/soak_exchange.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { request as startRequest } from "node:http";
-import type { Address, Milliseconds } from "#core";
+import { type Address, hasMarkedEnd, type Milliseconds } from "#core";
 
 const EXCHANGE_TIMEOUT_MS: Milliseconds = 4_000;
 
@@ -43,7 +43,9 @@
       response.on("error", () => resolve(none));
       response.on("end", () => {
         const stamp = response.headers["response-stamp"];
-        const status = response.complete ? response.statusCode ?? 0 : 0;
+        const isWhole = response.complete &&
+          hasMarkedEnd(response, call.method);
+        const status = isWhole ? response.statusCode ?? 0 : 0;
         resolve({
           status,
           text,
