--- a/core/memory_holder.ts
+++ b/core/memory_holder.ts
@@ -24,6 +24,8 @@
   | "peer_connections"
   | "caller_connections"
   | "upstreams"
+  /** Upstreams of services that the configuration does not name. */
+  | "unnamed_upstreams"
   | "vms";
 
 /** Sizes of what a process holds; those that don't apply to its role are absent. */
--- a/membership/control_replica.ts
+++ b/membership/control_replica.ts
@@ -31,6 +31,7 @@
 import { LocalFirstControl } from "./local_first_control.ts";
 import { PlacementMachine } from "./placement_machine.ts";
 import { PlacementManager } from "./placement_manager.ts";
+import { UnnamedUpstreamsLog } from "./unnamed_upstreams_log.ts";
 import { isOnHostOfLeader, leaderOf } from "./placement_plan.ts";
 
 const VM_LOSS_TIMEOUT_MS: Milliseconds = 2_500;
@@ -80,9 +81,11 @@
   readonly #placementMachine = new PlacementMachine();
   readonly #departures = new DeparturesMachine();
   readonly #recorder: DepartureRecorder;
+  readonly #unnamed: UnnamedUpstreamsLog;
 
   constructor(options: ControlReplicaOptions) {
     this.#options = options;
+    this.#unnamed = new UnnamedUpstreamsLog(options.events);
     this.log = this.#buildLog();
     this.fleet = this.#buildFleet();
     this.control = new LocalFirstControl({
@@ -124,6 +127,7 @@
     });
     this.log.onApplied(() => {
       this.fleet.applyDepartures();
+      this.fleet.applyConfiguration();
       this.fleet.wakeWaiters();
     });
     this.fleet.start();
@@ -138,7 +142,12 @@
   /** Records a heartbeat of an upstream; returns whether it may be acknowledged. */
   async acceptHeartbeat(record: FleetUpstream): Promise<boolean> {
     const isAccepted = this.fleet.recordHeartbeat(record);
-    const { id, bornMs, phase } = record;
+    const { id, bornMs, phase, service } = record;
+    if (!this.fleet.isNamed(service)) {
+      this.#unnamed.report(record);
+      // It departs from no service, and may be of another writer with the identifier of an upstream that goes on.
+      return isAccepted;
+    }
     if (!isAccepted || phase !== "draining") return isAccepted;
     return await this.#recorder.record({ id, bornMs, phase });
   }
--- a/membership/events.ts
+++ b/membership/events.ts
@@ -167,6 +167,14 @@
     action:
       "Read the failure; check that a majority of the control VMs can be reached.",
   },
+  unnamedService: {
+    code: 1428,
+    level: "warn",
+    text:
+      "an upstream reports a service that the configuration does not name; it is used once one names it, and takes no address or identifier from another upstream until then",
+    action:
+      "If the service is to come, none. Otherwise find the writer by its address and stop it.",
+  },
   leaderRequestDelayed: {
     code: 1425,
     level: "info",
--- a/membership/fleet_messages.ts
+++ b/membership/fleet_messages.ts
@@ -14,7 +14,7 @@
 } from "#core";
 import type { Departure } from "./departures_machine.ts";
 import type { CrashRecord, CrashRevision } from "./crash_records.ts";
-import type { AgedHeartbeat } from "./fleet_table.ts";
+import type { AgedHeartbeat } from "./upstream_entries.ts";
 import type { ObservedNode } from "./placement_plan.ts";
 
 /**
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -15,6 +15,7 @@
   type Milliseconds,
   Ok,
   type Result,
+  type RoutingConfiguration,
   type StoredConfiguration,
 } from "#core";
 import type { PeerNetwork } from "#wire";
@@ -72,6 +73,8 @@
   readonly #departures: HeardDepartures;
   /** Revision of the departures that this VM told the others last. */
   #toldDepartures = 0;
+  /** The configuration whose services the table knows. */
+  #appliedRules: RoutingConfiguration | undefined;
   readonly #replies: FollowReplies;
   readonly #vms: VmObservations;
   readonly #crashes = new CrashLedger();
@@ -117,6 +120,7 @@
 
   /** Records a heartbeat of an upstream and forwards it; returns whether it may be acknowledged. */
   recordHeartbeat(record: FleetUpstream): boolean {
+    this.applyConfiguration();
     const heartbeat = { record, ageMs: 0 };
     const outcome = this.#table.recordHeartbeat(
       heartbeat,
@@ -180,6 +184,20 @@
     if (this.#table.applyDepartures(clock.nowMs())) this.wakeWaiters();
   }
 
+  /** Takes notice of the services that the configuration names. */
+  applyConfiguration(): void {
+    const rules = this.#options.configuration()?.rules;
+    if (rules === undefined || rules === this.#appliedRules) return;
+    this.#appliedRules = rules;
+    const services = new Set(rules.services.map(({ name }) => name));
+    if (this.#table.nameServices(services)) this.wakeWaiters();
+  }
+
+  /** Whether an upstream of this service may be used, now or once there is a configuration. */
+  isNamed(service: string): boolean {
+    return this.#table.isNamed(service);
+  }
+
   /** Returns the start time of the newest known incarnation of an upstream. */
   bornMsOf(id: string): Milliseconds | undefined {
     return this.#table.bornMsOf(id);
@@ -258,6 +276,7 @@
   #expireAndGossip(): void {
     const nowMs = this.#options.clock.nowMs();
     const previousRevision = this.#table.revision;
+    this.applyConfiguration();
     this.#table.expire(nowMs);
     const isolated = !this.#options.reachesQuorum();
     if (this.#table.revision !== previousRevision || isolated) {
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -1,34 +1,28 @@
 /**
  * The upstreams as reported by their heartbeats. Heartbeats can arrive late, twice and in any order, also after
- * their sender has stopped. They are ordered by the start time of the incarnation, then by the sequence number.
+ * their sender has stopped. They are ordered by the start time of the incarnation, then by the sequence number. Other
+ * writers may send some too, with the identifier or the address of an upstream; see `claimed_upstreams.ts`.
  *
  * @module
  */
-import { type FleetUpstream, incarnationOf, type Milliseconds } from "#core";
+import type { FleetUpstream, Milliseconds } from "#core";
+import { holderOfAddress, holderOfId, isNewer } from "./claimed_upstreams.ts";
 import { covers, type KnownDepartures } from "./departures_machine.ts";
 import type { LimitObservation } from "./fleet_messages.ts";
+import {
+  type AgedHeartbeat,
+  type TableEntry,
+  UpstreamEntries,
+} from "./upstream_entries.ts";
+import { groupLimits, limitField, newerLimit } from "./upstream_limits.ts";
 
 /** Whether a heartbeat changed the routing, only renewed the upstream, or was outdated. */
 export type HeartbeatOutcome = "changed" | "renewed" | "outdated";
 
 const NO_LIMITS: ReadonlyMap<string, number> = new Map();
 
-interface TableEntry {
-  record: FleetUpstream;
-  receivedMs: Milliseconds;
-  /** Start time of an incarnation that is known to leave, whatever its heartbeats say; null if none is. */
-  leavingBornMs: Milliseconds | null;
-  /** When a response last named the limit in the record; null if none is known. */
-  limitObservedMs: Milliseconds | null;
-}
-
-/** A heartbeat with the time that has passed since it was received. */
-export interface AgedHeartbeat {
-  readonly record: FleetUpstream;
-  readonly ageMs: Milliseconds;
-  /** Time since a response named the limit in the record; absent if there is none, and in earlier builds. */
-  readonly limitAgeMs?: Milliseconds;
-}
+/** Most entries kept of services that no configuration names; the ones without a heartbeat for longest yield. */
+const MAXIMUM_UNNAMED_ENTRIES = 1_024;
 
 /** Time limits of the table. */
 export interface FleetTableOptions {
@@ -52,7 +46,9 @@
  */
 export class FleetTable {
   readonly #options: FleetTableOptions;
-  readonly #entries = new Map<string, TableEntry>();
+  readonly #entries = new UpstreamEntries();
+  /** Services that the configuration names; null before the first one, when each may be one. */
+  #services: ReadonlySet<string> | null = null;
   #revision = 0;
   /** Limits by service, as of a revision. */
   #limits: ReadonlyMap<string, ReadonlyMap<string, number>> = new Map();
@@ -60,6 +56,8 @@
   /** Revision of the departures that are applied to the entries. */
   #departuresRevision = -1;
 
+  readonly #isNamed = (service: string): boolean => this.isNamed(service);
+
   constructor(options: FleetTableOptions) {
     this.#options = options;
   }
@@ -69,16 +67,33 @@
     return this.#revision;
   }
 
+  /** Sets the services that the configuration names; returns whether that may change which upstreams are listed. */
+  nameServices(services: ReadonlySet<string>): boolean {
+    if (this.#services !== null && isSameSet(this.#services, services)) {
+      return false;
+    }
+    this.#services = services;
+    this.#revision += 1;
+    return true;
+  }
+
+  /** Whether an upstream of this service may be used, now or once there is a configuration. */
+  isNamed(service: string): boolean {
+    return this.#services?.has(service) ?? true;
+  }
+
   /** Stores a heartbeat unless a newer one is known. */
   recordHeartbeat(beat: AgedHeartbeat, nowMs: Milliseconds): HeartbeatOutcome {
-    const known = this.#entries.get(beat.record.id);
+    const known = this.#entries.find(beat.record);
     if (known !== undefined && !isNewer(beat.record, known.record)) {
       this.#adoptLimitOf(beat, nowMs);
       return "outdated";
     }
-    const { id, bornMs } = beat.record;
+    const { id, bornMs, service } = beat.record;
     const departure = this.#options.departures.find(id);
     if (covers(departure, { bornMs, phase: "gone" })) return "outdated";
+    if (known === undefined && !this.isNamed(service)) this.#makeRoom();
+    const holdersBefore = this.#holdersFor(beat.record);
     const isDraining = covers(departure, { bornMs, phase: "draining" });
     const leavingBornMs = isDraining ? bornMs : known?.leavingBornMs ?? null;
     const limit = newerLimit(known, beat, nowMs);
@@ -87,16 +102,17 @@
       ...limitField(limit),
     };
     const wasExpired = known !== undefined && this.#isExpired(known, nowMs);
-    const receivedMs = nowMs - beat.ageMs;
-    const limitObservedMs = limit?.observedMs ?? null;
-    this.#entries.set(record.id, {
+    const isSameStart = known?.record.bornMs === bornMs;
+    this.#entries.set({
       record,
-      receivedMs,
+      receivedMs: nowMs - beat.ageMs,
+      previousMs: isSameStart ? known.receivedMs : null,
       leavingBornMs,
-      limitObservedMs,
+      limitObservedMs: limit?.observedMs ?? null,
     });
     const changed = known === undefined || wasExpired ||
-      !sameForRouting(known.record, record);
+      !sameForRouting(known.record, record) ||
+      this.#holdersFor(record) !== holdersBefore;
     if (!changed) return "renewed";
     this.#revision += 1;
     return "changed";
@@ -107,17 +123,19 @@
    * if a later incarnation is known.
    */
   markGone(id: string, bornMs: Milliseconds | null, nowMs: Milliseconds): void {
-    const known = this.#entries.get(id);
-    if (known === undefined) return;
-    if (bornMs !== null && bornMs < known.record.bornMs) return;
-    known.record = {
-      ...known.record,
-      bornMs: bornMs ?? known.record.bornMs,
-      sequence: Number.MAX_SAFE_INTEGER,
-      phase: "gone",
-    };
-    known.receivedMs = nowMs;
-    this.#revision += 1;
+    const leavingBornMs = bornMs ?? this.bornMsOf(id);
+    if (leavingBornMs === undefined) return;
+    for (const known of this.#entries.ofId(id)) {
+      if (leavingBornMs < known.record.bornMs) continue;
+      known.record = {
+        ...known.record,
+        bornMs: leavingBornMs,
+        sequence: Number.MAX_SAFE_INTEGER,
+        phase: "gone",
+      };
+      known.receivedMs = nowMs;
+      this.#revision += 1;
+    }
   }
 
   /** Applies the departures that the control log holds to the known upstreams; returns whether that changed any. */
@@ -127,18 +145,18 @@
     this.#departuresRevision = departures.revision;
     const before = this.#revision;
     for (const { id, bornMs, phase } of departures.all()) {
-      const known = this.#entries.get(id)?.record;
-      if (known === undefined || known.bornMs > bornMs) continue;
-      if (known.phase === "gone") continue;
-      if (phase === "gone") this.markGone(id, bornMs, nowMs);
-      else this.markDraining(id, known.bornMs);
+      for (const { record } of this.#entries.ofId(id)) {
+        if (record.bornMs > bornMs || record.phase === "gone") continue;
+        if (phase === "gone") this.markGone(id, bornMs, nowMs);
+        else this.markDraining(id, record.bornMs);
+      }
     }
     return this.#revision !== before;
   }
 
   /** Returns the start time of the newest known incarnation of an upstream. */
   bornMsOf(id: string): Milliseconds | undefined {
-    return this.#entries.get(id)?.record.bornMs;
+    return this.#holderOfId(id)?.record.bornMs;
   }
 
   /**
@@ -146,14 +164,17 @@
    * the same upstream is not affected.
    */
   markDraining(id: string, bornMs: Milliseconds): boolean {
-    const known = this.#entries.get(id);
-    if (known === undefined || known.record.bornMs !== bornMs) return false;
-    if (known.leavingBornMs === bornMs) return false;
-    known.leavingBornMs = bornMs;
-    if (known.record.phase !== "ready") return false;
-    known.record = withDeparture(known.record, bornMs);
-    this.#revision += 1;
-    return true;
+    let isNews = false;
+    for (const known of this.#entries.ofId(id)) {
+      if (known.record.bornMs !== bornMs) continue;
+      if (known.leavingBornMs === bornMs) continue;
+      known.leavingBornMs = bornMs;
+      if (known.record.phase !== "ready") continue;
+      known.record = withDeparture(known.record, bornMs);
+      isNews = true;
+    }
+    if (isNews) this.#revision += 1;
+    return isNews;
   }
 
   /**
@@ -161,7 +182,7 @@
    * observation than the known one, or one of another incarnation, is ignored.
    */
   recordLimit(observed: LimitObservation, nowMs: Milliseconds): boolean {
-    const known = this.#entries.get(observed.id);
+    const known = this.#holderOfId(observed.id);
     if (known === undefined || known.record.bornMs !== observed.bornMs) {
       return false;
     }
@@ -177,9 +198,9 @@
 
   /** Marks upstreams without a heartbeat in time as gone, and removes those without one for the retention time. */
   expire(nowMs: Milliseconds): void {
-    for (const [id, entry] of this.#entries) {
+    for (const entry of [...this.#entries.all()]) {
       const ageMs = nowMs - entry.receivedMs;
-      if (ageMs > this.#options.retentionMs) this.#entries.delete(id);
+      if (ageMs > this.#options.retentionMs) this.#remove(entry);
       if (entry.record.phase === "gone") continue;
       if (!this.#isExpired(entry, nowMs)) continue;
       entry.record = { ...entry.record, phase: "gone" };
@@ -187,16 +208,14 @@
     }
   }
 
-  /** Returns the upstreams that are not gone; of several at one address, only the one that started last. */
+  /** Returns the upstreams that are not gone; of several with one identifier or address, only the one that holds it. */
   listed(): readonly FleetUpstream[] {
-    const byAddress = new Map<string, FleetUpstream>();
-    for (const { record } of this.#entries.values()) {
-      const address = `${record.address.host}:${record.address.port}`;
-      const other = byAddress.get(address);
-      if (other !== undefined && other.bornMs >= record.bornMs) continue;
-      byAddress.set(address, record);
+    const listed: FleetUpstream[] = [];
+    for (const entry of this.#entries.all()) {
+      if (entry.record.phase === "gone") continue;
+      if (this.#holds(entry)) listed.push(entry.record);
     }
-    return [...byAddress.values()].filter((each) => each.phase !== "gone");
+    return listed;
   }
 
   /**
@@ -213,7 +232,7 @@
   /** Returns all stored heartbeats with their ages, for another control VM. */
   agedHeartbeats(nowMs: Milliseconds): readonly AgedHeartbeat[] {
     const all: AgedHeartbeat[] = [];
-    for (const entry of this.#entries.values()) {
+    for (const entry of this.#entries.all()) {
       const { record, receivedMs, limitObservedMs } = entry;
       const ageMs = nowMs - receivedMs;
       const limit = limitObservedMs === null
@@ -224,6 +243,58 @@
     return all;
   }
 
+  /** Removes an entry; others may hold its identifier or its address then. */
+  #remove(entry: TableEntry): void {
+    const hasRivals = this.#hasRivals(entry);
+    this.#entries.delete(entry);
+    if (hasRivals) this.#revision += 1;
+  }
+
+  #hasRivals({ record: { id, address } }: TableEntry): boolean {
+    return this.#entries.ofId(id).size > 1 ||
+      this.#entries.atAddress(address).size > 1;
+  }
+
+  /** Removes the unnamed entry without a heartbeat for longest if there are too many. */
+  #makeRoom(): void {
+    let unnamed = 0;
+    let oldest: TableEntry | undefined;
+    for (const entry of this.#entries.all()) {
+      if (this.isNamed(entry.record.service)) continue;
+      unnamed += 1;
+      if (oldest === undefined || entry.receivedMs < oldest.receivedMs) {
+        oldest = entry;
+      }
+    }
+    if (unnamed < MAXIMUM_UNNAMED_ENTRIES || oldest === undefined) return;
+    this.#remove(oldest);
+  }
+
+  #holderOfId(id: string): TableEntry | undefined {
+    return holderOfId(this.#entries.ofId(id), this.#isNamed);
+  }
+
+  /** Whether an entry holds its identifier and its address. */
+  #holds(entry: TableEntry): boolean {
+    if (!this.#hasRivals(entry)) return true;
+    return holderOfAddress(
+      this.#entries,
+      entry.record.address,
+      this.#isNamed,
+    ) === entry;
+  }
+
+  /** Names the entries that hold the identifier and the address of a record. */
+  #holdersFor(record: FleetUpstream): string {
+    const ofId = this.#holderOfId(record.id)?.record;
+    const ofAddress = holderOfAddress(
+      this.#entries,
+      record.address,
+      this.#isNamed,
+    )?.record;
+    return [ofId?.service, ofAddress?.id, ofAddress?.service].join(" ");
+  }
+
   #adoptLimitOf(beat: AgedHeartbeat, nowMs: Milliseconds): void {
     const { record: { id, bornMs, requestLimit }, limitAgeMs } = beat;
     if (requestLimit === undefined || limitAgeMs === undefined) return;
@@ -245,59 +316,15 @@
   return leaves ? { ...record, phase: "draining" } : record;
 }
 
-function groupLimits(
-  upstreams: readonly FleetUpstream[],
-): ReadonlyMap<string, ReadonlyMap<string, number>> {
-  const limits = new Map<string, Map<string, number>>();
-  for (const upstream of upstreams) {
-    const { service, requestLimit = null, phase } = upstream;
-    if (requestLimit === null || phase !== "ready") continue;
-    const ofService = limits.get(service) ?? new Map<string, number>();
-    ofService.set(incarnationOf(upstream), requestLimit);
-    limits.set(service, ofService);
+function isSameSet(
+  one: ReadonlySet<string>,
+  other: ReadonlySet<string>,
+): boolean {
+  if (one.size !== other.size) return false;
+  for (const each of one) {
+    if (!other.has(each)) return false;
   }
-  return limits;
-}
-
-interface ObservedLimit {
-  readonly perSecond: number | null;
-  readonly observedMs: Milliseconds;
-}
-
-/** Returns the newer one of the limits known for an incarnation and the one that its heartbeat brings, if any. */
-function newerLimit(
-  known: TableEntry | undefined,
-  beat: AgedHeartbeat,
-  nowMs: Milliseconds,
-): ObservedLimit | undefined {
-  const stored = known?.record.bornMs === beat.record.bornMs
-    ? observedLimit(known.record, known.limitObservedMs)
-    : undefined;
-  const brought = beat.limitAgeMs === undefined
-    ? undefined
-    : observedLimit(beat.record, nowMs - beat.limitAgeMs);
-  if (stored === undefined || brought === undefined) return stored ?? brought;
-  return brought.observedMs > stored.observedMs ? brought : stored;
-}
-
-function observedLimit(
-  record: FleetUpstream,
-  observedMs: Milliseconds | null,
-): ObservedLimit | undefined {
-  const { requestLimit } = record;
-  if (requestLimit === undefined || observedMs === null) return undefined;
-  return { perSecond: requestLimit, observedMs };
-}
-
-function limitField(
-  limit: ObservedLimit | undefined,
-): Pick<FleetUpstream, "requestLimit"> {
-  return limit === undefined ? {} : { requestLimit: limit.perSecond };
-}
-
-function isNewer(record: FleetUpstream, known: FleetUpstream): boolean {
-  if (record.bornMs !== known.bornMs) return record.bornMs > known.bornMs;
-  return record.sequence > known.sequence;
+  return true;
 }
 
 function sameForRouting(a: FleetUpstream, b: FleetUpstream): boolean {
--- a/membership/followed_upstreams.ts
+++ b/membership/followed_upstreams.ts
@@ -84,7 +84,8 @@
     for (const id of fleet.removed ?? []) this.#listed.delete(id);
     for (const upstream of fleet.upstreams) {
       const known = this.#listed.get(upstream.id);
-      if (known !== undefined && known.bornMs > upstream.bornMs) continue;
+      const isOlder = known !== undefined && known.bornMs > upstream.bornMs;
+      if (isOlder && !replaces) continue;
       // Control VMs of earlier builds accept entries that name no upstream to use.
       if (problemOf(upstream) !== undefined) continue;
       this.#listed.set(upstream.id, upstream);
--- a/programs/control_node.ts
+++ b/programs/control_node.ts
@@ -235,13 +235,16 @@
     const unsent = this.#base.network.unsent();
     const { log, fleet } = this.#replica;
     const sizes = log.sizes();
+    const upstreams = fleet.upstreams();
+    const unnamed = upstreams.filter(({ service }) => !fleet.isNamed(service));
     return {
       bytes: { ...logBytes(sizes), unsent_to_peers: unsent.bytes },
       counts: {
         log_entries: sizes.entries,
         peer_connections: unsent.connections,
         caller_connections: this.#server.connectionCount,
-        upstreams: fleet.upstreams().length,
+        upstreams: upstreams.length,
+        unnamed_upstreams: unnamed.length,
         vms: fleet.nodes().length,
       },
     };
--- a/proof/control_world.ts
+++ b/proof/control_world.ts
@@ -20,6 +20,8 @@
   ProcessNetwork,
 } from "../agreement/simulated_process.ts";
 
+/** The service that its configurations name. */
+export const NAMED_SERVICE = "s";
 const SYNC_MS: Milliseconds = 2;
 const SEEDS = 3;
 const HEARTBEAT_TIMEOUT_MS: Milliseconds = 4_200;
@@ -244,7 +246,10 @@
     headerTimeoutMs: 1,
     idleTimeoutMs: 1,
   };
-  const rules = { version, routes: [], services: [], limits };
+  const services = [
+    { name: NAMED_SERVICE, maximumConnections: 1, engine: null },
+  ];
+  const rules = { version, routes: [], services, limits };
   return { document: JSON.stringify({ version }), rules };
 }
 
--- a/proof/kept_departures_test.ts
+++ b/proof/kept_departures_test.ts
@@ -2,7 +2,11 @@
 import { test } from "node:test";
 import type { FleetUpstream, Milliseconds } from "#core";
 import type { ControlReplica } from "#membership";
-import { type ControlVm, ControlWorld } from "./control_world.ts";
+import {
+  type ControlVm,
+  ControlWorld,
+  NAMED_SERVICE,
+} from "./control_world.ts";
 
 const BORN_MS = 500;
 const DOWN_MS: Milliseconds = 200;
@@ -17,7 +21,7 @@
     id: "u",
     bornMs: BORN_MS,
     sequence: 1,
-    service: "s",
+    service: NAMED_SERVICE,
     zone: "z0",
     address: { host: "10.1.0.1", port: 1 },
     slots: 8,
@@ -35,7 +39,7 @@
 
 function isReady(world: ControlWorld): boolean {
   return world.vms.some(({ process }) =>
-    process?.replica.fleet.readyUpstreams("s").length === 1
+    process?.replica.fleet.readyUpstreams(NAMED_SERVICE).length === 1
   );
 }
 
@@ -148,3 +152,24 @@
   const again = replicaOf(other).acceptLeave("u", BORN_MS);
   assert.equal(await settle(world, again), true);
 });
+
+// Guards against another writer that makes a worker leave by a heartbeat with the worker's identifier.
+test("a draining heartbeat of a service that is not named makes no upstream leave, though it bears its identifier", async () => {
+  const world = new ControlWorld({ vms: 3, zones: 3, losses: 1, seed: 63 });
+  await world.start();
+  await settle(world, world.change(1));
+  const foreign = heartbeat({
+    service: "elsewhere",
+    bornMs: BORN_MS + 3_600_000,
+    phase: "draining",
+  });
+  const [vm] = world.vms;
+  for (const record of [heartbeat(), foreign, heartbeat({ sequence: 2 })]) {
+    const accepted = replicaOf(vm).acceptHeartbeat(record);
+    assert.equal(await settle(world, accepted), true);
+  }
+  assert.equal(isReady(world), true);
+  await restartAll(world);
+  await world.run(RECOVERY_MS);
+  assert.equal(await isUsedAfter(world, heartbeat({ sequence: 3 })), true);
+});
--- a/proof/odd_entries_test.ts
+++ b/proof/odd_entries_test.ts
@@ -96,11 +96,13 @@
   readonly follower: FleetFollower;
   readonly #controls: SimulatedControls;
 
-  constructor() {
+  constructor(
+    options: { readonly services?: () => readonly string[] } = {},
+  ) {
     const { clock } = this;
     const random = new SeededRandom(1);
     const network = new MemoryNetwork({ clock, random });
-    this.#controls = new SimulatedControls({ clock, network });
+    this.#controls = new SimulatedControls({ clock, network, ...options });
     const entry = startEntry({
       index: 0,
       clock,
@@ -173,6 +175,72 @@
   assert.deepEqual(known, sound.sort());
 });
 
+/** Entries of services that no configuration names, for a worker with this identifier and address. */
+function foreignEntries(
+  worker: { readonly id: string; readonly address: string },
+): readonly { readonly id: string; readonly body: string }[] {
+  const hour = 3_600_000;
+  const foreign = { address: worker.address, service: "elsewhere" };
+  const entry = (id: string, change: Record<string, unknown>) => ({
+    id,
+    body: text({ ...foreign, ...change }),
+  });
+  return [
+    entry("agent", { born: SOUND.born + 1 }),
+    entry("agent-ahead", { born: SOUND.born + hour }),
+    entry("agent-leaving", { born: SOUND.born + 1, state: "draining" }),
+    entry(worker.id, { seq: 1_000 }),
+    entry(worker.id, { seq: 1_000, service: "elsewhere-2" }),
+    entry(worker.id, { born: SOUND.born + hour }),
+    entry(worker.id, { seq: 1_001, state: "draining" }),
+    entry(worker.id, { born: SOUND.born + 2 * hour, address: "10.9.9.9:80" }),
+  ];
+}
+
+// Guards against another writer's entry that hides the worker whose identifier or address it names.
+test("entries of services that are not named here take no worker out of use, whatever they name", async () => {
+  const site = new Site({ services: () => ["models"] });
+  const worker = { id: "w0", address: "10.128.1.1:8080" };
+  const entries = foreignEntries(worker);
+  for (let round = 1; round <= 20; round += 1) {
+    const sound = { id: "w0", body: soundHeartbeat(0, round) };
+    assert.equal(await site.call(round, "heartbeat", sound), 200);
+    const entry = entries[round % entries.length];
+    // The last rounds show that nothing of them stays.
+    if (entry !== undefined && round < 16) {
+      await site.call(round + 1, "heartbeat", entry);
+    }
+    await site.clock.advanceAsync(HEARTBEAT_MS);
+    const known = site.follower.upstreams.filter((each) =>
+      each.service === "models"
+    );
+    assert.deepEqual(known.map(({ id, phase }) => [id, phase]), [[
+      "w0",
+      "ready",
+    ]], `round ${round}`);
+  }
+});
+
+// Guards against workers that are dropped since they report before the configuration that names their service.
+test("a worker is used once a configuration names its service, and no later than another one's entry for its address", async () => {
+  const services = ["models"];
+  const site = new Site({ services: () => services });
+  const body = (sequence: number): string =>
+    text({ service: "cards", seq: sequence });
+  for (let round = 1; round <= 12; round += 1) {
+    if (round === 8) services.push("cards");
+    const foreign = { service: "elsewhere", born: SOUND.born + round };
+    const other = { id: "agent", body: text(foreign) };
+    await site.call(round, "heartbeat", other);
+    await site.call(round, "heartbeat", { id: "w0", body: body(round) });
+    await site.clock.advanceAsync(HEARTBEAT_MS);
+    const used = site.follower.upstreams.filter(({ service, phase }) =>
+      service === "cards" && phase === "ready"
+    );
+    if (round >= 8) assert.equal(used.length, 1, `round ${round}`);
+  }
+});
+
 test("an odd leave call doesn't take a worker out of service", async () => {
   const site = new Site();
   // Until the control VMs have run long enough to know all workers.
--- a/proof/simulated_vms.ts
+++ b/proof/simulated_vms.ts
@@ -14,6 +14,7 @@
   type Milliseconds,
   Ok,
   type RandomSource,
+  type StoredConfiguration,
   type VirtualClock,
 } from "#core";
 import {
@@ -44,6 +45,8 @@
 export interface SimulationBase {
   readonly clock: VirtualClock;
   readonly network: MemoryNetwork;
+  /** Returns the services that the configuration names; there is no configuration if absent. */
+  readonly services?: () => readonly string[];
 }
 
 /** Three control VMs, of which one leads the control log. */
@@ -96,6 +99,18 @@
     return Promise.resolve(counted.ok);
   }
 
+  #configuration(): StoredConfiguration | null {
+    const { services } = this.#base;
+    if (services === undefined) return null;
+    const named = services().map((name) => ({
+      name,
+      maximumConnections: 10,
+      engine: null,
+    }));
+    const rules = { version: 1 + named.length, routes: [], services: named };
+    return { document: "", rules } as unknown as StoredConfiguration;
+  }
+
   #start(vm: string): void {
     const { clock } = this.#base;
     const network = this.#base.network.join(vm);
@@ -109,7 +124,7 @@
       epoch: vm,
       heartbeatTimeoutMs: MISSED_HEARTBEATS * HEARTBEAT_MS,
       peers: () => CONTROL_VMS,
-      configuration: () => null,
+      configuration: () => this.#configuration(),
       placement: () => ({
         revision: 1,
         placement: { controls: CONTROL_VMS, stores: [], retiring: [] },
