--- a/proof/broken_upstreams_test.ts
+++ b/proof/broken_upstreams_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { RouteRule } from "#core";
+import { MEBIBYTE, type RouteRule } from "#core";
 import {
   callThrough,
   chunkOf,
@@ -162,3 +162,41 @@
     });
   }
 }
+
+const LONG_UPLOAD_BYTES = 4 * MEBIBYTE;
+const EARLY_RESPONSES = 20;
+
+for (const kind of ["idempotent", "once"] as const) {
+  // Guards against a part of an early response to a long upload that reaches a caller as the whole.
+  test(`a long upload of kind ${kind} whose upstream responds at once without a length and resets is answered with a failure`, async () => {
+    const bytes = responseBytes({
+      headers: ["Connection: close"],
+      body: BODY,
+    });
+    const script: Script = { bytes, end: "reset_at_once" };
+    for (let run = 0; run < EARLY_RESPONSES; run += 1) {
+      const received = await callThrough([script], { kind }, LONG_UPLOAD_BYTES);
+      assert.ok(received.status >= 500, `run ${run}: ${received.status}`);
+      assert.doesNotMatch(received.headers, /x-stamp/i);
+    }
+  });
+}
+
+// Guards against an early rejection of a long upload that is lost together with the rest of the upload.
+test("an early error without a length, after which the upstream reads on, reaches the caller of a long upload", async () => {
+  const bytes = responseBytes({
+    status: "413 Payload Too Large",
+    headers: ["Connection: close"],
+    body: BODY,
+  });
+  const script: Script = { bytes, end: "close" };
+  for (let run = 0; run < EARLY_RESPONSES; run += 1) {
+    const received = await callThrough(
+      [script],
+      { kind: "once" },
+      LONG_UPLOAD_BYTES,
+    );
+    assert.equal(received.status, 413);
+    assert.equal(received.body, BODY);
+  }
+});
--- a/proof/scripted_upstream.ts
+++ b/proof/scripted_upstream.ts
@@ -10,6 +10,7 @@
   type Socket,
 } from "node:net";
 import {
+  type Bytes,
   type FleetUpstream,
   type HttpRoute,
   MemoryEventLog,
@@ -28,14 +29,6 @@
 const HOST = "site.example";
 const REQUEST_ID = "r1";
 const DEADLINE_MS: Milliseconds = 2_000;
-const CALL = [
-  "POST /a/b HTTP/1.1",
-  `Host: ${HOST}`,
-  "Connection: close",
-  "Content-Length: 1",
-  "",
-  "x",
-].join("\r\n");
 
 /** What an upstream sends after it has received a call, and how it ends the connection. */
 export interface Script {
@@ -86,6 +79,7 @@
 export async function callThrough(
   scripts: readonly Script[],
   route: Partial<RouteRule>,
+  uploadBytes: Bytes = 1,
 ): Promise<Received> {
   const servers: Server[] = [];
   const upstreams: FleetUpstream[] = [];
@@ -113,7 +107,7 @@
   try {
     await withServer({ routes }, async ({ address }) => {
       const client = new RawClient(address);
-      client.send(CALL);
+      client.send(callBytes(uploadBytes));
       received = await client.untilClosed();
     });
   } finally {
@@ -139,6 +133,17 @@
   dueMs: null,
 };
 
+function callBytes(uploadBytes: Bytes): string {
+  return [
+    "POST /a/b HTTP/1.1",
+    `Host: ${HOST}`,
+    "Connection: close",
+    `Content-Length: ${uploadBytes}`,
+    "",
+    "x".repeat(uploadBytes),
+  ].join("\r\n");
+}
+
 function forwardingRoute(forwarder: Forwarder, route: RouteRule): HttpRoute {
   return {
     method: "ANY",
--- a/requests/upstream_socket.ts
+++ b/requests/upstream_socket.ts
@@ -12,10 +12,13 @@
 import type { Duplex } from "node:stream";
 
 const NO_BYTES = new Uint8Array();
+/** Error of a write to a connection that the peer reset after it had ended its side in order. */
+const RESET_AFTER_END = "EPIPE";
 
 /** A connection to an upstream. */
 export class UpstreamSocket extends Socket {
   #confirmsEnd = false;
+  #hasEnded = false;
 
   constructor(options: TcpNetConnectOpts) {
     super({ ...options, allowHalfOpen: true });
@@ -29,8 +32,15 @@
     this.#confirmsEnd = true;
   }
 
+  /** Whether an error was reported though the peer had ended its side in order: it has not read all that was sent. */
+  isEndedUnread(error: Error): boolean {
+    const { code } = error as NodeJS.ErrnoException;
+    return this.#hasEnded && code === RESET_AFTER_END;
+  }
+
   override emit(event: string | symbol, ...values: unknown[]): boolean {
     if (event !== "end") return super.emit(event, ...values);
+    this.#hasEnded = true;
     if (this.#confirmsEnd) {
       this.write(NO_BYTES, (error) => {
         if (!error) this.#reportEnd();
--- a/requests/upstream_socket_test.ts
+++ b/requests/upstream_socket_test.ts
@@ -1,15 +1,16 @@
 import assert from "node:assert/strict";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
-import { type Address, MEBIBYTE } from "#core";
+import { type Address, type Bytes, KIBIBYTE, MEBIBYTE } from "#core";
 import { type OutgoingCall, UpstreamHttp } from "./upstream_http.ts";
 
 const HOST = "127.3.0.8";
 /** Enough to see what happens once in a thousand calls. */
 const CALLS = 3_000;
-/** Calls with a long response. */
+/** Calls with a long upload or a long response. */
 const LONG_CALLS = 200;
 const CONCURRENCY = 20;
+const LONG_UPLOAD: Bytes = 4 * MEBIBYTE;
 const HEAD = "HTTP/1.1 200 OK\r\n\r\n";
 const ERROR_HEAD = "HTTP/1.1 413 Payload Too Large\r\n\r\n";
 const PART = "id: 1\ndata: one\n\n";
@@ -26,8 +27,9 @@
 /** Counts how the responses to many calls end. */
 async function endsOf(
   respond: Respond,
-  { calls }: { readonly calls: number },
+  options: { readonly calls: number; readonly uploadBytes?: Bytes },
 ): Promise<Ends> {
+  const { calls, uploadBytes = 0 } = options;
   const server = createServer({ allowHalfOpen: true }, (socket) => {
     socket.on("error", () => {});
     socket.once("data", () => respond(socket));
@@ -35,6 +37,7 @@
   await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
   const { port } = server.address() as AddressInfo;
   const http = new UpstreamHttp();
+  const body = new Uint8Array(uploadBytes);
   const complete = new Map<string, number>();
   let failed = 0;
   let left = calls;
@@ -43,7 +46,7 @@
       left -= 1;
       // Both kinds of connections: new ones, and such that could be used again.
       const reuseConnection = left % 2 === 0;
-      const call = callTo({ host: HOST, port }, { reuseConnection });
+      const call = callTo({ host: HOST, port }, { body, reuseConnection });
       const result = await http.call(call);
       if (result.err) failed += 1;
       else {
@@ -64,14 +67,14 @@
 
 function callTo(
   address: Address,
-  { reuseConnection }: Pick<OutgoingCall, "reuseConnection">,
+  { body, reuseConnection }: Pick<OutgoingCall, "body" | "reuseConnection">,
 ): OutgoingCall {
   return {
     address,
     method: "POST",
     target: "/",
     headers: ["Host", "h.example"],
-    body: new Uint8Array(),
+    body,
     signal: AbortSignal.timeout(30_000),
     reuseConnection,
   };
@@ -106,6 +109,35 @@
   });
 }
 
+const EARLY_RESETS: Readonly<Record<string, Respond>> = {
+  "is reset": (socket) => {
+    socket.write(HEAD + PART, () => socket.resetAndDestroy());
+  },
+  "is reset while the upload is read": (socket) => {
+    socket.resume();
+    socket.write(HEAD + PART);
+    setTimeout(() => socket.resetAndDestroy(), 1);
+  },
+  "is closed with unread bytes": (socket) => {
+    socket.pause();
+    socket.write(HEAD + PART, () => socket.destroy());
+  },
+  "ends and is closed with unread bytes": (socket) => {
+    socket.pause();
+    socket.end(HEAD + PART, () => socket.destroy());
+  },
+};
+
+for (const [how, respond] of Object.entries(EARLY_RESETS)) {
+  // Guards against an early response to a long upload that is cut off and passes for complete.
+  test(`a success without a length whose connection ${how} during a long upload is never complete`, async () => {
+    const options = { calls: LONG_CALLS, uploadBytes: LONG_UPLOAD };
+    const { complete, failed } = await endsOf(respond, options);
+    assert.deepEqual([...complete], []);
+    assert.equal(failed, LONG_CALLS);
+  });
+}
+
 const SOUND: Readonly<Record<string, readonly [Respond, string]>> = {
   "without a body": [(socket) => socket.end(HEAD), "200, 0 bytes"],
   "of one byte": [(socket) => socket.end(HEAD + "x"), "200, 1 bytes"],
@@ -142,3 +174,56 @@
   }, { calls: LONG_CALLS });
   assert.deepEqual([...complete], [[`200, ${body.length} bytes`, LONG_CALLS]]);
 });
+
+const EARLY_ERRORS: Readonly<Record<string, Respond>> = {
+  "reads the upload on": (socket) => {
+    socket.resume();
+    socket.end(ERROR_HEAD + "x");
+  },
+  "reads the upload slowly": (socket) => {
+    socket.end(ERROR_HEAD + "x");
+    socket.on("data", (chunk: Uint8Array) => {
+      if (chunk.length < 32 * KIBIBYTE) return;
+      socket.pause();
+      setTimeout(() => socket.resume(), 1);
+    });
+  },
+};
+
+for (const [how, respond] of Object.entries(EARLY_ERRORS)) {
+  // Guards against an early rejection of a long upload that doesn't reach the caller.
+  test(`an early error without a length is complete if the upstream ${how}`, async () => {
+    const options = { calls: LONG_CALLS, uploadBytes: LONG_UPLOAD };
+    const { complete } = await endsOf(respond, options);
+    assert.deepEqual([...complete], [["413, 1 bytes", LONG_CALLS]]);
+  });
+}
+
+test("an early error without a length is complete if the upstream ends its side and then closes unread", async () => {
+  const respond: Respond = (socket) => {
+    socket.pause();
+    socket.end(ERROR_HEAD + "x", () => setTimeout(() => socket.destroy(), 5));
+  };
+  const options = { calls: LONG_CALLS, uploadBytes: LONG_UPLOAD };
+  const { complete } = await endsOf(respond, options);
+  assert.deepEqual([...complete], [["413, 1 bytes", LONG_CALLS]]);
+});
+
+test("a call whose response without a length has ended is cancelled while its upload is still under way", async () => {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.pause();
+      socket.end(HEAD + "x");
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  const body = new Uint8Array(8 * LONG_UPLOAD);
+  const call = callTo({ host: HOST, port }, { body, reuseConnection: true });
+  const http = new UpstreamHttp();
+  const result = await http.call({ ...call, signal: AbortSignal.timeout(200) });
+  assert.equal(result.ok, false);
+  http.close();
+  server.close();
+});
