--- a/programs/response_writer.ts
+++ b/programs/response_writer.ts
@@ -70,10 +70,18 @@
   const outcome = isStreamed(body)
     ? await writeStreamedBody(response, body, options)
     : await writeFixedBody(response, body, options);
-  if (outcome.kind !== "whole") response.destroy();
+  if (outcome.kind !== "whole") breakOff(response);
   return outcome;
 }
 
+/** Closes the connection: by a reset if its end would look like the end of the response. */
+function breakOff(response: ServerResponse): void {
+  const hasEnd = response.chunkedEncoding ||
+    response.hasHeader("Content-Length");
+  if (response.headersSent && !hasEnd) response.socket?.resetAndDestroy();
+  response.destroy();
+}
+
 /** A response as it was written, and how writing the one that was to be written ended. */
 export interface WrittenResponse {
   readonly status: number;
