--- a/soak/soak_site.ts
+++ b/soak/soak_site.ts
@@ -103,6 +103,7 @@
           zone: `z${at % ZONES.length + 1}`,
           address: this.#cluster.fakeAddress(at),
           failsSome: at === 0,
+          resetsSome: at === 1,
         }),
     );
     this.#engines = Array.from(
@@ -115,6 +116,7 @@
           address: this.#cluster.fakeAddress(size.workers + at),
           models: [MODEL],
           failsSome: at === 0,
+          resetsSome: at === 1,
         }),
     );
     this.#publisher = new SoakPublisher({
--- a/soak/soak_worker.ts
+++ b/soak/soak_worker.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Address, Milliseconds } from "#core";
-import { type ExecutedRequest, FakeWorker } from "#platform";
+import { type ExecutedRequest, FakeWorker, type ResponseEnd } from "#platform";
 import { delay } from "../proof/managed_process.ts";
 import type { SoakWorkerRecord } from "./soak_oracle.ts";
 import type { SoakEngineRecord } from "./soak_publisher.ts";
@@ -15,6 +15,8 @@
 /** Of so many requests a worker that fails some fails one. */
 const FAILED_EACH = 5;
 const FAILURE_STATUS = 503;
+/** Of so many responses a worker whose responses have no length resets one, with a part of it. */
+const RESET_EACH = 7;
 const CRASH_MS: Milliseconds = 80;
 const RESTART_MS: Milliseconds = 1_500;
 const DEPARTURE_RETRY_MS: Milliseconds = 100;
@@ -35,6 +37,8 @@
   readonly softwareVersion?: string;
   /** Whether it fails part of its requests with 503, although it has run them. */
   readonly failsSome?: boolean;
+  /** Whether its responses end with their connections, and some of them by a reset. */
+  readonly resetsSome?: boolean;
   /** Returns after how many events a stream breaks off, or null if it does not; none does if absent. */
   readonly eventsBeforeBreak?: () => number | null;
 }
@@ -55,11 +59,16 @@
   #isStopped = false;
   #softwareVersion: string | undefined;
   #failsSome: boolean;
+  readonly #endsWithConnection: boolean;
+  #resetsSome: boolean;
+  #responses = 0;
 
   constructor(options: SoakWorkerOptions) {
     this.#options = options;
     this.#softwareVersion = options.softwareVersion;
     this.#failsSome = options.failsSome ?? false;
+    this.#endsWithConnection = options.resetsSome ?? false;
+    this.#resetsSome = this.#endsWithConnection;
   }
 
   /** What it accepted of a model, and serves of it now. */
@@ -148,6 +157,7 @@
       startedMs: Date.now(),
       onRun: (request) => this.#run(request),
       failureOf: (request) => this.#failsSome ? failureOf(request) : null,
+      endOf: () => this.#nextEnd(),
       ...(announcedAddress === undefined ? {} : { announcedAddress }),
       ...(eventsBeforeBreak === undefined ? {} : { eventsBeforeBreak }),
       ...(softwareVersion === undefined
@@ -169,9 +179,10 @@
     void this.#fake?.sendHeartbeat(control);
   }
 
-  /** Fails no more requests, and names no limit. */
+  /** Fails and resets no more requests, and names no limit. */
   recover(): void {
     this.#failsSome = false;
+    this.#resetsSome = false;
     this.setLimit(null);
   }
 
@@ -181,6 +192,14 @@
     this.#limits.push({ fromMs: performance.now(), perSecond });
   }
 
+  /** Returns how its next response ends. */
+  #nextEnd(): ResponseEnd {
+    if (!this.#endsWithConnection) return "marked";
+    this.#responses += 1;
+    const isReset = this.#resetsSome && this.#responses % RESET_EACH === 0;
+    return isReset ? "reset" : "connection";
+  }
+
   /** Returns whether a request crashes the worker, instead of getting a response. */
   #run(request: ExecutedRequest): boolean {
     this.#executed.push(request);
