--- a/membership/claimed_upstreams_test.ts
+++ b/membership/claimed_upstreams_test.ts
@@ -4,7 +4,9 @@
 import type { FleetUpstream, Milliseconds } from "#core";
 import { NO_DEPARTURES } from "./departures_machine.ts";
 import { FleetTable } from "./fleet_table.ts";
+import { createUpstream } from "./fleet_test_support.ts";
 
+const ADDRESS = { host: "10.0.0.1", port: 80 };
 const HEARTBEAT_MS: Milliseconds = 1_000;
 const TIMEOUT_MS: Milliseconds = 4_000;
 const SERVICES: ReadonlySet<string> = new Set(["models", "cards"]);
@@ -20,18 +22,8 @@
 }
 
 function upstream(change: Partial<FleetUpstream>): FleetUpstream {
-  return {
-    id: "u1",
-    bornMs: 1_000,
-    sequence: 1,
-    service: "models",
-    zone: "a",
-    address: { host: "10.0.0.1", port: 80 },
-    slots: 4,
-    phase: "ready",
-    serves: [],
-    ...change,
-  };
+  const own = { id: "u1", service: "models", address: ADDRESS };
+  return createUpstream({ ...own, bornMs: 1_000, ...change });
 }
 
 function identifiers(table: FleetTable): readonly string[] {
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -19,6 +19,7 @@
   type StoredConfiguration,
 } from "#core";
 import type { PeerNetwork } from "#wire";
+import { ChangeWaiters } from "./change_waiters.ts";
 import { CrashLedger } from "./crash_ledger.ts";
 import type { Departure, KnownDepartures } from "./departures_machine.ts";
 import type { CrashRecord } from "./crash_records.ts";
@@ -79,14 +80,14 @@
   readonly #vms: VmObservations;
   readonly #crashes = new CrashLedger();
   readonly #gossip: FleetGossip;
-  readonly #waiters = new Set<() => void>();
+  readonly #waiters: ChangeWaiters;
   readonly #startedMs: Milliseconds;
   /** Whether another control VM has sent its heartbeats, so that they need not be requested again. */
   #receivedHeartbeats = false;
-  #handleChange: () => void = () => {};
 
   constructor(options: FleetServerOptions) {
     this.#options = options;
+    this.#waiters = new ChangeWaiters(options.clock);
     this.#departures = new HeardDepartures(options.departures);
     this.#table = new FleetTable({
       heartbeatTimeoutMs: options.heartbeatTimeoutMs,
@@ -262,15 +263,12 @@
 
   /** Sets what is called when the state that VMs follow may have changed. */
   onChange(handler: () => void): void {
-    this.#handleChange = handler;
+    this.#waiters.onChange(handler);
   }
 
   /** Wakes the follow requests that wait for newer state. */
   wakeWaiters(): void {
-    const waiters = [...this.#waiters];
-    this.#waiters.clear();
-    for (const wake of waiters) wake();
-    this.#handleChange();
+    this.#waiters.wake();
   }
 
   #expireAndGossip(): void {
@@ -376,19 +374,7 @@
     const hasConfirmed = confirmed !== undefined &&
       this.#options.configuration() !== null;
     if (hasConfirmed || hasUpdates(reply) || !reply.current) return Ok(reply);
-    await this.#waitForChange(request.waitMs);
+    await this.#waiters.wait(request.waitMs);
     return Ok(this.#replies.create(request, false));
   }
-
-  #waitForChange(waitMs: Milliseconds): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = (): void => {
-        timer.cancel();
-        this.#waiters.delete(wake);
-        resolve();
-      };
-      const timer = this.#options.clock.after(waitMs, wake);
-      this.#waiters.add(wake);
-    });
-  }
 }
