--- a/membership/claimed_upstreams.ts
+++ b/membership/claimed_upstreams.ts
@@ -1,8 +1,8 @@
 /**
  * Which of several entries holds an identifier or an address that all of them claim.
  *
- * An entry whose service no configuration names is one of another writer, or of an upstream that is to be used later: it
- * takes nothing from an upstream that is used now. Of others the later start counts, unless the heartbeats of the earlier
+ * An entry whose service no configuration names, or that lacks the models of its service, is one of another writer or of
+ * an upstream that is to be used later: it takes nothing from an upstream that is used now. Of others the later start counts, unless the heartbeats of the earlier
  * one go on while the later one is silent: the clocks of VMs differ, and an address is used again.
  *
  * @module
@@ -10,16 +10,16 @@
 import type { Address, FleetUpstream } from "#core";
 import type { TableEntry, UpstreamEntries } from "./upstream_entries.ts";
 
-/** Whether the configuration names a service. */
-export type IsNamed = (service: string) => boolean;
+/** Whether a record names an upstream to use; see `FleetTable.isUsable`. */
+export type IsUsable = (record: FleetUpstream) => boolean;
 
 /** Returns the entry that holds its identifier; undefined if there are none. */
 export function holderOfId(
   entries: Iterable<TableEntry>,
-  isNamed: IsNamed,
+  isUsable: IsUsable,
 ): TableEntry | undefined {
   return holderOf(entries, (entry, other) => {
-    const byEvidence = compareEvidence(entry, other, isNamed);
+    const byEvidence = compareEvidence(entry, other, isUsable);
     return byEvidence === 0
       ? isNewer(entry.record, other.record)
       : byEvidence > 0;
@@ -30,15 +30,15 @@
 export function holderOfAddress(
   entries: UpstreamEntries,
   address: Address,
-  isNamed: IsNamed,
+  isUsable: IsUsable,
 ): TableEntry | undefined {
   const claims: TableEntry[] = [];
   for (const entry of entries.atAddress(address)) {
-    const holder = holderOfId(entries.ofId(entry.record.id), isNamed);
+    const holder = holderOfId(entries.ofId(entry.record.id), isUsable);
     if (holder === entry) claims.push(entry);
   }
   return holderOf(claims, (entry, other) => {
-    const byEvidence = compareEvidence(entry, other, isNamed);
+    const byEvidence = compareEvidence(entry, other, isUsable);
     return byEvidence === 0
       ? entry.record.bornMs > other.record.bornMs
       : byEvidence > 0;
@@ -70,11 +70,11 @@
 function compareEvidence(
   entry: TableEntry,
   other: TableEntry,
-  isNamed: IsNamed,
+  isUsable: IsUsable,
 ): number {
-  const byName = Number(isNamed(entry.record.service)) -
-    Number(isNamed(other.record.service));
-  if (byName !== 0) return byName;
+  const byUse = Number(isUsable(entry.record)) -
+    Number(isUsable(other.record));
+  if (byUse !== 0) return byUse;
   return Number(outlives(entry, other)) - Number(outlives(other, entry));
 }
 
--- a/membership/claimed_upstreams_test.ts
+++ b/membership/claimed_upstreams_test.ts
@@ -3,13 +3,16 @@
 import fc from "fast-check";
 import type { FleetUpstream, Milliseconds } from "#core";
 import { NO_DEPARTURES } from "./departures_machine.ts";
-import { FleetTable } from "./fleet_table.ts";
+import { FleetTable, type NamedServices } from "./fleet_table.ts";
 import { createUpstream } from "./fleet_test_support.ts";
 
 const ADDRESS = { host: "10.0.0.1", port: 80 };
 const HEARTBEAT_MS: Milliseconds = 1_000;
 const TIMEOUT_MS: Milliseconds = 4_000;
-const SERVICES: ReadonlySet<string> = new Set(["models", "cards"]);
+const SERVICES: NamedServices = new Map([
+  ["models", "models"],
+  ["cards", "plain"],
+]);
 
 function createTable(services = SERVICES): FleetTable {
   const table = new FleetTable({
@@ -23,7 +26,8 @@
 
 function upstream(change: Partial<FleetUpstream>): FleetUpstream {
   const own = { id: "u1", service: "models", address: ADDRESS };
-  return createUpstream({ ...own, bornMs: 1_000, ...change });
+  const serves = [{ model: "m", version: 1 }];
+  return createUpstream({ ...own, serves, bornMs: 1_000, ...change });
 }
 
 function identifiers(table: FleetTable): readonly string[] {
@@ -113,6 +117,20 @@
   );
 });
 
+// Guards against another writer's entry that lacks the models of the worker whose identifier or address it names.
+test("an entry without models takes nothing from an upstream of a service that serves them", () => {
+  for (const id of ["u1", "agent"]) {
+    const table = createTable();
+    table.recordHeartbeat({ record: upstream({}), ageMs: 0 }, 0);
+    const odd = upstream({ id, serves: [], bornMs: 9_000, sequence: 1_000 });
+    table.recordHeartbeat({ record: odd, ageMs: 0 }, 1);
+    table.recordHeartbeat({ record: upstream({ sequence: 2 }), ageMs: 0 }, 2);
+    const [listed] = table.listed();
+    assert.equal(listed?.sequence, 2);
+    assert.equal(table.listed().length, 1);
+  }
+});
+
 // Guards against a worker that stays hidden, as its clock is behind that of the one before it at its address.
 test("an upstream whose heartbeats go on holds its address though a silent one there says that it started later", () => {
   const table = createTable();
--- a/membership/fleet_server.ts
+++ b/membership/fleet_server.ts
@@ -31,7 +31,7 @@
   type UpstreamIncarnation,
 } from "./fleet_messages.ts";
 import { FleetGossip } from "./fleet_gossip.ts";
-import { FleetTable } from "./fleet_table.ts";
+import { FleetTable, type NamedServices } from "./fleet_table.ts";
 import { FollowReplies, hasUpdates } from "./follow_replies.ts";
 import { HeardDepartures } from "./heard_departures.ts";
 import type { VersionedPlacement } from "./placement_machine.ts";
@@ -190,7 +190,12 @@
     const rules = this.#options.configuration()?.rules;
     if (rules === undefined || rules === this.#appliedRules) return;
     this.#appliedRules = rules;
-    const services = new Set(rules.services.map(({ name }) => name));
+    const services: NamedServices = new Map(
+      rules.services.map(({ name, engine }) => [
+        name,
+        engine === null ? "plain" : "models",
+      ]),
+    );
     if (this.#table.nameServices(services)) this.wakeWaiters();
   }
 
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -19,10 +19,13 @@
 /** Whether a heartbeat changed the routing, only renewed the upstream, or was outdated. */
 export type HeartbeatOutcome = "changed" | "renewed" | "outdated";
 
+/** The services that a configuration names, and whether their upstreams serve models. */
+export type NamedServices = ReadonlyMap<string, "models" | "plain">;
+
 const NO_LIMITS: ReadonlyMap<string, number> = new Map();
 
-/** Most entries kept of services that no configuration names; the ones without a heartbeat for longest yield. */
-const MAXIMUM_UNNAMED_ENTRIES = 1_024;
+/** Most entries kept that name no upstream to use; the ones without a heartbeat for longest yield. */
+const MAXIMUM_UNUSABLE_ENTRIES = 1_024;
 
 /** Time limits of the table. */
 export interface FleetTableOptions {
@@ -48,7 +51,7 @@
   readonly #options: FleetTableOptions;
   readonly #entries = new UpstreamEntries();
   /** Services that the configuration names; null before the first one, when each may be one. */
-  #services: ReadonlySet<string> | null = null;
+  #services: NamedServices | null = null;
   #revision = 0;
   /** Limits by service, as of a revision. */
   #limits: ReadonlyMap<string, ReadonlyMap<string, number>> = new Map();
@@ -56,7 +59,8 @@
   /** Revision of the departures that are applied to the entries. */
   #departuresRevision = -1;
 
-  readonly #isNamed = (service: string): boolean => this.isNamed(service);
+  readonly #isUsable = (record: FleetUpstream): boolean =>
+    this.isUsable(record);
 
   constructor(options: FleetTableOptions) {
     this.#options = options;
@@ -68,8 +72,8 @@
   }
 
   /** Sets the services that the configuration names; returns whether that may change which upstreams are listed. */
-  nameServices(services: ReadonlySet<string>): boolean {
-    if (this.#services !== null && isSameSet(this.#services, services)) {
+  nameServices(services: NamedServices): boolean {
+    if (this.#services !== null && isSameMap(this.#services, services)) {
       return false;
     }
     this.#services = services;
@@ -82,6 +86,12 @@
     return this.#services?.has(service) ?? true;
   }
 
+  /** Whether a record names an upstream to use: of a service that is named, with models if its upstreams serve them. */
+  isUsable({ service, serves }: FleetUpstream): boolean {
+    if (!this.isNamed(service)) return false;
+    return serves.length > 0 || this.#services?.get(service) !== "models";
+  }
+
   /** Stores a heartbeat unless a newer one is known. */
   recordHeartbeat(beat: AgedHeartbeat, nowMs: Milliseconds): HeartbeatOutcome {
     const known = this.#entries.find(beat.record);
@@ -89,10 +99,10 @@
       this.#adoptLimitOf(beat, nowMs);
       return "outdated";
     }
-    const { id, bornMs, service } = beat.record;
+    const { id, bornMs } = beat.record;
     const departure = this.#options.departures.find(id);
     if (covers(departure, { bornMs, phase: "gone" })) return "outdated";
-    if (known === undefined && !this.isNamed(service)) this.#makeRoom();
+    if (known === undefined && !this.isUsable(beat.record)) this.#makeRoom();
     const holdersBefore = this.#holdersFor(beat.record);
     const isDraining = covers(departure, { bornMs, phase: "draining" });
     const leavingBornMs = isDraining ? bornMs : known?.leavingBornMs ?? null;
@@ -255,23 +265,23 @@
       this.#entries.atAddress(address).size > 1;
   }
 
-  /** Removes the unnamed entry without a heartbeat for longest if there are too many. */
+  /** Removes the unusable entry without a heartbeat for longest if there are too many. */
   #makeRoom(): void {
-    let unnamed = 0;
+    let unusable = 0;
     let oldest: TableEntry | undefined;
     for (const entry of this.#entries.all()) {
-      if (this.isNamed(entry.record.service)) continue;
-      unnamed += 1;
+      if (this.isUsable(entry.record)) continue;
+      unusable += 1;
       if (oldest === undefined || entry.receivedMs < oldest.receivedMs) {
         oldest = entry;
       }
     }
-    if (unnamed < MAXIMUM_UNNAMED_ENTRIES || oldest === undefined) return;
+    if (unusable < MAXIMUM_UNUSABLE_ENTRIES || oldest === undefined) return;
     this.#remove(oldest);
   }
 
   #holderOfId(id: string): TableEntry | undefined {
-    return holderOfId(this.#entries.ofId(id), this.#isNamed);
+    return holderOfId(this.#entries.ofId(id), this.#isUsable);
   }
 
   /** Whether an entry holds its identifier and its address. */
@@ -280,7 +290,7 @@
     return holderOfAddress(
       this.#entries,
       entry.record.address,
-      this.#isNamed,
+      this.#isUsable,
     ) === entry;
   }
 
@@ -290,7 +300,7 @@
     const ofAddress = holderOfAddress(
       this.#entries,
       record.address,
-      this.#isNamed,
+      this.#isUsable,
     )?.record;
     return [ofId?.service, ofAddress?.id, ofAddress?.service].join(" ");
   }
@@ -316,13 +326,10 @@
   return leaves ? { ...record, phase: "draining" } : record;
 }
 
-function isSameSet(
-  one: ReadonlySet<string>,
-  other: ReadonlySet<string>,
-): boolean {
+function isSameMap(one: NamedServices, other: NamedServices): boolean {
   if (one.size !== other.size) return false;
-  for (const each of one) {
-    if (!other.has(each)) return false;
+  for (const [service, kind] of one) {
+    if (other.get(service) !== kind) return false;
   }
   return true;
 }
--- a/membership/upstream_entries.ts
+++ b/membership/upstream_entries.ts
@@ -1,5 +1,5 @@
 /**
- * The stored heartbeats, by the identifier and the service that they name. Another writer can use the identifier or the
+ * The stored heartbeats, by the identifier and the service that they name, and by whether they name models. Another writer can use the identifier or the
  * address of an upstream, so that several entries may claim one; none of them replaces another.
  *
  * @module
@@ -14,7 +14,7 @@
   readonly limitAgeMs?: Milliseconds;
 }
 
-/** The newest heartbeat of one identifier and service. */
+/** The newest heartbeat of one identifier and service, with or without models. */
 export interface TableEntry {
   record: FleetUpstream;
   receivedMs: Milliseconds;
@@ -34,12 +34,12 @@
   readonly #byId = new Map<string, Set<TableEntry>>();
   readonly #byAddress = new Map<string, Set<TableEntry>>();
 
-  /** Returns the entry with the identifier and the service of a record. */
+  /** Returns the entry that a record belongs to. */
   find(record: FleetUpstream): TableEntry | undefined {
     return this.#entries.get(keyOf(record));
   }
 
-  /** Adds an entry, in place of the one with the same identifier and service. */
+  /** Adds an entry, in place of the one that its record belongs to. */
   set(entry: TableEntry): void {
     const replaced = this.find(entry.record);
     if (replaced !== undefined) this.delete(replaced);
@@ -71,9 +71,10 @@
   }
 }
 
-/** Identifiers contain no spaces. */
-function keyOf({ id, service }: FleetUpstream): string {
-  return `${id} ${service}`;
+/** Identifiers contain no spaces. An entry without models may lack them since it is another writer's. */
+function keyOf({ id, service, serves }: FleetUpstream): string {
+  const kind = serves.length > 0 ? "models" : "plain";
+  return `${id} ${kind} ${service}`;
 }
 
 function hostAndPort({ host, port }: Address): string {
