--- a/agreement/formation.ts
+++ b/agreement/formation.ts
@@ -3,11 +3,6 @@
  * replicas, appends them as the first log entry and becomes the first leader. It forms no group once a replica
  * reports that it already belongs to one.
  *
- * A VM that is started again before the group is formed, perhaps without its disk, can't form it. Once it says so, the
- * next VM coordinates. What it had formed before, if anything, counts if a majority knew of it; then one of the other
- * replicas belongs to that group and says so, if it is asked after the VM was started again. So the next coordinator
- * asks all replicas anew.
- *
  * @module
  */
 import type { Milliseconds } from "#core";
@@ -30,29 +25,20 @@
 export class Formation {
   readonly #state: ReplicaState;
   readonly #voters: readonly string[];
-  /** The voters in the order in which they coordinate. */
-  readonly #order: readonly string[];
-  /** Voters that have said that they can't form the group. */
-  readonly #unable = new Set<string>();
+  readonly #coordinator: string | undefined;
   readonly #replicas = new Map<string, string>();
-  /** Number of the requests whose replies count. */
-  #round = 0;
   #abandoned = false;
 
   constructor(state: ReplicaState, group: InitialGroup) {
     this.#state = state;
     this.#voters = [...group.voters].sort();
-    const { coordinator } = group;
-    this.#order = coordinator === undefined
-      ? this.#voters
-      : [coordinator, ...this.#voters.filter((vm) => vm !== coordinator)];
+    this.#coordinator = group.coordinator ?? this.#voters[0];
   }
 
   /** Whether this replica collects the identities and forms the group. */
   isCoordinator(): boolean {
     if (this.#abandoned || this.#state.group !== null) return false;
-    const coordinator = this.#order.find((vm) => !this.#unable.has(vm));
-    return coordinator === this.#state.vm;
+    return this.#coordinator === this.#state.vm;
   }
 
   /** Requests the identities of the other voters' replicas. */
@@ -64,33 +50,19 @@
         to: null,
         formed: false,
         leader: null,
-        round: this.#round,
       });
       this.#state.send(vm, hello);
     }
   }
 
-  /** Handles a reply to `requestIdentities` or to another hello; ignores replies to another identity. */
+  /** Handles a reply to `requestIdentities`; ignores replies to another identity. */
   handleHelloReply(vm: string, message: MessageOf<"hello">): void {
-    if (message.to !== this.#state.identity) return;
+    if (!this.isCoordinator() || message.to !== this.#state.identity) return;
     if (message.formed) {
       this.#abandoned = true;
       return;
     }
-    if (message.mayForm === false) this.#recordUnable(vm);
-    if (!this.isCoordinator()) return;
-    const { round = 0 } = message;
-    if (round < this.#round || !this.#voters.includes(vm)) return;
-    this.#replicas.set(vm, message.from);
-  }
-
-  /** Records that a voter can't form the group; if this VM coordinates then, only replies to later requests count. */
-  #recordUnable(vm: string): void {
-    if (this.#unable.has(vm)) return;
-    this.#unable.add(vm);
-    this.#round += 1;
-    this.#replicas.clear();
-    this.requestIdentities();
+    if (this.#voters.includes(vm)) this.#replicas.set(vm, message.from);
   }
 
   /** Appends the first entry once all identities are known. Returns whether it did. */
--- a/agreement/messages.ts
+++ b/agreement/messages.ts
@@ -39,10 +39,6 @@
     formed: z.boolean(),
     /** VM of the leader, if the sender knows one. */
     leader: nameSchema.nullable(),
-    /** In a reply, whether the sender can form the group; absent from earlier builds. */
-    mayForm: z.boolean().optional(),
-    /** Number of the request for identities, which its reply repeats. */
-    round: counterSchema.optional(),
   }),
   /** Requests a vote. A trial vote (pre-vote) changes no state at the voter. */
   vote: z.object({
--- a/agreement/replica.ts
+++ b/agreement/replica.ts
@@ -300,13 +300,8 @@
     if (message.to === null && vm !== state.vm) {
       const formed = state.group !== null;
       const leader = state.leader?.vm ?? null;
-      const mayForm = this.#formation !== undefined;
-      const { from: to, round } = message;
-      const fields = { to, formed, leader, mayForm };
-      const reply = state.message(
-        "hello",
-        round === undefined ? fields : { ...fields, round },
-      );
+      const fields = { to: message.from, formed, leader };
+      const reply = state.message("hello", fields);
       state.sendAfterSync(vm, reply);
       const canJoin = message.group === null || message.group === state.group;
       if (this.leaderRole !== undefined && canJoin) {
--- a/membership/placement_plan.ts
+++ b/membership/placement_plan.ts
@@ -131,20 +131,11 @@
   return nodes.sort((a, b) => a.vm < b.vm ? -1 : 1);
 }
 
-/**
- * Chooses the VMs of the first group. One that was started again since the first start counts too, since there has been no
- * group that it could have lost; but at least one other has to be able to form the group.
- */
 function formStoreGroup(input: PlacementInput): Placement | undefined {
-  const nodes = liveNodes(input, "store");
-  const newNodes = nodes.filter((node) => node.firstStart);
-  const candidates = newNodes.length < input.replicas ? nodes : newNodes;
-  if (candidates.length < input.replicas || newNodes.length === 0) {
-    return undefined;
-  }
-  const stores = spreadOverZones(candidates, input.replicas);
-  const canForm = newNodes.some(({ vm }) => stores.includes(vm));
-  return canForm ? { ...input.placement, stores } : undefined;
+  const newNodes = liveNodes(input, "store").filter((node) => node.firstStart);
+  if (newNodes.length < input.replicas) return undefined;
+  const stores = spreadOverZones(newNodes, input.replicas);
+  return { ...input.placement, stores };
 }
 
 /** Chooses `count` VMs, spread as evenly as possible over the availability zones. */
