--- a/membership/claimed_upstreams.ts
+++ b/membership/claimed_upstreams.ts
@@ -2,8 +2,9 @@
  * Which of several entries holds an identifier or an address that all of them claim.
  *
  * An entry whose service no configuration names, or that lacks the models of its service, is one of another writer or of
- * an upstream that is to be used later: it takes nothing from an upstream that is used now. Of others the later start counts, unless the heartbeats of the earlier
- * one go on while the later one is silent: the clocks of VMs differ, and an address is used again.
+ * an upstream that is to be used later: it takes nothing from an upstream that is used now. Of others the later start
+ * counts, unless the heartbeats of the earlier one go on while the later one is silent: the clocks of VMs differ, and an
+ * address is used again.
  *
  * @module
  */
--- a/membership/fleet_table.ts
+++ b/membership/fleet_table.ts
@@ -58,7 +58,7 @@
   #limitsRevision = -1;
   /** Revision of the departures that are applied to the entries. */
   #departuresRevision = -1;
-
+  /** Bound, to be passed on. */
   readonly #isUsable = (record: FleetUpstream): boolean =>
     this.isUsable(record);
 
--- a/requests/upstream_socket.ts
+++ b/requests/upstream_socket.ts
@@ -38,6 +38,7 @@
     return this.#hasEnded && code === RESET_AFTER_END;
   }
 
+  /** Holds the event `end` back while it is to be confirmed, as that is what ends a response without a length. */
   override emit(event: string | symbol, ...values: unknown[]): boolean {
     if (event !== "end") return super.emit(event, ...values);
     this.#hasEnded = true;
