--- a/programs/response_writer_test.ts
+++ b/programs/response_writer_test.ts
@@ -1,10 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { HttpRoute } from "#core";
-import { RawClient, withServer } from "./http_testing.ts";
+import { UpstreamSocket } from "#requests";
+import { withServer } from "./http_testing.ts";
 
 const PART = "id: 1\ndata: one\n\n";
-const RUNS = 50;
+const RUNS = 400;
 
 function streamingRoute(isWhole: boolean): HttpRoute {
   return {
@@ -23,19 +24,25 @@
   yield PART;
 }
 
-/** Sends a request of a client that can't read chunks; returns what it receives, and whether the connection is reset. */
+/**
+ * Sends a request of a client that can't read chunks; returns what it receives, and whether the connection is reset, also
+ * if the reset arrives together with the last bytes.
+ */
 async function receive(
   isWhole: boolean,
 ): Promise<{ readonly body: string; readonly isReset: boolean }> {
-  let body = "";
+  let received = "";
   let isReset = false;
   await withServer({ routes: [streamingRoute(isWhole)] }, async (running) => {
-    const client = new RawClient(running.address);
-    client.send("GET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
-    const received = await client.untilClosed();
-    body = received.slice(received.indexOf("\r\n\r\n") + 4);
-    isReset = client.error !== undefined;
+    const socket = new UpstreamSocket(running.address);
+    socket.confirmEnd();
+    socket.on("data", (bytes) => received += bytes.toString());
+    socket.on("error", () => isReset = true);
+    socket.connect(running.address);
+    socket.write("GET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
+    await new Promise((resolve) => socket.once("close", resolve));
   });
+  const body = received.slice(received.indexOf("\r\n\r\n") + 4);
   return { body, isReset };
 }
 
--- a/requests/mod.ts
+++ b/requests/mod.ts
@@ -33,3 +33,4 @@
 export * from "./upstream_dialect.ts";
 export * from "./upstream_http.ts";
 export * from "./upstream_notices.ts";
+export { UpstreamSocket } from "./upstream_socket.ts";
